Workspace, newtypes, chart interpreter and checked settings

Sets down the shape first: charts in files that the code interprets, newtypes with Display and FromStr, plain structs and functions. Round-trip property tests cover the newtypes; each chart check has a case that fails it.

--- /dev/null
+++ b/crates/chart/src/bindings.rs
@@ -0,0 +1,57 @@
+//! Guards, actions and durations that the code gives to a chart by name.
+
+use std::collections::BTreeMap;
+
+use parsleylatch_types::Millis;
+
+/// Condition of a transition.
+pub(crate) type Guard<Context> = fn(&Context) -> bool;
+/// Effect of a transition, or of entering or leaving a state.
+pub(crate) type Action<Context> = fn(&mut Context);
+/// Length of a timeout that depends on the context.
+pub(crate) type DurationOf<Context> = fn(&Context) -> Millis;
+
+/// Guards, actions and durations by name.
+pub struct Bindings<Context> {
+    pub(crate) guards: BTreeMap<&'static str, Guard<Context>>,
+    pub(crate) actions: BTreeMap<&'static str, Action<Context>>,
+    pub(crate) durations: BTreeMap<&'static str, DurationOf<Context>>,
+}
+
+impl<Context> Default for Bindings<Context> {
+    fn default() -> Self {
+        Self {
+            guards: BTreeMap::new(),
+            actions: BTreeMap::new(),
+            durations: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Context> Bindings<Context> {
+    /// Empty bindings.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a guard.
+    #[must_use]
+    pub fn guard(mut self, name: &'static str, guard: Guard<Context>) -> Self {
+        self.guards.insert(name, guard);
+        self
+    }
+
+    /// Adds an action.
+    #[must_use]
+    pub fn action(mut self, name: &'static str, action: Action<Context>) -> Self {
+        self.actions.insert(name, action);
+        self
+    }
+
+    /// Adds a computed duration.
+    #[must_use]
+    pub fn duration(mut self, name: &'static str, duration: DurationOf<Context>) -> Self {
+        self.durations.insert(name, duration);
+        self
+    }
+}
--- /dev/null
+++ b/crates/chart/src/machine.rs
@@ -0,0 +1,294 @@
+//! The interpreter: a chart compiled to dense tables, and the lives it steps.
+
+use std::{marker::PhantomData, ops::Range};
+
+use parsleylatch_types::{Millis, MonoTime};
+use strum::{VariantArray, VariantNames};
+
+use crate::{
+    bindings::{Action, Bindings, DurationOf, Guard},
+    check::{self, DefinedNames},
+    error::ChartError,
+    file::{ChartFile, StateFile, TransitionFile},
+};
+
+/// One life: its state, and when the state times out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instance<State> {
+    state: State,
+    deadline: Option<MonoTime>,
+}
+
+impl<State> Instance<State>
+where
+    State: Copy,
+{
+    /// Current state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Time at which the state times out, if it does.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.deadline
+    }
+}
+
+enum Timeout<Context> {
+    Constant(Millis),
+    Computed(DurationOf<Context>),
+}
+
+struct After<Context> {
+    timeout: Timeout<Context>,
+    event_index: usize,
+}
+
+struct StateRow<Context> {
+    entry: Box<[Action<Context>]>,
+    exit: Box<[Action<Context>]>,
+    after: Option<After<Context>>,
+    is_final: bool,
+}
+
+struct Transition<State, Context> {
+    guard: Option<(Guard<Context>, bool)>,
+    target: Option<State>,
+    actions: Box<[Action<Context>]>,
+}
+
+/// A chart, checked and compiled; shared by all the lives it describes.
+pub struct Machine<State, Event, Context> {
+    initial: State,
+    rows: Vec<StateRow<Context>>,
+    cells: Vec<Range<usize>>,
+    transitions: Vec<Transition<State, Context>>,
+    events: PhantomData<fn(Event)>,
+}
+
+impl<State, Event, Context> Machine<State, Event, Context>
+where
+    State: Copy + Into<usize> + VariantArray + VariantNames,
+    Event: Copy + Into<usize> + VariantArray + VariantNames,
+{
+    /// Reads a chart file, checks it and compiles it.
+    ///
+    /// # Errors
+    /// The first thing that is wrong, see [`crate::ChartErrorKind`].
+    pub fn compile(
+        name: &str,
+        text: &str,
+        bindings: &Bindings<Context>,
+    ) -> Result<Self, ChartError> {
+        let file = ChartFile::parse(name, text)?;
+        let names = DefinedNames {
+            states: <State as VariantNames>::VARIANTS,
+            events: <Event as VariantNames>::VARIANTS,
+            guards: bindings.guards.keys().copied().collect(),
+            actions: bindings.actions.keys().copied().collect(),
+            durations: bindings.durations.keys().copied().collect(),
+        };
+        let chart = file.chart.clone();
+        check::check(&file, &names).map_err(|kind| ChartError { chart, kind })?;
+        Ok(Compiler {
+            file: &file,
+            bindings,
+        }
+        .compile())
+    }
+
+    /// Starts a life and runs the initial state's entry actions.
+    pub fn start(&self, now: MonoTime, context: &mut Context) -> Instance<State> {
+        let mut instance = Instance {
+            state: self.initial,
+            deadline: None,
+        };
+        self.enter(&mut instance, self.initial, now, context);
+        instance
+    }
+
+    /// Gives an event to a life. Returns whether the state was left or entered anew.
+    pub fn step(
+        &self,
+        instance: &mut Instance<State>,
+        now: MonoTime,
+        event: Event,
+        context: &mut Context,
+    ) -> bool {
+        self.step_index(instance, now, event.into(), context)
+    }
+
+    /// Gives the timeout event to a life whose deadline has passed.
+    ///
+    /// Returns whether the deadline had passed.
+    pub fn expire(
+        &self,
+        instance: &mut Instance<State>,
+        now: MonoTime,
+        context: &mut Context,
+    ) -> bool {
+        let due = instance.deadline.is_some_and(|deadline| deadline <= now);
+        if due {
+            instance.deadline = None;
+            let row = &self.rows[instance.state.into()];
+            if let Some(after) = &row.after {
+                self.step_index(instance, now, after.event_index, context);
+            }
+        }
+        due
+    }
+
+    /// Whether a life has ended.
+    pub fn is_final(&self, instance: &Instance<State>) -> bool {
+        self.rows[instance.state.into()].is_final
+    }
+
+    fn step_index(
+        &self,
+        instance: &mut Instance<State>,
+        now: MonoTime,
+        event_index: usize,
+        context: &mut Context,
+    ) -> bool {
+        let state_index: usize = instance.state.into();
+        let cell = &self.cells[state_index * <Event as VariantNames>::VARIANTS.len() + event_index];
+        let taken = self.transitions[cell.clone()].iter().find(|transition| {
+            transition
+                .guard
+                .is_none_or(|(guard, expected)| guard(context) == expected)
+        });
+        let Some(transition) = taken else {
+            return false;
+        };
+        match transition.target {
+            None => {
+                run(&transition.actions, context);
+                false
+            }
+            Some(target) => {
+                run(&self.rows[state_index].exit, context);
+                run(&transition.actions, context);
+                self.enter(instance, target, now, context);
+                true
+            }
+        }
+    }
+
+    fn enter(
+        &self,
+        instance: &mut Instance<State>,
+        target: State,
+        now: MonoTime,
+        context: &mut Context,
+    ) {
+        let row = &self.rows[target.into()];
+        instance.state = target;
+        run(&row.entry, context);
+        instance.deadline = row.after.as_ref().map(|after| match after.timeout {
+            Timeout::Constant(length) => now + length,
+            Timeout::Computed(length_of) => now + length_of(context),
+        });
+    }
+}
+
+fn run<Context>(actions: &[Action<Context>], context: &mut Context) {
+    for action in actions {
+        action(context);
+    }
+}
+
+/// Lays a checked file out in tables; every name in it is known to resolve.
+struct Compiler<'a, Context> {
+    file: &'a ChartFile,
+    bindings: &'a Bindings<Context>,
+}
+
+impl<Context> Compiler<'_, Context> {
+    fn compile<State, Event>(&self) -> Machine<State, Event, Context>
+    where
+        State: Copy + VariantArray + VariantNames,
+        Event: Copy + VariantArray + VariantNames,
+    {
+        let state_names = <State as VariantNames>::VARIANTS;
+        let event_names = <Event as VariantNames>::VARIANTS;
+        let states: Vec<&StateFile> = state_names
+            .iter()
+            .map(|name| &self.file.states[*name])
+            .collect();
+        let rows = states
+            .iter()
+            .map(|state| self.row(state, event_names))
+            .collect();
+        let mut transitions = Vec::new();
+        let mut cells = Vec::with_capacity(state_names.len() * event_names.len());
+        for state in &states {
+            for event in event_names {
+                let start = transitions.len();
+                let listed = state.on.get(*event).map_or(&[][..], Vec::as_slice);
+                transitions.extend(listed.iter().map(|it| self.transition::<State>(it)));
+                cells.push(start..transitions.len());
+            }
+        }
+        let initial = <State as VariantArray>::VARIANTS[position(state_names, &self.file.initial)];
+        Machine {
+            initial,
+            rows,
+            cells,
+            transitions,
+            events: PhantomData,
+        }
+    }
+
+    fn row(&self, state: &StateFile, event_names: &[&str]) -> StateRow<Context> {
+        let after = state.after.as_ref().map(|after| After {
+            timeout: self.timeout(&after.timeout),
+            event_index: position(event_names, &after.event),
+        });
+        StateRow {
+            entry: self.actions(&state.entry),
+            exit: self.actions(&state.exit),
+            after,
+            is_final: state.is_final,
+        }
+    }
+
+    /// A duration of the code goes before a constant of the same name.
+    fn timeout(&self, name: &str) -> Timeout<Context> {
+        match self.bindings.durations.get(name) {
+            Some(computed) => Timeout::Computed(*computed),
+            None => Timeout::Constant(Millis::new(self.file.timeouts_ms[name])),
+        }
+    }
+
+    fn actions(&self, names: &[String]) -> Box<[Action<Context>]> {
+        names
+            .iter()
+            .map(|name| self.bindings.actions[name.as_str()])
+            .collect()
+    }
+
+    fn transition<State>(&self, transition: &TransitionFile) -> Transition<State, Context>
+    where
+        State: Copy + VariantArray + VariantNames,
+    {
+        let guard = transition.guard.as_deref().map(|text| {
+            let name = check::guard_name(text);
+            (self.bindings.guards[name], name == text)
+        });
+        let target = transition.to.as_deref().map(|name| {
+            <State as VariantArray>::VARIANTS[position(<State as VariantNames>::VARIANTS, name)]
+        });
+        Transition {
+            guard,
+            target,
+            actions: self.actions(&transition.actions),
+        }
+    }
+}
+
+fn position(names: &[&str], name: &str) -> usize {
+    names
+        .iter()
+        .position(|known| *known == name)
+        .expect("checked names resolve")
+}
--- /dev/null
+++ b/crates/settings/tests/read.rs
@@ -0,0 +1,81 @@
+//! Reading and checking of settings and templates.
+
+use parsleylatch_settings::{CallKind, Document, KeyDigest, NodeSettings, Template};
+use test_case::test_case;
+
+const NODE: &str = r#"{
+  // Who and where.
+  "node_id": "node-1",
+  "failure_domain": "dar-1",
+  "region": "dar",
+  "caller_address": "127.0.0.1:0",
+  "admin_address": "127.0.0.1:0",
+  "peer_address": "127.0.0.1:0",
+  "store_address": "127.0.0.1:4001",
+  "vm_list_address": "127.0.0.1:4002",
+  "traffic_threads": 2,
+  "log": { "level": "info" }
+}"#;
+
+fn template_text() -> String {
+    let digest = KeyDigest::of_key("secret");
+    format!(
+        r#"{{
+  "workspace": "mvua-dispatch",
+  "key_sha256": ["{digest}"],
+  "tier": "paying",
+  "model": "drafts",
+  "endpoint_versions": ["v1"],
+  "max_tokens_limit": 512,
+  "services": [{{ "service": "dispatch", "operations": [
+    {{ "operation": "status", "idempotent": true }},
+    {{ "operation": "book", "idempotent": false }} ] }}]
+}}"#
+    )
+}
+
+#[test]
+fn read_node_settings() {
+    let settings = NodeSettings::read(&Document::new("node.jsonc", NODE)).unwrap();
+    assert_eq!(settings.node_id.as_str(), "node-1");
+    assert_eq!(settings.traffic_threads, 2);
+}
+
+#[test_case(r#""region""#, r#""reigon""#, "node.jsonc:5: field `reigon`: unknown field `reigon`; the nearest known field is `region`" ; "unknown field")]
+#[test_case(r#""traffic_threads": 2"#, r#""traffic_threads": 0"#, "node.jsonc:11: field `traffic_threads`: 0 is not between 1 and 64" ; "value out of range")]
+#[test_case(r#""level": "info""#, r#""level": "loud""#, "node.jsonc:12: field `log.level`: `loud` is not one of" ; "nested value")]
+#[test_case(r#""node-1""#, r#""node 1""#, "node.jsonc:3: field `node_id`: `node 1` is not a node id" ; "bad id")]
+#[test_case(r#""127.0.0.1:4001""#, r#""nowhere""#, "node.jsonc:9: field `store_address`" ; "bad address")]
+#[test_case(r#""traffic_threads": 2,"#, r#""traffic_threads": 2"#, "node.jsonc:12" ; "broken json")]
+fn read_node_settings_refused(from: &str, to: &str, expected: &str) {
+    assert!(NODE.contains(from), "the case edits the settings");
+    let document = Document::new("node.jsonc", &NODE.replace(from, to));
+    let error = NodeSettings::read(&document).unwrap_err().to_string();
+    assert!(error.starts_with(expected), "{error}");
+}
+
+#[test_case("dispatch", "status", Some(CallKind::Idempotent) ; "idempotent")]
+#[test_case("dispatch", "book", Some(CallKind::OnceOnly) ; "once only")]
+#[test_case("dispatch", "cancel", None ; "unknown operation")]
+#[test_case("ledger", "book", None ; "unknown service")]
+fn call_kind_of(service: &str, operation: &str, expected: Option<CallKind>) {
+    let template = Template::read(&Document::new("t.jsonc", &template_text())).unwrap();
+    let kind = template.call_kind(&service.parse().unwrap(), &operation.parse().unwrap());
+    assert_eq!(kind, expected);
+}
+
+#[test_case(r#"["v1"]"#, "[]", "t.jsonc:6: field `endpoint_versions`" ; "no version")]
+#[test_case("512", "0", "t.jsonc:7: field `max_tokens_limit`" ; "no tokens")]
+#[test_case("paying", "gold", "t.jsonc:4: field `tier`" ; "unknown tier")]
+fn read_template_refused(from: &str, to: &str, expected: &str) {
+    let document = Document::new("t.jsonc", &template_text().replace(from, to));
+    let error = Template::read(&document).unwrap_err().to_string();
+    assert!(error.starts_with(expected), "{error}");
+}
+
+#[test]
+fn key_digest_round_trips() {
+    let digest = KeyDigest::of_key("secret");
+    assert_eq!(digest.to_string().parse::<KeyDigest>().unwrap(), digest);
+    assert!("abc".parse::<KeyDigest>().is_err());
+}
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,140 @@
+//! Text ids: short, printable, cheap to clone.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use thiserror::Error;
+
+/// Longest text id, in bytes.
+const ID_LIMIT_BYTES: usize = 128;
+
+/// A text that is not an id of the named kind.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error(
+    "`{text}` is not a {kind}: expected 1 to {ID_LIMIT_BYTES} characters of a-z, A-Z, 0-9, '.', '_', '-', ':'"
+)]
+pub struct ParseIdError {
+    /// Kind of id that was expected.
+    pub kind: &'static str,
+    /// Text that was given.
+    pub text: String,
+}
+
+fn is_id_char(character: char) -> bool {
+    character.is_ascii_alphanumeric() || matches!(character, '.' | '_' | '-' | ':')
+}
+
+fn parse_id(kind: &'static str, text: &str) -> Result<Arc<str>, ParseIdError> {
+    let valid = (1..=ID_LIMIT_BYTES).contains(&text.len()) && text.chars().all(is_id_char);
+    if valid {
+        Ok(Arc::from(text))
+    } else {
+        Err(ParseIdError {
+            kind,
+            text: text.to_owned(),
+        })
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Text of the id.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}({})", stringify!($name), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                parse_id($kind, text).map(Self)
+            }
+        }
+    };
+}
+
+text_id!(
+    /// Id of a node, one process of the system.
+    NodeId,
+    "node id"
+);
+text_id!(
+    /// Id of an endpoint: one model engine or plain service instance.
+    EndpointId,
+    "endpoint id"
+);
+text_id!(
+    /// Version of the model and engine that an endpoint runs.
+    EndpointVersion,
+    "endpoint version"
+);
+text_id!(
+    /// Id of a workspace, one customer's configuration.
+    WorkspaceId,
+    "workspace id"
+);
+text_id!(
+    /// Name of a failure domain: machines that may fail together.
+    FailureDomain,
+    "failure domain"
+);
+text_id!(
+    /// Name of a region.
+    Region,
+    "region"
+);
+text_id!(
+    /// Name of a model.
+    ModelId,
+    "model"
+);
+text_id!(
+    /// Name of an adapter on top of a model.
+    AdapterName,
+    "adapter"
+);
+text_id!(
+    /// Name of a plain service.
+    ServiceName,
+    "service"
+);
+text_id!(
+    /// Name of an operation of a service.
+    OperationName,
+    "operation"
+);
+text_id!(
+    /// Name of a route: the way from one region to an endpoint's region.
+    RouteName,
+    "route"
+);
+text_id!(
+    /// Id of a version move.
+    MoveId,
+    "move id"
+);
+text_id!(
+    /// Id of a lease holder.
+    HolderId,
+    "lease holder id"
+);
