--- a/crates/chart/src/error.rs
+++ b/crates/chart/src/error.rs
@@ -3,7 +3,7 @@
 use thiserror::Error;
 
 /// A chart that can't be used, with the chart's name and what is wrong.
-#[derive(Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("chart `{chart}`: {kind}")]
 pub struct ChartError {
     /// Name of the chart, or of its file where the name can't be read.
@@ -13,7 +13,7 @@
 }
 
 /// What is wrong with a chart.
-#[derive(Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ChartErrorKind {
     /// The file is not JSON of the expected form.
     #[error("line {line}, field `{field}`: {reason}")]
--- /dev/null
+++ b/crates/decide/src/charts.rs
@@ -0,0 +1,65 @@
+//! The charts that the build embeds.
+
+use std::sync::LazyLock;
+
+use parsleylatch_chart::{Bindings, ChartError, Machine};
+use strum::{VariantArray, VariantNames};
+
+use crate::{generation, node_life};
+
+/// One embedded chart file.
+#[derive(Clone, Copy, Debug)]
+pub struct ChartSource {
+    /// Name of the chart.
+    pub name: &'static str,
+    /// Text of the file.
+    pub text: &'static str,
+}
+
+macro_rules! chart_source {
+    ($name:literal) => {
+        ChartSource {
+            name: $name,
+            text: include_str!(concat!("../../../charts/", $name, ".jsonc")),
+        }
+    };
+}
+
+pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+
+/// Every embedded chart, by name.
+pub const ALL: [ChartSource; 3] = [ATTEMPT, GENERATION, NODE_LIFE];
+
+/// A machine that is compiled when it is first used.
+pub(crate) type LazyMachine<State, Event, Context> =
+    LazyLock<Result<Machine<State, Event, Context>, ChartError>>;
+
+/// Compiles an embedded chart.
+pub(crate) fn compile<State, Event, Context>(
+    source: ChartSource,
+    bindings: &Bindings<Context>,
+) -> Result<Machine<State, Event, Context>, ChartError>
+where
+    State: Copy + Into<usize> + VariantArray + VariantNames,
+    Event: Copy + Into<usize> + VariantArray + VariantNames,
+{
+    Machine::compile(source.name, source.text, bindings)
+}
+
+/// A machine whose chart [`verify`] has accepted.
+pub(crate) fn verified<State, Event, Context>(
+    machine: &'static LazyMachine<State, Event, Context>,
+) -> &'static Machine<State, Event, Context> {
+    machine.as_ref().unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// Compiles every chart; processes call this first.
+///
+/// # Errors
+/// The first chart that can't be used.
+pub fn verify() -> Result<(), ChartError> {
+    generation::verify_charts()?;
+    node_life::verify_chart()
+}
--- /dev/null
+++ b/crates/decide/src/generation/context.rs
@@ -0,0 +1,271 @@
+//! What a generation remembers, and the guards and actions of its chart.
+
+use std::sync::Arc;
+
+use parsleylatch_types::{
+    AdapterName, AttemptNumber, EndpointId, EndpointVersion, Micros, Millis, ModelId, MonoTime,
+    Priority, RequestId, Seed, TokenCount, TokenIndex, WorkspaceId,
+};
+
+use super::{
+    GenerationEffect,
+    attempt::{Attempt, AttemptFault, AttemptOrder, Token},
+};
+use crate::refusal::{Refusal, RefusalKind};
+
+/// Delay before the second retry in a row; the first goes at once.
+const BACKOFF_START_MS: u64 = 20;
+/// Largest delay between two attempts.
+const BACKOFF_LIMIT_MS: u64 = 500;
+
+/// An accepted request for a generation.
+#[derive(Clone, Debug)]
+pub struct GenerationRequest {
+    /// Id of the request.
+    pub request_id: RequestId,
+    /// Workspace that asks.
+    pub workspace: WorkspaceId,
+    /// Model that is asked for.
+    pub model: ModelId,
+    /// Adapter on top of the model.
+    pub adapter: Option<AdapterName>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Length of the answer.
+    pub max_tokens: TokenCount,
+    /// Seed, where the caller gave one.
+    pub seed: Option<Seed>,
+    /// Priority at the engine.
+    pub priority: Priority,
+    /// Endpoint versions that may answer, best first.
+    pub endpoint_versions: Vec<EndpointVersion>,
+}
+
+/// Bounds of one generation.
+#[derive(Clone, Copy, Debug)]
+pub struct GenerationLimits {
+    /// Attempts that may start, the first included.
+    pub attempts: AttemptNumber,
+    /// Longest time without a running attempt.
+    pub placement_timeout_ms: Millis,
+}
+
+impl Default for GenerationLimits {
+    fn default() -> Self {
+        Self {
+            attempts: AttemptNumber::new(8),
+            placement_timeout_ms: Millis::new(10_000),
+        }
+    }
+}
+
+/// Where the next attempt may go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementOrder {
+    /// Versions that may answer; one only once a token was kept.
+    pub endpoint_versions: Vec<EndpointVersion>,
+    /// Endpoints on which attempts failed, the most recent last.
+    pub failed_endpoints: Vec<EndpointId>,
+}
+
+/// What became of an attempt, for the pace and health of its endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptReport {
+    /// Endpoint of the attempt.
+    pub endpoint: EndpointId,
+    /// Version that was ordered.
+    pub endpoint_version: EndpointVersion,
+    /// Why it was lost; `None` if it was not.
+    pub fault: Option<AttemptFault>,
+    /// Time from the order to the first token.
+    pub first_token_us: Option<Micros>,
+    /// Mean time between tokens.
+    pub pace_us: Option<Micros>,
+    /// Tokens that were dropped because they were not next.
+    pub dropped_tokens: u32,
+}
+
+pub(crate) struct GenerationContext {
+    pub(crate) now: MonoTime,
+    pub(crate) request: GenerationRequest,
+    pub(crate) limits: GenerationLimits,
+    pub(crate) tokens: Vec<Token>,
+    pub(crate) held: TokenIndex,
+    pub(crate) released: TokenIndex,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) attempts_started: AttemptNumber,
+    pub(crate) endpoint_version: Option<EndpointVersion>,
+    pub(crate) failed_endpoints: Vec<EndpointId>,
+    pub(crate) failures_in_row: u32,
+    pub(crate) without_attempt_since: MonoTime,
+    pub(crate) input_order: Option<AttemptOrder>,
+    pub(crate) input_token: Option<Token>,
+    pub(crate) input_held: TokenIndex,
+    pub(crate) effects: Vec<GenerationEffect>,
+}
+
+impl GenerationContext {
+    // Guards.
+
+    pub(crate) fn out_of_time(&self) -> bool {
+        self.now >= self.without_attempt_since + self.limits.placement_timeout_ms
+    }
+
+    pub(crate) fn attempts_exhausted(&self) -> bool {
+        self.attempts_started >= self.limits.attempts
+    }
+
+    pub(crate) fn all_released(&self) -> bool {
+        self.released.as_usize() == self.tokens.len()
+    }
+
+    pub(crate) fn held_all(&self) -> bool {
+        self.input_held.as_usize() >= self.tokens.len()
+    }
+
+    // Durations.
+
+    /// No delay before the first retry, then a doubling one.
+    ///
+    /// The delay varies with the request id, so that the generations of a lost
+    /// endpoint don't come back together.
+    pub(crate) fn backoff(&self) -> Millis {
+        if self.failures_in_row == 1 {
+            return Millis::ZERO;
+        }
+        let doublings = self.failures_in_row.saturating_sub(2).min(10);
+        let ceiling = BACKOFF_LIMIT_MS.min(BACKOFF_START_MS << doublings);
+        let spread = self
+            .request
+            .request_id
+            .stable_hash()
+            .rotate_left(self.failures_in_row);
+        Millis::new(ceiling / 2 + spread % (ceiling / 2 + 1))
+    }
+
+    // Actions.
+
+    pub(crate) fn request_placement(&mut self) {
+        let endpoint_versions = match &self.endpoint_version {
+            Some(version) => vec![version.clone()],
+            None => self.request.endpoint_versions.clone(),
+        };
+        let failed_endpoints = self.failed_endpoints.clone();
+        let order = PlacementOrder {
+            endpoint_versions,
+            failed_endpoints,
+        };
+        self.effects.push(GenerationEffect::Place(order));
+    }
+
+    pub(crate) fn open_attempt(&mut self) {
+        let Some(order) = self.input_order.take() else {
+            return;
+        };
+        self.attempts_started = order.attempt;
+        self.attempt = Some(Attempt::start(self.now, order.clone()));
+        self.effects.push(GenerationEffect::Open(order));
+    }
+
+    pub(crate) fn keep_token(&mut self) {
+        let Some(token) = self.input_token.take() else {
+            return;
+        };
+        if self.endpoint_version.is_none() {
+            let attempt = self.attempt.as_ref();
+            self.endpoint_version = attempt.map(|it| it.context.order.endpoint_version.clone());
+        }
+        self.failures_in_row = 0;
+        let index = TokenIndex::after(self.tokens.len());
+        self.tokens.push(token);
+        self.effects.push(GenerationEffect::Journal { index });
+    }
+
+    pub(crate) fn release_held(&mut self) {
+        let end = self.input_held.min(TokenIndex::after(self.tokens.len()));
+        self.held = self.held.max(end);
+        self.release_to(self.held);
+    }
+
+    pub(crate) fn release_unheld(&mut self) {
+        self.effects.push(GenerationEffect::CountUnheldRelease);
+        self.release_to(TokenIndex::after(self.tokens.len()));
+    }
+
+    fn release_to(&mut self, end: TokenIndex) {
+        if end > self.released {
+            let start = self.released;
+            self.released = end;
+            self.effects.push(GenerationEffect::Release { start, end });
+        }
+    }
+
+    pub(crate) fn note_failure(&mut self) {
+        self.failures_in_row += 1;
+        self.without_attempt_since = self.now;
+        if let Some(attempt) = self.attempt.take() {
+            let order = attempt.context.order;
+            self.failed_endpoints.push(order.endpoint.clone());
+            self.effects.push(GenerationEffect::Cancel {
+                attempt: order.attempt,
+                endpoint: order.endpoint,
+            });
+        }
+    }
+
+    pub(crate) fn cancel_attempt(&mut self) {
+        let now = self.now;
+        if let Some(mut attempt) = self.attempt.take() {
+            attempt.cancel(now);
+            let order = attempt.context.order;
+            self.effects.push(GenerationEffect::Cancel {
+                attempt: order.attempt,
+                endpoint: order.endpoint,
+            });
+        }
+    }
+
+    pub(crate) fn fail_without_endpoint(&mut self) {
+        let wanted = self
+            .request
+            .endpoint_versions
+            .iter()
+            .map(ToString::to_string);
+        let versions = wanted.collect::<Vec<_>>().join(", ");
+        let waited = self.limits.placement_timeout_ms;
+        let model = &self.request.model;
+        let detail = format!("no endpoint with model {model} at {versions} within {waited}");
+        self.fail(RefusalKind::NoEndpoint, detail);
+    }
+
+    pub(crate) fn fail_after_attempts(&mut self) {
+        let detail = format!("{} attempts failed", self.attempts_started);
+        self.fail(RefusalKind::AttemptsExhausted, detail);
+    }
+
+    fn fail(&mut self, kind: RefusalKind, detail: String) {
+        let never_sent = self.attempts_started == AttemptNumber::ZERO;
+        let refusal = match never_sent {
+            true => Refusal::not_run(kind, detail).retry_after(Millis::new(1_000)),
+            false => Refusal::may_have_run(kind, detail),
+        };
+        self.effects.push(GenerationEffect::Fail(refusal));
+    }
+
+    pub(crate) fn finish(&mut self) {
+        let Some(endpoint_version) = self.endpoint_version.clone() else {
+            return;
+        };
+        self.effects.push(GenerationEffect::Finish {
+            tokens: TokenCount::new(self.tokens.len() as u32),
+            endpoint_version,
+            attempts: self.attempts_started,
+        });
+    }
+
+    pub(crate) fn announce_supersession(&mut self) {
+        let detail = "another node has taken the generation over";
+        let refusal = Refusal::may_have_run(RefusalKind::Superseded, detail);
+        self.effects.push(GenerationEffect::Fail(refusal));
+    }
+}
--- /dev/null
+++ b/crates/decide/src/generation/mod.rs
@@ -0,0 +1,393 @@
+//! One generation: attempts, what they brought, and what the caller may see.
+//!
+//! A token passes three marks. It is *kept* when the running attempt delivers
+//! it, *held* when a journal peer has it too, and *released* when it is written
+//! to the caller. Only held tokens are released, so a node that dies takes no
+//! released token with it.
+
+mod attempt;
+mod context;
+
+use std::sync::LazyLock;
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{
+    AttemptNumber, EndpointId, EndpointVersion, MonoTime, TokenCount, TokenIndex,
+};
+
+use attempt::Attempt;
+pub use attempt::{AttemptFault, AttemptInput, AttemptOrder, AttemptState, Token};
+use context::GenerationContext;
+pub use context::{AttemptReport, GenerationLimits, GenerationRequest, PlacementOrder};
+
+use crate::{
+    charts::{self, LazyMachine},
+    placement::Placement,
+    refusal::Refusal,
+};
+
+chart_names! {
+    /// States of a generation.
+    pub enum GenerationState {
+        /// Asks for an endpoint.
+        Placing,
+        /// Waits before it asks again.
+        Waiting,
+        /// An attempt runs.
+        Attempting,
+        /// Every token is kept; the last are not held yet.
+        Settling,
+        /// Every token was released.
+        Done,
+        /// Ended with an error.
+        Failed,
+        /// The caller is gone.
+        Cancelled,
+        /// Another node goes on.
+        Moved,
+        /// Another node has taken over.
+        Superseded,
+    }
+}
+
+chart_names! {
+    /// Events of a generation.
+    pub enum GenerationEvent {
+        /// An endpoint was chosen.
+        Placed,
+        /// No endpoint can take the attempt now.
+        Unplaced,
+        /// The attempt brought the next token.
+        TokenAccepted,
+        /// The attempt brought the whole answer.
+        AttemptFinished,
+        /// The attempt is lost.
+        AttemptBroken,
+        /// A journal peer holds more tokens.
+        JournalHeld,
+        /// The state lasted its longest time.
+        TimedOut,
+        /// The caller's connection is gone, or the caller stopped reading.
+        CallerGone,
+        /// The node stops and hands over.
+        StopRequested,
+        /// Another node owns the generation.
+        Superseded,
+    }
+}
+
+/// What happened to a generation.
+#[derive(Clone, Debug)]
+pub enum GenerationInput {
+    /// Placement chose an endpoint.
+    Placed(Placement),
+    /// Placement found none.
+    Unplaced,
+    /// The stream of an attempt brought something.
+    Attempt {
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+        /// What it brought.
+        input: AttemptInput,
+    },
+    /// A journal peer holds all tokens before `end`.
+    JournalHeld {
+        /// Index after the last held token.
+        end: TokenIndex,
+    },
+    /// The caller is gone or stopped reading.
+    CallerGone,
+    /// The node stops and hands over.
+    StopRequested,
+    /// Another node owns the generation.
+    Superseded,
+}
+
+/// What has to be done for a generation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GenerationEffect {
+    /// Choose an endpoint and answer with `Placed` or `Unplaced`.
+    Place(PlacementOrder),
+    /// Open a stream at an engine.
+    Open(AttemptOrder),
+    /// Cancel a stream at an engine.
+    Cancel {
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+        /// Engine.
+        endpoint: EndpointId,
+    },
+    /// Send a token to the journal peer and answer with `JournalHeld`.
+    Journal {
+        /// Index of the token.
+        index: TokenIndex,
+    },
+    /// Write tokens to the caller.
+    Release {
+        /// First token.
+        start: TokenIndex,
+        /// Index after the last token.
+        end: TokenIndex,
+    },
+    /// Count a release of tokens that no journal peer holds.
+    CountUnheldRelease,
+    /// Tell what became of an attempt.
+    Report(AttemptReport),
+    /// Tell the caller that the answer is whole.
+    Finish {
+        /// Length of the answer.
+        tokens: TokenCount,
+        /// Version that answered.
+        endpoint_version: EndpointVersion,
+        /// Attempts that were made.
+        attempts: AttemptNumber,
+    },
+    /// Tell the caller that the answer ends here.
+    Fail(Refusal),
+    /// Tell the caller to resume at another node.
+    Move,
+}
+
+static MACHINE: LazyMachine<GenerationState, GenerationEvent, GenerationContext> =
+    LazyLock::new(|| {
+        let bindings = Bindings::<GenerationContext>::new()
+            .guard("out_of_time", GenerationContext::out_of_time)
+            .guard("attempts_exhausted", GenerationContext::attempts_exhausted)
+            .guard("all_released", GenerationContext::all_released)
+            .guard("held_all", GenerationContext::held_all)
+            .duration("backoff", GenerationContext::backoff)
+            .action("request_placement", GenerationContext::request_placement)
+            .action("open_attempt", GenerationContext::open_attempt)
+            .action("keep_token", GenerationContext::keep_token)
+            .action("release_held", GenerationContext::release_held)
+            .action("release_unheld", GenerationContext::release_unheld)
+            .action("note_failure", GenerationContext::note_failure)
+            .action("cancel_attempt", GenerationContext::cancel_attempt)
+            .action(
+                "fail_without_endpoint",
+                GenerationContext::fail_without_endpoint,
+            )
+            .action(
+                "fail_after_attempts",
+                GenerationContext::fail_after_attempts,
+            )
+            .action("finish", GenerationContext::finish)
+            .action("announce_move", |it| {
+                it.effects.push(GenerationEffect::Move);
+            })
+            .action(
+                "announce_supersession",
+                GenerationContext::announce_supersession,
+            );
+        charts::compile(charts::GENERATION, &bindings)
+    });
+
+fn machine() -> &'static Machine<GenerationState, GenerationEvent, GenerationContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    attempt::verify_chart()?;
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+/// One generation at the node that owns it.
+pub struct Generation {
+    life: Instance<GenerationState>,
+    context: GenerationContext,
+}
+
+impl Generation {
+    /// Starts a generation; `tokens` are those that an earlier owner kept.
+    pub fn start(
+        now: MonoTime,
+        request: GenerationRequest,
+        limits: GenerationLimits,
+        earlier: EarlierOwner,
+    ) -> (Self, Vec<GenerationEffect>) {
+        let kept = TokenIndex::after(earlier.tokens.len());
+        let mut context = GenerationContext {
+            now,
+            request,
+            limits,
+            tokens: earlier.tokens,
+            held: kept,
+            released: earlier.released.min(kept),
+            attempt: None,
+            attempts_started: earlier.attempts_started,
+            endpoint_version: earlier.endpoint_version,
+            failed_endpoints: Vec::new(),
+            failures_in_row: 0,
+            without_attempt_since: now,
+            input_order: None,
+            input_token: None,
+            input_held: TokenIndex::ZERO,
+            effects: Vec::new(),
+        };
+        let life = machine().start(now, &mut context);
+        let mut generation = Self { life, context };
+        generation.context.input_held = kept;
+        generation.step(now, GenerationEvent::JournalHeld);
+        let effects = generation.take_effects();
+        (generation, effects)
+    }
+
+    /// Current state.
+    pub fn state(&self) -> GenerationState {
+        self.life.state()
+    }
+
+    /// Whether the generation has ended here.
+    pub fn is_over(&self) -> bool {
+        machine().is_final(&self.life)
+    }
+
+    /// Request that is answered.
+    pub fn request(&self) -> &GenerationRequest {
+        &self.context.request
+    }
+
+    /// Tokens that are kept, from index 0.
+    pub fn tokens(&self) -> &[Token] {
+        &self.context.tokens
+    }
+
+    /// Index after the last released token.
+    pub fn released(&self) -> TokenIndex {
+        self.context.released
+    }
+
+    /// Version that answers, once a token was kept.
+    pub fn endpoint_version(&self) -> Option<&EndpointVersion> {
+        self.context.endpoint_version.as_ref()
+    }
+
+    /// Number of the last attempt that was started.
+    pub fn attempts_started(&self) -> AttemptNumber {
+        self.context.attempts_started
+    }
+
+    /// Time at which [`Generation::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        let attempt = self
+            .context
+            .attempt
+            .as_ref()
+            .and_then(Attempt::next_deadline);
+        [self.life.next_deadline(), attempt]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Handles what happened.
+    pub fn handle(&mut self, now: MonoTime, input: GenerationInput) -> Vec<GenerationEffect> {
+        match input {
+            GenerationInput::Placed(placement) => self.place(now, placement),
+            GenerationInput::Unplaced => self.step(now, GenerationEvent::Unplaced),
+            GenerationInput::Attempt { attempt, input } => {
+                self.handle_attempt(now, attempt, input);
+            }
+            GenerationInput::JournalHeld { end } => {
+                self.context.input_held = end;
+                self.step(now, GenerationEvent::JournalHeld);
+            }
+            GenerationInput::CallerGone => self.step(now, GenerationEvent::CallerGone),
+            GenerationInput::StopRequested => self.step(now, GenerationEvent::StopRequested),
+            GenerationInput::Superseded => self.step(now, GenerationEvent::Superseded),
+        }
+        self.take_effects()
+    }
+
+    /// Handles deadlines that have passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<GenerationEffect> {
+        self.context.now = now;
+        machine().expire(&mut self.life, now, &mut self.context);
+        if let Some(attempt) = &mut self.context.attempt {
+            attempt.expire(now);
+            self.settle_attempt(now);
+        }
+        self.take_effects()
+    }
+
+    fn place(&mut self, now: MonoTime, placement: Placement) {
+        let context = &mut self.context;
+        context.input_order = Some(AttemptOrder {
+            attempt: context.attempts_started.next(),
+            endpoint: placement.endpoint,
+            endpoint_version: placement.endpoint_version,
+            resume_from: TokenIndex::after(context.tokens.len()),
+            first_token_timeout_ms: placement.first_token_timeout_ms,
+            token_timeout_ms: placement.token_timeout_ms,
+        });
+        self.step(now, GenerationEvent::Placed);
+    }
+
+    /// Drops what an older attempt still sends.
+    fn handle_attempt(&mut self, now: MonoTime, number: AttemptNumber, input: AttemptInput) {
+        let Some(attempt) = &mut self.context.attempt else {
+            return;
+        };
+        if attempt.context.order.attempt != number {
+            return;
+        }
+        if let Some(token) = attempt.handle(now, input) {
+            self.context.input_token = Some(token);
+            self.step(now, GenerationEvent::TokenAccepted);
+        }
+        self.settle_attempt(now);
+    }
+
+    /// Passes the end of the running attempt on to the generation's chart.
+    fn settle_attempt(&mut self, now: MonoTime) {
+        let Some(attempt) = &self.context.attempt else {
+            return;
+        };
+        let event = match attempt.state() {
+            AttemptState::Finished => GenerationEvent::AttemptFinished,
+            AttemptState::Broken => GenerationEvent::AttemptBroken,
+            _ => return,
+        };
+        let report = report_of(attempt);
+        self.context.effects.push(GenerationEffect::Report(report));
+        self.step(now, event);
+        if event == GenerationEvent::AttemptFinished {
+            self.context.attempt = None;
+        }
+    }
+
+    fn step(&mut self, now: MonoTime, event: GenerationEvent) {
+        self.context.now = now;
+        machine().step(&mut self.life, now, event, &mut self.context);
+    }
+
+    fn take_effects(&mut self) -> Vec<GenerationEffect> {
+        std::mem::take(&mut self.context.effects)
+    }
+}
+
+/// What an earlier owner of a generation left.
+#[derive(Clone, Debug, Default)]
+pub struct EarlierOwner {
+    /// Tokens it kept, from index 0.
+    pub tokens: Vec<Token>,
+    /// Index after the last token that the caller has.
+    pub released: TokenIndex,
+    /// Attempts it started.
+    pub attempts_started: AttemptNumber,
+    /// Version that answered.
+    pub endpoint_version: Option<EndpointVersion>,
+}
+
+fn report_of(attempt: &Attempt) -> AttemptReport {
+    let (first_token_us, pace_us) = attempt.timing();
+    let context = &attempt.context;
+    AttemptReport {
+        endpoint: context.order.endpoint.clone(),
+        endpoint_version: context.order.endpoint_version.clone(),
+        fault: context.fault,
+        first_token_us,
+        pace_us,
+        dropped_tokens: context.dropped_tokens,
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,1 +1,19 @@
-//! .
+//! Decisions of a node, without input or output.
+//!
+//! Each role is one struct. It takes an event and the monotonic time, and
+//! returns the effects that the caller has to carry out:
+//! `handle(now, input) -> Vec<Effect>`, with `next_deadline()` saying when to
+//! call `expire(now)`. Nothing here reads a clock, starts a thread, opens a
+//! socket or encodes a message, and random numbers come from a generator that
+//! the caller seeds; a test or another front end drives the very same code.
+//!
+//! Lives that have states are charts (`charts/*.jsonc`), compiled when the
+//! process starts; [`charts::verify`] reports the first one that is wrong.
+
+pub mod admission;
+pub mod charts;
+pub mod generation;
+pub mod node_life;
+pub mod placement;
+pub mod refusal;
+pub mod view;
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP plumbing shared by the processes.
+//!
+//! Connections carry small messages that must not wait for each other, so both
+//! sides set `TCP_NODELAY`. Errors carry the step and the peer.
+
+mod client;
+mod error;
+mod listener;
+mod sse;
+
+pub use client::{Body, Client, Reply};
+pub use error::{HttpError, HttpErrorKind, Step};
+pub use listener::{NodelayListener, bind_group};
+pub use sse::{SseEvent, SseReader, encode_event};
--- /dev/null
+++ b/crates/http/src/listener.rs
@@ -0,0 +1,72 @@
+//! Listening sockets: without Nagle's delay, and shared by several threads.
+
+use std::{io, net::SocketAddr};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use viz::Listener;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Listener whose connections send small messages at once.
+#[derive(Debug)]
+pub struct NodelayListener(TcpListener);
+
+impl NodelayListener {
+    /// Registers a socket of [`bind_group`] with the current runtime.
+    ///
+    /// # Errors
+    /// The system's reason.
+    pub fn from_std(listener: std::net::TcpListener) -> io::Result<Self> {
+        TcpListener::from_std(listener).map(Self)
+    }
+}
+
+impl Listener for NodelayListener {
+    type Io = TcpStream;
+    type Addr = SocketAddr;
+
+    async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        let (stream, peer) = self.0.accept().await?;
+        stream.set_nodelay(true)?;
+        Ok((stream, peer))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
+/// Binds `count` sockets to one address; the kernel spreads connections over them.
+///
+/// Port 0 lets the kernel choose the port.
+///
+/// # Errors
+/// The system's reason.
+pub fn bind_group(
+    address: SocketAddr,
+    count: usize,
+) -> io::Result<(SocketAddr, Vec<std::net::TcpListener>)> {
+    let first = bind_shared(address)?;
+    let bound = first.local_addr()?;
+    let others = (1..count).map(|_| bind_shared(bound));
+    let listeners = std::iter::once(Ok(first))
+        .chain(others)
+        .collect::<io::Result<_>>()?;
+    Ok((bound, listeners))
+}
+
+fn bind_shared(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
