--- /dev/null
+++ b/crates/endpoint/src/service.rs
@@ -0,0 +1,57 @@
+//! Client of a plain service.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use parsleylatch_http::{Client, HttpError};
+use parsleylatch_types::{Millis, OperationName, RequestId};
+use parsleylatch_wire::engine::REQUEST_ID_HEADER;
+
+/// Answer of a service, passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// JSON body.
+    pub body: Bytes,
+}
+
+/// Client of services; belongs to one runtime.
+#[derive(Clone, Default)]
+pub struct ServiceClient {
+    http: Client,
+}
+
+impl ServiceClient {
+    /// Client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Calls an operation once.
+    ///
+    /// # Errors
+    /// The step and the service. The call may have run unless
+    /// [`HttpError::is_unsent`] says otherwise.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        operation: &OperationName,
+        request_id: RequestId,
+        body: Bytes,
+        timeout_ms: Millis,
+    ) -> Result<ServiceAnswer, HttpError> {
+        let request = Request::post(format!("/v1/operations/{operation}"))
+            .header("content-type", "application/json")
+            .header(REQUEST_ID_HEADER, request_id.to_string());
+        let reply = self
+            .http
+            .call(peer, request, body, timeout_ms.duration())
+            .await?;
+        Ok(ServiceAnswer {
+            status: reply.status,
+            body: reply.body,
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/args.rs
@@ -0,0 +1,281 @@
+//! Command line of the stand-ins.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr};
+use parsleylatch_http::Client;
+use parsleylatch_types::{
+    EndpointId, EndpointVersion, FailureDomain, Millis, ModelId, Region, RequestsPerSecond,
+    ServiceName,
+};
+use parsleylatch_wire::platform::{VmEntry, VmRole};
+
+use crate::{
+    engine::{Engine, EngineSettings},
+    serve::Running,
+    service::{Service, ServiceSettings},
+    store::{Store, StoreSettings},
+    vm_list::{VmList, VmListSettings},
+};
+
+/// Longest wait for the VM list's answer.
+const REGISTER_TIMEOUT_MS: Millis = Millis::new(5_000);
+
+/// Stand-ins of the platform: engine, service, store and VM list.
+#[derive(FromArgs)]
+pub struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Engine(EngineArgs),
+    Service(ServiceArgs),
+    Store(StoreArgs),
+    VmList(VmListArgs),
+    Register(RegisterArgs),
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// a model engine
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineArgs {
+    /// address of the protocol
+    #[argh(option, default = "any_port()")]
+    address: SocketAddr,
+    /// address for fault orders
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// model that is loaded
+    #[argh(option)]
+    model: ModelId,
+    /// version that runs
+    #[argh(option)]
+    endpoint_version: EndpointVersion,
+    /// time between two tokens, in milliseconds
+    #[argh(option, default = "27")]
+    pace_ms: u64,
+    /// streams that run at once
+    #[argh(option, default = "64")]
+    capacity: usize,
+    /// age of the load that is reported, in milliseconds
+    #[argh(option, default = "500")]
+    load_lag_ms: u64,
+    /// take orders with any fencing number
+    #[argh(switch)]
+    ignore_fencing: bool,
+}
+
+/// a plain service
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceArgs {
+    /// address of the protocol
+    #[argh(option, default = "any_port()")]
+    address: SocketAddr,
+    /// address for fault orders
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// name of the service
+    #[argh(option)]
+    service: ServiceName,
+}
+
+/// the key-value store
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct StoreArgs {
+    /// address of the protocol
+    #[argh(option, default = "any_port()")]
+    address: SocketAddr,
+    /// address for fault orders
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// writes a second
+    #[argh(option, default = "500")]
+    write_rate: u64,
+    /// reads a second
+    #[argh(option, default = "2000")]
+    read_rate: u64,
+}
+
+/// the list of VMs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "vm-list")]
+struct VmListArgs {
+    /// address of the protocol
+    #[argh(option, default = "any_port()")]
+    address: SocketAddr,
+    /// address for changes
+    #[argh(option, default = "any_port()")]
+    control: SocketAddr,
+    /// age of what the list says, in milliseconds
+    #[argh(option, default = "200")]
+    lag_ms: u64,
+}
+
+/// adds a VM to a running list
+#[derive(FromArgs)]
+#[argh(subcommand, name = "register")]
+struct RegisterArgs {
+    /// control address of the list
+    #[argh(option)]
+    vm_list: SocketAddr,
+    /// id of the VM
+    #[argh(option)]
+    id: EndpointId,
+    /// address of its protocol
+    #[argh(option)]
+    address: SocketAddr,
+    /// failure domain
+    #[argh(option)]
+    failure_domain: FailureDomain,
+    /// region
+    #[argh(option)]
+    region: Region,
+    /// caller address, for a node
+    #[argh(option)]
+    caller_address: Option<SocketAddr>,
+    /// model, for an engine
+    #[argh(option)]
+    model: Option<ModelId>,
+    /// version, for an engine
+    #[argh(option)]
+    endpoint_version: Option<EndpointVersion>,
+    /// name, for a service
+    #[argh(option)]
+    service: Option<ServiceName>,
+    /// the VM is about to leave
+    #[argh(switch)]
+    leaving: bool,
+}
+
+/// Runs a stand-in until a signal ends it.
+///
+/// # Errors
+/// A reason with the step, such as an address that can't be bound.
+pub async fn run(args: Args) -> Result<()> {
+    match args.command {
+        Command::Engine(args) => {
+            let engine = Engine::start(engine_settings(args)).wrap_err("starting the engine")?;
+            serve(engine.running).await
+        }
+        Command::Service(args) => {
+            let ServiceArgs {
+                address,
+                control,
+                service,
+            } = args;
+            let settings = ServiceSettings {
+                address,
+                control,
+                service,
+            };
+            let service = Service::start(settings).wrap_err("starting the service")?;
+            serve(service.running).await
+        }
+        Command::Store(args) => {
+            let settings = StoreSettings {
+                address: args.address,
+                control: args.control,
+                write_rate: RequestsPerSecond::new(args.write_rate),
+                read_rate: RequestsPerSecond::new(args.read_rate),
+            };
+            serve(
+                Store::start(&settings)
+                    .wrap_err("starting the store")?
+                    .running,
+            )
+            .await
+        }
+        Command::VmList(args) => {
+            let VmListArgs {
+                address,
+                control,
+                lag_ms,
+            } = args;
+            let settings = VmListSettings {
+                address,
+                control,
+                lag_ms: Millis::new(lag_ms),
+            };
+            serve(
+                VmList::start(&settings)
+                    .wrap_err("starting the VM list")?
+                    .running,
+            )
+            .await
+        }
+        Command::Register(args) => register(args).await,
+    }
+}
+
+fn engine_settings(args: EngineArgs) -> EngineSettings {
+    EngineSettings {
+        address: args.address,
+        control: args.control,
+        pace_ms: Millis::new(args.pace_ms),
+        capacity: args.capacity,
+        load_lag_ms: Millis::new(args.load_lag_ms),
+        checks_fencing: !args.ignore_fencing,
+        is_process: true,
+        ..EngineSettings::local(args.model, args.endpoint_version)
+    }
+}
+
+async fn serve(running: Running) -> Result<()> {
+    let addresses = running.addresses;
+    println!(
+        "ready address={} control={}",
+        addresses.address, addresses.control
+    );
+    running
+        .until_signal()
+        .await
+        .wrap_err("waiting for a signal")
+}
+
+async fn register(args: RegisterArgs) -> Result<()> {
+    let role = match (
+        args.caller_address,
+        args.model.zip(args.endpoint_version),
+        args.service,
+    ) {
+        (Some(caller_address), None, None) => VmRole::Node { caller_address },
+        (None, Some((model, endpoint_version)), None) => VmRole::Engine {
+            model,
+            endpoint_version,
+        },
+        (None, None, Some(service)) => VmRole::Service { service },
+        _ => eyre::bail!(
+            "name one role: --caller-address, --model with --endpoint-version, or --service"
+        ),
+    };
+    let vm = VmEntry {
+        id: args.id,
+        address: args.address,
+        failure_domain: args.failure_domain,
+        region: args.region,
+        role,
+        leaving: args.leaving,
+    };
+    let request = http::Request::post("/vms").header("content-type", "application/json");
+    let body = serde_json::to_vec(&vm)?.into();
+    let deadline = REGISTER_TIMEOUT_MS.duration();
+    let reply = Client::new()
+        .call(args.vm_list, request, body, deadline)
+        .await?;
+    eyre::ensure!(
+        reply.status.is_success(),
+        "the list answered {}",
+        reply.status
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,51 @@
+//! Prompt prefixes that an engine keeps, in blocks, the least recently used
+//! first to go.
+
+use std::collections::VecDeque;
+
+use parsleylatch_types::ByteCount;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Length of a block of prompt text.
+const BLOCK_BYTES: usize = 64;
+
+/// Cache of prompt blocks, by the hash of the prompt up to the block's end.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    blocks: VecDeque<u64>,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: VecDeque::new(),
+        }
+    }
+
+    /// Keeps a prompt and returns how much of it was not kept before.
+    pub(crate) fn admit(&mut self, prompt: &str) -> ByteCount {
+        let bytes = prompt.as_bytes();
+        let mut missing = bytes.len() % BLOCK_BYTES;
+        for end in (BLOCK_BYTES..=bytes.len()).step_by(BLOCK_BYTES) {
+            let hash = xxh3_64(&bytes[..end]);
+            match self.blocks.iter().position(|block| *block == hash) {
+                Some(position) => {
+                    self.blocks.remove(position);
+                }
+                None => missing += BLOCK_BYTES,
+            }
+            self.blocks.push_back(hash);
+        }
+        while self.blocks.len() > self.capacity {
+            self.blocks.pop_front();
+        }
+        ByteCount::new(missing as u64)
+    }
+
+    /// Hashes of the blocks that are kept.
+    pub(crate) fn blocks(&self) -> Vec<u64> {
+        self.blocks.iter().copied().collect()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,22 @@
-//! .
+//! Stand-ins of the platform, for tests, benches and the quick start.
+//!
+//! Each one behaves as the platform does (see `docs/DESIGN.md`) and takes fault
+//! orders on a control address. An engine's text is a pure function of prompt,
+//! version and index, so that any client can check a whole answer exactly.
+
+pub mod answer;
+mod args;
+mod control;
+mod engine;
+mod serve;
+mod service;
+mod store;
+mod vm_list;
+
+pub use args::{Args, run};
+pub use control::{EngineFault, FaultOrder, ServiceFault, StoreFault};
+pub use engine::{Engine, EngineSettings};
+pub use serve::{Addresses, Running};
+pub use service::{Service, ServiceSettings};
+pub use store::{Store, StoreLogEntry, StoreSettings};
+pub use vm_list::{VmList, VmListSettings};
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,77 @@
+//! Listening and stopping, the same for every stand-in.
+
+use std::{io, net::SocketAddr};
+
+use parsleylatch_http::{NodelayListener, bind_group};
+use tokio::task::JoinHandle;
+use viz::Router;
+
+/// Addresses of a running stand-in.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Address of its protocol.
+    pub address: SocketAddr,
+    /// Address for fault orders.
+    pub control: SocketAddr,
+}
+
+/// A stand-in that serves until it is dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Its addresses.
+    pub addresses: Addresses,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    pub(crate) fn start(
+        address: SocketAddr,
+        control: SocketAddr,
+        protocol_router: Router,
+        control_router: Router,
+    ) -> io::Result<Self> {
+        let (address, protocol) = serve(address, protocol_router)?;
+        let (control, orders) = serve(control, control_router)?;
+        Ok(Self {
+            addresses: Addresses { address, control },
+            tasks: vec![protocol, orders],
+        })
+    }
+
+    /// Waits until the process is asked to end.
+    ///
+    /// # Errors
+    /// The system's reason if signals can't be received.
+    pub async fn until_signal(self) -> io::Result<()> {
+        use tokio::signal::unix::{SignalKind, signal};
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn serve(address: SocketAddr, router: Router) -> io::Result<(SocketAddr, JoinHandle<()>)> {
+    let (bound, listeners) = bind_group(address, 1)?;
+    let mut tasks = Vec::new();
+    for listener in listeners {
+        let listener = NodelayListener::from_std(listener)?;
+        let server = viz::serve(listener, router.clone());
+        tasks.push(tokio::spawn(async move {
+            if let Err(error) = server.await {
+                log::error!("listener ended: {error}");
+            }
+        }));
+    }
+    let task = tasks.pop().ok_or_else(|| io::Error::other("no listener"))?;
+    Ok((bound, task))
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,145 @@
+//! Stand-in of a plain service: counts every run by request id.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use parsleylatch_types::ServiceName;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use viz::{
+    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
+    types::State,
+};
+
+use crate::{
+    control::{self, FaultOrder, ServiceFault},
+    serve::Running,
+};
+
+/// Largest body of a call.
+const CALL_LIMIT_BYTES: u64 = 1 << 20;
+
+/// How a service behaves.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Address of the protocol.
+    pub address: SocketAddr,
+    /// Address for fault orders.
+    pub control: SocketAddr,
+    /// Name of the service.
+    pub service: ServiceName,
+}
+
+struct ServiceState {
+    service: ServiceName,
+    runs: Mutex<BTreeMap<String, u64>>,
+    fault: watch::Sender<FaultOrder<ServiceFault>>,
+}
+
+impl ServiceState {
+    fn runs(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs an operation once more for a request; returns how often it has run.
+    fn run(&self, request_id: &str) -> u64 {
+        let mut runs = self.runs();
+        let count = runs.entry(request_id.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+/// A running service.
+pub struct Service {
+    /// Addresses and tasks.
+    pub running: Running,
+    state: Arc<ServiceState>,
+}
+
+impl Service {
+    /// Starts a service on the current runtime.
+    ///
+    /// # Errors
+    /// The system's reason if an address can't be bound.
+    pub fn start(settings: ServiceSettings) -> io::Result<Self> {
+        let none = FaultOrder {
+            fault: ServiceFault::None,
+            at_index: None,
+            delay_ms: None,
+        };
+        let state = Arc::new(ServiceState {
+            service: settings.service,
+            runs: Mutex::default(),
+            fault: watch::Sender::new(none),
+        });
+        let protocol = Router::new()
+            .post("/v1/operations/:operation", call)
+            .with(State::new(Arc::clone(&state)));
+        let orders = Router::new()
+            .post("/fault", order_fault)
+            .get("/runs", runs)
+            .with(State::new(Arc::clone(&state)));
+        let running = Running::start(settings.address, settings.control, protocol, orders)?;
+        Ok(Self { running, state })
+    }
+
+    /// Runs by request id.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.state.runs().clone()
+    }
+}
+
+fn service(request: &Request) -> Result<Arc<ServiceState>> {
+    request
+        .state::<Arc<ServiceState>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
+
+async fn call(mut request: Request) -> Result<Response> {
+    let state = service(&request)?;
+    let operation: String = request.param("operation")?;
+    let Some(request_id) = control::header(&request, "request-id") else {
+        return Ok((StatusCode::BAD_REQUEST, "no request-id").into_response());
+    };
+    let body = request.bytes_with(None, CALL_LIMIT_BYTES).await?;
+    let echo: Value = serde_json::from_slice(&body)
+        .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()).into_error())?;
+    let order = state.fault.borrow().clone();
+    if order.fault == ServiceFault::FailBefore {
+        return Ok(broken_response());
+    }
+    let run = state.run(&request_id);
+    if order.fault == ServiceFault::FailAfter {
+        return Ok(broken_response());
+    }
+    if let (ServiceFault::Slow, Some(delay_ms)) = (order.fault, order.delay_ms) {
+        tokio::time::sleep(delay_ms.duration()).await;
+    }
+    control::json(&json!({
+        "service": state.service, "operation": operation,
+        "request_id": request_id, "run": run, "echo": echo,
+    }))
+}
+
+/// Response whose body breaks off, so that the caller sees a lost connection.
+fn broken_response() -> Response {
+    let error = io::Error::other("connection broken by a fault order");
+    let pieces = futures::stream::iter([Err::<bytes::Bytes, _>(error)]);
+    http::Response::new(viz::Body::from_stream(pieces))
+}
+
+async fn order_fault(mut request: Request) -> Result<Response> {
+    let state = service(&request)?;
+    let order = control::read_json(&mut request).await?;
+    state.fault.send_replace(order);
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+async fn runs(request: Request) -> Result<Response> {
+    control::json(&*service(&request)?.runs())
+}
--- /dev/null
+++ b/crates/standin/src/store/data.rs
@@ -0,0 +1,202 @@
+//! Keys, revisions and leases.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use parsleylatch_types::{Millis, Revision};
+use parsleylatch_wire::platform::{KeyValue, ListReply, WriteReply};
+use serde::Serialize;
+
+/// One write that took effect, or one whose condition did not hold.
+#[derive(Clone, Debug, Serialize)]
+pub struct StoreLogEntry {
+    /// Key.
+    pub key: String,
+    /// Value; absent for a delete.
+    pub value: Option<String>,
+    /// Revision that the key had to have; 0 stands for no such key.
+    pub expected: Option<Revision>,
+    /// Whether the write took effect.
+    pub written: bool,
+    /// Store revision after the write.
+    pub revision: Revision,
+}
+
+struct Stored {
+    value: String,
+    revision: Revision,
+    lease_id: Option<u64>,
+}
+
+struct Lease {
+    ttl: Duration,
+    expires_at: Instant,
+}
+
+/// Contents of a store.
+#[derive(Default)]
+pub(crate) struct StoreData {
+    keys: BTreeMap<String, Stored>,
+    deleted: BTreeMap<String, Revision>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease_id: u64,
+    revision: Revision,
+    log: Vec<StoreLogEntry>,
+}
+
+impl StoreData {
+    pub(crate) fn log(&self) -> &[StoreLogEntry] {
+        &self.log
+    }
+
+    pub(crate) fn read(&mut self, now: Instant, key: &str) -> Option<KeyValue> {
+        self.expire_leases(now);
+        self.entry(key)
+    }
+
+    /// Keys with a prefix that were written after a revision.
+    pub(crate) fn list(&mut self, now: Instant, prefix: &str, after: Revision) -> ListReply {
+        self.expire_leases(now);
+        let matching = self.keys.iter().filter(|(key, _)| key.starts_with(prefix));
+        let entries = matching
+            .filter(|(_, stored)| stored.revision > after)
+            .map(|(key, stored)| key_value(key, stored))
+            .collect();
+        let deleted = self
+            .deleted
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let deleted = deleted
+            .filter(|(_, revision)| **revision > after)
+            .map(|(key, _)| key.clone())
+            .collect();
+        ListReply {
+            entries,
+            deleted,
+            revision: self.revision,
+        }
+    }
+
+    /// Writes or deletes a key if it has the expected revision.
+    pub(crate) fn write(
+        &mut self,
+        now: Instant,
+        key: &str,
+        value: Option<&str>,
+        expected: Option<Revision>,
+        lease_id: Option<u64>,
+    ) -> WriteReply {
+        self.expire_leases(now);
+        let current = self
+            .keys
+            .get(key)
+            .map_or(Revision::ZERO, |stored| stored.revision);
+        let lease_holds = lease_id.is_none_or(|lease_id| self.leases.contains_key(&lease_id));
+        let written = lease_holds && expected.is_none_or(|expected| expected == current);
+        if written {
+            self.apply(key, value, lease_id);
+        }
+        self.log.push(StoreLogEntry {
+            key: key.to_owned(),
+            value: value.map(str::to_owned),
+            expected,
+            written,
+            revision: self.revision,
+        });
+        WriteReply {
+            written,
+            entry: self.entry(key),
+        }
+    }
+
+    pub(crate) fn grant(&mut self, now: Instant, ttl_ms: Millis) -> u64 {
+        self.expire_leases(now);
+        self.next_lease_id += 1;
+        let ttl = ttl_ms.duration();
+        self.leases.insert(
+            self.next_lease_id,
+            Lease {
+                ttl,
+                expires_at: now + ttl,
+            },
+        );
+        self.next_lease_id
+    }
+
+    /// Renews a lease; `false` if it has lapsed.
+    pub(crate) fn renew(&mut self, now: Instant, lease_id: u64) -> bool {
+        self.expire_leases(now);
+        let lease = self.leases.get_mut(&lease_id);
+        lease
+            .map(|lease| lease.expires_at = now + lease.ttl)
+            .is_some()
+    }
+
+    pub(crate) fn revoke(&mut self, lease_id: u64) {
+        self.leases.remove(&lease_id);
+        self.delete_of_lease(lease_id);
+    }
+
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.expires_at).min()
+    }
+
+    fn entry(&self, key: &str) -> Option<KeyValue> {
+        self.keys.get(key).map(|stored| key_value(key, stored))
+    }
+
+    fn apply(&mut self, key: &str, value: Option<&str>, lease_id: Option<u64>) {
+        self.revision = self.revision.next();
+        let revision = self.revision;
+        match value {
+            Some(value) => {
+                let stored = Stored {
+                    value: value.to_owned(),
+                    revision,
+                    lease_id,
+                };
+                self.keys.insert(key.to_owned(), stored);
+                self.deleted.remove(key);
+            }
+            None => {
+                if self.keys.remove(key).is_some() {
+                    self.deleted.insert(key.to_owned(), revision);
+                }
+            }
+        }
+    }
+
+    fn expire_leases(&mut self, now: Instant) {
+        let lapsed: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.expires_at <= now)
+            .map(|(lease_id, _)| *lease_id)
+            .collect();
+        for lease_id in lapsed {
+            self.revoke(lease_id);
+        }
+    }
+
+    fn delete_of_lease(&mut self, lease_id: u64) {
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, stored)| stored.lease_id == Some(lease_id))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.apply(&key, None, None);
+        }
+    }
+}
+
+fn key_value(key: &str, stored: &Stored) -> KeyValue {
+    KeyValue {
+        key: key.to_owned(),
+        value: stored.value.clone(),
+        revision: stored.revision,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/mod.rs
@@ -0,0 +1,135 @@
+//! Stand-in of the platform's key-value service: compare-and-swap, leases,
+//! watches, call rates, outages and lost answers.
+
+mod data;
+mod rate;
+mod routes;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use parsleylatch_types::RequestsPerSecond;
+use serde::Serialize;
+use tokio::sync::{Notify, watch};
+
+use data::StoreData;
+pub use data::StoreLogEntry;
+use rate::RateLimit;
+
+use crate::{
+    control::{FaultOrder, StoreFault},
+    serve::Running,
+};
+
+/// How a store behaves.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Address of the protocol.
+    pub address: SocketAddr,
+    /// Address for fault orders.
+    pub control: SocketAddr,
+    /// Writes that it takes a second; leases count as writes.
+    pub write_rate: RequestsPerSecond,
+    /// Reads that it takes a second; a waiting watch counts as one.
+    pub read_rate: RequestsPerSecond,
+}
+
+impl StoreSettings {
+    /// Store on ports that the kernel chooses, with the platform's rates.
+    pub fn local() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            address: any_port,
+            control: any_port,
+            write_rate: RequestsPerSecond::new(500),
+            read_rate: RequestsPerSecond::new(2_000),
+        }
+    }
+}
+
+/// Counters of a store.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct StoreCounters {
+    /// Reads, listings and watches.
+    pub reads: u64,
+    /// Writes and deletes.
+    pub writes: u64,
+    /// Lease calls.
+    pub leases: u64,
+    /// Calls over the rate.
+    pub refused: u64,
+}
+
+pub(crate) struct StoreState {
+    data: Mutex<StoreData>,
+    reads: Mutex<RateLimit>,
+    writes: Mutex<RateLimit>,
+    counters: Mutex<StoreCounters>,
+    changed: Notify,
+    fault: watch::Sender<FaultOrder<StoreFault>>,
+    started_at: Instant,
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A running store.
+pub struct Store {
+    /// Addresses and tasks.
+    pub running: Running,
+    state: Arc<StoreState>,
+}
+
+impl Store {
+    /// Starts a store on the current runtime.
+    ///
+    /// # Errors
+    /// The system's reason if an address can't be bound.
+    pub fn start(settings: &StoreSettings) -> io::Result<Self> {
+        let none = FaultOrder {
+            fault: StoreFault::None,
+            at_index: None,
+            delay_ms: None,
+        };
+        let state = Arc::new(StoreState {
+            data: Mutex::default(),
+            reads: Mutex::new(RateLimit::new(settings.read_rate)),
+            writes: Mutex::new(RateLimit::new(settings.write_rate)),
+            counters: Mutex::default(),
+            changed: Notify::new(),
+            fault: watch::Sender::new(none),
+            started_at: Instant::now(),
+        });
+        let protocol = routes::protocol(Arc::clone(&state));
+        let orders = routes::control(Arc::clone(&state));
+        let running = Running::start(settings.address, settings.control, protocol, orders)?;
+        Ok(Self { running, state })
+    }
+
+    /// Writes a key, whatever it holds.
+    pub fn put(&self, key: &str, value: &str) {
+        let now = Instant::now();
+        lock(&self.state.data).write(now, key, Some(value), None, None);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Gives a fault order.
+    pub fn order_fault(&self, order: FaultOrder<StoreFault>) {
+        self.state.fault.send_replace(order);
+    }
+
+    /// Counters.
+    pub fn counters(&self) -> StoreCounters {
+        *lock(&self.state.counters)
+    }
+
+    /// Every write, in the order in which it took effect.
+    pub fn log(&self) -> Vec<StoreLogEntry> {
+        lock(&self.state.data).log().to_vec()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/rate.rs
@@ -0,0 +1,38 @@
+//! Token bucket that limits a kind of call.
+
+use std::time::Instant;
+
+use parsleylatch_types::RequestsPerSecond;
+
+/// Bucket that holds one second's worth of calls.
+#[derive(Debug)]
+pub(crate) struct RateLimit {
+    rate: f64,
+    available: f64,
+    updated_at: Option<Instant>,
+}
+
+impl RateLimit {
+    pub(crate) fn new(rate: RequestsPerSecond) -> Self {
+        let rate = rate.get() as f64;
+        Self {
+            rate,
+            available: rate,
+            updated_at: None,
+        }
+    }
+
+    /// Takes one call; `false` if the rate is exceeded.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        if let Some(earlier) = self.updated_at {
+            let refill = now.duration_since(earlier).as_secs_f64() * self.rate;
+            self.available = (self.available + refill).min(self.rate);
+        }
+        self.updated_at = Some(now);
+        let allowed = self.available >= 1.0;
+        if allowed {
+            self.available -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/routes.rs
@@ -0,0 +1,243 @@
+//! Protocol and control routes of the store.
+//!
+//! | call | meaning |
+//! |---|---|
+//! | `GET /v1/kv?key=K` | reads one key |
+//! | `PUT /v1/kv?key=K&expected=R&lease=L` | writes the body; `expected=0` creates |
+//! | `DELETE /v1/kv?key=K&expected=R` | deletes |
+//! | `GET /v1/list?prefix=P` | lists keys |
+//! | `GET /v1/watch?prefix=P&after=R&wait_ms=W` | waits for a change after `R` |
+//! | `POST /v1/leases`, `PUT` and `DELETE /v1/leases/L` | grants, renews, revokes |
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parsleylatch_types::{Millis, Revision};
+use parsleylatch_wire::platform::{LeaseAsk, LeaseReply, ListReply, ReadReply};
+use serde::{Deserialize, Serialize};
+use viz::{
+    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
+    types::State,
+};
+
+use super::{StoreCounters, StoreState, lock, rate::RateLimit};
+use crate::control::{self, StoreFault};
+
+/// Largest value.
+const VALUE_LIMIT_BYTES: u64 = 1 << 20;
+/// Longest time for which an outage keeps a call waiting.
+const OUTAGE_HANG: Duration = Duration::from_secs(30);
+
+#[derive(Deserialize)]
+struct KeyQuery {
+    key: String,
+    expected: Option<Revision>,
+    lease: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct PrefixQuery {
+    prefix: String,
+    #[serde(default)]
+    after: Revision,
+    wait_ms: Option<Millis>,
+}
+
+pub(super) fn protocol(state: Arc<StoreState>) -> Router {
+    Router::new()
+        .get("/v1/kv", read)
+        .put("/v1/kv", write)
+        .delete("/v1/kv", delete)
+        .get("/v1/list", list)
+        .get("/v1/watch", watch)
+        .post("/v1/leases", grant)
+        .put("/v1/leases/:id", renew)
+        .delete("/v1/leases/:id", revoke)
+        .with(State::new(state))
+}
+
+pub(super) fn control(state: Arc<StoreState>) -> Router {
+    Router::new()
+        .post("/fault", order_fault)
+        .get("/log", log_entries)
+        .get("/counters", counters)
+        .with(State::new(state))
+}
+
+fn store(request: &Request) -> Result<Arc<StoreState>> {
+    request
+        .state::<Arc<StoreState>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
+
+/// Counts a call, applies the rate and the faults that strike before the effect.
+async fn admit(
+    state: &StoreState,
+    rate: &std::sync::Mutex<RateLimit>,
+    count: fn(&mut StoreCounters),
+) -> Result<()> {
+    count(&mut lock(&state.counters));
+    if !lock(rate).take(Instant::now()) {
+        lock(&state.counters).refused += 1;
+        return Err(StatusCode::TOO_MANY_REQUESTS.into_error());
+    }
+    let order = state.fault.borrow().clone();
+    match order.fault {
+        StoreFault::Outage => {
+            let mut faults = state.fault.subscribe();
+            let lifted = faults.wait_for(|order| order.fault != StoreFault::Outage);
+            let _ = tokio::time::timeout(OUTAGE_HANG, lifted).await;
+            Err(StatusCode::SERVICE_UNAVAILABLE.into_error())
+        }
+        StoreFault::Slow => {
+            tokio::time::sleep(order.delay_ms.unwrap_or_default().duration()).await;
+            Ok(())
+        }
+        StoreFault::None | StoreFault::LostAnswers => Ok(()),
+    }
+}
+
+/// Answer to a write; its body breaks off while answers are lost.
+fn answer_write<Message>(state: &StoreState, message: &Message) -> Result<Response>
+where
+    Message: Serialize,
+{
+    state.changed.notify_waiters();
+    if state.fault.borrow().fault != StoreFault::LostAnswers {
+        return control::json(message);
+    }
+    let error = std::io::Error::other("answer lost by a fault order");
+    let pieces = futures::stream::iter([Err::<bytes::Bytes, _>(error)]);
+    Ok(http::Response::new(viz::Body::from_stream(pieces)))
+}
+
+async fn read(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let query: KeyQuery = request.query()?;
+    admit(&state, &state.reads, |counters| counters.reads += 1).await?;
+    let entry = lock(&state.data).read(Instant::now(), &query.key);
+    control::json(&ReadReply { entry })
+}
+
+async fn write(mut request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let query: KeyQuery = request.query()?;
+    let body = request.bytes_with(None, VALUE_LIMIT_BYTES).await?;
+    let value = String::from_utf8(body.to_vec())
+        .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()).into_error())?;
+    admit(&state, &state.writes, |counters| counters.writes += 1).await?;
+    let now = Instant::now();
+    let (key, expected, lease) = (&query.key, query.expected, query.lease);
+    let reply = lock(&state.data).write(now, key, Some(&value), expected, lease);
+    answer_write(&state, &reply)
+}
+
+async fn delete(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let query: KeyQuery = request.query()?;
+    admit(&state, &state.writes, |counters| counters.writes += 1).await?;
+    let now = Instant::now();
+    let reply = lock(&state.data).write(now, &query.key, None, query.expected, None);
+    answer_write(&state, &reply)
+}
+
+async fn list(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let query: PrefixQuery = request.query()?;
+    admit(&state, &state.reads, |counters| counters.reads += 1).await?;
+    let reply = lock(&state.data).list(Instant::now(), &query.prefix, Revision::ZERO);
+    control::json(&ListReply {
+        deleted: Vec::new(),
+        ..reply
+    })
+}
+
+async fn watch(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let query: PrefixQuery = request.query()?;
+    admit(&state, &state.reads, |counters| counters.reads += 1).await?;
+    let deadline = Instant::now() + query.wait_ms.unwrap_or_default().duration();
+    let mut faults = state.fault.subscribe();
+    loop {
+        let changed = state.changed.notified();
+        let now = Instant::now();
+        let (reply, expiry) = {
+            let mut data = lock(&state.data);
+            (
+                data.list(now, &query.prefix, query.after),
+                data.next_expiry(),
+            )
+        };
+        if !reply.entries.is_empty() || !reply.deleted.is_empty() || now >= deadline {
+            return control::json(&reply);
+        }
+        let wake_at = expiry.map_or(deadline, |expiry| expiry.min(deadline));
+        tokio::select! {
+            () = changed => {}
+            () = tokio::time::sleep_until(wake_at.into()) => {}
+            _ = faults.wait_for(|order| order.fault == StoreFault::Outage) => {
+                return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+            }
+        }
+    }
+}
+
+async fn grant(mut request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let ask: LeaseAsk = control::read_json(&mut request).await?;
+    admit(&state, &state.writes, |counters| counters.leases += 1).await?;
+    let lease_id = lock(&state.data).grant(Instant::now(), ask.ttl_ms);
+    answer_write(&state, &LeaseReply { lease_id })
+}
+
+async fn renew(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let lease_id: u64 = request.param("id")?;
+    admit(&state, &state.writes, |counters| counters.leases += 1).await?;
+    let renewed = lock(&state.data).renew(Instant::now(), lease_id);
+    let status = if renewed {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    Ok((status, "{}").into_response())
+}
+
+async fn revoke(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let lease_id: u64 = request.param("id")?;
+    admit(&state, &state.writes, |counters| counters.leases += 1).await?;
+    lock(&state.data).revoke(lease_id);
+    answer_write(&state, &())
+}
+
+async fn order_fault(mut request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let order = control::read_json(&mut request).await?;
+    state.fault.send_replace(order);
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+async fn log_entries(request: Request) -> Result<Response> {
+    control::json(&lock(&store(&request)?.data).log())
+}
+
+/// Counters with the time for which they were counted.
+#[derive(Serialize)]
+struct CountersReply {
+    #[serde(flatten)]
+    counters: StoreCounters,
+    uptime_ms: Millis,
+}
+
+async fn counters(request: Request) -> Result<Response> {
+    let state = store(&request)?;
+    let uptime_ms = Millis::new(state.started_at.elapsed().as_millis() as u64);
+    let counters = *lock(&state.counters);
+    control::json(&CountersReply {
+        counters,
+        uptime_ms,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/vm_list.rs
@@ -0,0 +1,132 @@
+//! Stand-in of the platform's list of VMs: correct, but late.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
+
+use parsleylatch_types::{EndpointId, Millis};
+use parsleylatch_wire::platform::{VmEntry, VmListReply};
+use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, types::State};
+
+use crate::{control, serve::Running};
+
+/// How the list behaves.
+#[derive(Clone, Debug)]
+pub struct VmListSettings {
+    /// Address of the protocol.
+    pub address: SocketAddr,
+    /// Address for changes.
+    pub control: SocketAddr,
+    /// Age of what the list says.
+    pub lag_ms: Millis,
+}
+
+type Vms = BTreeMap<EndpointId, VmEntry>;
+
+struct VmListState {
+    lag_ms: Millis,
+    /// Every version of the list that may still be told, the oldest first.
+    versions: Mutex<Vec<(Instant, Vms)>>,
+}
+
+impl VmListState {
+    fn change(&self, update: impl FnOnce(&mut Vms)) {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut vms = versions
+            .last()
+            .map(|(_, vms)| vms.clone())
+            .unwrap_or_default();
+        update(&mut vms);
+        versions.push((Instant::now(), vms));
+    }
+
+    fn told(&self) -> VmListReply {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let lag = self.lag_ms.duration();
+        while versions.len() > 1 && now.duration_since(versions[1].0) >= lag {
+            versions.remove(0);
+        }
+        let oldest = versions
+            .first()
+            .filter(|(since, _)| now.duration_since(*since) >= lag);
+        let vms = oldest.map(|(_, vms)| vms.values().cloned().collect());
+        VmListReply {
+            vms: vms.unwrap_or_default(),
+        }
+    }
+}
+
+/// A running list.
+pub struct VmList {
+    /// Addresses and tasks.
+    pub running: Running,
+    state: Arc<VmListState>,
+}
+
+impl VmList {
+    /// Starts a list on the current runtime.
+    ///
+    /// # Errors
+    /// The system's reason if an address can't be bound.
+    pub fn start(settings: &VmListSettings) -> io::Result<Self> {
+        let state = Arc::new(VmListState {
+            lag_ms: settings.lag_ms,
+            versions: Mutex::default(),
+        });
+        let protocol = Router::new()
+            .get("/v1/vms", list)
+            .with(State::new(Arc::clone(&state)));
+        let orders = Router::new()
+            .post("/vms", put)
+            .delete("/vms/:id", delete)
+            .with(State::new(Arc::clone(&state)));
+        let running = Running::start(settings.address, settings.control, protocol, orders)?;
+        Ok(Self { running, state })
+    }
+
+    /// Adds or replaces a VM.
+    pub fn put(&self, vm: VmEntry) {
+        self.state.change(|vms| {
+            vms.insert(vm.id.clone(), vm);
+        });
+    }
+
+    /// Removes a VM.
+    pub fn remove(&self, id: &EndpointId) {
+        self.state.change(|vms| {
+            vms.remove(id);
+        });
+    }
+}
+
+fn state(request: &Request) -> Result<Arc<VmListState>> {
+    request
+        .state::<Arc<VmListState>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
+
+async fn list(request: Request) -> Result<Response> {
+    control::json(&state(&request)?.told())
+}
+
+async fn put(mut request: Request) -> Result<Response> {
+    let state = state(&request)?;
+    let vm: VmEntry = control::read_json(&mut request).await?;
+    state.change(|vms| {
+        vms.insert(vm.id.clone(), vm);
+    });
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+async fn delete(request: Request) -> Result<Response> {
+    let id: EndpointId = request.param("id")?;
+    state(&request)?.change(|vms| {
+        vms.remove(&id);
+    });
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,12 @@
-//! .
+//! Clients of the platform's services: the key-value store and the VM list.
+//!
+//! A write that got no answer may have taken effect; [`StoreError::is_unclear`]
+//! says so, and the caller has to read back.
+
+mod error;
+mod store;
+mod vm_list;
+
+pub use error::{StoreError, StoreStep};
+pub use store::{Condition, LeaseId, StoreClient};
+pub use vm_list::VmListClient;
--- /dev/null
+++ b/crates/store/src/vm_list.rs
@@ -0,0 +1,44 @@
+//! Client of the platform's list of VMs.
+
+use std::net::SocketAddr;
+
+use parsleylatch_http::Client;
+use parsleylatch_types::Millis;
+use parsleylatch_wire::platform::VmListReply;
+
+use crate::error::{StoreError, StoreStep};
+
+/// Longest wait for the list.
+const CALL_TIMEOUT_MS: Millis = Millis::new(2_000);
+
+/// Client of the list at one address.
+#[derive(Clone)]
+pub struct VmListClient {
+    http: Client,
+    address: SocketAddr,
+}
+
+impl VmListClient {
+    /// Client without connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: Client::new(),
+            address,
+        }
+    }
+
+    /// Reads the list.
+    ///
+    /// # Errors
+    /// The call's step and peer.
+    pub async fn list(&self) -> Result<VmListReply, StoreError> {
+        let reply = self
+            .http
+            .get_json(self.address, "/v1/vms", CALL_TIMEOUT_MS.duration())
+            .await;
+        reply.map_err(|source| StoreError {
+            step: StoreStep::ListVms,
+            source,
+        })
+    }
+}
