--- /dev/null
+++ b/crates/bench/src/caller.rs
@@ -0,0 +1,270 @@
+//! A caller: sends requests and records what came back.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use eyre::{Result, bail, ensure, eyre};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+use parsleylatch_http::{Body, Client, Reply, SseEvent, SseReader};
+use parsleylatch_types::{RequestId, TokenIndex};
+use parsleylatch_wire::caller::{DoneData, GenerationBody, Problem, TokenData};
+
+/// Longest wait for the head of a response.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How a stream of events ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ending {
+    /// The answer is whole.
+    Done(DoneData),
+    /// The node told of an error.
+    Error(Problem),
+    /// The node told to resume at another one.
+    Moved(serde_json::Value),
+    /// The connection broke without a word.
+    Broken(String),
+}
+
+/// One token as it arrived.
+#[derive(Clone, Debug)]
+pub struct ArrivedToken {
+    /// Id of the event.
+    pub event_id: String,
+    /// Data of the event.
+    pub data: TokenData,
+    /// Time of arrival.
+    pub at: Instant,
+}
+
+/// An open stream of events.
+pub struct Events {
+    body: Body,
+    reader: SseReader,
+    /// Head of the response.
+    pub headers: HeaderMap,
+}
+
+impl Events {
+    /// Waits for the next event; `None` at the end of the stream.
+    ///
+    /// # Errors
+    /// The reason if the connection broke or the stream can't be read.
+    pub async fn next(&mut self) -> Result<Option<SseEvent>> {
+        loop {
+            if let Some(event) = self.reader.next_event().map_err(|reason| eyre!(reason))? {
+                return Ok(Some(event));
+            }
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(frame) => {
+                    if let Some(piece) = frame?.data_ref() {
+                        self.reader.push(piece);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads to the end; `on_token` sees each token as it arrives.
+    pub async fn collect(mut self, mut on_token: impl FnMut(&ArrivedToken)) -> Collected {
+        let mut tokens = Vec::new();
+        let ending = loop {
+            match self.next().await {
+                Ok(Some(event)) => match read_event(event) {
+                    Ok(Arrived::Token(token)) => {
+                        on_token(&token);
+                        tokens.push(token);
+                    }
+                    Ok(Arrived::Ending(ending)) => break ending,
+                    Err(error) => break Ending::Broken(error.to_string()),
+                },
+                Ok(None) => break Ending::Broken("the stream ended early".to_owned()),
+                Err(error) => break Ending::Broken(error.to_string()),
+            }
+        };
+        Collected { tokens, ending }
+    }
+}
+
+enum Arrived {
+    Token(ArrivedToken),
+    Ending(Ending),
+}
+
+fn read_event(event: SseEvent) -> Result<Arrived> {
+    match event.event.as_str() {
+        "token" => {
+            let data = serde_json::from_str(&event.data)?;
+            Ok(Arrived::Token(ArrivedToken {
+                event_id: event.id,
+                data,
+                at: Instant::now(),
+            }))
+        }
+        "done" => Ok(Arrived::Ending(Ending::Done(serde_json::from_str(
+            &event.data,
+        )?))),
+        "error" => Ok(Arrived::Ending(Ending::Error(serde_json::from_str(
+            &event.data,
+        )?))),
+        "moved" => Ok(Arrived::Ending(Ending::Moved(serde_json::from_str(
+            &event.data,
+        )?))),
+        other => bail!("unknown event `{other}`"),
+    }
+}
+
+/// A stream that was read to its end.
+#[derive(Clone, Debug)]
+pub struct Collected {
+    /// Tokens in the order of their arrival.
+    pub tokens: Vec<ArrivedToken>,
+    /// How the stream ended.
+    pub ending: Ending,
+}
+
+/// Answer to a request for a stream.
+pub enum Opened {
+    /// The node accepted the request.
+    Events(Events),
+    /// The node refused it.
+    Refused(Problem),
+}
+
+/// A caller of one workspace at one node.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    address: SocketAddr,
+    key: String,
+}
+
+impl Caller {
+    /// Caller with a key at a node's address.
+    pub fn new(address: SocketAddr, key: &str) -> Self {
+        Self {
+            client: Client::new(),
+            address,
+            key: key.to_owned(),
+        }
+    }
+
+    /// The same caller at another node.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            address,
+            ..self.clone()
+        }
+    }
+
+    /// Asks for a generation.
+    ///
+    /// # Errors
+    /// The step and the peer if there was no answer.
+    pub async fn generate(&self, id: RequestId, body: &GenerationBody) -> Result<Opened> {
+        let request = Request::post("/v1/generations").header("request-id", id.to_string());
+        self.open(request, serde_json::to_vec(body)?.into()).await
+    }
+
+    /// Resumes a generation after the event with the given id.
+    ///
+    /// # Errors
+    /// The step and the peer if there was no answer.
+    pub async fn resume(&self, id: RequestId, last_event_id: &str) -> Result<Opened> {
+        let request =
+            Request::get(format!("/v1/generations/{id}")).header("last-event-id", last_event_id);
+        self.open(request, Bytes::new()).await
+    }
+
+    /// Calls a service and reads the whole answer.
+    ///
+    /// # Errors
+    /// The step and the peer if there was no answer.
+    pub async fn call_service(
+        &self,
+        id: RequestId,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> Result<Reply> {
+        let request = Request::post(format!("/v1/services/{path}"))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json")
+            .header("request-id", id.to_string());
+        let body = serde_json::to_vec(body)?.into();
+        Ok(self
+            .client
+            .call(self.address, request, body, HEAD_TIMEOUT)
+            .await?)
+    }
+
+    async fn open(&self, request: http::request::Builder, body: Bytes) -> Result<Opened> {
+        let request = request
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json");
+        let response = self
+            .client
+            .open(self.address, request, body, HEAD_TIMEOUT)
+            .await?;
+        let (head, body) = response.into_parts();
+        if head.status == StatusCode::OK {
+            let events = Events {
+                body,
+                reader: SseReader::new(),
+                headers: head.headers,
+            };
+            return Ok(Opened::Events(events));
+        }
+        let body = body.collect().await?.to_bytes();
+        Ok(Opened::Refused(serde_json::from_slice(&body)?))
+    }
+}
+
+/// Checks that an answer is whole and is the one that the version gives.
+///
+/// # Errors
+/// The first token that is missing, repeated or another than expected.
+pub fn check_answer(body: &GenerationBody, tokens: &[TokenData], done: &DoneData) -> Result<()> {
+    ensure!(
+        done.tokens == body.max_tokens,
+        "{} of {}",
+        done.tokens,
+        body.max_tokens
+    );
+    ensure!(
+        tokens.len() == body.max_tokens.get() as usize,
+        "{} tokens arrived",
+        tokens.len()
+    );
+    check_prefix(body, tokens, &done.endpoint_version)
+}
+
+/// Checks that tokens are the beginning of the answer that a version gives.
+///
+/// # Errors
+/// The first token that is missing, repeated or another than expected.
+pub fn check_prefix(
+    body: &GenerationBody,
+    tokens: &[TokenData],
+    version: &parsleylatch_types::EndpointVersion,
+) -> Result<()> {
+    for (position, token) in tokens.iter().enumerate() {
+        let index = TokenIndex::after(position);
+        ensure!(
+            token.index == index,
+            "token {} where {index} was due",
+            token.index
+        );
+        let expected = parsleylatch_standin::answer::token_at(&body.prompt, version, index);
+        ensure!(
+            token.token == expected,
+            "token {index} is {} not {expected}",
+            token.token
+        );
+    }
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,4 @@
-//! .
+//! Load, histories, measurements and plots.
+
+pub mod caller;
+pub mod fleet;
--- /dev/null
+++ b/crates/ctl/src/api.rs
@@ -0,0 +1,78 @@
+//! Calls of the administration API.
+
+use std::{env, net::SocketAddr};
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr, bail, eyre};
+use http::{Method, Request};
+use parsleylatch_http::{Client, Reply};
+use parsleylatch_types::Millis;
+use serde_json::Value;
+
+/// Longest wait for an answer.
+const CALL_TIMEOUT_MS: Millis = Millis::new(10_000);
+
+/// One node's administration API.
+pub(crate) struct Api {
+    client: Client,
+    address: SocketAddr,
+    key: String,
+}
+
+impl Api {
+    /// API at the given address, or at the one that the environment names.
+    pub(crate) fn new(address: Option<SocketAddr>, key: Option<String>) -> Result<Self> {
+        let address = match address {
+            Some(address) => address,
+            None => from_env("PARSLEYLATCH_ADMIN", "--admin")?
+                .parse()
+                .wrap_err("PARSLEYLATCH_ADMIN is not an address")?,
+        };
+        let key = key.map_or_else(|| from_env("PARSLEYLATCH_KEY", "--key"), Ok)?;
+        Ok(Self {
+            client: Client::new(),
+            address,
+            key,
+        })
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Result<Value> {
+        let reply = self.call(Method::GET, path, Bytes::new(), &[]).await?;
+        Ok(reply.json(self.address)?)
+    }
+
+    pub(crate) async fn post(&self, path: &str) -> Result<Reply> {
+        self.call(Method::POST, path, Bytes::new(), &[]).await
+    }
+
+    /// Calls with a body and headers; an answer that is no success is an error.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        headers: &[(&str, &str)],
+    ) -> Result<Reply> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let deadline = CALL_TIMEOUT_MS.duration();
+        let reply = self
+            .client
+            .call(self.address, request, body, deadline)
+            .await?;
+        if !reply.status.is_success() {
+            let text = String::from_utf8_lossy(&reply.body);
+            bail!("{path} at {}: {} {text}", self.address, reply.status);
+        }
+        Ok(reply)
+    }
+}
+
+fn from_env(variable: &str, option: &str) -> Result<String> {
+    env::var(variable).map_err(|_| eyre!("give {option} or set {variable}"))
+}
--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,89 @@
+//! Command line: one verb for each part of the administration API.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use argh::FromArgs;
+use eyre::Result;
+
+use crate::{api::Api, chart, check, show};
+
+/// Operate parsleylatch.
+#[derive(FromArgs)]
+pub struct Args {
+    /// administration address of a node; default from PARSLEYLATCH_ADMIN
+    #[argh(option)]
+    admin: Option<SocketAddr>,
+    /// administration key; default from PARSLEYLATCH_KEY
+    #[argh(option)]
+    key: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(CheckArgs),
+    Nodes(NodesArgs),
+    Endpoints(EndpointsArgs),
+    Counters(CountersArgs),
+    Drain(DrainArgs),
+    Chart(ChartArgs),
+}
+
+/// check a file with node settings or a template
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// file to check
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// list the nodes that a node knows
+#[derive(FromArgs)]
+#[argh(subcommand, name = "nodes")]
+struct NodesArgs {}
+
+/// list the endpoints that a node knows
+#[derive(FromArgs)]
+#[argh(subcommand, name = "endpoints")]
+struct EndpointsArgs {}
+
+/// show a node's counters
+#[derive(FromArgs)]
+#[argh(subcommand, name = "counters")]
+struct CountersArgs {}
+
+/// stop a node gracefully
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainArgs {}
+
+/// print a state chart as a Mermaid diagram
+#[derive(FromArgs)]
+#[argh(subcommand, name = "chart")]
+struct ChartArgs {
+    /// name of the chart; all names without one
+    #[argh(positional)]
+    name: Option<String>,
+}
+
+/// Runs one command.
+///
+/// # Errors
+/// A reason with the step and the peer.
+pub async fn run(args: Args) -> Result<()> {
+    let api = || Api::new(args.admin, args.key.clone());
+    match args.command {
+        Command::Check(CheckArgs { file }) => check::check_file(&file),
+        Command::Chart(ChartArgs { name }) => chart::print(name.as_deref()),
+        Command::Nodes(_) => show::list(&api()?.get("/admin/v1/nodes").await?, args.json),
+        Command::Endpoints(_) => show::list(&api()?.get("/admin/v1/endpoints").await?, args.json),
+        Command::Counters(_) => show::fields(&api()?.get("/admin/v1/counters").await?, args.json),
+        Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,32 @@
+//! Checks of files before they are used.
+
+use std::path::Path;
+
+use eyre::Result;
+use parsleylatch_settings::{Document, NodeSettings, SettingsError, Template};
+
+/// Exit status for a file that can't be used.
+const BAD_FILE_STATUS: i32 = 2;
+
+/// Checks a file with node settings or a template; ends the process if it can't
+/// be used.
+pub(crate) fn check_file(path: &Path) -> Result<()> {
+    match read(path) {
+        Ok(kind) => println!("{}: usable {kind}", path.display()),
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(BAD_FILE_STATUS);
+        }
+    }
+    Ok(())
+}
+
+/// Node settings name the node; everything else is read as a template.
+fn read(path: &Path) -> Result<&'static str, SettingsError> {
+    let document = Document::open(path)?;
+    if document.text().contains("\"node_id\"") {
+        NodeSettings::read(&document).map(|_| "node settings")
+    } else {
+        Template::read(&document).map(|_| "template")
+    }
+}
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -18,7 +18,7 @@
 /// Priority of free requests at an engine.
 pub const FREE_PRIORITY: Priority = Priority::new(1);
 /// Time after which a refused caller may try another node.
-const OTHER_NODE_DELAY_MS: Millis = Millis::new(200);
+pub const OTHER_NODE_DELAY_MS: Millis = Millis::new(200);
 
 /// A generation as the caller asks for it.
 #[derive(Clone, Debug)]
--- a/crates/decide/src/generation/attempt.rs
+++ b/crates/decide/src/generation/attempt.rs
@@ -3,6 +3,8 @@
 //! Tokens carry the attempt's number and their index. Only the next index is
 //! accepted; older ones are dropped and counted, and a gap ends the attempt.
 
+use std::net::SocketAddr;
+
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
 use parsleylatch_types::{
     AttemptNumber, EndpointId, EndpointVersion, Micros, Millis, MonoTime, TokenCount, TokenId,
@@ -104,6 +106,8 @@
     pub attempt: AttemptNumber,
     /// Engine.
     pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
     /// Version that the engine has to run.
     pub endpoint_version: EndpointVersion,
     /// Index of the first token that is wanted.
--- a/crates/decide/src/generation/context.rs
+++ b/crates/decide/src/generation/context.rs
@@ -208,7 +208,7 @@
             self.failed_endpoints.push(order.endpoint.clone());
             self.effects.push(GenerationEffect::Cancel {
                 attempt: order.attempt,
-                endpoint: order.endpoint,
+                address: order.address,
             });
         }
     }
@@ -220,7 +220,7 @@
             let order = attempt.context.order;
             self.effects.push(GenerationEffect::Cancel {
                 attempt: order.attempt,
-                endpoint: order.endpoint,
+                address: order.address,
             });
         }
     }
--- a/crates/decide/src/generation/mod.rs
+++ b/crates/decide/src/generation/mod.rs
@@ -8,12 +8,10 @@
 mod attempt;
 mod context;
 
-use std::sync::LazyLock;
+use std::{net::SocketAddr, sync::LazyLock};
 
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
-use parsleylatch_types::{
-    AttemptNumber, EndpointId, EndpointVersion, MonoTime, TokenCount, TokenIndex,
-};
+use parsleylatch_types::{AttemptNumber, EndpointVersion, MonoTime, TokenCount, TokenIndex};
 
 use attempt::Attempt;
 pub use attempt::{AttemptFault, AttemptInput, AttemptOrder, AttemptState, Token};
@@ -114,8 +112,8 @@
     Cancel {
         /// Number of the attempt.
         attempt: AttemptNumber,
-        /// Engine.
-        endpoint: EndpointId,
+        /// Address of the engine.
+        address: SocketAddr,
     },
     /// Send a token to the journal peer and answer with `JournalHeld`.
     Journal {
@@ -315,6 +313,7 @@
         context.input_order = Some(AttemptOrder {
             attempt: context.attempts_started.next(),
             endpoint: placement.endpoint,
+            address: placement.address,
             endpoint_version: placement.endpoint_version,
             resume_from: TokenIndex::after(context.tokens.len()),
             first_token_timeout_ms: placement.first_token_timeout_ms,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod charts;
+pub mod configuration;
 pub mod generation;
 pub mod node_life;
 pub mod placement;
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -7,7 +7,7 @@
 //! reported (late) and what this thread itself has in flight there (at once),
 //! so the nodes don't all follow one report to the same engine.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use parsleylatch_settings::Detection;
 use parsleylatch_types::{EndpointId, EndpointVersion, Micros, Millis, ModelId, MonoTime, Region};
@@ -36,6 +36,8 @@
 pub struct Placement {
     /// Engine.
     pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
     /// Version it runs.
     pub endpoint_version: EndpointVersion,
     /// Longest wait for the first token.
@@ -93,6 +95,7 @@
         };
         let placement = Placement {
             endpoint: endpoint.id.clone(),
+            address: endpoint.address,
             endpoint_version: version.clone(),
             first_token_timeout_ms: question.detection.first_token_timeout_ms,
             token_timeout_ms: self.token_timeout(endpoint, question.detection),
@@ -104,15 +107,19 @@
         Some(placement)
     }
 
-    /// Counts the end of an attempt, with the pace it showed.
-    pub fn note_end(&mut self, endpoint: &EndpointId, pace_us: Option<Micros>) {
-        let load = self.local.entry(endpoint.clone()).or_default();
-        load.in_flight = load.in_flight.saturating_sub(1);
-        if let Some(seen) = pace_us {
-            load.pace_us = Some(load.pace_us.map_or(seen, |known| smooth(known, seen)));
+    /// Counts the end of an attempt.
+    pub fn note_end(&mut self, endpoint: &EndpointId) {
+        if let Some(load) = self.local.get_mut(endpoint) {
+            load.in_flight = load.in_flight.saturating_sub(1);
         }
     }
 
+    /// Learns the pace that an attempt showed.
+    pub fn note_pace(&mut self, endpoint: &EndpointId, seen: Micros) {
+        let load = self.local.entry(endpoint.clone()).or_default();
+        load.pace_us = Some(load.pace_us.map_or(seen, |known| smooth(known, seen)));
+    }
+
     /// Takes an endpoint last for a while.
     pub fn note_fault(&mut self, now: MonoTime, endpoint: &EndpointId) {
         let load = self.local.entry(endpoint.clone()).or_default();
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -114,7 +114,7 @@
         let reason = body
             .collect()
             .await
-            .map(|body| body.to_bytes())
+            .map(http_body_util::Collected::to_bytes)
             .unwrap_or_default();
         let reason = String::from_utf8_lossy(&reason).into_owned();
         Err(failed(EngineErrorKind::Refused {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step};
-pub use listener::{NodelayListener, bind_group};
+pub use listener::{NodelayListener, bind_group, serve};
 pub use sse::{SseEvent, SseReader, encode_event};
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -2,13 +2,26 @@
 
 use std::{io, net::SocketAddr};
 
+use hyper_util::{rt::TokioExecutor, server::conn::auto::Builder};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
-use viz::Listener;
+use viz::{Listener, Router};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
+/// What the kernel may hold for a caller that reads nothing.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+/// What a connection may hold for such a caller.
+const WRITE_BUFFER_BYTES: usize = 16 << 10;
+
+/// Serves a router on a listener, with a bounded buffer for each connection.
+pub fn serve(listener: NodelayListener, router: Router) -> viz::Server<NodelayListener> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().max_buf_size(WRITE_BUFFER_BYTES);
+    viz::Server::with_builder(listener, router, builder)
+}
+
 /// Listener whose connections send small messages at once.
 #[derive(Debug)]
 pub struct NodelayListener(TcpListener);
@@ -66,6 +79,8 @@
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
+    // Connections inherit the size from the listener.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,82 @@
+//! The control thread: one loop that owns the node's view and its life.
+//!
+//! Watchers run as tasks on the same thread and send what they learn as
+//! [`ControlInput`]; only the loop changes the state, so nothing is locked.
+
+mod admin;
+mod state;
+mod watchers;
+
+use std::{future::IntoFuture, net::TcpListener, sync::Arc};
+
+use parsleylatch_decide::{generation::AttemptReport, node_life::NodeEvent};
+use parsleylatch_http::NodelayListener;
+use parsleylatch_types::EndpointId;
+use parsleylatch_wire::{
+    engine::LoadReport,
+    platform::{ListReply, VmListReply},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::shared::Shared;
+use state::ControlState;
+
+/// What the control thread learns.
+#[derive(Debug)]
+pub(crate) enum ControlInput {
+    /// Templates that were written.
+    Templates(ListReply),
+    /// The platform's list.
+    Vms(VmListReply),
+    /// Load of an engine; `None` if it did not answer.
+    Load(EndpointId, Option<LoadReport>),
+    /// What became of an attempt.
+    Attempt(AttemptReport),
+    /// No request is in flight.
+    Idle,
+    /// A planned stop was asked for.
+    StopRequested,
+}
+
+/// Sockets that the control thread serves.
+pub(crate) struct Listeners {
+    pub(crate) admin: Vec<TcpListener>,
+    pub(crate) peer: Vec<TcpListener>,
+}
+
+/// Runs the control thread until the node has stopped.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    mut inputs: mpsc::Receiver<ControlInput>,
+    listeners: Listeners,
+    ready: oneshot::Sender<()>,
+) {
+    let mut state = ControlState::new(Arc::clone(&shared), ready);
+    let endpoints = state.watched_endpoints();
+    tokio::spawn(watchers::watch_templates(Arc::clone(&shared)));
+    tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
+    tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
+    tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
+    for listener in listeners.admin {
+        match NodelayListener::from_std(listener) {
+            Ok(listener) => {
+                tokio::spawn(
+                    parsleylatch_http::serve(listener, admin::router(Arc::clone(&shared)))
+                        .into_future(),
+                );
+            }
+            Err(error) => log::error!("admin listener can't be registered: {error}"),
+        }
+    }
+    // Peer connections are accepted by the journal's server.
+    let _peer = listeners.peer;
+    while !state.is_stopped() {
+        tokio::select! {
+            Some(input) = inputs.recv() => state.handle(input),
+            () = shared.clock.sleep_until(state.next_deadline()) => state.expire(),
+        }
+        if shared.requests_in_flight() == 0 {
+            state.step_life(NodeEvent::Idle);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,18 @@
-//! .
+//! The node: threads, sockets and the effects that decisions ask for.
+//!
+//! One control thread owns the configuration, the endpoint table and the
+//! node's life, and publishes immutable snapshots. Traffic threads own the
+//! requests they accepted; they read snapshots without locks and send reports
+//! over a bounded channel. Every wait is for an event or a deadline.
+
+mod args;
+mod clock;
+mod control;
+mod node;
+mod shared;
+mod telemetry;
+mod traffic;
+
+pub use args::{Args, main};
+pub use node::{Addresses, Node};
+pub use telemetry::Counter;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,168 @@
+//! Starts the threads of a node and ends them.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use eyre::{Result, WrapErr, eyre};
+use parsleylatch_http::bind_group;
+use parsleylatch_settings::NodeSettings;
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::{mpsc, oneshot},
+};
+
+use crate::{
+    control::{self, ControlInput},
+    shared::Shared,
+    telemetry, traffic,
+};
+
+/// Reports that may wait for the control thread.
+const CONTROL_BUFFER: usize = 4_096;
+
+/// Addresses of a running node.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+}
+
+/// A running node.
+pub struct Node {
+    addresses: Addresses,
+    shared: Arc<Shared>,
+    control: JoinHandle<()>,
+    traffic: Vec<JoinHandle<()>>,
+    stop_traffic: Vec<oneshot::Sender<()>>,
+}
+
+impl Node {
+    /// Binds the addresses and starts the threads; returns when the node serves.
+    ///
+    /// # Errors
+    /// A reason with the step, such as an address that can't be bound.
+    pub fn start(settings: NodeSettings) -> Result<Self> {
+        let threads = settings.traffic_threads;
+        let (caller, caller_listeners) = bind(settings.caller_address, threads, "caller_address")?;
+        let (admin, admin_listeners) = bind(settings.admin_address, 1, "admin_address")?;
+        let (peer, peer_listeners) = bind(settings.peer_address, 1, "peer_address")?;
+        let (sender, inputs) = mpsc::channel(CONTROL_BUFFER);
+        let shared = Arc::new(Shared::new(settings, sender));
+        let (ready, is_ready) = oneshot::channel();
+        let control = spawn("control", {
+            let shared = Arc::clone(&shared);
+            move |runtime| {
+                let listeners = control::Listeners {
+                    admin: admin_listeners,
+                    peer: peer_listeners,
+                };
+                runtime.block_on(control::run(shared, inputs, listeners, ready));
+            }
+        })?;
+        let mut traffic = Vec::new();
+        let mut stop_traffic = Vec::new();
+        for (index, listener) in caller_listeners.into_iter().enumerate() {
+            let (stop, stopped) = oneshot::channel();
+            stop_traffic.push(stop);
+            let shared = Arc::clone(&shared);
+            traffic.push(spawn(&format!("traffic-{index}"), move |runtime| {
+                runtime.block_on(traffic::run(shared, listener, stopped));
+            })?);
+        }
+        is_ready
+            .blocking_recv()
+            .map_err(|_| eyre!("the control thread ended while starting"))?;
+        let addresses = Addresses {
+            caller,
+            admin,
+            peer,
+        };
+        Ok(Self {
+            addresses,
+            shared,
+            control,
+            traffic,
+            stop_traffic,
+        })
+    }
+
+    /// Addresses that the node listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Asks for a planned stop; requests in flight are finished or handed over.
+    pub fn stop(&self) {
+        let _ = self
+            .shared
+            .control
+            .blocking_send(ControlInput::StopRequested);
+    }
+
+    /// Asks for a planned stop when the process gets SIGTERM or SIGINT.
+    ///
+    /// # Errors
+    /// The system's reason if signals can't be received.
+    pub fn stop_on_signal(&self) -> Result<()> {
+        let control = self.shared.control.clone();
+        spawn("signals", move |runtime| {
+            let _ = runtime.block_on(async move {
+                until_signal().await?;
+                let _ = control.send(ControlInput::StopRequested).await;
+                io::Result::Ok(())
+            });
+        })?;
+        Ok(())
+    }
+
+    /// Waits until the node has stopped.
+    ///
+    /// # Errors
+    /// Names the thread that panicked, if one did.
+    pub fn join(self) -> Result<()> {
+        self.control
+            .join()
+            .map_err(|_| eyre!("the control thread panicked"))?;
+        drop(self.stop_traffic);
+        for thread in self.traffic {
+            thread
+                .join()
+                .map_err(|_| eyre!("a traffic thread panicked"))?;
+        }
+        telemetry::flush();
+        Ok(())
+    }
+}
+
+fn bind(address: SocketAddr, count: usize, field: &str) -> Result<(SocketAddr, Vec<TcpListener>)> {
+    bind_group(address, count).wrap_err_with(|| format!("binding {field} {address}"))
+}
+
+async fn until_signal() -> io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Starts a thread with a runtime of its own.
+fn spawn(name: &str, work: impl FnOnce(Runtime) + Send + 'static) -> Result<JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.wrap_err_with(|| format!("building the runtime of thread {name}"))?;
+    let spawned = thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || work(runtime));
+    spawned.wrap_err_with(|| format!("starting thread {name}"))
+}
--- /dev/null
+++ b/crates/node/src/traffic/caller.rs
@@ -0,0 +1,123 @@
+//! Handlers of the caller's address.
+
+use std::sync::Arc;
+
+use parsleylatch_decide::{
+    admission::{self, GenerationAsk},
+    generation::{EarlierOwner, GenerationRequest},
+    refusal::{Refusal, RefusalKind},
+    view::WorkspaceView,
+};
+use parsleylatch_types::{OperationName, ServiceName};
+use parsleylatch_wire::caller::GenerationBody;
+use viz::{IntoResponse, Request, RequestExt, Response, Result, StatusCode};
+
+use super::{Traffic, body, generation, problem, service};
+use crate::{
+    shared::InFlight,
+    telemetry::{self, Counter},
+};
+
+fn traffic(request: &Request) -> Result<Arc<Traffic>> {
+    request
+        .state::<Arc<Traffic>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
+
+/// Response of a request that was answered or refused.
+fn respond(traffic: &Traffic, answered: Result<Response, Refusal>) -> Response {
+    answered.unwrap_or_else(|refusal| {
+        traffic.shared.counters.increment(Counter::Refusals);
+        problem::response_of(&refusal)
+    })
+}
+
+/// `POST /v1/generations`.
+pub(crate) async fn start_generation(request: Request) -> Result<Response> {
+    let traffic = traffic(&request)?;
+    let answered = accept_generation(&traffic, request).await;
+    Ok(respond(&traffic, answered))
+}
+
+async fn accept_generation(traffic: &Arc<Traffic>, request: Request) -> Result<Response, Refusal> {
+    let traceparent: Option<String> = request.header("traceparent");
+    let span = telemetry::root_span("caller.generation", traceparent.as_deref());
+    let (workspace, request, in_flight) = admit(traffic, request).await?;
+    traffic
+        .shared
+        .counters
+        .increment(Counter::GenerationsAccepted);
+    let earlier = EarlierOwner::default();
+    let accepted = generation::Accepted {
+        workspace,
+        request,
+        earlier,
+        in_flight,
+        span,
+    };
+    Ok(generation::answer(Arc::clone(traffic), accepted))
+}
+
+async fn admit(
+    traffic: &Arc<Traffic>,
+    request: Request,
+) -> Result<(Arc<WorkspaceView>, GenerationRequest, InFlight), Refusal> {
+    let shared = &traffic.shared;
+    let workspace = admission::authenticate(&shared.snapshot.load(), body::caller_key(&request))?;
+    let request_id = body::request_id(&request)?;
+    let bytes = body::read_body(request, shared.settings.limits.body_bytes).await?;
+    let ask: GenerationBody = body::parse_body(&bytes)?;
+    let ask = GenerationAsk {
+        model: ask.model,
+        prompt: ask.prompt.into(),
+        max_tokens: ask.max_tokens,
+        seed: ask.seed,
+        adapter: ask.adapter,
+    };
+    let request = admission::admit_generation(&workspace, request_id, ask)?;
+    let in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
+    Ok((workspace, request, in_flight))
+}
+
+fn overloaded() -> Refusal {
+    let detail = "this node answers as many requests as it can; try another";
+    Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(admission::OTHER_NODE_DELAY_MS)
+}
+
+/// `POST /v1/services/{service}/{operation}`.
+pub(crate) async fn call_service(request: Request) -> Result<Response> {
+    let traffic = traffic(&request)?;
+    let answered = accept_call(&traffic, request).await;
+    Ok(respond(&traffic, answered))
+}
+
+async fn accept_call(traffic: &Arc<Traffic>, request: Request) -> Result<Response, Refusal> {
+    let shared = &traffic.shared;
+    let workspace = admission::authenticate(&shared.snapshot.load(), body::caller_key(&request))?;
+    let service: ServiceName = path_id(&request, "service")?;
+    let operation: OperationName = path_id(&request, "operation")?;
+    let request_id = body::request_id(&request)?;
+    let bytes = body::read_body(request, shared.settings.limits.body_bytes).await?;
+    let _: serde::de::IgnoredAny = body::parse_body(&bytes)?;
+    let _in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
+    let call = service::Call {
+        service,
+        operation,
+        request_id,
+        body: bytes,
+    };
+    service::answer(traffic, &workspace, call).await
+}
+
+fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
+where
+    Id: std::str::FromStr,
+    Id::Err: std::fmt::Display,
+{
+    let text: String = request
+        .param(name)
+        .map_err(|error| Refusal::not_run(RefusalKind::BadRequest, error.to_string()))?;
+    text.parse().map_err(|error: Id::Err| {
+        Refusal::not_run(RefusalKind::BadRequest, format!("{name}: {error}"))
+    })
+}
--- /dev/null
+++ b/crates/node/src/traffic/generation.rs
@@ -0,0 +1,417 @@
+//! The task that carries out what a generation's decisions ask for.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
+
+use fastrace::Span;
+use parsleylatch_decide::{
+    generation::{
+        AttemptInput, AttemptOrder, AttemptReport, EarlierOwner, Generation, GenerationEffect,
+        GenerationInput, GenerationLimits, GenerationRequest, GenerationState, PlacementOrder,
+        Token,
+    },
+    placement::PlacementQuestion,
+    view::WorkspaceView,
+};
+use parsleylatch_endpoint::{EngineError, EngineStream};
+use parsleylatch_http::encode_event;
+use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, TokenIndex};
+use parsleylatch_wire::{
+    caller::{DoneData, TokenData},
+    engine::{StreamEvent, StreamOrder},
+};
+use tokio::{sync::watch, task::JoinHandle};
+use viz::Response;
+
+use super::{Traffic, output::Output, problem};
+use crate::{
+    shared::{InFlight, StopPhase},
+    telemetry::{self, Counter},
+};
+
+/// A generation that the node has accepted.
+pub(crate) struct Accepted {
+    pub(crate) workspace: Arc<WorkspaceView>,
+    pub(crate) request: GenerationRequest,
+    pub(crate) earlier: EarlierOwner,
+    pub(crate) in_flight: InFlight,
+    pub(crate) span: Span,
+}
+
+/// Starts a generation and returns the response that carries its events.
+pub(crate) fn answer(traffic: Arc<Traffic>, accepted: Accepted) -> Response {
+    let (output, body) = Output::new();
+    let request_id = accepted.request.request_id;
+    tokio::spawn(run(traffic, accepted, output));
+    http::Response::builder()
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-store")
+        .header("request-id", request_id.to_string())
+        .body(body)
+        .unwrap_or_default()
+}
+
+async fn run(traffic: Arc<Traffic>, accepted: Accepted, output: Output) {
+    let now = traffic.shared.clock.now();
+    let limits = GenerationLimits::default();
+    let Accepted {
+        workspace,
+        request,
+        earlier,
+        in_flight,
+        span,
+    } = accepted;
+    let (generation, effects) = Generation::start(now, request, limits, earlier);
+    let mut task = Task {
+        stop_phase: traffic.shared.stop_phase.subscribe(),
+        traffic,
+        workspace,
+        generation,
+        output,
+        stream: None,
+        caller_lost: false,
+        span,
+        _in_flight: in_flight,
+    };
+    task.carry_out(now, effects);
+    while !task.is_over() {
+        task.wait_and_handle().await;
+    }
+    task.count_end();
+}
+
+/// Stream of the running attempt: connecting first, then open.
+enum AttemptStream {
+    Opening(JoinHandle<Result<EngineStream, EngineError>>),
+    Open(EngineStream),
+}
+
+/// The running attempt; counts at its endpoint until it is dropped.
+struct RunningAttempt {
+    traffic: Arc<Traffic>,
+    attempt: AttemptNumber,
+    endpoint: EndpointId,
+    stream: AttemptStream,
+    _span: Span,
+}
+
+impl RunningAttempt {
+    /// Waits for what the stream brings next.
+    async fn next(&mut self) -> AttemptInput {
+        if let AttemptStream::Opening(opening) = &mut self.stream {
+            match opening.await {
+                Ok(Ok(stream)) => self.stream = AttemptStream::Open(stream),
+                Ok(Err(error)) => return self.failed(&error),
+                Err(_) => return AttemptInput::Failed,
+            }
+        }
+        let AttemptStream::Open(stream) = &mut self.stream else {
+            return AttemptInput::Failed;
+        };
+        match stream.next().await {
+            Some(Ok(event)) => attempt_input(event),
+            Some(Err(error)) => self.failed(&error),
+            None => AttemptInput::Failed,
+        }
+    }
+
+    fn failed(&self, error: &EngineError) -> AttemptInput {
+        log::debug!("attempt {} at {}: {error}", self.attempt, self.endpoint);
+        AttemptInput::Failed
+    }
+}
+
+impl Drop for RunningAttempt {
+    fn drop(&mut self) {
+        if let AttemptStream::Opening(opening) = &self.stream {
+            opening.abort();
+        }
+        self.traffic.placer().note_end(&self.endpoint);
+    }
+}
+
+fn attempt_input(event: StreamEvent) -> AttemptInput {
+    match event {
+        StreamEvent::Opened { endpoint_version } => AttemptInput::Opened { endpoint_version },
+        StreamEvent::Token {
+            index, token, text, ..
+        } => AttemptInput::Token {
+            index,
+            token: Token {
+                id: token,
+                text: text.into(),
+            },
+        },
+        StreamEvent::Finished { tokens } => AttemptInput::Finished { tokens },
+    }
+}
+
+/// What a task waited for.
+enum Woken {
+    Attempt(AttemptNumber, AttemptInput),
+    Deadline,
+    Writable,
+    CallerGone,
+    StopPhase,
+}
+
+struct Task {
+    traffic: Arc<Traffic>,
+    workspace: Arc<WorkspaceView>,
+    generation: Generation,
+    output: Output,
+    stream: Option<RunningAttempt>,
+    stop_phase: watch::Receiver<StopPhase>,
+    caller_lost: bool,
+    span: Span,
+    _in_flight: InFlight,
+}
+
+impl Task {
+    fn is_over(&self) -> bool {
+        self.generation.is_over() && self.output.is_flushed()
+    }
+
+    fn now(&self) -> MonoTime {
+        self.traffic.shared.clock.now()
+    }
+
+    async fn wait_and_handle(&mut self) {
+        let woken = self.wait().await;
+        let now = self.now();
+        let effects = match woken {
+            Woken::Attempt(attempt, input) => {
+                if matches!(input, AttemptInput::Finished { .. } | AttemptInput::Failed) {
+                    // An ended stream would be ready at once, for ever.
+                    self.stream = None;
+                }
+                self.generation
+                    .handle(now, GenerationInput::Attempt { attempt, input })
+            }
+            Woken::Deadline => self.expire(now),
+            Woken::Writable => {
+                self.output.flush(now);
+                return;
+            }
+            Woken::CallerGone => self.lose_caller(now),
+            Woken::StopPhase => {
+                let phase = *self.stop_phase.borrow_and_update();
+                match phase {
+                    StopPhase::None => return,
+                    StopPhase::HandOver => {
+                        self.generation.handle(now, GenerationInput::StopRequested)
+                    }
+                }
+            }
+        };
+        self.carry_out(now, effects);
+    }
+
+    async fn wait(&mut self) -> Woken {
+        let generation_deadline = self.generation.next_deadline();
+        let deadline = [generation_deadline, self.output.stall_deadline()];
+        let clock = self.traffic.shared.clock;
+        let stream = async {
+            match &mut self.stream {
+                Some(running) => (running.attempt, running.next().await),
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            (attempt, input) = stream => Woken::Attempt(attempt, input),
+            () = clock.sleep_until(deadline.into_iter().flatten().min()) => Woken::Deadline,
+            () = self.output.writable() => Woken::Writable,
+            () = self.output.closed() => Woken::CallerGone,
+            Ok(()) = self.stop_phase.changed() => Woken::StopPhase,
+        }
+    }
+
+    fn expire(&mut self, now: MonoTime) -> Vec<GenerationEffect> {
+        if self
+            .output
+            .stall_deadline()
+            .is_some_and(|deadline| deadline <= now)
+        {
+            return self.lose_caller(now);
+        }
+        self.generation.expire(now)
+    }
+
+    /// Ends the output too, so that a finished generation is over as well.
+    fn lose_caller(&mut self, now: MonoTime) -> Vec<GenerationEffect> {
+        let (closed, _) = Output::new();
+        self.output = closed;
+        self.caller_lost = true;
+        self.generation.handle(now, GenerationInput::CallerGone)
+    }
+
+    /// Carries effects out; what they bring about at once is handled at once.
+    fn carry_out(&mut self, now: MonoTime, effects: Vec<GenerationEffect>) {
+        let mut open = VecDeque::from(effects);
+        while let Some(effect) = open.pop_front() {
+            if let Some(input) = self.carry_out_one(now, effect) {
+                open.extend(self.generation.handle(now, input));
+            }
+        }
+    }
+
+    fn carry_out_one(
+        &mut self,
+        now: MonoTime,
+        effect: GenerationEffect,
+    ) -> Option<GenerationInput> {
+        match effect {
+            GenerationEffect::Place(order) => return Some(self.place(now, &order)),
+            GenerationEffect::Open(order) => self.open(&order),
+            GenerationEffect::Cancel { attempt, address } => self.cancel(attempt, address),
+            GenerationEffect::Journal { index } => {
+                return Some(GenerationInput::JournalHeld { end: index.next() });
+            }
+            GenerationEffect::Release { start, end } => self.release(now, start, end),
+            GenerationEffect::CountUnheldRelease => {
+                self.traffic
+                    .shared
+                    .counters
+                    .increment(Counter::ReleasesUnheld);
+            }
+            GenerationEffect::Report(report) => self.report(now, report),
+            GenerationEffect::Finish {
+                tokens,
+                endpoint_version,
+                attempts,
+            } => {
+                let data = DoneData {
+                    tokens,
+                    endpoint_version,
+                    attempts,
+                };
+                self.write_event(now, "", "done", &data);
+            }
+            GenerationEffect::Fail(refusal) => {
+                self.write_event(now, "", "error", &problem::problem_of(&refusal));
+            }
+            GenerationEffect::Move => self.write_event(now, "", "moved", &serde_json::json!({})),
+        }
+        None
+    }
+
+    fn place(&self, now: MonoTime, order: &PlacementOrder) -> GenerationInput {
+        let snapshot = self.traffic.shared.snapshot.load();
+        let request = self.generation.request();
+        let question = PlacementQuestion {
+            model: &request.model,
+            prompt: &request.prompt,
+            order,
+            detection: &self.workspace.template.detection,
+        };
+        match self.traffic.placer().place(now, &snapshot, &question) {
+            Some(placement) => GenerationInput::Placed(placement),
+            None => GenerationInput::Unplaced,
+        }
+    }
+
+    fn open(&mut self, order: &AttemptOrder) {
+        let traffic = Arc::clone(&self.traffic);
+        traffic.shared.counters.increment(Counter::AttemptsStarted);
+        let span = telemetry::child_span("engine.attempt", &self.span);
+        let traceparent = telemetry::encode_parent(&span);
+        let address = order.address;
+        let stream_order = self.stream_order(order);
+        let engines = traffic.engines.clone();
+        let opening =
+            tokio::spawn(async move { engines.open(address, &stream_order, &traceparent).await });
+        self.stream = Some(RunningAttempt {
+            traffic,
+            attempt: order.attempt,
+            endpoint: order.endpoint.clone(),
+            stream: AttemptStream::Opening(opening),
+            _span: span,
+        });
+    }
+
+    fn stream_order(&self, order: &AttemptOrder) -> StreamOrder {
+        let request = self.generation.request();
+        StreamOrder {
+            request_id: request.request_id,
+            attempt: order.attempt,
+            endpoint_version: order.endpoint_version.clone(),
+            model: request.model.clone(),
+            adapter: request.adapter.clone(),
+            prompt: request.prompt.to_string(),
+            prefix: self
+                .generation
+                .tokens()
+                .iter()
+                .map(|token| token.id)
+                .collect(),
+            max_tokens: request.max_tokens,
+            seed: request.seed,
+            priority: request.priority,
+        }
+    }
+
+    /// Drops the stream and tells the engine, which may not notice otherwise.
+    fn cancel(&mut self, attempt: AttemptNumber, address: SocketAddr) {
+        self.stream.take_if(|running| running.attempt == attempt);
+        let request_id = self.generation.request().request_id;
+        let engines = self.traffic.engines.clone();
+        tokio::spawn(async move {
+            // An engine that can't be told loses its reader all the same.
+            let _ = engines.cancel(address, request_id, attempt).await;
+        });
+    }
+
+    fn release(&mut self, now: MonoTime, start: TokenIndex, end: TokenIndex) {
+        let node_id = &self.traffic.shared.settings.node_id;
+        let tokens = self.generation.tokens();
+        for index in (start.get()..end.get()).map(TokenIndex::new) {
+            let token = &tokens[index.as_usize()];
+            let data = TokenData {
+                index,
+                token: token.id,
+                text: token.text.to_string(),
+            };
+            let data = serde_json::to_string(&data).unwrap_or_default();
+            let id = format!("{index}.{node_id}");
+            self.output.write(now, encode_event(&id, "token", &data));
+        }
+        let count = u64::from(end.saturating_sub(start).get());
+        self.traffic
+            .shared
+            .counters
+            .add(Counter::TokensReleased, count);
+    }
+
+    fn report(&self, now: MonoTime, report: AttemptReport) {
+        let counters = &self.traffic.shared.counters;
+        let mut placer = self.traffic.placer();
+        if let Some(pace_us) = report.pace_us {
+            placer.note_pace(&report.endpoint, pace_us);
+        }
+        if report.fault.is_some() {
+            counters.increment(Counter::AttemptsLost);
+            placer.note_fault(now, &report.endpoint);
+        }
+        counters.add(Counter::TokensDropped, u64::from(report.dropped_tokens));
+        self.traffic.shared.report(report);
+    }
+
+    fn write_event<Data>(&mut self, now: MonoTime, id: &str, event: &str, data: &Data)
+    where
+        Data: serde::Serialize,
+    {
+        let data = serde_json::to_string(data).unwrap_or_default();
+        self.output.write(now, encode_event(id, event, &data));
+    }
+
+    fn count_end(&self) {
+        let counter = match self.generation.state() {
+            GenerationState::Done if self.caller_lost => Counter::GenerationsCancelled,
+            GenerationState::Done => Counter::GenerationsDone,
+            GenerationState::Failed => Counter::GenerationsFailed,
+            GenerationState::Moved => Counter::GenerationsMoved,
+            GenerationState::Superseded => Counter::GenerationsSuperseded,
+            _ => Counter::GenerationsCancelled,
+        };
+        self.traffic.shared.counters.increment(counter);
+    }
+}
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -1,6 +1,6 @@
 //! Command line of the stand-ins.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
@@ -19,8 +19,8 @@
     vm_list::{VmList, VmListSettings},
 };
 
-/// Longest wait for the VM list's answer.
-const REGISTER_TIMEOUT_MS: Millis = Millis::new(5_000);
+/// Longest wait for an answer.
+const SEND_TIMEOUT_MS: Millis = Millis::new(5_000);
 
 /// Stand-ins of the platform: engine, service, store and VM list.
 #[derive(FromArgs)]
@@ -37,6 +37,7 @@
     Store(StoreArgs),
     VmList(VmListArgs),
     Register(RegisterArgs),
+    Put(PutArgs),
 }
 
 fn any_port() -> SocketAddr {
@@ -157,6 +158,21 @@
     leaving: bool,
 }
 
+/// writes a file to a key of a running store
+#[derive(FromArgs)]
+#[argh(subcommand, name = "put")]
+struct PutArgs {
+    /// address of the store
+    #[argh(option)]
+    store: SocketAddr,
+    /// key
+    #[argh(option)]
+    key: String,
+    /// file with the value
+    #[argh(option)]
+    file: PathBuf,
+}
+
 /// Runs a stand-in until a signal ends it.
 ///
 /// # Errors
@@ -214,6 +230,7 @@
             .await
         }
         Command::Register(args) => register(args).await,
+        Command::Put(args) => put(args).await,
     }
 }
 
@@ -266,15 +283,25 @@
         role,
         leaving: args.leaving,
     };
-    let request = http::Request::post("/vms").header("content-type", "application/json");
-    let body = serde_json::to_vec(&vm)?.into();
-    let deadline = REGISTER_TIMEOUT_MS.duration();
+    let request = http::Request::post("/vms");
+    send(args.vm_list, request, serde_json::to_vec(&vm)?).await
+}
+
+async fn put(args: PutArgs) -> Result<()> {
+    let value =
+        std::fs::read(&args.file).wrap_err_with(|| format!("reading {}", args.file.display()))?;
+    let request = http::Request::put(format!("/v1/kv?key={}", args.key));
+    send(args.store, request, value).await
+}
+
+async fn send(peer: SocketAddr, request: http::request::Builder, body: Vec<u8>) -> Result<()> {
+    let request = request.header("content-type", "application/json");
     let reply = Client::new()
-        .call(args.vm_list, request, body, deadline)
+        .call(peer, request, body.into(), SEND_TIMEOUT_MS.duration())
         .await?;
     eyre::ensure!(
         reply.status.is_success(),
-        "the list answered {}",
+        "{peer} answered {}",
         reply.status
     );
     Ok(())
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -56,7 +56,7 @@
     Repeat,
     /// A token is left out.
     Skip,
-    /// Streams end early and say that the answer is whole.
+    /// The rest of a stream is left out, and its end says that all was sent.
     Truncate,
 }
 
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -26,8 +26,8 @@
     Unwanted,
     /// A fault broke the connection.
     Broken,
-    /// A fault ended the stream as if the answer were whole.
-    Truncated(TokenCount),
+    /// A fault left the rest out; the stream says that all was sent.
+    Truncated,
 }
 
 /// Runs a stream to its end.
@@ -46,8 +46,7 @@
     };
     state.unregister(order.request_id, order.attempt);
     let last = match outcome {
-        Ok(()) => finished(order.max_tokens),
-        Err(Ended::Truncated(tokens)) => finished(tokens),
+        Ok(()) | Err(Ended::Truncated) => finished(order.max_tokens),
         Err(Ended::Unwanted) => return,
         Err(Ended::Broken) => Err(std::io::Error::other("stream broken by a fault order")),
     };
@@ -92,9 +91,7 @@
         match self.fault_at(index) {
             EngineFault::Die | EngineFault::Cut => return Err(Ended::Broken),
             EngineFault::Garbage => return self.send_bytes(Bytes::from("\u{7f}%%%\n\n")).await,
-            EngineFault::Truncate => {
-                return Err(Ended::Truncated(TokenCount::new(index.get())));
-            }
+            EngineFault::Truncate => return Err(Ended::Truncated),
             EngineFault::Skip => return Ok(()),
             EngineFault::Repeat => self.send_token(index).await?,
             EngineFault::Pause => {
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -65,7 +65,7 @@
     let mut tasks = Vec::new();
     for listener in listeners {
         let listener = NodelayListener::from_std(listener)?;
-        let server = viz::serve(listener, router.clone());
+        let server = parsleylatch_http::serve(listener, router.clone());
         tasks.push(tokio::spawn(async move {
             if let Err(error) = server.await {
                 log::error!("listener ended: {error}");
--- /dev/null
+++ b/src/bin/parsleylatch-node.rs
@@ -0,0 +1,7 @@
+//! The node.
+
+use eyre::Result;
+
+fn main() -> Result<()> {
+    parsleylatch_node::main(argh::from_env())
+}
--- a/src/bin/quickstart.rs
+++ b/src/bin/quickstart.rs
@@ -1,1 +1,168 @@
-fn main() {}
+//! Runs a node and stand-ins in one process, sends a generation, breaks its
+//! engine midway and shows the whole answer with what happened.
+
+use std::{io::Write as _, net::SocketAddr, thread};
+
+use eyre::{Result, bail, eyre};
+use parsleylatch::{
+    bench::caller::{Caller, Ending, Opened, check_answer},
+    node::Node,
+    settings::{Document, KeyDigest, NodeSettings},
+    standin::{
+        Engine, EngineFault, EngineSettings, FaultOrder, Store, StoreSettings, VmList,
+        VmListSettings,
+    },
+    types::{Millis, RequestId, TokenCount, TokenIndex},
+    wire::{
+        caller::GenerationBody,
+        platform::{VmEntry, VmRole},
+    },
+};
+use tokio::runtime::Builder;
+
+/// Key of the workspace that the quick start makes.
+const KEY: &str = "quickstart-key";
+/// Length of the answer.
+const ANSWER_TOKENS: TokenCount = TokenCount::new(60);
+/// Token before which the engine breaks.
+const BREAK_AT: TokenIndex = TokenIndex::new(25);
+
+/// The platform, as long as it is kept.
+struct Platform {
+    engines: Vec<Engine>,
+    store: Store,
+    vm_list: VmList,
+}
+
+fn main() -> Result<()> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    let platform = runtime.block_on(async { start_platform() })?;
+    let store = platform.store.running.addresses.address;
+    let vm_list = platform.vm_list.running.addresses.address;
+    let node = thread::spawn(move || Node::start(node_settings(store, vm_list)?));
+    let node = node.join().map_err(|_| eyre!("the node panicked"))??;
+    println!("node serves callers at {}", node.addresses().caller);
+    for engine in &platform.engines {
+        let order = FaultOrder {
+            fault: EngineFault::Cut,
+            at_index: Some(BREAK_AT),
+            delay_ms: None,
+        };
+        engine.order_fault(order);
+    }
+    let caller = node.addresses().caller;
+    runtime.block_on(generate(caller, &platform.engines))?;
+    node.stop();
+    node.join()
+}
+
+fn start_platform() -> Result<Platform> {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = VmListSettings {
+        address: any_port,
+        control: any_port,
+        lag_ms: Millis::ZERO,
+    };
+    let vm_list = VmList::start(&settings)?;
+    let mut engines = Vec::new();
+    for index in 1..=2 {
+        let engine = Engine::start(EngineSettings::local("drafts".parse()?, "v1".parse()?))?;
+        vm_list.put(VmEntry {
+            id: format!("engine-{index}").parse()?,
+            address: engine.running.addresses.address,
+            failure_domain: format!("domain-{index}").parse()?,
+            region: "region-1".parse()?,
+            role: VmRole::Engine {
+                model: "drafts".parse()?,
+                endpoint_version: "v1".parse()?,
+            },
+            leaving: false,
+        });
+        engines.push(engine);
+    }
+    let store = Store::start(&StoreSettings::local())?;
+    store.put("templates/quickstart", &template());
+    Ok(Platform {
+        engines,
+        store,
+        vm_list,
+    })
+}
+
+fn template() -> String {
+    let digest = KeyDigest::of_key(KEY);
+    format!(
+        r#"{{ "workspace": "quickstart", "key_sha256": ["{digest}"], "tier": "paying",
+             "model": "drafts", "endpoint_versions": ["v1"] }}"#
+    )
+}
+
+fn node_settings(store: SocketAddr, vm_list: SocketAddr) -> Result<NodeSettings> {
+    let text = format!(
+        r#"{{ "node_id": "node-1", "failure_domain": "domain-1", "region": "region-1",
+             "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+             "peer_address": "127.0.0.1:0", "store_address": "{store}",
+             "vm_list_address": "{vm_list}" }}"#
+    );
+    Ok(NodeSettings::read(&Document::new("quickstart", &text))?)
+}
+
+async fn generate(node: SocketAddr, engines: &[Engine]) -> Result<()> {
+    let body = GenerationBody {
+        model: "drafts".parse()?,
+        prompt: "Brief the crew for the blocked drain at the hotel.".to_owned(),
+        max_tokens: ANSWER_TOKENS,
+        seed: None,
+        adapter: None,
+    };
+    let caller = Caller::new(node, KEY);
+    let Opened::Events(events) = caller.generate(RequestId::generate(), &body).await? else {
+        bail!("the node refused the request");
+    };
+    let collected = events
+        .collect(|token| show(token.data.index, &token.data.text, engines))
+        .await;
+    println!();
+    let Ending::Done(done) = collected.ending else {
+        bail!("the answer ended with {:?}", collected.ending);
+    };
+    let tokens: Vec<_> = collected
+        .tokens
+        .into_iter()
+        .map(|token| token.data)
+        .collect();
+    check_answer(&body, &tokens, &done)?;
+    println!(
+        "whole answer: {} tokens from version {} in {} attempts, each token checked",
+        tokens.len(),
+        done.endpoint_version,
+        done.attempts
+    );
+    Ok(())
+}
+
+/// Prints a token; the engine that broke is not repaired, the others are.
+fn show(index: TokenIndex, text: &str, engines: &[Engine]) {
+    print!("{text}");
+    let _ = std::io::stdout().flush();
+    if index.next() == BREAK_AT {
+        println!("\n-- the engine breaks off here; the node goes on at another one --");
+        let running = engines
+            .iter()
+            .max_by_key(|engine| engine.generated_tokens());
+        for engine in engines {
+            let is_running = running.is_some_and(|running| std::ptr::eq(running, engine));
+            if !is_running {
+                let order = FaultOrder {
+                    fault: EngineFault::None,
+                    at_index: None,
+                    delay_ms: None,
+                };
+                engine.order_fault(order);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/process/generations.rs
@@ -0,0 +1,104 @@
+//! Generations end with one whole answer, whatever their engine does.
+
+use parsleylatch::{
+    bench::caller::{Collected, Ending, check_answer},
+    standin::EngineFault,
+    types::TokenIndex,
+    wire::caller::{DoneData, GenerationBody},
+};
+use test_case::test_case;
+
+use crate::harness::{Running, Shape, body, generate, tokens_of};
+
+const SMALL: Shape<'_> = Shape {
+    nodes: 1,
+    engines: 3,
+    services: 0,
+    options: &["--pace-ms", "5"],
+};
+
+fn done_of(collected: &Collected, body: &GenerationBody) -> DoneData {
+    let Ending::Done(done) = &collected.ending else {
+        panic!("ended with {:?}", collected.ending);
+    };
+    check_answer(body, &tokens_of(collected), done).unwrap();
+    done.clone()
+}
+
+#[tokio::test]
+async fn generate_no_fault() {
+    let running = Running::start(SMALL).await;
+    let body = body("one", 40);
+    let collected = generate(&running.paying(0), &body).await;
+    assert_eq!(done_of(&collected, &body).attempts.get(), 1);
+}
+
+#[test_case(EngineFault::Cut, 0 ; "cut at the first token")]
+#[test_case(EngineFault::Cut, 20 ; "cut midway")]
+#[test_case(EngineFault::Cut, 39 ; "cut at the last token")]
+#[test_case(EngineFault::Pause, 0 ; "pause at the first token")]
+#[test_case(EngineFault::Pause, 20 ; "pause midway")]
+#[test_case(EngineFault::Pause, 39 ; "pause at the last token")]
+#[test_case(EngineFault::Garbage, 20 ; "garbage midway")]
+#[test_case(EngineFault::Skip, 20 ; "token left out")]
+#[test_case(EngineFault::Truncate, 20 ; "end left out")]
+#[tokio::test]
+async fn generate_engine_fault(fault: EngineFault, at: u32) {
+    let running = Running::start(SMALL).await;
+    let body = body("two", 40);
+    // The affinity sends the same prompt to the same engine again.
+    let first = generate(&running.paying(0), &body).await;
+    done_of(&first, &body);
+    let chosen = busiest_engine(&running).await;
+    let engine = &running.fleet.engines[chosen];
+    running
+        .order_engine(engine, fault, Some(TokenIndex::new(at)))
+        .await;
+    let collected = generate(&running.paying(0), &body).await;
+    assert_eq!(done_of(&collected, &body).attempts.get(), 2);
+    assert_eq!(running.counter(0, "attempts_lost").await, 1);
+}
+
+#[tokio::test]
+async fn generate_repeated_tokens() {
+    let running = Running::start(SMALL).await;
+    for engine in &running.fleet.engines {
+        running
+            .order_engine(engine, EngineFault::Repeat, None)
+            .await;
+    }
+    let body = body("three", 40);
+    let collected = generate(&running.paying(0), &body).await;
+    assert_eq!(done_of(&collected, &body).attempts.get(), 1);
+    assert_eq!(running.counter(0, "tokens_dropped").await, 40);
+}
+
+#[tokio::test]
+async fn generate_caller_gone() {
+    let running = Running::start(SMALL).await;
+    let body = body("four", 4_000);
+    let caller = running.paying(0);
+    let id = parsleylatch::types::RequestId::generate();
+    let opened = caller.generate(id, &body).await.unwrap();
+    drop(opened);
+    running.await_counter(0, "generations_cancelled", 1).await;
+    let chosen = busiest_engine(&running).await;
+    let counters = running
+        .get(running.fleet.engines[chosen].control, "/counters")
+        .await;
+    assert!(
+        counters["generated_tokens"].as_u64().unwrap() < 4_000,
+        "{counters}"
+    );
+}
+
+async fn busiest_engine(running: &Running) -> usize {
+    let mut generated = Vec::new();
+    for engine in &running.fleet.engines {
+        let counters = running.get(engine.control, "/counters").await;
+        generated.push(counters["generated_tokens"].as_u64().unwrap());
+    }
+    (0..generated.len())
+        .max_by_key(|index| generated[*index])
+        .unwrap()
+}
--- /dev/null
+++ b/tests/process/harness.rs
@@ -0,0 +1,217 @@
+//! A fleet of processes that lives as long as one test.
+
+use std::{
+    io::Read as _,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use parsleylatch::{
+    bench::{
+        caller::{Caller, Collected, Opened},
+        fleet::{Fleet, FleetEngine},
+    },
+    standin::{EngineFault, FaultOrder},
+    types::{RequestId, TokenCount, TokenIndex},
+    wire::caller::{GenerationBody, TokenData},
+};
+use parsleylatch_http::Client;
+use serde::Serialize;
+
+/// Longest wait for a fleet to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest wait for anything else that has to happen.
+pub(crate) const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
+
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// Counts and options of a fleet.
+#[derive(Clone, Copy)]
+pub(crate) struct Shape<'a> {
+    pub(crate) nodes: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) options: &'a [&'a str],
+}
+
+/// A running fleet; stopped when dropped.
+pub(crate) struct Running {
+    pub(crate) fleet: Fleet,
+    pub(crate) dir: PathBuf,
+    script: Child,
+    http: Client,
+}
+
+impl Running {
+    /// Starts a fleet and waits until it is ready.
+    pub(crate) async fn start(shape: Shape<'_>) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("parsleylatch-test-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+        let bin_dir = Path::new(env!("CARGO_BIN_EXE_parsleylatch-node"))
+            .parent()
+            .unwrap();
+        let mut command = Command::new(root.join("scripts/local-fleet"));
+        command
+            .args(["--nodes", &shape.nodes.to_string()])
+            .args(["--engines", &shape.engines.to_string()])
+            .args(["--services", &shape.services.to_string()])
+            .arg("--dir")
+            .arg(&dir)
+            .arg("--bin-dir")
+            .arg(bin_dir)
+            .args(shape.options)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
+        let mut script = command.spawn().expect("the script starts");
+        await_fleet_file(&dir.join("fleet.json"), &mut script).await;
+        let fleet = Fleet::read(&dir.join("fleet.json")).expect("the fleet file is readable");
+        Self {
+            fleet,
+            dir,
+            script,
+            http: Client::new(),
+        }
+    }
+
+    /// Paying caller at a node.
+    pub(crate) fn paying(&self, node: usize) -> Caller {
+        Caller::new(self.fleet.nodes[node].caller, &self.fleet.workspaces[0].key)
+    }
+
+    /// Gives a fault order to an engine.
+    pub(crate) async fn order_engine(
+        &self,
+        engine: &FleetEngine,
+        fault: EngineFault,
+        at_index: Option<TokenIndex>,
+    ) {
+        let order = FaultOrder {
+            fault,
+            at_index,
+            delay_ms: None,
+        };
+        self.post(engine.control, "/fault", &order).await;
+    }
+
+    /// Posts an order to a control address; it has to be taken.
+    pub(crate) async fn post<Order>(&self, peer: std::net::SocketAddr, path: &str, order: &Order)
+    where
+        Order: Serialize,
+    {
+        let body = serde_json::to_vec(order).unwrap().into();
+        let request = http::Request::post(path);
+        let reply = self.http.call(peer, request, body, EVENT_TIMEOUT).await;
+        let status = reply.expect("the order arrives").status;
+        assert!(status.is_success(), "{path} at {peer}: {status}");
+    }
+
+    /// Reads JSON from a control or administration address.
+    pub(crate) async fn get(&self, peer: std::net::SocketAddr, path: &str) -> serde_json::Value {
+        let request = http::Request::get(path)
+            .header("authorization", format!("Bearer {}", self.fleet.admin_key));
+        let reply = self
+            .http
+            .call(peer, request, bytes::Bytes::new(), EVENT_TIMEOUT)
+            .await;
+        let reply = reply.expect("the peer answers");
+        assert!(
+            reply.status.is_success(),
+            "{path} at {peer}: {}",
+            reply.status
+        );
+        serde_json::from_slice(&reply.body).expect("the answer is JSON")
+    }
+
+    /// Value of a counter of a node.
+    pub(crate) async fn counter(&self, node: usize, name: &str) -> u64 {
+        let counters = self
+            .get(self.fleet.nodes[node].admin, "/admin/v1/counters")
+            .await;
+        counters[name]
+            .as_u64()
+            .unwrap_or_else(|| panic!("no counter {name}"))
+    }
+
+    /// Waits until a counter of a node has at least a value.
+    pub(crate) async fn await_counter(&self, node: usize, name: &str, least: u64) {
+        let deadline = Instant::now() + EVENT_TIMEOUT;
+        while self.counter(node, name).await < least {
+            assert!(
+                Instant::now() < deadline,
+                "{name} of node {node} stays below {least}"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        signal(self.script.id(), "TERM");
+        let _ = self.script.wait();
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+async fn await_fleet_file(path: &Path, script: &mut Child) {
+    let deadline = Instant::now() + START_TIMEOUT;
+    while !path.exists() {
+        if let Some(status) = script.try_wait().expect("the script is a child") {
+            let mut reason = String::new();
+            let _ = script
+                .stderr
+                .take()
+                .expect("piped")
+                .read_to_string(&mut reason);
+            panic!("the fleet did not start ({status}): {reason}");
+        }
+        assert!(Instant::now() < deadline, "the fleet was not ready in time");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends a signal to a process.
+pub(crate) fn signal(pid: u32, name: &str) {
+    let status = Command::new("kill")
+        .args([format!("-{name}"), pid.to_string()])
+        .status();
+    assert!(status.expect("kill runs").success(), "kill -{name} {pid}");
+}
+
+/// Body of a request for a generation.
+pub(crate) fn body(prompt: &str, max_tokens: u32) -> GenerationBody {
+    GenerationBody {
+        model: "drafts".parse().unwrap(),
+        prompt: prompt.to_owned(),
+        max_tokens: TokenCount::new(max_tokens),
+        seed: None,
+        adapter: None,
+    }
+}
+
+/// Runs a generation to its end at one node.
+pub(crate) async fn generate(caller: &Caller, body: &GenerationBody) -> Collected {
+    match caller
+        .generate(RequestId::generate(), body)
+        .await
+        .expect("the node answers")
+    {
+        Opened::Events(events) => events.collect(|_| {}).await,
+        Opened::Refused(problem) => panic!("refused: {problem:?}"),
+    }
+}
+
+/// Data of the tokens that arrived.
+pub(crate) fn tokens_of(collected: &Collected) -> Vec<TokenData> {
+    collected
+        .tokens
+        .iter()
+        .map(|token| token.data.clone())
+        .collect()
+}
--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,7 @@
+//! Tests of whole fleets as separate processes, by feature.
+
+mod generations;
+mod harness;
+mod refusals;
+mod services;
+mod settings;
