Administration of templates and version moves: API, event stream, ctl verbs

Cause: operators had no way to change a template or to see a version move.

Change: drafts and acceptance by compare-and-swap, with both revisions in a 412 and read-back of unclear writes; problem documents with file, line, field and reason; moves and a bounded stream of events; a log line per accepted change with the key's name.

--- a/crates/ctl/src/api.rs
+++ b/crates/ctl/src/api.rs
@@ -5,13 +5,44 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail, eyre};
 use http::{Method, Request};
-use parsleylatch_http::{Client, Reply};
+use http_body_util::BodyExt;
+use parsleylatch_http::{Body, Client, Reply, SseEvent, SseReader};
 use parsleylatch_types::Millis;
 use serde_json::Value;
 
 /// Longest wait for an answer.
 const CALL_TIMEOUT_MS: Millis = Millis::new(10_000);
 
+/// Path of the stream of events.
+const EVENTS_PATH: &str = "/admin/v1/events";
+
+/// An open stream of events.
+pub(crate) struct EventStream {
+    body: Body,
+    reader: SseReader,
+}
+
+impl EventStream {
+    /// Waits for the next event; `None` at the end of the stream.
+    pub(crate) async fn next(&mut self) -> Result<Option<SseEvent>> {
+        loop {
+            match self.reader.next_event().map_err(|reason| eyre!(reason))? {
+                // Comments that keep the stream open carry nothing.
+                Some(event) if event.event.is_empty() => {}
+                Some(event) => return Ok(Some(event)),
+                None => match self.body.frame().await {
+                    None => return Ok(None),
+                    Some(frame) => {
+                        if let Some(piece) = frame?.data_ref() {
+                            self.reader.push(piece);
+                        }
+                    }
+                },
+            }
+        }
+    }
+}
+
 /// One node's administration API.
 pub(crate) struct Api {
     client: Client,
@@ -36,6 +67,30 @@
         })
     }
 
+    /// Address of the API, for errors.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens the stream of events.
+    pub(crate) async fn events(&self) -> Result<EventStream> {
+        let request =
+            Request::get(EVENTS_PATH).header("authorization", format!("Bearer {}", self.key));
+        let deadline = CALL_TIMEOUT_MS.duration();
+        let response = self
+            .client
+            .open(self.address, request, Bytes::new(), deadline)
+            .await?;
+        let status = response.status();
+        if !status.is_success() {
+            bail!("{EVENTS_PATH} at {}: {status}", self.address);
+        }
+        Ok(EventStream {
+            body: response.into_body(),
+            reader: SseReader::new(),
+        })
+    }
+
     pub(crate) async fn get(&self, path: &str) -> Result<Value> {
         let reply = self.call(Method::GET, path, Bytes::new(), &[]).await?;
         Ok(reply.json(self.address)?)
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -5,7 +5,13 @@
 use argh::FromArgs;
 use eyre::Result;
 
-use crate::{api::Api, chart, check, show};
+use crate::{
+    api::Api,
+    chart, check,
+    events::{self, EventsArgs, MovesArgs},
+    show,
+    templates::{self, TemplatesArgs},
+};
 
 /// Operate parsleylatch.
 #[derive(FromArgs)]
@@ -32,6 +38,9 @@
     Counters(CountersArgs),
     Drain(DrainArgs),
     Chart(ChartArgs),
+    Templates(TemplatesArgs),
+    Moves(MovesArgs),
+    Events(EventsArgs),
 }
 
 /// check a file with node settings or a template
@@ -84,6 +93,9 @@
         Command::Nodes(_) => show::list(&api()?.get("/admin/v1/nodes").await?, args.json),
         Command::Endpoints(_) => show::list(&api()?.get("/admin/v1/endpoints").await?, args.json),
         Command::Counters(_) => show::fields(&api()?.get("/admin/v1/counters").await?, args.json),
+        Command::Templates(verb) => templates::run(&api()?, verb, args.json).await,
+        Command::Moves(verb) => events::moves(&api()?, verb, args.json).await,
+        Command::Events(_) => events::events(&api()?, args.json).await,
         Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
     }
 }
--- /dev/null
+++ b/crates/ctl/src/events.rs
@@ -0,0 +1,76 @@
+//! Verbs that show version moves and follow the events of a node.
+
+use argh::FromArgs;
+use eyre::Result;
+use parsleylatch_http::SseEvent;
+use parsleylatch_types::MoveId;
+
+use crate::{api::Api, show};
+
+/// Prefix of the types of events that tell of moves.
+const MOVE_EVENT_PREFIX: &str = "move_";
+
+/// list version moves, or show one
+#[derive(FromArgs)]
+#[argh(subcommand, name = "moves")]
+pub(crate) struct MovesArgs {
+    /// move to show; all without one
+    #[argh(positional)]
+    id: Option<MoveId>,
+    /// go on and print every change
+    #[argh(switch)]
+    watch: bool,
+}
+
+/// print a node's events as they happen
+#[derive(FromArgs)]
+#[argh(subcommand, name = "events")]
+pub(crate) struct EventsArgs {}
+
+/// Shows moves, then follows their events if asked to.
+pub(crate) async fn moves(api: &Api, args: MovesArgs, as_json: bool) -> Result<()> {
+    // Opened first, so that no change is missed in between.
+    let events = match args.watch {
+        true => Some(api.events().await?),
+        false => None,
+    };
+    match &args.id {
+        Some(id) => show::fields(&api.get(&format!("/admin/v1/moves/{id}")).await?, as_json)?,
+        None => show::list(&api.get("/admin/v1/moves").await?, as_json)?,
+    }
+    let Some(mut events) = events else {
+        return Ok(());
+    };
+    while let Some(event) = events.next().await? {
+        let is_wanted = event.event.starts_with(MOVE_EVENT_PREFIX) && concerns(&event, &args.id);
+        if is_wanted || event.event == "missed" {
+            print(&event, as_json)?;
+        }
+    }
+    Ok(())
+}
+
+/// Follows every event.
+pub(crate) async fn events(api: &Api, as_json: bool) -> Result<()> {
+    let mut events = api.events().await?;
+    while let Some(event) = events.next().await? {
+        print(&event, as_json)?;
+    }
+    Ok(())
+}
+
+fn concerns(event: &SseEvent, id: &Option<MoveId>) -> bool {
+    let data: Option<serde_json::Value> = serde_json::from_str(&event.data).ok();
+    let of_event = data.as_ref().and_then(|data| data["id"].as_str());
+    id.as_ref().is_none_or(|id| of_event == Some(id.as_str()))
+}
+
+fn print(event: &SseEvent, as_json: bool) -> Result<()> {
+    if as_json {
+        println!(r#"{{"event":"{}","data":{}}}"#, event.event, event.data);
+        return Ok(());
+    }
+    let data = serde_json::from_str(&event.data)?;
+    println!("{}  {}", event.event, show::line(&data));
+    Ok(())
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,8 @@
 mod args;
 mod chart;
 mod check;
+mod events;
 mod show;
+mod templates;
 
 pub use args::{Args, run};
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -10,13 +10,18 @@
         return Ok(());
     }
     for item in answer.as_array().into_iter().flatten() {
-        let fields = item.as_object().into_iter().flatten();
-        let shown = fields.map(|(name, value)| format!("{name}={}", plain(value)));
-        println!("{}", shown.collect::<Vec<_>>().join("  "));
+        println!("{}", line(item));
     }
     Ok(())
 }
 
+/// Text of an object on one line.
+pub(crate) fn line(item: &Value) -> String {
+    let fields = item.as_object().into_iter().flatten();
+    let shown = fields.map(|(name, value)| format!("{name}={}", plain(value)));
+    shown.collect::<Vec<_>>().join("  ")
+}
+
 /// Prints an object, one field a line.
 pub(crate) fn fields(answer: &Value, as_json: bool) -> Result<()> {
     if as_json {
--- /dev/null
+++ b/crates/node/src/control/admin/changes.rs
@@ -0,0 +1,176 @@
+//! Drafts and acceptance of templates, by compare-and-swap in the store.
+//!
+//! A draft remembers the accepted revision that it was based on. Accepting writes
+//! the draft's text over exactly that revision, so of two operators who race one
+//! wins, and the other is told both revisions. A write whose answer was lost is
+//! resolved by reading back.
+
+use parsleylatch_settings::{Document, Template};
+use parsleylatch_store::{Condition, StoreClient, StoreError};
+use parsleylatch_types::{Millis, Revision, WorkspaceId};
+use parsleylatch_wire::platform::KeyValue;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use super::problem::ChangeRefusal;
+
+/// Longest time to find out what became of a write.
+const RESOLVE_TIMEOUT_MS: Millis = Millis::new(6_000);
+/// Delay before a write whose answer was lost is read back.
+const RESOLVE_DELAY_MS: Millis = Millis::new(50);
+
+/// A draft as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredDraft {
+    /// Accepted revision that the draft replaces; 0 if there is none.
+    base_revision: Revision,
+    /// Text of the template.
+    text: String,
+}
+
+fn template_key(workspace: &WorkspaceId) -> String {
+    format!("templates/{workspace}")
+}
+
+fn draft_key(workspace: &WorkspaceId) -> String {
+    format!("drafts/{workspace}")
+}
+
+fn revision_of(entry: Option<&KeyValue>) -> Revision {
+    entry.map_or(Revision::ZERO, |entry| entry.revision)
+}
+
+fn condition(revision: Revision) -> Condition {
+    match revision {
+        Revision::ZERO => Condition::Absent,
+        revision => Condition::At(revision),
+    }
+}
+
+/// Checks the text of a template for a workspace.
+pub(super) fn check(workspace: &WorkspaceId, text: &str) -> Result<Template, ChangeRefusal> {
+    let document = Document::new(&template_key(workspace), text);
+    let template = Template::read(&document).map_err(ChangeRefusal::Invalid)?;
+    if template.workspace == *workspace {
+        return Ok(template);
+    }
+    let reason = format!("the template is of another workspace than {workspace}");
+    let error = document.value_error("workspace", reason);
+    Err(ChangeRefusal::Invalid(error))
+}
+
+/// Writes a draft and returns its revision.
+pub(super) async fn draft(
+    store: &StoreClient,
+    workspace: &WorkspaceId,
+    text: String,
+    based_on: Option<Revision>,
+) -> Result<Revision, ChangeRefusal> {
+    check(workspace, &text)?;
+    let accepted = read(store, &template_key(workspace)).await?;
+    let current = revision_of(accepted.as_ref());
+    if let Some(given) = based_on.filter(|given| *given != current) {
+        let detail = format!("accepted is revision {current}, not {given}");
+        return Err(ChangeRefusal::Conflict {
+            given,
+            current,
+            detail,
+        });
+    }
+    let draft = StoredDraft {
+        base_revision: current,
+        text,
+    };
+    let value = serde_json::to_string(&draft)
+        .map_err(|error| ChangeRefusal::BadRequest(error.to_string()))?;
+    let key = draft_key(workspace);
+    let newest = revision_of(read(store, &key).await?.as_ref());
+    write(store, &key, &value, newest).await
+}
+
+/// Puts a draft in force and returns the revision of the template.
+pub(super) async fn accept(
+    store: &StoreClient,
+    workspace: &WorkspaceId,
+    given: Revision,
+) -> Result<Revision, ChangeRefusal> {
+    let Some(entry) = read(store, &draft_key(workspace)).await? else {
+        let detail = format!("workspace {workspace} has no draft");
+        return Err(ChangeRefusal::NotFound(detail));
+    };
+    if entry.revision != given {
+        let current = entry.revision;
+        let detail = format!("the newest draft is revision {current}, not {given}");
+        return Err(ChangeRefusal::Conflict {
+            given,
+            current,
+            detail,
+        });
+    }
+    let draft: StoredDraft = serde_json::from_str(&entry.value)
+        .map_err(|error| ChangeRefusal::BadRequest(format!("unreadable draft: {error}")))?;
+    check(workspace, &draft.text)?;
+    let key = template_key(workspace);
+    write(store, &key, &draft.text, draft.base_revision).await
+}
+
+async fn read(store: &StoreClient, key: &str) -> Result<Option<KeyValue>, ChangeRefusal> {
+    let entry = store.read(key).await;
+    entry.map_err(ChangeRefusal::StoreUnavailable)
+}
+
+/// Writes a key over a revision; finds out what became of a lost answer.
+async fn write(
+    store: &StoreClient,
+    key: &str,
+    value: &str,
+    base: Revision,
+) -> Result<Revision, ChangeRefusal> {
+    let deadline = Instant::now() + RESOLVE_TIMEOUT_MS.duration();
+    let mut unclear: Option<StoreError> = None;
+    loop {
+        let written = store
+            .write(key, value.to_owned(), condition(base), None)
+            .await;
+        match written {
+            Ok(reply) if reply.written => return Ok(revision_of(reply.entry.as_ref())),
+            Ok(reply) => {
+                let may_be_own = unclear.is_some();
+                return settle(key, value, base, reply.entry.as_ref(), may_be_own);
+            }
+            Err(error) if !error.is_unclear() && unclear.is_none() => {
+                return Err(ChangeRefusal::StoreUnavailable(error));
+            }
+            Err(error) => unclear = Some(error),
+        }
+        sleep(RESOLVE_DELAY_MS.duration()).await;
+        if let Ok(entry) = store.read(key).await
+            && revision_of(entry.as_ref()) != base
+        {
+            return settle(key, value, base, entry.as_ref(), true);
+        }
+        if let Some(error) = unclear.take_if(|_| Instant::now() >= deadline) {
+            return Err(ChangeRefusal::OutcomeUnknown(error));
+        }
+    }
+}
+
+/// Tells from what the key holds now whether the write won.
+fn settle(
+    key: &str,
+    value: &str,
+    given: Revision,
+    entry: Option<&KeyValue>,
+    may_be_own: bool,
+) -> Result<Revision, ChangeRefusal> {
+    let current = revision_of(entry);
+    if may_be_own && entry.is_some_and(|entry| entry.value == value) {
+        return Ok(current);
+    }
+    let detail = format!("{key} is at revision {current}; the change was based on {given}");
+    Err(ChangeRefusal::Conflict {
+        given,
+        current,
+        detail,
+    })
+}
--- /dev/null
+++ b/crates/node/src/control/admin/events.rs
@@ -0,0 +1,54 @@
+//! The stream of events for operators.
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use parsleylatch_http::encode_event;
+use parsleylatch_settings::Role;
+use parsleylatch_types::Millis;
+use tokio::{
+    sync::broadcast::{Receiver, error::RecvError},
+    time::timeout,
+};
+use viz::{Body, IntoResponse, Request, Response, Result, StatusCode};
+
+use super::authorize;
+use crate::control::events::AdminEvent;
+
+/// Streams that may be open at once.
+const FOLLOWERS_LIMIT: usize = 64;
+/// Time between two comments on a stream without events.
+const KEEP_ALIVE_MS: Millis = Millis::new(10_000);
+/// Comment that keeps a stream open.
+const KEEP_ALIVE: &[u8] = b": keep-alive\n\n";
+
+/// `GET /admin/v1/events`.
+pub(super) async fn follow(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Read)?;
+    let events = &authorized.shared().events;
+    if events.receiver_count() >= FOLLOWERS_LIMIT {
+        let reason = format!("{FOLLOWERS_LIMIT} streams of events are open");
+        return Ok((StatusCode::SERVICE_UNAVAILABLE, reason).into_response());
+    }
+    let pieces = unfold(events.subscribe(), |mut events| async {
+        let piece = next_piece(&mut events).await?;
+        Some((Ok::<_, std::io::Error>(piece), events))
+    });
+    Ok(http::Response::builder()
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-store")
+        .body(Body::from_stream(pieces))
+        .unwrap_or_default())
+}
+
+/// Next event; a follower that is too slow is told how many it missed.
+async fn next_piece(events: &mut Receiver<AdminEvent>) -> Option<Bytes> {
+    match timeout(KEEP_ALIVE_MS.duration(), events.recv()).await {
+        Err(_) => Some(Bytes::from_static(KEEP_ALIVE)),
+        Ok(Ok(event)) => Some(encode_event("", event.name, &event.data.to_string())),
+        Ok(Err(RecvError::Lagged(missed))) => {
+            let data = serde_json::json!({ "events": missed });
+            Some(encode_event("", "missed", &data.to_string()))
+        }
+        Ok(Err(RecvError::Closed)) => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/admin/templates.rs
@@ -0,0 +1,164 @@
+//! Templates: those in force, drafts and acceptance.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use parsleylatch_decide::view::{Snapshot, WorkspaceView};
+use parsleylatch_settings::Role;
+use parsleylatch_types::{ByteCount, Revision, WorkspaceId};
+use serde_json::json;
+use viz::{Request, RequestExt, Response, Result, StatusCode};
+
+use super::{
+    Authorized, authorize, changes, json as json_body, json_response, problem::ChangeRefusal,
+};
+use crate::telemetry::Counter;
+
+/// Largest text of a template; the store takes a megabyte, quoted.
+const TEMPLATE_LIMIT_BYTES: ByteCount = ByteCount::new(400 << 10);
+
+/// `GET /admin/v1/templates`.
+pub(super) async fn list(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Read)?;
+    let snapshot = authorized.shared().snapshot.load();
+    let templates: Vec<_> = in_force(&snapshot)
+        .values()
+        .map(|view| {
+            let template = &view.template;
+            json!({
+                "workspace": template.workspace, "revision": view.revision,
+                "tier": template.tier, "model": template.model,
+                "endpoint_versions": template.endpoint_versions,
+                "move_to": template.version_move.as_ref().map(|wanted| &wanted.to),
+            })
+        })
+        .collect();
+    json_body(&templates)
+}
+
+fn in_force(snapshot: &Snapshot) -> BTreeMap<WorkspaceId, Arc<WorkspaceView>> {
+    let views = snapshot.workspaces.values();
+    views
+        .map(|view| (view.template.workspace.clone(), Arc::clone(view)))
+        .collect()
+}
+
+/// `GET /admin/v1/templates/{workspace}`.
+pub(super) async fn show(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Read)?;
+    let shown = workspace(&request).and_then(|workspace| {
+        let snapshot = authorized.shared().snapshot.load();
+        let view = in_force(&snapshot).remove(&workspace);
+        view.ok_or_else(|| ChangeRefusal::NotFound(format!("no workspace {workspace}")))
+    });
+    match shown {
+        Ok(view) => {
+            let tag = etag(view.revision);
+            json_response(StatusCode::OK, &[("etag", tag.as_str())], &view.template)
+        }
+        Err(refusal) => refusal.response(),
+    }
+}
+
+/// `PUT /admin/v1/templates/{workspace}`.
+pub(super) async fn draft(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Edit)?;
+    match write_draft(&authorized, request).await {
+        Ok((workspace, revision)) => {
+            log::info!(
+                "draft {revision} of {workspace} by key `{}`",
+                authorized.key_name
+            );
+            let tag = etag(revision);
+            let body = json!({ "workspace": workspace, "draft_revision": revision });
+            json_response(StatusCode::OK, &[("etag", tag.as_str())], &body)
+        }
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn write_draft(
+    authorized: &Authorized,
+    request: Request,
+) -> Result<(WorkspaceId, Revision), ChangeRefusal> {
+    let workspace = workspace(&request)?;
+    let based_on = if_match(&request)?;
+    let text = read_text(request).await?;
+    count_store_call(authorized);
+    let revision = changes::draft(&authorized.admin.store, &workspace, text, based_on).await?;
+    Ok((workspace, revision))
+}
+
+/// `POST /admin/v1/templates/{workspace}/accept`.
+pub(super) async fn accept(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Accept)?;
+    match accept_draft(&authorized, &request).await {
+        Ok((workspace, draft, revision)) => {
+            log::info!(
+                "audit: key `{}` accepted draft {draft} of {workspace} as revision {revision}",
+                authorized.key_name
+            );
+            let tag = etag(revision);
+            let body = json!({ "workspace": workspace, "revision": revision });
+            json_response(StatusCode::OK, &[("etag", tag.as_str())], &body)
+        }
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn accept_draft(
+    authorized: &Authorized,
+    request: &Request,
+) -> Result<(WorkspaceId, Revision, Revision), ChangeRefusal> {
+    let workspace = workspace(request)?;
+    let draft = if_match(request)?.ok_or(ChangeRefusal::RevisionMissing)?;
+    count_store_call(authorized);
+    let revision = changes::accept(&authorized.admin.store, &workspace, draft).await?;
+    Ok((workspace, draft, revision))
+}
+
+fn count_store_call(authorized: &Authorized) {
+    let counters = &authorized.shared().counters;
+    counters.increment(Counter::StoreCalls);
+}
+
+fn workspace(request: &Request) -> Result<WorkspaceId, ChangeRefusal> {
+    let text: String = request
+        .param("workspace")
+        .map_err(|error| ChangeRefusal::BadRequest(error.to_string()))?;
+    text.parse()
+        .map_err(|error| ChangeRefusal::BadRequest(format!("{error}")))
+}
+
+fn etag(revision: Revision) -> String {
+    format!("\"{revision}\"")
+}
+
+/// Revision that the `If-Match` header names.
+fn if_match(request: &Request) -> Result<Option<Revision>, ChangeRefusal> {
+    let Some(header) = request.header::<_, String>("if-match") else {
+        return Ok(None);
+    };
+    let text = header.trim().trim_matches('"');
+    match text.parse() {
+        Ok(revision) => Ok(Some(revision)),
+        Err(_) => {
+            let detail = format!("If-Match `{header}` is not an ETag of this API");
+            Err(ChangeRefusal::BadRequest(detail))
+        }
+    }
+}
+
+async fn read_text(request: Request) -> Result<String, ChangeRefusal> {
+    let body = Limited::new(request.into_body(), TEMPLATE_LIMIT_BYTES.get() as usize);
+    let bytes: Bytes = match body.collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => {
+            let detail = format!("a template has at most {TEMPLATE_LIMIT_BYTES}: {error}");
+            return Err(ChangeRefusal::TooLarge(detail));
+        }
+    };
+    String::from_utf8(bytes.into())
+        .map_err(|error| ChangeRefusal::BadRequest(format!("the body is not UTF-8: {error}")))
+}
--- /dev/null
+++ b/crates/node/src/control/events.rs
@@ -0,0 +1,57 @@
+//! What operators are told while it happens.
+
+use parsleylatch_decide::{
+    moves::{MoveState, MoveView},
+    view::WorkspaceView,
+};
+use serde_json::{Value, json};
+
+/// Events that wait for a slow follower; older ones are dropped and counted.
+pub(crate) const EVENTS_BUFFER: usize = 256;
+
+/// One event.
+#[derive(Clone, Debug)]
+pub(crate) struct AdminEvent {
+    /// Type of the event.
+    pub(crate) name: &'static str,
+    /// Data.
+    pub(crate) data: Value,
+}
+
+/// Event for a move that has changed its state.
+pub(crate) fn move_event(view: &MoveView) -> AdminEvent {
+    let name = match view.state {
+        MoveState::Observing => "move_started",
+        MoveState::Growing => "move_growing",
+        MoveState::RecordingDone | MoveState::RecordingTakenBack => "move_decided",
+        MoveState::Done => "move_done",
+        MoveState::TakenBack => "move_taken_back",
+    };
+    AdminEvent {
+        name,
+        data: describe_move(view),
+    }
+}
+
+/// Event for a template that came into force.
+pub(crate) fn template_event(view: &WorkspaceView) -> AdminEvent {
+    AdminEvent {
+        name: "template_in_force",
+        data: json!({
+            "workspace": view.template.workspace, "revision": view.revision,
+        }),
+    }
+}
+
+/// A move as operators read it.
+pub(crate) fn describe_move(view: &MoveView) -> Value {
+    let plan = &view.plan;
+    json!({
+        "id": plan.id, "workspace": plan.workspace, "from": plan.from, "to": plan.to,
+        "state": view.state.to_string(), "share_ppm": view.share,
+        "trials": view.counts.trials, "failures": view.counts.failures,
+        "slow": view.counts.slow, "elapsed_ms": view.elapsed_ms,
+        "deadline_ms": plan.deadline_ms, "reason": view.reason,
+        "vetoed_route": view.vetoed_route,
+    })
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,9 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+pub(crate) mod events;
+mod move_records;
+mod moves;
 mod state;
 mod watchers;
 
@@ -28,6 +31,8 @@
     Templates(ListReply),
     /// The platform's list.
     Vms(VmListReply),
+    /// Moves that were written.
+    MoveRecords(ListReply),
     /// Load of an engine; `None` if it did not answer.
     Load(EndpointId, Option<LoadReport>),
     /// What became of an attempt.
@@ -54,6 +59,7 @@
     let mut state = ControlState::new(Arc::clone(&shared), ready);
     let endpoints = state.watched_endpoints();
     tokio::spawn(watchers::watch_templates(Arc::clone(&shared)));
+    tokio::spawn(watchers::watch_move_records(Arc::clone(&shared)));
     tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
     tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
     tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
--- /dev/null
+++ b/crates/node/src/control/move_records.rs
@@ -0,0 +1,107 @@
+//! Moves in the store: when each was opened, and how it ended.
+
+use std::sync::Arc;
+
+use parsleylatch_decide::moves::{MoveEnd, MovePlan};
+use parsleylatch_store::{Condition, StoreClient, StoreError};
+use parsleylatch_types::{EndpointVersion, Millis, MoveId, Revision, UnixMillis, WorkspaceId};
+use parsleylatch_wire::platform::{KeyValue, ListReply};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::ControlInput;
+use crate::{shared::Shared, telemetry::Counter};
+
+/// Prefix of the keys of moves.
+pub(crate) const MOVE_PREFIX: &str = "moves/";
+/// Delay after a failed call to the store.
+const STORE_RETRY_DELAY_MS: Millis = Millis::new(500);
+
+/// One move as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MoveRecord {
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) from: Vec<EndpointVersion>,
+    pub(crate) to: EndpointVersion,
+    pub(crate) opened_at_unix_ms: UnixMillis,
+    pub(crate) end: Option<MoveEnd>,
+}
+
+impl MoveRecord {
+    pub(crate) fn open(plan: &MovePlan, opened_at_unix_ms: UnixMillis) -> Self {
+        Self {
+            workspace: plan.workspace.clone(),
+            from: plan.from.clone(),
+            to: plan.to.clone(),
+            opened_at_unix_ms,
+            end: None,
+        }
+    }
+}
+
+/// Reads the id and the record of a key.
+pub(crate) fn read_entry(entry: &KeyValue) -> Option<(MoveId, MoveRecord)> {
+    let id = entry.key.strip_prefix(MOVE_PREFIX)?.parse().ok()?;
+    let record = serde_json::from_str(&entry.value).ok()?;
+    Some((id, record))
+}
+
+/// Writes a record unless the store has one that says as much; goes on until the
+/// store has answered, however long it is out.
+pub(crate) async fn write(shared: Arc<Shared>, id: MoveId, record: MoveRecord) {
+    let store = StoreClient::new(shared.settings.store_address);
+    let key = format!("{MOVE_PREFIX}{id}");
+    loop {
+        match write_once(&shared, &store, &key, &record).await {
+            Ok(Some(entry)) => {
+                let reply = ListReply {
+                    revision: entry.revision,
+                    entries: vec![entry],
+                    deleted: Vec::new(),
+                };
+                // A closed channel means that the node has stopped.
+                let _ = shared.control.send(ControlInput::MoveRecords(reply)).await;
+                return;
+            }
+            Ok(None) => {}
+            Err(error) => {
+                shared.counters.increment(Counter::StoreCallsFailed);
+                log::debug!("{key}: {error}");
+                sleep(STORE_RETRY_DELAY_MS.duration()).await;
+            }
+        }
+    }
+}
+
+/// Reads and writes once; `None` if another write came in between.
+async fn write_once(
+    shared: &Shared,
+    store: &StoreClient,
+    key: &str,
+    record: &MoveRecord,
+) -> Result<Option<KeyValue>, StoreError> {
+    shared.counters.increment(Counter::StoreCalls);
+    let entry = store.read(key).await?;
+    let known = entry.as_ref().and_then(read_entry);
+    let known = known.map(|(_, record)| record);
+    let is_enough = known
+        .as_ref()
+        .is_some_and(|known| known.end.is_some() || record.end.is_none());
+    if is_enough {
+        return Ok(entry);
+    }
+    let revision = entry.map_or(Revision::ZERO, |entry| entry.revision);
+    let condition = match revision {
+        Revision::ZERO => Condition::Absent,
+        revision => Condition::At(revision),
+    };
+    let opened_at_unix_ms = known.map_or(record.opened_at_unix_ms, |it| it.opened_at_unix_ms);
+    let wanted = MoveRecord {
+        opened_at_unix_ms,
+        ..record.clone()
+    };
+    let value = serde_json::to_string(&wanted).unwrap_or_default();
+    shared.counters.increment(Counter::StoreCalls);
+    let reply = store.write(key, value, condition, None).await?;
+    Ok(reply.entry.filter(|_| reply.written))
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -16,7 +16,7 @@
 };
 use tokio::sync::{oneshot, watch};
 
-use super::ControlInput;
+use super::{ControlInput, moves::MoveControl};
 use crate::{
     shared::{Shared, StopPhase},
     telemetry::Counter,
@@ -40,6 +40,7 @@
     life: NodeLife,
     ready: Option<oneshot::Sender<()>>,
     configuration: Configuration,
+    moves: MoveControl,
     has_templates: bool,
     vms: Option<Vec<VmEntry>>,
     loads: BTreeMap<EndpointId, KnownLoad>,
@@ -51,6 +52,7 @@
     pub(crate) fn new(shared: Arc<Shared>, ready: oneshot::Sender<()>) -> Self {
         let life = NodeLife::new(shared.clock.now());
         Self {
+            moves: MoveControl::new(Arc::clone(&shared)),
             shared,
             life,
             ready: Some(ready),
@@ -72,12 +74,16 @@
     }
 
     pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
-        self.life.next_deadline()
+        let deadlines = [self.life.next_deadline(), self.moves.next_deadline()];
+        deadlines.into_iter().flatten().min()
     }
 
     pub(crate) fn expire(&mut self) {
-        let effects = self.life.expire(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let effects = self.life.expire(now);
         self.carry_out(effects);
+        self.moves.expire(now);
+        self.publish();
     }
 
     pub(crate) fn step_life(&mut self, event: NodeEvent) {
@@ -88,6 +94,10 @@
     pub(crate) fn handle(&mut self, input: ControlInput) {
         match input {
             ControlInput::Templates(reply) => self.take_templates(reply),
+            ControlInput::MoveRecords(reply) => {
+                self.moves.take_records(&reply);
+                self.publish();
+            }
             ControlInput::Vms(reply) => self.take_vms(reply),
             ControlInput::Load(endpoint, report) => self.take_load(endpoint, report),
             ControlInput::Attempt(report) => self.take_attempt(&report),
@@ -109,9 +119,13 @@
     fn take_template(&mut self, entry: &KeyValue) {
         match Template::read(&Document::new(&entry.key, &entry.value)) {
             Ok(template) => {
+                let workspace = template.workspace.clone();
                 if self.configuration.apply(template, entry.revision) == Applied::Newer {
                     self.shared.counters.increment(Counter::TemplatesApplied);
                     log::info!("{} is in force at revision {}", entry.key, entry.revision);
+                    if let Some(view) = self.configuration.workspace(&workspace) {
+                        self.moves.take_template(view);
+                    }
                 }
             }
             Err(error) => {
@@ -141,6 +155,7 @@
     }
 
     fn take_load(&mut self, endpoint: EndpointId, report: Option<LoadReport>) {
+        self.moves.take_answer(endpoint.clone(), report.is_some());
         let known = self.loads.entry(endpoint).or_default();
         match report {
             Some(report) => {
@@ -158,6 +173,11 @@
         if let Some(fault) = report.fault {
             log::debug!("attempt lost at {}: {fault}", report.endpoint);
         }
+        let snapshot = self.shared.snapshot.load_full();
+        self.moves.take_attempt(report, &snapshot);
+        if self.moves.version_plans(&self.configuration) != snapshot.version_plans {
+            self.publish();
+        }
     }
 
     fn check_configured(&mut self) {
@@ -209,6 +229,8 @@
                 .map(Arc::new)
                 .collect(),
             peers: vms.iter().filter_map(|vm| self.peer_view(vm)).collect(),
+            version_plans: self.moves.version_plans(&self.configuration),
+            moves: self.moves.views(),
             accepting: self.accepting,
         };
         self.shared.snapshot.store(Arc::new(snapshot));
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -6,12 +6,13 @@
 use parsleylatch_endpoint::EngineClient;
 use parsleylatch_store::{StoreClient, StoreError, VmListClient};
 use parsleylatch_types::{Millis, Revision};
+use parsleylatch_wire::platform::ListReply;
 use tokio::{
     sync::watch,
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{ControlInput, state::WatchedEndpoints};
+use super::{ControlInput, move_records::MOVE_PREFIX, state::WatchedEndpoints};
 use crate::{
     shared::Shared,
     telemetry::{Counter, StatsdReporter},
@@ -32,23 +33,31 @@
 
 /// Lists the templates, then waits for changes.
 pub(crate) async fn watch_templates(shared: Arc<Shared>) {
+    watch_prefix(shared, TEMPLATE_PREFIX, ControlInput::Templates).await;
+}
+
+/// Lists the moves, then waits for changes.
+pub(crate) async fn watch_move_records(shared: Arc<Shared>) {
+    watch_prefix(shared, MOVE_PREFIX, ControlInput::MoveRecords).await;
+}
+
+async fn watch_prefix(
+    shared: Arc<Shared>,
+    prefix: &'static str,
+    input: fn(ListReply) -> ControlInput,
+) {
     let store = StoreClient::new(shared.settings.store_address);
     let mut after = Revision::ZERO;
     loop {
         shared.counters.increment(Counter::StoreCalls);
         let reply = match after {
-            Revision::ZERO => store.list(TEMPLATE_PREFIX).await,
-            after => store.watch(TEMPLATE_PREFIX, after, WATCH_WAIT_MS).await,
+            Revision::ZERO => store.list(prefix).await,
+            after => store.watch(prefix, after, WATCH_WAIT_MS).await,
         };
         match reply {
             Ok(reply) => {
                 after = reply.revision.max(Revision::new(1));
-                if shared
-                    .control
-                    .send(ControlInput::Templates(reply))
-                    .await
-                    .is_err()
-                {
+                if shared.control.send(input(reply)).await.is_err() {
                     return;
                 }
             }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,11 +8,14 @@
 use arc_swap::ArcSwap;
 use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
 use parsleylatch_settings::NodeSettings;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
     clock::Clock,
-    control::ControlInput,
+    control::{
+        ControlInput,
+        events::{AdminEvent, EVENTS_BUFFER},
+    },
     telemetry::{Counter, Counters},
 };
 
@@ -33,6 +36,8 @@
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    /// What operators are told while it happens.
+    pub(crate) events: broadcast::Sender<AdminEvent>,
     /// Whether the balancer may send callers here.
     pub(crate) ready: AtomicBool,
     in_flight: AtomicUsize,
@@ -47,6 +52,7 @@
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
+            events: broadcast::Sender::new(EVENTS_BUFFER),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -10,7 +10,7 @@
         Token,
     },
     placement::PlacementQuestion,
-    view::WorkspaceView,
+    view::{Snapshot, WorkspaceView},
 };
 use parsleylatch_endpoint::{EngineError, EngineStream};
 use parsleylatch_http::encode_event;
@@ -297,18 +297,36 @@
     fn place(&self, now: MonoTime, order: &PlacementOrder) -> GenerationInput {
         let snapshot = self.traffic.shared.snapshot.load();
         let request = self.generation.request();
-        let question = PlacementQuestion {
-            model: &request.model,
-            prompt: &request.prompt,
-            order,
-            detection: &self.workspace.template.detection,
-        };
-        match self.traffic.placer().place(now, &snapshot, &question) {
+        let orders = self.orders(&snapshot, order);
+        let placement = orders.iter().find_map(|order| {
+            let question = PlacementQuestion {
+                model: &request.model,
+                prompt: &request.prompt,
+                order,
+                detection: &self.workspace.template.detection,
+            };
+            self.traffic.placer().place(now, &snapshot, &question)
+        });
+        match placement {
             Some(placement) => GenerationInput::Placed(placement),
             None => GenerationInput::Unplaced,
         }
     }
 
+    /// Orders to try in turn. A generation with tokens stays on its version; for
+    /// others a version move decides, if the workspace has one.
+    fn orders(&self, snapshot: &Snapshot, order: &PlacementOrder) -> Vec<PlacementOrder> {
+        let request = self.generation.request();
+        let plan = snapshot.version_plans.get(&request.workspace);
+        match plan.filter(|_| self.generation.tokens().is_empty()) {
+            Some(plan) => vec![
+                plan.order_for(request.request_id, order),
+                plan.fallback(order),
+            ],
+            None => vec![order.clone()],
+        }
+    }
+
     fn open(&mut self, order: &AttemptOrder) {
         let traffic = Arc::clone(&self.traffic);
         traffic.shared.counters.increment(Counter::AttemptsStarted);
