--- /dev/null
+++ b/tests/process/extra_node.rs
@@ -0,0 +1,65 @@
+//! A node that a test starts beside its fleet.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+};
+
+use crate::harness::{Running, local_digest, signal};
+
+/// A running node; stopped when dropped.
+pub(crate) struct ExtraNode {
+    process: Child,
+    settings: PathBuf,
+    pub(crate) admin: SocketAddr,
+}
+
+impl ExtraNode {
+    /// Starts a node with one administration key for each role.
+    pub(crate) fn start(running: &Running) -> Self {
+        let settings = running.dir.join("extra-node.jsonc");
+        let keys = ["read", "edit", "accept"].map(|role| {
+            let digest = local_digest(role);
+            format!(r#"{{ "name": "{role}", "key_sha256": "{digest}", "roles": ["{role}"] }}"#)
+        });
+        let text = format!(
+            r#"{{ "node_id": "extra-node", "failure_domain": "domain-1", "region": "region-1",
+  "caller_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
+  "peer_address": "127.0.0.1:0", "store_address": "{}", "vm_list_address": "{}",
+  "admin_keys": [{}] }}"#,
+            running.fleet.store.address,
+            running.fleet.vm_list.address,
+            keys.join(", ")
+        );
+        std::fs::write(&settings, text).unwrap();
+        let mut process = Command::new(env!("CARGO_BIN_EXE_parsleylatch-node"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the node starts");
+        let mut ready = String::new();
+        let stdout = process.stdout.take().expect("piped");
+        BufReader::new(stdout).read_line(&mut ready).unwrap();
+        let admin = ready
+            .split_whitespace()
+            .find_map(|word| word.strip_prefix("admin="))
+            .unwrap_or_else(|| panic!("not ready: {ready}"));
+        Self {
+            admin: admin.parse().unwrap(),
+            process,
+            settings,
+        }
+    }
+}
+
+impl Drop for ExtraNode {
+    fn drop(&mut self) {
+        signal(self.process.id(), "TERM");
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -215,3 +215,8 @@
         .map(|token| token.data.clone())
         .collect()
 }
+
+/// Digest of a key, as settings and templates have it.
+pub(crate) fn local_digest(key: &str) -> String {
+    parsleylatch::settings::KeyDigest::of_key(key).to_string()
+}
--- /dev/null
+++ b/tests/process/moves.rs
@@ -0,0 +1,173 @@
+//! Version moves of a fleet: good ones are done, bad ones are taken back, and
+//! every caller gets a whole answer meanwhile.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use parsleylatch::{
+    bench::caller::{Ending, check_answer},
+    standin::{EngineFault, FaultOrder, StoreFault},
+};
+use serde_json::Value;
+use test_case::test_case;
+
+use crate::{
+    extra_node::ExtraNode,
+    harness::{EVENT_TIMEOUT, Running, Shape, body, generate, tokens_of},
+    operator::{Operator, template},
+};
+
+const TWO_VERSIONS: Shape<'_> = Shape {
+    nodes: 1,
+    engines: 4,
+    services: 0,
+    options: &["--versions", "v1,v2", "--pace-ms", "1"],
+};
+/// Generations that run at once.
+const CONCURRENCY: usize = 16;
+
+fn template_with_move() -> String {
+    let wanted = r#",
+  "move": { "to": "v2", "deadline_s": 12, "canary_share_ppm": 100000 }"#;
+    template(r#""v1""#, wanted)
+}
+
+/// Runs some generations at once and returns the versions that answered.
+async fn generate_some(running: &Running) -> Vec<String> {
+    let caller = running.paying(0);
+    let ask = body("Brief the crew on the flooded compound.", 8);
+    let running = (0..CONCURRENCY).map(|_| generate(&caller, &ask));
+    let collected = join_all(running).await;
+    let answered = collected.iter().map(|collected| {
+        let Ending::Done(done) = &collected.ending else {
+            panic!("ended with {:?}", collected.ending);
+        };
+        check_answer(&ask, &tokens_of(collected), done).unwrap();
+        done.endpoint_version.to_string()
+    });
+    answered.collect()
+}
+
+async fn only_move(operator: &Operator) -> Value {
+    let moves = operator.get("/admin/v1/moves").await.body;
+    assert_eq!(moves.as_array().map(Vec::len), Some(1), "{moves}");
+    moves[0].clone()
+}
+
+/// Generates until the node's move is in a state.
+async fn generate_until(running: &Running, operator: &Operator, state: &str) -> Value {
+    let deadline = Instant::now() + EVENT_TIMEOUT;
+    loop {
+        generate_some(running).await;
+        let seen = only_move(operator).await;
+        if seen["state"] == state {
+            return seen;
+        }
+        assert!(Instant::now() < deadline, "not {state}: {seen}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn order_new_engines(running: &Running, fault: EngineFault) {
+    let engines = running.fleet.engines.iter();
+    for engine in engines.filter(|engine| engine.endpoint_version.as_str() == "v2") {
+        running.order_engine(engine, fault, None).await;
+    }
+}
+
+async fn order_store(running: &Running, fault: StoreFault) {
+    let order = FaultOrder {
+        fault,
+        at_index: None,
+        delay_ms: None,
+    };
+    let control = running.fleet.store.control;
+    running.post(control, "/fault", &order).await;
+}
+
+/// Streams that the new version's engines were asked for.
+async fn streams_of_new(running: &Running) -> u64 {
+    let mut streams = 0;
+    let engines = running.fleet.engines.iter();
+    for engine in engines.filter(|engine| engine.endpoint_version.as_str() == "v2") {
+        let counters = running.get(engine.control, "/counters").await;
+        streams += counters["streams_opened"].as_u64().unwrap();
+    }
+    streams
+}
+
+/// Outcome in the store, from its log.
+async fn recorded(running: &Running) -> Option<String> {
+    let log = running.get(running.fleet.store.control, "/log").await;
+    let entries = log.as_array().unwrap().iter().rev();
+    let mut written = entries.filter(|entry| {
+        let key = entry["key"].as_str().unwrap_or_default();
+        key.starts_with("moves/") && entry["written"] == true
+    });
+    let value = written.next()?["value"].as_str()?.to_owned();
+    let record: Value = serde_json::from_str(&value).ok()?;
+    record["end"]["outcome"].as_str().map(str::to_owned)
+}
+
+#[tokio::test]
+async fn move_version_good() {
+    let running = Running::start(TWO_VERSIONS).await;
+    let operator = Operator::at(&running, 0);
+    operator.put_in_force(&template_with_move()).await;
+    let ended = generate_until(&running, &operator, "done").await;
+    assert!(ended["elapsed_ms"].as_u64() <= Some(12_000), "{ended}");
+    assert_eq!(recorded(&running).await.as_deref(), Some("done"));
+    let versions = generate_some(&running).await;
+    assert!(
+        versions.iter().all(|version| version == "v2"),
+        "{versions:?}"
+    );
+    // A node that starts now finds the outcome in the store.
+    let node = ExtraNode::start(&running);
+    let other = Operator::new(node.admin, "read");
+    let deadline = Instant::now() + EVENT_TIMEOUT;
+    while only_move(&other).await["state"] != "done" {
+        assert!(Instant::now() < deadline);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test_case(EngineFault::Refuse ; "refuses streams")]
+#[test_case(EngineFault::Cut ; "cuts streams")]
+#[tokio::test]
+async fn move_version_bad(fault: EngineFault) {
+    let running = Running::start(TWO_VERSIONS).await;
+    let operator = Operator::at(&running, 0);
+    order_new_engines(&running, fault).await;
+    operator.put_in_force(&template_with_move()).await;
+    let ended = generate_until(&running, &operator, "taken_back").await;
+    assert_eq!(ended["reason"], "vetoed", "{ended}");
+    assert_eq!(recorded(&running).await.as_deref(), Some("taken_back"));
+    let before = streams_of_new(&running).await;
+    let versions = generate_some(&running).await;
+    assert!(
+        versions.iter().all(|version| version == "v1"),
+        "{versions:?}"
+    );
+    assert_eq!(streams_of_new(&running).await, before);
+}
+
+/// The outcome holds at once, and is written when the store is back.
+#[tokio::test]
+async fn move_version_store_out() {
+    let running = Running::start(TWO_VERSIONS).await;
+    let operator = Operator::at(&running, 0);
+    operator.put_in_force(&template_with_move()).await;
+    order_store(&running, StoreFault::Outage).await;
+    order_new_engines(&running, EngineFault::Refuse).await;
+    generate_until(&running, &operator, "recording_taken_back").await;
+    let versions = generate_some(&running).await;
+    assert!(
+        versions.iter().all(|version| version == "v1"),
+        "{versions:?}"
+    );
+    assert_eq!(recorded(&running).await, None);
+    order_store(&running, StoreFault::None).await;
+    generate_until(&running, &operator, "taken_back").await;
+    assert_eq!(recorded(&running).await.as_deref(), Some("taken_back"));
+}
--- /dev/null
+++ b/tests/process/operator.rs
@@ -0,0 +1,123 @@
+//! An operator at one node's administration address.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use parsleylatch_http::{Client, Reply};
+use serde_json::Value;
+
+use crate::harness::{EVENT_TIMEOUT, Running, local_digest};
+
+/// Answer to an operator.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) etag: Option<String>,
+    pub(crate) body: Value,
+}
+
+pub(crate) struct Operator {
+    client: Client,
+    address: SocketAddr,
+    key: String,
+}
+
+impl Operator {
+    pub(crate) fn new(address: SocketAddr, key: &str) -> Self {
+        Self {
+            client: Client::new(),
+            address,
+            key: key.to_owned(),
+        }
+    }
+
+    /// Operator with every role at a node of a fleet.
+    pub(crate) fn at(running: &Running, node: usize) -> Self {
+        Self::new(running.fleet.nodes[node].admin, &running.fleet.admin_key)
+    }
+
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        etag: Option<&str>,
+        body: &str,
+    ) -> Answer {
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("authorization", format!("Bearer {}", self.key));
+        if let Some(etag) = etag {
+            request = request.header("if-match", etag);
+        }
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let reply = self.client.call(self.address, request, body, EVENT_TIMEOUT);
+        answer_of(&reply.await.expect("the node answers"))
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Answer {
+        self.call(Method::GET, path, None, "").await
+    }
+
+    pub(crate) async fn draft(&self, etag: Option<&str>, template: &str) -> Answer {
+        let path = "/admin/v1/templates/local-paying";
+        self.call(Method::PUT, path, etag, template).await
+    }
+
+    pub(crate) async fn accept(&self, etag: &str) -> Answer {
+        let path = "/admin/v1/templates/local-paying/accept";
+        self.call(Method::POST, path, Some(etag), "").await
+    }
+
+    /// Drafts and accepts a template; returns its ETag.
+    pub(crate) async fn put_in_force(&self, template: &str) -> String {
+        let draft = self.draft(None, template).await;
+        assert_eq!(draft.status, 200, "{draft:?}");
+        let accepted = self.accept(&draft.etag.unwrap()).await;
+        assert_eq!(accepted.status, 200, "{accepted:?}");
+        let etag = accepted.etag.unwrap();
+        self.await_in_force(&etag).await;
+        etag
+    }
+
+    /// Waits until the node has a revision in force.
+    pub(crate) async fn await_in_force(&self, etag: &str) {
+        let deadline = std::time::Instant::now() + EVENT_TIMEOUT;
+        loop {
+            let shown = self.get("/admin/v1/templates/local-paying").await;
+            if shown.etag.as_deref() == Some(etag) {
+                return;
+            }
+            assert!(
+                std::time::Instant::now() < deadline,
+                "not {etag}: {shown:?}"
+            );
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn answer_of(reply: &Reply) -> Answer {
+    let etag = reply.headers.get("etag");
+    Answer {
+        status: reply.status.as_u16(),
+        etag: etag.map(|tag| tag.to_str().unwrap().to_owned()),
+        body: serde_json::from_slice(&reply.body).unwrap_or(Value::Null),
+    }
+}
+
+/// Template of the paying workspace; `rest` is put after its first fields.
+pub(crate) fn template(versions: &str, rest: &str) -> String {
+    let digest = local_digest("local-paying-key");
+    format!(
+        r#"{{
+  "workspace": "local-paying",
+  // The caller's key.
+  "key_sha256": ["{digest}"],
+  "tier": "paying",
+  "model": "drafts",
+  "endpoint_versions": [{versions}]{rest}
+}}"#
+    )
+}
