--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,263 @@
+//! One connection to another node.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use futures::{SinkExt, StreamExt};
+use parsleylatch_types::{FailureDomain, Incarnation, NodeId, Region};
+use parsleylatch_wire::{
+    FrameError, PeerCodec,
+    peer::{Hello, PeerMessage, peer_message::Body},
+};
+use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time};
+use tokio_util::codec::Framed;
+
+/// Messages that may wait for a connection.
+const SEND_BUFFER: usize = 1_024;
+/// Most messages that are written before a flush.
+const WRITE_BATCH: usize = 64;
+/// Longest wait for a connection and its first message.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// First delay before a connection is tried again.
+const RECONNECT_DELAY_START: Duration = Duration::from_millis(50);
+/// Largest delay before a connection is tried again.
+const RECONNECT_DELAY_LIMIT: Duration = Duration::from_secs(1);
+
+/// Who a node says it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Id of the node.
+    pub node_id: NodeId,
+    /// Start number of its process.
+    pub incarnation: Incarnation,
+    /// Failure domain of its VM.
+    pub failure_domain: FailureDomain,
+    /// Region of its VM.
+    pub region: Region,
+}
+
+impl Identity {
+    pub(crate) fn hello(&self) -> PeerMessage {
+        PeerMessage {
+            body: Some(Body::Hello(Hello {
+                node_id: self.node_id.to_string(),
+                incarnation: self.incarnation.get(),
+                failure_domain: self.failure_domain.to_string(),
+                region: self.region.to_string(),
+            })),
+        }
+    }
+
+    pub(crate) fn from_hello(hello: &Hello) -> Option<Self> {
+        Some(Self {
+            node_id: hello.node_id.parse().ok()?,
+            incarnation: Incarnation::new(hello.incarnation),
+            failure_domain: hello.failure_domain.parse().ok()?,
+            region: hello.region.parse().ok()?,
+        })
+    }
+}
+
+/// Sends on the connection on which a message came.
+#[derive(Clone, Debug)]
+pub struct ReplySender(mpsc::Sender<PeerMessage>);
+
+impl ReplySender {
+    /// Queues an answer; `false` if the connection is gone or its queue is full.
+    pub fn send(&self, body: Body) -> bool {
+        self.0.try_send(PeerMessage { body: Some(body) }).is_ok()
+    }
+}
+
+/// A message from another node.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Who sent it.
+    pub from: Identity,
+    /// The message.
+    pub body: Body,
+    /// Way back.
+    pub reply: ReplySender,
+}
+
+/// What happens on links.
+#[derive(Clone, Debug)]
+pub enum LinkEvent {
+    /// A link that this node opened can be used.
+    Up(Identity),
+    /// A link that this node opened is gone; it is being opened again.
+    Down(NodeId),
+    /// A message came, on a link of either side.
+    Received(Box<Received>),
+}
+
+/// A link that this node opens, and opens again, until it is dropped.
+#[derive(Debug)]
+pub struct Link {
+    messages: mpsc::Sender<PeerMessage>,
+    task: JoinHandle<()>,
+}
+
+impl Link {
+    /// Queues a message; `false` if the queue is full.
+    pub fn send(&self, body: Body) -> bool {
+        self.messages
+            .try_send(PeerMessage { body: Some(body) })
+            .is_ok()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Opens a link to a node.
+pub fn connect(
+    own: Identity,
+    peer_id: NodeId,
+    address: SocketAddr,
+    events: mpsc::Sender<LinkEvent>,
+) -> Link {
+    let (messages, queue) = mpsc::channel(SEND_BUFFER);
+    let opener = Opener {
+        own,
+        peer_id,
+        address,
+        events,
+    };
+    Link {
+        messages,
+        task: tokio::spawn(opener.run(queue)),
+    }
+}
+
+struct Opener {
+    own: Identity,
+    peer_id: NodeId,
+    address: SocketAddr,
+    events: mpsc::Sender<LinkEvent>,
+}
+
+impl Opener {
+    async fn run(self, mut queue: mpsc::Receiver<PeerMessage>) {
+        let mut delay = RECONNECT_DELAY_START;
+        loop {
+            match time::timeout(CONNECT_TIMEOUT, self.open()).await {
+                Ok(Ok((framed, identity))) => {
+                    delay = RECONNECT_DELAY_START;
+                    // What waited was meant for the connection that is gone.
+                    while queue.try_recv().is_ok() {}
+                    if self
+                        .events
+                        .send(LinkEvent::Up(identity.clone()))
+                        .await
+                        .is_err()
+                    {
+                        return;
+                    }
+                    let ended = carry(framed, identity, &mut queue, None, &self.events).await;
+                    log::info!(
+                        "link to {} at {} is down: {ended}",
+                        self.peer_id,
+                        self.address
+                    );
+                    let down = LinkEvent::Down(self.peer_id.clone());
+                    if self.events.send(down).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(Err(error)) => log::debug!("link to {}: {error}", self.peer_id),
+                Err(_) => log::debug!("link to {}: no answer in time", self.peer_id),
+            }
+            time::sleep(delay).await;
+            delay = (delay * 2).min(RECONNECT_DELAY_LIMIT);
+        }
+    }
+
+    /// Connects and exchanges greetings; another node at the address is an error.
+    async fn open(&self) -> Result<(Framed<TcpStream, PeerCodec>, Identity), FrameError> {
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let mut framed = Framed::new(stream, PeerCodec::default());
+        framed.send(self.own.hello()).await?;
+        let identity = read_hello(&mut framed).await?;
+        if identity.node_id != self.peer_id {
+            let reason = format!("{} answers at {}", identity.node_id, self.address);
+            return Err(io::Error::other(reason).into());
+        }
+        Ok((framed, identity))
+    }
+}
+
+/// Reads the first message of a connection.
+pub(crate) async fn read_hello(
+    framed: &mut Framed<TcpStream, PeerCodec>,
+) -> Result<Identity, FrameError> {
+    let first = framed.next().await.transpose()?;
+    let hello = match first.and_then(|message| message.body) {
+        Some(Body::Hello(hello)) => Identity::from_hello(&hello),
+        _ => None,
+    };
+    hello.ok_or_else(|| io::Error::other("no greeting").into())
+}
+
+/// Carries messages both ways until the connection ends; returns why it did.
+pub(crate) async fn carry(
+    framed: Framed<TcpStream, PeerCodec>,
+    peer: Identity,
+    queue: &mut mpsc::Receiver<PeerMessage>,
+    replies: Option<mpsc::Sender<PeerMessage>>,
+    events: &mpsc::Sender<LinkEvent>,
+) -> FrameError {
+    let (mut sink, mut stream) = framed.split();
+    // On a link that this node opened, nothing is answered on the way back.
+    let reply = ReplySender(replies.unwrap_or_else(|| mpsc::channel(1).0));
+    let reading = async {
+        loop {
+            let body = match stream.next().await {
+                Some(Ok(PeerMessage { body: Some(body) })) => body,
+                Some(Ok(PeerMessage { body: None })) => continue,
+                Some(Err(error)) => return error,
+                None => return io::Error::from(io::ErrorKind::UnexpectedEof).into(),
+            };
+            let received = Received {
+                from: peer.clone(),
+                body,
+                reply: reply.clone(),
+            };
+            if events
+                .send(LinkEvent::Received(Box::new(received)))
+                .await
+                .is_err()
+            {
+                return io::Error::other("the node stops").into();
+            }
+        }
+    };
+    let writing = async {
+        let mut batch = Vec::with_capacity(WRITE_BATCH);
+        loop {
+            if queue.recv_many(&mut batch, WRITE_BATCH).await == 0 {
+                return io::Error::other("the link was dropped").into();
+            }
+            for message in batch.drain(..) {
+                if let Err(error) = sink.feed(message).await {
+                    return error;
+                }
+            }
+            if let Err(error) = sink.flush().await {
+                return error;
+            }
+        }
+    };
+    tokio::select! {
+        ended = reading => ended,
+        ended = writing => ended,
+    }
+}
+
+/// Queue of answers on an accepted connection.
+pub(crate) fn reply_queue() -> (mpsc::Sender<PeerMessage>, mpsc::Receiver<PeerMessage>) {
+    mpsc::channel(SEND_BUFFER)
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,59 @@
+//! Accepts the links that other nodes open.
+
+use std::time::Duration;
+
+use futures::SinkExt;
+use parsleylatch_wire::{FrameError, PeerCodec};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time,
+};
+use tokio_util::codec::Framed;
+
+use crate::link::{self, Identity, LinkEvent};
+
+/// Longest wait for the first message of a connection.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Delay after an accept that failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Serves the links of other nodes until the receiver of `events` is gone.
+pub async fn serve(listener: TcpListener, own: Identity, events: mpsc::Sender<LinkEvent>) {
+    while !events.is_closed() {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_one(stream, own.clone(), events.clone()));
+            }
+            Err(error) => {
+                log::warn!("accepting a link: {error}");
+                time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_one(stream: TcpStream, own: Identity, events: mpsc::Sender<LinkEvent>) {
+    let greeted = time::timeout(HELLO_TIMEOUT, greet(stream, &own)).await;
+    match greeted {
+        Ok(Ok((framed, identity))) => {
+            let (replies, mut queue) = link::reply_queue();
+            let peer_id = identity.node_id.clone();
+            let ended = link::carry(framed, identity, &mut queue, Some(replies), &events).await;
+            log::debug!("link from {peer_id} ended: {ended}");
+        }
+        Ok(Err(error)) => log::debug!("a link was not greeted: {error}"),
+        Err(_) => log::debug!("a link was not greeted in time"),
+    }
+}
+
+async fn greet(
+    stream: TcpStream,
+    own: &Identity,
+) -> Result<(Framed<TcpStream, PeerCodec>, Identity), FrameError> {
+    stream.set_nodelay(true)?;
+    let mut framed = Framed::new(stream, PeerCodec::default());
+    let identity = link::read_hello(&mut framed).await?;
+    framed.send(own.hello()).await?;
+    Ok((framed, identity))
+}
--- /dev/null
+++ b/crates/peer/tests/link.rs
@@ -0,0 +1,103 @@
+//! Links carry messages both ways and come back.
+
+use std::time::Duration;
+
+use parsleylatch_peer::{Identity, LinkEvent, connect, serve};
+use parsleylatch_types::Incarnation;
+use parsleylatch_wire::{journal::TakeOverAsk, peer::peer_message::Body};
+use tokio::{net::TcpListener, sync::mpsc, time::timeout};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+fn identity(name: &str) -> Identity {
+    Identity {
+        node_id: name.parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        failure_domain: "domain-1".parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+    }
+}
+
+fn ask(ask_id: u64) -> Body {
+    Body::TakeOverAsk(TakeOverAsk {
+        ask_id,
+        request_id: Vec::new(),
+        workspace: String::new(),
+    })
+}
+
+async fn next(events: &mut mpsc::Receiver<LinkEvent>) -> LinkEvent {
+    timeout(WAIT, events.recv())
+        .await
+        .expect("an event comes")
+        .expect("the link lives")
+}
+
+fn ask_id_of(event: LinkEvent) -> u64 {
+    match event {
+        LinkEvent::Received(received) => match received.body {
+            Body::TakeOverAsk(ask) => ask.ask_id,
+            other => panic!("unexpected {other:?}"),
+        },
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn connect_message_and_reply() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (server_events, mut at_server) = mpsc::channel(16);
+    tokio::spawn(serve(listener, identity("b"), server_events));
+    let (client_events, mut at_client) = mpsc::channel(16);
+    let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
+    let LinkEvent::Up(peer) = next(&mut at_client).await else {
+        panic!("the link comes up")
+    };
+    assert_eq!(peer, identity("b"));
+    assert!(link.send(ask(1)));
+    let LinkEvent::Received(received) = next(&mut at_server).await else {
+        panic!("no message")
+    };
+    assert_eq!(received.from, identity("a"));
+    assert!(received.reply.send(ask(2)));
+    assert_eq!(ask_id_of(next(&mut at_client).await), 2);
+}
+
+#[tokio::test]
+async fn connect_other_node_answers() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (server_events, _at_server) = mpsc::channel(16);
+    tokio::spawn(serve(listener, identity("c"), server_events));
+    let (client_events, mut at_client) = mpsc::channel(16);
+    let _link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
+    let up = timeout(Duration::from_millis(500), at_client.recv()).await;
+    assert!(up.is_err(), "a link to another node must not come up");
+}
+
+#[tokio::test]
+async fn connect_peer_comes_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (server_events, at_server) = mpsc::channel(16);
+    let server = tokio::spawn(serve(listener, identity("b"), server_events));
+    let (client_events, mut at_client) = mpsc::channel(16);
+    let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
+    assert!(matches!(next(&mut at_client).await, LinkEvent::Up(_)));
+    server.abort();
+    drop(at_server);
+    let _ = server.await;
+    // The receiver is gone, so the accepted connection ends at its next message.
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    };
+    assert!(link.send(ask(1)));
+    assert!(matches!(next(&mut at_client).await, LinkEvent::Down(_)));
+    let (server_events, _at_server) = mpsc::channel(16);
+    tokio::spawn(serve(listener, identity("b"), server_events));
+    assert!(matches!(next(&mut at_client).await, LinkEvent::Up(_)));
+}
--- /dev/null
+++ b/crates/wire/tests/generated.rs
@@ -0,0 +1,31 @@
+//! The committed code is what the schema gives.
+//!
+//! After a change of `proto/*.proto` run this test with `PARSLEYLATCH_REGENERATE=1`.
+
+use std::{env, fs, path::Path};
+
+#[test]
+fn generated_code_is_current() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let out_dir = env::temp_dir().join(format!("parsleylatch-wire-{}", std::process::id()));
+    fs::create_dir_all(&out_dir).unwrap();
+    let descriptors = protox::compile(["peer.proto"], [root.join("proto")]).unwrap();
+    prost_build::Config::new()
+        .out_dir(&out_dir)
+        .compile_fds(descriptors)
+        .unwrap();
+    for name in ["peer", "journal", "gossip"] {
+        let file = format!("parsleylatch.{name}.rs");
+        let fresh = fs::read_to_string(out_dir.join(&file)).unwrap();
+        let committed = root.join("src/generated").join(&file);
+        if env::var_os("PARSLEYLATCH_REGENERATE").is_some() {
+            fs::write(&committed, &fresh).unwrap();
+        }
+        assert_eq!(
+            fs::read_to_string(&committed).unwrap(),
+            fresh,
+            "{file} is not current"
+        );
+    }
+    fs::remove_dir_all(&out_dir).unwrap();
+}
