--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,8 +1,8 @@
 //! The only reader of clocks: monotonic time since the node started.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use parsleylatch_types::{Micros, MonoTime};
+use parsleylatch_types::{Micros, MonoTime, UnixMillis};
 
 /// Clock of one process; copies agree.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +27,14 @@
         (self.started_at + time.since(MonoTime::ZERO).duration()).into()
     }
 
+    /// Wall-clock time.
+    pub(crate) fn unix_now() -> UnixMillis {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        UnixMillis::new(since_epoch.as_millis() as u64)
+    }
+
     /// Sleeps until a deadline; for ever without one.
     pub(crate) async fn sleep_until(&self, deadline: Option<MonoTime>) {
         match deadline {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -11,6 +11,7 @@
 
 use parsleylatch_decide::{generation::AttemptReport, node_life::NodeEvent};
 use parsleylatch_http::NodelayListener;
+use parsleylatch_peer::Received;
 use parsleylatch_types::EndpointId;
 use parsleylatch_wire::{
     engine::LoadReport,
@@ -32,6 +33,8 @@
     Load(EndpointId, Option<LoadReport>),
     /// What became of an attempt.
     Attempt(AttemptReport),
+    /// Gossip of another node.
+    Gossip(Box<Received>),
     /// No request is in flight.
     Idle,
     /// A planned stop was asked for.
@@ -41,7 +44,6 @@
 /// Sockets that the control thread serves.
 pub(crate) struct Listeners {
     pub(crate) admin: Vec<TcpListener>,
-    pub(crate) peer: Vec<TcpListener>,
 }
 
 /// Runs the control thread until the node has stopped.
@@ -68,8 +70,6 @@
             Err(error) => log::error!("admin listener can't be registered: {error}"),
         }
     }
-    // Peer connections are accepted by the journal's server.
-    let _peer = listeners.peer;
     while !state.is_stopped() {
         tokio::select! {
             Some(input) = inputs.recv() => state.handle(input),
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -91,6 +91,9 @@
             ControlInput::Vms(reply) => self.take_vms(reply),
             ControlInput::Load(endpoint, report) => self.take_load(endpoint, report),
             ControlInput::Attempt(report) => self.take_attempt(&report),
+            ControlInput::Gossip(received) => {
+                log::debug!("gossip from {}", received.from.node_id);
+            }
             ControlInput::Idle => {}
             ControlInput::StopRequested => self.step_life(NodeEvent::StopRequested),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod control;
 mod node;
+mod peering;
 mod shared;
 mod telemetry;
 mod traffic;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     control::{self, ControlInput},
+    peering,
     shared::Shared,
     telemetry, traffic,
 };
@@ -62,7 +63,6 @@
             move |runtime| {
                 let listeners = control::Listeners {
                     admin: admin_listeners,
-                    peer: peer_listeners,
                 };
                 runtime.block_on(control::run(shared, inputs, listeners, ready));
             }
@@ -77,6 +77,14 @@
                 runtime.block_on(traffic::run(shared, listener, stopped));
             })?);
         }
+        for listener in peer_listeners {
+            let (stop, stopped) = oneshot::channel();
+            stop_traffic.push(stop);
+            let shared = Arc::clone(&shared);
+            traffic.push(spawn("peer", move |runtime| {
+                runtime.block_on(peering::run(shared, listener, stopped));
+            })?);
+        }
         is_ready
             .blocking_recv()
             .map_err(|_| eyre!("the control thread ended while starting"))?;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,12 +7,15 @@
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
+use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
+use parsleylatch_types::Incarnation;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
     clock::Clock,
     control::ControlInput,
+    peering,
     telemetry::{Counter, Counters},
 };
 
@@ -28,6 +31,7 @@
 /// State that every thread of a node can reach.
 pub(crate) struct Shared {
     pub(crate) settings: NodeSettings,
+    pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) counters: Counters,
@@ -40,7 +44,10 @@
 
 impl Shared {
     pub(crate) fn new(settings: NodeSettings, control: mpsc::Sender<ControlInput>) -> Self {
+        let incarnation = Incarnation::new(Clock::unix_now().get());
+        let identity = peering::identity_of(&settings, incarnation);
         Self {
+            identity,
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -43,6 +43,8 @@
     ServiceCallsFailed,
     /// Reports that found the control thread's channel full.
     ReportsDropped,
+    /// Gossip that found the control thread's channel full.
+    GossipDropped,
     /// Calls to the store.
     StoreCalls,
     /// Calls to the store that failed.
