Admission under load: paying first, free within a share, weighted queues

Cause: a node took every request, so a flood of free ones filled the engines' queues and paying ones waited behind what already ran. Ruled out: engine priorities alone (they order the queue, not what runs) and a central quota (no second coordination service).

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, node_life};
+use crate::{generation, limits, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -25,12 +25,13 @@
     };
 }
 
+pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 3] = [ATTEMPT, GENERATION, NODE_LIFE];
+pub const ALL: &[ChartSource] = &[ADMISSION, ATTEMPT, GENERATION, NODE_LIFE];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -61,5 +62,6 @@
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
     generation::verify_charts()?;
+    limits::verify_chart()?;
     node_life::verify_chart()
 }
--- /dev/null
+++ b/crates/decide/src/limits/queue.rs
@@ -0,0 +1,251 @@
+//! The queue of one traffic thread.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use parsleylatch_settings::Tier;
+use parsleylatch_types::{ModelId, MonoTime, Weight, WorkspaceId};
+
+use super::{
+    capacity::{CapacityView, LocalUse, has_room},
+    ticket::{Ticket, TicketEvent, TicketId, TicketState},
+};
+use crate::refusal::Refusal;
+
+/// Requests of one workspace that may wait at one traffic thread.
+const WORKSPACE_QUEUE_LIMIT: usize = 64;
+/// Virtual time that one request takes at weight 1.
+const VIRTUAL_COST: u64 = 1 << 20;
+
+/// A request for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Workspace that asks.
+    pub workspace: WorkspaceId,
+    /// Class of its requests.
+    pub tier: Tier,
+    /// Its weight.
+    pub weight: Weight,
+    /// Model that has to answer.
+    pub model: ModelId,
+}
+
+/// What has to be done for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionEffect {
+    /// The request has a place; answer with [`AdmissionQueue::release`] at its end.
+    Admit(TicketId),
+    /// The request is refused; nothing of it was sent.
+    Refuse(TicketId, Refusal),
+}
+
+struct Waiting {
+    id: TicketId,
+    model: ModelId,
+    ticket: Ticket,
+}
+
+struct WorkspaceQueue {
+    tier: Tier,
+    weight: Weight,
+    /// Virtual time at which the workspace's next request starts.
+    virtual_start: u64,
+    waiting: VecDeque<Waiting>,
+}
+
+/// Queue of one traffic thread.
+#[derive(Default)]
+pub struct AdmissionQueue {
+    capacity: CapacityView,
+    local: BTreeMap<ModelId, LocalUse>,
+    workspaces: BTreeMap<WorkspaceId, WorkspaceQueue>,
+    virtual_time: u64,
+    next_id: u64,
+    effects: Vec<AdmissionEffect>,
+}
+
+impl AdmissionQueue {
+    /// Queue that admits nothing until it is told of a capacity.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.workspaces
+            .values()
+            .map(|queue| queue.waiting.len())
+            .sum()
+    }
+
+    /// Time at which [`AdmissionQueue::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        let waiting = self.workspaces.values().flat_map(|queue| &queue.waiting);
+        waiting
+            .filter_map(|waiting| waiting.ticket.next_deadline())
+            .min()
+    }
+
+    /// Takes a request in. The effects may be of any request that waits.
+    pub fn ask(&mut self, now: MonoTime, ask: Ask) -> (TicketId, Vec<AdmissionEffect>) {
+        self.next_id += 1;
+        let id = TicketId(self.next_id);
+        let mut ticket = Ticket::new(now, ask.tier, ask.workspace.clone());
+        let virtual_time = self.virtual_time;
+        let queue = self
+            .workspaces
+            .entry(ask.workspace)
+            .or_insert_with(|| WorkspaceQueue {
+                tier: ask.tier,
+                weight: ask.weight,
+                virtual_start: virtual_time,
+                waiting: VecDeque::new(),
+            });
+        (queue.tier, queue.weight) = (ask.tier, ask.weight);
+        if queue.waiting.is_empty() {
+            // A workspace that was idle saves no share up.
+            queue.virtual_start = queue.virtual_start.max(virtual_time);
+        }
+        ticket.context.queue_full = queue.waiting.len() >= WORKSPACE_QUEUE_LIMIT;
+        queue.waiting.push_back(Waiting {
+            id,
+            model: ask.model,
+            ticket,
+        });
+        self.serve(now);
+        self.settle_new(now, id);
+        (id, std::mem::take(&mut self.effects))
+    }
+
+    /// Takes a new capacity in.
+    pub fn update(&mut self, now: MonoTime, capacity: CapacityView) -> Vec<AdmissionEffect> {
+        self.capacity = capacity;
+        if !self.capacity.accepting {
+            self.step_all(now, TicketEvent::NodeStops);
+        }
+        self.serve(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Frees the place of a request that was admitted.
+    pub fn release(&mut self, now: MonoTime, tier: Tier, model: &ModelId) -> Vec<AdmissionEffect> {
+        if let Some(local) = self.local.get_mut(model) {
+            local.release(tier);
+        }
+        self.serve(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Forgets a request whose caller is gone.
+    pub fn abandon(&mut self, now: MonoTime, id: TicketId) {
+        for queue in self.workspaces.values_mut() {
+            queue
+                .waiting
+                .iter_mut()
+                .filter(|waiting| waiting.id == id)
+                .for_each(|waiting| {
+                    waiting.ticket.step(now, TicketEvent::CallerGone);
+                });
+        }
+        self.remove_settled();
+    }
+
+    /// Refuses the requests that waited too long.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<AdmissionEffect> {
+        let waiting = self
+            .workspaces
+            .values_mut()
+            .flat_map(|queue| &mut queue.waiting);
+        waiting.for_each(|waiting| waiting.ticket.expire(now));
+        self.remove_settled();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Gives places out while there are any: paying workspaces first, and of a
+    /// tier the workspace whose virtual time is the least.
+    fn serve(&mut self, now: MonoTime) {
+        self.local.values_mut().for_each(|local| local.advance(now));
+        while let Some(workspace) = self.next_to_serve() {
+            self.admit_first(now, &workspace);
+        }
+        self.forget_idle();
+    }
+
+    fn next_to_serve(&self) -> Option<WorkspaceId> {
+        let servable = self.workspaces.iter().filter(|(_, queue)| {
+            let first = queue.waiting.front();
+            first.is_some_and(|waiting| self.has_room(&waiting.model, queue.tier))
+        });
+        let first =
+            servable.min_by_key(|(_, queue)| (std::cmp::Reverse(queue.tier), queue.virtual_start));
+        first.map(|(workspace, _)| workspace.clone())
+    }
+
+    fn has_room(&self, model: &ModelId, tier: Tier) -> bool {
+        let capacity = self.capacity.models.get(model).copied();
+        let unused = LocalUse::default();
+        let local = self.local.get(model).unwrap_or(&unused);
+        // A model without engines waits; the engines may be on their way.
+        capacity.is_some_and(|capacity| has_room(capacity, self.capacity.sharers, local, tier))
+    }
+
+    fn admit_first(&mut self, now: MonoTime, workspace: &WorkspaceId) {
+        let Some(queue) = self.workspaces.get_mut(workspace) else {
+            return;
+        };
+        let Some(mut first) = queue.waiting.pop_front() else {
+            return;
+        };
+        self.virtual_time = self.virtual_time.max(queue.virtual_start);
+        queue.virtual_start += VIRTUAL_COST / u64::from(queue.weight.get().max(1));
+        first.ticket.step(now, TicketEvent::RoomFound);
+        if first.ticket.context.admitted {
+            self.local
+                .entry(first.model)
+                .or_default()
+                .admit(now, queue.tier);
+            self.effects.push(AdmissionEffect::Admit(first.id));
+        }
+    }
+
+    /// Tells a request that has just arrived, and still waits, to queue up.
+    fn settle_new(&mut self, now: MonoTime, id: TicketId) {
+        let waiting = self
+            .workspaces
+            .values_mut()
+            .flat_map(|queue| &mut queue.waiting);
+        if let Some(new) = waiting.into_iter().find(|waiting| waiting.id == id) {
+            new.ticket.step(now, TicketEvent::NoRoom);
+            self.remove_settled();
+        }
+    }
+
+    fn step_all(&mut self, now: MonoTime, event: TicketEvent) {
+        let waiting = self
+            .workspaces
+            .values_mut()
+            .flat_map(|queue| &mut queue.waiting);
+        waiting.for_each(|waiting| waiting.ticket.step(now, event));
+        self.remove_settled();
+    }
+
+    /// Drops the requests that wait no more; tells of those that were refused.
+    fn remove_settled(&mut self) {
+        for queue in self.workspaces.values_mut() {
+            queue.waiting.retain_mut(|waiting| {
+                if let Some(refusal) = waiting.ticket.context.refusal.take() {
+                    self.effects
+                        .push(AdmissionEffect::Refuse(waiting.id, refusal));
+                }
+                waiting.ticket.state() == TicketState::Queued
+            });
+        }
+        self.forget_idle();
+    }
+
+    /// Drops the queues that are empty and have no share used up in advance.
+    fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.workspaces
+            .retain(|_, queue| !queue.waiting.is_empty() || queue.virtual_start > virtual_time);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/limits/ticket.rs
@@ -0,0 +1,151 @@
+//! One request that asks for a place.
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_settings::Tier;
+use parsleylatch_types::{Millis, MonoTime, WorkspaceId};
+
+use crate::{
+    admission::OTHER_NODE_DELAY_MS,
+    charts::{self, LazyMachine},
+    refusal::{Refusal, RefusalKind},
+};
+
+/// Longest wait of a paying request.
+const PAYING_QUEUE_TIMEOUT_MS: Millis = Millis::new(4_000);
+/// Longest wait of a free request.
+const FREE_QUEUE_TIMEOUT_MS: Millis = Millis::new(1_500);
+/// Time after which a caller may try again that found no place in time.
+const BUSY_RETRY_DELAY_MS: Millis = Millis::new(2_000);
+
+chart_names! {
+    /// States of a request that asks for a place.
+    pub enum TicketState {
+        /// Just arrived.
+        Asking,
+        /// Waits for a place.
+        Queued,
+        /// Has a place.
+        Admitted,
+        /// Was refused.
+        Refused,
+        /// Its caller is gone.
+        Abandoned,
+    }
+}
+
+chart_names! {
+    /// Events of a request that asks for a place.
+    pub(crate) enum TicketEvent {
+        /// The engines have a place.
+        RoomFound,
+        /// They have none.
+        NoRoom,
+        /// The wait lasted its longest time.
+        TimedOut,
+        /// The caller is gone.
+        CallerGone,
+        /// The node takes no new request.
+        NodeStops,
+    }
+}
+
+/// Number of a request at one traffic thread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub(crate) u64);
+
+pub(crate) struct TicketContext {
+    pub(crate) tier: Tier,
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) queue_full: bool,
+    pub(crate) admitted: bool,
+    pub(crate) refusal: Option<Refusal>,
+}
+
+static MACHINE: LazyMachine<TicketState, TicketEvent, TicketContext> = LazyMachine::new(|| {
+    let bindings = Bindings::<TicketContext>::new()
+        .guard("queue_full", |ticket| ticket.queue_full)
+        .duration("queue_timeout", |ticket| queue_timeout(ticket.tier))
+        .action("admit", |ticket| ticket.admitted = true)
+        .action("refuse_full", TicketContext::refuse_full)
+        .action("refuse_late", TicketContext::refuse_late)
+        .action("refuse_stopping", TicketContext::refuse_stopping);
+    charts::compile(charts::ADMISSION, &bindings)
+});
+
+fn machine() -> &'static Machine<TicketState, TicketEvent, TicketContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+fn queue_timeout(tier: Tier) -> Millis {
+    match tier {
+        Tier::Paying => PAYING_QUEUE_TIMEOUT_MS,
+        Tier::Free => FREE_QUEUE_TIMEOUT_MS,
+    }
+}
+
+impl TicketContext {
+    fn refuse_full(&mut self) {
+        let detail = format!(
+            "as many requests of workspace {} wait as may",
+            self.workspace
+        );
+        let refusal = Refusal::not_run(RefusalKind::Overloaded, detail);
+        self.refusal = Some(refusal.retry_after(BUSY_RETRY_DELAY_MS));
+    }
+
+    fn refuse_late(&mut self) {
+        let waited = queue_timeout(self.tier);
+        let detail = format!(
+            "the engines had no place for a {} request in {waited}",
+            self.tier
+        );
+        let refusal = Refusal::not_run(RefusalKind::Overloaded, detail);
+        self.refusal = Some(refusal.retry_after(BUSY_RETRY_DELAY_MS));
+    }
+
+    fn refuse_stopping(&mut self) {
+        let detail = "this node takes no new request; try another";
+        let refusal = Refusal::not_run(RefusalKind::Stopping, detail);
+        self.refusal = Some(refusal.retry_after(OTHER_NODE_DELAY_MS));
+    }
+}
+
+/// One request that asks for a place.
+pub(crate) struct Ticket {
+    life: Instance<TicketState>,
+    pub(crate) context: TicketContext,
+}
+
+impl Ticket {
+    pub(crate) fn new(now: MonoTime, tier: Tier, workspace: WorkspaceId) -> Self {
+        let mut context = TicketContext {
+            tier,
+            workspace,
+            queue_full: false,
+            admitted: false,
+            refusal: None,
+        };
+        let life = machine().start(now, &mut context);
+        Self { life, context }
+    }
+
+    pub(crate) fn state(&self) -> TicketState {
+        self.life.state()
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
+        self.life.next_deadline()
+    }
+
+    pub(crate) fn step(&mut self, now: MonoTime, event: TicketEvent) {
+        machine().step(&mut self.life, now, event, &mut self.context);
+    }
+
+    pub(crate) fn expire(&mut self, now: MonoTime) {
+        machine().expire(&mut self.life, now, &mut self.context);
+    }
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -214,7 +214,7 @@
             peers: vms.iter().filter_map(|vm| self.peer_view(vm)).collect(),
             accepting: self.accepting,
         };
-        self.shared.snapshot.store(Arc::new(snapshot));
+        self.shared.publish(snapshot);
     }
 
     fn endpoint_view(&self, vm: &VmEntry) -> Option<EndpointView> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -34,6 +34,8 @@
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// Told of every new snapshot.
+    pub(crate) snapshot_changed: watch::Sender<()>,
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
@@ -51,6 +53,7 @@
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            snapshot_changed: watch::Sender::new(()),
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
@@ -59,6 +62,12 @@
         }
     }
 
+    /// Publishes a snapshot.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Arc::new(snapshot));
+        self.snapshot_changed.send_replace(());
+    }
+
     /// Sends a report to the control thread; drops and counts it if that is busy.
     pub(crate) fn report(&self, report: AttemptReport) {
         if self
--- a/crates/node/src/traffic/caller.rs
+++ b/crates/node/src/traffic/caller.rs
@@ -5,6 +5,7 @@
 use parsleylatch_decide::{
     admission::{self, GenerationAsk},
     generation::{EarlierOwner, GenerationRequest},
+    limits::Ask,
     refusal::{Refusal, RefusalKind},
     view::WorkspaceView,
 };
@@ -43,12 +44,14 @@
     let traceparent: Option<String> = request.header("traceparent");
     let span = telemetry::root_span("caller.generation", traceparent.as_deref());
     let (workspace, request, in_flight) = admit(traffic, request).await?;
+    let place = traffic.admissions.admit(ask_of(&workspace)).await?;
     traffic
         .shared
         .counters
         .increment(Counter::GenerationsAccepted);
     let earlier = EarlierOwner::default();
     let accepted = generation::Accepted {
+        place,
         workspace,
         request,
         earlier,
@@ -79,6 +82,16 @@
     Ok((workspace, request, in_flight))
 }
 
+fn ask_of(workspace: &WorkspaceView) -> Ask {
+    let template = &workspace.template;
+    Ask {
+        workspace: template.workspace.clone(),
+        tier: template.tier,
+        weight: template.weight,
+        model: template.model.clone(),
+    }
+}
+
 fn overloaded() -> Refusal {
     let detail = "this node answers as many requests as it can; try another";
     Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(admission::OTHER_NODE_DELAY_MS)
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -22,7 +22,7 @@
 use tokio::{sync::watch, task::JoinHandle};
 use viz::Response;
 
-use super::{Traffic, output::Output, problem};
+use super::{Traffic, admissions::Place, output::Output, problem};
 use crate::{
     shared::{InFlight, StopPhase},
     telemetry::{self, Counter},
@@ -34,6 +34,7 @@
     pub(crate) request: GenerationRequest,
     pub(crate) earlier: EarlierOwner,
     pub(crate) in_flight: InFlight,
+    pub(crate) place: Place,
     pub(crate) span: Span,
 }
 
@@ -54,6 +55,7 @@
     let now = traffic.shared.clock.now();
     let limits = GenerationLimits::default();
     let Accepted {
+        place,
         workspace,
         request,
         earlier,
@@ -71,6 +73,7 @@
         caller_lost: false,
         span,
         _in_flight: in_flight,
+        _place: place,
     };
     task.carry_out(now, effects);
     while !task.is_over() {
@@ -164,6 +167,7 @@
     caller_lost: bool,
     span: Span,
     _in_flight: InFlight,
+    _place: Place,
 }
 
 impl Task {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Traffic threads: each owns the requests that it accepted.
 
+mod admissions;
 mod body;
 mod caller;
 mod generation;
@@ -20,12 +21,14 @@
 use viz::{Router, types::State};
 
 use crate::shared::Shared;
+use admissions::Admissions;
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) admissions: Arc<Admissions>,
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
 }
@@ -33,10 +36,13 @@
 impl Traffic {
     fn new(shared: Arc<Shared>) -> Self {
         let placer = Mutex::new(Placer::new(shared.settings.region.clone()));
+        let admissions = Arc::new(Admissions::new(Arc::clone(&shared)));
+        let (engines, services) = (EngineClient::new(), ServiceClient::new());
         Self {
             shared,
-            engines: EngineClient::new(),
-            services: ServiceClient::new(),
+            engines,
+            services,
+            admissions,
             placer,
         }
     }
@@ -53,6 +59,7 @@
     stopped: oneshot::Receiver<()>,
 ) {
     let traffic = Arc::new(Traffic::new(shared));
+    tokio::spawn(Arc::clone(&traffic.admissions).run());
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod generations;
 mod harness;
+mod limits;
 mod refusals;
 mod services;
 mod settings;
