--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,5 +4,6 @@
 mod harness;
 mod limits;
 mod refusals;
+mod regression;
 mod services;
 mod settings;
--- a/tests/process/refusals.rs
+++ b/tests/process/refusals.rs
@@ -1,6 +1,6 @@
 //! Bad requests are refused clearly, and "not run" is true.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use parsleylatch_http::Client;
@@ -151,31 +151,3 @@
         .await;
     assert_eq!(runs.as_object().unwrap().len(), 0);
 }
-
-/// A caller that reads nothing holds a bounded buffer for a bounded time.
-#[tokio::test]
-async fn generate_caller_stalled() {
-    use tokio::io::AsyncWriteExt as _;
-    let running = Running::start(Shape {
-        options: &["--pace-ms", "0"],
-        ..SMALL
-    })
-    .await;
-    let node = running.fleet.nodes[0].caller;
-    let connection = tokio::net::TcpSocket::new_v4().unwrap();
-    connection.set_recv_buffer_size(4_096).unwrap();
-    let mut connection = connection.connect(node).await.unwrap();
-    let body = generation("drafts", 4_096);
-    let head = format!(
-        "POST {GENERATIONS} HTTP/1.1\r\nhost: n\r\nauthorization: {KEY}\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    connection
-        .write_all(format!("{head}{body}").as_bytes())
-        .await
-        .unwrap();
-    running.await_counter(0, "generations_accepted", 1).await;
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    running.await_counter(0, "generations_cancelled", 1).await;
-    drop(connection);
-}
