--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Address of the node.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The same caller at another node.
     #[must_use]
     pub fn at(&self, address: SocketAddr) -> Self {
--- /dev/null
+++ b/crates/bench/src/exchange.rs
@@ -0,0 +1,210 @@
+//! One generation from the caller's side, across as many connections as it takes.
+//!
+//! A connection that breaks or says `moved` is followed by a resume at the next
+//! node, after the last event that arrived. Everything is recorded.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use eyre::Result;
+use parsleylatch_types::{RequestId, WorkspaceId};
+use parsleylatch_wire::caller::{DoneData, GenerationBody};
+
+use crate::{
+    caller::{ArrivedToken, Caller, Ending, Opened},
+    history::{HistoryEvent, Recorder},
+};
+
+/// Connections that one generation may take.
+const CONNECTIONS_LIMIT: usize = 40;
+/// Delay before a connection that follows a broken one.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
+/// Times at which a generation's tokens arrived.
+#[derive(Clone, Debug, Default)]
+pub struct Timing {
+    /// Time at which the request was sent.
+    pub asked_at: Option<Instant>,
+    /// Arrival of each token.
+    pub arrivals: Vec<Instant>,
+}
+
+impl Timing {
+    /// Time to the first token.
+    pub fn first_token(&self) -> Option<Duration> {
+        let (asked_at, first) = (self.asked_at?, self.arrivals.first()?);
+        Some(first.duration_since(asked_at))
+    }
+
+    /// Times between tokens.
+    pub fn gaps(&self) -> impl Iterator<Item = Duration> {
+        self.arrivals
+            .windows(2)
+            .map(|pair| pair[1].duration_since(pair[0]))
+    }
+}
+
+/// How an exchange ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// End of a whole answer; `None` if there was none.
+    pub done: Option<DoneData>,
+    /// Connections that were opened.
+    pub connections: usize,
+    /// Times of the tokens.
+    pub timing: Timing,
+}
+
+/// Callers of one workspace at every node, with a recording.
+#[derive(Clone)]
+pub struct Exchanges {
+    callers: Arc<[Caller]>,
+    workspace: WorkspaceId,
+    recorder: Arc<Recorder>,
+}
+
+/// How one connection ended.
+enum Connection {
+    Done(DoneData),
+    Over,
+    Lost,
+}
+
+impl Exchanges {
+    /// Callers of a workspace, one for each node.
+    pub fn new(callers: Vec<Caller>, workspace: WorkspaceId, recorder: Arc<Recorder>) -> Self {
+        Self {
+            callers: callers.into(),
+            workspace,
+            recorder,
+        }
+    }
+
+    /// Asks at a node, and resumes at the following ones as long as needed.
+    pub async fn run(&self, first_node: usize, id: RequestId, body: &GenerationBody) -> Outcome {
+        self.run_observed(first_node, id, body, |_| {}).await
+    }
+
+    /// As [`Exchanges::run`]; `on_token` sees each token as it arrives.
+    pub async fn run_observed(
+        &self,
+        first_node: usize,
+        id: RequestId,
+        body: &GenerationBody,
+        mut on_token: impl FnMut(&ArrivedToken),
+    ) -> Outcome {
+        let mut outcome = Outcome {
+            done: None,
+            connections: 0,
+            timing: Timing::default(),
+        };
+        let mut last_event_id: Option<String> = None;
+        while outcome.connections < CONNECTIONS_LIMIT {
+            let node = (first_node + outcome.connections) % self.callers.len();
+            outcome.connections += 1;
+            let caller = &self.callers[node];
+            outcome.timing.asked_at.get_or_insert_with(Instant::now);
+            let opened = self.open(caller, id, body, last_event_id.as_deref()).await;
+            let followed = self
+                .follow(caller, id, opened, |token| {
+                    last_event_id = Some(token.event_id.clone());
+                    outcome.timing.arrivals.push(token.at);
+                    on_token(token);
+                })
+                .await;
+            match followed {
+                Connection::Done(done) => {
+                    outcome.done = Some(done);
+                    return outcome;
+                }
+                Connection::Over => return outcome,
+                Connection::Lost => tokio::time::sleep(RECONNECT_DELAY).await,
+            }
+        }
+        let address = self.callers[first_node % self.callers.len()].address();
+        self.recorder.record(id, address, HistoryEvent::GivenUp);
+        outcome
+    }
+
+    async fn open(
+        &self,
+        caller: &Caller,
+        id: RequestId,
+        body: &GenerationBody,
+        last_event_id: Option<&str>,
+    ) -> Result<Opened> {
+        let Some(last_event_id) = last_event_id else {
+            let event = HistoryEvent::Asked {
+                workspace: self.workspace.clone(),
+                body: body.clone(),
+            };
+            self.recorder.record(id, caller.address(), event);
+            return caller.generate(id, body).await;
+        };
+        let event = HistoryEvent::Resumed {
+            last_event_id: last_event_id.to_owned(),
+        };
+        self.recorder.record(id, caller.address(), event);
+        caller.resume(id, last_event_id).await
+    }
+
+    /// Records what a connection brings, to its end.
+    async fn follow(
+        &self,
+        caller: &Caller,
+        id: RequestId,
+        opened: Result<Opened>,
+        mut on_token: impl FnMut(&ArrivedToken),
+    ) -> Connection {
+        let record = |event| self.recorder.record(id, caller.address(), event);
+        let events = match opened {
+            Ok(Opened::Events(events)) => events,
+            Ok(Opened::Refused(problem)) => {
+                // Another node may know more of a generation that was under way.
+                let is_over = problem.not_run;
+                record(HistoryEvent::Refused(problem));
+                return if is_over {
+                    Connection::Over
+                } else {
+                    Connection::Lost
+                };
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                record(HistoryEvent::Broken { reason });
+                return Connection::Lost;
+            }
+        };
+        let collected = events
+            .collect(|token| {
+                let (index, token_id) = (token.data.index, token.data.token);
+                let token_event = HistoryEvent::Token {
+                    index,
+                    token: token_id,
+                };
+                record(token_event);
+                on_token(token);
+            })
+            .await;
+        match collected.ending {
+            Ending::Done(done) => {
+                record(HistoryEvent::Done(done.clone()));
+                Connection::Done(done)
+            }
+            Ending::Error(problem) => {
+                record(HistoryEvent::Failed(problem));
+                Connection::Over
+            }
+            Ending::Moved(_) => {
+                record(HistoryEvent::Moved);
+                Connection::Lost
+            }
+            Ending::Broken(reason) => {
+                record(HistoryEvent::Broken { reason });
+                Connection::Lost
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/latency.rs
@@ -0,0 +1,213 @@
+//! Latency that a node adds to an engine's stream, in one run.
+//!
+//! Rounds with a node in the way and rounds straight to the engines take turns,
+//! with the same number of streams and the same client code on the engines'
+//! side, so that a disturbance of the machine falls on both.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use eyre::{Result, ensure};
+use futures::future::join_all;
+use parsleylatch_endpoint::EngineClient;
+use parsleylatch_settings::Tier;
+use parsleylatch_types::{AttemptNumber, EndpointVersion, Priority, RequestId, TokenCount};
+use parsleylatch_wire::{
+    caller::GenerationBody,
+    engine::{StreamEvent, StreamOrder},
+};
+
+use crate::{
+    exchange::{Exchanges, Timing},
+    fleet::{Fleet, FleetEngine},
+    history::Recorder,
+    latencies::Latencies,
+    load::{callers_of, workspace_of},
+    machines,
+    process::processor_time,
+    prompts::Prompts,
+    report::Report,
+};
+
+/// Trace context of direct streams, which nobody follows.
+const TRACEPARENT: &str = "00-00000000000000000000000000000001-0000000000000001-00";
+/// Length of prompts.
+const PROMPT_BYTES: usize = 256;
+/// Tokens for which the processor time is given.
+const TOKENS_PER_COST: f64 = 1_000.0;
+
+/// measures the latency that a node adds, its processor time, and a chart step
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "latency")]
+pub(crate) struct LatencyArgs {
+    /// fleet file; its first node and all engines are used
+    #[argh(option)]
+    pub(crate) fleet: PathBuf,
+    /// streams at the same time
+    #[argh(option, default = "200")]
+    pub(crate) streams: usize,
+    /// tokens of a stream
+    #[argh(option, default = "100")]
+    pub(crate) max_tokens: u32,
+    /// rounds of each kind
+    #[argh(option, default = "3")]
+    pub(crate) rounds: usize,
+}
+
+#[derive(Default)]
+struct Side {
+    first: Latencies,
+    between: Latencies,
+    tokens: u64,
+}
+
+impl Side {
+    fn add(&mut self, timings: &[Timing]) {
+        for timing in timings {
+            if let Some(first) = timing.first_token() {
+                self.first.record(first);
+            }
+            timing.gaps().for_each(|gap| self.between.record(gap));
+            self.tokens += timing.arrivals.len() as u64;
+        }
+    }
+
+    fn report(&self, report: &mut Report, case: &str) {
+        report.add_latencies("first_token", case, &self.first);
+        report.add_latencies("between_tokens", case, &self.between);
+    }
+}
+
+/// Runs the rounds and prints what was measured.
+///
+/// # Errors
+/// The reason for which the run failed.
+pub(crate) async fn run(args: LatencyArgs, report: &mut Report) -> Result<()> {
+    machines::measure_steps(report);
+    let fleet = Fleet::read(&args.fleet)?;
+    let mut prompts = Prompts::new(1, 64, PROMPT_BYTES, 16);
+    let (mut direct, mut through_node) = (Side::default(), Side::default());
+    let pid = fleet.nodes[0].pid;
+    let mut spent = std::collections::BTreeMap::<String, Duration>::new();
+    for _ in 0..args.rounds {
+        let bodies = bodies(&fleet, &args, &mut prompts)?;
+        direct.add(&run_direct(&fleet.engines, &bodies).await?);
+        let before = processor_time(pid)?;
+        through_node.add(&run_through_node(&fleet, &bodies).await?);
+        for (thread, time) in processor_time(pid)? {
+            let earlier = before.get(&thread).copied().unwrap_or_default();
+            *spent.entry(thread).or_default() += time.saturating_sub(earlier);
+        }
+    }
+    direct.report(report, "direct");
+    through_node.report(report, "through a node");
+    report_added(report, &direct, &through_node);
+    for (thread, time) in spent {
+        let cost = time.as_secs_f64() * 1e3 * TOKENS_PER_COST / through_node.tokens.max(1) as f64;
+        report.add("processor_time_per_1000_tokens", &thread, cost, "ms");
+    }
+    Ok(())
+}
+
+fn report_added(report: &mut Report, direct: &Side, through_node: &Side) {
+    for percent in [50.0, 95.0] {
+        let added = |node: &Latencies, direct: &Latencies| {
+            node.percentile_ms(percent) - direct.percentile_ms(percent)
+        };
+        let case = format!("p{percent}");
+        let first = added(&through_node.first, &direct.first);
+        report.add("added_first_token", &case, first, "ms");
+        let between = added(&through_node.between, &direct.between);
+        report.add("added_between_tokens", &case, between, "ms");
+    }
+}
+
+fn bodies(fleet: &Fleet, args: &LatencyArgs, prompts: &mut Prompts) -> Result<Vec<GenerationBody>> {
+    let workspace = workspace_of(fleet, Tier::Paying)?;
+    let bodies = (0..args.streams).map(|_| GenerationBody {
+        model: workspace.model.clone(),
+        prompt: prompts.next_prompt(),
+        max_tokens: TokenCount::new(args.max_tokens),
+        seed: None,
+        adapter: None,
+    });
+    Ok(bodies.collect())
+}
+
+async fn run_through_node(fleet: &Fleet, bodies: &[GenerationBody]) -> Result<Vec<Timing>> {
+    let workspace = workspace_of(fleet, Tier::Paying)?;
+    let callers = callers_of(fleet, workspace);
+    let recorder = Arc::new(Recorder::new());
+    let exchanges = Exchanges::new(callers, workspace.id.clone(), recorder);
+    let tasks = bodies.iter().cloned().map(|body| {
+        let exchanges = exchanges.clone();
+        tokio::spawn(async move { exchanges.run(0, RequestId::generate(), &body).await })
+    });
+    let mut timings = Vec::new();
+    for outcome in join_all(tasks).await {
+        let outcome = outcome?;
+        ensure!(outcome.done.is_some(), "an answer is not whole");
+        timings.push(outcome.timing);
+    }
+    Ok(timings)
+}
+
+async fn run_direct(engines: &[FleetEngine], bodies: &[GenerationBody]) -> Result<Vec<Timing>> {
+    let client = EngineClient::new();
+    let tasks = bodies.iter().enumerate().map(|(position, body)| {
+        let engine = &engines[position % engines.len()];
+        let (client, address) = (client.clone(), engine.address);
+        let order = direct_order(body, &engine.endpoint_version);
+        tokio::spawn(async move { read_direct(&client, address, &order).await })
+    });
+    let mut timings = Vec::new();
+    for timing in join_all(tasks).await {
+        timings.push(timing??);
+    }
+    Ok(timings)
+}
+
+/// Order that a caller without a node would give.
+pub(crate) fn direct_order(body: &GenerationBody, version: &EndpointVersion) -> StreamOrder {
+    StreamOrder {
+        request_id: RequestId::generate(),
+        attempt: AttemptNumber::new(1),
+        endpoint_version: version.clone(),
+        model: body.model.clone(),
+        adapter: body.adapter.clone(),
+        prompt: body.prompt.clone(),
+        prefix: Vec::new(),
+        max_tokens: body.max_tokens,
+        seed: body.seed,
+        priority: Priority::new(10),
+    }
+}
+
+async fn read_direct(
+    client: &EngineClient,
+    address: SocketAddr,
+    order: &StreamOrder,
+) -> Result<Timing> {
+    let mut timing = Timing {
+        asked_at: Some(Instant::now()),
+        arrivals: Vec::new(),
+    };
+    let mut stream = client.open(address, order, TRACEPARENT).await?;
+    while let Some(event) = stream.next().await {
+        match event? {
+            StreamEvent::Token { .. } => timing.arrivals.push(Instant::now()),
+            StreamEvent::Finished { .. } => break,
+            StreamEvent::Opened { .. } => {}
+        }
+    }
+    ensure!(
+        timing.arrivals.len() == order.max_tokens.get() as usize,
+        "a direct answer is not whole"
+    );
+    Ok(timing)
+}
--- /dev/null
+++ b/crates/bench/src/launch.rs
@@ -0,0 +1,96 @@
+//! A fleet of processes that a measurement starts and stops.
+
+use std::{
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use eyre::{Result, WrapErr, bail, ensure};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    fleet::Fleet,
+    process::{Signal, send_signal},
+};
+
+/// Longest wait for a fleet to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between two looks for the fleet file.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetShape {
+    /// Nodes.
+    pub(crate) nodes: usize,
+    /// Engines.
+    pub(crate) engines: usize,
+    /// More options of the script.
+    pub(crate) options: Vec<String>,
+}
+
+/// A running fleet; stopped when dropped.
+pub(crate) struct LaunchedFleet {
+    /// Its processes.
+    pub(crate) fleet: Fleet,
+    script: Child,
+    dir: PathBuf,
+}
+
+impl LaunchedFleet {
+    /// Starts `scripts/local-fleet` with the programs beside this one.
+    ///
+    /// # Errors
+    /// The reason for which the fleet is not ready.
+    pub(crate) async fn start(script: &Path, shape: &FleetShape) -> Result<Self> {
+        let name = format!("parsleylatch-bench-{}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        let program = std::env::current_exe().wrap_err("finding the own program")?;
+        let Some(bin_dir) = program.parent() else {
+            bail!("{} has no directory", program.display());
+        };
+        let mut command = Command::new(script);
+        command
+            .args(["--nodes", &shape.nodes.to_string()])
+            .args(["--engines", &shape.engines.to_string()])
+            .args(["--services", "1"])
+            .arg("--dir")
+            .arg(&dir)
+            .arg("--bin-dir")
+            .arg(bin_dir)
+            .args(&shape.options)
+            .stdout(Stdio::null());
+        let started = command.spawn();
+        let mut script = started.wrap_err_with(|| format!("starting {}", script.display()))?;
+        let file = dir.join("fleet.json");
+        await_file(&file, &mut script).await?;
+        Ok(Self {
+            fleet: Fleet::read(&file)?,
+            script,
+            dir,
+        })
+    }
+}
+
+impl Drop for LaunchedFleet {
+    fn drop(&mut self) {
+        // The script stops its processes and waits for them.
+        if send_signal(self.script.id(), Signal::Term).is_ok() {
+            let _ = self.script.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+async fn await_file(file: &Path, script: &mut Child) -> Result<()> {
+    let deadline = Instant::now() + START_TIMEOUT;
+    while !file.exists() {
+        if let Some(status) = script.try_wait()? {
+            bail!("the fleet did not start: {status}");
+        }
+        ensure!(Instant::now() < deadline, "the fleet was not ready in time");
+        sleep(LOOK_INTERVAL).await;
+    }
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,29 @@
-//! Load, histories, measurements and plots.
+//! Load, histories and measurements: what `parsleylatch-bench` runs.
+//!
+//! Callers record what they see; [`check`] judges a recorded history; the other
+//! commands measure latency, resumption after losses, and cost against size.
 
+mod args;
 pub mod caller;
+pub mod check;
+pub mod control;
+mod direct;
+pub mod exchange;
+mod failover;
 pub mod fleet;
+pub mod history;
+mod latencies;
+mod latency;
+mod launch;
+mod load;
+mod machines;
+mod plot;
+pub mod process;
+mod prompts;
+mod replay;
+pub mod report;
+mod slopes;
+mod timing;
+
+pub use args::{Args, run};
+pub use latencies::Latencies;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,311 @@
+//! Many callers against a fleet, with every answer checked.
+
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+use argh::FromArgs;
+use eyre::{Result, bail, ensure, eyre};
+use futures::future::join_all;
+use parsleylatch_settings::Tier;
+use parsleylatch_types::{RequestId, RequestsPerSecond, TokenCount};
+use parsleylatch_wire::caller::GenerationBody;
+use tokio::time::Instant;
+
+use crate::{
+    caller::Caller,
+    check::{self, BackEndCounts, Verdict},
+    control::Control,
+    exchange::{Exchanges, Outcome},
+    fleet::{Fleet, FleetWorkspace},
+    history::{self, HistoryEntry, Recorder},
+    latencies::Latencies,
+    prompts::Prompts,
+    report::Report,
+};
+
+/// Length of a prompt's shared head.
+const HEAD_BYTES: usize = 512;
+/// Length of a prompt's own tail.
+const TAIL_BYTES: usize = 128;
+
+/// sends generations to a fleet, checks every answer and prints latencies
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub(crate) struct LoadArgs {
+    /// fleet file
+    #[argh(option)]
+    pub(crate) fleet: PathBuf,
+    /// paying callers that ask one after another
+    #[argh(option, default = "20")]
+    pub(crate) paying: usize,
+    /// free callers that ask one after another
+    #[argh(option, default = "0")]
+    pub(crate) free: usize,
+    /// paying requests a second, however slowly they are answered
+    #[argh(option, default = "RequestsPerSecond::ZERO", from_str_fn(parse_rate))]
+    pub(crate) paying_rate: RequestsPerSecond,
+    /// free requests a second, however slowly they are answered
+    #[argh(option, default = "RequestsPerSecond::ZERO", from_str_fn(parse_rate))]
+    pub(crate) free_rate: RequestsPerSecond,
+    /// seconds for which requests are sent
+    #[argh(option, default = "10")]
+    pub(crate) duration_s: u64,
+    /// length of an answer
+    #[argh(option, default = "60")]
+    pub(crate) max_tokens: u32,
+    /// prompt heads that requests share
+    #[argh(option, default = "16")]
+    pub(crate) heads: usize,
+    /// seed of the prompts
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// file for the history
+    #[argh(option)]
+    pub(crate) history: Option<PathBuf>,
+}
+
+fn parse_rate(text: &str) -> Result<RequestsPerSecond, String> {
+    text.parse::<u64>()
+        .map(RequestsPerSecond::new)
+        .map_err(|error| error.to_string())
+}
+
+/// How requests of one tier come.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// Each caller asks again when it is answered.
+    Callers(usize),
+    /// Requests come at a rate.
+    Rate(RequestsPerSecond),
+}
+
+/// Requests of one tier.
+struct Flow {
+    name: &'static str,
+    exchanges: Exchanges,
+    prompts: Prompts,
+    template: GenerationBody,
+    demand: Demand,
+    until: Instant,
+}
+
+impl Flow {
+    fn next_body(&mut self) -> GenerationBody {
+        GenerationBody {
+            prompt: self.prompts.next_prompt(),
+            ..self.template.clone()
+        }
+    }
+
+    async fn run(self) -> (&'static str, Vec<Outcome>) {
+        let name = self.name;
+        let outcomes = match self.demand {
+            Demand::Callers(callers) => self.run_callers(callers).await,
+            Demand::Rate(rate) => self.run_rate(rate).await,
+        };
+        (name, outcomes)
+    }
+
+    async fn run_callers(self, callers: usize) -> Vec<Outcome> {
+        let Self {
+            exchanges,
+            prompts,
+            template,
+            until,
+            ..
+        } = self;
+        let prompts = std::sync::Mutex::new(prompts);
+        let one = async |caller: usize| {
+            let mut outcomes = Vec::new();
+            while Instant::now() < until {
+                let prompt = prompts.lock().expect("no caller panics").next_prompt();
+                let body = GenerationBody {
+                    prompt,
+                    ..template.clone()
+                };
+                let id = RequestId::generate();
+                outcomes.push(exchanges.run(caller, id, &body).await);
+            }
+            outcomes
+        };
+        let all = join_all((0..callers).map(one)).await;
+        all.into_iter().flatten().collect()
+    }
+
+    async fn run_rate(mut self, rate: RequestsPerSecond) -> Vec<Outcome> {
+        let interval = Duration::from_secs_f64(1.0 / rate.get().max(1) as f64);
+        let mut tasks = Vec::new();
+        let mut due = Instant::now();
+        while due < self.until {
+            tokio::time::sleep_until(due).await;
+            let body = self.next_body();
+            let exchanges = self.exchanges.clone();
+            let node = tasks.len();
+            tasks.push(tokio::spawn(async move {
+                exchanges.run(node, RequestId::generate(), &body).await
+            }));
+            due += interval;
+        }
+        let outcomes = join_all(tasks).await;
+        outcomes.into_iter().filter_map(Result::ok).collect()
+    }
+}
+
+/// Runs the load and prints what was measured.
+///
+/// # Errors
+/// The first broken promise, or the reason for which the run failed.
+pub(crate) async fn run(args: LoadArgs, report: &mut Report) -> Result<()> {
+    let fleet = Fleet::read(&args.fleet)?;
+    let control = Control::new(&fleet.admin_key);
+    let opened_before = streams_opened(&fleet, &control).await;
+    let recorder = Arc::new(Recorder::new());
+    let until = Instant::now() + Duration::from_secs(args.duration_s);
+    let demands = [
+        (Tier::Paying, args.paying, args.paying_rate),
+        (Tier::Free, args.free, args.free_rate),
+    ];
+    let mut flows = Vec::new();
+    for (tier, callers, rate) in demands {
+        let demand = match rate {
+            RequestsPerSecond::ZERO if callers == 0 => continue,
+            RequestsPerSecond::ZERO => Demand::Callers(callers),
+            rate => Demand::Rate(rate),
+        };
+        let flow = flow_of(&fleet, tier, demand, &args, (&recorder, until))?;
+        flows.push(flow);
+    }
+    for (name, outcomes) in join_all(flows.into_iter().map(Flow::run)).await {
+        report_flow(report, name, &outcomes);
+    }
+    let opened_after = streams_opened(&fleet, &control).await;
+    let counts = BackEndCounts {
+        versions: versions_of(&fleet),
+        streams_opened: opened_after
+            .zip(opened_before)
+            .map(|(after, before)| after - before),
+        runs: Default::default(),
+    };
+    conclude(
+        &recorder.entries(),
+        &counts,
+        args.history.as_deref(),
+        report,
+    )
+}
+
+fn flow_of(
+    fleet: &Fleet,
+    tier: Tier,
+    demand: Demand,
+    args: &LoadArgs,
+    (recorder, until): (&Arc<Recorder>, Instant),
+) -> Result<Flow> {
+    let workspace = workspace_of(fleet, tier)?;
+    Ok(Flow {
+        name: match tier {
+            Tier::Paying => "paying",
+            Tier::Free => "free",
+        },
+        exchanges: Exchanges::new(
+            callers_of(fleet, workspace),
+            workspace.id.clone(),
+            Arc::clone(recorder),
+        ),
+        prompts: Prompts::new(args.seed + tier as u64, args.heads, HEAD_BYTES, TAIL_BYTES),
+        template: GenerationBody {
+            model: workspace.model.clone(),
+            prompt: String::new(),
+            max_tokens: TokenCount::new(args.max_tokens),
+            seed: None,
+            adapter: None,
+        },
+        demand,
+        until,
+    })
+}
+
+/// First workspace of a tier.
+pub(crate) fn workspace_of(fleet: &Fleet, tier: Tier) -> Result<&FleetWorkspace> {
+    let found = fleet.workspaces.iter().find(|known| known.tier == tier);
+    found.ok_or_else(|| eyre!("the fleet has no {tier} workspace"))
+}
+
+/// Callers of a workspace at every node.
+pub(crate) fn callers_of(fleet: &Fleet, workspace: &FleetWorkspace) -> Vec<Caller> {
+    let callers = fleet
+        .nodes
+        .iter()
+        .map(|node| Caller::new(node.caller, &workspace.key));
+    callers.collect()
+}
+
+pub(crate) fn versions_of(fleet: &Fleet) -> Vec<parsleylatch_types::EndpointVersion> {
+    let mut versions: Vec<_> = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.endpoint_version.clone())
+        .collect();
+    versions.sort();
+    versions.dedup();
+    versions
+}
+
+async fn streams_opened(fleet: &Fleet, control: &Control) -> Option<u64> {
+    let mut opened = 0;
+    for engine in &fleet.engines {
+        opened += control.engine(engine.control).await.ok()?.streams_opened;
+    }
+    Some(opened)
+}
+
+fn report_flow(report: &mut Report, name: &str, outcomes: &[Outcome]) {
+    let (mut first, mut between) = (Latencies::new(), Latencies::new());
+    for outcome in outcomes {
+        if let Some(latency) = outcome.timing.first_token() {
+            first.record(latency);
+        }
+        outcome.timing.gaps().for_each(|gap| between.record(gap));
+    }
+    report.add_latencies("first_token", name, &first);
+    report.add_latencies("between_tokens", name, &between);
+}
+
+/// Checks a history, writes it where wanted, and fails on a broken promise.
+fn conclude(
+    entries: &[HistoryEntry],
+    counts: &BackEndCounts,
+    file: Option<&std::path::Path>,
+    report: &mut Report,
+) -> Result<()> {
+    if let Some(file) = file {
+        history::write(file, entries)?;
+    }
+    let verdict = check::check(entries, counts);
+    report_verdict(report, &verdict);
+    ensure!(verdict.requests > 0, "no request was sent");
+    if let Some(first) = verdict.violations.first() {
+        for violation in &verdict.violations {
+            eprintln!("violation: {violation}");
+        }
+        bail!(
+            "{} violations, the first: {first}",
+            verdict.violations.len()
+        );
+    }
+    Ok(())
+}
+
+pub(crate) fn report_verdict(report: &mut Report, verdict: &Verdict) {
+    let counts = [
+        ("requests", verdict.requests),
+        ("done", verdict.done),
+        ("refused_not_run", verdict.refused),
+        ("resumed", verdict.resumed),
+        ("tokens", verdict.tokens),
+        ("attempts", verdict.attempts),
+        ("violations", verdict.violations.len() as u64),
+    ];
+    for (name, count) in counts {
+        report.add(name, "history", count as f64, "");
+    }
+}
--- /dev/null
+++ b/crates/bench/src/replay.rs
@@ -0,0 +1,46 @@
+//! Checks a history that was recorded earlier.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eyre::{Result, bail};
+use parsleylatch_types::EndpointVersion;
+
+use crate::{
+    check::{self, BackEndCounts},
+    history, load,
+    report::Report,
+};
+
+/// checks a recorded history
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct CheckArgs {
+    /// history file
+    #[argh(positional)]
+    pub(crate) history: PathBuf,
+    /// version that engines ran; may be given several times
+    #[argh(option)]
+    pub(crate) version: Vec<EndpointVersion>,
+}
+
+/// Checks the history and prints what it holds.
+///
+/// # Errors
+/// The first broken promise, or the file and the reason.
+pub(crate) fn run(args: &CheckArgs, report: &mut Report) -> Result<()> {
+    let entries = history::read(&args.history)?;
+    let counts = BackEndCounts {
+        versions: args.version.clone(),
+        ..BackEndCounts::default()
+    };
+    let verdict = check::check(&entries, &counts);
+    load::report_verdict(report, &verdict);
+    match verdict.violations.first() {
+        Some(first) => bail!(
+            "{} violations, the first: {first}",
+            verdict.violations.len()
+        ),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,193 @@
+//! Measured figures: JSON lines for programs, a table for people, slopes of both.
+
+use std::io::Write;
+
+use eyre::Result;
+use serde::Serialize;
+
+use crate::latencies::Latencies;
+
+/// One measured figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figure {
+    /// What was measured.
+    pub measure: String,
+    /// Under which conditions.
+    pub case: String,
+    /// Size at which it was measured, for a slope; 0 where there is none.
+    pub size: u64,
+    /// The figure.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+}
+
+/// Line through the figures of one measure, by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slope {
+    /// Value at size 0.
+    pub base: f64,
+    /// Growth for one more unit of size.
+    pub per_unit: f64,
+    /// Growth over the last interval divided by that over the first.
+    pub bend: f64,
+}
+
+/// Figures in the order in which they were measured.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    figures: Vec<Figure>,
+}
+
+impl Report {
+    /// Report without figures.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a figure that has no size.
+    pub fn add(&mut self, measure: &str, case: &str, value: f64, unit: &'static str) {
+        self.add_sized(measure, case, 0, value, unit);
+    }
+
+    /// Adds a figure that belongs to a slope.
+    pub fn add_sized(
+        &mut self,
+        measure: &str,
+        case: &str,
+        size: u64,
+        value: f64,
+        unit: &'static str,
+    ) {
+        self.figures.push(Figure {
+            measure: measure.to_owned(),
+            case: case.to_owned(),
+            size,
+            value,
+            unit,
+        });
+    }
+
+    /// Adds the percentiles of recorded latencies, in milliseconds.
+    pub fn add_latencies(&mut self, measure: &str, case: &str, latencies: &Latencies) {
+        let named = [("p50", 50.0), ("p95", 95.0), ("p99", 99.0), ("max", 100.0)];
+        for (name, percent) in named {
+            let value = latencies.percentile_ms(percent);
+            self.add(&format!("{measure}_{name}"), case, value, "ms");
+        }
+        self.add(
+            &format!("{measure}_count"),
+            case,
+            latencies.count() as f64,
+            "",
+        );
+    }
+
+    /// Figures so far.
+    pub fn figures(&self) -> &[Figure] {
+        &self.figures
+    }
+
+    /// Slopes of the measures that have at least two sizes.
+    pub fn slopes(&self) -> Vec<(String, Slope)> {
+        let mut names: Vec<&str> = Vec::new();
+        for figure in self.figures.iter().filter(|figure| figure.size > 0) {
+            if !names.contains(&figure.measure.as_str()) {
+                names.push(&figure.measure);
+            }
+        }
+        let slopes = names.into_iter().filter_map(|name| {
+            let points = self.points_of(name);
+            slope_of(&points).map(|slope| (name.to_owned(), slope))
+        });
+        slopes.collect()
+    }
+
+    /// Sizes and values of one measure.
+    pub fn points_of(&self, measure: &str) -> Vec<(f64, f64)> {
+        let of_measure = self
+            .figures
+            .iter()
+            .filter(|figure| figure.measure == measure && figure.size > 0);
+        of_measure
+            .map(|figure| (figure.size as f64, figure.value))
+            .collect()
+    }
+
+    /// Adds the slopes as figures of their own.
+    pub fn add_slopes(&mut self) {
+        for (name, slope) in self.slopes() {
+            let unit = self
+                .figures
+                .iter()
+                .find(|figure| figure.measure == name)
+                .map_or("", |figure| figure.unit);
+            self.add(&name, "slope: at size 0", slope.base, unit);
+            self.add(&name, "slope: per unit of size", slope.per_unit, unit);
+            self.add(&name, "slope: last over first interval", slope.bend, "");
+        }
+    }
+
+    /// Writes one JSON object a line.
+    ///
+    /// # Errors
+    /// The system's reason.
+    pub fn write_json_lines(&self, out: &mut impl Write) -> Result<()> {
+        for figure in &self.figures {
+            serde_json::to_writer(&mut *out, figure)?;
+            out.write_all(b"\n")?;
+        }
+        Ok(())
+    }
+
+    /// Writes a table.
+    ///
+    /// # Errors
+    /// The system's reason.
+    pub fn write_table(&self, out: &mut impl Write) -> Result<()> {
+        let width = |text_of: fn(&Figure) -> usize| self.figures.iter().map(text_of).max();
+        let measure_width = width(|figure| figure.measure.len()).unwrap_or_default();
+        let case_width = width(|figure| figure.case.len()).unwrap_or_default();
+        for figure in &self.figures {
+            let Figure {
+                measure,
+                case,
+                size,
+                value,
+                unit,
+            } = figure;
+            writeln!(
+                out,
+                "{measure:<measure_width$}  {case:<case_width$}  {size:>6}  {value:>14.3} {unit}"
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// Line through points by least squares; `None` for fewer than two sizes.
+pub fn slope_of(points: &[(f64, f64)]) -> Option<Slope> {
+    let count = points.len() as f64;
+    let (first, last) = (points.first()?, points.last()?);
+    let mean_size = points.iter().map(|(size, _)| size).sum::<f64>() / count;
+    let mean_value = points.iter().map(|(_, value)| value).sum::<f64>() / count;
+    let spread: f64 = points
+        .iter()
+        .map(|(size, _)| (size - mean_size).powi(2))
+        .sum();
+    if points.len() < 2 || first.0 == last.0 {
+        return None;
+    }
+    let common: f64 = points
+        .iter()
+        .map(|(size, value)| (size - mean_size) * (value - mean_value))
+        .sum();
+    let per_unit = common / spread;
+    let growth = |pair: &[(f64, f64)]| (pair[1].1 - pair[0].1) / (pair[1].0 - pair[0].0);
+    let bend = growth(&points[points.len() - 2..]) / growth(&points[..2]);
+    Some(Slope {
+        base: mean_value - per_unit * mean_size,
+        per_unit,
+        bend,
+    })
+}
