Tests of the history checker and the slopes

Each broken promise is shown to be found by the checker and whole, resumed and truly refused requests are shown to pass.

--- /dev/null
+++ b/crates/bench/tests/check.rs
@@ -0,0 +1,182 @@
+//! The checker finds each broken promise in a history, and no other.
+
+use std::collections::BTreeMap;
+
+use parsleylatch_bench::{
+    check::{BackEndCounts, Verdict, Violation, check},
+    history::{self, HistoryEntry, HistoryEvent},
+};
+use parsleylatch_standin::answer;
+use parsleylatch_types::{
+    AttemptNumber, EndpointVersion, Micros, RequestId, TokenCount, TokenIndex,
+};
+use parsleylatch_wire::caller::{DoneData, GenerationBody, Problem};
+use test_case::test_case;
+
+const LENGTH: u32 = 6;
+
+fn version(name: &str) -> EndpointVersion {
+    name.parse().unwrap()
+}
+
+fn body() -> GenerationBody {
+    GenerationBody {
+        model: "drafts".parse().unwrap(),
+        prompt: "a prompt".to_owned(),
+        max_tokens: TokenCount::new(LENGTH),
+        seed: None,
+        adapter: None,
+    }
+}
+
+fn asked() -> HistoryEvent {
+    HistoryEvent::Asked {
+        workspace: "local-paying".parse().unwrap(),
+        body: body(),
+    }
+}
+
+fn token(index: u32, name: &str) -> HistoryEvent {
+    let index = TokenIndex::new(index);
+    HistoryEvent::Token {
+        index,
+        token: answer::token_at(&body().prompt, &version(name), index),
+    }
+}
+
+fn done(attempts: u32) -> HistoryEvent {
+    HistoryEvent::Done(DoneData {
+        tokens: TokenCount::new(LENGTH),
+        endpoint_version: version("v1"),
+        attempts: AttemptNumber::new(attempts),
+    })
+}
+
+fn refused(not_run: bool) -> HistoryEvent {
+    HistoryEvent::Refused(Problem {
+        kind: "about:blank".to_owned(),
+        title: "overloaded".to_owned(),
+        status: 503,
+        detail: String::new(),
+        not_run,
+    })
+}
+
+fn resumed() -> HistoryEvent {
+    HistoryEvent::Resumed {
+        last_event_id: "2.node-1".to_owned(),
+    }
+}
+
+fn broken() -> HistoryEvent {
+    HistoryEvent::Broken {
+        reason: "reset".to_owned(),
+    }
+}
+
+fn tokens(indices: impl IntoIterator<Item = u32>) -> Vec<HistoryEvent> {
+    let tokens = indices.into_iter().map(|index| token(index, "v1"));
+    tokens.collect()
+}
+
+fn entries(events: Vec<HistoryEvent>) -> Vec<HistoryEntry> {
+    let request_id = RequestId::generate();
+    let entries = events.into_iter().enumerate().map(|(at, event)| {
+        let node = ([127, 0, 0, 1], 1).into();
+        HistoryEntry {
+            at_us: Micros::new(at as u64),
+            request_id,
+            node,
+            event,
+        }
+    });
+    entries.collect()
+}
+
+fn verdict_of(events: Vec<HistoryEvent>) -> Verdict {
+    let counts = BackEndCounts {
+        versions: vec![version("v1"), version("v2")],
+        ..BackEndCounts::default()
+    };
+    check(&entries(events), &counts)
+}
+
+fn answered(before: Vec<HistoryEvent>, after: Vec<HistoryEvent>) -> Vec<HistoryEvent> {
+    [vec![asked()], before, after, vec![done(1)]].concat()
+}
+
+#[test]
+fn check_whole_answer() {
+    let verdict = verdict_of(answered(tokens(0..LENGTH), Vec::new()));
+    assert_eq!(verdict.violations, []);
+    assert_eq!((verdict.requests, verdict.done), (1, 1));
+}
+
+#[test]
+fn check_resumed_answer() {
+    let first = [tokens(0..3), vec![broken(), resumed()]].concat();
+    let verdict = verdict_of(answered(first, tokens(3..LENGTH)));
+    assert_eq!(verdict.violations, []);
+    assert_eq!(verdict.resumed, 1);
+}
+
+#[test]
+fn check_true_refusal() {
+    let verdict = verdict_of(vec![asked(), refused(true)]);
+    assert_eq!(verdict.violations, []);
+    assert_eq!(verdict.refused, 1);
+}
+
+#[test_case(answered(tokens([0, 1, 3, 4, 5]), Vec::new()), "token 3 arrived where 2" ; "missing")]
+#[test_case(answered(tokens(0..3), tokens(2..LENGTH)), "again" ; "repeated")]
+#[test_case(answered(tokens(0..5), Vec::new()), "done after 5" ; "short")]
+#[test_case(answered(tokens(0..5), vec![token(5, "v2")]), "belongs to no answer" ; "mixed")]
+#[test_case([answered(tokens(0..LENGTH), Vec::new()), tokens(5..6)].concat(), "after the end" ; "after end")]
+#[test_case(vec![asked(), broken()], "no whole answer" ; "unanswered")]
+#[test_case(vec![asked(), refused(false)], "no whole answer" ; "unclear refusal")]
+#[test_case([vec![asked()], tokens(0..2), vec![refused(true)]].concat(), "refused as not run" ; "refused after tokens")]
+#[test_case([vec![asked()], tokens(0..2), vec![token(2, "v2"), broken()]].concat(), "belongs to no answer" ; "mixed without end")]
+fn check_broken_promise(events: Vec<HistoryEvent>, expected: &str) {
+    let verdict = verdict_of(events);
+    let found: Vec<String> = verdict.violations.iter().map(ToString::to_string).collect();
+    assert!(
+        found.iter().any(|violation| violation.contains(expected)),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn check_refused_call_ran() {
+    let entries = entries(vec![asked(), refused(true)]);
+    let request = entries[0].request_id;
+    let counts = BackEndCounts {
+        runs: BTreeMap::from([(request, 1)]),
+        ..BackEndCounts::default()
+    };
+    let violations = check(&entries, &counts).violations;
+    assert_eq!(violations, [Violation::RanAfterAll { request, runs: 1 }]);
+}
+
+#[test_case(1, 0 ; "as many")]
+#[test_case(2, 1 ; "one too many")]
+fn check_streams_opened(opened: u64, violations: usize) {
+    let counts = BackEndCounts {
+        streams_opened: Some(opened),
+        ..BackEndCounts::default()
+    };
+    let events = answered(tokens(0..LENGTH), Vec::new());
+    let verdict = check(&entries(events), &counts);
+    assert_eq!(verdict.violations.len(), violations);
+}
+
+#[test]
+fn read_written_history() {
+    let events = [vec![asked(), refused(true), resumed()], tokens(0..2)].concat();
+    let written = entries([events, vec![done(2), HistoryEvent::GivenUp]].concat());
+    let name = format!("parsleylatch-history-{}.jsonl", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    history::write(&path, &written).unwrap();
+    let read = history::read(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(read, written);
+}
--- /dev/null
+++ b/crates/bench/tests/report.rs
@@ -0,0 +1,51 @@
+//! Slopes are fitted to the figures of one measure.
+
+use parsleylatch_bench::report::{Report, slope_of};
+use test_case::test_case;
+
+#[test_case(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)], 3.0, 2.0, 1.0 ; "line")]
+#[test_case(&[(0.0, 4.0), (10.0, 4.0)], 4.0, 0.0, f64::NAN ; "flat")]
+fn slope_of_points(points: &[(f64, f64)], base: f64, per_unit: f64, bend: f64) {
+    let slope = slope_of(points).unwrap();
+    assert!((slope.base - base).abs() < 1e-9, "{slope:?}");
+    assert!((slope.per_unit - per_unit).abs() < 1e-9, "{slope:?}");
+    let same_bend = (slope.bend - bend).abs() < 1e-9 || slope.bend.is_nan() && bend.is_nan();
+    assert!(same_bend, "{slope:?}");
+}
+
+#[test]
+fn slope_of_bent_points() {
+    let slope = slope_of(&[(1.0, 1.0), (2.0, 4.0), (3.0, 9.0)]).unwrap();
+    assert!((slope.bend - 5.0 / 3.0).abs() < 1e-9, "{slope:?}");
+}
+
+#[test_case(&[] ; "none")]
+#[test_case(&[(1.0, 2.0)] ; "one")]
+#[test_case(&[(1.0, 2.0), (1.0, 3.0)] ; "one size")]
+fn slope_of_too_few(points: &[(f64, f64)]) {
+    assert_eq!(slope_of(points), None);
+}
+
+#[test]
+fn report_slopes_of_sized_figures() {
+    let mut report = Report::new();
+    report.add("plain", "alone", 1.0, "ms");
+    for size in [3, 6, 9] {
+        report.add_sized("sized", "by nodes", size, size as f64 * 2.0, "ms");
+    }
+    let slopes = report.slopes();
+    assert_eq!(slopes.len(), 1);
+    assert_eq!(slopes[0].0, "sized");
+    assert!((slopes[0].1.per_unit - 2.0).abs() < 1e-9);
+}
+
+#[test]
+fn report_json_lines() {
+    let mut report = Report::new();
+    report.add("resume_p50", "kill", 61.5, "ms");
+    let mut out = Vec::new();
+    report.write_json_lines(&mut out).unwrap();
+    let line: serde_json::Value = serde_json::from_slice(&out).unwrap();
+    assert_eq!(line["measure"], "resume_p50");
+    assert_eq!(line["value"], 61.5);
+}
