--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use parsleylatch_types::{Micros, Millis, MonoTime, UnixMillis};
+use parsleylatch_types::{Micros, MonoTime, UnixMillis};
 
 /// Clock of one process; copies agree.
 #[derive(Clone, Copy, Debug)]
@@ -23,18 +23,19 @@
         MonoTime::ZERO + Micros::from(self.started_at.elapsed())
     }
 
-    /// Wall-clock time.
-    pub(crate) fn unix_now(&self) -> UnixMillis {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let since_epoch = since_epoch.map_or(Millis::ZERO, |it| Micros::from(it).millis());
-        UnixMillis::new(since_epoch.get())
-    }
-
     /// Instant of a monotonic time, for timers.
     pub(crate) fn instant(&self, time: MonoTime) -> tokio::time::Instant {
         (self.started_at + time.since(MonoTime::ZERO).duration()).into()
     }
 
+    /// Wall-clock time.
+    pub(crate) fn unix_now() -> UnixMillis {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        UnixMillis::new(since_epoch.as_millis() as u64)
+    }
+
     /// Sleeps until a deadline; for ever without one.
     pub(crate) async fn sleep_until(&self, deadline: Option<MonoTime>) {
         match deadline {
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -16,7 +16,7 @@
     events,
     move_records::{self, MoveRecord},
 };
-use crate::shared::Shared;
+use crate::{clock::Clock, shared::Shared};
 
 pub(crate) struct MoveControl {
     shared: Arc<Shared>,
@@ -28,7 +28,7 @@
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         let observer = Observer {
             node: shared.settings.node_id.clone(),
-            incarnation: Incarnation::new(shared.clock.unix_now().get()),
+            incarnation: Incarnation::new(Clock::unix_now().get()),
         };
         Self {
             shared,
@@ -61,7 +61,7 @@
 
     /// Takes over what the store has on moves.
     pub(crate) fn take_records(&mut self, reply: &ListReply) {
-        let unix_now = self.shared.clock.unix_now();
+        let unix_now = Clock::unix_now();
         for (move_id, record) in reply.entries.iter().filter_map(move_records::read_entry) {
             self.handle(MoveInput::OpenedBefore {
                 move_id: move_id.clone(),
@@ -151,7 +151,7 @@
         let Some(plan) = self.plans.get(&move_id) else {
             return;
         };
-        let open = MoveRecord::open(plan, self.shared.clock.unix_now());
+        let open = MoveRecord::open(plan, Clock::unix_now());
         let record = MoveRecord { end, ..open };
         let shared = Arc::clone(&self.shared);
         tokio::spawn(move_records::write(shared, move_id, record));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -101,6 +101,9 @@
             ControlInput::Vms(reply) => self.take_vms(reply),
             ControlInput::Load(endpoint, report) => self.take_load(endpoint, report),
             ControlInput::Attempt(report) => self.take_attempt(&report),
+            ControlInput::Gossip(received) => {
+                log::debug!("gossip from {}", received.from.node_id);
+            }
             ControlInput::Idle => {}
             ControlInput::StopRequested => self.step_life(NodeEvent::StopRequested),
         }
@@ -233,7 +236,7 @@
             moves: self.moves.views(),
             accepting: self.accepting,
         };
-        self.shared.snapshot.store(Arc::new(snapshot));
+        self.shared.publish(snapshot);
     }
 
     fn endpoint_view(&self, vm: &VmEntry) -> Option<EndpointView> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,7 +7,9 @@
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
+use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
+use parsleylatch_types::Incarnation;
 use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
@@ -16,6 +18,7 @@
         ControlInput,
         events::{AdminEvent, EVENTS_BUFFER},
     },
+    peering,
     telemetry::{Counter, Counters},
 };
 
@@ -31,8 +34,11 @@
 /// State that every thread of a node can reach.
 pub(crate) struct Shared {
     pub(crate) settings: NodeSettings,
+    pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// Told of every new snapshot.
+    pub(crate) snapshot_changed: watch::Sender<()>,
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
@@ -45,10 +51,14 @@
 
 impl Shared {
     pub(crate) fn new(settings: NodeSettings, control: mpsc::Sender<ControlInput>) -> Self {
+        let incarnation = Incarnation::new(Clock::unix_now().get());
+        let identity = peering::identity_of(&settings, incarnation);
         Self {
+            identity,
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            snapshot_changed: watch::Sender::new(()),
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
@@ -58,6 +68,12 @@
         }
     }
 
+    /// Publishes a snapshot.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Arc::new(snapshot));
+        self.snapshot_changed.send_replace(());
+    }
+
     /// Sends a report to the control thread; drops and counts it if that is busy.
     pub(crate) fn report(&self, report: AttemptReport) {
         if self
