Orders to engines: lease holder with fencing, declarative deployments

Cause: nothing decided which node may give orders to engines.

Change: the chart lease_holder and decisions without input or output. A lease counts from the moment it was asked for; may_send is asked right before each order and answers from lease plus longest order after the claim until well before the lapse. The deployment table reads engines back and orders until they have what is wanted. Not wired to the store and engines yet.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, limits, moves, node_life};
+use crate::{generation, lease_holder, limits, moves, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -28,11 +28,19 @@
 pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 
 /// Every embedded chart, by name.
-pub const ALL: &[ChartSource] = &[ADMISSION, ATTEMPT, GENERATION, NODE_LIFE, VERSION_MOVE];
+pub const ALL: &[ChartSource] = &[
+    ADMISSION,
+    ATTEMPT,
+    GENERATION,
+    LEASE_HOLDER,
+    NODE_LIFE,
+    VERSION_MOVE,
+];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -64,6 +72,7 @@
 pub fn verify() -> Result<(), ChartError> {
     generation::verify_charts()?;
     limits::verify_chart()?;
+    lease_holder::verify_chart()?;
     moves::verify_chart()?;
     node_life::verify_chart()
 }
--- /dev/null
+++ b/crates/decide/src/deployment.rs
@@ -0,0 +1,118 @@
+//! What engines should have loaded, and which orders bring that about.
+//!
+//! Orders are declarative: each names the whole of what is wanted. The table
+//! reads back what an engine has and orders again until that is what is wanted,
+//! and goes on reading, so that an order which arrives late and out of turn at an
+//! engine that ignores fencing numbers is undone by the next round.
+
+use std::collections::BTreeMap;
+
+use parsleylatch_types::{EndpointId, FencingNumber, Millis, MonoTime};
+
+use crate::lease_holder::ORDER_TIMEOUT_MS;
+
+/// Time between two reads of an engine that has what is wanted.
+const READ_INTERVAL_MS: Millis = Millis::new(5_000);
+
+/// What an engine should have or has loaded, in order.
+pub type Deployment = Vec<String>;
+
+/// What has to be done for an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeploymentEffect {
+    /// Read what the engine has.
+    Read(EndpointId),
+    /// Order what the engine should have; asks for the fencing number again right
+    /// before the order leaves.
+    Order {
+        /// Engine.
+        endpoint: EndpointId,
+        /// Fencing number of the holder.
+        fencing: FencingNumber,
+        /// All that the engine should have.
+        wanted: Deployment,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    wanted: Deployment,
+    next_read_at: MonoTime,
+}
+
+/// Engines and what they should have.
+#[derive(Clone, Debug, Default)]
+pub struct DeploymentTable {
+    engines: BTreeMap<EndpointId, Engine>,
+}
+
+impl DeploymentTable {
+    /// Table without engines.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over what the engines should have; others are forgotten.
+    pub fn want(&mut self, now: MonoTime, wanted: BTreeMap<EndpointId, Deployment>) {
+        self.engines.retain(|id, _| wanted.contains_key(id));
+        for (id, wanted) in wanted {
+            let engine = self.engines.entry(id).or_insert_with(|| Engine {
+                wanted: Deployment::new(),
+                next_read_at: now,
+            });
+            if engine.wanted != wanted {
+                engine.wanted = wanted;
+                engine.next_read_at = now;
+            }
+        }
+    }
+
+    /// Time at which [`DeploymentTable::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.engines
+            .values()
+            .map(|engine| engine.next_read_at)
+            .min()
+    }
+
+    /// Reads the engines that are due, if this node may give orders.
+    pub fn expire(
+        &mut self,
+        now: MonoTime,
+        fencing: Option<FencingNumber>,
+    ) -> Vec<DeploymentEffect> {
+        let mut effects = Vec::new();
+        for (id, engine) in &mut self.engines {
+            if engine.next_read_at > now {
+                continue;
+            }
+            engine.next_read_at = now + READ_INTERVAL_MS;
+            if fencing.is_some() {
+                effects.push(DeploymentEffect::Read(id.clone()));
+            }
+        }
+        effects
+    }
+
+    /// Orders what is wanted, if the engine has something else.
+    pub fn take_read(
+        &mut self,
+        now: MonoTime,
+        fencing: Option<FencingNumber>,
+        endpoint: &EndpointId,
+        has: &[String],
+    ) -> Option<DeploymentEffect> {
+        let engine = self.engines.get_mut(endpoint)?;
+        let fencing = fencing?;
+        if engine.wanted == has {
+            return None;
+        }
+        // Read back once the order can no longer be on its way.
+        engine.next_read_at = now + ORDER_TIMEOUT_MS;
+        Some(DeploymentEffect::Order {
+            endpoint: endpoint.clone(),
+            fencing,
+            wanted: engine.wanted.clone(),
+        })
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod admission;
 pub mod charts;
 pub mod configuration;
+pub mod deployment;
 pub mod generation;
+pub mod lease_holder;
 pub mod limits;
 pub mod moves;
 pub mod node_life;
--- a/crates/decide/tests/moves/table.rs
+++ b/crates/decide/tests/moves/table.rs
@@ -1,13 +1,13 @@
 //! The table of moves, input by input.
 
 use parsleylatch_decide::moves::{
-    MoveEffect, MoveEnd, MoveInput, MoveOutcome, MoveReason, MoveState, MoveTable, Trial,
-    WHOLE_SHARE,
+    MoveEffect, MoveEnd, MoveEvidence, MoveInput, MoveOutcome, MoveReason, MoveState, MoveTable,
+    Trial, Veto, WHOLE_SHARE,
 };
 use parsleylatch_types::{Micros, Millis, MonoTime, Share};
 use proptest::prelude::*;
 
-use crate::fleet::{at, plan, share, table, workspace};
+use crate::fleet::{at, observer, plan, share, table, workspace};
 
 const DEADLINE_MS: u64 = 60_000;
 
@@ -87,6 +87,31 @@
     assert_eq!(share(&second, at(200)), Share::ZERO);
 }
 
+/// A veto holds whatever the counters say.
+#[test]
+fn merge_veto_alone() {
+    let mut table = table(0, at(0), plan(DEADLINE_MS));
+    let veto = Veto {
+        route: "region-2:region-2".parse().unwrap(),
+        observer: observer(1),
+    };
+    let evidence = MoveEvidence::from_parts([], Some(veto));
+    let effects = table.merge(at(100), &plan(DEADLINE_MS).id, &evidence);
+    assert_eq!(end_of(&effects).unwrap().reason, MoveReason::Vetoed);
+}
+
+/// A good start doesn't make up for badness that shows late.
+#[test]
+fn handle_failures_late() {
+    let mut table = table(0, at(0), plan(DEADLINE_MS));
+    for now in (0..200).map(|number| at(10 * number)) {
+        table.handle(now, MoveInput::Trial(trial("v2", false)));
+    }
+    assert_eq!(state(&table, at(2_000)), MoveState::Growing);
+    let end = end_of(&fail(&mut table, at(2_000), 5)).unwrap();
+    assert_eq!(end.reason, MoveReason::Vetoed);
+}
+
 /// The store's word is taken over, and a later veto doesn't change it.
 #[test]
 fn handle_recorded_final() {
