--- a/crates/node/src/control/admin/changes.rs
+++ b/crates/node/src/control/admin/changes.rs
@@ -47,9 +47,14 @@
     }
 }
 
+/// Text of a template, under the name that errors give it.
+pub(super) fn document(workspace: &WorkspaceId, text: &str) -> Document {
+    Document::new(&template_key(workspace), text)
+}
+
 /// Checks the text of a template for a workspace.
 pub(super) fn check(workspace: &WorkspaceId, text: &str) -> Result<Template, ChangeRefusal> {
-    let document = Document::new(&template_key(workspace), text);
+    let document = document(workspace, text);
     let template = Template::read(&document).map_err(ChangeRefusal::Invalid)?;
     if template.workspace == *workspace {
         return Ok(template);
--- a/crates/node/src/control/admin/templates.rs
+++ b/crates/node/src/control/admin/templates.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use parsleylatch_decide::view::{Snapshot, WorkspaceView};
-use parsleylatch_settings::Role;
+use parsleylatch_decide::{
+    moves::MoveState,
+    view::{Snapshot, WorkspaceView},
+};
+use parsleylatch_settings::{Role, Template};
 use parsleylatch_types::{ByteCount, Revision, WorkspaceId};
 use serde_json::json;
 use viz::{Request, RequestExt, Response, Result, StatusCode};
@@ -85,6 +88,8 @@
     let workspace = workspace(&request)?;
     let based_on = if_match(&request)?;
     let text = read_text(request).await?;
+    let template = changes::check(&workspace, &text)?;
+    check_move(&authorized.shared().snapshot.load(), &template, &text)?;
     count_store_call(authorized);
     let revision = changes::draft(&authorized.admin.store, &workspace, text, based_on).await?;
     Ok((workspace, revision))
@@ -118,6 +123,31 @@
     Ok((workspace, draft, revision))
 }
 
+/// Refuses a move that was done already; it would begin again from the old
+/// versions.
+fn check_move(snapshot: &Snapshot, template: &Template, text: &str) -> Result<(), ChangeRefusal> {
+    let Some(wanted) = &template.version_move else {
+        return Ok(());
+    };
+    let mut moves = snapshot.moves.iter();
+    let done = moves.find(|view| {
+        view.state == MoveState::Done
+            && view.plan.workspace == template.workspace
+            && view.plan.to == wanted.to
+            && view.plan.from == template.endpoint_versions
+    });
+    let Some(view) = done else {
+        return Ok(());
+    };
+    let (id, version) = (&view.plan.id, &wanted.to);
+    let reason =
+        format!("move {id} is done; name {version} in endpoint_versions and leave `move` out");
+    let document = changes::document(&template.workspace, text);
+    Err(ChangeRefusal::Invalid(
+        document.value_error("move.to", reason),
+    ))
+}
+
 fn count_store_call(authorized: &Authorized) {
     let counters = &authorized.shared().counters;
     counters.increment(Counter::StoreCalls);
--- a/tests/process/moves.rs
+++ b/tests/process/moves.rs
@@ -157,6 +157,9 @@
         versions.iter().all(|version| version == "v2"),
         "{versions:?}"
     );
+    let again = operator.draft(None, &template_with_move()).await;
+    assert_eq!(again.status, 422, "{again:?}");
+    assert_eq!(again.body["field"], "move.to", "{again:?}");
     // A node that starts now finds the outcome in the store.
     let node = ExtraNode::start(&running);
     let other = Operator::new(node.admin, "read");
