Placement keeps places free at each engine for paying requests

Cause: the free share held over all engines together, but affinity piled free requests on a few; a paying request placed there waited for a place. Ruled out: the node's own queue (its waits show as first token over 0 s for all) and lost attempts (0 counted). Free requests now keep within their share at each engine, engines without room are taken after those with room, and the load counts what was placed since the last report.

--- a/crates/bench/src/slopes/control.rs
+++ b/crates/bench/src/slopes/control.rs
@@ -7,7 +7,7 @@
     generation::PlacementOrder,
     placement::{PlacementQuestion, Placer},
 };
-use parsleylatch_settings::{Detection, Document, Template};
+use parsleylatch_settings::{Detection, Document, Template, Tier};
 use parsleylatch_types::{EndpointId, MonoTime, RequestCount, Revision};
 use parsleylatch_wire::{
     engine::LoadReport,
@@ -144,10 +144,12 @@
             prompt: &prompts[asked % prompts.len()],
             order: &order,
             detection: &detection,
+            tier: Tier::Paying,
+            sharers: RequestCount::new(1),
         };
         let placed = placer.place(MonoTime::ZERO, &snapshot, &question);
         if let Some(placement) = placed {
-            placer.note_end(&placement.endpoint);
+            placer.note_end(&placement.endpoint, Tier::Paying);
         }
     });
     let micros = nanos / NANOS_PER_MICRO;
--- a/crates/decide/src/limits/capacity.rs
+++ b/crates/decide/src/limits/capacity.rs
@@ -8,15 +8,15 @@
 use crate::view::{EndpointCondition, EndpointKind, Snapshot};
 
 /// Part of the places that free requests may take together.
-const FREE_SHARE: Percent = Percent::new(60);
+pub(crate) const FREE_SHARE: Percent = Percent::new(60);
 /// Part of the places beyond which no free request is admitted.
-const FREE_CEILING: Percent = Percent::new(75);
+pub(crate) const FREE_CEILING: Percent = Percent::new(75);
 /// Part of the places beyond which paying requests wait at the node. Above the
 /// whole, because reports are late and the engines have queues of their own.
 const PAYING_CEILING: Percent = Percent::new(105);
 
 /// Age that a load report may have when it is used.
-const REPORT_LAG_MS: Millis = Millis::new(1_200);
+pub(crate) const REPORT_LAG_MS: Millis = Millis::new(1_200);
 
 /// Places of one model, as of the last load reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -125,6 +125,7 @@
     }
 }
 
-fn part(places: u64, share: Percent) -> u64 {
+/// Part of a number of places.
+pub(crate) fn part(places: u64, share: Percent) -> u64 {
     places * u64::from(share.get()) / 100
 }
--- a/crates/decide/src/limits/mod.rs
+++ b/crates/decide/src/limits/mod.rs
@@ -15,6 +15,7 @@
 mod ticket;
 
 pub use capacity::{CapacityView, ModelCapacity};
+pub(crate) use capacity::{FREE_CEILING, FREE_SHARE, REPORT_LAG_MS, part};
 pub use queue::{AdmissionEffect, AdmissionQueue, Ask};
 pub use ticket::{TicketId, TicketState};
 
--- a/crates/decide/src/limits/queue.rs
+++ b/crates/decide/src/limits/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use parsleylatch_settings::Tier;
-use parsleylatch_types::{ModelId, MonoTime, Weight, WorkspaceId};
+use parsleylatch_types::{ModelId, MonoTime, RequestCount, Weight, WorkspaceId};
 
 use super::{
     capacity::{CapacityView, LocalUse, has_room},
@@ -69,6 +69,11 @@
         Self::default()
     }
 
+    /// Traffic threads that share the places.
+    pub fn sharers(&self) -> RequestCount {
+        self.capacity.sharers
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.workspaces
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -3,18 +3,24 @@
 //! The same region goes first. Within it, rendezvous hashing of the prompt's
 //! head keeps prompts with the same prefix on the same few engines, as long as
 //! the engine's load stays within a bound of the mean; past the bound the next
-//! engine in the hash order is taken. The load is the larger of what the engine
-//! reported (late) and what this thread itself has in flight there (at once),
-//! so the nodes don't all follow one report to the same engine.
+//! engine in the hash order is taken. The load is what the engine reported (late)
+//! and what this thread has placed there since (at once), so the nodes don't all
+//! follow one report to the same engine.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+};
 
-use parsleylatch_settings::Detection;
-use parsleylatch_types::{EndpointId, EndpointVersion, Micros, Millis, ModelId, MonoTime, Region};
+use parsleylatch_settings::{Detection, Tier};
+use parsleylatch_types::{
+    EndpointId, EndpointVersion, Micros, Millis, ModelId, MonoTime, Region, RequestCount,
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     generation::PlacementOrder,
+    limits::{FREE_CEILING, FREE_SHARE, REPORT_LAG_MS, part},
     view::{EndpointCondition, EndpointKind, EndpointView, Snapshot},
 };
 
@@ -57,15 +63,41 @@
     pub order: &'a PlacementOrder,
     /// When an attempt counts as lost.
     pub detection: &'a Detection,
+    /// Class of the request.
+    pub tier: Tier,
+    /// Traffic threads of all live nodes.
+    pub sharers: RequestCount,
 }
 
 #[derive(Clone, Debug, Default)]
 struct LocalLoad {
     in_flight: u64,
+    free_in_flight: u64,
+    /// Times of the placements that no load report may tell of yet.
+    unreported: VecDeque<MonoTime>,
     pace_us: Option<Micros>,
     suspect_until: Option<MonoTime>,
 }
 
+impl LocalLoad {
+    fn unreported_at(&self, now: MonoTime) -> u64 {
+        let reported = self
+            .unreported
+            .partition_point(|at| *at + REPORT_LAG_MS <= now);
+        (self.unreported.len() - reported) as u64
+    }
+
+    fn forget_reported(&mut self, now: MonoTime) {
+        while self
+            .unreported
+            .front()
+            .is_some_and(|at| *at + REPORT_LAG_MS <= now)
+        {
+            self.unreported.pop_front();
+        }
+    }
+}
+
 /// Placement as one traffic thread does it.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -100,17 +132,20 @@
             first_token_timeout_ms: question.detection.first_token_timeout_ms,
             token_timeout_ms: self.token_timeout(endpoint, question.detection),
         };
-        self.local
-            .entry(placement.endpoint.clone())
-            .or_default()
-            .in_flight += 1;
+        let load = self.local.entry(placement.endpoint.clone()).or_default();
+        load.in_flight += 1;
+        load.free_in_flight += u64::from(question.tier == Tier::Free);
+        load.forget_reported(now);
+        load.unreported.push_back(now);
         Some(placement)
     }
 
     /// Counts the end of an attempt.
-    pub fn note_end(&mut self, endpoint: &EndpointId) {
+    pub fn note_end(&mut self, endpoint: &EndpointId, tier: Tier) {
         if let Some(load) = self.local.get_mut(endpoint) {
             load.in_flight = load.in_flight.saturating_sub(1);
+            let free_ended = u64::from(tier == Tier::Free);
+            load.free_in_flight = load.free_in_flight.saturating_sub(free_ended);
         }
     }
 
@@ -137,17 +172,16 @@
         snapshot: &'a Snapshot,
         question: &PlacementQuestion<'_>,
     ) -> Option<&'a EndpointView> {
-        let order = question.order;
         let able = snapshot
             .endpoints
             .iter()
             .map(|endpoint| &**endpoint)
             .filter(|endpoint| {
-                endpoint.serves(question.model, &order.endpoint_versions)
+                endpoint.serves(question.model, &question.order.endpoint_versions)
                     && endpoint.condition != EndpointCondition::Leaving
             });
         let ranked: Vec<(Rank, &EndpointView)> = able
-            .map(|endpoint| (self.rank(now, endpoint, order), endpoint))
+            .map(|endpoint| (self.rank(now, endpoint, question), endpoint))
             .collect();
         let best = ranked.iter().map(|(rank, _)| *rank).min()?;
         let group: Vec<&EndpointView> = ranked
@@ -155,12 +189,17 @@
             .filter(|(rank, _)| *rank == best)
             .map(|(_, endpoint)| endpoint)
             .collect();
-        self.choose_by_affinity(&group, question.prompt)
+        self.choose_by_affinity(now, &group, question.prompt)
     }
 
     /// Smaller ranks go first.
-    fn rank(&self, now: MonoTime, endpoint: &EndpointView, order: &PlacementOrder) -> Rank {
-        let failed = order.failed_endpoints.contains(&endpoint.id);
+    fn rank(
+        &self,
+        now: MonoTime,
+        endpoint: &EndpointView,
+        question: &PlacementQuestion<'_>,
+    ) -> Rank {
+        let failed = question.order.failed_endpoints.contains(&endpoint.id);
         let local = self.local.get(&endpoint.id);
         let suspected = local
             .and_then(|load| load.suspect_until)
@@ -169,32 +208,58 @@
         Rank {
             failed,
             suspect,
+            full: !self.has_room(now, endpoint, question),
             remote: endpoint.region != self.region,
         }
     }
 
+    /// Free requests leave places for paying ones at each engine, not only at
+    /// the model's engines together.
+    fn has_room(
+        &self,
+        now: MonoTime,
+        endpoint: &EndpointView,
+        question: &PlacementQuestion<'_>,
+    ) -> bool {
+        let places = endpoint.capacity.get();
+        let load = self.load(now, endpoint);
+        match question.tier {
+            Tier::Paying => load < places,
+            Tier::Free => {
+                let local = self.local.get(&endpoint.id);
+                let free_here = local.map_or(0, |load| load.free_in_flight);
+                let own_share = part(places, FREE_SHARE) / question.sharers.get().max(1);
+                free_here < own_share.max(1) && load < part(places, FREE_CEILING)
+            }
+        }
+    }
+
     fn choose_by_affinity<'a>(
         &self,
+        now: MonoTime,
         group: &[&'a EndpointView],
         prompt: &str,
     ) -> Option<&'a EndpointView> {
-        let total: u64 = group.iter().map(|endpoint| self.load(endpoint)).sum();
+        let loads: Vec<u64> = group.iter().map(|it| self.load(now, it)).collect();
+        let total: u64 = loads.iter().sum();
         let mean_bound = total * LOAD_BOUND_PERCENT / (100 * group.len().max(1) as u64);
         let bound = mean_bound.max(LOAD_FLOOR);
         let head = &prompt.as_bytes()[..prompt.len().min(AFFINITY_PREFIX_BYTES)];
-        let score = |endpoint: &&&EndpointView| affinity(head, &endpoint.id);
-        let within = group.iter().filter(|endpoint| self.load(endpoint) <= bound);
+        let within = group.iter().zip(&loads).filter(|(_, load)| **load <= bound);
+        // The least loaded one is within the bound, so there always is one.
         within
-            .max_by_key(score)
-            .or_else(|| group.iter().min_by_key(|endpoint| self.load(endpoint)))
-            .copied()
+            .max_by_key(|(endpoint, _)| affinity(head, &endpoint.id))
+            .map(|(endpoint, _)| *endpoint)
     }
 
-    fn load(&self, endpoint: &EndpointView) -> u64 {
+    /// What the engine reported, and what no report can tell of yet.
+    fn load(&self, now: MonoTime, endpoint: &EndpointView) -> u64 {
         let reported = endpoint
             .reported_running
             .saturating_add(endpoint.reported_waiting);
-        reported.get().max(self.in_flight(&endpoint.id))
+        let local = self.local.get(&endpoint.id);
+        let unreported = local.map_or(0, |load| load.unreported_at(now));
+        (reported.get() + unreported).max(self.in_flight(&endpoint.id))
     }
 
     fn token_timeout(&self, endpoint: &EndpointView, detection: &Detection) -> Millis {
@@ -209,6 +274,7 @@
 struct Rank {
     failed: bool,
     suspect: bool,
+    full: bool,
     remote: bool,
 }
 
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -7,7 +7,7 @@
     placement::{PlacementQuestion, Placer},
     view::{EndpointCondition, EndpointKind, EndpointView, Snapshot},
 };
-use parsleylatch_settings::Detection;
+use parsleylatch_settings::{Detection, Tier};
 use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime, RequestCount};
 use test_case::test_case;
 
@@ -60,6 +60,8 @@
         prompt,
         order: &order,
         detection: &detection,
+        tier: Tier::Paying,
+        sharers: RequestCount::new(1),
     };
     placer
         .place(NOW, snapshot, &question)
@@ -166,7 +168,7 @@
         .unwrap()
         .parse()
         .unwrap();
-    placer.note_end(&chosen);
+    placer.note_end(&chosen, Tier::Paying);
     placer.note_pace(&chosen, Micros::new(100_000));
     let (order, detection) = (order(&[]), Detection::default());
     let model = "drafts".parse().unwrap();
@@ -175,6 +177,8 @@
         prompt: "p",
         order: &order,
         detection: &detection,
+        tier: Tier::Paying,
+        sharers: RequestCount::new(1),
     };
     let placement = placer.place(NOW, &snapshot, &question).unwrap();
     assert_eq!(placement.endpoint, chosen);
--- a/crates/node/src/traffic/admissions.rs
+++ b/crates/node/src/traffic/admissions.rs
@@ -10,7 +10,7 @@
     refusal::{Refusal, RefusalKind},
 };
 use parsleylatch_settings::Tier;
-use parsleylatch_types::ModelId;
+use parsleylatch_types::{ModelId, RequestCount};
 use tokio::sync::{Notify, oneshot};
 
 use crate::shared::Shared;
@@ -66,6 +66,11 @@
         waiting.settle().await
     }
 
+    /// Traffic threads of all live nodes.
+    pub(crate) fn sharers(&self) -> RequestCount {
+        self.lock().queue.sharers()
+    }
+
     /// Follows the snapshots and the deadlines of those that wait.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut snapshots = self.shared.snapshot_changed.subscribe();
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -14,6 +14,7 @@
 };
 use parsleylatch_endpoint::{EngineError, EngineStream};
 use parsleylatch_http::encode_event;
+use parsleylatch_settings::Tier;
 use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, TokenIndex};
 use parsleylatch_wire::{
     caller::{DoneData, TokenData},
@@ -93,6 +94,7 @@
     traffic: Arc<Traffic>,
     attempt: AttemptNumber,
     endpoint: EndpointId,
+    tier: Tier,
     stream: AttemptStream,
     _span: Span,
 }
@@ -128,7 +130,7 @@
         if let AttemptStream::Opening(opening) = &self.stream {
             opening.abort();
         }
-        self.traffic.placer().note_end(&self.endpoint);
+        self.traffic.placer().note_end(&self.endpoint, self.tier);
     }
 }
 
@@ -306,6 +308,8 @@
             prompt: &request.prompt,
             order,
             detection: &self.workspace.template.detection,
+            tier: self.workspace.template.tier,
+            sharers: self.traffic.admissions.sharers(),
         };
         match self.traffic.placer().place(now, &snapshot, &question) {
             Some(placement) => GenerationInput::Placed(placement),
@@ -327,6 +331,7 @@
             traffic,
             attempt: order.attempt,
             endpoint: order.endpoint.clone(),
+            tier: self.workspace.template.tier,
             stream: AttemptStream::Opening(opening),
             _span: span,
         });
