Decide once-only calls by claim, with every interleaving explored

A doubled booking sends a second crew, so a call that may not be repeated is claimed in the store by create-if-absent before it is sent. Charts drive the call, the settlement of its claim and the retries of idempotent calls. A claim is never ended by another node; a refused one is replaced by a 'released' record, so that a claim write that takes effect late finds the key taken.

With the claim passed over both checkers find the second run.

--- /dev/null
+++ b/crates/decide/src/call/claim.rs
@@ -0,0 +1,164 @@
+//! Claims: what the store holds of a call that may run at most once.
+
+use std::{fmt, num::ParseIntError, str::FromStr, sync::Arc};
+
+use parsleylatch_types::{
+    Millis, NodeId, OperationName, RequestId, Revision, ServiceName, UnixMillis, WorkspaceId,
+};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::refusal::{Refusal, RefusalKind};
+
+/// Time for which claims are kept, counted from the making of the request id.
+pub const CLAIM_RETENTION_MS: Millis = Millis::new(24 * 60 * 60 * 1_000);
+/// Largest difference between the clocks of callers and nodes.
+pub const CLOCK_SKEW_MS: Millis = Millis::new(5 * 60 * 1_000);
+/// Age from which an id may be a repeat of which the store alone knows.
+const FIRST_TRY_MS: Millis = Millis::new(1_000);
+/// Radix of the text forms.
+const HEX: u32 = 16;
+
+/// Random number that tells the claims of one request apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClaimNonce(u64);
+
+impl ClaimNonce {
+    /// Wraps a random number.
+    pub const fn new(value: u64) -> Self {
+        Self(value)
+    }
+}
+
+impl fmt::Display for ClaimNonce {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ClaimNonce {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, HEX).map(Self)
+    }
+}
+
+/// Digest of a call's service, operation and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CallDigest(u128);
+
+impl CallDigest {
+    /// Digest of a call.
+    pub fn of_call(service: &ServiceName, operation: &OperationName, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        // Names hold no slash, so the parts can't run into one another.
+        for part in [service.as_str(), "/", operation.as_str(), "/"] {
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        Self(hasher.digest128())
+    }
+}
+
+impl fmt::Display for CallDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for CallDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, HEX).map(Self)
+    }
+}
+
+/// Answer of a service, passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON body.
+    pub body: Arc<[u8]>,
+}
+
+/// What is known of a claimed call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum ClaimOutcome {
+    /// The claimant may be sending the call.
+    Pending,
+    /// The service answered.
+    Answered(CallAnswer),
+    /// The call was sent, and no answer came.
+    Unknown,
+    /// Nothing was sent under the claim, nor will be; any node may claim anew.
+    Released,
+}
+
+/// Value of a claim's key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Claim {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Node that made the claim.
+    pub node: NodeId,
+    /// Number that only this claim of the node has.
+    pub nonce: ClaimNonce,
+    /// Digest of the call.
+    pub digest: CallDigest,
+    /// Time at which the claim was made, by the node's clock.
+    pub claimed_at_unix_ms: UnixMillis,
+    /// What is known of the call.
+    pub outcome: ClaimOutcome,
+}
+
+impl Claim {
+    /// The claim with another outcome.
+    #[must_use]
+    pub fn with_outcome(&self, outcome: ClaimOutcome) -> Self {
+        Self {
+            outcome,
+            ..self.clone()
+        }
+    }
+}
+
+/// A claim as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StoredClaim {
+    /// Value.
+    pub claim: Claim,
+    /// Revision of the key.
+    pub revision: Revision,
+}
+
+/// Checks the time in a request id; claims of older ids may be deleted.
+///
+/// # Errors
+/// `Expired` for an id older than the claims, `BadRequest` for one of the future.
+pub fn check_age(id: RequestId, now: UnixMillis) -> Result<(), Refusal> {
+    let created_at = id.created_at();
+    if now.since(created_at) > CLAIM_RETENTION_MS {
+        let detail = format!(
+            "the request id is older than {CLAIM_RETENTION_MS}; whether it ran is not known any more"
+        );
+        return Err(Refusal::may_have_run(RefusalKind::Expired, detail));
+    }
+    if created_at.since(now) > CLOCK_SKEW_MS {
+        let detail = "the time in the request id lies ahead; check the caller's clock";
+        return Err(Refusal::not_run(RefusalKind::BadRequest, detail));
+    }
+    Ok(())
+}
+
+/// Whether an id is so new that this is taken for the first try of the request.
+pub fn is_first_try(id: RequestId, now: UnixMillis) -> bool {
+    now.since(id.created_at()) <= FIRST_TRY_MS
+}
+
+/// Whether a claim may be deleted: every node refuses its id as expired.
+pub fn may_delete(id: RequestId, now: UnixMillis) -> bool {
+    let margin = CLOCK_SKEW_MS.saturating_add(CLOCK_SKEW_MS);
+    now.since(id.created_at()) > CLAIM_RETENTION_MS.saturating_add(margin)
+}
--- /dev/null
+++ b/crates/decide/src/call/mod.rs
@@ -0,0 +1,37 @@
+//! Calls of plain services.
+//!
+//! A call that may not be repeated is claimed in the store first, by creating a
+//! key under its request id. Only the node whose claim is confirmed sends it,
+//! and nobody ever ends the claim of another node, so that at-most-once rests
+//! on the store's create-if-absent alone and on no clock. A claim ends with the
+//! answer, with "unknown", or with its release. A released claim stays in its
+//! key, so that a claim write that takes effect late finds the key taken.
+
+mod claim;
+mod idempotent;
+mod once_only;
+mod retry_budget;
+mod settlement;
+mod store_health;
+mod target;
+
+use parsleylatch_chart::ChartError;
+
+pub use claim::{
+    CLAIM_RETENTION_MS, CLOCK_SKEW_MS, CallAnswer, CallDigest, Claim, ClaimNonce, ClaimOutcome,
+    StoredClaim, check_age, is_first_try, may_delete,
+};
+pub use idempotent::{IdempotentCall, IdempotentEffect, IdempotentInput};
+pub use once_only::{CallEffect, CallInput, CallOrder, CallState, ClaimCondition, OnceOnlyCall};
+pub use retry_budget::RetryBudgets;
+pub use settlement::{
+    Settlement, SettlementEffect, SettlementInput, SettlementOrder, SettlementState,
+};
+pub use store_health::StoreHealth;
+pub use target::choose_target;
+
+pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    once_only::verify_chart()?;
+    settlement::verify_chart()?;
+    idempotent::verify_chart()
+}
--- /dev/null
+++ b/crates/decide/src/call/once_only.rs
@@ -0,0 +1,419 @@
+//! A call that may run at most once: claimed, sent, recorded.
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{EndpointId, Millis, MonoTime, Revision};
+
+use super::{
+    claim::{CallAnswer, Claim, ClaimOutcome, StoredClaim},
+    settlement::SettlementOrder,
+};
+use crate::{
+    charts::{self, LazyMachine},
+    refusal::{Refusal, RefusalKind},
+};
+
+/// Longest time from the write of a claim to the sending of the call.
+const SEND_WINDOW_MS: Millis = Millis::new(2_000);
+/// Time after which a repeat may succeed when the store is out.
+const STORE_RETRY_MS: Millis = Millis::new(1_000);
+
+chart_names! {
+    /// States of a call.
+    pub enum CallState {
+        /// Writes the claim.
+        Claiming,
+        /// Reads what became of an unclear claim.
+        ReadingBack,
+        /// The claim is confirmed; the call is on its way.
+        Sending,
+        /// The answer is being recorded.
+        Recording,
+        /// Another try of the request has the claim.
+        Waiting,
+        /// The caller gets the answer.
+        Answered,
+        /// The call is refused.
+        Refused,
+        /// Whether the call ran is not known.
+        Unknown,
+    }
+}
+
+chart_names! {
+    /// Events of a call.
+    pub(crate) enum CallEvent {
+        /// The claim was written.
+        ClaimWritten,
+        /// The key holds a claim.
+        ClaimFound,
+        /// There is no claim.
+        ClaimAbsent,
+        /// The claim may or may not have been written.
+        ClaimUnclear,
+        /// The store did not answer a read, or refused a write.
+        StoreFailed,
+        /// The service answered.
+        Answered,
+        /// The call certainly did not reach the service.
+        Unsent,
+        /// The call was sent, and no answer came.
+        Lost,
+        /// The answer is in the store, or can't get there.
+        Settled,
+        /// The state lasted its longest time.
+        TimedOut,
+    }
+}
+
+/// What a claim's key has to be for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ClaimCondition {
+    /// There is no such key.
+    Absent,
+    /// The key has this revision.
+    At(Revision),
+}
+
+/// What happened to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum CallInput {
+    /// The claim was written, at this revision.
+    ClaimWritten(Revision),
+    /// The key holds a claim.
+    ClaimFound(StoredClaim),
+    /// There is no claim.
+    ClaimAbsent,
+    /// The claim may or may not have been written.
+    ClaimUnclear,
+    /// The store did not answer a read, or refused a write.
+    StoreFailed,
+    /// The service answered.
+    Answered(CallAnswer),
+    /// The call certainly did not reach the service.
+    Unsent {
+        /// Endpoint that was tried, if there was one.
+        endpoint: Option<EndpointId>,
+    },
+    /// The call was sent, and no answer came.
+    Lost,
+    /// The answer is in the store, or can't get there.
+    Settled,
+}
+
+/// What the caller of the decisions has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallEffect {
+    /// Write the claim.
+    WriteClaim {
+        /// Value.
+        claim: Claim,
+        /// What the key has to be.
+        condition: ClaimCondition,
+    },
+    /// Read the claim.
+    ReadClaim,
+    /// Wait until the claim changes, and read it.
+    WatchClaim {
+        /// Revision that is known already.
+        after: Revision,
+    },
+    /// Send the call, unless the time has passed.
+    Send {
+        /// Endpoints that were tried.
+        tried: Vec<EndpointId>,
+        /// Time after which nothing may be sent.
+        send_before: MonoTime,
+    },
+    /// Settle the claim, also after the call has ended.
+    Settle(SettlementOrder),
+    /// Give the answer to the caller.
+    Answer(CallAnswer),
+    /// Refuse the call.
+    Refuse(Refusal),
+}
+
+/// One call to be made.
+#[derive(Clone, Debug)]
+pub struct CallOrder {
+    /// Claim as it is to be written.
+    pub claim: Claim,
+    /// Whether no earlier try of the request can be in the store.
+    pub first_try: bool,
+}
+
+#[derive(Clone, Debug)]
+struct CallContext {
+    order: CallOrder,
+    now: MonoTime,
+    claim_started_at: MonoTime,
+    condition: ClaimCondition,
+    confirmed_at: Option<Revision>,
+    found: Option<StoredClaim>,
+    tried: Vec<EndpointId>,
+    may_try_other: bool,
+    answer: Option<CallAnswer>,
+    refusal: Option<Refusal>,
+    effects: Vec<CallEffect>,
+}
+
+static MACHINE: LazyMachine<CallState, CallEvent, CallContext> = LazyMachine::new(|| {
+    let bindings = guards(Bindings::new())
+        .action("write_claim", CallContext::write_claim)
+        .action("read_claim", |it| it.effects.push(CallEffect::ReadClaim))
+        .action("watch_claim", CallContext::watch_claim)
+        .action("send_call", CallContext::send_call)
+        .action("record_answer", CallContext::record_answer)
+        .action("record_unknown", |it| it.settle(ClaimOutcome::Unknown))
+        .action("release_claim", |it| it.settle(ClaimOutcome::Released))
+        .action("take_recorded_answer", CallContext::take_recorded_answer)
+        .action("give_answer", |it| {
+            let answer = it.answer.take().map(CallEffect::Answer);
+            it.effects.extend(answer);
+        })
+        .action("tell_unknown", CallContext::tell_unknown)
+        .action("refuse", |it| {
+            let refusal = it.refusal.take().map(CallEffect::Refuse);
+            it.effects.extend(refusal);
+        })
+        .action("blame_store", CallContext::blame_store)
+        .action("blame_unclear_claim", |it| {
+            let detail = "the store did not confirm the claim; the call was not sent";
+            it.refuse_unsent(RefusalKind::StoreUnavailable, detail);
+        })
+        .action("blame_delay", |it| {
+            let detail = "the claim was confirmed too late; the call was not sent";
+            it.refuse_unsent(RefusalKind::StoreUnavailable, detail);
+        })
+        .action("blame_endpoint", |it| {
+            let detail = "no endpoint of the service could be reached";
+            it.refuse_unsent(RefusalKind::NoEndpoint, detail);
+        })
+        .action("blame_reuse", |it| {
+            let detail = "the request id was used for another call";
+            it.refusal = Some(Refusal::may_have_run(RefusalKind::RequestIdReused, detail));
+        });
+    charts::compile(charts::CALL, &bindings)
+});
+
+fn guards(bindings: Bindings<CallContext>) -> Bindings<CallContext> {
+    bindings
+        .guard("may_send", CallContext::may_send)
+        .guard("may_send_own", |it| it.is_own() && it.may_send())
+        .guard("may_send_elsewhere", |it| it.may_try_other && it.may_send())
+        .guard("is_own", CallContext::is_own)
+        .guard("is_other_call", CallContext::is_other_call)
+        .guard("is_released", |it| {
+            it.found_outcome() == Some(&ClaimOutcome::Released)
+        })
+        .guard("is_unknown", |it| {
+            it.found_outcome() == Some(&ClaimOutcome::Unknown)
+        })
+        .guard("is_answered", |it| {
+            matches!(it.found_outcome(), Some(ClaimOutcome::Answered(_)))
+        })
+}
+
+fn machine() -> &'static Machine<CallState, CallEvent, CallContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+impl CallContext {
+    fn found_outcome(&self) -> Option<&ClaimOutcome> {
+        self.found.as_ref().map(|found| &found.claim.outcome)
+    }
+
+    fn is_own(&self) -> bool {
+        let found = self.found.as_ref();
+        found.is_some_and(|found| found.claim.nonce == self.order.claim.nonce)
+    }
+
+    fn is_other_call(&self) -> bool {
+        let claim = &self.order.claim;
+        self.found.as_ref().is_some_and(|found| {
+            found.claim.workspace != claim.workspace || found.claim.digest != claim.digest
+        })
+    }
+
+    fn send_before(&self) -> MonoTime {
+        self.claim_started_at + SEND_WINDOW_MS
+    }
+
+    fn may_send(&self) -> bool {
+        self.now <= self.send_before()
+    }
+
+    fn write_claim(&mut self) {
+        self.claim_started_at = self.now;
+        let condition = self.condition;
+        let claim = self.order.claim.clone();
+        self.effects
+            .push(CallEffect::WriteClaim { claim, condition });
+    }
+
+    fn watch_claim(&mut self) {
+        let found = self.found.as_ref();
+        let after = found.map_or(Revision::ZERO, |found| found.revision);
+        self.effects.push(CallEffect::WatchClaim { after });
+    }
+
+    fn send_call(&mut self) {
+        self.effects.push(CallEffect::Send {
+            tried: self.tried.clone(),
+            send_before: self.send_before(),
+        });
+    }
+
+    fn record_answer(&mut self) {
+        if let Some(answer) = self.answer.clone() {
+            self.settle(ClaimOutcome::Answered(answer));
+        }
+    }
+
+    fn settle(&mut self, outcome: ClaimOutcome) {
+        let claim = self.order.claim.with_outcome(outcome);
+        let condition = match self.confirmed_at {
+            Some(revision) => ClaimCondition::At(revision),
+            None => self.condition,
+        };
+        self.effects
+            .push(CallEffect::Settle(SettlementOrder { claim, condition }));
+    }
+
+    fn take_recorded_answer(&mut self) {
+        if let Some(ClaimOutcome::Answered(answer)) = self.found_outcome() {
+            self.answer = Some(answer.clone());
+        }
+    }
+
+    /// Nothing was sent under this claim, and the store knows of no other.
+    fn refuse_unsent(&mut self, kind: RefusalKind, detail: &str) {
+        self.refusal = Some(Refusal::not_run(kind, detail).retry_after(STORE_RETRY_MS));
+    }
+
+    /// This try sent nothing; an earlier one may have, unless there was none.
+    fn blame_store(&mut self) {
+        let detail = if self.order.first_try {
+            "the store can't be reached to claim the call; the call was not sent"
+        } else {
+            "the store can't be reached to claim the call; an earlier try may have run"
+        };
+        let refusal = Refusal {
+            kind: RefusalKind::StoreUnavailable,
+            detail: detail.to_owned(),
+            not_run: self.order.first_try,
+            retry_after_ms: Some(STORE_RETRY_MS),
+        };
+        self.refusal = Some(refusal);
+    }
+
+    fn tell_unknown(&mut self) {
+        let detail = "the call was claimed, and no answer is known; it will not be run again";
+        let refusal = Refusal::may_have_run(RefusalKind::OutcomeUnknown, detail);
+        self.effects.push(CallEffect::Refuse(refusal));
+    }
+
+    fn note_found(&mut self, found: StoredClaim) {
+        // Only a released claim may be written over; any other stands for good.
+        if found.claim.outcome == ClaimOutcome::Released {
+            self.condition = ClaimCondition::At(found.revision);
+        }
+        if found.claim.nonce == self.order.claim.nonce {
+            self.confirmed_at = Some(found.revision);
+        }
+        self.found = Some(found);
+    }
+
+    /// Takes over what an input carries, and names the chart's event.
+    fn note(&mut self, input: CallInput) -> CallEvent {
+        match input {
+            CallInput::ClaimWritten(revision) => {
+                self.confirmed_at = Some(revision);
+                CallEvent::ClaimWritten
+            }
+            CallInput::ClaimFound(found) => {
+                self.note_found(found);
+                CallEvent::ClaimFound
+            }
+            CallInput::ClaimAbsent => {
+                self.condition = ClaimCondition::Absent;
+                CallEvent::ClaimAbsent
+            }
+            CallInput::ClaimUnclear => CallEvent::ClaimUnclear,
+            CallInput::StoreFailed => CallEvent::StoreFailed,
+            CallInput::Answered(answer) => {
+                self.answer = Some(answer);
+                CallEvent::Answered
+            }
+            CallInput::Unsent { endpoint } => {
+                self.may_try_other = endpoint.is_some();
+                self.tried.extend(endpoint);
+                CallEvent::Unsent
+            }
+            CallInput::Lost => CallEvent::Lost,
+            CallInput::Settled => CallEvent::Settled,
+        }
+    }
+}
+
+/// One call that may run at most once.
+#[derive(Clone, Debug)]
+pub struct OnceOnlyCall {
+    life: Instance<CallState>,
+    context: CallContext,
+}
+
+impl OnceOnlyCall {
+    /// Starts the call by writing its claim.
+    pub fn start(now: MonoTime, order: CallOrder) -> (Self, Vec<CallEffect>) {
+        let mut context = CallContext {
+            order,
+            now,
+            claim_started_at: now,
+            condition: ClaimCondition::Absent,
+            confirmed_at: None,
+            found: None,
+            tried: Vec::new(),
+            may_try_other: false,
+            answer: None,
+            refusal: None,
+            effects: Vec::new(),
+        };
+        let life = machine().start(now, &mut context);
+        let effects = std::mem::take(&mut context.effects);
+        (Self { life, context }, effects)
+    }
+
+    /// Current state.
+    pub fn state(&self) -> CallState {
+        self.life.state()
+    }
+
+    /// Whether the caller has been answered or refused.
+    pub fn is_over(&self) -> bool {
+        machine().is_final(&self.life)
+    }
+
+    /// Time at which [`OnceOnlyCall::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.life.next_deadline()
+    }
+
+    /// Takes what happened.
+    pub fn handle(&mut self, now: MonoTime, input: CallInput) -> Vec<CallEffect> {
+        self.context.now = now;
+        let event = self.context.note(input);
+        machine().step(&mut self.life, now, event, &mut self.context);
+        std::mem::take(&mut self.context.effects)
+    }
+
+    /// Handles a deadline that has passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<CallEffect> {
+        self.context.now = now;
+        machine().expire(&mut self.life, now, &mut self.context);
+        std::mem::take(&mut self.context.effects)
+    }
+}
--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, node_life};
+use crate::{call, generation, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -26,11 +26,21 @@
 }
 
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const CALL: ChartSource = chart_source!("call");
+pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 3] = [ATTEMPT, GENERATION, NODE_LIFE];
+pub const ALL: [ChartSource; 6] = [
+    ATTEMPT,
+    CALL,
+    CLAIM_SETTLEMENT,
+    GENERATION,
+    IDEMPOTENT_CALL,
+    NODE_LIFE,
+];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -60,6 +70,7 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    call::verify_charts()?;
     generation::verify_charts()?;
     node_life::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 //! process starts; [`charts::verify`] reports the first one that is wrong.
 
 pub mod admission;
+pub mod call;
 pub mod charts;
 pub mod configuration;
 pub mod generation;
--- /dev/null
+++ b/crates/decide/tests/call_protocol/explore.rs
@@ -0,0 +1,115 @@
+//! Every interleaving at small size.
+
+use std::collections::HashSet;
+
+use parsleylatch_decide::call::ClaimOutcome;
+use test_case::test_case;
+
+use crate::world::{ClaimStep, Faults, Told, World};
+
+/// What an exploration saw.
+#[derive(Debug, Default)]
+struct Seen {
+    worlds: HashSet<String>,
+    ends: usize,
+    violations: Vec<&'static str>,
+}
+
+fn explore(world: &World, first_try: bool, seen: &mut Seen) {
+    if !seen.worlds.insert(format!("{world:?}")) {
+        return;
+    }
+    seen.violations.extend(violations(world, first_try));
+    let steps = world.steps();
+    if steps.is_empty() {
+        seen.ends += 1;
+        seen.violations.extend(violation_at_end(world));
+    }
+    for step in steps {
+        let before = world.told().count();
+        let mut next = world.clone();
+        next.take(step);
+        if !first_try && next.told().count() > before {
+            seen.violations.extend(false_refusal(world, &next));
+        }
+        explore(&next, first_try, seen);
+    }
+}
+
+/// What may be true at no moment.
+fn violations(world: &World, first_try: bool) -> impl Iterator<Item = &'static str> {
+    let answers: HashSet<_> = world
+        .told()
+        .filter_map(|told| match told {
+            Told::Answer(answer) => Some(answer),
+            Told::Refused(_) => None,
+        })
+        .collect();
+    let lies = world
+        .sends()
+        .any(|(sends, told)| sends > 0 && is_not_run(told));
+    let found = [
+        (world.runs() > 1, "the call ran twice"),
+        (answers.len() > 1, "two answers were given"),
+        (lies && first_try, "a try that was sent was told as not run"),
+    ];
+    found
+        .into_iter()
+        .filter_map(|(holds, name)| holds.then_some(name))
+}
+
+fn is_not_run(told: Option<&Told>) -> bool {
+    matches!(told, Some(Told::Refused(refusal)) if refusal.not_run)
+}
+
+/// A refusal that says "not run" has to be true of every try at that moment.
+fn false_refusal(before: &World, after: &World) -> Option<&'static str> {
+    let count = |world: &World| world.told().filter(|told| is_not_run(Some(told))).count();
+    let refused = count(after) > count(before);
+    (refused && after.runs() > 0).then_some("a request that had run was told as not run")
+}
+
+/// What may not be left behind once nothing can happen any more.
+fn violation_at_end(world: &World) -> Option<&'static str> {
+    let answered = world.told().any(|told| matches!(told, Told::Answer(_)));
+    let recorded = matches!(world.key_outcome(), Some(ClaimOutcome::Answered(_)));
+    let pending = world.key_outcome() == Some(&ClaimOutcome::Pending);
+    match () {
+        () if answered && !recorded && !world.has_crashed() => Some("an answer was not recorded"),
+        () if pending && !world.has_crashed() => Some("a claim was left without an outcome"),
+        () => None,
+    }
+}
+
+#[test_case(1, 1, 0, false ; "one lost answer and one crash")]
+#[test_case(1, 1, 1, false ; "a freeze as well")]
+#[test_case(2, 0, 1, false ; "two lost answers and a freeze")]
+#[test_case(1, 1, 1, true ; "first tries")]
+fn interleavings_all(lost_answers: u32, crashes: u32, timeouts: u32, first_try: bool) {
+    let faults = Faults {
+        lost_answers,
+        crashes,
+        timeouts,
+    };
+    let mut seen = Seen::default();
+    let world = World::new(ClaimStep::Made, faults, first_try);
+    explore(&world, first_try, &mut seen);
+    println!("{} worlds, {} ends", seen.worlds.len(), seen.ends);
+    assert_eq!(seen.violations, Vec::<&str>::new());
+    assert!(seen.ends > 10, "the exploration is not empty");
+}
+
+/// The checker finds the fault when the claim is passed over.
+#[test]
+fn interleavings_claim_skipped() {
+    let faults = Faults {
+        lost_answers: 1,
+        crashes: 1,
+        timeouts: 0,
+    };
+    let mut seen = Seen::default();
+    let world = World::new(ClaimStep::Skipped, faults, false);
+    explore(&world, false, &mut seen);
+    assert!(seen.violations.contains(&"the call ran twice"));
+    assert!(seen.violations.contains(&"two answers were given"));
+}
--- /dev/null
+++ b/crates/decide/tests/call_protocol/histories.rs
@@ -0,0 +1,135 @@
+//! Histories of longer random runs, checked for linearizability.
+//!
+//! Random walks drive four tries of one request through every fault. What the
+//! callers were told is the history; its specification is a request that runs
+//! once, has one answer from then on, and is "not run" only before that.
+
+use parsleylatch_decide::call::CallAnswer;
+use proptest::{prelude::*, test_runner::RngSeed};
+use todc_utils::{Action, History, linearizability::WGLChecker, specifications::Specification};
+
+use crate::world::{ClaimStep, Faults, Told, World};
+
+/// Seed of the walks, so that the verdict is the same every time.
+const SEED: u64 = 6;
+/// Tries of the request, the first two at the same moment.
+const TRIES: usize = 4;
+
+/// What a try came to.
+#[derive(Clone, Debug, PartialEq)]
+enum Try {
+    Started,
+    Answered(CallAnswer),
+    NotRun,
+    /// It may have run at any time, or not at all.
+    Unknown,
+}
+
+/// A request that runs at most once.
+struct OnceOnlyRequest;
+
+impl Specification for OnceOnlyRequest {
+    type State = Option<CallAnswer>;
+    type Operation = Try;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(operation: &Try, state: &Self::State) -> (bool, Self::State) {
+        match operation {
+            Try::Answered(answer) => {
+                let fits = state.as_ref().is_none_or(|known| known == answer);
+                (fits, Some(answer.clone()))
+            }
+            Try::NotRun => (state.is_none(), state.clone()),
+            // Stands at the end of the history, where a run tells nothing more.
+            Try::Unknown | Try::Started => (true, state.clone()),
+        }
+    }
+}
+
+fn try_of(told: &Told) -> Try {
+    match told {
+        Told::Answer(answer) => Try::Answered(answer.clone()),
+        Told::Refused(refusal) if refusal.not_run => Try::NotRun,
+        Told::Refused(_) => Try::Unknown,
+    }
+}
+
+type Actions = Vec<(usize, Action<Try>)>;
+
+/// Walks through the world; returns its last state and the history.
+fn walk(claim_step: ClaimStep, choices: &[u16]) -> (World, Actions) {
+    let faults = Faults {
+        lost_answers: 3,
+        crashes: 1,
+        timeouts: 3,
+    };
+    let mut world = World::new(claim_step, faults, false);
+    let mut actions = vec![
+        (0, Action::Call(Try::Started)),
+        (1, Action::Call(Try::Started)),
+    ];
+    let mut open = vec![0, 1];
+    for choice in choices {
+        let steps = world.steps();
+        if let Some(step) = steps.get(*choice as usize % steps.len().max(1)) {
+            world.take(*step);
+        }
+        open.retain(|index| {
+            let told = world.told_to(*index).map(try_of);
+            let known = told.filter(|told| *told != Try::Unknown);
+            actions.extend(
+                known
+                    .iter()
+                    .map(|told| (*index, Action::Response(told.clone()))),
+            );
+            known.is_none()
+        });
+        let next = actions
+            .iter()
+            .filter(|(_, it)| matches!(it, Action::Call(_)))
+            .count();
+        let repeats = (0..next).any(|index| world.told_to(index).is_some());
+        if repeats && next < TRIES && choice % 7 == 0 {
+            world.add_try(false);
+            actions.push((next, Action::Call(Try::Started)));
+            open.push(next);
+        }
+    }
+    actions.extend(
+        open.into_iter()
+            .map(|index| (index, Action::Response(Try::Unknown))),
+    );
+    (world, actions)
+}
+
+fn is_linearizable(actions: Actions) -> bool {
+    WGLChecker::<OnceOnlyRequest>::is_linearizable(History::from_actions(actions))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn callers_history_linearizable(choices in prop::collection::vec(any::<u16>(), 1..80)) {
+        let (world, actions) = walk(ClaimStep::Made, &choices);
+        prop_assert!(world.runs() <= 1);
+        prop_assert!(is_linearizable(actions));
+    }
+}
+
+/// The checker finds the fault when the claim is passed over.
+#[test]
+fn callers_history_claim_skipped() {
+    let choices: Vec<u16> = vec![0; 40];
+    let (world, actions) = walk(ClaimStep::Skipped, &choices);
+    assert!(world.runs() > 1);
+    assert!(!is_linearizable(actions));
+}
--- /dev/null
+++ b/crates/decide/tests/call_protocol/world.rs
@@ -0,0 +1,453 @@
+//! Two nodes that try one request, the store's key and the service.
+
+use std::sync::Arc;
+
+use parsleylatch_decide::{
+    call::{
+        CallAnswer, CallDigest, CallEffect, CallInput, CallOrder, Claim, ClaimCondition,
+        ClaimNonce, ClaimOutcome, OnceOnlyCall, Settlement, SettlementEffect, SettlementInput,
+        StoredClaim,
+    },
+    refusal::Refusal,
+};
+use parsleylatch_types::{EndpointId, MonoTime, Revision, UnixMillis};
+
+/// Whether the claim is made, or passed over as a mutant would.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimStep {
+    Made,
+    Skipped,
+}
+
+/// Faults that may still strike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Faults {
+    pub(crate) lost_answers: u32,
+    pub(crate) crashes: u32,
+    pub(crate) timeouts: u32,
+}
+
+/// What the caller of one try was told.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Told {
+    Answer(CallAnswer),
+    Refused(Refusal),
+}
+
+/// One operation that a claimant waits for.
+#[derive(Clone, Debug)]
+enum Operation {
+    Write(Claim, ClaimCondition),
+    Read,
+    Watch(Revision),
+    Send,
+}
+
+#[derive(Clone, Debug)]
+struct Claimant {
+    now: MonoTime,
+    call: OnceOnlyCall,
+    operation: Option<Operation>,
+    settlement: Option<Settlement>,
+    settlement_operation: Option<Operation>,
+    sends: u32,
+    told: Option<Told>,
+    crashed: bool,
+}
+
+/// Which of a claimant's two lives takes a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Life {
+    Call,
+    Settlement,
+}
+
+/// How an operation ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// It takes effect and is answered.
+    Answered,
+    /// It takes effect and the answer is lost.
+    AnswerLost,
+    /// Its answer is lost; it may take effect later.
+    Delayed,
+    /// A send that can't reach the endpoint.
+    Unsent,
+}
+
+/// One step of the world.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    End(usize, Life, End),
+    TimeOut(usize, Life),
+    Crash(usize),
+    /// A write whose answer was lost takes effect.
+    LateWrite(usize),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    claim_step: ClaimStep,
+    key: Option<StoredClaim>,
+    revision: Revision,
+    claimants: Vec<Claimant>,
+    late_writes: Vec<(Claim, ClaimCondition)>,
+    faults: Faults,
+    runs: u32,
+}
+
+fn claim(number: u64) -> Claim {
+    let (service, operation) = ("dispatch".parse().unwrap(), "book".parse().unwrap());
+    Claim {
+        workspace: "w".parse().unwrap(),
+        node: format!("node-{number}").parse().unwrap(),
+        nonce: ClaimNonce::new(number),
+        digest: CallDigest::of_call(&service, &operation, b"{}"),
+        claimed_at_unix_ms: UnixMillis::ZERO,
+        outcome: ClaimOutcome::Pending,
+    }
+}
+
+impl World {
+    pub(crate) fn new(claim_step: ClaimStep, faults: Faults, first_try: bool) -> Self {
+        let mut world = Self {
+            claim_step,
+            key: None,
+            revision: Revision::ZERO,
+            claimants: Vec::new(),
+            late_writes: Vec::new(),
+            faults,
+            runs: 0,
+        };
+        world.add_try(first_try);
+        world.add_try(first_try);
+        world
+    }
+
+    /// Tries the request once more, at a node of its own.
+    pub(crate) fn add_try(&mut self, first_try: bool) {
+        let claim = claim(self.claimants.len() as u64 + 1);
+        let (call, effects) = OnceOnlyCall::start(MonoTime::ZERO, CallOrder { claim, first_try });
+        self.claimants.push(Claimant {
+            now: MonoTime::ZERO,
+            call,
+            operation: None,
+            settlement: None,
+            settlement_operation: None,
+            sends: 0,
+            told: None,
+            crashed: false,
+        });
+        self.take_effects(self.claimants.len() - 1, effects);
+    }
+
+    pub(crate) fn told_to(&self, index: usize) -> Option<&Told> {
+        self.claimants[index].told.as_ref()
+    }
+
+    pub(crate) fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    pub(crate) fn told(&self) -> impl Iterator<Item = &Told> {
+        self.claimants.iter().filter_map(|it| it.told.as_ref())
+    }
+
+    /// Sends of each claimant, with what its caller was told.
+    pub(crate) fn sends(&self) -> impl Iterator<Item = (u32, Option<&Told>)> {
+        self.claimants.iter().map(|it| (it.sends, it.told.as_ref()))
+    }
+
+    pub(crate) fn key_outcome(&self) -> Option<&ClaimOutcome> {
+        self.key.as_ref().map(|stored| &stored.claim.outcome)
+    }
+
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.claimants.iter().any(|it| it.crashed)
+    }
+
+    /// Steps that may come next.
+    pub(crate) fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, claimant) in self.claimants.iter().enumerate() {
+            if claimant.crashed {
+                continue;
+            }
+            self.push_ends(&mut steps, index, Life::Call, claimant.operation.as_ref());
+            let settling = claimant.settlement_operation.as_ref();
+            self.push_ends(&mut steps, index, Life::Settlement, settling);
+            self.push_timeouts(&mut steps, index, claimant);
+            if self.faults.crashes > 0 {
+                steps.push(Step::Crash(index));
+            }
+        }
+        steps.extend((0..self.late_writes.len()).map(Step::LateWrite));
+        steps
+    }
+
+    fn push_timeouts(&self, steps: &mut Vec<Step>, index: usize, claimant: &Claimant) {
+        let waits_for_watch = matches!(&claimant.operation, Some(Operation::Watch(after))
+            if !self.is_newer_than(*after));
+        if claimant.call.next_deadline().is_some() && (self.faults.timeouts > 0 || waits_for_watch)
+        {
+            steps.push(Step::TimeOut(index, Life::Call));
+        }
+        let settlement = claimant.settlement.as_ref();
+        let pauses = claimant.settlement_operation.is_none();
+        if settlement.is_some_and(|it| it.next_deadline().is_some())
+            && (self.faults.timeouts > 0 || pauses)
+        {
+            steps.push(Step::TimeOut(index, Life::Settlement));
+        }
+    }
+
+    fn push_ends(
+        &self,
+        steps: &mut Vec<Step>,
+        index: usize,
+        life: Life,
+        operation: Option<&Operation>,
+    ) {
+        let mut push = |end| steps.push(Step::End(index, life, end));
+        let may_lose = self.faults.lost_answers > 0;
+        match operation {
+            None => {}
+            Some(Operation::Watch(after)) if !self.is_newer_than(*after) => {}
+            Some(Operation::Read | Operation::Watch(_)) => push(End::Answered),
+            Some(Operation::Write(..) | Operation::Send) => {
+                push(End::Answered);
+                if may_lose {
+                    push(End::AnswerLost);
+                    push(End::Delayed);
+                }
+                if may_lose && matches!(operation, Some(Operation::Send)) {
+                    push(End::Unsent);
+                }
+            }
+        }
+    }
+
+    fn is_newer_than(&self, revision: Revision) -> bool {
+        self.key.as_ref().is_some_and(|it| it.revision > revision)
+    }
+
+    /// Takes a step.
+    pub(crate) fn take(&mut self, step: Step) {
+        match step {
+            Step::End(index, life, end) => self.end(index, life, end),
+            Step::TimeOut(index, life) => self.time_out(index, life),
+            Step::Crash(index) => {
+                self.faults.crashes -= 1;
+                let claimant = &mut self.claimants[index];
+                claimant.crashed = true;
+                let operations = [
+                    claimant.operation.take(),
+                    claimant.settlement_operation.take(),
+                ];
+                operations.into_iter().for_each(|it| self.leave(it));
+            }
+            Step::LateWrite(index) => {
+                let (claim, condition) = self.late_writes.remove(index);
+                self.write(claim, condition);
+            }
+        }
+    }
+
+    /// An operation that nobody waits for any more may take effect later.
+    fn leave(&mut self, operation: Option<Operation>) {
+        match operation {
+            Some(Operation::Write(claim, condition)) => self.late_writes.push((claim, condition)),
+            Some(Operation::Send) => self.runs += 1,
+            _ => {}
+        }
+    }
+
+    fn write(&mut self, claim: Claim, condition: ClaimCondition) -> bool {
+        let holds = match condition {
+            ClaimCondition::Absent => self.key.is_none(),
+            ClaimCondition::At(revision) => {
+                self.key.as_ref().is_some_and(|it| it.revision == revision)
+            }
+        };
+        if holds {
+            self.revision = self.revision.next();
+            let revision = self.revision;
+            self.key = Some(StoredClaim { claim, revision });
+        }
+        holds
+    }
+
+    fn time_out(&mut self, index: usize, life: Life) {
+        self.faults.timeouts = self.faults.timeouts.saturating_sub(1);
+        let claimant = &mut self.claimants[index];
+        match life {
+            Life::Call => {
+                claimant.now = claimant.call.next_deadline().unwrap().max(claimant.now);
+                let effects = claimant.call.expire(claimant.now);
+                let left = claimant.operation.take();
+                self.leave(left);
+                self.take_effects(index, effects);
+            }
+            Life::Settlement => {
+                let settlement = claimant.settlement.as_mut().unwrap();
+                claimant.now = settlement.next_deadline().unwrap().max(claimant.now);
+                let effects = settlement.expire(claimant.now);
+                let left = claimant.settlement_operation.take();
+                self.leave(left);
+                self.take_settlement_effects(index, effects);
+            }
+        }
+    }
+
+    fn end(&mut self, index: usize, life: Life, end: End) {
+        if end != End::Answered {
+            self.faults.lost_answers -= 1;
+        }
+        let claimant = &mut self.claimants[index];
+        let operation = match life {
+            Life::Call => claimant.operation.take(),
+            Life::Settlement => claimant.settlement_operation.take(),
+        };
+        let heard = self.perform(index, operation.expect("an operation runs"), end);
+        let claimant = &mut self.claimants[index];
+        match life {
+            Life::Call => {
+                let effects = claimant.call.handle(claimant.now, call_input(heard));
+                self.take_effects(index, effects);
+            }
+            Life::Settlement => {
+                let settlement = claimant.settlement.as_mut().unwrap();
+                let effects = settlement.handle(claimant.now, settlement_input(heard));
+                self.take_settlement_effects(index, effects);
+            }
+        }
+    }
+
+    fn perform(&mut self, index: usize, operation: Operation, end: End) -> Heard {
+        match (operation, end) {
+            (Operation::Write(claim, condition), End::Answered) => {
+                let written = self.write(claim, condition);
+                let stored = self.key.clone();
+                match (written, stored) {
+                    (true, Some(stored)) => Heard::Written(stored.revision),
+                    (false, Some(stored)) => Heard::Found(stored),
+                    (_, None) => Heard::Absent,
+                }
+            }
+            (Operation::Write(claim, condition), End::Delayed) => {
+                self.late_writes.push((claim, condition));
+                Heard::Unclear
+            }
+            (Operation::Write(claim, condition), _) => {
+                self.write(claim, condition);
+                Heard::Unclear
+            }
+            (Operation::Read | Operation::Watch(_), _) => match self.key.clone() {
+                Some(stored) => Heard::Found(stored),
+                None => Heard::Absent,
+            },
+            (Operation::Send, End::Unsent) => Heard::Unsent,
+            (Operation::Send, end) => {
+                self.claimants[index].sends += 1;
+                // A delayed send did not run; the node can't tell the two apart.
+                self.runs += u32::from(end != End::Delayed);
+                match end {
+                    End::Answered => Heard::Answered(answer(self.runs)),
+                    _ => Heard::Lost,
+                }
+            }
+        }
+    }
+
+    fn take_effects(&mut self, index: usize, effects: Vec<CallEffect>) {
+        for effect in effects {
+            let claimant = &mut self.claimants[index];
+            match effect {
+                CallEffect::WriteClaim { claim, condition } => {
+                    claimant.operation = Some(Operation::Write(claim, condition));
+                    if self.claim_step == ClaimStep::Skipped {
+                        claimant.operation = None;
+                        let input = CallInput::ClaimWritten(Revision::new(1));
+                        let effects = claimant.call.handle(claimant.now, input);
+                        self.take_effects(index, effects);
+                    }
+                }
+                CallEffect::ReadClaim => claimant.operation = Some(Operation::Read),
+                CallEffect::WatchClaim { after } => {
+                    claimant.operation = Some(Operation::Watch(after));
+                }
+                CallEffect::Send { send_before, .. } => {
+                    assert!(claimant.now <= send_before, "sent after the window");
+                    claimant.operation = Some(Operation::Send);
+                }
+                CallEffect::Settle(order) => {
+                    let (settlement, effects) = Settlement::start(claimant.now, order);
+                    claimant.settlement = Some(settlement);
+                    self.take_settlement_effects(index, effects);
+                }
+                CallEffect::Answer(answer) => claimant.told = Some(Told::Answer(answer)),
+                CallEffect::Refuse(refusal) => claimant.told = Some(Told::Refused(refusal)),
+            }
+        }
+    }
+
+    fn take_settlement_effects(&mut self, index: usize, effects: Vec<SettlementEffect>) {
+        let claimant = &mut self.claimants[index];
+        for effect in effects {
+            claimant.settlement_operation = Some(match effect {
+                SettlementEffect::Write { claim, condition } => Operation::Write(claim, condition),
+                SettlementEffect::Read => Operation::Read,
+            });
+        }
+        let over = claimant
+            .settlement
+            .as_ref()
+            .is_some_and(Settlement::is_over);
+        if over && !claimant.call.is_over() {
+            let effects = claimant.call.handle(claimant.now, CallInput::Settled);
+            self.take_effects(index, effects);
+        }
+    }
+}
+
+/// What a claimant hears of an operation.
+enum Heard {
+    Written(Revision),
+    Found(StoredClaim),
+    Absent,
+    Unclear,
+    Answered(CallAnswer),
+    Unsent,
+    Lost,
+}
+
+fn call_input(heard: Heard) -> CallInput {
+    match heard {
+        Heard::Written(revision) => CallInput::ClaimWritten(revision),
+        Heard::Found(stored) => CallInput::ClaimFound(stored),
+        Heard::Absent => CallInput::ClaimAbsent,
+        Heard::Unclear => CallInput::ClaimUnclear,
+        Heard::Answered(answer) => CallInput::Answered(answer),
+        Heard::Unsent => CallInput::Unsent {
+            endpoint: Some("service-1".parse::<EndpointId>().unwrap()),
+        },
+        Heard::Lost => CallInput::Lost,
+    }
+}
+
+fn settlement_input(heard: Heard) -> SettlementInput {
+    match heard {
+        Heard::Written(_) => SettlementInput::Written,
+        Heard::Found(stored) => SettlementInput::Found(stored),
+        Heard::Absent => SettlementInput::Absent,
+        _ => SettlementInput::Unclear,
+    }
+}
+
+/// Answers tell the runs apart.
+fn answer(run: u32) -> CallAnswer {
+    CallAnswer {
+        status: 200,
+        body: Arc::from(run.to_string().as_bytes()),
+    }
+}
