Claim, send and record once-only calls; retry idempotent ones in a budget

The node carries out the decisions: the claim and its settlement go to the store, each call runs as a task that outlives its caller, and idempotent calls go to another endpoint within a budget for each workspace.

The id's age alone can't tell a first try. The chart now asks the other nodes whether they tried the request, and says 'not run' only if all of them answer that they did not.

'parsleylatchctl calls show ID' tells what the store holds.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use eyre::Result;
+use parsleylatch_types::RequestId;
 
 use crate::{api::Api, chart, check, show};
 
@@ -32,6 +33,7 @@
     Counters(CountersArgs),
     Drain(DrainArgs),
     Chart(ChartArgs),
+    Calls(CallsArgs),
 }
 
 /// check a file with node settings or a template
@@ -72,6 +74,29 @@
     name: Option<String>,
 }
 
+/// look at once-only calls
+#[derive(FromArgs)]
+#[argh(subcommand, name = "calls")]
+struct CallsArgs {
+    #[argh(subcommand)]
+    command: CallsCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum CallsCommand {
+    Show(CallsShowArgs),
+}
+
+/// show what the store holds of a call
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct CallsShowArgs {
+    /// request id
+    #[argh(positional)]
+    id: RequestId,
+}
+
 /// Runs one command.
 ///
 /// # Errors
@@ -84,6 +109,12 @@
         Command::Nodes(_) => show::list(&api()?.get("/admin/v1/nodes").await?, args.json),
         Command::Endpoints(_) => show::list(&api()?.get("/admin/v1/endpoints").await?, args.json),
         Command::Counters(_) => show::fields(&api()?.get("/admin/v1/counters").await?, args.json),
+        Command::Calls(CallsArgs {
+            command: CallsCommand::Show(CallsShowArgs { id }),
+        }) => show::fields(
+            &api()?.get(&format!("/admin/v1/calls/{id}")).await?,
+            args.json,
+        ),
         Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
     }
 }
--- a/crates/decide/src/call/claim.rs
+++ b/crates/decide/src/call/claim.rs
@@ -13,8 +13,8 @@
 pub const CLAIM_RETENTION_MS: Millis = Millis::new(24 * 60 * 60 * 1_000);
 /// Largest difference between the clocks of callers and nodes.
 pub const CLOCK_SKEW_MS: Millis = Millis::new(5 * 60 * 1_000);
-/// Age from which an id may be a repeat of which the store alone knows.
-const FIRST_TRY_MS: Millis = Millis::new(1_000);
+/// Age up to which an id may be told as new without the store.
+const NEW_ID_MS: Millis = Millis::new(1_000);
 /// Radix of the text forms.
 const HEX: u32 = 16;
 
@@ -23,6 +23,9 @@
 pub struct ClaimNonce(u64);
 
 impl ClaimNonce {
+    /// Stands for the number of a claim that can't be read.
+    pub const UNREADABLE: Self = Self(0);
+
     /// Wraps a random number.
     pub const fn new(value: u64) -> Self {
         Self(value)
@@ -152,9 +155,10 @@
     Ok(())
 }
 
-/// Whether an id is so new that this is taken for the first try of the request.
-pub fn is_first_try(id: RequestId, now: UnixMillis) -> bool {
-    now.since(id.created_at()) <= FIRST_TRY_MS
+/// Whether an id is so new that no node that knew it can have left since.
+pub fn looks_new(id: RequestId, now: UnixMillis) -> bool {
+    let created_at = id.created_at();
+    now.since(created_at).max(created_at.since(now)) <= NEW_ID_MS
 }
 
 /// Whether a claim may be deleted: every node refuses its id as expired.
--- a/crates/decide/src/call/mod.rs
+++ b/crates/decide/src/call/mod.rs
@@ -10,6 +10,7 @@
 mod claim;
 mod idempotent;
 mod once_only;
+mod recent_ids;
 mod retry_budget;
 mod settlement;
 mod store_health;
@@ -19,10 +20,11 @@
 
 pub use claim::{
     CLAIM_RETENTION_MS, CLOCK_SKEW_MS, CallAnswer, CallDigest, Claim, ClaimNonce, ClaimOutcome,
-    StoredClaim, check_age, is_first_try, may_delete,
+    StoredClaim, check_age, looks_new, may_delete,
 };
 pub use idempotent::{IdempotentCall, IdempotentEffect, IdempotentInput};
 pub use once_only::{CallEffect, CallInput, CallOrder, CallState, ClaimCondition, OnceOnlyCall};
+pub use recent_ids::RecentIds;
 pub use retry_budget::RetryBudgets;
 pub use settlement::{
     Settlement, SettlementEffect, SettlementInput, SettlementOrder, SettlementState,
--- a/crates/decide/src/call/once_only.rs
+++ b/crates/decide/src/call/once_only.rs
@@ -14,16 +14,22 @@
 
 /// Longest time from the write of a claim to the sending of the call.
 const SEND_WINDOW_MS: Millis = Millis::new(2_000);
+/// Largest answer that is recorded; a repeat of a larger one is told "unknown".
+const RECORD_LIMIT_BYTES: usize = 512 << 10;
 /// Time after which a repeat may succeed when the store is out.
 const STORE_RETRY_MS: Millis = Millis::new(1_000);
 
 chart_names! {
     /// States of a call.
     pub enum CallState {
+        /// Has not begun.
+        Starting,
         /// Writes the claim.
         Claiming,
         /// Reads what became of an unclear claim.
         ReadingBack,
+        /// Asks the other nodes whether they know the request.
+        AskingPeers,
         /// The claim is confirmed; the call is on its way.
         Sending,
         /// The answer is being recorded.
@@ -42,6 +48,8 @@
 chart_names! {
     /// Events of a call.
     pub(crate) enum CallEvent {
+        /// The call begins.
+        Started,
         /// The claim was written.
         ClaimWritten,
         /// The key holds a claim.
@@ -60,6 +68,10 @@
         Lost,
         /// The answer is in the store, or can't get there.
         Settled,
+        /// Every other node answered that it does not know the request.
+        PeersUnaware,
+        /// Another node knows the request, or did not answer.
+        PeersUnsure,
         /// The state lasted its longest time.
         TimedOut,
     }
@@ -98,6 +110,10 @@
     Lost,
     /// The answer is in the store, or can't get there.
     Settled,
+    /// Every other node answered that it does not know the request.
+    PeersUnaware,
+    /// Another node knows the request, or did not answer.
+    PeersUnsure,
 }
 
 /// What the caller of the decisions has to do.
@@ -124,6 +140,8 @@
         /// Time after which nothing may be sent.
         send_before: MonoTime,
     },
+    /// Ask every other node whether it knows the request.
+    AskPeers,
     /// Settle the claim, also after the call has ended.
     Settle(SettlementOrder),
     /// Give the answer to the caller.
@@ -137,8 +155,10 @@
 pub struct CallOrder {
     /// Claim as it is to be written.
     pub claim: Claim,
-    /// Whether no earlier try of the request can be in the store.
-    pub first_try: bool,
+    /// Whether the id is new, and this node has seen no other try of it.
+    pub looks_new: bool,
+    /// Whether the store failed a call a moment ago.
+    pub store_is_down: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -175,7 +195,13 @@
             let refusal = it.refusal.take().map(CallEffect::Refuse);
             it.effects.extend(refusal);
         })
-        .action("blame_store", CallContext::blame_store)
+        .action("ask_peers", |it| it.effects.push(CallEffect::AskPeers))
+        .action("blame_store", |it| {
+            it.refusal = Some(refuse_unclaimed(it.order.looks_new));
+        })
+        .action("blame_store_unsure", |it| {
+            it.refusal = Some(refuse_unclaimed(false));
+        })
         .action("blame_unclear_claim", |it| {
             let detail = "the store did not confirm the claim; the call was not sent";
             it.refuse_unsent(RefusalKind::StoreUnavailable, detail);
@@ -197,6 +223,7 @@
 
 fn guards(bindings: Bindings<CallContext>) -> Bindings<CallContext> {
     bindings
+        .guard("store_is_down", |it| it.order.store_is_down)
         .guard("may_send", CallContext::may_send)
         .guard("may_send_own", |it| it.is_own() && it.may_send())
         .guard("may_send_elsewhere", |it| it.may_try_other && it.may_send())
@@ -268,9 +295,10 @@
     }
 
     fn record_answer(&mut self) {
-        if let Some(answer) = self.answer.clone() {
-            self.settle(ClaimOutcome::Answered(answer));
-        }
+        let is_text = |answer: &CallAnswer| std::str::from_utf8(&answer.body).is_ok();
+        let answer = self.answer.clone();
+        let kept = answer.filter(|it| it.body.len() <= RECORD_LIMIT_BYTES && is_text(it));
+        self.settle(kept.map_or(ClaimOutcome::Unknown, ClaimOutcome::Answered));
     }
 
     fn settle(&mut self, outcome: ClaimOutcome) {
@@ -294,22 +322,6 @@
         self.refusal = Some(Refusal::not_run(kind, detail).retry_after(STORE_RETRY_MS));
     }
 
-    /// This try sent nothing; an earlier one may have, unless there was none.
-    fn blame_store(&mut self) {
-        let detail = if self.order.first_try {
-            "the store can't be reached to claim the call; the call was not sent"
-        } else {
-            "the store can't be reached to claim the call; an earlier try may have run"
-        };
-        let refusal = Refusal {
-            kind: RefusalKind::StoreUnavailable,
-            detail: detail.to_owned(),
-            not_run: self.order.first_try,
-            retry_after_ms: Some(STORE_RETRY_MS),
-        };
-        self.refusal = Some(refusal);
-    }
-
     fn tell_unknown(&mut self) {
         let detail = "the call was claimed, and no answer is known; it will not be run again";
         let refusal = Refusal::may_have_run(RefusalKind::OutcomeUnknown, detail);
@@ -355,10 +367,29 @@
             }
             CallInput::Lost => CallEvent::Lost,
             CallInput::Settled => CallEvent::Settled,
+            CallInput::PeersUnaware => CallEvent::PeersUnaware,
+            CallInput::PeersUnsure => CallEvent::PeersUnsure,
         }
     }
 }
 
+/// Refusal of a call for which the store could not be asked.
+///
+/// This try sent nothing; an earlier one may have, unless there was none.
+fn refuse_unclaimed(is_first_try: bool) -> Refusal {
+    let detail = if is_first_try {
+        "the store can't be reached to claim the call; the call was not sent"
+    } else {
+        "the store can't be reached to claim the call; an earlier try may have run"
+    };
+    Refusal {
+        kind: RefusalKind::StoreUnavailable,
+        detail: detail.to_owned(),
+        not_run: is_first_try,
+        retry_after_ms: Some(STORE_RETRY_MS),
+    }
+}
+
 /// One call that may run at most once.
 #[derive(Clone, Debug)]
 pub struct OnceOnlyCall {
@@ -367,7 +398,7 @@
 }
 
 impl OnceOnlyCall {
-    /// Starts the call by writing its claim.
+    /// Starts the call by writing its claim, unless the store is down.
     pub fn start(now: MonoTime, order: CallOrder) -> (Self, Vec<CallEffect>) {
         let mut context = CallContext {
             order,
@@ -382,7 +413,8 @@
             refusal: None,
             effects: Vec::new(),
         };
-        let life = machine().start(now, &mut context);
+        let mut life = machine().start(now, &mut context);
+        machine().step(&mut life, now, CallEvent::Started, &mut context);
         let effects = std::mem::take(&mut context.effects);
         (Self { life, context }, effects)
     }
--- a/crates/decide/src/call/store_health.rs
+++ b/crates/decide/src/call/store_health.rs
@@ -5,21 +5,17 @@
 /// Time for which calls are refused at once after the store failed one.
 const DOWN_MS: Millis = Millis::new(500);
 
-/// What a traffic thread remembers of the store.
+/// What a node remembers of the store; the default is a healthy one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreHealth {
     down_until: Option<MonoTime>,
 }
 
 impl StoreHealth {
-    /// Notes a call that the store failed.
-    pub fn note_failure(&mut self, now: MonoTime) {
-        self.down_until = Some(now + DOWN_MS);
-    }
-
-    /// Notes a call that the store answered.
-    pub fn note_success(&mut self) {
-        self.down_until = None;
+    /// Health of a store that has just failed a call.
+    pub fn failed_at(now: MonoTime) -> Self {
+        let down_until = Some(now + DOWN_MS);
+        Self { down_until }
     }
 
     /// Whether the store failed a moment ago.
--- a/crates/decide/tests/call_protocol/explore.rs
+++ b/crates/decide/tests/call_protocol/explore.rs
@@ -15,11 +15,11 @@
     violations: Vec<&'static str>,
 }
 
-fn explore(world: &World, first_try: bool, seen: &mut Seen) {
+fn explore(world: &World, seen: &mut Seen) {
     if !seen.worlds.insert(format!("{world:?}")) {
         return;
     }
-    seen.violations.extend(violations(world, first_try));
+    seen.violations.extend(violations(world));
     let steps = world.steps();
     if steps.is_empty() {
         seen.ends += 1;
@@ -29,15 +29,15 @@
         let before = world.told().count();
         let mut next = world.clone();
         next.take(step);
-        if !first_try && next.told().count() > before {
+        if next.told().count() > before {
             seen.violations.extend(false_refusal(world, &next));
         }
-        explore(&next, first_try, seen);
+        explore(&next, seen);
     }
 }
 
 /// What may be true at no moment.
-fn violations(world: &World, first_try: bool) -> impl Iterator<Item = &'static str> {
+fn violations(world: &World) -> impl Iterator<Item = &'static str> {
     let answers: HashSet<_> = world
         .told()
         .filter_map(|told| match told {
@@ -47,24 +47,20 @@
         .collect();
     let lies = world
         .sends()
-        .any(|(sends, told)| sends > 0 && is_not_run(told));
+        .any(|(sends, told)| sends > 0 && told.is_some_and(Told::is_not_run));
     let found = [
         (world.runs() > 1, "the call ran twice"),
         (answers.len() > 1, "two answers were given"),
-        (lies && first_try, "a try that was sent was told as not run"),
+        (lies, "a try that was sent was told as not run"),
     ];
     found
         .into_iter()
         .filter_map(|(holds, name)| holds.then_some(name))
 }
 
-fn is_not_run(told: Option<&Told>) -> bool {
-    matches!(told, Some(Told::Refused(refusal)) if refusal.not_run)
-}
-
 /// A refusal that says "not run" has to be true of every try at that moment.
 fn false_refusal(before: &World, after: &World) -> Option<&'static str> {
-    let count = |world: &World| world.told().filter(|told| is_not_run(Some(told))).count();
+    let count = |world: &World| world.told().filter(|told| told.is_not_run()).count();
     let refused = count(after) > count(before);
     (refused && after.runs() > 0).then_some("a request that had run was told as not run")
 }
@@ -84,16 +80,16 @@
 #[test_case(1, 1, 0, false ; "one lost answer and one crash")]
 #[test_case(1, 1, 1, false ; "a freeze as well")]
 #[test_case(2, 0, 1, false ; "two lost answers and a freeze")]
-#[test_case(1, 1, 1, true ; "first tries")]
-fn interleavings_all(lost_answers: u32, crashes: u32, timeouts: u32, first_try: bool) {
+#[test_case(1, 1, 1, true ; "ids that look new")]
+fn interleavings_all(lost_answers: u32, crashes: u32, timeouts: u32, looks_new: bool) {
     let faults = Faults {
         lost_answers,
         crashes,
         timeouts,
     };
     let mut seen = Seen::default();
-    let world = World::new(ClaimStep::Made, faults, first_try);
-    explore(&world, first_try, &mut seen);
+    let world = World::new(ClaimStep::Made, faults, looks_new);
+    explore(&world, &mut seen);
     println!("{} worlds, {} ends", seen.worlds.len(), seen.ends);
     assert_eq!(seen.violations, Vec::<&str>::new());
     assert!(seen.ends > 10, "the exploration is not empty");
@@ -109,7 +105,7 @@
     };
     let mut seen = Seen::default();
     let world = World::new(ClaimStep::Skipped, faults, false);
-    explore(&world, false, &mut seen);
+    explore(&world, &mut seen);
     assert!(seen.violations.contains(&"the call ran twice"));
     assert!(seen.violations.contains(&"two answers were given"));
 }
--- a/crates/decide/tests/call_protocol/world.rs
+++ b/crates/decide/tests/call_protocol/world.rs
@@ -34,12 +34,19 @@
     Refused(Refusal),
 }
 
+impl Told {
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self, Self::Refused(refusal) if refusal.not_run)
+    }
+}
+
 /// One operation that a claimant waits for.
 #[derive(Clone, Debug)]
 enum Operation {
     Write(Claim, ClaimCondition),
     Read,
     Watch(Revision),
+    AskPeers,
     Send,
 }
 
@@ -109,7 +116,7 @@
 }
 
 impl World {
-    pub(crate) fn new(claim_step: ClaimStep, faults: Faults, first_try: bool) -> Self {
+    pub(crate) fn new(claim_step: ClaimStep, faults: Faults, looks_new: bool) -> Self {
         let mut world = Self {
             claim_step,
             key: None,
@@ -119,15 +126,22 @@
             faults,
             runs: 0,
         };
-        world.add_try(first_try);
-        world.add_try(first_try);
+        world.add_try(looks_new);
+        world.add_try(looks_new);
         world
     }
 
     /// Tries the request once more, at a node of its own.
-    pub(crate) fn add_try(&mut self, first_try: bool) {
+    pub(crate) fn add_try(&mut self, looks_new: bool) {
         let claim = claim(self.claimants.len() as u64 + 1);
-        let (call, effects) = OnceOnlyCall::start(MonoTime::ZERO, CallOrder { claim, first_try });
+        let (call, effects) = OnceOnlyCall::start(
+            MonoTime::ZERO,
+            CallOrder {
+                claim,
+                looks_new,
+                store_is_down: false,
+            },
+        );
         self.claimants.push(Claimant {
             now: MonoTime::ZERO,
             call,
@@ -213,7 +227,9 @@
         match operation {
             None => {}
             Some(Operation::Watch(after)) if !self.is_newer_than(*after) => {}
-            Some(Operation::Read | Operation::Watch(_)) => push(End::Answered),
+            Some(Operation::Read | Operation::Watch(_) | Operation::AskPeers) => {
+                push(End::Answered)
+            }
             Some(Operation::Write(..) | Operation::Send) => {
                 push(End::Answered);
                 if may_lose {
@@ -346,6 +362,7 @@
                 Some(stored) => Heard::Found(stored),
                 None => Heard::Absent,
             },
+            (Operation::AskPeers, _) => Heard::Peers(self.peers_are_unaware(index)),
             (Operation::Send, End::Unsent) => Heard::Unsent,
             (Operation::Send, end) => {
                 self.claimants[index].sends += 1;
@@ -359,6 +376,13 @@
         }
     }
 
+    /// Whether every other node answers that it never tried the request.
+    fn peers_are_unaware(&self, index: usize) -> bool {
+        let others = self.claimants.iter().enumerate();
+        let mut others = others.filter(|(other, _)| *other != index);
+        others.all(|(_, it)| !it.crashed && it.told.as_ref().is_some_and(Told::is_not_run))
+    }
+
     fn take_effects(&mut self, index: usize, effects: Vec<CallEffect>) {
         for effect in effects {
             let claimant = &mut self.claimants[index];
@@ -372,6 +396,7 @@
                         self.take_effects(index, effects);
                     }
                 }
+                CallEffect::AskPeers => claimant.operation = Some(Operation::AskPeers),
                 CallEffect::ReadClaim => claimant.operation = Some(Operation::Read),
                 CallEffect::WatchClaim { after } => {
                     claimant.operation = Some(Operation::Watch(after));
@@ -419,6 +444,7 @@
     Answered(CallAnswer),
     Unsent,
     Lost,
+    Peers(bool),
 }
 
 fn call_input(heard: Heard) -> CallInput {
@@ -432,6 +458,8 @@
             endpoint: Some("service-1".parse::<EndpointId>().unwrap()),
         },
         Heard::Lost => CallInput::Lost,
+        Heard::Peers(true) => CallInput::PeersUnaware,
+        Heard::Peers(false) => CallInput::PeersUnsure,
     }
 }
 
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -39,12 +39,14 @@
         peer: SocketAddr,
         operation: &OperationName,
         request_id: RequestId,
+        traceparent: &str,
         body: Bytes,
         timeout_ms: Millis,
     ) -> Result<ServiceAnswer, HttpError> {
         let request = Request::post(format!("/v1/operations/{operation}"))
             .header("content-type", "application/json")
-            .header(REQUEST_ID_HEADER, request_id.to_string());
+            .header(REQUEST_ID_HEADER, request_id.to_string())
+            .header("traceparent", traceparent);
         let reply = self
             .http
             .call(peer, request, body, timeout_ms.duration())
--- /dev/null
+++ b/crates/node/src/claims.rs
@@ -0,0 +1,202 @@
+//! Claims as documents in the store.
+
+use std::{str::FromStr, sync::Arc};
+
+use parsleylatch_decide::call::{
+    CallAnswer, CallDigest, Claim, ClaimCondition, ClaimNonce, ClaimOutcome, StoredClaim,
+};
+use parsleylatch_store::{Condition, StoreClient, StoreError};
+use parsleylatch_types::{Millis, NodeId, RequestId, Revision, UnixMillis, WorkspaceId};
+use parsleylatch_wire::platform::KeyValue;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    shared::Shared,
+    telemetry::{Counter, Counters},
+};
+
+/// Prefix of the keys of claims.
+const CLAIM_PREFIX: &str = "claims/";
+/// Longest wait of one watch of a claim; callers wait less.
+const CLAIM_WATCH_MS: Millis = Millis::new(10_000);
+
+/// Key of a request's claim.
+fn key_of(id: RequestId) -> String {
+    format!("{CLAIM_PREFIX}{id}")
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+enum OutcomeDocument {
+    Pending,
+    Answered { status: u16, body: String },
+    Unknown,
+    Released,
+}
+
+/// Value of a claim's key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ClaimDocument {
+    workspace: WorkspaceId,
+    node_id: NodeId,
+    nonce: String,
+    digest: String,
+    claimed_at_unix_ms: UnixMillis,
+    #[serde(flatten)]
+    outcome: OutcomeDocument,
+}
+
+impl ClaimDocument {
+    fn of_claim(claim: &Claim) -> Self {
+        let outcome = match &claim.outcome {
+            ClaimOutcome::Pending => OutcomeDocument::Pending,
+            ClaimOutcome::Unknown => OutcomeDocument::Unknown,
+            ClaimOutcome::Released => OutcomeDocument::Released,
+            ClaimOutcome::Answered(answer) => OutcomeDocument::Answered {
+                status: answer.status,
+                body: String::from_utf8_lossy(&answer.body).into_owned(),
+            },
+        };
+        Self {
+            workspace: claim.workspace.clone(),
+            node_id: claim.node.clone(),
+            nonce: claim.nonce.to_string(),
+            digest: claim.digest.to_string(),
+            claimed_at_unix_ms: claim.claimed_at_unix_ms,
+            outcome,
+        }
+    }
+
+    fn into_claim(self) -> Option<Claim> {
+        let outcome = match self.outcome {
+            OutcomeDocument::Pending => ClaimOutcome::Pending,
+            OutcomeDocument::Unknown => ClaimOutcome::Unknown,
+            OutcomeDocument::Released => ClaimOutcome::Released,
+            OutcomeDocument::Answered { status, body } => ClaimOutcome::Answered(CallAnswer {
+                status,
+                body: body.into_bytes().into(),
+            }),
+        };
+        Some(Claim {
+            workspace: self.workspace,
+            node: self.node_id,
+            nonce: ClaimNonce::from_str(&self.nonce).ok()?,
+            digest: CallDigest::from_str(&self.digest).ok()?,
+            claimed_at_unix_ms: self.claimed_at_unix_ms,
+            outcome,
+        })
+    }
+}
+
+/// What the store said of a claim.
+pub(crate) enum ClaimReply {
+    /// Written, at this revision.
+    Written(Revision),
+    /// The key holds a claim.
+    Found(StoredClaim),
+    /// There is no claim.
+    Absent,
+    /// The write may or may not have taken effect.
+    Unclear,
+    /// The store did not answer a read, or refused a write.
+    Failed,
+}
+
+/// The store, as far as claims go.
+#[derive(Clone)]
+pub(crate) struct ClaimStore {
+    store: StoreClient,
+    shared: Arc<Shared>,
+}
+
+impl ClaimStore {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Self {
+        Self {
+            store: StoreClient::new(shared.settings.store_address),
+            shared: Arc::clone(shared),
+        }
+    }
+
+    /// Writes a claim if the condition holds.
+    pub(crate) async fn write(
+        &self,
+        id: RequestId,
+        claim: &Claim,
+        condition: ClaimCondition,
+    ) -> ClaimReply {
+        let condition = match condition {
+            ClaimCondition::Absent => Condition::Absent,
+            ClaimCondition::At(revision) => Condition::At(revision),
+        };
+        let Ok(value) = serde_json::to_string(&ClaimDocument::of_claim(claim)) else {
+            return ClaimReply::Failed;
+        };
+        self.counters().increment(Counter::StoreCalls);
+        match self.store.write(&key_of(id), value, condition, None).await {
+            Ok(reply) => match reply.entry {
+                Some(entry) if reply.written => ClaimReply::Written(entry.revision),
+                Some(entry) => ClaimReply::Found(stored_claim(&entry, claim)),
+                None => ClaimReply::Absent,
+            },
+            Err(error) if error.is_unclear() => self.fail(&error, ClaimReply::Unclear),
+            Err(error) => self.fail(&error, ClaimReply::Failed),
+        }
+    }
+
+    /// Reads a claim; `own` stands in for a document that can't be read.
+    pub(crate) async fn read(&self, id: RequestId, own: &Claim) -> ClaimReply {
+        self.counters().increment(Counter::StoreCalls);
+        match self.store.read(&key_of(id)).await {
+            Ok(Some(entry)) => ClaimReply::Found(stored_claim(&entry, own)),
+            Ok(None) => ClaimReply::Absent,
+            Err(error) => self.fail(&error, ClaimReply::Failed),
+        }
+    }
+
+    /// Waits until a claim changes.
+    pub(crate) async fn watch(&self, id: RequestId, after: Revision, own: &Claim) -> ClaimReply {
+        self.counters().increment(Counter::StoreCalls);
+        let key = key_of(id);
+        match self.store.watch(&key, after, CLAIM_WATCH_MS).await {
+            Ok(reply) => match reply.entries.first() {
+                Some(entry) => ClaimReply::Found(stored_claim(entry, own)),
+                None if reply.deleted.contains(&key) => ClaimReply::Absent,
+                None => ClaimReply::Failed,
+            },
+            Err(error) => self.fail(&error, ClaimReply::Failed),
+        }
+    }
+
+    /// Reads what operators are shown of a claim.
+    pub(crate) async fn describe(&self, id: RequestId) -> Result<Option<KeyValue>, StoreError> {
+        self.counters().increment(Counter::StoreCalls);
+        self.store.read(&key_of(id)).await
+    }
+
+    fn counters(&self) -> &Counters {
+        &self.shared.counters
+    }
+
+    fn fail(&self, error: &StoreError, reply: ClaimReply) -> ClaimReply {
+        self.counters().increment(Counter::StoreCallsFailed);
+        log::debug!("{error}");
+        reply
+    }
+}
+
+/// Claim in an entry. One that can't be read stands for a call that may have run.
+fn stored_claim(entry: &KeyValue, own: &Claim) -> StoredClaim {
+    let document = serde_json::from_str(&entry.value).ok();
+    let claim = document.and_then(ClaimDocument::into_claim);
+    StoredClaim {
+        claim: claim.unwrap_or_else(|| unreadable(own)),
+        revision: entry.revision,
+    }
+}
+
+fn unreadable(own: &Claim) -> Claim {
+    Claim {
+        nonce: ClaimNonce::UNREADABLE,
+        ..own.with_outcome(ClaimOutcome::Unknown)
+    }
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,8 +1,9 @@
-//! The only reader of clocks: monotonic time since the node started.
+//! The only reader of clocks: monotonic time since the node started, and wall
+//! time for what other processes read.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use parsleylatch_types::{Micros, MonoTime};
+use parsleylatch_types::{Micros, MonoTime, UnixMillis};
 
 /// Clock of one process; copies agree.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +23,13 @@
         MonoTime::ZERO + Micros::from(self.started_at.elapsed())
     }
 
+    /// Wall-clock time; never used to order events.
+    pub(crate) fn unix_now(&self) -> UnixMillis {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = since_epoch.unwrap_or_default().as_millis();
+        UnixMillis::new(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+
     /// Instant of a monotonic time, for timers.
     pub(crate) fn instant(&self, time: MonoTime) -> tokio::time::Instant {
         (self.started_at + time.since(MonoTime::ZERO).duration()).into()
--- a/crates/node/src/control/admin.rs
+++ b/crates/node/src/control/admin.rs
@@ -18,6 +18,7 @@
         .get("/admin/v1/nodes", nodes)
         .get("/admin/v1/endpoints", endpoints)
         .get("/admin/v1/counters", counters)
+        .get("/admin/v1/calls/:id", super::calls::show)
         .post("/admin/v1/drain", drain)
         .with(State::new(shared))
 }
@@ -29,7 +30,7 @@
 }
 
 /// Finds the node's state if the request's key has a role.
-fn authorize(request: &Request, role: Role) -> Result<Arc<Shared>> {
+pub(super) fn authorize(request: &Request, role: Role) -> Result<Arc<Shared>> {
     let shared = shared(request)?;
     let header: Option<String> = request.header("authorization");
     let key = header
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+mod calls;
 mod state;
 mod watchers;
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! over a bounded channel. Every wait is for an event or a deadline.
 
 mod args;
+mod claims;
 mod clock;
 mod control;
 mod node;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,12 +1,16 @@
 //! What the control thread and the traffic threads share.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use arc_swap::ArcSwap;
-use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
+use parsleylatch_decide::{
+    call::{RecentIds, StoreHealth},
+    generation::AttemptReport,
+    view::Snapshot,
+};
 use parsleylatch_settings::NodeSettings;
 use tokio::sync::{mpsc, watch};
 
@@ -30,6 +34,9 @@
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) store_health: ArcSwap<StoreHealth>,
+    /// Once-only requests that this node has tried.
+    recent_ids: Mutex<RecentIds>,
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
@@ -44,6 +51,8 @@
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            store_health: ArcSwap::default(),
+            recent_ids: Mutex::default(),
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
@@ -63,6 +72,30 @@
         }
     }
 
+    pub(crate) fn recent_ids(&self) -> MutexGuard<'_, RecentIds> {
+        self.recent_ids
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store failed a call a moment ago.
+    pub(crate) fn store_is_down(&self) -> bool {
+        self.store_health.load().is_down(self.clock.now())
+    }
+
+    /// Notes a call that the store failed.
+    pub(crate) fn note_store_failure(&self) {
+        let health = StoreHealth::failed_at(self.clock.now());
+        self.store_health.store(Arc::new(health));
+    }
+
+    /// Notes a call that the store answered.
+    pub(crate) fn note_store_success(&self) {
+        if self.store_is_down() {
+            self.store_health.store(Arc::default());
+        }
+    }
+
     /// Requests that are being answered.
     pub(crate) fn requests_in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -41,6 +41,16 @@
     ServiceCalls,
     /// Calls of services that failed.
     ServiceCallsFailed,
+    /// Tries of idempotent calls beyond the first.
+    ServiceCallsRetried,
+    /// Claims that were written to send a call once.
+    ClaimsMade,
+    /// Claims whose call was never sent, and that others may make anew.
+    ClaimsReleased,
+    /// Answers that were given from the store's record.
+    RecordedAnswers,
+    /// Calls of which is not known whether they ran.
+    OutcomesUnknown,
     /// Reports that found the control thread's channel full.
     ReportsDropped,
     /// Calls to the store.
--- a/crates/node/src/traffic/caller.rs
+++ b/crates/node/src/traffic/caller.rs
@@ -8,11 +8,11 @@
     refusal::{Refusal, RefusalKind},
     view::WorkspaceView,
 };
-use parsleylatch_types::{OperationName, ServiceName};
+use parsleylatch_types::{OperationName, RequestId, ServiceName};
 use parsleylatch_wire::caller::GenerationBody;
 use viz::{IntoResponse, Request, RequestExt, Response, Result, StatusCode};
 
-use super::{Traffic, body, generation, problem, service};
+use super::{Traffic, body, generation, peers::KnownCall, problem, service};
 use crate::{
     shared::InFlight,
     telemetry::{self, Counter},
@@ -93,20 +93,46 @@
 
 async fn accept_call(traffic: &Arc<Traffic>, request: Request) -> Result<Response, Refusal> {
     let shared = &traffic.shared;
+    let traceparent: Option<String> = request.header("traceparent");
+    let span = telemetry::root_span("caller.call", traceparent.as_deref());
     let workspace = admission::authenticate(&shared.snapshot.load(), body::caller_key(&request))?;
     let service: ServiceName = path_id(&request, "service")?;
     let operation: OperationName = path_id(&request, "operation")?;
     let request_id = body::request_id(&request)?;
+    let authorization: Option<String> = request.header("authorization");
     let bytes = body::read_body(request, shared.settings.limits.body_bytes).await?;
     let _: serde::de::IgnoredAny = body::parse_body(&bytes)?;
-    let _in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
+    let in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
     let call = service::Call {
+        workspace,
         service,
         operation,
         request_id,
+        authorization: authorization.unwrap_or_default(),
         body: bytes,
+        span,
+        in_flight: Arc::new(in_flight),
     };
-    service::answer(traffic, &workspace, call).await
+    service::answer(traffic, call).await
+}
+
+/// `GET /v1/calls/{id}`: whether this node has tried a once-only request.
+pub(crate) async fn tell_call(request: Request) -> Result<Response> {
+    let traffic = traffic(&request)?;
+    let answered = known_call(&traffic, &request);
+    Ok(respond(&traffic, answered))
+}
+
+fn known_call(traffic: &Traffic, request: &Request) -> Result<Response, Refusal> {
+    let shared = &traffic.shared;
+    admission::authenticate(&shared.snapshot.load(), body::caller_key(request))?;
+    let id: RequestId = path_id(request, "id")?;
+    let known = shared.recent_ids().knows(id);
+    let body = serde_json::to_vec(&KnownCall { known }).unwrap_or_default();
+    let response = http::Response::builder().header("content-type", "application/json");
+    Ok(response
+        .body(http_body_util::Full::from(body).into())
+        .unwrap_or_default())
 }
 
 fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -3,9 +3,13 @@
 mod body;
 mod caller;
 mod generation;
+mod idempotent;
+mod once_only;
 mod output;
+mod peers;
 mod problem;
 mod service;
+mod settlement;
 
 use std::{
     future::IntoFuture,
@@ -13,36 +17,50 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use parsleylatch_decide::placement::Placer;
+use parsleylatch_decide::{call::RetryBudgets, placement::Placer};
 use parsleylatch_endpoint::{EngineClient, ServiceClient};
-use parsleylatch_http::NodelayListener;
+use parsleylatch_http::{Client, NodelayListener};
 use tokio::sync::oneshot;
 use viz::{Router, types::State};
 
-use crate::shared::Shared;
+use crate::{claims::ClaimStore, shared::Shared};
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) claims: ClaimStore,
+    pub(crate) peers: Client,
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
+    retry_budgets: Mutex<RetryBudgets>,
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Traffic {
     fn new(shared: Arc<Shared>) -> Self {
         let placer = Mutex::new(Placer::new(shared.settings.region.clone()));
         Self {
+            claims: ClaimStore::new(&shared),
             shared,
+            peers: Client::new(),
             engines: EngineClient::new(),
             services: ServiceClient::new(),
             placer,
+            retry_budgets: Mutex::default(),
         }
     }
 
     pub(crate) fn placer(&self) -> MutexGuard<'_, Placer> {
-        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.placer)
+    }
+
+    pub(crate) fn retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
     }
 }
 
@@ -56,6 +74,7 @@
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
+        .get("/v1/calls/:id", caller::tell_call)
         .with(State::new(traffic));
     match NodelayListener::from_std(listener) {
         Ok(listener) => {
--- /dev/null
+++ b/crates/node/src/traffic/once_only.rs
@@ -0,0 +1,214 @@
+//! Carries out what a once-only call's decisions ask for.
+//!
+//! The call runs as a task of its own: a caller that goes away ends neither
+//! the call nor the record of its answer.
+
+use std::sync::Arc;
+
+use futures::{
+    FutureExt,
+    future::{self, BoxFuture},
+};
+use parsleylatch_decide::{
+    call::{
+        self, CallAnswer, CallDigest, CallEffect, CallInput, CallOrder, CallState, Claim,
+        ClaimNonce, ClaimOutcome, OnceOnlyCall, SettlementOrder,
+    },
+    refusal::{Refusal, RefusalKind},
+};
+use parsleylatch_types::{EndpointId, MonoTime};
+
+use super::{
+    Traffic, peers,
+    service::{self, Call},
+    settlement,
+};
+use crate::{claims::ClaimReply, telemetry::Counter};
+
+/// Calls an operation that may run at most once.
+pub(crate) async fn answer(traffic: &Arc<Traffic>, call: Call) -> Result<CallAnswer, Refusal> {
+    let clock = &traffic.shared.clock;
+    let unix_now = clock.unix_now();
+    call::check_age(call.request_id, unix_now)?;
+    let was_known = traffic
+        .shared
+        .recent_ids()
+        .note(clock.now(), call.request_id);
+    let claim = Claim {
+        workspace: call.workspace.template.workspace.clone(),
+        node: traffic.shared.settings.node_id.clone(),
+        nonce: ClaimNonce::new(rand::random()),
+        digest: CallDigest::of_call(&call.service, &call.operation, &call.body),
+        claimed_at_unix_ms: unix_now,
+        outcome: ClaimOutcome::Pending,
+    };
+    let order = CallOrder {
+        claim: claim.clone(),
+        looks_new: call::looks_new(call.request_id, unix_now) && !was_known,
+        store_is_down: traffic.shared.store_is_down(),
+    };
+    let task = Task {
+        traffic: Arc::clone(traffic),
+        call: Arc::new(call),
+        claim,
+    };
+    let ended = tokio::spawn(task.run(order)).await;
+    ended.unwrap_or_else(|error| {
+        let detail = format!("the call's task ended: {error}");
+        Err(Refusal::may_have_run(RefusalKind::OutcomeUnknown, detail))
+    })
+}
+
+/// What a running call needs.
+struct Task {
+    traffic: Arc<Traffic>,
+    call: Arc<Call>,
+    claim: Claim,
+}
+
+impl Task {
+    async fn run(self, order: CallOrder) -> Result<CallAnswer, Refusal> {
+        let clock = self.traffic.shared.clock;
+        let (mut life, mut effects) = OnceOnlyCall::start(clock.now(), order);
+        let mut operation: BoxFuture<'static, CallInput> = future::pending().boxed();
+        loop {
+            for effect in effects {
+                match effect {
+                    CallEffect::Answer(answer) => return Ok(answer),
+                    CallEffect::Refuse(refusal) => return Err(self.note_refusal(refusal)),
+                    other => operation = self.start(other),
+                }
+            }
+            let state = life.state();
+            effects = tokio::select! {
+                input = &mut operation => {
+                    operation = future::pending().boxed();
+                    self.note(state, &input);
+                    life.handle(clock.now(), input)
+                }
+                () = clock.sleep_until(life.next_deadline()) => {
+                    if matches!(state, CallState::Claiming | CallState::ReadingBack) {
+                        self.traffic.shared.note_store_failure();
+                    }
+                    life.expire(clock.now())
+                }
+            };
+        }
+    }
+
+    /// Starts the one operation that the call waits for.
+    fn start(&self, effect: CallEffect) -> BoxFuture<'static, CallInput> {
+        let claims = self.traffic.claims.clone();
+        let id = self.call.request_id;
+        let own = self.claim.clone();
+        match effect {
+            CallEffect::WriteClaim { claim, condition } => {
+                async move { call_input(claims.write(id, &claim, condition).await) }.boxed()
+            }
+            CallEffect::ReadClaim => async move { call_input(claims.read(id, &own).await) }.boxed(),
+            CallEffect::WatchClaim { after } => {
+                async move { call_input(claims.watch(id, after, &own).await) }.boxed()
+            }
+            CallEffect::Send { tried, send_before } => {
+                let (traffic, call) = (Arc::clone(&self.traffic), Arc::clone(&self.call));
+                async move { send(&traffic, &call, &tried, send_before).await }.boxed()
+            }
+            CallEffect::AskPeers => {
+                let (traffic, call) = (Arc::clone(&self.traffic), Arc::clone(&self.call));
+                async move {
+                    if peers::are_unaware(&traffic, &call).await {
+                        CallInput::PeersUnaware
+                    } else {
+                        CallInput::PeersUnsure
+                    }
+                }
+                .boxed()
+            }
+            CallEffect::Settle(order) => self.settle(order),
+            CallEffect::Answer(_) | CallEffect::Refuse(_) => future::pending().boxed(),
+        }
+    }
+
+    /// Settles the claim in a task that outlives the call.
+    fn settle(&self, order: SettlementOrder) -> BoxFuture<'static, CallInput> {
+        if order.claim.outcome == ClaimOutcome::Released {
+            self.count(Counter::ClaimsReleased);
+        }
+        let claims = self.traffic.claims.clone();
+        let clock = self.traffic.shared.clock;
+        let in_flight = Arc::clone(&self.call.in_flight);
+        let settling = settlement::run(claims, clock, self.call.request_id, order, in_flight);
+        let task = tokio::spawn(settling);
+        task.map(|_| CallInput::Settled).boxed()
+    }
+
+    fn note(&self, state: CallState, input: &CallInput) {
+        match input {
+            CallInput::StoreFailed if state != CallState::Waiting => {
+                self.traffic.shared.note_store_failure();
+            }
+            CallInput::ClaimWritten(_) => {
+                self.count(Counter::ClaimsMade);
+                self.traffic.shared.note_store_success();
+            }
+            CallInput::ClaimFound(found) => {
+                if matches!(found.claim.outcome, ClaimOutcome::Answered(_)) {
+                    self.count(Counter::RecordedAnswers);
+                }
+                self.traffic.shared.note_store_success();
+            }
+            _ => {}
+        }
+    }
+
+    fn note_refusal(&self, refusal: Refusal) -> Refusal {
+        if refusal.not_run {
+            self.traffic
+                .shared
+                .recent_ids()
+                .forget(self.call.request_id);
+        }
+        if refusal.kind == RefusalKind::OutcomeUnknown {
+            self.count(Counter::OutcomesUnknown);
+        }
+        refusal
+    }
+
+    fn count(&self, counter: Counter) {
+        self.traffic.shared.counters.increment(counter);
+    }
+}
+
+fn call_input(reply: ClaimReply) -> CallInput {
+    match reply {
+        ClaimReply::Written(revision) => CallInput::ClaimWritten(revision),
+        ClaimReply::Found(found) => CallInput::ClaimFound(found),
+        ClaimReply::Absent => CallInput::ClaimAbsent,
+        ClaimReply::Unclear => CallInput::ClaimUnclear,
+        ClaimReply::Failed => CallInput::StoreFailed,
+    }
+}
+
+/// Sends the claimed call; the time is looked at right before.
+async fn send(
+    traffic: &Traffic,
+    call: &Call,
+    tried: &[EndpointId],
+    send_before: MonoTime,
+) -> CallInput {
+    let endpoint = service::choose(traffic, call, tried);
+    let endpoint = endpoint.filter(|_| traffic.shared.clock.now() <= send_before);
+    let Some(endpoint) = endpoint else {
+        return CallInput::Unsent { endpoint: None };
+    };
+    match service::send(traffic, call, &endpoint).await {
+        Ok(answer) => CallInput::Answered(answer),
+        Err(error) if error.is_unsent() => CallInput::Unsent {
+            endpoint: Some(endpoint.id.clone()),
+        },
+        Err(error) => {
+            log::debug!("call {} is lost: {error}", call.request_id);
+            CallInput::Lost
+        }
+    }
+}
--- a/crates/node/src/traffic/service.rs
+++ b/crates/node/src/traffic/service.rs
@@ -3,98 +3,107 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use fastrace::Span;
 use http_body_util::Full;
 use parsleylatch_decide::{
+    call::{CallAnswer, choose_target},
     refusal::{Refusal, RefusalKind},
-    view::{EndpointCondition, EndpointKind, EndpointView, WorkspaceView},
+    view::{EndpointView, WorkspaceView},
 };
+use parsleylatch_endpoint::ServiceAnswer;
+use parsleylatch_http::HttpError;
 use parsleylatch_settings::CallKind;
-use parsleylatch_types::{Millis, OperationName, RequestId, ServiceName};
+use parsleylatch_types::{EndpointId, Millis, OperationName, RequestId, ServiceName};
 use viz::Response;
 
-use super::Traffic;
-use crate::telemetry::Counter;
+use super::{Traffic, idempotent, once_only};
+use crate::{
+    shared::InFlight,
+    telemetry::{self, Counter},
+};
 
 /// Longest wait for a service's answer.
 const CALL_TIMEOUT_MS: Millis = Millis::new(5_000);
 
 /// A caller's call of a service.
 pub(crate) struct Call {
+    pub(crate) workspace: Arc<WorkspaceView>,
     pub(crate) service: ServiceName,
     pub(crate) operation: OperationName,
     pub(crate) request_id: RequestId,
+    /// Header with the caller's key, for questions to other nodes.
+    pub(crate) authorization: String,
     pub(crate) body: Bytes,
+    pub(crate) span: Span,
+    /// Held until the last write under the call's claim has ended.
+    pub(crate) in_flight: Arc<InFlight>,
 }
 
 /// Calls a service and passes its answer on.
-pub(crate) async fn answer(
-    traffic: &Arc<Traffic>,
-    workspace: &WorkspaceView,
-    call: Call,
-) -> Result<Response, Refusal> {
-    match workspace.template.call_kind(&call.service, &call.operation) {
-        Some(CallKind::Idempotent) => answer_idempotent(traffic, call).await,
-        Some(CallKind::OnceOnly) => {
-            let detail = "this node can't claim calls that may run once only";
-            Err(Refusal::not_run(RefusalKind::StoreUnavailable, detail))
-        }
+pub(crate) async fn answer(traffic: &Arc<Traffic>, call: Call) -> Result<Response, Refusal> {
+    let template = &call.workspace.template;
+    let answered = match template.call_kind(&call.service, &call.operation) {
+        Some(CallKind::Idempotent) => idempotent::answer(traffic, &call).await,
+        Some(CallKind::OnceOnly) => once_only::answer(traffic, call).await,
         None => {
-            let id = &workspace.template.workspace;
             let detail = format!(
-                "workspace {id} may not call {}/{}",
-                call.service, call.operation
+                "workspace {} may not call {}/{}",
+                template.workspace, call.service, call.operation
             );
             Err(Refusal::not_run(RefusalKind::NotAllowed, detail))
         }
-    }
+    };
+    answered.map(|answer| {
+        let response = http::Response::builder()
+            .status(answer.status)
+            .header("content-type", "application/json");
+        let body = Bytes::from_owner(answer.body);
+        response.body(Full::from(body).into()).unwrap_or_default()
+    })
 }
 
-async fn answer_idempotent(traffic: &Traffic, call: Call) -> Result<Response, Refusal> {
-    let endpoint = choose(traffic, &call.service).ok_or_else(|| {
-        let detail = format!("no endpoint of service {}", call.service);
-        Refusal::not_run(RefusalKind::NoEndpoint, detail)
-    })?;
+/// Endpoint that was not tried yet.
+pub(crate) fn choose(
+    traffic: &Traffic,
+    call: &Call,
+    tried: &[EndpointId],
+) -> Option<Arc<EndpointView>> {
+    let snapshot = traffic.shared.snapshot.load();
+    let region = &traffic.shared.settings.region;
+    let spread = call.request_id.stable_hash();
+    choose_target(&snapshot, &call.service, region, tried, spread)
+}
+
+/// Sends a call to an endpoint, once.
+pub(crate) async fn send(
+    traffic: &Traffic,
+    call: &Call,
+    endpoint: &EndpointView,
+) -> Result<CallAnswer, HttpError> {
     let counters = &traffic.shared.counters;
     counters.increment(Counter::ServiceCalls);
+    let span = telemetry::child_span("service.call", &call.span);
+    let traceparent = telemetry::encode_parent(&span);
     let answered = traffic
         .services
         .call(
             endpoint.address,
             &call.operation,
             call.request_id,
-            call.body,
+            &traceparent,
+            call.body.clone(),
             CALL_TIMEOUT_MS,
         )
         .await;
-    let answer = answered.map_err(|error| {
+    if answered.is_err() {
         counters.increment(Counter::ServiceCallsFailed);
-        let mut refusal = Refusal::may_have_run(RefusalKind::AttemptsExhausted, error.to_string());
-        refusal.not_run = error.is_unsent();
-        refusal
-    })?;
-    let response = http::Response::builder()
-        .status(answer.status)
-        .header("content-type", "application/json");
-    Ok(response
-        .body(Full::from(answer.body).into())
-        .unwrap_or_default())
+    }
+    answered.map(call_answer)
 }
 
-fn choose(traffic: &Traffic, service: &ServiceName) -> Option<Arc<EndpointView>> {
-    let snapshot = traffic.shared.snapshot.load();
-    let region = &traffic.shared.settings.region;
-    let serving = snapshot.endpoints.iter().filter(|endpoint| {
-        let kind = EndpointKind::Service {
-            service: service.clone(),
-        };
-        endpoint.kind == kind && endpoint.condition != EndpointCondition::Leaving
-    });
-    serving
-        .min_by_key(|it| {
-            (
-                it.condition == EndpointCondition::Suspect,
-                it.region != *region,
-            )
-        })
-        .cloned()
+fn call_answer(answer: ServiceAnswer) -> CallAnswer {
+    CallAnswer {
+        status: answer.status.as_u16(),
+        body: Arc::from(&answer.body[..]),
+    }
 }
--- /dev/null
+++ b/crates/node/src/traffic/settlement.rs
@@ -0,0 +1,68 @@
+//! Carries out what the settlement of a claim asks for.
+
+use std::sync::Arc;
+
+use futures::{
+    FutureExt,
+    future::{self, BoxFuture},
+};
+use parsleylatch_decide::call::{
+    Claim, Settlement, SettlementEffect, SettlementInput, SettlementOrder,
+};
+use parsleylatch_types::RequestId;
+
+use crate::{
+    claims::{ClaimReply, ClaimStore},
+    clock::Clock,
+    shared::InFlight,
+};
+
+/// Writes the last record under a claim; ends when the store has it.
+pub(crate) async fn run(
+    claims: ClaimStore,
+    clock: Clock,
+    id: RequestId,
+    order: SettlementOrder,
+    in_flight: Arc<InFlight>,
+) {
+    let own = order.claim.clone();
+    let (mut life, mut effects) = Settlement::start(clock.now(), order);
+    let mut operation: BoxFuture<'static, SettlementInput> = future::pending().boxed();
+    while !life.is_over() {
+        for effect in effects {
+            operation = start(claims.clone(), id, own.clone(), effect);
+        }
+        effects = tokio::select! {
+            input = &mut operation => {
+                operation = future::pending().boxed();
+                life.handle(clock.now(), input)
+            }
+            () = clock.sleep_until(life.next_deadline()) => life.expire(clock.now()),
+        };
+    }
+    drop(in_flight);
+}
+
+fn start(
+    claims: ClaimStore,
+    id: RequestId,
+    own: Claim,
+    effect: SettlementEffect,
+) -> BoxFuture<'static, SettlementInput> {
+    async move {
+        let reply = match effect {
+            SettlementEffect::Write { claim, condition } => {
+                claims.write(id, &claim, condition).await
+            }
+            SettlementEffect::Read => claims.read(id, &own).await,
+        };
+        match reply {
+            ClaimReply::Written(_) => SettlementInput::Written,
+            ClaimReply::Found(found) => SettlementInput::Found(found),
+            ClaimReply::Absent => SettlementInput::Absent,
+            ClaimReply::Unclear => SettlementInput::Unclear,
+            ClaimReply::Failed => SettlementInput::Failed,
+        }
+    }
+    .boxed()
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,7 @@
 //! Tests of whole fleets as separate processes, by feature.
 
+mod calls;
+mod calls_random;
 mod generations;
 mod harness;
 mod refusals;
