Delete expired claims by bucket; test retries, budgets and ids

Ids begin with their time, so claims of one minute share a prefix. Each bucket is swept by the node that rendezvous hashing names, a list a second and ten deletes a second at most, once every clock refuses its ids. Idempotent calls are shown to go to the other endpoint.

--- a/crates/decide/src/call/claim.rs
+++ b/crates/decide/src/call/claim.rs
@@ -161,8 +161,15 @@
     now.since(created_at).max(created_at.since(now)) <= NEW_ID_MS
 }
 
-/// Whether a claim may be deleted: every node refuses its id as expired.
-pub fn may_delete(id: RequestId, now: UnixMillis) -> bool {
+/// Time before which ids were made that every node refuses as expired, whatever
+/// the differences between the nodes' clocks.
+pub(crate) fn deletable_before(now: UnixMillis) -> UnixMillis {
     let margin = CLOCK_SKEW_MS.saturating_add(CLOCK_SKEW_MS);
-    now.since(id.created_at()) > CLAIM_RETENTION_MS.saturating_add(margin)
+    let age = CLAIM_RETENTION_MS.saturating_add(margin);
+    UnixMillis::new(now.get().saturating_sub(age.get()))
+}
+
+/// Whether a claim may be deleted.
+pub fn may_delete(id: RequestId, now: UnixMillis) -> bool {
+    id.created_at() < deletable_before(now)
 }
--- a/crates/decide/src/call/mod.rs
+++ b/crates/decide/src/call/mod.rs
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod settlement;
 mod store_health;
+mod sweep;
 mod target;
 
 use parsleylatch_chart::ChartError;
@@ -30,6 +31,7 @@
     Settlement, SettlementEffect, SettlementInput, SettlementOrder, SettlementState,
 };
 pub use store_health::StoreHealth;
+pub use sweep::{ClaimBucket, ClaimSweep};
 pub use target::choose_target;
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
--- /dev/null
+++ b/crates/decide/src/call/sweep.rs
@@ -0,0 +1,96 @@
+//! Deletion of claims whose ids every node refuses as expired.
+//!
+//! Ids begin with the time of their making, so the claims of one minute or so
+//! share a prefix. Each such bucket belongs to one node by rendezvous hash. A
+//! node goes through the buckets of the last day when it starts, then takes
+//! each new one as it falls due; a bucket that is swept twice does no harm.
+
+use std::{fmt, num::ParseIntError, str::FromStr};
+
+use parsleylatch_types::{NodeId, RequestId, UnixMillis};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::claim;
+
+/// Bits of the time below a bucket; a bucket spans 65.536 s.
+const BUCKET_SHIFT_BITS: u32 = 16;
+/// Buckets that a node goes through when it starts; one day.
+const LOOK_BACK_BUCKETS: u32 = 1_320;
+/// Radix of the text form.
+const HEX: u32 = 16;
+
+/// Request ids that share the first eight digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimBucket(u32);
+
+impl ClaimBucket {
+    /// Bucket of the ids that are made at a time.
+    pub const fn of_time(time: UnixMillis) -> Self {
+        Self((time.get() >> BUCKET_SHIFT_BITS) as u32)
+    }
+
+    /// Bucket of an id.
+    pub fn of_id(id: RequestId) -> Self {
+        Self::of_time(id.created_at())
+    }
+
+    /// Time after the last id of the bucket.
+    const fn end(self) -> UnixMillis {
+        UnixMillis::new((self.0 as u64 + 1) << BUCKET_SHIFT_BITS)
+    }
+
+    fn owner<'a>(self, nodes: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
+        nodes.max_by_key(|node| xxh3_64_with_seed(node.as_str().as_bytes(), u64::from(self.0)))
+    }
+}
+
+impl fmt::Display for ClaimBucket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for ClaimBucket {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u32::from_str_radix(text, HEX).map(Self)
+    }
+}
+
+/// Progress of one node through the buckets.
+#[derive(Clone, Debug)]
+pub struct ClaimSweep {
+    node: NodeId,
+    next: Option<ClaimBucket>,
+}
+
+impl ClaimSweep {
+    /// Sweep of a node that has just started.
+    pub fn new(node: NodeId) -> Self {
+        Self { node, next: None }
+    }
+
+    /// Bucket that this node has to sweep now, if one is due.
+    pub fn due(&mut self, now: UnixMillis, peers: &[NodeId]) -> Option<ClaimBucket> {
+        let newest = claim::deletable_before(now);
+        let newest = ClaimBucket::of_time(newest);
+        let start = ClaimBucket(newest.0.saturating_sub(LOOK_BACK_BUCKETS));
+        let mut bucket = self.next.unwrap_or(start).max(start);
+        while bucket.end() <= claim::deletable_before(now) {
+            let nodes = peers.iter().chain(std::iter::once(&self.node));
+            if bucket.owner(nodes) == Some(&self.node) {
+                self.next = Some(bucket);
+                return self.next;
+            }
+            bucket.0 += 1;
+        }
+        self.next = Some(bucket);
+        None
+    }
+
+    /// Notes that a bucket holds no claim any more.
+    pub fn finish(&mut self, bucket: ClaimBucket) {
+        self.next = Some(ClaimBucket(bucket.0 + 1));
+    }
+}
--- a/crates/decide/tests/call_protocol/world.rs
+++ b/crates/decide/tests/call_protocol/world.rs
@@ -228,7 +228,7 @@
             None => {}
             Some(Operation::Watch(after)) if !self.is_newer_than(*after) => {}
             Some(Operation::Read | Operation::Watch(_) | Operation::AskPeers) => {
-                push(End::Answered)
+                push(End::Answered);
             }
             Some(Operation::Write(..) | Operation::Send) => {
                 push(End::Answered);
--- /dev/null
+++ b/crates/decide/tests/calls.rs
@@ -0,0 +1,162 @@
+//! Parts of the calls of services: ids, retries, targets and the sweep.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use parsleylatch_decide::{
+    call::{
+        CLAIM_RETENTION_MS, CallAnswer, CallDigest, ClaimBucket, ClaimSweep, IdempotentCall,
+        IdempotentEffect, IdempotentInput, RecentIds, RetryBudgets, StoreHealth, check_age,
+        may_delete,
+    },
+    refusal::RefusalKind,
+};
+use parsleylatch_types::{EndpointId, Millis, MonoTime, NodeId, RequestId, UnixMillis};
+use test_case::test_case;
+
+const NOW: UnixMillis = UnixMillis::new(1_800_000_000_000);
+
+fn id_of_age(age_ms: i64) -> RequestId {
+    let created_at = NOW.get().checked_add_signed(-age_ms).unwrap();
+    RequestId::from_parts(UnixMillis::new(created_at), 7)
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::ZERO + Millis::new(millis)
+}
+
+#[test_case(0, None ; "new")]
+#[test_case(CLAIM_RETENTION_MS.get() as i64, None ; "oldest")]
+#[test_case(CLAIM_RETENTION_MS.get() as i64 + 1, Some(RefusalKind::Expired) ; "too old")]
+#[test_case(-300_000, None ; "clock ahead")]
+#[test_case(-300_001, Some(RefusalKind::BadRequest) ; "clock too far ahead")]
+fn check_age_id(age_ms: i64, refused: Option<RefusalKind>) {
+    let checked = check_age(id_of_age(age_ms), NOW);
+    assert_eq!(checked.err().map(|refusal| refusal.kind), refused);
+}
+
+/// A claim goes only when the slowest clock refuses its id as well.
+#[test]
+fn may_delete_skewed_clocks() {
+    for age_ms in [0, 86_400_001, 86_400_000 + 599_999, 86_400_000 + 600_001] {
+        let id = id_of_age(age_ms);
+        let slow_clock = UnixMillis::new(NOW.get() - 600_000);
+        assert!(!may_delete(id, NOW) || check_age(id, slow_clock).is_err());
+    }
+    assert!(may_delete(id_of_age(86_400_000 + 600_001), NOW));
+}
+
+#[test]
+fn claim_bucket_prefix() {
+    let id = id_of_age(0);
+    let bucket = ClaimBucket::of_id(id);
+    assert!(id.to_string().starts_with(&bucket.to_string()));
+    assert_eq!(bucket.to_string().parse(), Ok(bucket));
+}
+
+/// Every bucket that is due is swept by exactly one node.
+#[test]
+fn sweep_all_buckets() {
+    let nodes: Vec<NodeId> = (0..9)
+        .map(|n| format!("node-{n}").parse().unwrap())
+        .collect();
+    let mut swept = BTreeSet::new();
+    for node in &nodes {
+        let peers: Vec<NodeId> = nodes.iter().filter(|it| *it != node).cloned().collect();
+        let mut sweep = ClaimSweep::new(node.clone());
+        while let Some(bucket) = sweep.due(NOW, &peers) {
+            assert!(swept.insert(bucket), "swept by two nodes");
+            sweep.finish(bucket);
+        }
+    }
+    assert!(swept.len() >= 1_320, "{} buckets", swept.len());
+    assert!(swept.iter().zip(swept.iter().skip(1)).all(|(a, b)| a < b));
+    assert!(!swept.contains(&ClaimBucket::of_id(id_of_age(86_400_000))));
+}
+
+#[test]
+fn retry_budget_used_up() {
+    let mut budgets = RetryBudgets::default();
+    let workspace = "w".parse().unwrap();
+    let saved = (0..100).filter(|_| budgets.take_retry(&workspace)).count();
+    assert_eq!(saved, 10);
+    for _ in 0..1_000 {
+        budgets.note_call(&workspace);
+    }
+    let earned = (0..100).filter(|_| budgets.take_retry(&workspace)).count();
+    assert_eq!(earned, 10, "what is saved up is bounded");
+}
+
+#[test]
+fn call_digest_parts() {
+    let digest = |service: &str, operation: &str, body: &str| {
+        let (service, operation) = (service.parse().unwrap(), operation.parse().unwrap());
+        CallDigest::of_call(&service, &operation, body.as_bytes())
+    };
+    let one = digest("a", "b", "{}");
+    assert_eq!(one, digest("a", "b", "{}"));
+    assert_eq!(one.to_string().parse(), Ok(one));
+    for other in [
+        digest("ab", "b", "{}"),
+        digest("a", "c", "{}"),
+        digest("a", "b", "[]"),
+    ] {
+        assert_ne!(one, other);
+    }
+}
+
+#[test]
+fn store_health_recovers() {
+    let health = StoreHealth::failed_at(at(1_000));
+    assert!(health.is_down(at(1_499)));
+    assert!(!health.is_down(at(1_500)));
+    assert!(!StoreHealth::default().is_down(at(0)));
+}
+
+#[test]
+fn recent_ids_kept() {
+    let mut recent = RecentIds::default();
+    let (first, second) = (id_of_age(0), id_of_age(1));
+    assert!(!recent.note(at(0), first));
+    assert!(recent.note(at(1), first));
+    recent.note(at(359_999), second);
+    assert!(recent.knows(first), "kept for longer than clocks differ");
+    recent.forget(second);
+    assert!(!recent.knows(second));
+}
+
+fn failed(endpoint: &str, unsent: bool, may_retry: bool) -> IdempotentInput {
+    IdempotentInput::Failed {
+        endpoint: Some(endpoint.parse::<EndpointId>().unwrap()),
+        unsent,
+        may_retry,
+        detail: "broken".to_owned(),
+    }
+}
+
+#[test]
+fn idempotent_call_retried() {
+    let (mut call, effects) = IdempotentCall::start(at(0));
+    assert_eq!(effects, [IdempotentEffect::Send { tried: vec![] }]);
+    let effects = call.handle(at(10), failed("s-1", false, true));
+    let tried = vec!["s-1".parse().unwrap()];
+    assert_eq!(effects, [IdempotentEffect::Send { tried }]);
+    let answer = CallAnswer {
+        status: 200,
+        body: Arc::from(&b"{}"[..]),
+    };
+    let effects = call.handle(at(20), IdempotentInput::Answered(answer.clone()));
+    assert_eq!(effects, [IdempotentEffect::Answer(answer)]);
+}
+
+#[test_case(true, false, 0, true ; "never sent")]
+#[test_case(false, false, 0, false ; "sent and no budget")]
+#[test_case(false, true, 3_001, false ; "sent and no time")]
+fn idempotent_call_refused(unsent: bool, may_retry: bool, at_ms: u64, not_run: bool) {
+    let (mut call, _) = IdempotentCall::start(at(0));
+    let effects = call.handle(at(at_ms), failed("s-1", unsent, may_retry));
+    let [IdempotentEffect::Refuse(refusal)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(refusal.not_run, not_run);
+    assert_eq!(refusal.kind, RefusalKind::AttemptsExhausted);
+}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -3,7 +3,8 @@
 use std::{str::FromStr, sync::Arc};
 
 use parsleylatch_decide::call::{
-    CallAnswer, CallDigest, Claim, ClaimCondition, ClaimNonce, ClaimOutcome, StoredClaim,
+    CallAnswer, CallDigest, Claim, ClaimBucket, ClaimCondition, ClaimNonce, ClaimOutcome,
+    StoredClaim,
 };
 use parsleylatch_store::{Condition, StoreClient, StoreError};
 use parsleylatch_types::{Millis, NodeId, RequestId, Revision, UnixMillis, WorkspaceId};
@@ -88,6 +89,11 @@
     }
 }
 
+/// Request whose claim has a key.
+pub(crate) fn id_of(key: &str) -> Option<RequestId> {
+    key.strip_prefix(CLAIM_PREFIX)?.parse().ok()
+}
+
 /// What the store said of a claim.
 pub(crate) enum ClaimReply {
     /// Written, at this revision.
@@ -167,6 +173,20 @@
         }
     }
 
+    /// Lists the claims of a bucket.
+    pub(crate) async fn list(&self, bucket: ClaimBucket) -> Result<Vec<KeyValue>, StoreError> {
+        self.counters().increment(Counter::StoreCalls);
+        let reply = self.store.list(&format!("{CLAIM_PREFIX}{bucket}")).await?;
+        Ok(reply.entries)
+    }
+
+    /// Deletes a claim as it was listed.
+    pub(crate) async fn delete(&self, entry: &KeyValue) -> Result<(), StoreError> {
+        self.counters().increment(Counter::StoreCalls);
+        self.store.delete(&entry.key, entry.revision).await?;
+        Ok(())
+    }
+
     /// Reads what operators are shown of a claim.
     pub(crate) async fn describe(&self, id: RequestId) -> Result<Option<KeyValue>, StoreError> {
         self.counters().increment(Counter::StoreCalls);
--- /dev/null
+++ b/crates/node/src/control/claim_sweep.rs
@@ -0,0 +1,63 @@
+//! Deletes claims that have expired, a few a second.
+
+use std::sync::Arc;
+
+use parsleylatch_decide::call::{self, ClaimBucket, ClaimSweep};
+use parsleylatch_store::StoreError;
+use parsleylatch_types::{Millis, NodeId};
+use tokio::time::sleep;
+
+use crate::{
+    claims::{self, ClaimStore},
+    shared::Shared,
+    telemetry::Counter,
+};
+
+/// Time between two buckets.
+const BUCKET_INTERVAL_MS: Millis = Millis::new(1_000);
+/// Time between two deletes of one node.
+const DELETE_INTERVAL_MS: Millis = Millis::new(100);
+/// Delay after a failed call to the store.
+const RETRY_DELAY_MS: Millis = Millis::new(5_000);
+
+/// Sweeps the buckets that this node owns, as they fall due.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let store = ClaimStore::new(&shared);
+    let mut sweep = ClaimSweep::new(shared.settings.node_id.clone());
+    loop {
+        sleep(BUCKET_INTERVAL_MS.duration()).await;
+        let peers: Vec<NodeId> = shared
+            .snapshot
+            .load()
+            .peers
+            .iter()
+            .map(|peer| peer.id.clone())
+            .collect();
+        let Some(bucket) = sweep.due(shared.clock.unix_now(), &peers) else {
+            continue;
+        };
+        match delete_expired(&shared, &store, bucket).await {
+            Ok(()) => sweep.finish(bucket),
+            Err(error) => {
+                log::debug!("{error}");
+                sleep(RETRY_DELAY_MS.duration()).await;
+            }
+        }
+    }
+}
+
+async fn delete_expired(
+    shared: &Shared,
+    store: &ClaimStore,
+    bucket: ClaimBucket,
+) -> Result<(), StoreError> {
+    for entry in store.list(bucket).await? {
+        let id = claims::id_of(&entry.key);
+        if id.is_some_and(|id| call::may_delete(id, shared.clock.unix_now())) {
+            store.delete(&entry).await?;
+            shared.counters.increment(Counter::ClaimsDeleted);
+            sleep(DELETE_INTERVAL_MS.duration()).await;
+        }
+    }
+    Ok(())
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod calls;
+mod claim_sweep;
 mod state;
 mod watchers;
 
@@ -58,6 +59,7 @@
     tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
     tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
     tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
+    tokio::spawn(claim_sweep::run(Arc::clone(&shared)));
     for listener in listeners.admin {
         match NodelayListener::from_std(listener) {
             Ok(listener) => {
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -47,6 +47,8 @@
     ClaimsMade,
     /// Claims whose call was never sent, and that others may make anew.
     ClaimsReleased,
+    /// Expired claims that were deleted.
+    ClaimsDeleted,
     /// Answers that were given from the store's record.
     RecordedAnswers,
     /// Calls of which is not known whether they ran.
--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -385,14 +385,78 @@
     assert_eq!(runs(&running, id).await, 1);
 }
 
+/// A claim whose id every node refuses is deleted; a younger one stays.
+#[tokio::test]
+async fn call_once_claim_swept() {
+    let running = Running::start(FLEET).await;
+    let kept = RequestId::generate();
+    book(&running, 0, kept, &json!({})).await;
+    // The nodes begin with the claims of two days ago.
+    let begin_ms = 2 * 86_400_000 + 600_000 - 60_000;
+    let created_at = UnixMillis::new(kept.created_at().get() - begin_ms);
+    let old = RequestId::from_parts(created_at, 7);
+    put(&running, &format!("claims/{old}"), "{}");
+    let deleted = async {
+        while running.counter(0, "claims_deleted").await
+            + running.counter(1, "claims_deleted").await
+            == 0
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), deleted).await;
+    assert!(waited.is_ok(), "the old claim stays");
+    let shown = running
+        .get(
+            running.fleet.nodes[0].admin,
+            &format!("/admin/v1/calls/{kept}"),
+        )
+        .await;
+    assert_eq!(shown["claim"]["outcome"], "answered");
+}
+
+/// Idempotent calls go to the other endpoint, as long as the budget lasts.
+#[test_case(ServiceFault::FailBefore, 0 ; "before the run")]
+#[test_case(ServiceFault::FailAfter, 1 ; "after the run")]
+#[tokio::test]
+async fn call_idempotent_retried(fault: ServiceFault, runs_at_broken: u64) {
+    let running = Running::start(FLEET).await;
+    let broken = &running.fleet.services[0];
+    let order = FaultOrder {
+        fault,
+        at_index: None,
+        delay_ms: None,
+    };
+    running.post(broken.control, "/fault", &order).await;
+    for _ in 0..16 {
+        let id = RequestId::generate();
+        let reply = running
+            .paying(0)
+            .call_service(id, "dispatch/status", &json!({}))
+            .await
+            .unwrap();
+        assert_eq!(reply.status, 200);
+        let at_broken = running.get(broken.control, "/runs").await;
+        let at_broken = at_broken[id.to_string()].as_u64().unwrap_or_default();
+        assert!(at_broken <= runs_at_broken);
+        assert!(runs(&running, id).await <= 1 + runs_at_broken);
+    }
+    assert!(running.counter(0, "service_calls_retried").await > 0);
+}
+
 /// Writes the paying template anew, as an operator's change.
 fn put_template(running: &Running, edit: impl Fn(&str) -> String) {
     let text = fs::read_to_string(running.dir.join("template-paying.jsonc")).unwrap();
-    let file = running.dir.join("template-edited.jsonc");
-    fs::write(&file, edit(&text)).unwrap();
+    put(running, "templates/local-paying", &edit(&text));
+}
+
+/// Writes a key of the store, whatever it holds.
+fn put(running: &Running, key: &str, value: &str) {
+    let file = running.dir.join("value.jsonc");
+    fs::write(&file, value).unwrap();
     let status = Command::new(env!("CARGO_BIN_EXE_parsleylatch-standin"))
         .args(["put", "--store", &running.fleet.store.address.to_string()])
-        .args(["--key", "templates/local-paying", "--file"])
+        .args(["--key", key, "--file"])
         .arg(&file)
         .status();
     assert!(status.unwrap().success());
