--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Load, histories, measurements and plots.
 
 pub mod caller;
+pub mod calls;
 pub mod fleet;
