--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{call, generation, node_life};
+use crate::{call, generation, limits, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +25,7 @@
     };
 }
 
+pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
 pub(crate) const CALL: ChartSource = chart_source!("call");
 pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
@@ -33,7 +34,8 @@
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 6] = [
+pub const ALL: &[ChartSource] = &[
+    ADMISSION,
     ATTEMPT,
     CALL,
     CLAIM_SETTLEMENT,
@@ -72,5 +74,6 @@
 pub fn verify() -> Result<(), ChartError> {
     call::verify_charts()?;
     generation::verify_charts()?;
+    limits::verify_chart()?;
     node_life::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod charts;
 pub mod configuration;
 pub mod generation;
+pub mod limits;
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -23,18 +23,19 @@
         MonoTime::ZERO + Micros::from(self.started_at.elapsed())
     }
 
-    /// Wall-clock time; never used to order events.
-    pub(crate) fn unix_now(&self) -> UnixMillis {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let millis = since_epoch.unwrap_or_default().as_millis();
-        UnixMillis::new(u64::try_from(millis).unwrap_or(u64::MAX))
-    }
-
     /// Instant of a monotonic time, for timers.
     pub(crate) fn instant(&self, time: MonoTime) -> tokio::time::Instant {
         (self.started_at + time.since(MonoTime::ZERO).duration()).into()
     }
 
+    /// Wall-clock time.
+    pub(crate) fn unix_now() -> UnixMillis {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        UnixMillis::new(since_epoch.as_millis() as u64)
+    }
+
     /// Sleeps until a deadline; for ever without one.
     pub(crate) async fn sleep_until(&self, deadline: Option<MonoTime>) {
         match deadline {
--- a/crates/node/src/control/claim_sweep.rs
+++ b/crates/node/src/control/claim_sweep.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     claims::{self, ClaimStore},
+    clock::Clock,
     shared::Shared,
     telemetry::Counter,
 };
@@ -33,7 +34,7 @@
             .iter()
             .map(|peer| peer.id.clone())
             .collect();
-        let Some(bucket) = sweep.due(shared.clock.unix_now(), &peers) else {
+        let Some(bucket) = sweep.due(Clock::unix_now(), &peers) else {
             continue;
         };
         match delete_expired(&shared, &store, bucket).await {
@@ -53,7 +54,7 @@
 ) -> Result<(), StoreError> {
     for entry in store.list(bucket).await? {
         let id = claims::id_of(&entry.key);
-        if id.is_some_and(|id| call::may_delete(id, shared.clock.unix_now())) {
+        if id.is_some_and(|id| call::may_delete(id, Clock::unix_now())) {
             store.delete(&entry).await?;
             shared.counters.increment(Counter::ClaimsDeleted);
             sleep(DELETE_INTERVAL_MS.duration()).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod control;
 mod node;
+mod peering;
 mod shared;
 mod telemetry;
 mod traffic;
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -55,6 +55,8 @@
     OutcomesUnknown,
     /// Reports that found the control thread's channel full.
     ReportsDropped,
+    /// Gossip that found the control thread's channel full.
+    GossipDropped,
     /// Calls to the store.
     StoreCalls,
     /// Calls to the store that failed.
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Traffic threads: each owns the requests that it accepted.
 
+mod admissions;
 mod body;
 mod caller;
 mod generation;
@@ -24,6 +25,7 @@
 use viz::{Router, types::State};
 
 use crate::{claims::ClaimStore, shared::Shared};
+use admissions::Admissions;
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
@@ -32,6 +34,7 @@
     pub(crate) services: ServiceClient,
     pub(crate) claims: ClaimStore,
     pub(crate) peers: Client,
+    pub(crate) admissions: Arc<Admissions>,
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
     retry_budgets: Mutex<RetryBudgets>,
@@ -44,12 +47,15 @@
 impl Traffic {
     fn new(shared: Arc<Shared>) -> Self {
         let placer = Mutex::new(Placer::new(shared.settings.region.clone()));
+        let admissions = Arc::new(Admissions::new(Arc::clone(&shared)));
+        let (engines, services) = (EngineClient::new(), ServiceClient::new());
         Self {
             claims: ClaimStore::new(&shared),
             shared,
             peers: Client::new(),
-            engines: EngineClient::new(),
-            services: ServiceClient::new(),
+            engines,
+            services,
+            admissions,
             placer,
             retry_budgets: Mutex::default(),
         }
@@ -71,6 +77,7 @@
     stopped: oneshot::Receiver<()>,
 ) {
     let traffic = Arc::new(Traffic::new(shared));
+    tokio::spawn(Arc::clone(&traffic.admissions).run());
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
--- a/crates/node/src/traffic/once_only.rs
+++ b/crates/node/src/traffic/once_only.rs
@@ -23,12 +23,12 @@
     service::{self, Call},
     settlement,
 };
-use crate::{claims::ClaimReply, telemetry::Counter};
+use crate::{claims::ClaimReply, clock::Clock, telemetry::Counter};
 
 /// Calls an operation that may run at most once.
 pub(crate) async fn answer(traffic: &Arc<Traffic>, call: Call) -> Result<CallAnswer, Refusal> {
     let clock = &traffic.shared.clock;
-    let unix_now = clock.unix_now();
+    let unix_now = Clock::unix_now();
     call::check_age(call.request_id, unix_now)?;
     let was_known = traffic
         .shared
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,8 @@
 mod calls_random;
 mod generations;
 mod harness;
+mod limits;
 mod refusals;
+mod regression;
 mod services;
 mod settings;
