--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,4 +1,5 @@
-//! The only reader of clocks: monotonic time since the node started.
+//! The only reader of clocks: monotonic time since the node started, and wall
+//! time for what other processes read.
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,8 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+mod calls;
+mod claim_sweep;
 mod state;
 mod watchers;
 
@@ -59,6 +61,7 @@
     tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
     tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
     tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
+    tokio::spawn(claim_sweep::run(Arc::clone(&shared)));
     for listener in listeners.admin {
         match NodelayListener::from_std(listener) {
             Ok(listener) => {
