--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod args;
 pub mod caller;
+mod calls;
 pub mod check;
 pub mod control;
 mod direct;
@@ -23,6 +24,7 @@
 mod replay;
 pub mod report;
 mod slopes;
+pub mod slots;
 mod timing;
 
 pub use args::{Args, run};
--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, lease_holder, limits, moves, node_life};
+use crate::{call, generation, lease_holder, limits, moves, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +27,10 @@
 
 pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const CALL: ChartSource = chart_source!("call");
+pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
@@ -36,7 +39,10 @@
 pub const ALL: &[ChartSource] = &[
     ADMISSION,
     ATTEMPT,
+    CALL,
+    CLAIM_SETTLEMENT,
     GENERATION,
+    IDEMPOTENT_CALL,
     LEASE_HOLDER,
     NODE_LIFE,
     VERSION_MOVE,
@@ -70,6 +76,7 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    call::verify_charts()?;
     generation::verify_charts()?;
     limits::verify_chart()?;
     lease_holder::verify_chart()?;
--- a/crates/node/src/control/admin/mod.rs
+++ b/crates/node/src/control/admin/mod.rs
@@ -1,5 +1,6 @@
 //! Routes of the administration address, and who may use them.
 
+mod calls;
 mod changes;
 mod events;
 mod fleet;
@@ -51,6 +52,7 @@
         .post("/admin/v1/templates/:workspace/accept", templates::accept)
         .get("/admin/v1/moves", moves::list)
         .get("/admin/v1/moves/:move", moves::show)
+        .get("/admin/v1/calls/:id", calls::show)
         .get("/admin/v1/events", events::follow)
         .with(State::new(admin))
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+mod claim_sweep;
 pub(crate) mod events;
 mod move_records;
 mod moves;
@@ -65,6 +66,7 @@
     tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
     tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
     tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
+    tokio::spawn(claim_sweep::run(Arc::clone(&shared)));
     for listener in listeners.admin {
         match NodelayListener::from_std(listener) {
             Ok(listener) => {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,8 @@
 //! Tests of whole fleets as separate processes, by feature.
 
 mod admin;
+mod calls;
+mod calls_random;
 mod extra_node;
 mod generations;
 mod harness;
