--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -5,7 +5,7 @@
 use parsleylatch_decide::{
     configuration::Configuration,
     generation::AttemptReport,
-    moves::{MoveEffect, MoveInput, MovePlan, MoveTable, MoveView, Observer, Trial},
+    moves::{MoveEffect, MoveEnd, MoveInput, MovePlan, MoveTable, MoveView, Observer, Trial},
     version_choice::VersionPlan,
     view::{EndpointKind, Snapshot, WorkspaceView},
 };
@@ -147,7 +147,7 @@
         }
     }
 
-    fn record(&self, move_id: MoveId, end: Option<parsleylatch_decide::moves::MoveEnd>) {
+    fn record(&self, move_id: MoveId, end: Option<MoveEnd>) {
         let Some(plan) = self.plans.get(&move_id) else {
             return;
         };
