--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -145,6 +145,14 @@
     let shown = running.get(running.fleet.nodes[1].admin, &path).await;
     assert_eq!(shown["claim"]["outcome"], "answered");
     assert_eq!(shown["claim"]["node_id"], "node-1");
+    let printed = Command::new(env!("CARGO_BIN_EXE_parsleylatchctl"))
+        .args(["--admin", &running.fleet.nodes[0].admin.to_string()])
+        .args(["--key", &running.fleet.admin_key, "--json", "calls", "show"])
+        .arg(id.to_string())
+        .output()
+        .unwrap();
+    let printed: Value = serde_json::from_slice(&printed.stdout).unwrap();
+    assert_eq!(printed, shown);
 }
 
 #[tokio::test]
@@ -328,6 +336,23 @@
     assert_eq!(runs(&running, id).await, 1);
 }
 
+/// A planned stop cuts no call, and the answer is recorded before the node ends.
+#[tokio::test]
+async fn call_once_node_stopped() {
+    let running = Running::start(FLEET).await;
+    order_services(&running, ServiceFault::Slow, 2_500).await;
+    let id = RequestId::generate();
+    let ask = json!({ "truck": 7 });
+    let stop = async {
+        sleep(Duration::from_millis(300)).await;
+        signal(running.fleet.nodes[0].pid, "TERM");
+    };
+    let (first, ()) = tokio::join!(book(&running, 0, id, &ask), stop);
+    assert!(matches!(first, Learned::Answer(_)), "{first:?}");
+    assert_eq!(book(&running, 1, id, &ask).await, first);
+    assert_eq!(runs(&running, id).await, 1);
+}
+
 /// A claimant that is frozen past its send window and woken does not send; the
 /// repeat at the other node gets the released claim.
 #[tokio::test]
