Limit the free tier's claims, so that it can't use up the store's writes

25 claims a second over the fleet, shared by its traffic threads. Over the limit the claim is only read: repeats get their answer, new calls are refused, and that they were not run is what the store says.

--- a/crates/decide/src/call/mod.rs
+++ b/crates/decide/src/call/mod.rs
@@ -8,6 +8,7 @@
 //! key, so that a claim write that takes effect late finds the key taken.
 
 mod claim;
+mod free_claims;
 mod idempotent;
 mod once_only;
 mod recent_ids;
@@ -23,6 +24,7 @@
     CLAIM_RETENTION_MS, CLOCK_SKEW_MS, CallAnswer, CallDigest, Claim, ClaimNonce, ClaimOutcome,
     StoredClaim, check_age, looks_new, may_delete,
 };
+pub use free_claims::FreeClaims;
 pub use idempotent::{IdempotentCall, IdempotentEffect, IdempotentInput};
 pub use once_only::{CallEffect, CallInput, CallOrder, CallState, ClaimCondition, OnceOnlyCall};
 pub use recent_ids::RecentIds;
--- a/crates/decide/src/call/once_only.rs
+++ b/crates/decide/src/call/once_only.rs
@@ -26,6 +26,8 @@
         Starting,
         /// Writes the claim.
         Claiming,
+        /// Reads the claim, because no new one may be made now.
+        LookingUp,
         /// Reads what became of an unclear claim.
         ReadingBack,
         /// Asks the other nodes whether they know the request.
@@ -159,6 +161,8 @@
     pub looks_new: bool,
     /// Whether the store failed a call a moment ago.
     pub store_is_down: bool,
+    /// Whether the tier's share of claims is used up.
+    pub is_over_rate: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -214,6 +218,10 @@
             let detail = "no endpoint of the service could be reached";
             it.refuse_unsent(RefusalKind::NoEndpoint, detail);
         })
+        .action("blame_rate", |it| {
+            let detail = "the free tier's calls of this kind are used up; the call was not sent";
+            it.refuse_unsent(RefusalKind::Overloaded, detail);
+        })
         .action("blame_reuse", |it| {
             let detail = "the request id was used for another call";
             it.refusal = Some(Refusal::may_have_run(RefusalKind::RequestIdReused, detail));
@@ -223,6 +231,7 @@
 
 fn guards(bindings: Bindings<CallContext>) -> Bindings<CallContext> {
     bindings
+        .guard("is_over_rate", |it| it.order.is_over_rate)
         .guard("store_is_down", |it| it.order.store_is_down)
         .guard("may_send", CallContext::may_send)
         .guard("may_send_own", |it| it.is_own() && it.may_send())
@@ -398,7 +407,8 @@
 }
 
 impl OnceOnlyCall {
-    /// Starts the call by writing its claim, unless the store is down.
+    /// Starts the call by writing its claim, unless the store is down or the
+    /// tier's claims are used up.
     pub fn start(now: MonoTime, order: CallOrder) -> (Self, Vec<CallEffect>) {
         let mut context = CallContext {
             order,
--- a/crates/decide/tests/call_protocol/world.rs
+++ b/crates/decide/tests/call_protocol/world.rs
@@ -140,6 +140,7 @@
                 claim,
                 looks_new,
                 store_is_down: false,
+                is_over_rate: false,
             },
         );
         self.claimants.push(Claimant {
--- a/crates/decide/tests/calls.rs
+++ b/crates/decide/tests/calls.rs
@@ -4,9 +4,9 @@
 
 use parsleylatch_decide::{
     call::{
-        CLAIM_RETENTION_MS, CallAnswer, CallDigest, ClaimBucket, ClaimSweep, IdempotentCall,
-        IdempotentEffect, IdempotentInput, RecentIds, RetryBudgets, StoreHealth, check_age,
-        may_delete,
+        CLAIM_RETENTION_MS, CallAnswer, CallDigest, ClaimBucket, ClaimSweep, FreeClaims,
+        IdempotentCall, IdempotentEffect, IdempotentInput, RecentIds, RetryBudgets, StoreHealth,
+        check_age, may_delete,
     },
     refusal::RefusalKind,
 };
@@ -86,6 +86,19 @@
     assert_eq!(earned, 10, "what is saved up is bounded");
 }
 
+/// The fleet's threads together stay at the free tier's rate.
+#[test]
+fn free_claims_shared() {
+    let mut threads = vec![FreeClaims::default(); 18];
+    let mut taken = 0;
+    for millis in 0..10_000 {
+        for thread in &mut threads {
+            taken += usize::from(thread.take(at(millis), 18));
+        }
+    }
+    assert!((250..=250 + 3 * 18).contains(&taken), "{taken} in 10 s");
+}
+
 #[test]
 fn call_digest_parts() {
     let digest = |service: &str, operation: &str, body: &str| {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -18,7 +18,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use parsleylatch_decide::{call::RetryBudgets, placement::Placer};
+use parsleylatch_decide::{
+    call::{FreeClaims, RetryBudgets},
+    placement::Placer,
+};
 use parsleylatch_endpoint::{EngineClient, ServiceClient};
 use parsleylatch_http::{Client, NodelayListener};
 use tokio::sync::oneshot;
@@ -38,6 +41,7 @@
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
     retry_budgets: Mutex<RetryBudgets>,
+    free_claims: Mutex<FreeClaims>,
 }
 
 fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
@@ -58,6 +62,7 @@
             admissions,
             placer,
             retry_budgets: Mutex::default(),
+            free_claims: Mutex::default(),
         }
     }
 
@@ -65,6 +70,13 @@
         lock(&self.placer)
     }
 
+    /// Takes one claim of the free tier; `false` if this thread's share is used up.
+    pub(crate) fn take_free_claim(&self) -> bool {
+        let nodes = self.shared.snapshot.load().peers.len() + 1;
+        let sharers = nodes * self.shared.settings.traffic_threads;
+        lock(&self.free_claims).take(self.shared.clock.now(), sharers)
+    }
+
     pub(crate) fn retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
         lock(&self.retry_budgets)
     }
--- a/crates/node/src/traffic/once_only.rs
+++ b/crates/node/src/traffic/once_only.rs
@@ -16,6 +16,7 @@
     },
     refusal::{Refusal, RefusalKind},
 };
+use parsleylatch_settings::Tier;
 use parsleylatch_types::{EndpointId, MonoTime};
 
 use super::{
@@ -34,6 +35,8 @@
         .shared
         .recent_ids()
         .note(clock.now(), call.request_id);
+    let is_free = call.workspace.template.tier == Tier::Free;
+    let is_over_rate = is_free && !traffic.take_free_claim();
     let claim = Claim {
         workspace: call.workspace.template.workspace.clone(),
         node: traffic.shared.settings.node_id.clone(),
@@ -46,6 +49,7 @@
         claim: claim.clone(),
         looks_new: call::looks_new(call.request_id, unix_now) && !was_known,
         store_is_down: traffic.shared.store_is_down(),
+        is_over_rate,
     };
     let task = Task {
         traffic: Arc::clone(traffic),
--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -185,6 +185,38 @@
     assert_eq!(runs(&running, id).await, 1);
 }
 
+/// The free tier can't use up the store's writes; its repeats are answered.
+#[tokio::test]
+async fn call_once_free_flood() {
+    let running = Running::start(FLEET).await;
+    let key = &running.fleet.workspaces[1].key;
+    let free = Caller::new(running.fleet.nodes[0].caller, key);
+    let ask = json!({ "truck": 7 });
+    let overloaded = Learned::NotRun("urn:parsleylatch:problem:overloaded".to_owned());
+    let mut answered = Vec::new();
+    let mut refused = Vec::new();
+    for _ in 0..60 {
+        let id = RequestId::generate();
+        match call(&free, id, &ask).await {
+            Learned::Answer(answer) => answered.push((id, answer)),
+            other => {
+                assert_eq!(other, overloaded);
+                refused.push(id);
+            }
+        }
+    }
+    assert!(!answered.is_empty() && refused.len() > answered.len());
+    for (id, answer) in answered {
+        assert_eq!(call(&free, id, &ask).await, Learned::Answer(answer));
+        assert_eq!(runs(&running, id).await, 1);
+    }
+    for id in refused {
+        assert_eq!(runs(&running, id).await, 0);
+    }
+    let paying = book(&running, 0, RequestId::generate(), &ask).await;
+    assert!(matches!(paying, Learned::Answer(_)), "{paying:?}");
+}
+
 #[tokio::test]
 async fn call_once_expired() {
     let running = Running::start(FLEET).await;
