--- a/crates/decide/src/limits/capacity.rs
+++ b/crates/decide/src/limits/capacity.rs
@@ -50,7 +50,7 @@
                 continue;
             }
             let capacity = models.entry(model.clone()).or_default();
-            capacity.places = capacity.places.saturating_add(endpoint.capacity);
+            capacity.places = capacity.places.saturating_add(endpoint.places());
             let busy = endpoint
                 .reported_running
                 .saturating_add(endpoint.reported_waiting);
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -221,7 +221,7 @@
         endpoint: &EndpointView,
         question: &PlacementQuestion<'_>,
     ) -> bool {
-        let places = endpoint.capacity.get();
+        let places = endpoint.places().get();
         let load = self.load(now, endpoint);
         match question.tier {
             Tier::Paying => load < places,
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -13,6 +13,9 @@
 
 use crate::{moves::MoveView, version_choice::VersionPlan};
 
+/// Streams that an engine is assumed to run at once before it has said so.
+const ASSUMED_PLACES: RequestCount = RequestCount::new(16);
+
 /// What an endpoint serves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointKind {
@@ -61,13 +64,21 @@
     pub reported_running: RequestCount,
     /// Streams it said wait for a place, as of its last load report.
     pub reported_waiting: RequestCount,
-    /// Streams it can run at once.
+    /// Streams it can run at once; zero until it has said so.
     pub capacity: RequestCount,
     /// Recent time between tokens, as merged from the nodes' observations.
     pub pace_us: Option<Micros>,
 }
 
 impl EndpointView {
+    /// Streams it can run at once, or what is assumed before it has said so.
+    pub fn places(&self) -> RequestCount {
+        match self.capacity {
+            RequestCount::ZERO => ASSUMED_PLACES,
+            known => known,
+        }
+    }
+
     /// Whether the endpoint runs one of the versions of a model.
     pub fn serves(&self, wanted: &ModelId, versions: &[EndpointVersion]) -> bool {
         match &self.kind {
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -194,3 +194,17 @@
     placer.note_fault(NOW, &chosen.parse().unwrap());
     assert_ne!(place(&mut placer, &snapshot, "p", &[]), Some(chosen));
 }
+
+/// An engine that has not told its capacity yet is not full after one placement.
+#[test]
+fn place_capacity_unknown() {
+    let engines = (0..3).map(|number| engine(&format!("engine-{number}"), "home", LIVE));
+    let unknown = engines.map(|engine| EndpointView {
+        capacity: RequestCount::ZERO,
+        ..engine
+    });
+    let snapshot = snapshot(unknown.collect());
+    let mut placer = placer();
+    let first = place(&mut placer, &snapshot, "p", &[]);
+    assert_eq!(place(&mut placer, &snapshot, "p", &[]), first);
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -9,7 +9,7 @@
     view::{EndpointCondition, EndpointKind, EndpointView, PeerView, Snapshot},
 };
 use parsleylatch_settings::{Document, Template};
-use parsleylatch_types::{EndpointId, MonoTime, RequestCount};
+use parsleylatch_types::{EndpointId, MonoTime};
 use parsleylatch_wire::{
     engine::LoadReport,
     platform::{KeyValue, ListReply, VmEntry, VmListReply, VmRole},
@@ -268,7 +268,7 @@
             condition,
             reported_running: load.report.running,
             reported_waiting: load.report.waiting,
-            capacity: load.report.capacity.max(RequestCount::new(1)),
+            capacity: load.report.capacity,
             pace_us: None,
         })
     }
