--- a/crates/bench/src/calls.rs
+++ b/crates/bench/src/calls.rs
@@ -13,7 +13,9 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::{caller::Caller, fleet::Fleet, latencies::Latencies, report::Report, slots};
+use crate::{
+    caller::Caller, fleet::Fleet, group_commit, latencies::Latencies, report::Report, slots,
+};
 
 /// Delay after each pair of calls, so that the store's rate is not reached.
 const PAIR_DELAY: Duration = Duration::from_millis(5);
@@ -60,6 +62,8 @@
         tokio::time::sleep(PAUSE).await;
         measure_rate(&fleet, rate, report).await?;
     }
+    tokio::time::sleep(PAUSE).await;
+    group_commit::measure(fleet.store.address, report).await?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/bench/src/group_commit.rs
@@ -0,0 +1,144 @@
+//! Trial of claims in hash slots with group commit, against the store alone.
+//!
+//! One committer per slot stands for the holder of the slot's lease. It gathers
+//! claims and records for a short window and writes the slot's value once by
+//! compare-and-swap. Nothing here handles the loss of a committer; the trial
+//! tells what the mechanism costs, next to one key for each claim.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use eyre::{Result, ensure};
+use futures::future::join_all;
+use parsleylatch_store::{Condition, StoreClient};
+use parsleylatch_types::{RequestId, RequestsPerSecond};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{latencies::Latencies, report::Report, slots};
+
+/// Slots, one committer each.
+const SLOTS: u64 = 16;
+/// Time for which a committer gathers.
+const WINDOW: Duration = Duration::from_millis(40);
+/// Most entries of a write.
+const BATCH_LIMIT: usize = 4_096;
+/// Entries that a slot's value keeps, at about 100 bytes each.
+const SLOT_ENTRIES: usize = 4_096;
+/// Time for which the service of the trial runs.
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+/// Time for which each rate is offered.
+const RATE_DURATION: Duration = Duration::from_secs(5);
+/// Rates that are offered, one after the other.
+const RATES: [u64; 3] = [250, 1_000, 4_500];
+/// Calls that start together, so that timers keep up with the rate.
+const BURST: u64 = 25;
+
+/// A claim or a record that waits to be written.
+struct Entry {
+    text: String,
+    written: oneshot::Sender<()>,
+}
+
+/// Adds the figures of every rate.
+///
+/// # Errors
+/// The store's reason if a slot can't be written.
+pub(crate) async fn measure(store: SocketAddr, report: &mut Report) -> Result<()> {
+    for rate in RATES.map(RequestsPerSecond::new) {
+        let run = RequestId::generate();
+        let (senders, committers): (Vec<_>, Vec<_>) = (0..SLOTS)
+            .map(|slot| start_committer(store, format!("trial/{run}/{slot}")))
+            .unzip();
+        let latency = offer(&senders, rate).await?;
+        drop(senders);
+        let mut writes = 0;
+        for committer in committers {
+            writes += committer.await??;
+        }
+        let case = format!("slots, offered {rate}");
+        report.add_latencies("slot_call", &case, &latency);
+        let per_second = writes as f64 / RATE_DURATION.as_secs_f64();
+        report.add("slot_writes_per_second", &case, per_second, "writes/s");
+    }
+    Ok(())
+}
+
+type Committer = tokio::task::JoinHandle<Result<u64>>;
+
+fn start_committer(store: SocketAddr, key: String) -> (mpsc::Sender<Entry>, Committer) {
+    let (sender, entries) = mpsc::channel(BATCH_LIMIT);
+    (sender, tokio::spawn(commit(store, key, entries)))
+}
+
+/// Writes the slot once a window; returns the count of writes.
+async fn commit(store: SocketAddr, key: String, mut entries: mpsc::Receiver<Entry>) -> Result<u64> {
+    let client = StoreClient::new(store);
+    let mut kept = VecDeque::new();
+    let mut condition = Condition::Absent;
+    let mut writes = 0;
+    let mut batch = Vec::new();
+    while entries.recv_many(&mut batch, BATCH_LIMIT).await > 0 {
+        tokio::time::sleep(WINDOW).await;
+        while let Ok(entry) = entries.try_recv() {
+            batch.push(entry);
+        }
+        kept.extend(batch.iter().map(|entry| entry.text.clone()));
+        while kept.len() > SLOT_ENTRIES {
+            kept.pop_front();
+        }
+        let value = kept.make_contiguous().join("\n");
+        let reply = client.write(&key, value, condition, None).await?;
+        ensure!(reply.written, "another writer has slot {key}");
+        if let Some(entry) = reply.entry {
+            condition = Condition::At(entry.revision);
+        }
+        writes += 1;
+        for entry in batch.drain(..) {
+            let _ = entry.written.send(());
+        }
+    }
+    Ok(writes)
+}
+
+async fn offer(senders: &[mpsc::Sender<Entry>], rate: RequestsPerSecond) -> Result<Latencies> {
+    let bursts = rate.get() * RATE_DURATION.as_secs() / BURST;
+    let interval = Duration::from_secs(1) * BURST as u32 / rate.get() as u32;
+    let started_at = Instant::now();
+    let mut calls = Vec::new();
+    for burst in 0..bursts as u32 {
+        tokio::time::sleep_until((started_at + interval * burst).into()).await;
+        for _ in 0..BURST {
+            let id = RequestId::generate();
+            let slot = slots::place(id.stable_hash(), 1, SLOTS).table;
+            calls.push(tokio::spawn(call(id, senders[slot as usize].clone())));
+        }
+    }
+    let mut latency = Latencies::new();
+    for ended in join_all(calls).await {
+        latency.record(ended??);
+    }
+    Ok(latency)
+}
+
+/// Claims, runs and records; returns the time that this took.
+async fn call(id: RequestId, slot: mpsc::Sender<Entry>) -> Result<Duration> {
+    let started_at = Instant::now();
+    append(
+        &slot,
+        format!("{id} pending 0123456789abcdef0123456789abcdef node-1"),
+    )
+    .await?;
+    tokio::time::sleep(SERVICE_TIME).await;
+    append(&slot, format!("{id} answered 200 {{\"truck\":7}}")).await?;
+    Ok(started_at.elapsed())
+}
+
+async fn append(slot: &mpsc::Sender<Entry>, text: String) -> Result<()> {
+    let (written, is_written) = oneshot::channel();
+    slot.send(Entry { text, written }).await?;
+    is_written.await?;
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 mod failover;
 pub mod fleet;
+mod group_commit;
 pub mod history;
 mod latencies;
 mod latency;
