--- a/crates/bench/src/slopes/state.rs
+++ b/crates/bench/src/slopes/state.rs
@@ -127,6 +127,7 @@
         endpoints: vms.iter().filter_map(endpoint_view).map(Arc::new).collect(),
         peers: vms.iter().filter_map(peer_view).collect(),
         accepting: true,
+        ..Snapshot::default()
     }
 }
 
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -6,7 +6,13 @@
 use eyre::Result;
 use parsleylatch_types::RequestId;
 
-use crate::{api::Api, chart, check, show};
+use crate::{
+    api::Api,
+    chart, check,
+    events::{self, EventsArgs, MovesArgs},
+    show,
+    templates::{self, TemplatesArgs},
+};
 
 /// Operate parsleylatch.
 #[derive(FromArgs)]
@@ -34,6 +40,9 @@
     Drain(DrainArgs),
     Chart(ChartArgs),
     Calls(CallsArgs),
+    Templates(TemplatesArgs),
+    Moves(MovesArgs),
+    Events(EventsArgs),
 }
 
 /// check a file with node settings or a template
@@ -115,6 +124,9 @@
             &api()?.get(&format!("/admin/v1/calls/{id}")).await?,
             args.json,
         ),
+        Command::Templates(verb) => templates::run(&api()?, verb, args.json).await,
+        Command::Moves(verb) => events::moves(&api()?, verb, args.json).await,
+        Command::Events(_) => events::events(&api()?, args.json).await,
         Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
     }
 }
--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{call, generation, limits, node_life};
+use crate::{call, generation, lease_holder, limits, moves, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +31,9 @@
 pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
 pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
+pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 
 /// Every embedded chart, by name.
 pub const ALL: &[ChartSource] = &[
@@ -41,7 +43,9 @@
     CLAIM_SETTLEMENT,
     GENERATION,
     IDEMPOTENT_CALL,
+    LEASE_HOLDER,
     NODE_LIFE,
+    VERSION_MOVE,
 ];
 
 /// A machine that is compiled when it is first used.
@@ -75,5 +79,7 @@
     call::verify_charts()?;
     generation::verify_charts()?;
     limits::verify_chart()?;
+    lease_holder::verify_chart()?;
+    moves::verify_chart()?;
     node_life::verify_chart()
 }
