Decide how generations are journalled: holder, owner, choice of peer

The owner's side goes from peer to peer, waits a bounded time where nobody can hold, and trusts no timeout that passed while the process was frozen.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, node_life};
+use crate::{generation, journal, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -27,10 +27,13 @@
 
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
+pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+pub(crate) const PEER: ChartSource = chart_source!("peer");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 3] = [ATTEMPT, GENERATION, NODE_LIFE];
+pub const ALL: [ChartSource; 6] = [ATTEMPT, GENERATION, JOURNAL, JOURNAL_ENTRY, NODE_LIFE, PEER];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -61,5 +64,6 @@
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
     generation::verify_charts()?;
+    journal::verify_charts()?;
     node_life::verify_chart()
 }
--- a/crates/decide/src/generation/context.rs
+++ b/crates/decide/src/generation/context.rs
@@ -92,6 +92,7 @@
     pub(crate) tokens: Vec<Token>,
     pub(crate) held: TokenIndex,
     pub(crate) released: TokenIndex,
+    pub(crate) is_whole: bool,
     pub(crate) attempt: Option<Attempt>,
     pub(crate) attempts_started: AttemptNumber,
     pub(crate) endpoint_version: Option<EndpointVersion>,
@@ -188,8 +189,13 @@
     }
 
     pub(crate) fn release_unheld(&mut self) {
-        self.effects.push(GenerationEffect::CountUnheldRelease);
-        self.release_to(TokenIndex::after(self.tokens.len()));
+        let end = TokenIndex::after(self.tokens.len());
+        let unheld = end.saturating_sub(self.released).get();
+        if unheld > 0 {
+            let tokens = TokenCount::new(unheld);
+            self.effects.push(GenerationEffect::CountUnheld { tokens });
+        }
+        self.release_to(end);
     }
 
     fn release_to(&mut self, end: TokenIndex) {
--- a/crates/decide/src/generation/mod.rs
+++ b/crates/decide/src/generation/mod.rs
@@ -27,6 +27,8 @@
 chart_names! {
     /// States of a generation.
     pub enum GenerationState {
+        /// Takes over what an earlier owner left.
+        Starting,
         /// Asks for an endpoint.
         Placing,
         /// Waits before it asks again.
@@ -35,6 +37,8 @@
         Attempting,
         /// Every token is kept; the last are not held yet.
         Settling,
+        /// The node stops; the last kept tokens are not held yet.
+        HandingOver,
         /// Every token was released.
         Done,
         /// Ended with an error.
@@ -51,6 +55,8 @@
 chart_names! {
     /// Events of a generation.
     pub enum GenerationEvent {
+        /// The generation is set up.
+        Started,
         /// An endpoint was chosen.
         Placed,
         /// No endpoint can take the attempt now.
@@ -63,6 +69,8 @@
         AttemptBroken,
         /// A journal peer holds more tokens.
         JournalHeld,
+        /// No journal peer can hold the tokens.
+        JournalUnheld,
         /// The state lasted its longest time.
         TimedOut,
         /// The caller's connection is gone, or the caller stopped reading.
@@ -93,6 +101,8 @@
         /// Index after the last held token.
         end: TokenIndex,
     },
+    /// No journal peer can hold the tokens; they are released all the same.
+    JournalUnheld,
     /// The caller is gone or stopped reading.
     CallerGone,
     /// The node stops and hands over.
@@ -115,7 +125,7 @@
         /// Address of the engine.
         address: SocketAddr,
     },
-    /// Send a token to the journal peer and answer with `JournalHeld`.
+    /// Send a token to the journal peer; `JournalHeld` or `JournalUnheld` answers.
     Journal {
         /// Index of the token.
         index: TokenIndex,
@@ -127,8 +137,11 @@
         /// Index after the last token.
         end: TokenIndex,
     },
-    /// Count a release of tokens that no journal peer holds.
-    CountUnheldRelease,
+    /// Count tokens that are released although no journal peer holds them.
+    CountUnheld {
+        /// How many.
+        tokens: TokenCount,
+    },
     /// Tell what became of an attempt.
     Report(AttemptReport),
     /// Tell the caller that the answer is whole.
@@ -152,6 +165,7 @@
             .guard("out_of_time", GenerationContext::out_of_time)
             .guard("attempts_exhausted", GenerationContext::attempts_exhausted)
             .guard("all_released", GenerationContext::all_released)
+            .guard("is_whole", |it| it.is_whole)
             .guard("held_all", GenerationContext::held_all)
             .duration("backoff", GenerationContext::backoff)
             .action("request_placement", GenerationContext::request_placement)
@@ -204,13 +218,19 @@
         earlier: EarlierOwner,
     ) -> (Self, Vec<GenerationEffect>) {
         let kept = TokenIndex::after(earlier.tokens.len());
+        let released = earlier.released.min(kept);
+        let is_whole = earlier.finished || kept.get() >= request.max_tokens.get();
         let mut context = GenerationContext {
             now,
             request,
             limits,
             tokens: earlier.tokens,
-            held: kept,
-            released: earlier.released.min(kept),
+            held: match earlier.held {
+                true => kept,
+                false => released,
+            },
+            released,
+            is_whole,
             attempt: None,
             attempts_started: earlier.attempts_started,
             endpoint_version: earlier.endpoint_version,
@@ -224,7 +244,8 @@
         };
         let life = machine().start(now, &mut context);
         let mut generation = Self { life, context };
-        generation.context.input_held = kept;
+        generation.step(now, GenerationEvent::Started);
+        generation.context.input_held = generation.context.held;
         generation.step(now, GenerationEvent::JournalHeld);
         let effects = generation.take_effects();
         (generation, effects)
@@ -290,6 +311,7 @@
                 self.context.input_held = end;
                 self.step(now, GenerationEvent::JournalHeld);
             }
+            GenerationInput::JournalUnheld => self.step(now, GenerationEvent::JournalUnheld),
             GenerationInput::CallerGone => self.step(now, GenerationEvent::CallerGone),
             GenerationInput::StopRequested => self.step(now, GenerationEvent::StopRequested),
             GenerationInput::Superseded => self.step(now, GenerationEvent::Superseded),
@@ -376,6 +398,10 @@
     pub attempts_started: AttemptNumber,
     /// Version that answered.
     pub endpoint_version: Option<EndpointVersion>,
+    /// Whether another node holds the tokens, so that they may be released.
+    pub held: bool,
+    /// Whether the answer is whole.
+    pub finished: bool,
 }
 
 fn report_of(attempt: &Attempt) -> AttemptReport {
--- /dev/null
+++ b/crates/decide/src/journal/choice.rs
@@ -0,0 +1,83 @@
+//! Which other node holds a journal.
+//!
+//! Another failure domain of the same region goes first, then another node of
+//! the region, then another region. Within a class, rendezvous hashing of the
+//! request id spreads the journals.
+
+use std::collections::HashSet;
+
+use parsleylatch_types::{FailureDomain, NodeId, Region, RequestId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::view::PeerView;
+
+/// Nodes to which a node keeps links for its journals.
+const NEIGHBOUR_COUNT: usize = 8;
+
+/// Distance class of a peer; smaller is better.
+fn distance(peer: &PeerView, domain: &FailureDomain, region: &Region) -> u8 {
+    match (peer.region == *region, peer.failure_domain == *domain) {
+        (true, false) => 0,
+        (true, true) => 1,
+        (false, _) => 2,
+    }
+}
+
+fn weight(peer: &PeerView, seed: u64) -> u64 {
+    xxh3_64_with_seed(peer.id.as_str().as_bytes(), seed)
+}
+
+/// Nodes to which a node keeps links, so that a journal peer is at hand.
+pub fn journal_neighbours<'a>(
+    own: &NodeId,
+    domain: &FailureDomain,
+    region: &Region,
+    peers: &'a [PeerView],
+) -> Vec<&'a PeerView> {
+    let seed = xxh3_64_with_seed(own.as_str().as_bytes(), 0);
+    let mut ranked: Vec<_> = peers.iter().filter(|peer| peer.live).collect();
+    ranked.sort_by_key(|peer| (distance(peer, domain, region), weight(peer, seed)));
+    ranked.truncate(NEIGHBOUR_COUNT);
+    ranked
+}
+
+/// Chooses the journal peer of a request among the nodes whose links are up.
+pub fn choose_journal_peer(
+    request_id: RequestId,
+    domain: &FailureDomain,
+    region: &Region,
+    peers: &[PeerView],
+    linked: &HashSet<NodeId>,
+    excluded: &[NodeId],
+) -> Option<NodeId> {
+    let seed = request_id.stable_hash();
+    let usable = peers
+        .iter()
+        .filter(|peer| peer.live && linked.contains(&peer.id) && !excluded.contains(&peer.id));
+    usable
+        .min_by_key(|peer| (distance(peer, domain, region), weight(peer, seed)))
+        .map(|peer| peer.id.clone())
+}
+
+/// Chooses the node to which a caller is sent when its node stops: the journal
+/// peer if it takes callers, else the nearest node.
+pub fn next_node<'a>(
+    request_id: RequestId,
+    domain: &FailureDomain,
+    region: &Region,
+    peers: &'a [PeerView],
+    journal_peer: Option<&NodeId>,
+) -> Option<&'a PeerView> {
+    let seed = request_id.stable_hash();
+    let usable = peers
+        .iter()
+        .filter(|peer| peer.live && peer.caller_address.is_some());
+    usable.min_by_key(|peer| {
+        let is_holder = Some(&peer.id) == journal_peer;
+        (
+            !is_holder,
+            distance(peer, domain, region),
+            weight(peer, seed),
+        )
+    })
+}
--- /dev/null
+++ b/crates/decide/src/journal/holder.rs
@@ -0,0 +1,441 @@
+//! Journals that a node holds for others, within a bound of memory.
+//!
+//! A full holder refuses, and the owner looks for another peer. Journals that
+//! were closed make room first, the oldest one before the others.
+
+use std::collections::HashMap;
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{
+    AttemptNumber, ByteCount, EndpointVersion, Millis, MonoTime, NodeId, OwnerEpoch, TokenIndex,
+    WorkspaceId,
+};
+
+use super::{
+    CloseReason, JournalAck, JournalAppend, JournalBody, JournalKey, JournalRecord, JournalStatus,
+    TakenOver,
+};
+use crate::{
+    charts::{self, LazyMachine},
+    generation::{GenerationRequest, Token},
+};
+
+/// Time between two searches for journals that are held long enough.
+const SWEEP_INTERVAL_MS: Millis = Millis::new(1_000);
+/// Memory of a journal beside its texts.
+const ENTRY_OVERHEAD_BYTES: u64 = 1_024;
+/// Memory of a token beside its text.
+const TOKEN_OVERHEAD_BYTES: u64 = 32;
+
+chart_names! {
+    /// States of a held journal.
+    pub(crate) enum EntryState {
+        /// Its owner adds tokens.
+        Running,
+        /// Another node took it.
+        Taken,
+        /// Its owner needs it no longer.
+        Closed,
+        /// It was held long enough.
+        Dropped,
+    }
+}
+
+chart_names! {
+    /// Events of a held journal.
+    pub(crate) enum EntryEvent {
+        /// An owner starts it, perhaps again.
+        Open,
+        /// An owner adds tokens.
+        Append,
+        /// An owner needs it no longer.
+        Close,
+        /// Another node takes it.
+        TakeOver,
+        /// The state lasted its longest time.
+        TimedOut,
+    }
+}
+
+/// What a holder checks.
+#[derive(Clone, Copy, Debug)]
+pub struct HolderRules {
+    /// Memory that held journals may take.
+    pub limit: ByteCount,
+    /// Whether records of earlier owners are refused. Tests turn this off to
+    /// show that they see the violation.
+    pub check_epoch: bool,
+}
+
+/// What a holder has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HolderUsage {
+    /// Journals.
+    pub journals: usize,
+    /// Memory.
+    pub bytes: ByteCount,
+    /// Journals that nobody else has and whose answer is not whole.
+    pub unfinished: usize,
+}
+
+struct EntryContext {
+    key: JournalKey,
+    epoch: OwnerEpoch,
+    owner: NodeId,
+    request: GenerationRequest,
+    tokens: Vec<Token>,
+    attempts_started: AttemptNumber,
+    endpoint_version: Option<EndpointVersion>,
+    close_reason: Option<CloseReason>,
+    bytes: ByteCount,
+    check_epoch: bool,
+    room: ByteCount,
+    input_epoch: OwnerEpoch,
+    input_owner: NodeId,
+    input_request: Option<GenerationRequest>,
+    input_append: Option<JournalAppend>,
+    input_reason: Option<CloseReason>,
+    status: Option<JournalStatus>,
+}
+
+static MACHINE: LazyMachine<EntryState, EntryEvent, EntryContext> = LazyMachine::new(|| {
+    let bindings = Bindings::<EntryContext>::new()
+        .guard("is_stale", |it| it.check_epoch && it.is_stale())
+        .guard("is_newer", |it| it.input_epoch > it.epoch)
+        .guard("leaves_gap", EntryContext::leaves_gap)
+        .guard("lacks_room", |it| it.appended_bytes() > it.room)
+        .action("restart", EntryContext::restart)
+        .action("store", EntryContext::store)
+        .action("note_close", |it| it.close_reason = it.input_reason)
+        .action("raise_epoch", |it| {
+            it.epoch = it.epoch.next();
+            it.owner = it.input_owner.clone();
+        })
+        .action("confirm", |it| it.status = Some(JournalStatus::Held))
+        .action("refuse_stale", |it| {
+            it.status = Some(JournalStatus::StaleEpoch);
+        })
+        .action("refuse_full", |it| it.status = Some(JournalStatus::Full))
+        .action("refuse_unknown", |it| {
+            it.status = Some(JournalStatus::Unknown);
+        });
+    charts::compile(charts::JOURNAL_ENTRY, &bindings)
+});
+
+fn machine() -> &'static Machine<EntryState, EntryEvent, EntryContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+fn request_bytes(request: &GenerationRequest) -> ByteCount {
+    ByteCount::new(ENTRY_OVERHEAD_BYTES + request.prompt.len() as u64)
+}
+
+fn token_bytes(tokens: &[Token]) -> ByteCount {
+    let texts: usize = tokens.iter().map(|token| token.text.len()).sum();
+    ByteCount::new(texts as u64 + TOKEN_OVERHEAD_BYTES * tokens.len() as u64)
+}
+
+impl EntryContext {
+    fn new(key: JournalKey, epoch: OwnerEpoch, owner: NodeId, request: GenerationRequest) -> Self {
+        Self {
+            key,
+            epoch,
+            input_owner: owner.clone(),
+            owner,
+            bytes: request_bytes(&request),
+            request,
+            tokens: Vec::new(),
+            attempts_started: AttemptNumber::ZERO,
+            endpoint_version: None,
+            close_reason: None,
+            check_epoch: true,
+            room: ByteCount::ZERO,
+            input_epoch: epoch,
+            input_request: None,
+            input_append: None,
+            input_reason: None,
+            status: None,
+        }
+    }
+
+    /// Of two owners with the same epoch, the first one counts.
+    fn is_stale(&self) -> bool {
+        let is_other = self.input_owner != self.owner;
+        self.input_epoch < self.epoch || (self.input_epoch == self.epoch && is_other)
+    }
+
+    fn end(&self) -> TokenIndex {
+        TokenIndex::after(self.tokens.len())
+    }
+
+    fn leaves_gap(&self) -> bool {
+        self.input_append
+            .as_ref()
+            .is_some_and(|append| append.start > self.end())
+    }
+
+    /// Part of the appended tokens that is not held yet.
+    fn fresh(&self) -> &[Token] {
+        let Some(append) = &self.input_append else {
+            return &[];
+        };
+        let known = self.end().saturating_sub(append.start).as_usize();
+        append.tokens.get(known..).unwrap_or_default()
+    }
+
+    fn appended_bytes(&self) -> ByteCount {
+        token_bytes(self.fresh())
+    }
+
+    /// A new owner sends the whole again.
+    fn restart(&mut self) {
+        self.epoch = self.input_epoch;
+        self.owner = self.input_owner.clone();
+        if let Some(request) = self.input_request.take() {
+            self.request = request;
+        }
+        self.tokens.clear();
+        self.close_reason = None;
+        self.bytes = request_bytes(&self.request);
+    }
+
+    fn store(&mut self) {
+        let fresh = self.fresh().to_vec();
+        self.bytes = self.bytes.saturating_add(token_bytes(&fresh));
+        self.tokens.extend(fresh);
+        if let Some(append) = self.input_append.take() {
+            self.attempts_started = self.attempts_started.max(append.attempts_started);
+            self.endpoint_version = append.endpoint_version.or(self.endpoint_version.take());
+        }
+    }
+
+    fn ack(&mut self) -> Option<JournalAck> {
+        self.status.take().map(|status| JournalAck {
+            key: self.key,
+            epoch: self.input_epoch,
+            end: self.end(),
+            status,
+        })
+    }
+}
+
+struct Entry {
+    life: Instance<EntryState>,
+    context: EntryContext,
+}
+
+impl Entry {
+    fn step(&mut self, now: MonoTime, event: EntryEvent) {
+        machine().step(&mut self.life, now, event, &mut self.context);
+    }
+
+    /// Whether nobody else has the journal and its answer is not whole.
+    fn is_unfinished(&self) -> bool {
+        match self.life.state() {
+            EntryState::Running => true,
+            EntryState::Closed => self.context.close_reason == Some(CloseReason::Left),
+            EntryState::Taken | EntryState::Dropped => false,
+        }
+    }
+}
+
+/// Every journal that a node holds.
+pub struct JournalHolder {
+    rules: HolderRules,
+    entries: HashMap<JournalKey, Entry>,
+    bytes: ByteCount,
+    next_sweep: Option<MonoTime>,
+    leaving: bool,
+}
+
+impl JournalHolder {
+    /// Holder without journals.
+    pub fn new(rules: HolderRules) -> Self {
+        Self {
+            rules,
+            entries: HashMap::new(),
+            bytes: ByteCount::ZERO,
+            next_sweep: None,
+            leaving: false,
+        }
+    }
+
+    /// What is held.
+    pub fn usage(&self) -> HolderUsage {
+        HolderUsage {
+            journals: self.entries.len(),
+            bytes: self.bytes,
+            unfinished: self
+                .entries
+                .values()
+                .filter(|it| it.is_unfinished())
+                .count(),
+        }
+    }
+
+    /// Whether a journal is held.
+    pub fn holds(&self, key: JournalKey) -> bool {
+        self.entries.contains_key(&key)
+    }
+
+    /// Handles a record; a close needs no answer.
+    pub fn handle(&mut self, now: MonoTime, record: JournalRecord) -> Option<JournalAck> {
+        self.next_sweep.get_or_insert(now + SWEEP_INTERVAL_MS);
+        let JournalRecord {
+            key,
+            owner,
+            epoch,
+            body,
+        } = record;
+        let refusal = |status| JournalAck {
+            key,
+            epoch,
+            end: TokenIndex::ZERO,
+            status,
+        };
+        if let JournalBody::Open(request) = &body {
+            if self.leaving || !self.make_room(request_bytes(request)) {
+                return Some(refusal(JournalStatus::Full));
+            }
+            self.create(now, key, epoch, &owner, request);
+        }
+        if let JournalBody::Append(append) = &body {
+            self.make_room(token_bytes(&append.tokens));
+        }
+        let room = self.rules.limit.saturating_sub(self.bytes);
+        let Some(entry) = self.entries.get_mut(&key) else {
+            let is_close = matches!(body, JournalBody::Close(_));
+            return (!is_close).then(|| refusal(JournalStatus::Unknown));
+        };
+        let before = entry.context.bytes;
+        entry.context.check_epoch = self.rules.check_epoch;
+        entry.context.room = room;
+        entry.context.input_epoch = epoch;
+        entry.context.input_owner = owner;
+        let event = entry.context.take_input(body);
+        entry.step(now, event);
+        let ack = entry.context.ack();
+        self.bytes = self
+            .bytes
+            .saturating_add(entry.context.bytes)
+            .saturating_sub(before);
+        ack
+    }
+
+    /// Gives a journal to a new owner; from then on earlier owners are refused.
+    pub fn take_over(
+        &mut self,
+        now: MonoTime,
+        key: JournalKey,
+        workspace: &WorkspaceId,
+        new_owner: &NodeId,
+    ) -> Option<TakenOver> {
+        let entry = self.entries.get_mut(&key)?;
+        if entry.context.request.workspace != *workspace {
+            return None;
+        }
+        entry.context.input_owner = new_owner.clone();
+        entry.step(now, EntryEvent::TakeOver);
+        let context = &entry.context;
+        Some(TakenOver {
+            request: context.request.clone(),
+            epoch: context.epoch,
+            tokens: context.tokens.clone(),
+            attempts_started: context.attempts_started,
+            endpoint_version: context.endpoint_version.clone(),
+            finished: context.close_reason == Some(CloseReason::Finished),
+        })
+    }
+
+    /// Takes no new journal from now on; returns those that have to go elsewhere.
+    pub fn leave(&mut self) -> Vec<JournalAck> {
+        self.leaving = true;
+        let running = self
+            .entries
+            .values()
+            .filter(|entry| entry.life.state() == EntryState::Running);
+        running
+            .map(|entry| JournalAck {
+                key: entry.context.key,
+                epoch: entry.context.epoch,
+                end: entry.context.end(),
+                status: JournalStatus::Full,
+            })
+            .collect()
+    }
+
+    /// Time at which [`JournalHolder::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.next_sweep
+    }
+
+    /// Drops journals that were held long enough.
+    pub fn expire(&mut self, now: MonoTime) {
+        for entry in self.entries.values_mut() {
+            machine().expire(&mut entry.life, now, &mut entry.context);
+        }
+        self.entries
+            .retain(|_, entry| entry.life.state() != EntryState::Dropped);
+        let bytes = self.entries.values().map(|entry| entry.context.bytes);
+        self.bytes = bytes.fold(ByteCount::ZERO, ByteCount::saturating_add);
+        self.next_sweep = (!self.entries.is_empty()).then(|| now + SWEEP_INTERVAL_MS);
+    }
+
+    fn create(
+        &mut self,
+        now: MonoTime,
+        key: JournalKey,
+        epoch: OwnerEpoch,
+        owner: &NodeId,
+        request: &GenerationRequest,
+    ) {
+        if self.entries.contains_key(&key) {
+            return;
+        }
+        let mut context = EntryContext::new(key, epoch, owner.clone(), request.clone());
+        let life = machine().start(now, &mut context);
+        self.bytes = self.bytes.saturating_add(context.bytes);
+        self.entries.insert(key, Entry { life, context });
+    }
+
+    /// Drops closed journals until there is room; `false` if there is none.
+    fn make_room(&mut self, wanted: ByteCount) -> bool {
+        while self.bytes.saturating_add(wanted) > self.rules.limit {
+            let closed = self
+                .entries
+                .iter()
+                .filter(|(_, entry)| entry.life.state() == EntryState::Closed);
+            let oldest = closed.min_by_key(|(key, entry)| (entry.life.next_deadline(), **key));
+            let Some(key) = oldest.map(|(key, _)| *key) else {
+                return false;
+            };
+            if let Some(entry) = self.entries.remove(&key) {
+                self.bytes = self.bytes.saturating_sub(entry.context.bytes);
+            }
+        }
+        true
+    }
+}
+
+impl EntryContext {
+    fn take_input(&mut self, body: JournalBody) -> EntryEvent {
+        match body {
+            JournalBody::Open(request) => {
+                self.input_request = Some(request);
+                EntryEvent::Open
+            }
+            JournalBody::Append(append) => {
+                self.input_append = Some(append);
+                EntryEvent::Append
+            }
+            JournalBody::Close(reason) => {
+                self.input_reason = Some(reason);
+                EntryEvent::Close
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/journal/owner.rs
@@ -0,0 +1,398 @@
+//! The owner's side of a journal: which peer holds it, and what it holds.
+//!
+//! A timeout is trusted only if this process ran while it passed. A node that
+//! was frozen hears its peer first, because another node may own the generation
+//! by then.
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{Micros, Millis, MonoTime, NodeId, OwnerEpoch, TokenIndex};
+
+use super::{CloseReason, JournalStatus};
+use crate::charts::{self, LazyMachine};
+
+/// Journal peers that are tried in a row.
+const TRIES_LIMIT: usize = 3;
+/// Lateness of a timeout from which this process counts as frozen meanwhile.
+pub(crate) const FROZEN_AFTER_MS: Millis = Millis::new(150);
+
+chart_names! {
+    /// States of a journal at its owner.
+    pub enum JournalState {
+        /// Looks for a peer.
+        Choosing,
+        /// No peer can take it now.
+        Waiting,
+        /// The whole was sent to a new peer.
+        Opening,
+        /// The peer has every token.
+        Held,
+        /// The peer has not confirmed every token.
+        Pending,
+        /// Nobody holds it.
+        Unheld,
+        /// Another node owns the generation.
+        Superseded,
+        /// It is needed no longer.
+        Closed,
+    }
+}
+
+chart_names! {
+    /// Events of a journal at its owner.
+    pub enum JournalEvent {
+        /// A peer was chosen.
+        Chosen,
+        /// No peer can take it.
+        Unchosen,
+        /// The owner has more tokens.
+        Kept,
+        /// The peer confirmed tokens.
+        Acked,
+        /// The peer can't hold it.
+        Refused,
+        /// The peer knows a later owner.
+        Stale,
+        /// The peer can't be reached.
+        PeerLost,
+        /// The state lasted its longest time.
+        TimedOut,
+        /// It is needed no longer.
+        Close,
+    }
+}
+
+/// What happened to a journal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JournalInput {
+    /// A peer was chosen.
+    Chosen(NodeId),
+    /// No peer can take it.
+    Unchosen {
+        /// Whether the fleet has other nodes at all.
+        has_peers: bool,
+    },
+    /// The owner has all tokens before `end`.
+    Kept {
+        /// Index after the last token.
+        end: TokenIndex,
+    },
+    /// A peer answered.
+    Acked {
+        /// The peer.
+        peer: NodeId,
+        /// Epoch of the record that it answers.
+        epoch: OwnerEpoch,
+        /// Index after the last token that it holds.
+        end: TokenIndex,
+        /// Its word.
+        status: JournalStatus,
+    },
+    /// A peer can't be reached.
+    PeerLost(NodeId),
+    /// The journal is needed no longer.
+    Close(CloseReason),
+}
+
+/// What has to be done for a journal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JournalEffect {
+    /// Choose a peer and answer with `Chosen` or `Unchosen`.
+    Choose {
+        /// Peers that were tried.
+        excluded: Vec<NodeId>,
+    },
+    /// Send the request and all tokens before `end`.
+    Open {
+        /// To this peer.
+        peer: NodeId,
+        /// Index after the last token.
+        end: TokenIndex,
+    },
+    /// Send tokens.
+    Append {
+        /// To this peer.
+        peer: NodeId,
+        /// First token.
+        start: TokenIndex,
+        /// Index after the last token.
+        end: TokenIndex,
+    },
+    /// Say that the journal is needed no longer.
+    Close {
+        /// To this peer.
+        peer: NodeId,
+        /// Why.
+        reason: CloseReason,
+    },
+    /// A peer holds all tokens before `end`.
+    Held {
+        /// Index after the last held token.
+        end: TokenIndex,
+    },
+    /// Nobody holds the tokens before `end`, and they may be released.
+    Unheld {
+        /// Index after the last token.
+        end: TokenIndex,
+    },
+    /// Another node owns the generation.
+    Superseded,
+}
+
+struct JournalContext {
+    now: MonoTime,
+    deadline: Option<MonoTime>,
+    was_late: bool,
+    peer: Option<NodeId>,
+    kept: TokenIndex,
+    sent: TokenIndex,
+    acked: TokenIndex,
+    excluded: Vec<NodeId>,
+    unheld: bool,
+    has_peers: bool,
+    input_peer: Option<NodeId>,
+    input_end: TokenIndex,
+    reason: CloseReason,
+    effects: Vec<JournalEffect>,
+}
+
+static MACHINE: LazyMachine<JournalState, JournalEvent, JournalContext> = LazyMachine::new(|| {
+    let bindings = Bindings::<JournalContext>::new()
+        .guard("may_release_unheld", |it| it.unheld || !it.has_peers)
+        .guard("was_unheld", |it| it.unheld)
+        .guard("woke_late", JournalContext::woke_late)
+        .guard("tries_exhausted", |it| it.excluded.len() + 1 >= TRIES_LIMIT)
+        .guard("acks_all", |it| it.input_end >= it.kept)
+        .guard("acks_more", |it| it.input_end > it.acked)
+        .action("request_peer", JournalContext::request_peer)
+        .action("open", JournalContext::open)
+        .action("append", JournalContext::append)
+        .action("note_ack", JournalContext::note_ack)
+        .action("leave_peer", JournalContext::leave_peer)
+        .action("release_unheld", JournalContext::release_unheld)
+        .action("allow_unheld", |it| it.unheld = true)
+        .action("forget_exclusions", |it| it.excluded.clear())
+        .action("note_late", |it| it.was_late = true)
+        .action("announce_supersession", |it| {
+            it.effects.push(JournalEffect::Superseded);
+        })
+        .action("close", JournalContext::close);
+    charts::compile(charts::JOURNAL, &bindings)
+});
+
+fn machine() -> &'static Machine<JournalState, JournalEvent, JournalContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+/// Whether a deadline passed so long ago that the process did not run.
+pub(crate) fn is_late(now: MonoTime, deadline: Option<MonoTime>) -> bool {
+    let late_by = deadline.map_or(Micros::ZERO, |deadline| now.since(deadline));
+    late_by > FROZEN_AFTER_MS.micros()
+}
+
+impl JournalContext {
+    /// Only once in a row, so that a slow node still changes its peer.
+    fn woke_late(&self) -> bool {
+        !self.was_late && is_late(self.now, self.deadline)
+    }
+
+    fn request_peer(&mut self) {
+        let excluded = self.excluded.clone();
+        self.effects.push(JournalEffect::Choose { excluded });
+    }
+
+    fn open(&mut self) {
+        self.peer = self.input_peer.take();
+        if let Some(peer) = self.peer.clone() {
+            self.sent = self.kept;
+            self.acked = TokenIndex::ZERO;
+            let end = self.kept;
+            self.effects.push(JournalEffect::Open { peer, end });
+        }
+    }
+
+    fn append(&mut self) {
+        if let Some(peer) = self.peer.clone() {
+            let (start, end) = (self.sent, self.kept);
+            self.sent = end;
+            self.effects
+                .push(JournalEffect::Append { peer, start, end });
+        }
+    }
+
+    fn note_ack(&mut self) {
+        self.was_late = false;
+        self.unheld = false;
+        self.excluded.clear();
+        self.acked = self.acked.max(self.input_end.min(self.kept));
+        let end = self.acked;
+        self.effects.push(JournalEffect::Held { end });
+    }
+
+    fn leave_peer(&mut self) {
+        self.was_late = false;
+        if let Some(peer) = self.peer.take() {
+            self.excluded.push(peer.clone());
+            let reason = CloseReason::Replaced;
+            self.effects.push(JournalEffect::Close { peer, reason });
+        }
+    }
+
+    fn release_unheld(&mut self) {
+        self.unheld = true;
+        let end = self.kept;
+        self.effects.push(JournalEffect::Unheld { end });
+    }
+
+    fn close(&mut self) {
+        if let Some(peer) = self.peer.clone() {
+            let reason = self.reason;
+            self.effects.push(JournalEffect::Close { peer, reason });
+        }
+    }
+}
+
+/// Journal of one generation at its owner.
+pub struct JournalOwner {
+    epoch: OwnerEpoch,
+    life: Instance<JournalState>,
+    context: JournalContext,
+    earlier_holder: Option<NodeId>,
+}
+
+impl JournalOwner {
+    /// Starts a journal of an owner; `earlier_holder` holds the tokens that are there already.
+    pub fn start(
+        now: MonoTime,
+        epoch: OwnerEpoch,
+        kept: TokenIndex,
+        earlier_holder: Option<NodeId>,
+    ) -> (Self, Vec<JournalEffect>) {
+        let mut context = JournalContext {
+            now,
+            deadline: None,
+            was_late: false,
+            peer: None,
+            kept,
+            sent: TokenIndex::ZERO,
+            acked: TokenIndex::ZERO,
+            excluded: Vec::new(),
+            unheld: false,
+            has_peers: true,
+            input_peer: None,
+            input_end: TokenIndex::ZERO,
+            reason: CloseReason::Left,
+            effects: Vec::new(),
+        };
+        let life = machine().start(now, &mut context);
+        let mut owner = Self {
+            epoch,
+            life,
+            context,
+            earlier_holder,
+        };
+        let effects = std::mem::take(&mut owner.context.effects);
+        (owner, effects)
+    }
+
+    /// Current state.
+    pub fn state(&self) -> JournalState {
+        self.life.state()
+    }
+
+    /// Peer that has confirmed the journal; named in the ids of events.
+    pub fn holding_peer(&self) -> Option<&NodeId> {
+        match self.life.state() {
+            JournalState::Held | JournalState::Pending => self.context.peer.as_ref(),
+            JournalState::Closed => self.context.peer.as_ref(),
+            _ => self.earlier_holder.as_ref(),
+        }
+    }
+
+    /// Time at which [`JournalOwner::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.life.next_deadline()
+    }
+
+    /// Handles what happened.
+    pub fn handle(&mut self, now: MonoTime, input: JournalInput) -> Vec<JournalEffect> {
+        if let Some(event) = self.take_input(input) {
+            self.context.now = now;
+            machine().step(&mut self.life, now, event, &mut self.context);
+        }
+        self.take_effects()
+    }
+
+    /// Handles a deadline that has passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<JournalEffect> {
+        self.context.now = now;
+        self.context.deadline = self.life.next_deadline();
+        machine().expire(&mut self.life, now, &mut self.context);
+        self.take_effects()
+    }
+
+    fn take_effects(&mut self) -> Vec<JournalEffect> {
+        let effects = std::mem::take(&mut self.context.effects);
+        let confirmed = effects.iter().any(|effect| {
+            matches!(
+                effect,
+                JournalEffect::Held { .. } | JournalEffect::Unheld { .. }
+            )
+        });
+        if confirmed {
+            self.earlier_holder = None;
+        }
+        effects
+    }
+
+    /// Event of an input; none for the word of a peer that is not used any more.
+    fn take_input(&mut self, input: JournalInput) -> Option<JournalEvent> {
+        let context = &mut self.context;
+        if matches!(input, JournalInput::Acked { epoch, .. } if epoch != self.epoch) {
+            // The answer to an earlier owner on the same node.
+            return None;
+        }
+        Some(match input {
+            JournalInput::Chosen(peer) => {
+                context.input_peer = Some(peer);
+                JournalEvent::Chosen
+            }
+            JournalInput::Unchosen { has_peers } => {
+                context.has_peers = has_peers;
+                JournalEvent::Unchosen
+            }
+            JournalInput::Kept { end } => {
+                context.kept = context.kept.max(end);
+                JournalEvent::Kept
+            }
+            // A later owner is a later owner, whichever peer tells of it.
+            JournalInput::Acked {
+                status: JournalStatus::StaleEpoch,
+                ..
+            } => JournalEvent::Stale,
+            JournalInput::Acked { peer, .. } if context.peer.as_ref() != Some(&peer) => {
+                return None;
+            }
+            JournalInput::Acked { end, status, .. } => {
+                context.input_end = end;
+                match status {
+                    JournalStatus::Held => JournalEvent::Acked,
+                    _ => JournalEvent::Refused,
+                }
+            }
+            JournalInput::PeerLost(peer) => {
+                if context.peer.as_ref() != Some(&peer) {
+                    return None;
+                }
+                JournalEvent::PeerLost
+            }
+            JournalInput::Close(reason) => {
+                context.reason = reason;
+                JournalEvent::Close
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/decide/src/journal/peer.rs
@@ -0,0 +1,125 @@
+//! Another node as a possible journal peer: linked, answering, or passed over.
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::MonoTime;
+
+use super::owner::is_late;
+use crate::charts::{self, LazyMachine};
+
+chart_names! {
+    /// States of a peer.
+    pub enum PeerState {
+        /// There is no link.
+        Down,
+        /// It owes no answer.
+        Idle,
+        /// It owes an answer.
+        Awaiting,
+        /// It does not answer.
+        Suspect,
+    }
+}
+
+chart_names! {
+    /// Events of a peer.
+    pub enum PeerEvent {
+        /// The link can be used.
+        LinkUp,
+        /// The link is gone.
+        LinkDown,
+        /// A batch was sent.
+        BatchSent,
+        /// A batch was answered.
+        Acked,
+        /// The state lasted its longest time.
+        TimedOut,
+    }
+}
+
+#[derive(Default)]
+struct PeerContext {
+    now: MonoTime,
+    deadline: Option<MonoTime>,
+    was_late: bool,
+    owed: u64,
+    usable: Option<bool>,
+}
+
+static MACHINE: LazyMachine<PeerState, PeerEvent, PeerContext> = LazyMachine::new(|| {
+    let bindings = Bindings::<PeerContext>::new()
+        .guard("owes_more", |it| it.owed > 0)
+        .guard("woke_late", |it| {
+            !it.was_late && is_late(it.now, it.deadline)
+        })
+        .action("note_late", |it| it.was_late = true)
+        .action("announce_up", |it| it.usable = Some(true))
+        .action("announce_lost", |it| it.usable = Some(false));
+    charts::compile(charts::PEER, &bindings)
+});
+
+fn machine() -> &'static Machine<PeerState, PeerEvent, PeerContext> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+/// Life of one peer.
+pub struct PeerLife {
+    life: Instance<PeerState>,
+    context: PeerContext,
+}
+
+impl PeerLife {
+    /// A peer without a link.
+    pub fn new(now: MonoTime) -> Self {
+        let mut context = PeerContext::default();
+        let life = machine().start(now, &mut context);
+        Self { life, context }
+    }
+
+    /// Current state.
+    pub fn state(&self) -> PeerState {
+        self.life.state()
+    }
+
+    /// Whether the peer can hold new journals.
+    pub fn is_usable(&self) -> bool {
+        matches!(self.life.state(), PeerState::Idle | PeerState::Awaiting)
+    }
+
+    /// Whether there is a link to the peer.
+    pub fn is_linked(&self) -> bool {
+        self.life.state() != PeerState::Down
+    }
+
+    /// Time at which [`PeerLife::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.life.next_deadline()
+    }
+
+    /// Handles an event; tells whether the peer became usable or is lost.
+    pub fn handle(&mut self, now: MonoTime, event: PeerEvent) -> Option<bool> {
+        let context = &mut self.context;
+        match event {
+            PeerEvent::BatchSent => context.owed += 1,
+            PeerEvent::Acked => {
+                context.owed = context.owed.saturating_sub(1);
+                context.was_late = false;
+            }
+            PeerEvent::LinkUp => context.owed = 0,
+            PeerEvent::LinkDown | PeerEvent::TimedOut => {}
+        }
+        machine().step(&mut self.life, now, event, context);
+        context.usable.take()
+    }
+
+    /// Handles a deadline that has passed.
+    pub fn expire(&mut self, now: MonoTime) -> Option<bool> {
+        self.context.now = now;
+        self.context.deadline = self.life.next_deadline();
+        machine().expire(&mut self.life, now, &mut self.context);
+        self.context.usable.take()
+    }
+}
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -23,6 +23,7 @@
         ask_id,
         request_id: Vec::new(),
         workspace: String::new(),
+        origin: 0,
     })
 }
 
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -1,7 +1,10 @@
 //! Bodies of the caller's interface.
 
+use std::net::SocketAddr;
+
 use parsleylatch_types::{
-    AdapterName, AttemptNumber, EndpointVersion, ModelId, Seed, TokenCount, TokenId, TokenIndex,
+    AdapterName, AttemptNumber, EndpointVersion, ModelId, NodeId, Seed, TokenCount, TokenId,
+    TokenIndex,
 };
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +26,43 @@
     pub adapter: Option<AdapterName>,
 }
 
+/// Body of `POST /v1/generations/{request_id}`: the body of the first request,
+/// with what the caller received so far.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResumeBody {
+    /// Model.
+    pub model: ModelId,
+    /// Prompt.
+    pub prompt: String,
+    /// Length of the answer.
+    pub max_tokens: TokenCount,
+    /// Seed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seed: Option<Seed>,
+    /// Adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<AdapterName>,
+    /// Tokens that the caller has, from index 0.
+    pub tokens: Vec<TokenData>,
+    /// Version that answered.
+    pub endpoint_version: EndpointVersion,
+}
+
+/// Data of a `moved` event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MovedData {
+    /// Node at which to resume; `None` if no other node is known.
+    pub node: Option<NodeId>,
+    /// Its address for callers.
+    pub caller_address: Option<SocketAddr>,
+    /// Id of the last `token` event; `None` if there was none.
+    pub last_event_id: Option<String>,
+}
+
+/// Header that names the last `token` event that a caller has.
+pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
+
 /// Data of a `token` event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenData {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,11 +6,19 @@
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::peer::PeerMessage;
+use crate::peer::{PeerMessage, peer_message::Body};
 
 /// Largest frame.
 pub const FRAME_LIMIT: ByteCount = ByteCount::new(16 << 20);
 
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: u64 = 4;
+
+/// Bytes that a message takes on a connection.
+pub fn message_bytes(body: &Body) -> ByteCount {
+    ByteCount::new(body.encoded_len() as u64 + LENGTH_BYTES)
+}
+
 /// A frame that can't be sent or read.
 #[derive(Debug, Error)]
 pub enum FrameError {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,7 +7,7 @@
 mod frame;
 pub mod platform;
 
-pub use frame::{FRAME_LIMIT, FrameError, PeerCodec};
+pub use frame::{FRAME_LIMIT, FrameError, PeerCodec, message_bytes};
 pub use generated::{gossip, journal, peer};
 
 /// Code that `prost` generates from `proto/*.proto`; committed, so that the
