--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -10,8 +10,8 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
 use parsleylatch_http::{Body, Client, Reply, SseEvent, SseReader};
-use parsleylatch_types::{RequestId, TokenIndex};
-use parsleylatch_wire::caller::{DoneData, GenerationBody, Problem, TokenData};
+use parsleylatch_types::{EndpointVersion, RequestId, TokenIndex};
+use parsleylatch_wire::caller::{DoneData, GenerationBody, Problem, ResumeBody, TokenData};
 
 /// Longest wait for the head of a response.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -40,6 +40,19 @@
     pub at: Instant,
 }
 
+impl ArrivedToken {
+    /// Version that answers, as the last field of the event's id names it.
+    pub fn endpoint_version(&self) -> Option<EndpointVersion> {
+        self.event_id.rsplit('/').next()?.parse().ok()
+    }
+
+    /// Node that holds the token beside the one that released it.
+    pub fn journal_peer(&self) -> Option<&str> {
+        let peer = self.event_id.split('/').nth(1)?;
+        (peer != "-").then_some(peer)
+    }
+}
+
 /// An open stream of events.
 pub struct Events {
     body: Body,
@@ -69,21 +82,33 @@
         }
     }
 
+    /// Waits for the next token.
+    ///
+    /// # Errors
+    /// How the stream ended.
+    pub async fn next_arrived(&mut self) -> std::result::Result<ArrivedToken, Ending> {
+        let event = match self.next().await {
+            Ok(Some(event)) => event,
+            Ok(None) => return Err(Ending::Broken("the stream ended early".to_owned())),
+            Err(error) => return Err(Ending::Broken(error.to_string())),
+        };
+        match read_event(event) {
+            Ok(Arrived::Token(token)) => Ok(token),
+            Ok(Arrived::Ending(ending)) => Err(ending),
+            Err(error) => Err(Ending::Broken(error.to_string())),
+        }
+    }
+
     /// Reads to the end; `on_token` sees each token as it arrives.
     pub async fn collect(mut self, mut on_token: impl FnMut(&ArrivedToken)) -> Collected {
         let mut tokens = Vec::new();
         let ending = loop {
-            match self.next().await {
-                Ok(Some(event)) => match read_event(event) {
-                    Ok(Arrived::Token(token)) => {
-                        on_token(&token);
-                        tokens.push(token);
-                    }
-                    Ok(Arrived::Ending(ending)) => break ending,
-                    Err(error) => break Ending::Broken(error.to_string()),
-                },
-                Ok(None) => break Ending::Broken("the stream ended early".to_owned()),
-                Err(error) => break Ending::Broken(error.to_string()),
+            match self.next_arrived().await {
+                Ok(token) => {
+                    on_token(&token);
+                    tokens.push(token);
+                }
+                Err(ending) => break ending,
             }
         };
         Collected { tokens, ending }
@@ -181,6 +206,15 @@
         self.open(request, Bytes::new()).await
     }
 
+    /// Goes on with a generation whose tokens the caller brings.
+    ///
+    /// # Errors
+    /// The step and the peer if there was no answer.
+    pub async fn rebuild(&self, id: RequestId, body: &ResumeBody) -> Result<Opened> {
+        let request = Request::post(format!("/v1/generations/{id}"));
+        self.open(request, serde_json::to_vec(body)?.into()).await
+    }
+
     /// Calls a service and reads the whole answer.
     ///
     /// # Errors
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod resuming;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -178,6 +178,7 @@
                     self.shared
                         .ready
                         .store(false, std::sync::atomic::Ordering::Release);
+                    self.shared.stop_phase.send_replace(StopPhase::Noticing);
                 }
                 NodeEffect::RefuseNew => {
                     self.accepting = false;
@@ -214,6 +215,11 @@
             peers: vms.iter().filter_map(|vm| self.peer_view(vm)).collect(),
             accepting: self.accepting,
         };
+        self.shared.peers.send_if_modified(|known| {
+            let changed = *known != snapshot.peers;
+            known.clone_from(&snapshot.peers);
+            changed
+        });
         self.shared.snapshot.store(Arc::new(snapshot));
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod node;
 mod peering;
+mod running;
 mod shared;
 mod telemetry;
 mod traffic;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,8 @@
 
 /// Reports that may wait for the control thread.
 const CONTROL_BUFFER: usize = 4_096;
+/// Records of journals that may wait for the peer thread.
+const PEERING_BUFFER: usize = 16_384;
 
 /// Addresses of a running node.
 #[derive(Clone, Copy, Debug)]
@@ -56,7 +58,8 @@
         let (admin, admin_listeners) = bind(settings.admin_address, 1, "admin_address")?;
         let (peer, peer_listeners) = bind(settings.peer_address, 1, "peer_address")?;
         let (sender, inputs) = mpsc::channel(CONTROL_BUFFER);
-        let shared = Arc::new(Shared::new(settings, sender));
+        let (peering_sender, peering_inputs) = mpsc::channel(PEERING_BUFFER);
+        let shared = Arc::new(Shared::new(settings, sender, peering_sender));
         let (ready, is_ready) = oneshot::channel();
         let control = spawn("control", {
             let shared = Arc::clone(&shared);
@@ -77,12 +80,12 @@
                 runtime.block_on(traffic::run(shared, listener, stopped));
             })?);
         }
-        for listener in peer_listeners {
+        if let Some(listener) = peer_listeners.into_iter().next() {
             let (stop, stopped) = oneshot::channel();
             stop_traffic.push(stop);
             let shared = Arc::clone(&shared);
             traffic.push(spawn("peer", move |runtime| {
-                runtime.block_on(peering::run(shared, listener, stopped));
+                runtime.block_on(peering::run(shared, listener, peering_inputs, stopped));
             })?);
         }
         is_ready
--- a/crates/node/src/peering/mod.rs
+++ b/crates/node/src/peering/mod.rs
@@ -1,23 +1,66 @@
-//! The peer thread: accepts the links of other nodes and sorts what comes in.
+//! The peer thread: links to other nodes, and the journals that they carry.
 //!
 //! Gossip goes to the control thread. Journal traffic stays here, on a thread
-//! of its own, so that neither waits for the other.
+//! of its own, so that neither waits for the other. Records of many generations
+//! leave together, one frame per node every few milliseconds.
+
+mod codec;
+mod state;
 
 use std::{net::TcpListener, sync::Arc};
 
-use parsleylatch_peer::{Identity, LinkEvent, Received, serve};
-use parsleylatch_wire::peer::peer_message::Body;
+use parsleylatch_decide::journal::{JournalKey, JournalRecord, TakenOver};
+use parsleylatch_peer::{Identity, serve};
+use parsleylatch_types::{NodeId, WorkspaceId};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{control::ControlInput, shared::Shared, telemetry::Counter};
+use crate::{running::TaskMessage, shared::Shared};
+use state::PeeringState;
 
 /// Events of links that may wait for the peer thread.
 const EVENT_BUFFER: usize = 4_096;
+/// Most records that are taken from traffic threads in one turn.
+const INPUT_BATCH: usize = 256;
+
+/// What traffic threads ask of the peer thread.
+#[derive(Debug)]
+pub(crate) enum PeeringInput {
+    /// Send a record to a node.
+    Journal { peer: NodeId, record: JournalRecord },
+    /// Tell a task what becomes of its journal at a node.
+    Follow {
+        key: JournalKey,
+        peer: NodeId,
+        messages: mpsc::Sender<TaskMessage>,
+    },
+    /// A task has ended.
+    Forget(JournalKey, mpsc::Sender<TaskMessage>),
+    /// Ask a node for a generation.
+    TakeOver(TakeOverOrder),
+}
+
+/// Order to ask a node for a generation.
+#[derive(Debug)]
+pub(crate) struct TakeOverOrder {
+    pub(crate) target: NodeId,
+    pub(crate) key: JournalKey,
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) reply: oneshot::Sender<Granted>,
+}
+
+/// A generation that was granted to this node.
+#[derive(Debug)]
+pub(crate) struct Granted {
+    pub(crate) taken: TakenOver,
+    /// Node other than this one that holds a journal of it.
+    pub(crate) holder: Option<NodeId>,
+}
 
 /// Runs the peer thread until the node has stopped.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     listener: TcpListener,
+    mut inputs: mpsc::Receiver<PeeringInput>,
     mut stopped: oneshot::Receiver<()>,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -27,38 +70,37 @@
             return;
         }
     };
-    let (events, mut incoming) = mpsc::channel(EVENT_BUFFER);
-    tokio::spawn(serve(listener, shared.identity.clone(), events));
+    let (events, mut link_events) = mpsc::channel(EVENT_BUFFER);
+    tokio::spawn(serve(listener, shared.identity.clone(), events.clone()));
+    let mut peers = shared.peers.subscribe();
+    let mut stop_phase = shared.stop_phase.subscribe();
+    // The list may have been read before this thread looked.
+    peers.mark_changed();
+    let clock = shared.clock;
+    let mut state = PeeringState::new(shared, events);
+    let mut batch = Vec::with_capacity(INPUT_BATCH);
     loop {
         tokio::select! {
-            Some(event) = incoming.recv() => {
-                if let LinkEvent::Received(received) = event {
-                    sort(&shared, *received);
+            Some(event) = link_events.recv() => state.handle_link(event),
+            taken = inputs.recv_many(&mut batch, INPUT_BATCH) => {
+                if taken == 0 {
+                    return;
+                }
+                for input in batch.drain(..) {
+                    state.handle(input);
                 }
             }
+            Ok(()) = peers.changed() => {
+                let listed = peers.borrow_and_update().clone();
+                state.connect_neighbours(&listed);
+            }
+            Ok(()) = stop_phase.changed() => state.leave(),
+            () = clock.sleep_until(state.next_deadline()) => state.expire(),
             _ = &mut stopped => return,
         }
     }
 }
 
-fn sort(shared: &Shared, received: Received) {
-    match received.body {
-        Body::Gossip(_) => forward_gossip(shared, received),
-        _ => log::debug!("unexpected message from {}", received.from.node_id),
-    }
-}
-
-/// Gossip that finds the control thread busy is dropped; later rounds repeat it.
-fn forward_gossip(shared: &Shared, received: Received) {
-    if shared
-        .control
-        .try_send(ControlInput::Gossip(Box::new(received)))
-        .is_err()
-    {
-        shared.counters.increment(Counter::GossipDropped);
-    }
-}
-
 /// Identity of this node, as other nodes see it.
 pub(crate) fn identity_of(
     settings: &parsleylatch_settings::NodeSettings,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,21 +1,28 @@
 //! What the control thread and the traffic threads share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    collections::HashSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
-use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
+use parsleylatch_decide::{
+    generation::AttemptReport,
+    view::{PeerView, Snapshot},
+};
 use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
-use parsleylatch_types::Incarnation;
+use parsleylatch_types::{Incarnation, NodeId};
 use tokio::sync::{mpsc, watch};
 
 use crate::{
     clock::Clock,
     control::ControlInput,
-    peering,
+    peering::{self, PeeringInput},
+    running::Running,
     telemetry::{Counter, Counters},
 };
 
@@ -24,6 +31,8 @@
 pub(crate) enum StopPhase {
     /// No stop was asked for.
     None,
+    /// The node says that it is not ready; its journals go elsewhere.
+    Noticing,
     /// Generations that still run go to other nodes.
     HandOver,
 }
@@ -37,13 +46,23 @@
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    pub(crate) peering: mpsc::Sender<PeeringInput>,
+    /// Nodes that the list names, for the peer thread.
+    pub(crate) peers: watch::Sender<Vec<PeerView>>,
+    /// Nodes that can hold journals now.
+    pub(crate) linked: ArcSwap<HashSet<NodeId>>,
+    pub(crate) running: Running,
     /// Whether the balancer may send callers here.
     pub(crate) ready: AtomicBool,
     in_flight: AtomicUsize,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: NodeSettings, control: mpsc::Sender<ControlInput>) -> Self {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        control: mpsc::Sender<ControlInput>,
+        peering: mpsc::Sender<PeeringInput>,
+    ) -> Self {
         let incarnation = Incarnation::new(Clock::unix_now().get());
         let identity = peering::identity_of(&settings, incarnation);
         Self {
@@ -54,6 +73,10 @@
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
+            peering,
+            peers: watch::Sender::new(Vec::new()),
+            linked: ArcSwap::default(),
+            running: Running::default(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -35,6 +35,24 @@
     TokensDropped,
     /// Tokens that were released although no journal peer held them.
     ReleasesUnheld,
+    /// Tokens that were sent to journal peers.
+    JournalTokensSent,
+    /// Bytes of journals and their answers that were sent to other nodes.
+    JournalBytesSent,
+    /// Frames of journals that were sent to other nodes.
+    JournalFramesSent,
+    /// Records of journals that found the peer thread's channel or a link full.
+    JournalRecordsDropped,
+    /// Journals that this node refused because it has no room or stops.
+    JournalsRefused,
+    /// Journal peers that were lost or did not answer.
+    JournalPeersLost,
+    /// Journal peers that became usable.
+    JournalPeersUp,
+    /// Generations that this node gave to another owner.
+    TakeOversGranted,
+    /// Generations that this node took over.
+    GenerationsResumed,
     /// Requests that were refused.
     Refusals,
     /// Calls of services.
--- a/crates/node/src/traffic/caller.rs
+++ b/crates/node/src/traffic/caller.rs
@@ -12,20 +12,24 @@
 use parsleylatch_wire::caller::GenerationBody;
 use viz::{IntoResponse, Request, RequestExt, Response, Result, StatusCode};
 
-use super::{Traffic, body, generation, problem, service};
+use super::{
+    Traffic, body,
+    generation::{self, Ownership},
+    problem, resume, service,
+};
 use crate::{
     shared::InFlight,
     telemetry::{self, Counter},
 };
 
-fn traffic(request: &Request) -> Result<Arc<Traffic>> {
+pub(super) fn traffic(request: &Request) -> Result<Arc<Traffic>> {
     request
         .state::<Arc<Traffic>>()
         .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
 }
 
 /// Response of a request that was answered or refused.
-fn respond(traffic: &Traffic, answered: Result<Response, Refusal>) -> Response {
+pub(super) fn respond(traffic: &Traffic, answered: Result<Response, Refusal>) -> Response {
     answered.unwrap_or_else(|refusal| {
         traffic.shared.counters.increment(Counter::Refusals);
         problem::response_of(&refusal)
@@ -47,11 +51,14 @@
         .shared
         .counters
         .increment(Counter::GenerationsAccepted);
-    let earlier = EarlierOwner::default();
+    let repeated = resume::repeat_of_running(traffic, &request).await?;
+    let (earlier, ownership) =
+        repeated.unwrap_or_else(|| (EarlierOwner::default(), Ownership::first()));
     let accepted = generation::Accepted {
         workspace,
         request,
         earlier,
+        ownership,
         in_flight,
         span,
     };
@@ -79,7 +86,7 @@
     Ok((workspace, request, in_flight))
 }
 
-fn overloaded() -> Refusal {
+pub(super) fn overloaded() -> Refusal {
     let detail = "this node answers as many requests as it can; try another";
     Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(admission::OTHER_NODE_DELAY_MS)
 }
@@ -109,7 +116,7 @@
     service::answer(traffic, &workspace, call).await
 }
 
-fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
+pub(super) fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
 where
     Id: std::str::FromStr,
     Id::Err: std::fmt::Display,
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -9,21 +9,26 @@
         GenerationInput, GenerationLimits, GenerationRequest, GenerationState, PlacementOrder,
         Token,
     },
+    journal::{FIRST_EPOCH, JournalInput, JournalKey, JournalOrigin, JournalOwner},
     placement::PlacementQuestion,
     view::WorkspaceView,
 };
 use parsleylatch_endpoint::{EngineError, EngineStream};
 use parsleylatch_http::encode_event;
-use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, TokenIndex};
+use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, NodeId, OwnerEpoch, TokenIndex};
 use parsleylatch_wire::{
     caller::{DoneData, TokenData},
     engine::{StreamEvent, StreamOrder},
 };
-use tokio::{sync::watch, task::JoinHandle};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
 use viz::Response;
 
 use super::{Traffic, output::Output, problem};
 use crate::{
+    running::{Listed, TaskMessage},
     shared::{InFlight, StopPhase},
     telemetry::{self, Counter},
 };
@@ -33,10 +38,30 @@
     pub(crate) workspace: Arc<WorkspaceView>,
     pub(crate) request: GenerationRequest,
     pub(crate) earlier: EarlierOwner,
+    pub(crate) ownership: Ownership,
     pub(crate) in_flight: InFlight,
     pub(crate) span: Span,
 }
 
+/// By which right a node owns a generation.
+pub(crate) struct Ownership {
+    pub(crate) origin: JournalOrigin,
+    pub(crate) epoch: OwnerEpoch,
+    /// Other node that holds what an earlier owner left.
+    pub(crate) earlier_holder: Option<NodeId>,
+}
+
+impl Ownership {
+    /// Of the node that accepts a request first.
+    pub(crate) fn first() -> Self {
+        Self {
+            origin: JournalOrigin::new(rand::random()),
+            epoch: FIRST_EPOCH,
+            earlier_holder: None,
+        }
+    }
+}
+
 /// Starts a generation and returns the response that carries its events.
 pub(crate) fn answer(traffic: Arc<Traffic>, accepted: Accepted) -> Response {
     let (output, body) = Output::new();
@@ -57,10 +82,19 @@
         workspace,
         request,
         earlier,
+        ownership,
         in_flight,
         span,
     } = accepted;
+    let key = JournalKey {
+        request_id: request.request_id,
+        origin: ownership.origin,
+    };
+    let (listed, messages) = Listed::enter(&traffic.shared, key, &request);
+    let kept = TokenIndex::after(earlier.tokens.len());
     let (generation, effects) = Generation::start(now, request, limits, earlier);
+    let (journal, journal_effects) =
+        JournalOwner::start(now, ownership.epoch, kept, ownership.earlier_holder);
     let mut task = Task {
         stop_phase: traffic.shared.stop_phase.subscribe(),
         traffic,
@@ -69,13 +103,22 @@
         output,
         stream: None,
         caller_lost: false,
+        last_event_id: None,
+        key,
+        epoch: ownership.epoch,
+        journal,
+        journal_closed: false,
+        listed,
+        messages,
         span,
         _in_flight: in_flight,
     };
     task.carry_out(now, effects);
+    task.carry_out_journal(now, journal_effects);
     while !task.is_over() {
         task.wait_and_handle().await;
     }
+    task.forget_journal();
     task.count_end();
 }
 
@@ -152,16 +195,24 @@
     Writable,
     CallerGone,
     StopPhase,
+    Message(TaskMessage),
 }
 
-struct Task {
-    traffic: Arc<Traffic>,
+pub(super) struct Task {
+    pub(super) traffic: Arc<Traffic>,
     workspace: Arc<WorkspaceView>,
-    generation: Generation,
+    pub(super) generation: Generation,
     output: Output,
     stream: Option<RunningAttempt>,
     stop_phase: watch::Receiver<StopPhase>,
     caller_lost: bool,
+    pub(super) last_event_id: Option<String>,
+    pub(super) key: JournalKey,
+    pub(super) epoch: OwnerEpoch,
+    pub(super) journal: JournalOwner,
+    pub(super) journal_closed: bool,
+    pub(super) listed: Listed,
+    messages: mpsc::Receiver<TaskMessage>,
     span: Span,
     _in_flight: InFlight,
 }
@@ -193,10 +244,11 @@
                 return;
             }
             Woken::CallerGone => self.lose_caller(now),
+            Woken::Message(message) => self.handle_message(now, message),
             Woken::StopPhase => {
                 let phase = *self.stop_phase.borrow_and_update();
                 match phase {
-                    StopPhase::None => return,
+                    StopPhase::None | StopPhase::Noticing => return,
                     StopPhase::HandOver => {
                         self.generation.handle(now, GenerationInput::StopRequested)
                     }
@@ -204,11 +256,16 @@
             }
         };
         self.carry_out(now, effects);
+        self.close_journal_at_end(now);
     }
 
     async fn wait(&mut self) -> Woken {
         let generation_deadline = self.generation.next_deadline();
-        let deadline = [generation_deadline, self.output.stall_deadline()];
+        let deadline = [
+            generation_deadline,
+            self.journal.next_deadline(),
+            self.output.stall_deadline(),
+        ];
         let clock = self.traffic.shared.clock;
         let stream = async {
             match &mut self.stream {
@@ -222,6 +279,7 @@
             () = self.output.writable() => Woken::Writable,
             () = self.output.closed() => Woken::CallerGone,
             Ok(()) = self.stop_phase.changed() => Woken::StopPhase,
+            Some(message) = self.messages.recv() => Woken::Message(message),
         }
     }
 
@@ -233,7 +291,10 @@
         {
             return self.lose_caller(now);
         }
-        self.generation.expire(now)
+        let journal_effects = self.journal.expire(now);
+        let mut effects = self.journal_to_generation(now, journal_effects);
+        effects.extend(self.generation.expire(now));
+        effects
     }
 
     /// Ends the output too, so that a finished generation is over as well.
@@ -245,10 +306,14 @@
     }
 
     /// Carries effects out; what they bring about at once is handled at once.
-    fn carry_out(&mut self, now: MonoTime, effects: Vec<GenerationEffect>) {
+    pub(super) fn carry_out(&mut self, now: MonoTime, effects: Vec<GenerationEffect>) {
         let mut open = VecDeque::from(effects);
         while let Some(effect) = open.pop_front() {
-            if let Some(input) = self.carry_out_one(now, effect) {
+            if let GenerationEffect::Journal { index } = effect {
+                let input = JournalInput::Kept { end: index.next() };
+                let journal_effects = self.journal.handle(now, input);
+                open.extend(self.journal_to_generation(now, journal_effects));
+            } else if let Some(input) = self.carry_out_one(now, effect) {
                 open.extend(self.generation.handle(now, input));
             }
         }
@@ -263,15 +328,11 @@
             GenerationEffect::Place(order) => return Some(self.place(now, &order)),
             GenerationEffect::Open(order) => self.open(&order),
             GenerationEffect::Cancel { attempt, address } => self.cancel(attempt, address),
-            GenerationEffect::Journal { index } => {
-                return Some(GenerationInput::JournalHeld { end: index.next() });
-            }
+            GenerationEffect::Journal { .. } => {}
             GenerationEffect::Release { start, end } => self.release(now, start, end),
-            GenerationEffect::CountUnheldRelease => {
-                self.traffic
-                    .shared
-                    .counters
-                    .increment(Counter::ReleasesUnheld);
+            GenerationEffect::CountUnheld { tokens } => {
+                let counters = &self.traffic.shared.counters;
+                counters.add(Counter::ReleasesUnheld, u64::from(tokens.get()));
             }
             GenerationEffect::Report(report) => self.report(now, report),
             GenerationEffect::Finish {
@@ -289,7 +350,10 @@
             GenerationEffect::Fail(refusal) => {
                 self.write_event(now, "", "error", &problem::problem_of(&refusal));
             }
-            GenerationEffect::Move => self.write_event(now, "", "moved", &serde_json::json!({})),
+            GenerationEffect::Move => {
+                let data = self.moved_data();
+                self.write_event(now, "", "moved", &data);
+            }
         }
         None
     }
@@ -331,7 +395,7 @@
     fn stream_order(&self, order: &AttemptOrder) -> StreamOrder {
         let request = self.generation.request();
         StreamOrder {
-            request_id: request.request_id,
+            request_id: self.key.stream_id(),
             attempt: order.attempt,
             endpoint_version: order.endpoint_version.clone(),
             model: request.model.clone(),
@@ -352,7 +416,7 @@
     /// Drops the stream and tells the engine, which may not notice otherwise.
     fn cancel(&mut self, attempt: AttemptNumber, address: SocketAddr) {
         self.stream.take_if(|running| running.attempt == attempt);
-        let request_id = self.generation.request().request_id;
+        let request_id = self.key.stream_id();
         let engines = self.traffic.engines.clone();
         tokio::spawn(async move {
             // An engine that can't be told loses its reader all the same.
@@ -361,7 +425,6 @@
     }
 
     fn release(&mut self, now: MonoTime, start: TokenIndex, end: TokenIndex) {
-        let node_id = &self.traffic.shared.settings.node_id;
         let tokens = self.generation.tokens();
         for index in (start.get()..end.get()).map(TokenIndex::new) {
             let token = &tokens[index.as_usize()];
@@ -371,8 +434,10 @@
                 text: token.text.to_string(),
             };
             let data = serde_json::to_string(&data).unwrap_or_default();
-            let id = format!("{index}.{node_id}");
+            let id = self.event_id(index).map(|id| id.to_string());
+            let id = id.unwrap_or_default();
             self.output.write(now, encode_event(&id, "token", &data));
+            self.last_event_id = Some(id);
         }
         let count = u64::from(end.saturating_sub(start).get());
         self.traffic
--- /dev/null
+++ b/crates/node/src/traffic/journal.rs
@@ -0,0 +1,199 @@
+//! What a generation's task does for its journal.
+
+use parsleylatch_decide::{
+    generation::{GenerationEffect, GenerationInput, GenerationState},
+    journal::{
+        CloseReason, EventId, JournalAppend, JournalBody, JournalEffect, JournalInput,
+        JournalRecord, TakenOver, choose_journal_peer, next_node,
+    },
+};
+use parsleylatch_types::{MonoTime, NodeId, TokenIndex};
+use parsleylatch_wire::caller::MovedData;
+
+use super::generation::Task;
+use crate::{peering::PeeringInput, running::TaskMessage, telemetry::Counter};
+
+impl Task {
+    pub(super) fn handle_message(
+        &mut self,
+        now: MonoTime,
+        message: TaskMessage,
+    ) -> Vec<GenerationEffect> {
+        match message {
+            TaskMessage::Journal(input) => {
+                let effects = self.journal.handle(now, input);
+                self.journal_to_generation(now, effects)
+            }
+            TaskMessage::TakeOver(reply) => {
+                // Who asked may be gone; this owner has ended all the same.
+                let _ = reply.send(self.hand_over());
+                self.close_journal(now, CloseReason::Replaced);
+                self.generation.handle(now, GenerationInput::Superseded)
+            }
+        }
+    }
+
+    fn hand_over(&self) -> TakenOver {
+        TakenOver {
+            request: self.generation.request().clone(),
+            epoch: self.epoch.next(),
+            tokens: self.generation.tokens().to_vec(),
+            attempts_started: self.generation.attempts_started(),
+            endpoint_version: self.generation.endpoint_version().cloned(),
+            finished: self.generation.state() == GenerationState::Done,
+        }
+    }
+
+    pub(super) fn carry_out_journal(&mut self, now: MonoTime, effects: Vec<JournalEffect>) {
+        let effects = self.journal_to_generation(now, effects);
+        self.carry_out(now, effects);
+    }
+
+    /// Carries the journal's effects out; returns what they mean for the generation.
+    pub(super) fn journal_to_generation(
+        &mut self,
+        now: MonoTime,
+        effects: Vec<JournalEffect>,
+    ) -> Vec<GenerationEffect> {
+        let mut open = std::collections::VecDeque::from(effects);
+        let mut outcome = Vec::new();
+        while let Some(effect) = open.pop_front() {
+            match effect {
+                JournalEffect::Choose { excluded } => {
+                    let input = self.choose_peer(&excluded);
+                    open.extend(self.journal.handle(now, input));
+                }
+                JournalEffect::Open { peer, end } => self.open_journal(&peer, end),
+                JournalEffect::Append { peer, start, end } => self.append(&peer, start, end),
+                JournalEffect::Close { peer, reason } => {
+                    self.send(&peer, JournalBody::Close(reason));
+                }
+                JournalEffect::Held { end } => {
+                    let input = GenerationInput::JournalHeld { end };
+                    outcome.extend(self.generation.handle(now, input));
+                }
+                JournalEffect::Unheld { .. } => {
+                    outcome.extend(self.generation.handle(now, GenerationInput::JournalUnheld));
+                }
+                JournalEffect::Superseded => {
+                    outcome.extend(self.generation.handle(now, GenerationInput::Superseded));
+                }
+            }
+        }
+        outcome
+    }
+
+    fn choose_peer(&self, excluded: &[NodeId]) -> JournalInput {
+        let shared = &self.traffic.shared;
+        let snapshot = shared.snapshot.load();
+        let chosen = choose_journal_peer(
+            self.key.request_id,
+            &shared.settings.failure_domain,
+            &shared.settings.region,
+            &snapshot.peers,
+            &shared.linked.load(),
+            excluded,
+        );
+        match chosen {
+            Some(peer) => JournalInput::Chosen(peer),
+            None => JournalInput::Unchosen {
+                has_peers: snapshot.peers.iter().any(|peer| peer.live),
+            },
+        }
+    }
+
+    fn open_journal(&self, peer: &NodeId, end: TokenIndex) {
+        self.tell_peering(PeeringInput::Follow {
+            key: self.key,
+            peer: peer.clone(),
+            messages: self.listed.messages(),
+        });
+        let request = self.generation.request().clone();
+        self.send(peer, JournalBody::Open(request));
+        if end > TokenIndex::ZERO {
+            self.append(peer, TokenIndex::ZERO, end);
+        }
+    }
+
+    fn append(&self, peer: &NodeId, start: TokenIndex, end: TokenIndex) {
+        let tokens = &self.generation.tokens()[start.as_usize()..end.as_usize()];
+        let counters = &self.traffic.shared.counters;
+        counters.add(Counter::JournalTokensSent, tokens.len() as u64);
+        let append = JournalAppend {
+            start,
+            tokens: tokens.to_vec(),
+            attempts_started: self.generation.attempts_started(),
+            endpoint_version: self.generation.endpoint_version().cloned(),
+        };
+        self.send(peer, JournalBody::Append(append));
+    }
+
+    fn send(&self, peer: &NodeId, body: JournalBody) {
+        let record = JournalRecord {
+            key: self.key,
+            owner: self.traffic.shared.settings.node_id.clone(),
+            epoch: self.epoch,
+            body,
+        };
+        let peer = peer.clone();
+        self.tell_peering(PeeringInput::Journal { peer, record });
+    }
+
+    /// What the peer thread can't take is missed by the holder, which says so.
+    fn tell_peering(&self, input: PeeringInput) {
+        let shared = &self.traffic.shared;
+        if shared.peering.try_send(input).is_err() {
+            shared.counters.increment(Counter::JournalRecordsDropped);
+        }
+    }
+
+    pub(super) fn close_journal_at_end(&mut self, now: MonoTime) {
+        let reason = match self.generation.state() {
+            GenerationState::Done => CloseReason::Finished,
+            GenerationState::Failed => CloseReason::Replaced,
+            GenerationState::Cancelled | GenerationState::Moved => CloseReason::Left,
+            _ => return,
+        };
+        self.close_journal(now, reason);
+    }
+
+    fn close_journal(&mut self, now: MonoTime, reason: CloseReason) {
+        if !std::mem::replace(&mut self.journal_closed, true) {
+            let effects = self.journal.handle(now, JournalInput::Close(reason));
+            self.journal_to_generation(now, effects);
+        }
+    }
+
+    pub(super) fn forget_journal(&self) {
+        self.tell_peering(PeeringInput::Forget(self.key, self.listed.messages()));
+    }
+
+    /// Id of the event that releases a token.
+    pub(super) fn event_id(&self, index: TokenIndex) -> Option<EventId> {
+        Some(EventId {
+            endpoint_version: self.generation.endpoint_version()?.clone(),
+            index,
+            owner: self.traffic.shared.settings.node_id.clone(),
+            journal_peer: self.journal.holding_peer().cloned(),
+            origin: self.key.origin,
+        })
+    }
+
+    /// Where the caller goes on when this node stops.
+    pub(super) fn moved_data(&self) -> MovedData {
+        let shared = &self.traffic.shared;
+        let snapshot = shared.snapshot.load();
+        let next = next_node(
+            self.key.request_id,
+            &shared.settings.failure_domain,
+            &shared.settings.region,
+            &snapshot.peers,
+            self.journal.holding_peer(),
+        );
+        MovedData {
+            node: next.map(|peer| peer.id.clone()),
+            caller_address: next.and_then(|peer| peer.caller_address),
+            last_event_id: self.last_event_id.clone(),
+        }
+    }
+}
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -3,8 +3,10 @@
 mod body;
 mod caller;
 mod generation;
+mod journal;
 mod output;
 mod problem;
+mod resume;
 mod service;
 
 use std::{
@@ -55,6 +57,8 @@
     let traffic = Arc::new(Traffic::new(shared));
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
+        .get("/v1/generations/:request", resume::resume_generation)
+        .post("/v1/generations/:request", resume::rebuild_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
         .with(State::new(traffic));
     match NodelayListener::from_std(listener) {
--- a/tests/process/generations.rs
+++ b/tests/process/generations.rs
@@ -49,7 +49,7 @@
     // The affinity sends the same prompt to the same engine again.
     let first = generate(&running.paying(0), &body).await;
     done_of(&first, &body);
-    let chosen = busiest_engine(&running).await;
+    let chosen = running.busiest_engine().await;
     let engine = &running.fleet.engines[chosen];
     running
         .order_engine(engine, fault, Some(TokenIndex::new(at)))
@@ -82,7 +82,7 @@
     let opened = caller.generate(id, &body).await.unwrap();
     drop(opened);
     running.await_counter(0, "generations_cancelled", 1).await;
-    let chosen = busiest_engine(&running).await;
+    let chosen = running.busiest_engine().await;
     let counters = running
         .get(running.fleet.engines[chosen].control, "/counters")
         .await;
@@ -91,14 +91,3 @@
         "{counters}"
     );
 }
-
-async fn busiest_engine(running: &Running) -> usize {
-    let mut generated = Vec::new();
-    for engine in &running.fleet.engines {
-        let counters = running.get(engine.control, "/counters").await;
-        generated.push(counters["generated_tokens"].as_u64().unwrap());
-    }
-    (0..generated.len())
-        .max_by_key(|index| generated[*index])
-        .unwrap()
-}
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -136,6 +136,18 @@
             .unwrap_or_else(|| panic!("no counter {name}"))
     }
 
+    /// Engine that has generated the most.
+    pub(crate) async fn busiest_engine(&self) -> usize {
+        let mut generated = Vec::new();
+        for engine in &self.fleet.engines {
+            let counters = self.get(engine.control, "/counters").await;
+            generated.push(counters["generated_tokens"].as_u64().unwrap());
+        }
+        (0..generated.len())
+            .max_by_key(|index| generated[*index])
+            .unwrap()
+    }
+
     /// Waits until a counter of a node has at least a value.
     pub(crate) async fn await_counter(&self, node: usize, name: &str, least: u64) {
         let deadline = Instant::now() + EVENT_TIMEOUT;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,5 +3,6 @@
 mod generations;
 mod harness;
 mod refusals;
+mod resume;
 mod services;
 mod settings;
--- /dev/null
+++ b/tests/process/resume.rs
@@ -0,0 +1,365 @@
+//! Generations outlive the nodes that own and hold them.
+//!
+//! The verdicts come from what the callers saw: the answer is whole, no token
+//! is missing or repeated, and output goes on within the promised time.
+
+use std::time::Duration;
+
+use parsleylatch::{
+    bench::{
+        caller::{ArrivedToken, Ending, Opened, check_answer, check_prefix},
+        resuming::{History, ResumingCaller},
+    },
+    standin::EngineFault,
+    types::RequestId,
+    wire::caller::GenerationBody,
+};
+use test_case::test_case;
+
+use crate::harness::{EVENT_TIMEOUT, Running, Shape, body, generate, signal};
+
+/// Longest silence that a caller sees after a loss.
+const PROMISED_GAP: Duration = Duration::from_secs(3);
+
+const FLEET: Shape<'_> = Shape {
+    nodes: 4,
+    engines: 3,
+    services: 0,
+    options: &["--pace-ms", "5"],
+};
+
+/// Starts a fleet whose nodes have links to one another.
+async fn linked_fleet(shape: Shape<'_>) -> Running {
+    let running = Running::start(shape).await;
+    for node in 0..shape.nodes {
+        let others = shape.nodes as u64 - 1;
+        running
+            .await_counter(node, "journal_peers_up", others)
+            .await;
+    }
+    running
+}
+
+/// Caller that starts at the first node and knows them all.
+fn resuming<'a>(running: &Running) -> ResumingCaller<'a> {
+    let nodes = running.fleet.nodes.iter().map(|node| node.caller).collect();
+    ResumingCaller::new(running.paying(0), nodes)
+}
+
+/// Process that a node id names.
+fn pid_of(running: &Running, node: &str) -> u32 {
+    let found = running.fleet.nodes.iter().find(|it| it.id.as_str() == node);
+    found.expect("the id names a node").pid
+}
+
+/// Owner and journal peer of an event.
+fn nodes_of(token: &ArrivedToken) -> (&str, Option<&str>) {
+    let (_, rest) = token.event_id.split_once('.').expect("an index");
+    let owner = rest.split('/').next().expect("an owner");
+    (owner, token.journal_peer())
+}
+
+fn check_whole(body: &GenerationBody, history: &History) {
+    let done = history.done.as_ref().expect("the answer is whole");
+    check_answer(body, &history.token_data(), done).unwrap();
+    let gap = history.longest_gap();
+    assert!(gap < PROMISED_GAP, "silent for {gap:?}");
+}
+
+#[test_case(1 ; "first token")]
+#[test_case(60 ; "middle token")]
+#[test_case(119 ; "last token")]
+#[tokio::test]
+async fn resume_owner_killed(at: usize) {
+    let running = linked_fleet(FLEET).await;
+    let body = body("owner", 120);
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == at {
+            signal(pid_of(&running, nodes_of(token).0), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+    assert_eq!(history.breaks.len(), 1);
+    assert_eq!(history.rebuilds, 0);
+}
+
+#[test_case(1 ; "first token")]
+#[test_case(60 ; "middle token")]
+#[test_case(119 ; "last token")]
+#[tokio::test]
+async fn resume_journal_peer_killed(at: usize) {
+    let running = linked_fleet(FLEET).await;
+    let body = body("holder", 120);
+    let mut killed = String::new();
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == at {
+            killed = nodes_of(token).1.expect("a peer holds it").to_owned();
+            signal(pid_of(&running, &killed), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+    assert!(history.breaks.is_empty());
+    assert_eq!(running.counter(0, "releases_unheld").await, 0);
+    let last = history.tokens.last().unwrap();
+    if at < 100 {
+        assert_ne!(nodes_of(last).1, Some(killed.as_str()));
+    }
+}
+
+#[tokio::test]
+async fn resume_owner_and_journal_peer_killed() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("both", 120);
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == 60 {
+            let (owner, peer) = nodes_of(token);
+            signal(pid_of(&running, owner), "KILL");
+            signal(pid_of(&running, peer.expect("a peer holds it")), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+    assert_eq!(history.rebuilds, 1);
+}
+
+#[tokio::test]
+async fn resume_owner_and_engine_killed() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("engine", 120);
+    // The affinity sends the same prompt to the same engine again.
+    let first = generate(&running.paying(0), &body).await;
+    assert!(matches!(first.ending, Ending::Done(_)));
+    let engine = running.busiest_engine().await;
+    let engine_pid = running.fleet.engines[engine].pid;
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == 60 {
+            signal(engine_pid, "KILL");
+            signal(pid_of(&running, nodes_of(token).0), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+    assert_eq!(history.rebuilds, 0);
+}
+
+#[tokio::test]
+async fn resume_owners_killed_twice() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("twice", 160);
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == 50 || count == 100 {
+            signal(pid_of(&running, nodes_of(token).0), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+    assert_eq!(history.breaks.len(), 2);
+    assert_eq!(history.rebuilds, 0);
+}
+
+#[tokio::test]
+async fn resume_owner_frozen_and_woken() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("frozen", 400);
+    let caller = running.paying(0);
+    let id = RequestId::generate();
+    let Opened::Events(mut events) = caller.generate(id, &body).await.unwrap() else {
+        panic!("refused");
+    };
+    let mut tokens = Vec::new();
+    for _ in 0..60 {
+        tokens.push(events.next_arrived().await.unwrap());
+    }
+    let owner = running.fleet.nodes[0].pid;
+    signal(owner, "STOP");
+    // What was on its way when the node froze still arrives.
+    while let Ok(Ok(token)) =
+        tokio::time::timeout(Duration::from_millis(300), events.next_arrived()).await
+    {
+        tokens.push(token);
+    }
+    let last_event_id = tokens.last().unwrap().event_id.clone();
+    let other = caller.at(running.fleet.nodes[3].caller);
+    let Opened::Events(resumed) = other.resume(id, &last_event_id).await.unwrap() else {
+        panic!("refused");
+    };
+    let collected = tokio::spawn(resumed.collect(|_| {}));
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    signal(owner, "CONT");
+    let after = tokio::time::timeout(EVENT_TIMEOUT, events.collect(|_| {}))
+        .await
+        .expect("the old connection ends");
+    assert!(
+        after.tokens.is_empty(),
+        "{} stray tokens",
+        after.tokens.len()
+    );
+    assert!(
+        matches!(after.ending, Ending::Error(_)),
+        "{:?}",
+        after.ending
+    );
+    running.await_counter(0, "generations_superseded", 1).await;
+    let collected = collected.await.unwrap();
+    let Ending::Done(done) = &collected.ending else {
+        panic!("ended with {:?}", collected.ending);
+    };
+    tokens.extend(collected.tokens);
+    let data: Vec<_> = tokens.iter().map(|token| token.data.clone()).collect();
+    check_answer(&body, &data, done).unwrap();
+}
+
+#[tokio::test]
+async fn resume_tail_of_finished() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("tail", 40);
+    let id = RequestId::generate();
+    let Opened::Events(events) = running.paying(0).generate(id, &body).await.unwrap() else {
+        panic!("refused");
+    };
+    let whole = events.collect(|_| {}).await;
+    let middle = &whole.tokens[19];
+    let other = running.paying(2);
+    let Opened::Events(events) = other.resume(id, &middle.event_id).await.unwrap() else {
+        panic!("refused");
+    };
+    let tail = events.collect(|_| {}).await;
+    let Ending::Done(done) = &tail.ending else {
+        panic!("ended with {:?}", tail.ending);
+    };
+    let head = whole.tokens[..20].iter();
+    let data: Vec<_> = head.chain(&tail.tokens).map(|it| it.data.clone()).collect();
+    check_answer(&body, &data, done).unwrap();
+}
+
+/// Without another node nothing outlives the owner: the journal is what helps.
+#[tokio::test]
+async fn resume_fleet_of_one() {
+    let shape = Shape { nodes: 1, ..FLEET };
+    let running = Running::start(shape).await;
+    let body = body("alone", 120);
+    let id = RequestId::generate();
+    let Opened::Events(events) = running.paying(0).generate(id, &body).await.unwrap() else {
+        panic!("refused");
+    };
+    let pid = running.fleet.nodes[0].pid;
+    let mut count = 0;
+    let collected = events
+        .collect(|token| {
+            count += 1;
+            assert_eq!(token.journal_peer(), None);
+            if count == 60 {
+                signal(pid, "KILL");
+            }
+        })
+        .await;
+    assert!(matches!(collected.ending, Ending::Broken(_)));
+    let last = collected.tokens.last().unwrap();
+    let data: Vec<_> = collected.tokens.iter().map(|it| it.data.clone()).collect();
+    check_prefix(&body, &data, &last.endpoint_version().unwrap()).unwrap();
+    assert!(running.paying(0).resume(id, &last.event_id).await.is_err());
+}
+
+#[test_case(false ; "same body")]
+#[test_case(true ; "other body")]
+#[tokio::test]
+async fn generate_id_again(differs: bool) {
+    let running = linked_fleet(FLEET).await;
+    let first_body = body("again", 200);
+    let id = RequestId::generate();
+    let caller = running.paying(0);
+    let Opened::Events(mut first) = caller.generate(id, &first_body).await.unwrap() else {
+        panic!("refused");
+    };
+    for _ in 0..20 {
+        first.next_arrived().await.unwrap();
+    }
+    let second_body = if differs {
+        body("other", 200)
+    } else {
+        first_body
+    };
+    match caller.generate(id, &second_body).await.unwrap() {
+        Opened::Refused(problem) => {
+            assert!(differs, "{problem:?}");
+            assert_eq!(problem.status, 409);
+            assert!(problem.not_run);
+        }
+        Opened::Events(second) => {
+            assert!(!differs);
+            let second = second.collect(|_| {}).await;
+            let Ending::Done(done) = &second.ending else {
+                panic!("ended with {:?}", second.ending);
+            };
+            let data: Vec<_> = second.tokens.iter().map(|it| it.data.clone()).collect();
+            check_answer(&second_body, &data, done).unwrap();
+            let first = first.collect(|_| {}).await;
+            assert!(matches!(first.ending, Ending::Error(_)));
+        }
+    }
+}
+
+#[tokio::test]
+async fn generate_id_at_two_nodes() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("two nodes", 120);
+    let id = RequestId::generate();
+    let mut open = Vec::new();
+    for node in 0..2 {
+        let Opened::Events(events) = running.paying(node).generate(id, &body).await.unwrap() else {
+            panic!("refused");
+        };
+        open.push(tokio::spawn(events.collect(|_| {})));
+    }
+    for collecting in open {
+        let collected = collecting.await.unwrap();
+        let Ending::Done(done) = &collected.ending else {
+            panic!("ended with {:?}", collected.ending);
+        };
+        let data: Vec<_> = collected.tokens.iter().map(|it| it.data.clone()).collect();
+        check_answer(&body, &data, done).unwrap();
+    }
+}
+
+#[tokio::test]
+async fn resume_wrong_workspace() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("foreign", 400);
+    let id = RequestId::generate();
+    let Opened::Events(mut events) = running.paying(0).generate(id, &body).await.unwrap() else {
+        panic!("refused");
+    };
+    let token = events.next_arrived().await.unwrap();
+    let free = parsleylatch::bench::caller::Caller::new(
+        running.fleet.nodes[1].caller,
+        &running.fleet.workspaces[1].key,
+    );
+    let Opened::Refused(problem) = free.resume(id, &token.event_id).await.unwrap() else {
+        panic!("another workspace got the generation");
+    };
+    assert_eq!(problem.status, 404);
+    assert!(!problem.not_run);
+    // The owner goes on undisturbed.
+    let rest = events.collect(|_| {}).await;
+    assert!(matches!(rest.ending, Ending::Done(_)), "{:?}", rest.ending);
+    assert_eq!(rest.tokens.len(), 399);
+}
+
+#[tokio::test]
+async fn resume_engine_fault_after_take_over() {
+    let running = linked_fleet(FLEET).await;
+    let body = body("fault", 120);
+    for engine in &running.fleet.engines {
+        let at = Some(parsleylatch::types::TokenIndex::new(80));
+        running.order_engine(engine, EngineFault::Repeat, at).await;
+    }
+    let caller = resuming(&running).on_token(|token, count| {
+        if count == 40 {
+            signal(pid_of(&running, nodes_of(token).0), "KILL");
+        }
+    });
+    let history = caller.run(RequestId::generate(), &body).await.unwrap();
+    check_whole(&body, &history);
+}
