--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, journal, node_life};
+use crate::{call, generation, journal, limits, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -25,15 +25,30 @@
     };
 }
 
+pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const CALL: ChartSource = chart_source!("call");
+pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
 pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
 pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
+pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const PEER: ChartSource = chart_source!("peer");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 6] = [ATTEMPT, GENERATION, JOURNAL, JOURNAL_ENTRY, NODE_LIFE, PEER];
+pub const ALL: &[ChartSource] = &[
+    ADMISSION,
+    ATTEMPT,
+    CALL,
+    CLAIM_SETTLEMENT,
+    GENERATION,
+    IDEMPOTENT_CALL,
+    JOURNAL,
+    JOURNAL_ENTRY,
+    NODE_LIFE,
+    PEER,
+];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -63,7 +78,9 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    call::verify_charts()?;
     generation::verify_charts()?;
     journal::verify_charts()?;
+    limits::verify_chart()?;
     node_life::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,10 +11,12 @@
 //! process starts; [`charts::verify`] reports the first one that is wrong.
 
 pub mod admission;
+pub mod call;
 pub mod charts;
 pub mod configuration;
 pub mod generation;
 pub mod journal;
+pub mod limits;
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -215,12 +215,7 @@
             peers: vms.iter().filter_map(|vm| self.peer_view(vm)).collect(),
             accepting: self.accepting,
         };
-        self.shared.peers.send_if_modified(|known| {
-            let changed = *known != snapshot.peers;
-            known.clone_from(&snapshot.peers);
-            changed
-        });
-        self.shared.snapshot.store(Arc::new(snapshot));
+        self.shared.publish(snapshot);
     }
 
     fn endpoint_view(&self, vm: &VmEntry) -> Option<EndpointView> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,13 +3,14 @@
 use std::{
     collections::HashSet,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::{
+    call::{RecentIds, StoreHealth},
     generation::AttemptReport,
     view::{PeerView, Snapshot},
 };
@@ -43,6 +44,11 @@
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) store_health: ArcSwap<StoreHealth>,
+    /// Once-only requests that this node has tried.
+    recent_ids: Mutex<RecentIds>,
+    /// Told of every new snapshot.
+    pub(crate) snapshot_changed: watch::Sender<()>,
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
@@ -70,6 +76,9 @@
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            store_health: ArcSwap::default(),
+            recent_ids: Mutex::default(),
+            snapshot_changed: watch::Sender::new(()),
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
@@ -82,6 +91,17 @@
         }
     }
 
+    /// Publishes a snapshot.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.peers.send_if_modified(|known| {
+            let changed = *known != snapshot.peers;
+            known.clone_from(&snapshot.peers);
+            changed
+        });
+        self.snapshot.store(Arc::new(snapshot));
+        self.snapshot_changed.send_replace(());
+    }
+
     /// Sends a report to the control thread; drops and counts it if that is busy.
     pub(crate) fn report(&self, report: AttemptReport) {
         if self
@@ -93,6 +113,30 @@
         }
     }
 
+    pub(crate) fn recent_ids(&self) -> MutexGuard<'_, RecentIds> {
+        self.recent_ids
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store failed a call a moment ago.
+    pub(crate) fn store_is_down(&self) -> bool {
+        self.store_health.load().is_down(self.clock.now())
+    }
+
+    /// Notes a call that the store failed.
+    pub(crate) fn note_store_failure(&self) {
+        let health = StoreHealth::failed_at(self.clock.now());
+        self.store_health.store(Arc::new(health));
+    }
+
+    /// Notes a call that the store answered.
+    pub(crate) fn note_store_success(&self) {
+        if self.store_is_down() {
+            self.store_health.store(Arc::default());
+        }
+    }
+
     /// Requests that are being answered.
     pub(crate) fn requests_in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -15,6 +15,7 @@
 };
 use parsleylatch_endpoint::{EngineError, EngineStream};
 use parsleylatch_http::encode_event;
+use parsleylatch_settings::Tier;
 use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, NodeId, OwnerEpoch, TokenIndex};
 use parsleylatch_wire::{
     caller::{DoneData, TokenData},
@@ -26,7 +27,7 @@
 };
 use viz::Response;
 
-use super::{Traffic, output::Output, problem};
+use super::{Traffic, admissions::Place, output::Output, problem};
 use crate::{
     running::{Listed, TaskMessage},
     shared::{InFlight, StopPhase},
@@ -40,6 +41,7 @@
     pub(crate) earlier: EarlierOwner,
     pub(crate) ownership: Ownership,
     pub(crate) in_flight: InFlight,
+    pub(crate) place: Place,
     pub(crate) span: Span,
 }
 
@@ -79,6 +81,7 @@
     let now = traffic.shared.clock.now();
     let limits = GenerationLimits::default();
     let Accepted {
+        place,
         workspace,
         request,
         earlier,
@@ -112,6 +115,7 @@
         messages,
         span,
         _in_flight: in_flight,
+        _place: place,
     };
     task.carry_out(now, effects);
     task.carry_out_journal(now, journal_effects);
@@ -133,6 +137,7 @@
     traffic: Arc<Traffic>,
     attempt: AttemptNumber,
     endpoint: EndpointId,
+    tier: Tier,
     stream: AttemptStream,
     _span: Span,
 }
@@ -168,7 +173,7 @@
         if let AttemptStream::Opening(opening) = &self.stream {
             opening.abort();
         }
-        self.traffic.placer().note_end(&self.endpoint);
+        self.traffic.placer().note_end(&self.endpoint, self.tier);
     }
 }
 
@@ -215,6 +220,7 @@
     messages: mpsc::Receiver<TaskMessage>,
     span: Span,
     _in_flight: InFlight,
+    _place: Place,
 }
 
 impl Task {
@@ -366,6 +372,8 @@
             prompt: &request.prompt,
             order,
             detection: &self.workspace.template.detection,
+            tier: self.workspace.template.tier,
+            sharers: self.traffic.admissions.sharers(),
         };
         match self.traffic.placer().place(now, &snapshot, &question) {
             Some(placement) => GenerationInput::Placed(placement),
@@ -387,6 +395,7 @@
             traffic,
             attempt: order.attempt,
             endpoint: order.endpoint.clone(),
+            tier: self.workspace.template.tier,
             stream: AttemptStream::Opening(opening),
             _span: span,
         });
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,13 +1,18 @@
 //! Traffic threads: each owns the requests that it accepted.
 
+mod admissions;
 mod body;
 mod caller;
 mod generation;
+mod idempotent;
 mod journal;
+mod once_only;
 mod output;
+mod peers;
 mod problem;
 mod resume;
 mod service;
+mod settlement;
 
 use std::{
     future::IntoFuture,
@@ -15,36 +20,55 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use parsleylatch_decide::placement::Placer;
+use parsleylatch_decide::{call::RetryBudgets, placement::Placer};
 use parsleylatch_endpoint::{EngineClient, ServiceClient};
-use parsleylatch_http::NodelayListener;
+use parsleylatch_http::{Client, NodelayListener};
 use tokio::sync::oneshot;
 use viz::{Router, types::State};
 
-use crate::shared::Shared;
+use crate::{claims::ClaimStore, shared::Shared};
+use admissions::Admissions;
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) claims: ClaimStore,
+    pub(crate) peers: Client,
+    pub(crate) admissions: Arc<Admissions>,
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
+    retry_budgets: Mutex<RetryBudgets>,
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Traffic {
     fn new(shared: Arc<Shared>) -> Self {
         let placer = Mutex::new(Placer::new(shared.settings.region.clone()));
+        let admissions = Arc::new(Admissions::new(Arc::clone(&shared)));
+        let (engines, services) = (EngineClient::new(), ServiceClient::new());
         Self {
+            claims: ClaimStore::new(&shared),
             shared,
-            engines: EngineClient::new(),
-            services: ServiceClient::new(),
+            peers: Client::new(),
+            engines,
+            services,
+            admissions,
             placer,
+            retry_budgets: Mutex::default(),
         }
     }
 
     pub(crate) fn placer(&self) -> MutexGuard<'_, Placer> {
-        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.placer)
+    }
+
+    pub(crate) fn retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
     }
 }
 
@@ -55,11 +79,13 @@
     stopped: oneshot::Receiver<()>,
 ) {
     let traffic = Arc::new(Traffic::new(shared));
+    tokio::spawn(Arc::clone(&traffic.admissions).run());
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
         .get("/v1/generations/:request", resume::resume_generation)
         .post("/v1/generations/:request", resume::rebuild_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
+        .get("/v1/calls/:id", caller::tell_call)
         .with(State::new(traffic));
     match NodelayListener::from_std(listener) {
         Ok(listener) => {
--- a/crates/node/src/traffic/resume.rs
+++ b/crates/node/src/traffic/resume.rs
@@ -17,8 +17,10 @@
 use viz::{Request, RequestExt, Response, Result};
 
 use super::{
-    Traffic, body,
-    caller::{overloaded, path_id, respond, traffic},
+    Traffic,
+    admissions::Place,
+    body,
+    caller::{ask_of, overloaded, path_id, respond, traffic},
     generation::{self, Ownership},
 };
 use crate::{
@@ -54,6 +56,7 @@
     let request_id: RequestId = path_id(request, "request")?;
     let last_event_id: Option<String> = request.header(LAST_EVENT_ID_HEADER);
     let in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
+    let place = take_place(traffic, &workspace).await?;
     let workspace_id = &workspace.template.workspace;
     let resumed = match last_event_id.filter(|text| !text.is_empty()) {
         Some(text) => {
@@ -64,6 +67,7 @@
     };
     shared.counters.increment(Counter::GenerationsResumed);
     let accepted = generation::Accepted {
+        place,
         workspace,
         request: resumed.request,
         earlier: resumed.earlier,
@@ -74,6 +78,16 @@
     Ok(generation::answer(Arc::clone(traffic), accepted))
 }
 
+/// Waits for a place before the earlier owner is disturbed; a refusal here is of
+/// a request that has run.
+async fn take_place(traffic: &Traffic, workspace: &WorkspaceView) -> Result<Place, Refusal> {
+    let admitted = traffic.admissions.admit(ask_of(workspace)).await;
+    admitted.map_err(|refusal| Refusal {
+        not_run: false,
+        ..refusal
+    })
+}
+
 fn bad_request(error: impl std::fmt::Display) -> Refusal {
     Refusal::not_run(RefusalKind::BadRequest, error.to_string())
 }
@@ -249,8 +263,10 @@
     let ask: ResumeBody = body::parse_body(&bytes)?;
     let (request, earlier) = rebuilt(&workspace, request_id, ask)?;
     let in_flight = InFlight::enter(shared).ok_or_else(overloaded)?;
+    let place = take_place(traffic, &workspace).await?;
     shared.counters.increment(Counter::GenerationsResumed);
     let accepted = generation::Accepted {
+        place,
         workspace,
         request,
         earlier,
