--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{call, generation, lease_holder, limits, moves, node_life};
+use crate::{call, generation, journal, lease_holder, limits, moves, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -30,10 +30,13 @@
 pub(crate) const CALL: ChartSource = chart_source!("call");
 pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
+pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
 pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
+pub(crate) const PEER: ChartSource = chart_source!("peer");
 
 /// Every embedded chart, by name.
 pub const ALL: &[ChartSource] = &[
@@ -46,6 +49,9 @@
     LEASE_HOLDER,
     NODE_LIFE,
     VERSION_MOVE,
+    JOURNAL,
+    JOURNAL_ENTRY,
+    PEER,
 ];
 
 /// A machine that is compiled when it is first used.
@@ -78,6 +84,7 @@
 pub fn verify() -> Result<(), ChartError> {
     call::verify_charts()?;
     generation::verify_charts()?;
+    journal::verify_charts()?;
     limits::verify_chart()?;
     lease_holder::verify_chart()?;
     moves::verify_chart()?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod configuration;
 pub mod deployment;
 pub mod generation;
+pub mod journal;
 pub mod lease_holder;
 pub mod limits;
 pub mod moves;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -198,6 +198,7 @@
                     self.shared
                         .ready
                         .store(false, std::sync::atomic::Ordering::Release);
+                    self.shared.stop_phase.send_replace(StopPhase::Noticing);
                 }
                 NodeEffect::RefuseNew => {
                     self.accepting = false;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod control;
 mod node;
 mod peering;
+mod running;
 mod shared;
 mod telemetry;
 mod traffic;
--- a/crates/node/src/traffic/caller.rs
+++ b/crates/node/src/traffic/caller.rs
@@ -13,20 +13,25 @@
 use parsleylatch_wire::caller::GenerationBody;
 use viz::{IntoResponse, Request, RequestExt, Response, Result, StatusCode};
 
-use super::{Traffic, body, generation, peers::KnownCall, problem, service};
+use super::{
+    Traffic, body,
+    generation::{self, Ownership},
+    peers::KnownCall,
+    problem, resume, service,
+};
 use crate::{
     shared::InFlight,
     telemetry::{self, Counter},
 };
 
-fn traffic(request: &Request) -> Result<Arc<Traffic>> {
+pub(super) fn traffic(request: &Request) -> Result<Arc<Traffic>> {
     request
         .state::<Arc<Traffic>>()
         .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
 }
 
 /// Response of a request that was answered or refused.
-fn respond(traffic: &Traffic, answered: Result<Response, Refusal>) -> Response {
+pub(super) fn respond(traffic: &Traffic, answered: Result<Response, Refusal>) -> Response {
     answered.unwrap_or_else(|refusal| {
         traffic.shared.counters.increment(Counter::Refusals);
         problem::response_of(&refusal)
@@ -49,12 +54,15 @@
         .shared
         .counters
         .increment(Counter::GenerationsAccepted);
-    let earlier = EarlierOwner::default();
+    let repeated = resume::repeat_of_running(traffic, &request).await?;
+    let (earlier, ownership) =
+        repeated.unwrap_or_else(|| (EarlierOwner::default(), Ownership::first()));
     let accepted = generation::Accepted {
         place,
         workspace,
         request,
         earlier,
+        ownership,
         in_flight,
         span,
     };
@@ -82,7 +90,7 @@
     Ok((workspace, request, in_flight))
 }
 
-fn ask_of(workspace: &WorkspaceView) -> Ask {
+pub(super) fn ask_of(workspace: &WorkspaceView) -> Ask {
     let template = &workspace.template;
     Ask {
         workspace: template.workspace.clone(),
@@ -92,7 +100,7 @@
     }
 }
 
-fn overloaded() -> Refusal {
+pub(super) fn overloaded() -> Refusal {
     let detail = "this node answers as many requests as it can; try another";
     Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(admission::OTHER_NODE_DELAY_MS)
 }
@@ -148,7 +156,7 @@
         .unwrap_or_default())
 }
 
-fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
+pub(super) fn path_id<Id>(request: &Request, name: &str) -> Result<Id, Refusal>
 where
     Id: std::str::FromStr,
     Id::Err: std::fmt::Display,
