Latency: show how long the node's threads waited for a processor

On a shared machine the p95 between tokens moves with the neighbours' load. The wait on the run queue, read beside the processor time, tells a run that counts from one that was disturbed.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -5,6 +5,7 @@
 //! side, so that a disturbance of the machine falls on both.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::PathBuf,
     sync::Arc,
@@ -30,7 +31,7 @@
     latencies::Latencies,
     load::{callers_of, workspace_of},
     machines,
-    process::processor_time,
+    process::{ThreadTime, processor_time},
     prompts::Prompts,
     report::Report,
 };
@@ -97,7 +98,7 @@
     let mut prompts = Prompts::new(1, 64, PROMPT_BYTES, 16);
     let (mut direct, mut through_node) = (Side::default(), Side::default());
     let pid = fleet.nodes[0].pid;
-    let mut spent = std::collections::BTreeMap::<String, Duration>::new();
+    let mut spent = BTreeMap::<String, ThreadTime>::new();
     for _ in 0..args.rounds {
         let bodies = bodies(&fleet, &args, &mut prompts)?;
         direct.add(&run_direct(&fleet.engines, &bodies).await?);
@@ -105,15 +106,20 @@
         through_node.add(&run_through_node(&fleet, &bodies).await?);
         for (thread, time) in processor_time(pid)? {
             let earlier = before.get(&thread).copied().unwrap_or_default();
-            *spent.entry(thread).or_default() += time.saturating_sub(earlier);
+            *spent.entry(thread).or_default() += time.since(earlier);
         }
     }
     direct.report(report, "direct");
     through_node.report(report, "through a node");
     report_added(report, &direct, &through_node);
     for (thread, time) in spent {
-        let cost = time.as_secs_f64() * 1e3 * TOKENS_PER_COST / through_node.tokens.max(1) as f64;
-        report.add("processor_time_per_1000_tokens", &thread, cost, "ms");
+        let per_tokens = |time: Duration| {
+            time.as_secs_f64() * 1e3 * TOKENS_PER_COST / through_node.tokens.max(1) as f64
+        };
+        let (ran, waited) = (per_tokens(time.ran), per_tokens(time.waited));
+        report.add("processor_time_per_1000_tokens", &thread, ran, "ms");
+        // Large waits mean that the machine was too busy for the latencies to count.
+        report.add("processor_wait_per_1000_tokens", &thread, waited, "ms");
     }
     Ok(())
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -1,6 +1,8 @@
 //! Processor time, memory and signals of processes, from `/proc`.
 
-use std::{collections::BTreeMap, fs, path::Path, process::Command, time::Duration};
+use std::{
+    collections::BTreeMap, fs, ops::AddAssign, path::Path, process::Command, time::Duration,
+};
 
 use eyre::{Result, WrapErr, ensure, eyre};
 use parsleylatch_types::ByteCount;
@@ -36,11 +38,38 @@
     Ok(())
 }
 
+/// What threads of one kind got from the machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ThreadTime {
+    /// Time on a processor.
+    pub ran: Duration,
+    /// Time for which they could have run and no processor was free.
+    pub waited: Duration,
+}
+
+impl ThreadTime {
+    /// Time since an earlier reading.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            ran: self.ran.saturating_sub(earlier.ran),
+            waited: self.waited.saturating_sub(earlier.waited),
+        }
+    }
+}
+
+impl AddAssign for ThreadTime {
+    fn add_assign(&mut self, other: Self) {
+        self.ran += other.ran;
+        self.waited += other.waited;
+    }
+}
+
 /// Processor time of a process by thread name; threads of one kind are summed.
 ///
 /// # Errors
 /// The file that can't be read.
-pub fn processor_time(pid: u32) -> Result<BTreeMap<String, Duration>> {
+pub fn processor_time(pid: u32) -> Result<BTreeMap<String, ThreadTime>> {
     let mut by_thread = BTreeMap::new();
     let tasks = format!("/proc/{pid}/task");
     for task in fs::read_dir(&tasks).wrap_err_with(|| format!("reading {tasks}"))? {
@@ -51,8 +80,11 @@
             .trim_end_matches(|last: char| last.is_ascii_digit());
         let kind = kind.trim_end_matches('-').to_owned();
         let schedstat = read(&task.join("schedstat"))?;
-        let ran_ns: u64 = field(&schedstat, 0)?;
-        *by_thread.entry(kind).or_default() += Duration::from_nanos(ran_ns);
+        let time = ThreadTime {
+            ran: Duration::from_nanos(field(&schedstat, 0)?),
+            waited: Duration::from_nanos(field(&schedstat, 1)?),
+        };
+        *by_thread.entry(kind).or_default() += time;
     }
     Ok(by_thread)
 }
--- a/crates/bench/src/slopes/fleets.rs
+++ b/crates/bench/src/slopes/fleets.rs
@@ -20,7 +20,7 @@
     history::Recorder,
     launch::{FleetShape, LaunchedFleet},
     load::{callers_of, workspace_of},
-    process::{processor_time, resident_memory},
+    process::{ThreadTime, processor_time, resident_memory},
     prompts::Prompts,
     report::Report,
 };
@@ -44,13 +44,13 @@
 struct Reading {
     at: Instant,
     /// Processor time of all nodes by thread.
-    spent: BTreeMap<String, Duration>,
+    spent: BTreeMap<String, ThreadTime>,
     store: StoreCounts,
 }
 
 impl Reading {
     async fn take(fleet: &Fleet, control: &Control) -> Result<Self> {
-        let mut spent = BTreeMap::<String, Duration>::new();
+        let mut spent = BTreeMap::<String, ThreadTime>::new();
         for node in &fleet.nodes {
             for (thread, time) in processor_time(node.pid)? {
                 *spent.entry(thread).or_default() += time;
@@ -64,7 +64,7 @@
     }
 
     fn spent_on(&self, thread: &str) -> Duration {
-        self.spent.get(thread).copied().unwrap_or_default()
+        self.spent.get(thread).copied().unwrap_or_default().ran
     }
 }
 
