--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
 
-use crate::{failover, latency, load, replay, report::Report, slopes};
+use crate::{calls, failover, latency, load, replay, report::Report, slopes};
 
 /// Drives load, checks histories and prints measurements.
 #[derive(Clone, Debug, FromArgs)]
@@ -29,6 +29,7 @@
     Latency(latency::LatencyArgs),
     Resume(failover::ResumeArgs),
     Slopes(slopes::SlopesArgs),
+    Calls(calls::CallsArgs),
 }
 
 /// Runs the command; figures are printed even if a promise was broken.
@@ -43,6 +44,7 @@
         Command::Latency(args) => latency::run(args, &mut report).await,
         Command::Resume(args) => failover::run(args, &mut report).await,
         Command::Slopes(args) => slopes::run(args, &mut report).await,
+        Command::Calls(args) => calls::run(args, &mut report).await,
     };
     match &args.json {
         Some(path) => {
