--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -32,6 +32,13 @@
     pub leases: u64,
 }
 
+impl StoreCounts {
+    /// Calls of every kind.
+    pub fn calls(&self) -> u64 {
+        self.reads + self.writes + self.leases
+    }
+}
+
 /// Client of control and administration addresses.
 #[derive(Clone)]
 pub struct Control {
--- a/crates/bench/src/slopes/fleets.rs
+++ b/crates/bench/src/slopes/fleets.rs
@@ -33,6 +33,14 @@
 const ENGINE_COUNTS: [usize; 3] = [6, 18, 36];
 /// Nodes while engines are swept.
 const NODES_OF_ENGINE_SWEEP: usize = 3;
+/// Streams of the sweep of streams, on one node.
+const STREAM_COUNTS: [usize; 3] = [20, 80, 320];
+/// Engines of the sweep of streams.
+const ENGINES_OF_STREAM_SWEEP: usize = 10;
+/// Time after which all streams of a sweep run.
+const MIDWAY: Duration = Duration::from_millis(1_500);
+/// Delay from the start of one stream to the next.
+const START_INTERVAL: Duration = Duration::from_millis(1);
 /// Streams on each node under load.
 const STREAMS_PER_NODE: usize = 20;
 /// Tokens of a stream under load.
@@ -76,6 +84,10 @@
         measure_idle(args, &launched.fleet, ("nodes", by), report).await?;
         measure_traffic(&launched.fleet, by, report).await?;
     }
+    let shape_of_streams = shape(1, ENGINES_OF_STREAM_SWEEP);
+    let launched = LaunchedFleet::start(&args.script, &shape_of_streams).await?;
+    measure_streams(&launched.fleet, report).await?;
+    drop(launched);
     for engines in ENGINE_COUNTS {
         let shape = shape(NODES_OF_ENGINE_SWEEP, engines);
         let launched = LaunchedFleet::start(&args.script, &shape).await?;
@@ -133,21 +145,69 @@
     Ok(())
 }
 
-/// Processor time of the nodes for each thousand tokens.
+/// Processor time of the nodes for each thousand tokens, and store calls.
 async fn measure_traffic(
     fleet: &Fleet,
     (case, size): (&str, u64),
     report: &mut Report,
 ) -> Result<()> {
     let control = Control::new(&fleet.admin_key);
+    let before = Reading::take(fleet, &control).await?;
+    let streams = STREAMS_PER_NODE * fleet.nodes.len();
+    run_streams(fleet, streams).await?;
+    let after = Reading::take(fleet, &control).await?;
+    for thread in ["traffic", "control"] {
+        let measure = format!("{thread}_processor_per_1000_tokens");
+        let cost = cost_of(thread, streams, &before, &after);
+        report.add_sized(&measure, case, size, cost, "ms");
+    }
+    let calls = after.store.calls() - before.store.calls();
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let per_node = calls as f64 / seconds / fleet.nodes.len() as f64;
+    report.add_sized("loaded_store_calls_per_node", case, size, per_node, "1/s");
+    Ok(())
+}
+
+/// Processor time for each thousand tokens, and memory, by streams of one node.
+async fn measure_streams(fleet: &Fleet, report: &mut Report) -> Result<()> {
+    let control = Control::new(&fleet.admin_key);
+    let node = fleet.nodes[0].pid.to_string();
+    for streams in STREAM_COUNTS {
+        let before = Reading::take(fleet, &control).await?;
+        let midway = async {
+            tokio::time::sleep(MIDWAY).await;
+            resident_memory(&node)
+        };
+        let (run, resident) = tokio::join!(run_streams(fleet, streams), midway);
+        run?;
+        let after = Reading::take(fleet, &control).await?;
+        let (case, size) = ("by streams of one node", streams as u64);
+        let cost = cost_of("traffic", streams, &before, &after);
+        let measure = "traffic_processor_per_1000_tokens_by_streams";
+        report.add_sized(measure, case, size, cost, "ms");
+        let kibibytes = resident?.get() as f64 / f64::from(1 << 10);
+        report.add_sized("resident_memory_by_streams", case, size, kibibytes, "KiB");
+    }
+    Ok(())
+}
+
+fn cost_of(thread: &str, streams: usize, before: &Reading, after: &Reading) -> f64 {
+    let spent = after
+        .spent_on(thread)
+        .saturating_sub(before.spent_on(thread));
+    let tokens = streams as f64 * f64::from(MAX_TOKENS);
+    spent.as_secs_f64() * 1e3 * TOKENS_PER_COST / tokens
+}
+
+/// Runs streams spread over the nodes and over the engines' pace.
+async fn run_streams(fleet: &Fleet, streams: usize) -> Result<()> {
     let workspace = workspace_of(fleet, Tier::Paying)?;
     let recorder = Arc::new(Recorder::new());
     let callers = callers_of(fleet, workspace);
     let exchanges = Exchanges::new(callers, workspace.id.clone(), recorder);
     let mut prompts = Prompts::new(1, 64, 256, 16);
-    let before = Reading::take(fleet, &control).await?;
-    let streams = STREAMS_PER_NODE * fleet.nodes.len();
-    let tasks = (0..streams).map(|position| {
+    let mut tasks = Vec::new();
+    for position in 0..streams {
         let body = GenerationBody {
             model: workspace.model.clone(),
             prompt: prompts.next_prompt(),
@@ -156,25 +216,13 @@
             adapter: None,
         };
         let exchanges = exchanges.clone();
-        tokio::spawn(async move { exchanges.run(position, RequestId::generate(), &body).await })
-    });
-    for outcome in join_all(tasks.collect::<Vec<_>>()).await {
-        ensure!(outcome?.done.is_some(), "an answer is not whole");
+        tasks.push(tokio::spawn(async move {
+            exchanges.run(position, RequestId::generate(), &body).await
+        }));
+        tokio::time::sleep(START_INTERVAL).await;
     }
-    let after = Reading::take(fleet, &control).await?;
-    let tokens = streams as f64 * f64::from(MAX_TOKENS);
-    for thread in ["traffic", "control"] {
-        let spent = after
-            .spent_on(thread)
-            .saturating_sub(before.spent_on(thread));
-        let cost = spent.as_secs_f64() * 1e3 * TOKENS_PER_COST / tokens;
-        let measure = format!("{thread}_processor_per_1000_tokens");
-        report.add_sized(&measure, case, size, cost, "ms");
+    for outcome in join_all(tasks).await {
+        ensure!(outcome?.done.is_some(), "an answer is not whole");
     }
-    let calls = after.store.reads + after.store.writes + after.store.leases;
-    let calls = calls - before.store.reads - before.store.writes - before.store.leases;
-    let seconds = after.at.duration_since(before.at).as_secs_f64();
-    let per_node = calls as f64 / seconds / fleet.nodes.len() as f64;
-    report.add_sized("loaded_store_calls_per_node", case, size, per_node, "1/s");
     Ok(())
 }
