--- a/crates/bench/src/failover.rs
+++ b/crates/bench/src/failover.rs
@@ -31,7 +31,8 @@
     history::Recorder,
     latencies::Latencies,
     launch::{FleetShape, LaunchedFleet},
-    load::{report_verdict, versions_of, workspace_of},
+    load::{callers_of, report_verdict, versions_of, workspace_of},
+    node_loss::{self, NodeLossTrials},
     process::{Signal, send_signal},
     prompts::Prompts,
     report::Report,
@@ -58,6 +59,9 @@
     /// nodes of the fleet
     #[argh(option, default = "3")]
     pub(crate) nodes: usize,
+    /// trials in which a node is killed; they come last
+    #[argh(option, default = "3")]
+    pub(crate) node_trials: usize,
     /// trials of each break and mechanism
     #[argh(option, default = "4")]
     pub(crate) trials: usize,
@@ -128,7 +132,7 @@
 pub(crate) async fn run(args: ResumeArgs, report: &mut Report) -> Result<()> {
     let kills = args.trials * Mechanism::iter().count();
     let shape = FleetShape {
-        nodes: args.nodes,
+        nodes: args.nodes + 2 * args.node_trials,
         engines: kills + SPARE_ENGINES,
         options: Vec::new(),
     };
@@ -150,6 +154,7 @@
     for (case, tally) in &tallies {
         tally.report(report, case);
     }
+    trials.lose_nodes(report).await?;
     let counts = BackEndCounts {
         versions: versions_of(&trials.fleet),
         ..BackEndCounts::default()
@@ -194,6 +199,20 @@
         })
     }
 
+    /// Kills nodes, one after another.
+    async fn lose_nodes(&self, report: &mut Report) -> Result<()> {
+        let workspace = workspace_of(&self.fleet, Tier::Paying)?;
+        let callers = callers_of(&self.fleet, workspace);
+        let trials = NodeLossTrials {
+            exchanges: &self.paced,
+            callers: &callers,
+            nodes: &self.fleet.nodes,
+            template: node_loss::template(&workspace.model, TokenCount::new(self.args.max_tokens)),
+            streams: self.args.streams,
+        };
+        trials.run(self.args.node_trials, report).await
+    }
+
     async fn run_one(&mut self, way: Break, mechanism: Mechanism, tally: &mut Tally) -> Result<()> {
         let before = self.counts().await?;
         let (progress, mut most) = watch::channel(0_usize);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 mod launch;
 mod load;
 mod machines;
+mod node_loss;
 mod plot;
 pub mod process;
 mod prompts;
