--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod fleets;
+mod journal;
 mod state;
 
 use std::path::PathBuf;
@@ -45,6 +46,7 @@
     if !args.no_control {
         machines::measure_steps(report);
         control::measure(report)?;
+        journal::measure(report);
     }
     if !args.no_processes {
         fleets::measure(&args, report).await?;
