Process tests: a recorded history of many callers is judged by the checker

An engine is killed under 24 generations at two nodes; the history alone has to show 24 whole answers. A token taken out of such a history is found.

--- /dev/null
+++ b/tests/process/history.rs
@@ -0,0 +1,87 @@
+//! Histories of many callers hold every promise while engines are lost.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+use parsleylatch::{
+    bench::{
+        check::{BackEndCounts, Violation, check},
+        exchange::Exchanges,
+        history::{HistoryEvent, Recorder},
+    },
+    types::RequestId,
+};
+
+use crate::harness::{Running, Shape, body, signal};
+
+const THREE_ENGINES: Shape<'_> = Shape {
+    nodes: 2,
+    engines: 3,
+    services: 0,
+    options: &["--pace-ms", "10"],
+};
+const GENERATIONS: usize = 24;
+
+/// Runs generations at all nodes; the first engine is killed midway.
+async fn record_with_killed_engine(running: &Running) -> Arc<Recorder> {
+    let recorder = Arc::new(Recorder::new());
+    let callers = (0..running.fleet.nodes.len()).map(|node| running.paying(node));
+    let workspace = running.fleet.workspaces[0].id.clone();
+    let exchanges = Exchanges::new(callers.collect(), workspace, Arc::clone(&recorder));
+    let generations = (0..GENERATIONS).map(|position| {
+        let exchanges = &exchanges;
+        async move {
+            let body = body(&format!("prompt {position}"), 60);
+            exchanges.run(position, RequestId::generate(), &body).await
+        }
+    });
+    let kill = async {
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        signal(running.fleet.engines[0].pid, "KILL");
+    };
+    tokio::join!(join_all(generations), kill);
+    recorder
+}
+
+fn counts(running: &Running) -> BackEndCounts {
+    BackEndCounts {
+        versions: vec![running.fleet.engines[0].endpoint_version.clone()],
+        ..BackEndCounts::default()
+    }
+}
+
+#[tokio::test]
+async fn history_engine_killed() {
+    let running = Running::start(THREE_ENGINES).await;
+    let recorder = record_with_killed_engine(&running).await;
+    let verdict = check(&recorder.entries(), &counts(&running));
+    assert_eq!(verdict.violations, []);
+    assert_eq!(verdict.done, GENERATIONS as u64);
+    assert!(
+        verdict.attempts > verdict.done,
+        "the kill struck no attempt"
+    );
+}
+
+/// The checker sees a token that is taken out of a recorded history.
+#[tokio::test]
+async fn history_token_removed() {
+    let running = Running::start(THREE_ENGINES).await;
+    let recorder = record_with_killed_engine(&running).await;
+    let mut entries = recorder.entries();
+    let tokens = |event: &HistoryEvent| matches!(event, HistoryEvent::Token { .. });
+    let middle = entries.len() / 2;
+    let offset = entries[middle..]
+        .iter()
+        .position(|entry| tokens(&entry.event))
+        .unwrap();
+    let removed = entries.remove(middle + offset);
+    let violations = check(&entries, &counts(&running)).violations;
+    let of_request = violations.iter().any(|violation| match violation {
+        Violation::Missing { request, .. } | Violation::Short { request, .. } => {
+            *request == removed.request_id
+        }
+        _ => false,
+    });
+    assert!(of_request, "{violations:?}");
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod extra_node;
 mod generations;
 mod harness;
+mod history;
 mod limits;
 mod moves;
 mod operator;
