--- a/crates/bench/src/slopes/journal.rs
+++ b/crates/bench/src/slopes/journal.rs
@@ -14,6 +14,8 @@
 
 /// Streams of which one token each is in a frame.
 const STREAMS: [usize; 4] = [1, 8, 32, 128];
+/// Origin of the generations.
+const ORIGIN: u64 = 0x5eed_5eed_5eed_5eed;
 /// Length that stands before each frame.
 const FRAME_HEAD_BYTES: usize = 4;
 
@@ -36,6 +38,7 @@
         request_id: RequestId::generate().to_bytes().to_vec(),
         owner_epoch: 1,
         end_index: 900,
+        origin: ORIGIN,
         ..JournalAck::default()
     };
     let acks = JournalAcks {
@@ -47,8 +50,6 @@
     report_message("journal_acks", streams, &message, report);
 }
 
-// Fields that the schema gains have their defaults here.
-#[allow(clippy::needless_update)]
 fn batch(streams: usize) -> JournalBatch {
     let record = |stream: usize| {
         let token = Token {
@@ -62,7 +63,7 @@
             tokens: vec![token],
             attempts_started: 1,
             endpoint_version: "model-1-v7".to_owned(),
-            ..JournalAppend::default()
+            origin: ORIGIN,
         };
         JournalRecord {
             record: Some(Record::Append(append)),
