--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{call, generation, journal, limits, node_life};
+use crate::{call, generation, journal, lease_holder, limits, moves, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -33,7 +33,9 @@
 pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
 pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
 pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
+pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 pub(crate) const PEER: ChartSource = chart_source!("peer");
 
 /// Every embedded chart, by name.
@@ -44,9 +46,11 @@
     CLAIM_SETTLEMENT,
     GENERATION,
     IDEMPOTENT_CALL,
+    LEASE_HOLDER,
+    NODE_LIFE,
+    VERSION_MOVE,
     JOURNAL,
     JOURNAL_ENTRY,
-    NODE_LIFE,
     PEER,
 ];
 
@@ -82,5 +86,7 @@
     generation::verify_charts()?;
     journal::verify_charts()?;
     limits::verify_chart()?;
+    lease_holder::verify_chart()?;
+    moves::verify_chart()?;
     node_life::verify_chart()
 }
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -8,9 +8,14 @@
 use parsleylatch_settings::{KeyDigest, Template};
 use parsleylatch_types::{
     EndpointId, EndpointVersion, FailureDomain, Micros, ModelId, NodeId, Region, RequestCount,
-    Revision, ServiceName,
+    Revision, ServiceName, WorkspaceId,
 };
 
+use crate::{moves::MoveView, version_choice::VersionPlan};
+
+/// Streams that an engine is assumed to run at once before it has said so.
+const ASSUMED_PLACES: RequestCount = RequestCount::new(16);
+
 /// What an endpoint serves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointKind {
@@ -59,13 +64,21 @@
     pub reported_running: RequestCount,
     /// Streams it said wait for a place, as of its last load report.
     pub reported_waiting: RequestCount,
-    /// Streams it can run at once.
+    /// Streams it can run at once; zero until it has said so.
     pub capacity: RequestCount,
     /// Recent time between tokens, as merged from the nodes' observations.
     pub pace_us: Option<Micros>,
 }
 
 impl EndpointView {
+    /// Streams it can run at once, or what is assumed before it has said so.
+    pub fn places(&self) -> RequestCount {
+        match self.capacity {
+            RequestCount::ZERO => ASSUMED_PLACES,
+            known => known,
+        }
+    }
+
     /// Whether the endpoint runs one of the versions of a model.
     pub fn serves(&self, wanted: &ModelId, versions: &[EndpointVersion]) -> bool {
         match &self.kind {
@@ -112,6 +125,10 @@
     pub endpoints: Vec<Arc<EndpointView>>,
     /// Other nodes.
     pub peers: Vec<PeerView>,
+    /// Versions for new generations, where a move decides on them.
+    pub version_plans: BTreeMap<WorkspaceId, VersionPlan>,
+    /// Version moves.
+    pub moves: Vec<MoveView>,
     /// Whether the node takes new requests.
     pub accepting: bool,
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,11 +17,14 @@
 use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
 use parsleylatch_types::{Incarnation, NodeId};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
     clock::Clock,
-    control::ControlInput,
+    control::{
+        ControlInput,
+        events::{AdminEvent, EVENTS_BUFFER},
+    },
     peering::{self, PeeringInput},
     running::Running,
     telemetry::{Counter, Counters},
@@ -52,6 +55,8 @@
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    /// What operators are told while it happens.
+    pub(crate) events: broadcast::Sender<AdminEvent>,
     pub(crate) peering: mpsc::Sender<PeeringInput>,
     /// Nodes that the list names, for the peer thread.
     pub(crate) peers: watch::Sender<Vec<PeerView>>,
@@ -82,6 +87,7 @@
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
+            events: broadcast::Sender::new(EVENTS_BUFFER),
             peering,
             peers: watch::Sender::new(Vec::new()),
             linked: ArcSwap::default(),
