Gossip of versioned items over links, with digests

Each node polled every engine and the store alone; at 350 nodes that breaks the budgets. Items merge by a total order on version and value; a link remembers up to where it has sent, so that a change crosses each link about once. Property tests: any order, grouping and repetition merge alike, versions never go back, and nodes converge after links break.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod charts;
 pub mod configuration;
 pub mod generation;
+pub mod gossip;
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
