Membership and endpoint watching as decisions with charts

Probes on a fixed number of links, suspicion before death, refutation by a higher version; watchers of an endpoint chosen by rendezvous in different failure domains, loads told coarsely at a fixed rate a region.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{generation, node_life};
+use crate::{endpoint_health, generation, membership, node_life};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -26,11 +26,21 @@
 }
 
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
+pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 3] = [ATTEMPT, GENERATION, NODE_LIFE];
+pub const ALL: [ChartSource; 6] = [
+    ATTEMPT,
+    ENDPOINT_HEALTH,
+    ENDPOINT_PROBE,
+    GENERATION,
+    MEMBER,
+    NODE_LIFE,
+];
 
 /// A machine that is compiled when it is first used.
 pub(crate) type LazyMachine<State, Event, Context> =
@@ -60,6 +70,8 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    endpoint_health::verify_charts()?;
     generation::verify_charts()?;
+    membership::verify_chart()?;
     node_life::verify_chart()
 }
--- /dev/null
+++ b/crates/decide/src/endpoint_health/mod.rs
@@ -0,0 +1,459 @@
+//! Watching of endpoints, shared between the nodes of their region.
+//!
+//! Each endpoint has a few watchers, chosen by rendezvous among the live nodes
+//! of its region. Only they ask it for its load; every node learns their words
+//! by gossip. A condition that changed is told at once. Loads are told coarsely,
+//! and each watcher has a share of a fixed rate for the region, so that the
+//! bytes of a node don't grow with the count of endpoints.
+
+mod health;
+mod probe;
+
+use std::collections::BTreeMap;
+
+use parsleylatch_chart::ChartError;
+use parsleylatch_types::{
+    EndpointId, FailureDomain, Micros, Millis, MonoTime, NodeId, Region, RequestCount,
+};
+
+pub use health::{HealthEvent, HealthState};
+pub use probe::{ProbeEvent, ProbeState};
+
+use crate::{
+    gossip::{
+        EndpointSummary, Item, ItemKey, ItemValue, ItemVersion, ObservationId, ObservedCondition,
+    },
+    membership::{Place, duty_holders},
+    view::EndpointCondition,
+};
+use health::EndpointHealth;
+use probe::EndpointProbe;
+
+/// Watchers of one endpoint.
+const WATCHERS: usize = 2;
+/// Nodes whose words on an endpoint count; more than the watchers, because nodes
+/// may differ for a while on who lives.
+const HEARD_WATCHERS: usize = 3;
+/// Loads that the nodes of a region may tell a second, all together.
+const REGION_LOADS_PER_SECOND: u64 = 160;
+/// Shortest time between two loads of a watcher.
+const LOAD_INTERVAL_MS: Millis = Millis::new(50);
+/// Shortest time between two loads of one endpoint.
+const ENDPOINT_LOAD_INTERVAL_MS: Millis = Millis::new(1_000);
+/// Microseconds in a second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    health::verify_chart()?;
+    probe::verify_chart()
+}
+
+/// One endpoint of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedEndpoint {
+    /// Id.
+    pub id: EndpointId,
+    /// Failure domain of its VM.
+    pub failure_domain: FailureDomain,
+    /// Region of its VM.
+    pub region: Region,
+    /// Whether it tells its load.
+    pub tells_load: bool,
+    /// Whether the platform is about to take it away.
+    pub leaving: bool,
+}
+
+/// Load of an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointLoad {
+    /// Streams that run.
+    pub running: RequestCount,
+    /// Streams that wait for a place.
+    pub waiting: RequestCount,
+    /// Streams that can run at once.
+    pub capacity: RequestCount,
+}
+
+/// Answer of an endpoint to a watcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadAnswer {
+    /// Load.
+    pub load: EndpointLoad,
+    /// Whether it wants no new work.
+    pub leaving: bool,
+}
+
+/// What happens to the endpoints.
+#[derive(Clone, Debug)]
+pub enum WatchInput {
+    /// Every endpoint that may exist.
+    Listed(Vec<ListedEndpoint>),
+    /// Nodes that live, this one among them.
+    Members(Vec<Place>),
+    /// A load request of this node has ended; `None` without an answer.
+    Load(EndpointId, Option<LoadAnswer>),
+    /// A newer word of another watcher.
+    Observed(ObservationId, ItemVersion, EndpointSummary),
+    /// An attempt of this node has ended; whether it was lost.
+    Attempt(EndpointId, bool),
+}
+
+/// What a node has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchEffect {
+    /// Ask these endpoints, and no others, for their loads; the flag says whether
+    /// this node is the first watcher, which asks more often.
+    Watch(Vec<(EndpointId, bool)>),
+    /// Tell every node.
+    Publish(Item),
+    /// A load is not what it was.
+    LoadChanged,
+    /// A condition is not what it was.
+    ConditionChanged,
+}
+
+#[derive(Clone, Debug)]
+struct OwnWatch {
+    probe: EndpointProbe,
+    is_first: bool,
+    load: EndpointLoad,
+    told: Option<EndpointSummary>,
+    told_at: MonoTime,
+    version: ItemVersion,
+}
+
+#[derive(Clone, Debug)]
+struct Endpoint {
+    listed: ListedEndpoint,
+    health: EndpointHealth,
+    heard: Vec<ObservationId>,
+    own: Option<OwnWatch>,
+}
+
+/// Endpoints as one node sees them.
+#[derive(Clone, Debug)]
+pub struct EndpointWatch {
+    own: Place,
+    start_version: ItemVersion,
+    members: Vec<Place>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    observations: BTreeMap<ObservationId, EndpointSummary>,
+    endpoint_of: BTreeMap<ObservationId, EndpointId>,
+    tell_at: MonoTime,
+}
+
+impl EndpointWatch {
+    /// Watch of a node that knows no endpoints.
+    pub fn new(own: Place, start_version: ItemVersion) -> Self {
+        Self {
+            members: vec![own.clone()],
+            own,
+            start_version,
+            endpoints: BTreeMap::new(),
+            observations: BTreeMap::new(),
+            endpoint_of: BTreeMap::new(),
+            tell_at: MonoTime::ZERO,
+        }
+    }
+
+    /// Whether an endpoint gets new work; one that is not listed does not.
+    pub fn condition(&self, endpoint: &EndpointId) -> EndpointCondition {
+        let known = self.endpoints.get(endpoint);
+        known.map_or(EndpointCondition::Leaving, |known| known.health.condition())
+    }
+
+    /// Load of an endpoint, as far as it is known.
+    pub fn load(&self, endpoint: &EndpointId) -> EndpointLoad {
+        let Some(known) = self.endpoints.get(endpoint) else {
+            return EndpointLoad::default();
+        };
+        if let Some(own) = known.own.as_ref().filter(|own| own.told.is_some()) {
+            return own.load;
+        }
+        let heard = known.heard.iter();
+        let summary = heard.filter_map(|id| self.observations.get(id)).next();
+        summary.map_or(EndpointLoad::default(), |summary| EndpointLoad {
+            running: summary.running(),
+            waiting: summary.waiting(),
+            capacity: summary.capacity,
+        })
+    }
+
+    /// Time at which [`EndpointWatch::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        let lives = self.endpoints.values().flat_map(|endpoint| {
+            let probe = endpoint.own.as_ref();
+            let probe = probe.and_then(|own| own.probe.next_deadline());
+            [endpoint.health.next_deadline(), probe]
+        });
+        lives.flatten().min()
+    }
+
+    /// Handles an input.
+    pub fn handle(&mut self, now: MonoTime, input: WatchInput) -> Vec<WatchEffect> {
+        match input {
+            WatchInput::Listed(listed) => self.take_list(now, listed),
+            WatchInput::Members(members) => {
+                if self.members == members {
+                    return Vec::new();
+                }
+                self.members = members;
+                self.share_watching(now)
+            }
+            WatchInput::Load(endpoint, answer) => self.take_load(now, &endpoint, answer),
+            WatchInput::Observed(id, version, summary) => {
+                self.take_observation(now, id, version, summary)
+            }
+            WatchInput::Attempt(endpoint, lost) => {
+                let event = if lost {
+                    HealthEvent::AttemptLost
+                } else {
+                    HealthEvent::AttemptDone
+                };
+                self.step_health(now, &endpoint, event)
+            }
+        }
+    }
+
+    /// Handles deadlines that have passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<WatchEffect> {
+        let mut effects = Vec::new();
+        let mut silent = Vec::new();
+        for (id, endpoint) in &mut self.endpoints {
+            if endpoint.health.expire(now) {
+                effects.push(WatchEffect::ConditionChanged);
+            }
+            if endpoint
+                .own
+                .as_mut()
+                .is_some_and(|own| own.probe.expire(now))
+            {
+                silent.push(id.clone());
+            }
+        }
+        for id in silent {
+            effects.extend(self.tell(now, &id));
+        }
+        effects
+    }
+
+    fn take_list(&mut self, now: MonoTime, listed: Vec<ListedEndpoint>) -> Vec<WatchEffect> {
+        let mut before = std::mem::take(&mut self.endpoints);
+        for listed in listed {
+            let id = listed.id.clone();
+            let endpoint = match before.remove(&id) {
+                Some(known) => Endpoint { listed, ..known },
+                None => Endpoint {
+                    listed,
+                    health: EndpointHealth::new(now),
+                    heard: Vec::new(),
+                    own: None,
+                },
+            };
+            self.endpoints.insert(id, endpoint);
+        }
+        let mut effects = self.share_watching(now);
+        effects.push(WatchEffect::ConditionChanged);
+        effects
+    }
+
+    /// Works out anew who watches which endpoint.
+    fn share_watching(&mut self, now: MonoTime) -> Vec<WatchEffect> {
+        let before = self.watched();
+        self.endpoint_of.clear();
+        for (id, endpoint) in &mut self.endpoints {
+            let region = &endpoint.listed.region;
+            let near = self.members.iter().filter(|place| place.region == *region);
+            let holders = duty_holders(id.as_str(), near, HEARD_WATCHERS);
+            endpoint.heard = holders
+                .iter()
+                .map(|place| ObservationId::new(id, &place.node))
+                .collect();
+            let heard = endpoint.heard.iter();
+            self.endpoint_of
+                .extend(heard.map(|observation| (*observation, id.clone())));
+            let mut watchers = holders.iter().take(WATCHERS);
+            let rank = watchers.position(|place| **place == self.own);
+            let rank = rank.filter(|_| endpoint.listed.tells_load);
+            match (rank, &mut endpoint.own) {
+                (None, own) => *own = None,
+                (Some(rank), Some(own)) => own.is_first = rank == 0,
+                (Some(rank), own) => {
+                    *own = Some(OwnWatch {
+                        probe: EndpointProbe::new(now),
+                        is_first: rank == 0,
+                        load: EndpointLoad::default(),
+                        told: None,
+                        told_at: MonoTime::ZERO,
+                        version: self.start_version,
+                    });
+                }
+            }
+        }
+        let mut effects = self.judge_all(now);
+        let watched = self.watched();
+        if watched != before {
+            effects.push(WatchEffect::Watch(watched));
+        }
+        effects
+    }
+
+    fn watched(&self) -> Vec<(EndpointId, bool)> {
+        let watched = self.endpoints.iter().filter_map(|(id, endpoint)| {
+            let own = endpoint.own.as_ref()?;
+            Some((id.clone(), own.is_first))
+        });
+        watched.collect()
+    }
+
+    fn take_load(
+        &mut self,
+        now: MonoTime,
+        id: &EndpointId,
+        answer: Option<LoadAnswer>,
+    ) -> Vec<WatchEffect> {
+        let endpoint = self.endpoints.get_mut(id);
+        let Some(own) = endpoint.and_then(|endpoint| endpoint.own.as_mut()) else {
+            return Vec::new();
+        };
+        let event = match answer {
+            Some(answer) if answer.leaving => ProbeEvent::SaidLeaving,
+            Some(_) => ProbeEvent::Answered,
+            None => ProbeEvent::Unanswered,
+        };
+        if let Some(answer) = answer {
+            own.load = answer.load;
+        }
+        own.probe.handle(now, event);
+        let mut effects = vec![WatchEffect::LoadChanged];
+        effects.extend(self.tell(now, id));
+        effects
+    }
+
+    /// Tells the other nodes of an endpoint, if there is something worth telling.
+    fn tell(&mut self, now: MonoTime, id: &EndpointId) -> Vec<WatchEffect> {
+        let interval = self.tell_interval();
+        let endpoint = self.endpoints.get_mut(id);
+        let Some(own) = endpoint.and_then(|endpoint| endpoint.own.as_mut()) else {
+            return Vec::new();
+        };
+        let Some(condition) = own.probe.condition() else {
+            return Vec::new();
+        };
+        let load = own.load;
+        let summary = EndpointSummary::new(condition, load.running, load.waiting, load.capacity);
+        let condition_changed = own.told.is_none_or(|told| told.condition != condition);
+        let load_is_due = own.is_first
+            && own.told != Some(summary)
+            && now >= self.tell_at
+            && now.since(own.told_at) >= ENDPOINT_LOAD_INTERVAL_MS.micros();
+        if !condition_changed && !load_is_due {
+            return Vec::new();
+        }
+        own.told = Some(summary);
+        own.told_at = now;
+        own.version = own.version.next();
+        let version = own.version;
+        if !condition_changed {
+            self.tell_at = now + interval;
+        }
+        let observation = ObservationId::new(id, &self.own.node);
+        let mut effects = vec![WatchEffect::Publish(Item {
+            key: ItemKey::Endpoint(observation),
+            version,
+            value: ItemValue::Endpoint(summary),
+        })];
+        self.observations.insert(observation, summary);
+        effects.extend(self.judge(now, id));
+        effects
+    }
+
+    /// Time between two loads that this node may tell.
+    fn tell_interval(&self) -> Micros {
+        let near = self.members.iter();
+        let near = near.filter(|place| place.region == self.own.region).count();
+        let share = Micros::new(MICROS_PER_SECOND / REGION_LOADS_PER_SECOND).times(near as u64);
+        share.max(LOAD_INTERVAL_MS.micros())
+    }
+
+    fn take_observation(
+        &mut self,
+        now: MonoTime,
+        id: ObservationId,
+        version: ItemVersion,
+        summary: EndpointSummary,
+    ) -> Vec<WatchEffect> {
+        self.observations.insert(id, summary);
+        let Some(endpoint) = self.endpoint_of.get(&id).cloned() else {
+            return Vec::new();
+        };
+        let is_own = id == ObservationId::new(&endpoint, &self.own.node);
+        let known = self.endpoints.get_mut(&endpoint);
+        if let Some(own) = known
+            .and_then(|known| known.own.as_mut())
+            .filter(|_| is_own)
+        {
+            // An earlier process of this node told it; the next word has to be later.
+            own.version = own.version.max(version);
+            own.told = None;
+        }
+        let mut effects = vec![WatchEffect::LoadChanged];
+        effects.extend(self.judge(now, &endpoint));
+        effects
+    }
+
+    fn judge_all(&mut self, now: MonoTime) -> Vec<WatchEffect> {
+        let ids: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
+        ids.iter().flat_map(|id| self.judge(now, id)).collect()
+    }
+
+    /// Gives the watchers' words, taken together, to the endpoint's health.
+    fn judge(&mut self, now: MonoTime, id: &EndpointId) -> Vec<WatchEffect> {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return Vec::new();
+        };
+        let words = endpoint.heard.iter();
+        let words = words.filter_map(|id| Some(self.observations.get(id)?.condition));
+        let event = HealthEvent::from(merge_words(endpoint.listed.leaving, words));
+        self.step_health(now, id, event)
+    }
+
+    fn step_health(
+        &mut self,
+        now: MonoTime,
+        id: &EndpointId,
+        event: HealthEvent,
+    ) -> Vec<WatchEffect> {
+        let endpoint = self.endpoints.get_mut(id);
+        let changed = endpoint.is_some_and(|endpoint| endpoint.health.handle(now, event));
+        if changed {
+            vec![WatchEffect::ConditionChanged]
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Nodes, this one among them, that are heard on an endpoint.
+    pub fn is_watched_by(&self, endpoint: &EndpointId, node: &NodeId) -> bool {
+        let id = ObservationId::new(endpoint, node);
+        let known = self.endpoints.get(endpoint);
+        known.is_some_and(|known| known.heard.iter().take(WATCHERS).any(|heard| *heard == id))
+    }
+}
+
+/// One word for leaving is enough; for the rest the best word counts, because a
+/// watcher that is cut off gets no answer either.
+fn merge_words(
+    listed_leaving: bool,
+    words: impl Iterator<Item = ObservedCondition>,
+) -> ObservedCondition {
+    if listed_leaving {
+        return ObservedCondition::Leaving;
+    }
+    let words: Vec<ObservedCondition> = words.collect();
+    if words.contains(&ObservedCondition::Leaving) {
+        return ObservedCondition::Leaving;
+    }
+    let best = words.into_iter().min();
+    best.unwrap_or(ObservedCondition::Live)
+}
--- a/crates/decide/src/gossip/item.rs
+++ b/crates/decide/src/gossip/item.rs
@@ -47,6 +47,8 @@
     Endpoint(ObservationId),
     /// Accepted template of a workspace.
     Template(WorkspaceId),
+    /// Entry of the platform's list of VMs.
+    Vm(EndpointId),
     /// Evidence on a version move, as one node counted it.
     Evidence {
         /// Node that counted.
@@ -63,6 +65,7 @@
             Self::Node(id) => hash_parts(&[b"node", id.as_str().as_bytes()]),
             Self::Endpoint(id) => id.to_bits(),
             Self::Template(id) => hash_parts(&[b"template", id.as_str().as_bytes()]),
+            Self::Vm(id) => hash_parts(&[b"vm", id.as_str().as_bytes()]),
             Self::Evidence { origin, move_id } => hash_parts(&[
                 b"evidence",
                 origin.as_str().as_bytes(),
@@ -212,6 +215,8 @@
     Endpoint(EndpointSummary),
     /// Text of an accepted template.
     Template(Arc<str>),
+    /// Text of an entry of the list of VMs; `None` if it was taken off the list.
+    Vm(Option<Arc<str>>),
     /// Evidence on a version move, in its owner's encoding.
     Evidence(Arc<[u8]>),
 }
@@ -222,6 +227,8 @@
             Self::Node(record) => record.status as u64,
             Self::Endpoint(_) => 0,
             Self::Template(text) => xxh3_64(text.as_bytes()),
+            Self::Vm(None) => 0,
+            Self::Vm(Some(text)) => xxh3_64(text.as_bytes()),
             Self::Evidence(bytes) => xxh3_64(bytes),
         }
     }
--- a/crates/decide/src/gossip/item_map.rs
+++ b/crates/decide/src/gossip/item_map.rs
@@ -7,8 +7,8 @@
 /// Buckets of a digest.
 pub const DIGEST_BUCKETS: usize = 64;
 
-/// Hash of the items of each bucket; endpoint items are left out, because they
-/// change all the time and are announced again anyway.
+/// Hash of the items of each bucket. Loads of live endpoints are left out: they
+/// change all the time, and a new link carries them all.
 pub type Digest = [u64; DIGEST_BUCKETS];
 
 /// Position in the order of learning.
@@ -161,7 +161,7 @@
         self.entries.is_empty()
     }
 
-    /// Digest of everything but endpoint items.
+    /// Digest of everything but the loads of live endpoints.
     pub fn digest(&self) -> &Digest {
         &self.digest
     }
@@ -177,7 +177,7 @@
         if !differs.contains(&true) {
             return Vec::new();
         }
-        let items = self.items().filter(|item| is_digested(&item.key));
+        let items = self.items().filter(|item| item.lane() == Lane::Urgent);
         items
             .filter(|item| differs[bucket_of(&item.key)])
             .map(|item| (item.key.clone(), item.version))
@@ -226,16 +226,12 @@
     }
 
     fn toggle_digest(&mut self, item: &Item) {
-        if is_digested(&item.key) {
+        if item.lane() == Lane::Urgent {
             self.digest[bucket_of(&item.key)] ^= item.stable_hash();
         }
     }
 }
 
-fn is_digested(key: &ItemKey) -> bool {
-    !matches!(key, ItemKey::Endpoint(_))
-}
-
 fn bucket_of(key: &ItemKey) -> usize {
     key.stable_hash() as usize % DIGEST_BUCKETS
 }
--- a/crates/decide/src/gossip/mod.rs
+++ b/crates/decide/src/gossip/mod.rs
@@ -263,15 +263,25 @@
     fn take_items(&mut self, now: MonoTime, from: &NodeId, items: Vec<Item>) -> Vec<GossipEffect> {
         let slot = self.links.get(from).map(|link| link.slot);
         let mut effects = Vec::new();
+        let mut newer_here = Vec::new();
         for item in items {
-            if self.items.merge_from(item.clone(), slot) == Merged::Newer {
-                effects.push(GossipEffect::Learned(item));
+            match self.items.merge_from(item.clone(), slot) {
+                Merged::Newer => effects.push(GossipEffect::Learned(item)),
+                Merged::Same => {}
+                Merged::Older => newer_here.extend(self.correction(&item)),
             }
         }
+        effects.extend(send_items(from, newer_here));
         self.arm_urgent(now);
         effects
     }
 
+    /// Newer item than one that a link sent as urgent.
+    fn correction(&self, older: &Item) -> Option<Item> {
+        let newer = (older.lane() == Lane::Urgent).then(|| self.items.get(&older.key));
+        newer.flatten().cloned()
+    }
+
     fn answer_digest(&self, from: &NodeId, digest: &[u64]) -> Vec<GossipEffect> {
         if digest == self.items.digest() {
             return Vec::new();
@@ -297,10 +307,13 @@
             .map(|(key, version)| (key, *version))
             .collect();
         let own = self.items.differing(digest);
-        let newer_here = own
-            .iter()
-            .filter(|(key, version)| theirs.get(key).is_none_or(|their| their <= version));
-        let items = newer_here.filter_map(|(key, _)| self.items.get(key));
+        let missing_there = own.iter().filter(|(key, _)| !theirs.contains_key(key));
+        let newer_here = versions.iter().filter(|(key, version)| {
+            let own = self.items.get(key);
+            own.is_some_and(|own| own.version >= *version)
+        });
+        let keys = missing_there.chain(newer_here).map(|(key, _)| key);
+        let items = keys.filter_map(|key| self.items.get(key));
         let mut effects = send_items(from, items.cloned().collect());
         let wanted: Vec<ItemKey> = versions
             .iter()
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod admission;
 pub mod charts;
 pub mod configuration;
+pub mod endpoint_health;
 pub mod generation;
 pub mod gossip;
+pub mod membership;
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
--- /dev/null
+++ b/crates/decide/src/membership/mod.rs
@@ -0,0 +1,414 @@
+//! Membership: who may exist, who answers, and whom to link to.
+//!
+//! The platform's list says which nodes may exist; probes on the few links that
+//! a node opens say who answers. A node that misses probes is suspected first,
+//! and everyone is told; it refutes that with a higher version of its record,
+//! or is dead after a while. A node that stops says so itself.
+
+mod member;
+mod overlay;
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use parsleylatch_types::{Millis, MonoTime, NodeId};
+
+pub(crate) use member::verify_chart;
+pub use member::{MemberEvent, MemberState};
+pub use overlay::{Place, duty_holders, partners};
+
+use crate::gossip::{Item, ItemKey, ItemValue, ItemVersion, NodeRecord, NodeStatus};
+use member::MemberLife;
+
+/// Time between two probes of a partner.
+const PROBE_INTERVAL_MS: Millis = Millis::new(1_000);
+/// Time for a broken link to come back before its node is suspected.
+const RECONNECT_TIME_MS: Millis = Millis::new(300);
+/// Unanswered probes in a row after which a partner is suspected.
+const SUSPECT_AFTER_MISSED: u32 = 2;
+
+/// One node of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedNode {
+    /// Where it is.
+    pub place: Place,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Whether the platform is about to take it away.
+    pub leaving: bool,
+}
+
+/// What happens to the membership.
+#[derive(Clone, Debug)]
+pub enum MembershipInput {
+    /// Every other node that may exist.
+    Listed(Vec<ListedNode>),
+    /// A newer record of a node.
+    Learned {
+        /// Node.
+        node: NodeId,
+        /// Version of the record.
+        version: ItemVersion,
+        /// The record.
+        record: NodeRecord,
+    },
+    /// A partner answered a probe, or said anything else.
+    Answered(NodeId),
+    /// The link to a partner broke.
+    LinkLost(NodeId),
+    /// This node stops.
+    Leave,
+}
+
+/// What a node has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MembershipEffect {
+    /// Open a link.
+    Connect {
+        /// Node.
+        peer: NodeId,
+        /// Its address.
+        address: SocketAddr,
+        /// Whether the link crosses regions.
+        across: bool,
+    },
+    /// Close a link that was opened here.
+    Disconnect(NodeId),
+    /// Ask a partner for an answer.
+    Probe(NodeId),
+    /// Tell every node.
+    Publish(Item),
+    /// The members or their states are not what they were.
+    Changed,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    listed: ListedNode,
+    record: Option<(ItemVersion, NodeRecord)>,
+    life: MemberLife,
+}
+
+impl Member {
+    /// Address as the node itself says, or else the list.
+    fn peer_address(&self) -> SocketAddr {
+        let said = self.record.as_ref().map(|(_, record)| record.peer_address);
+        said.unwrap_or(self.listed.peer_address)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Partner {
+    address: SocketAddr,
+    probe_at: MonoTime,
+    missed: u32,
+}
+
+/// One other node, for the view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView<'membership> {
+    /// Where it is.
+    pub place: &'membership Place,
+    /// Address for other nodes.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Whether it answers and stays.
+    pub live: bool,
+}
+
+/// Membership as one node sees it.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Place,
+    own_version: ItemVersion,
+    own_record: NodeRecord,
+    members: BTreeMap<NodeId, Member>,
+    partners: BTreeMap<NodeId, Partner>,
+    /// Records of nodes that are not listed yet.
+    unlisted: BTreeMap<NodeId, (ItemVersion, NodeRecord)>,
+}
+
+impl Membership {
+    /// Membership of a node that knows no other; the item tells of it.
+    pub fn new(own: NodeId, version: ItemVersion, record: NodeRecord) -> (Self, Item) {
+        let membership = Self {
+            own: Place {
+                node: own,
+                failure_domain: record.failure_domain.clone(),
+                region: record.region.clone(),
+            },
+            own_version: version,
+            own_record: record,
+            members: BTreeMap::new(),
+            partners: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+        };
+        let item = membership.own_item();
+        (membership, item)
+    }
+
+    /// Where this node is.
+    pub fn own(&self) -> &Place {
+        &self.own
+    }
+
+    /// Every other listed node.
+    pub fn members(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.members.values().map(|member| MemberView {
+            place: &member.listed.place,
+            peer_address: member.peer_address(),
+            caller_address: member
+                .record
+                .as_ref()
+                .map_or(member.listed.caller_address, |(_, record)| {
+                    record.caller_address
+                }),
+            live: member.life.state() == MemberState::Alive && !member.listed.leaving,
+        })
+    }
+
+    /// This node and the others that answer and stay.
+    pub fn live_places(&self) -> impl Iterator<Item = &Place> {
+        let others = self.members().filter(|member| member.live);
+        std::iter::once(&self.own).chain(others.map(|member| member.place))
+    }
+
+    /// State of another node.
+    pub fn state(&self, node: &NodeId) -> Option<MemberState> {
+        self.members.get(node).map(|member| member.life.state())
+    }
+
+    /// Time at which [`Membership::expire`] has to be called.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        let suspicions = self
+            .members
+            .values()
+            .filter_map(|member| member.life.next_deadline());
+        let probes = self.partners.values().map(|partner| partner.probe_at);
+        suspicions.chain(probes).min()
+    }
+
+    /// Handles an input.
+    pub fn handle(&mut self, now: MonoTime, input: MembershipInput) -> Vec<MembershipEffect> {
+        match input {
+            MembershipInput::Listed(nodes) => self.take_list(now, nodes),
+            MembershipInput::Learned {
+                node,
+                version,
+                record,
+            } if node == self.own.node => self.refute(version, record.status),
+            MembershipInput::Learned {
+                node,
+                version,
+                record,
+            } => self.take_record(now, &node, version, record),
+            MembershipInput::Answered(peer) => {
+                if let Some(partner) = self.partners.get_mut(&peer) {
+                    partner.missed = 0;
+                }
+                Vec::new()
+            }
+            MembershipInput::LinkLost(peer) => {
+                if let Some(partner) = self.partners.get_mut(&peer) {
+                    partner.missed = partner.missed.max(SUSPECT_AFTER_MISSED);
+                    partner.probe_at = partner.probe_at.min(now + RECONNECT_TIME_MS);
+                }
+                Vec::new()
+            }
+            MembershipInput::Leave => {
+                self.own_record.status = NodeStatus::Leaving;
+                self.own_version = self.own_version.next();
+                vec![MembershipEffect::Publish(self.own_item())]
+            }
+        }
+    }
+
+    /// Handles deadlines that have passed.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<MembershipEffect> {
+        let mut effects = Vec::new();
+        for member in self.members.values_mut() {
+            if let Some(status) = member.life.expire(now) {
+                effects.push(announce(member, status));
+                effects.push(MembershipEffect::Changed);
+            }
+        }
+        self.probe_partners(now, &mut effects);
+        if !effects.is_empty() {
+            self.choose_partners(now, &mut effects);
+        }
+        effects
+    }
+
+    fn own_item(&self) -> Item {
+        Item {
+            key: ItemKey::Node(self.own.node.clone()),
+            version: self.own_version,
+            value: ItemValue::Node(self.own_record.clone()),
+        }
+    }
+
+    /// Says with a higher version what holds, if another node says otherwise.
+    fn refute(&mut self, version: ItemVersion, status: NodeStatus) -> Vec<MembershipEffect> {
+        if version < self.own_version || status == self.own_record.status {
+            return Vec::new();
+        }
+        self.own_version = version.max(self.own_version).next();
+        vec![MembershipEffect::Publish(self.own_item())]
+    }
+
+    fn take_list(&mut self, now: MonoTime, nodes: Vec<ListedNode>) -> Vec<MembershipEffect> {
+        let others = nodes
+            .into_iter()
+            .filter(|listed| listed.place.node != self.own.node);
+        let mut before = std::mem::take(&mut self.members);
+        let mut records = Vec::new();
+        for listed in others {
+            let node = listed.place.node.clone();
+            let member = match before.remove(&node) {
+                Some(known) => Member { listed, ..known },
+                None => {
+                    let record = self.unlisted.remove(&node);
+                    records.extend(record.map(|record| (node.clone(), record)));
+                    Member {
+                        listed,
+                        record: None,
+                        life: MemberLife::new(now),
+                    }
+                }
+            };
+            self.members.insert(node, member);
+        }
+        for (node, member) in before {
+            self.unlisted
+                .extend(member.record.map(|record| (node, record)));
+        }
+        let mut effects = vec![MembershipEffect::Changed];
+        for (node, (version, record)) in records {
+            effects.extend(self.take_record(now, &node, version, record));
+        }
+        self.choose_partners(now, &mut effects);
+        effects
+    }
+
+    fn take_record(
+        &mut self,
+        now: MonoTime,
+        node: &NodeId,
+        version: ItemVersion,
+        record: NodeRecord,
+    ) -> Vec<MembershipEffect> {
+        let Some(member) = self.members.get_mut(node) else {
+            self.unlisted.insert(node.clone(), (version, record));
+            return Vec::new();
+        };
+        let event = match record.status {
+            NodeStatus::Alive => MemberEvent::Refuted,
+            NodeStatus::Suspect => MemberEvent::Suspected,
+            NodeStatus::Dead => MemberEvent::DeclaredDead,
+            NodeStatus::Leaving => MemberEvent::Left,
+        };
+        member.record = Some((version, record));
+        let said = member.life.handle(now, event);
+        let mut effects = vec![MembershipEffect::Changed];
+        effects.extend(said.map(|status| announce(member, status)));
+        self.choose_partners(now, &mut effects);
+        effects
+    }
+
+    fn probe_partners(&mut self, now: MonoTime, effects: &mut Vec<MembershipEffect>) {
+        for (peer, partner) in &mut self.partners {
+            if partner.probe_at > now {
+                continue;
+            }
+            // A node that stood still itself has no reason to suspect others.
+            if now.since(partner.probe_at) > PROBE_INTERVAL_MS.micros() {
+                partner.missed = 0;
+            }
+            partner.probe_at = now + PROBE_INTERVAL_MS;
+            partner.missed += 1;
+            if partner.missed > SUSPECT_AFTER_MISSED {
+                let member = self.members.get_mut(peer);
+                effects.extend(member.and_then(|member| {
+                    let status = member.life.handle(now, MemberEvent::Unanswered)?;
+                    Some(announce(member, status))
+                }));
+                effects.push(MembershipEffect::Changed);
+            }
+            effects.push(MembershipEffect::Probe(peer.clone()));
+        }
+    }
+
+    /// Opens and closes links, so that they are those that the members ask for.
+    fn choose_partners(&mut self, now: MonoTime, effects: &mut Vec<MembershipEffect>) {
+        // Suspects keep their links, on which they can refute the suspicion.
+        let candidates: Vec<Place> = self
+            .members
+            .values()
+            .filter(|member| !member.listed.leaving)
+            .filter(|member| {
+                matches!(
+                    member.life.state(),
+                    MemberState::Alive | MemberState::Suspect
+                )
+            })
+            .map(|member| member.listed.place.clone())
+            .collect();
+        let wanted: BTreeMap<NodeId, SocketAddr> = partners(&self.own, &candidates)
+            .into_iter()
+            .filter_map(|node| {
+                let address = self.members.get(&node)?.peer_address();
+                Some((node, address))
+            })
+            .collect();
+        self.partners.retain(|peer, partner| {
+            let kept = wanted.get(peer) == Some(&partner.address);
+            if !kept {
+                effects.push(MembershipEffect::Disconnect(peer.clone()));
+            }
+            kept
+        });
+        for (peer, address) in wanted {
+            if self.partners.contains_key(&peer) {
+                continue;
+            }
+            let across = self
+                .members
+                .get(&peer)
+                .is_some_and(|member| member.listed.place.region != self.own.region);
+            let partner = Partner {
+                address,
+                probe_at: now + PROBE_INTERVAL_MS,
+                missed: 0,
+            };
+            self.partners.insert(peer.clone(), partner);
+            effects.push(MembershipEffect::Connect {
+                peer,
+                address,
+                across,
+            });
+        }
+    }
+}
+
+/// Tells every node of a state, under the version that the node itself said last.
+fn announce(member: &mut Member, status: NodeStatus) -> MembershipEffect {
+    let listed = &member.listed;
+    let (version, record) = member.record.get_or_insert_with(|| {
+        let record = NodeRecord {
+            status,
+            peer_address: listed.peer_address,
+            caller_address: listed.caller_address,
+            failure_domain: listed.place.failure_domain.clone(),
+            region: listed.place.region.clone(),
+        };
+        (ItemVersion::default(), record)
+    });
+    record.status = status;
+    MembershipEffect::Publish(Item {
+        key: ItemKey::Node(listed.place.node.clone()),
+        version: *version,
+        value: ItemValue::Node(record.clone()),
+    })
+}
