--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,7 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{endpoint_health, generation, membership, node_life};
+use crate::{configuration, endpoint_health, generation, membership, node_life, store_session};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -26,20 +26,24 @@
 }
 
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const CONFIGURATION: ChartSource = chart_source!("configuration");
 pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
 pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 6] = [
+pub const ALL: [ChartSource; 8] = [
     ATTEMPT,
+    CONFIGURATION,
     ENDPOINT_HEALTH,
     ENDPOINT_PROBE,
     GENERATION,
     MEMBER,
     NODE_LIFE,
+    STORE_SESSION,
 ];
 
 /// A machine that is compiled when it is first used.
@@ -70,8 +74,10 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    configuration::verify_chart()?;
     endpoint_health::verify_charts()?;
     generation::verify_charts()?;
     membership::verify_chart()?;
-    node_life::verify_chart()
+    node_life::verify_chart()?;
+    store_session::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,4 +20,6 @@
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
+pub mod store_session;
 pub mod view;
+pub mod vm_list;
--- /dev/null
+++ b/crates/decide/src/store_session.rs
@@ -0,0 +1,198 @@
+//! Calls to the key-value service: who makes them, how often, and what an
+//! outage changes.
+//!
+//! The service counts each call and each waiting watch, and grows more slowly
+//! than the fleet. So only a few nodes of each region hold a waiting watch; the
+//! others learn changes by gossip and list the templates at a slow pace.
+
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{Micros, Millis, MonoTime, Revision, Seed};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::{
+    charts::{self, LazyMachine},
+    membership::{Place, duty_holders},
+};
+
+chart_names! {
+    /// States of the dealings with the service.
+    pub enum SessionState {
+        /// The last call succeeded.
+        Connected,
+        /// The last calls failed.
+        Degraded,
+        /// Many calls in a row failed.
+        Out,
+    }
+}
+
+chart_names! {
+    /// Events of the dealings with the service.
+    pub enum SessionEvent {
+        /// A call succeeded.
+        Succeeded,
+        /// A call failed or got no answer.
+        Failed,
+    }
+}
+
+/// Failed calls in a row after which the service counts as out.
+const OUT_AFTER_FAILURES: u32 = 3;
+/// Shortest time between two calls; with it a node's calls have a limit.
+const CALL_INTERVAL_MS: Millis = Millis::new(250);
+/// Delay after the first failed call; doubles with each further one.
+const BACKOFF_START_MS: Millis = Millis::new(250);
+/// Longest delay of a node that has to know changes first, or knows nothing yet.
+const WATCH_BACKOFF_LIMIT_MS: Millis = Millis::new(2_000);
+/// Longest delay of a node that learns changes by gossip.
+const RECONCILE_BACKOFF_LIMIT_MS: Millis = Millis::new(30_000);
+/// Time between two listings of a node that learns changes by gossip.
+const RECONCILE_INTERVAL_MS: Millis = Millis::new(60_000);
+/// Nodes of a region that hold a waiting watch.
+const WATCHERS_PER_REGION: usize = 3;
+/// Name of the duty in the rendezvous.
+const WATCH_DUTY: &str = "templates";
+/// Parts of a delay, of which jitter adds or takes a quarter.
+const JITTER_PARTS: u64 = 1_000;
+
+static MACHINE: LazyMachine<SessionState, SessionEvent, u32> = LazyMachine::new(|| {
+    let bindings = Bindings::<u32>::new()
+        .guard("failed_often", |failures| {
+            *failures + 1 >= OUT_AFTER_FAILURES
+        })
+        .action("count_failure", |failures| {
+            *failures = failures.saturating_add(1);
+        })
+        .action("reset_failures", |failures| *failures = 0);
+    charts::compile(charts::STORE_SESSION, &bindings)
+});
+
+fn machine() -> &'static Machine<SessionState, SessionEvent, u32> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+/// How a node learns of changed templates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TemplateDuty {
+    /// Holds a waiting watch.
+    Watch,
+    /// Learns changes by gossip.
+    Reconcile,
+}
+
+/// Duty of a node among the live nodes of its region.
+pub fn template_duty<'places>(
+    own: &Place,
+    live: impl Iterator<Item = &'places Place>,
+) -> TemplateDuty {
+    let near = live.filter(|place| place.region == own.region);
+    if duty_holders(WATCH_DUTY, near, WATCHERS_PER_REGION).contains(&own) {
+        TemplateDuty::Watch
+    } else {
+        TemplateDuty::Reconcile
+    }
+}
+
+/// Next call to the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TemplateCall {
+    /// List every template.
+    List,
+    /// Wait for changes after a revision.
+    Watch(Revision),
+}
+
+/// Reads templates from the service.
+#[derive(Clone, Debug)]
+pub struct TemplateReader {
+    life: Instance<SessionState>,
+    failures: u32,
+    after: Option<Revision>,
+    ended_at: Option<MonoTime>,
+    started_at: MonoTime,
+    jitter: Pcg32,
+}
+
+impl TemplateReader {
+    /// Reader that has read nothing.
+    pub fn new(now: MonoTime, seed: Seed) -> Self {
+        let mut failures = 0;
+        Self {
+            life: machine().start(now, &mut failures),
+            failures,
+            after: None,
+            ended_at: None,
+            started_at: now,
+            jitter: Pcg32::seed_from_u64(seed.get()),
+        }
+    }
+
+    /// State of the dealings with the service.
+    pub fn state(&self) -> SessionState {
+        self.life.state()
+    }
+
+    /// Next call, and when to make it.
+    pub fn next_call(&mut self, duty: TemplateDuty) -> (MonoTime, TemplateCall) {
+        let call = match (self.after, duty) {
+            (Some(after), TemplateDuty::Watch) => TemplateCall::Watch(after),
+            _ => TemplateCall::List,
+        };
+        let Some(ended_at) = self.ended_at else {
+            return (self.started_at, call);
+        };
+        let waits_for_gossip = self.after.is_some() && duty == TemplateDuty::Reconcile;
+        let delay = match (self.state(), waits_for_gossip) {
+            (SessionState::Connected, false) => CALL_INTERVAL_MS.micros(),
+            (SessionState::Connected, true) => self.with_jitter(RECONCILE_INTERVAL_MS),
+            (_, false) => self.backoff(WATCH_BACKOFF_LIMIT_MS),
+            (_, true) => self.backoff(RECONCILE_BACKOFF_LIMIT_MS),
+        };
+        let at = match call {
+            // A watch that waited long has earned its successor already.
+            TemplateCall::Watch(_) if self.state() == SessionState::Connected => {
+                self.started_at + delay
+            }
+            _ => ended_at + delay,
+        };
+        (at, call)
+    }
+
+    /// Notes that a call starts.
+    pub fn call_started(&mut self, now: MonoTime) {
+        self.started_at = now;
+    }
+
+    /// Notes how a call ended; returns the new state if it changed.
+    pub fn call_ended(&mut self, now: MonoTime, read: Option<Revision>) -> Option<SessionState> {
+        self.ended_at = Some(now);
+        let before = self.state();
+        let event = match read {
+            Some(revision) => {
+                self.after = self.after.max(Some(revision));
+                SessionEvent::Succeeded
+            }
+            None => SessionEvent::Failed,
+        };
+        machine().step(&mut self.life, now, event, &mut self.failures);
+        (self.state() != before).then_some(self.state())
+    }
+
+    fn backoff(&mut self, limit: Millis) -> Micros {
+        let doublings = self.failures.saturating_sub(1).min(16);
+        let delay = BACKOFF_START_MS.get() << doublings;
+        self.with_jitter(Millis::new(delay).min(limit))
+    }
+
+    /// Between three and five quarters of a delay.
+    fn with_jitter(&mut self, delay: Millis) -> Micros {
+        let quarter = delay.micros().get() / 4;
+        let part = self.jitter.random_range(0..=2 * JITTER_PARTS);
+        Micros::new(3 * quarter + quarter * part / JITTER_PARTS)
+    }
+}
