Nodes share the watching of endpoints, store and VM list, and gossip the rest

The control thread opens links to a fixed number of partners, probes them and carries out the effects of membership, gossip and endpoint watching.

--- /dev/null
+++ b/crates/node/src/control/gossip.rs
@@ -0,0 +1,457 @@
+//! What the node knows of the other nodes and of the endpoints: carries out the
+//! effects of membership, gossip and endpoint watching.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use parsleylatch_decide::{
+    endpoint_health::{
+        EndpointLoad, EndpointWatch, ListedEndpoint, LoadAnswer, WatchEffect, WatchInput,
+    },
+    gossip::{
+        Gossip, GossipEffect, GossipInput, GossipSettings, Item, ItemKey, ItemValue, ItemVersion,
+        NodeRecord, NodeStatus,
+    },
+    membership::{ListedNode, Membership, MembershipEffect, MembershipInput, Place},
+    store_session::{TemplateDuty, template_duty},
+    view::EndpointCondition,
+    vm_list,
+};
+use parsleylatch_peer::{LinkEvent, Received};
+use parsleylatch_types::{
+    ByteCount, EndpointId, Micros, MonoTime, NodeId, Revision, UnixMillis, WorkspaceId,
+};
+use parsleylatch_wire::{
+    engine::LoadReport,
+    gossip::{Gossip as GossipBody, Probe, ProbeReply, gossip::Kind},
+    peer::peer_message::Body,
+    platform::{VmEntry, VmListReply, VmRole},
+};
+use tokio::sync::{mpsc, watch};
+
+use super::{
+    peer_links::{PeerLinks, Sent},
+    watchers::{WatchedEndpoint, WatchedEndpoints},
+};
+use crate::{gossip_codec, node::Addresses, shared::Shared, telemetry::Counter};
+
+/// A template that was learned.
+#[derive(Clone, Debug)]
+pub(crate) struct LearnedTemplate {
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) revision: Revision,
+    pub(crate) text: Arc<str>,
+}
+
+/// What changed since the last look.
+#[derive(Debug, Default)]
+pub(crate) struct Changes {
+    pub(crate) templates: Vec<LearnedTemplate>,
+    /// Conditions or members, which matter at once.
+    pub(crate) conditions: bool,
+    /// Loads, which may wait a little.
+    pub(crate) loads: bool,
+}
+
+/// What the watchers have to know of the fleet.
+pub(crate) struct Duties {
+    pub(crate) endpoints: watch::Sender<WatchedEndpoints>,
+    pub(crate) templates: watch::Sender<TemplateDuty>,
+    pub(crate) list_interval: watch::Sender<Micros>,
+}
+
+impl Duties {
+    fn new() -> Self {
+        Self {
+            endpoints: watch::Sender::new(WatchedEndpoints::new()),
+            templates: watch::Sender::new(TemplateDuty::Watch),
+            list_interval: watch::Sender::new(vm_list::read_interval(ByteCount::ZERO, 1)),
+        }
+    }
+}
+
+/// The other nodes and the endpoints.
+pub(crate) struct Cluster {
+    shared: Arc<Shared>,
+    gossip: Gossip,
+    membership: Membership,
+    endpoints: EndpointWatch,
+    links: PeerLinks,
+    vms: BTreeMap<EndpointId, VmEntry>,
+    list_bytes: ByteCount,
+    vms_changed: bool,
+    changes: Changes,
+    pub(crate) duties: Duties,
+}
+
+impl Cluster {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        addresses: Addresses,
+        events: mpsc::Sender<LinkEvent>,
+    ) -> Self {
+        let identity = &shared.identity;
+        let version = ItemVersion {
+            incarnation: identity.incarnation,
+            counter: 0,
+        };
+        let record = NodeRecord {
+            status: NodeStatus::Alive,
+            peer_address: addresses.peer,
+            caller_address: addresses.caller,
+            failure_domain: identity.failure_domain.clone(),
+            region: identity.region.clone(),
+        };
+        let (membership, item) = Membership::new(identity.node_id.clone(), version, record);
+        let mut cluster = Self {
+            gossip: Gossip::new(GossipSettings::default()),
+            endpoints: EndpointWatch::new(membership.own().clone(), version),
+            membership,
+            links: PeerLinks::new(identity.clone(), events),
+            vms: BTreeMap::new(),
+            list_bytes: ByteCount::ZERO,
+            vms_changed: false,
+            changes: Changes::default(),
+            duties: Duties::new(),
+            shared,
+        };
+        cluster.publish(item);
+        cluster
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
+        let deadlines = [
+            self.gossip.next_deadline(),
+            self.membership.next_deadline(),
+            self.endpoints.next_deadline(),
+        ];
+        deadlines.into_iter().flatten().min()
+    }
+
+    pub(crate) fn expire(&mut self) {
+        let now = self.now();
+        let effects = self.membership.expire(now);
+        self.carry_out_membership(effects);
+        let effects = self.endpoints.expire(now);
+        self.carry_out_watch(effects);
+        let effects = self.gossip.expire(now);
+        self.carry_out_gossip(effects);
+    }
+
+    /// What changed since the last call.
+    pub(crate) fn take_changes(&mut self) -> Changes {
+        if std::mem::take(&mut self.vms_changed) {
+            self.spread_list();
+        }
+        std::mem::take(&mut self.changes)
+    }
+
+    pub(crate) fn vms(&self) -> impl Iterator<Item = &VmEntry> {
+        self.vms.values()
+    }
+
+    pub(crate) fn has_vms(&self) -> bool {
+        !self.vms.is_empty()
+    }
+
+    pub(crate) fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    pub(crate) fn condition(&self, endpoint: &EndpointId) -> EndpointCondition {
+        self.endpoints.condition(endpoint)
+    }
+
+    pub(crate) fn load(&self, endpoint: &EndpointId) -> EndpointLoad {
+        self.endpoints.load(endpoint)
+    }
+
+    /// Tells every node that this one stops.
+    pub(crate) fn leave(&mut self) {
+        self.step_membership(MembershipInput::Leave);
+    }
+
+    /// Tells every node of an item.
+    pub(crate) fn publish(&mut self, item: Item) {
+        let now = self.now();
+        let effects = self.gossip.handle(now, GossipInput::Publish(item));
+        self.carry_out_gossip(effects);
+    }
+
+    pub(crate) fn take_list(&mut self, reply: &VmListReply, read_at: UnixMillis) {
+        let mut listed = BTreeMap::new();
+        for vm in &reply.vms {
+            if let Ok(text) = serde_json::to_string(vm) {
+                listed.insert(vm.id.clone(), Arc::from(text));
+            }
+        }
+        let bytes = listed.values().map(|text: &Arc<str>| text.len() as u64);
+        self.list_bytes = ByteCount::new(bytes.sum());
+        for item in vm_list::changes(self.gossip.items(), &listed, read_at) {
+            self.learn(item.clone());
+            self.publish(item);
+        }
+        self.share_duties();
+    }
+
+    pub(crate) fn take_template(&mut self, template: LearnedTemplate) {
+        let item = Item {
+            key: ItemKey::Template(template.workspace.clone()),
+            version: ItemVersion::of_revision(template.revision),
+            value: ItemValue::Template(Arc::clone(&template.text)),
+        };
+        self.changes.templates.push(template);
+        self.publish(item);
+    }
+
+    pub(crate) fn take_load(&mut self, endpoint: EndpointId, report: Option<LoadReport>) {
+        let answer = report.map(|report| LoadAnswer {
+            load: EndpointLoad {
+                running: report.running,
+                waiting: report.waiting,
+                capacity: report.capacity,
+            },
+            leaving: report.leaving,
+        });
+        self.step_watch(WatchInput::Load(endpoint, answer));
+    }
+
+    pub(crate) fn take_attempt(&mut self, endpoint: EndpointId, lost: bool) {
+        self.step_watch(WatchInput::Attempt(endpoint, lost));
+    }
+
+    pub(crate) fn take_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(identity) => self.link_up(identity.node_id, true),
+            LinkEvent::Down(peer) => {
+                self.link_down(&peer);
+                self.step_membership(MembershipInput::LinkLost(peer));
+            }
+            LinkEvent::Received(received) => self.take_message(*received),
+        }
+    }
+
+    /// Takes a message on a link of either side.
+    pub(crate) fn take_message(&mut self, received: Received) {
+        let Body::Gossip(message) = received.body else {
+            return;
+        };
+        let from = received.from.node_id;
+        if self.links.accept(&from, &received.reply) {
+            self.link_up(from.clone(), false);
+        }
+        self.step_membership(MembershipInput::Answered(from.clone()));
+        if let Some(Kind::Probe(_)) = message.kind {
+            self.send(&from, Kind::ProbeReply(ProbeReply {}));
+        }
+        if let Some(message) = gossip_codec::decode(message) {
+            let now = self.now();
+            let input = GossipInput::Message { from, message };
+            let effects = self.gossip.handle(now, input);
+            self.carry_out_gossip(effects);
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        self.shared.clock.now()
+    }
+
+    fn link_up(&mut self, peer: NodeId, opened_here: bool) {
+        let own_region = &self.membership.own().region;
+        let mut members = self.membership.members();
+        let across =
+            members.any(|member| member.place.node == peer && member.place.region != *own_region);
+        drop(members);
+        let input = GossipInput::LinkUp {
+            peer,
+            opened_here,
+            across,
+        };
+        let effects = self.gossip.handle(self.now(), input);
+        self.carry_out_gossip(effects);
+    }
+
+    fn link_down(&mut self, peer: &NodeId) {
+        let now = self.now();
+        self.gossip.handle(now, GossipInput::LinkDown(peer.clone()));
+    }
+
+    fn send(&mut self, to: &NodeId, kind: Kind) {
+        let message = GossipBody { kind: Some(kind) };
+        if self.links.send(to, message) == Sent::NoLink {
+            self.link_down(to);
+        }
+    }
+
+    fn step_membership(&mut self, input: MembershipInput) {
+        let now = self.now();
+        let effects = self.membership.handle(now, input);
+        self.carry_out_membership(effects);
+    }
+
+    fn step_watch(&mut self, input: WatchInput) {
+        let now = self.now();
+        let effects = self.endpoints.handle(now, input);
+        self.carry_out_watch(effects);
+    }
+
+    fn carry_out_gossip(&mut self, effects: Vec<GossipEffect>) {
+        for effect in effects {
+            match effect {
+                GossipEffect::Send { to, message } => {
+                    self.shared.counters.increment(Counter::GossipSent);
+                    if let Some(kind) = gossip_codec::encode(message).kind {
+                        self.send(&to, kind);
+                    }
+                }
+                GossipEffect::Learned(item) => self.learn(item),
+            }
+        }
+    }
+
+    /// Takes over what an item says.
+    fn learn(&mut self, item: Item) {
+        let version = item.version;
+        match (item.key, item.value) {
+            (ItemKey::Node(node), ItemValue::Node(record)) => {
+                self.step_membership(MembershipInput::Learned {
+                    node,
+                    version,
+                    record,
+                });
+            }
+            (ItemKey::Endpoint(id), ItemValue::Endpoint(summary)) => {
+                self.step_watch(WatchInput::Observed(id, version, summary));
+            }
+            (ItemKey::Template(workspace), ItemValue::Template(text)) => {
+                self.changes.templates.push(LearnedTemplate {
+                    workspace,
+                    revision: Revision::new(version.counter),
+                    text,
+                });
+            }
+            (ItemKey::Vm(id), ItemValue::Vm(text)) => self.learn_vm(id, text.as_deref()),
+            _ => {}
+        }
+    }
+
+    fn learn_vm(&mut self, id: EndpointId, text: Option<&str>) {
+        match text.map(serde_json::from_str::<VmEntry>) {
+            Some(Ok(vm)) => {
+                self.vms.insert(id, vm);
+            }
+            Some(Err(error)) => log::warn!("VM {id}: {error}"),
+            None => {
+                self.vms.remove(&id);
+            }
+        }
+        self.vms_changed = true;
+    }
+
+    /// Gives a changed list of VMs to those who work with it.
+    fn spread_list(&mut self) {
+        let nodes = self.vms.values().filter_map(listed_node).collect();
+        let endpoints = self.vms.values().filter_map(listed_endpoint).collect();
+        self.step_membership(MembershipInput::Listed(nodes));
+        self.step_watch(WatchInput::Listed(endpoints));
+        self.changes.conditions = true;
+    }
+
+    fn carry_out_membership(&mut self, effects: Vec<MembershipEffect>) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                MembershipEffect::Connect { peer, address, .. } => self.links.open(peer, address),
+                MembershipEffect::Disconnect(peer) => {
+                    self.links.close(&peer);
+                    self.link_down(&peer);
+                }
+                MembershipEffect::Probe(peer) => self.send(&peer, Kind::Probe(Probe {})),
+                MembershipEffect::Publish(item) => self.publish(item),
+                MembershipEffect::Changed => changed = true,
+            }
+        }
+        if changed {
+            self.changes.conditions = true;
+            let live = self.membership.live_places().cloned().collect();
+            self.step_watch(WatchInput::Members(live));
+            self.share_duties();
+        }
+    }
+
+    fn carry_out_watch(&mut self, effects: Vec<WatchEffect>) {
+        for effect in effects {
+            match effect {
+                WatchEffect::Watch(endpoints) => self.watch_endpoints(&endpoints),
+                WatchEffect::Publish(item) => self.publish(item),
+                WatchEffect::LoadChanged => self.changes.loads = true,
+                WatchEffect::ConditionChanged => self.changes.conditions = true,
+            }
+        }
+    }
+
+    fn watch_endpoints(&self, endpoints: &[(EndpointId, bool)]) {
+        let watched = endpoints.iter().filter_map(|(id, is_first)| {
+            let address: SocketAddr = self.vms.get(id)?.address;
+            Some(WatchedEndpoint {
+                id: id.clone(),
+                address,
+                is_first: *is_first,
+            })
+        });
+        self.duties.endpoints.send_replace(watched.collect());
+    }
+
+    /// Works out anew which duties this node has among those that live.
+    fn share_duties(&self) {
+        let own = self.membership.own();
+        let duty = template_duty(own, self.membership.live_places());
+        let near = self.membership.live_places();
+        let near = near.filter(|place| place.region == own.region).count();
+        set(&self.duties.templates, duty);
+        let interval = vm_list::read_interval(self.list_bytes, near);
+        set(&self.duties.list_interval, interval);
+    }
+}
+
+/// Wakes those that wait for a value only if it is another one.
+fn set<Value>(sender: &watch::Sender<Value>, value: Value)
+where
+    Value: PartialEq,
+{
+    sender.send_if_modified(|current| {
+        let changed = *current != value;
+        *current = value;
+        changed
+    });
+}
+
+fn listed_node(vm: &VmEntry) -> Option<ListedNode> {
+    let VmRole::Node { caller_address } = &vm.role else {
+        return None;
+    };
+    Some(ListedNode {
+        place: Place {
+            node: vm.id.as_str().parse().ok()?,
+            failure_domain: vm.failure_domain.clone(),
+            region: vm.region.clone(),
+        },
+        peer_address: vm.address,
+        caller_address: *caller_address,
+        leaving: vm.leaving,
+    })
+}
+
+fn listed_endpoint(vm: &VmEntry) -> Option<ListedEndpoint> {
+    let tells_load = match &vm.role {
+        VmRole::Node { .. } => return None,
+        VmRole::Engine { .. } => true,
+        VmRole::Service { .. } => false,
+    };
+    Some(ListedEndpoint {
+        id: vm.id.clone(),
+        failure_domain: vm.failure_domain.clone(),
+        region: vm.region.clone(),
+        tells_load,
+        leaving: vm.leaving,
+    })
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,6 +4,8 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+mod gossip;
+mod peer_links;
 mod state;
 mod watchers;
 
@@ -12,23 +14,27 @@
 use parsleylatch_decide::{generation::AttemptReport, node_life::NodeEvent};
 use parsleylatch_http::NodelayListener;
 use parsleylatch_peer::Received;
-use parsleylatch_types::EndpointId;
+use parsleylatch_types::{EndpointId, UnixMillis};
 use parsleylatch_wire::{
     engine::LoadReport,
     platform::{ListReply, VmListReply},
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::shared::Shared;
+use crate::{node::Addresses, shared::Shared};
+use gossip::Cluster;
 use state::ControlState;
 
+/// Events of links that may wait for the control thread.
+const LINK_EVENT_BUFFER: usize = 1_024;
+
 /// What the control thread learns.
 #[derive(Debug)]
 pub(crate) enum ControlInput {
     /// Templates that were written.
     Templates(ListReply),
-    /// The platform's list.
-    Vms(VmListReply),
+    /// The platform's list, and when the read started.
+    Vms(VmListReply, UnixMillis),
     /// Load of an engine; `None` if it did not answer.
     Load(EndpointId, Option<LoadReport>),
     /// What became of an attempt.
@@ -44,6 +50,7 @@
 /// Sockets that the control thread serves.
 pub(crate) struct Listeners {
     pub(crate) admin: Vec<TcpListener>,
+    pub(crate) addresses: Addresses,
 }
 
 /// Runs the control thread until the node has stopped.
@@ -53,12 +60,10 @@
     listeners: Listeners,
     ready: oneshot::Sender<()>,
 ) {
-    let mut state = ControlState::new(Arc::clone(&shared), ready);
-    let endpoints = state.watched_endpoints();
-    tokio::spawn(watchers::watch_templates(Arc::clone(&shared)));
-    tokio::spawn(watchers::watch_vms(Arc::clone(&shared)));
-    tokio::spawn(watchers::watch_loads(Arc::clone(&shared), endpoints));
-    tokio::spawn(watchers::report_counters(Arc::clone(&shared)));
+    let (events, mut link_events) = mpsc::channel(LINK_EVENT_BUFFER);
+    let cluster = Cluster::new(Arc::clone(&shared), listeners.addresses, events);
+    start_watchers(&shared, &cluster);
+    let mut state = ControlState::new(Arc::clone(&shared), cluster, ready);
     for listener in listeners.admin {
         match NodelayListener::from_std(listener) {
             Ok(listener) => {
@@ -73,6 +78,7 @@
     while !state.is_stopped() {
         tokio::select! {
             Some(input) = inputs.recv() => state.handle(input),
+            Some(event) = link_events.recv() => state.handle_link(event),
             () = shared.clock.sleep_until(state.next_deadline()) => state.expire(),
         }
         if shared.requests_in_flight() == 0 {
@@ -80,3 +86,20 @@
         }
     }
 }
+
+fn start_watchers(shared: &Arc<Shared>, cluster: &Cluster) {
+    let duties = &cluster.duties;
+    tokio::spawn(watchers::watch_templates(
+        Arc::clone(shared),
+        duties.templates.subscribe(),
+    ));
+    tokio::spawn(watchers::watch_vms(
+        Arc::clone(shared),
+        duties.list_interval.subscribe(),
+    ));
+    tokio::spawn(watchers::watch_loads(
+        Arc::clone(shared),
+        duties.endpoints.subscribe(),
+    ));
+    tokio::spawn(watchers::report_counters(Arc::clone(shared)));
+}
--- /dev/null
+++ b/crates/node/src/control/peer_links.rs
@@ -0,0 +1,77 @@
+//! Links of the control thread: those it opened, and the ways back on those
+//! that other nodes opened.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use parsleylatch_peer::{Identity, Link, LinkEvent, ReplySender, connect};
+use parsleylatch_types::NodeId;
+use parsleylatch_wire::{gossip::Gossip, peer::peer_message::Body};
+use tokio::sync::mpsc;
+
+/// What became of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sent {
+    /// It waits for its connection.
+    Queued,
+    /// There is no link to the node, or not any more.
+    NoLink,
+}
+
+pub(crate) struct PeerLinks {
+    own: Identity,
+    events: mpsc::Sender<LinkEvent>,
+    opened: BTreeMap<NodeId, Link>,
+    accepted: BTreeMap<NodeId, ReplySender>,
+}
+
+impl PeerLinks {
+    pub(crate) fn new(own: Identity, events: mpsc::Sender<LinkEvent>) -> Self {
+        Self {
+            own,
+            events,
+            opened: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn open(&mut self, peer: NodeId, address: SocketAddr) {
+        let link = connect(self.own.clone(), peer.clone(), address, self.events.clone());
+        self.opened.insert(peer, link);
+    }
+
+    pub(crate) fn close(&mut self, peer: &NodeId) {
+        self.opened.remove(peer);
+    }
+
+    pub(crate) fn is_opened_here(&self, peer: &NodeId) -> bool {
+        self.opened.contains_key(peer)
+    }
+
+    /// Keeps the way back on a link that another node opened; returns whether the
+    /// link is new.
+    pub(crate) fn accept(&mut self, peer: &NodeId, reply: &ReplySender) -> bool {
+        if self.is_opened_here(peer) {
+            return false;
+        }
+        let before = self.accepted.insert(peer.clone(), reply.clone());
+        before.is_none_or(|before| !before.is_same_link(reply))
+    }
+
+    /// Queues a message on the link to a node.
+    pub(crate) fn send(&mut self, to: &NodeId, message: Gossip) -> Sent {
+        let body = Body::Gossip(message);
+        if let Some(link) = self.opened.get(to) {
+            // A full queue is one that its connection has not taken up.
+            link.send(body);
+            return Sent::Queued;
+        }
+        let Some(reply) = self.accepted.get(to) else {
+            return Sent::NoLink;
+        };
+        if reply.send(body) {
+            return Sent::Queued;
+        }
+        self.accepted.remove(to);
+        Sent::NoLink
+    }
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,39 +1,35 @@
 //! State of the control thread, and the snapshots made from it.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use parsleylatch_decide::{
     configuration::{Applied, Configuration},
+    endpoint_health::EndpointLoad,
     generation::AttemptReport,
+    membership::MemberView,
     node_life::{NodeEffect, NodeEvent, NodeLife, NodeState},
     view::{EndpointCondition, EndpointKind, EndpointView, PeerView, Snapshot},
 };
+use parsleylatch_peer::LinkEvent;
 use parsleylatch_settings::{Document, Template};
-use parsleylatch_types::{EndpointId, MonoTime, RequestCount};
-use parsleylatch_wire::{
-    engine::LoadReport,
-    platform::{KeyValue, ListReply, VmEntry, VmListReply, VmRole},
-};
-use tokio::sync::{oneshot, watch};
+use parsleylatch_types::{EndpointId, Millis, MonoTime, RequestCount};
+use parsleylatch_wire::platform::{KeyValue, ListReply, VmEntry, VmRole};
+use tokio::sync::oneshot;
 
-use super::ControlInput;
+use super::{
+    ControlInput,
+    gossip::{Cluster, LearnedTemplate},
+    watchers::TEMPLATE_PREFIX,
+};
 use crate::{
     shared::{Shared, StopPhase},
     telemetry::Counter,
 };
 
-/// Engines whose load is to be read.
-pub(crate) type WatchedEndpoints = Vec<(EndpointId, SocketAddr)>;
-
-/// What an engine said of itself, and whether it still answers.
-#[derive(Clone, Copy, Debug, Default)]
-struct KnownLoad {
-    report: LoadReport,
-    unanswered: u32,
-}
-
-/// Unanswered load reports after which an endpoint is suspect.
-const SUSPECT_AFTER_UNANSWERED: u32 = 2;
+/// Longest time for which a changed load waits for others to share a snapshot.
+const LOAD_SNAPSHOT_DELAY_MS: Millis = Millis::new(100);
+/// Longest time for which a changed condition does.
+const CONDITION_SNAPSHOT_DELAY_MS: Millis = Millis::new(5);
 
 pub(crate) struct ControlState {
     shared: Arc<Shared>,
@@ -41,14 +37,14 @@
     ready: Option<oneshot::Sender<()>>,
     configuration: Configuration,
     has_templates: bool,
-    vms: Option<Vec<VmEntry>>,
-    loads: BTreeMap<EndpointId, KnownLoad>,
-    watched: watch::Sender<WatchedEndpoints>,
+    cluster: Cluster,
+    views: BTreeMap<EndpointId, Arc<EndpointView>>,
+    publish_at: Option<MonoTime>,
     accepting: bool,
 }
 
 impl ControlState {
-    pub(crate) fn new(shared: Arc<Shared>, ready: oneshot::Sender<()>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, cluster: Cluster, ready: oneshot::Sender<()>) -> Self {
         let life = NodeLife::new(shared.clock.now());
         Self {
             shared,
@@ -56,28 +52,35 @@
             ready: Some(ready),
             configuration: Configuration::new(),
             has_templates: false,
-            vms: None,
-            loads: BTreeMap::new(),
-            watched: watch::Sender::new(Vec::new()),
+            cluster,
+            views: BTreeMap::new(),
+            publish_at: None,
             accepting: false,
         }
     }
 
-    pub(crate) fn watched_endpoints(&self) -> watch::Receiver<WatchedEndpoints> {
-        self.watched.subscribe()
-    }
-
     pub(crate) fn is_stopped(&self) -> bool {
         self.life.state() == NodeState::Stopped
     }
 
     pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
-        self.life.next_deadline()
+        let deadlines = [
+            self.life.next_deadline(),
+            self.cluster.next_deadline(),
+            self.publish_at,
+        ];
+        deadlines.into_iter().flatten().min()
     }
 
     pub(crate) fn expire(&mut self) {
-        let effects = self.life.expire(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        let effects = self.life.expire(now);
         self.carry_out(effects);
+        self.cluster.expire();
+        self.take_changes();
+        if self.publish_at.is_some_and(|at| at <= now) {
+            self.publish();
+        }
     }
 
     pub(crate) fn step_life(&mut self, event: NodeEvent) {
@@ -88,83 +91,89 @@
     pub(crate) fn handle(&mut self, input: ControlInput) {
         match input {
             ControlInput::Templates(reply) => self.take_templates(reply),
-            ControlInput::Vms(reply) => self.take_vms(reply),
-            ControlInput::Load(endpoint, report) => self.take_load(endpoint, report),
-            ControlInput::Attempt(report) => self.take_attempt(&report),
-            ControlInput::Gossip(received) => {
-                log::debug!("gossip from {}", received.from.node_id);
-            }
+            ControlInput::Vms(reply, read_at) => self.cluster.take_list(&reply, read_at),
+            ControlInput::Load(endpoint, report) => self.cluster.take_load(endpoint, report),
+            ControlInput::Attempt(report) => self.take_attempt(report),
+            ControlInput::Gossip(received) => self.cluster.take_message(*received),
             ControlInput::Idle => {}
             ControlInput::StopRequested => self.step_life(NodeEvent::StopRequested),
         }
+        self.take_changes();
+    }
+
+    pub(crate) fn handle_link(&mut self, event: LinkEvent) {
+        self.cluster.take_link_event(event);
+        self.take_changes();
     }
 
     fn take_templates(&mut self, reply: ListReply) {
         for entry in reply.entries {
-            self.take_template(&entry);
+            match template_of(&entry) {
+                Some(template) => self.cluster.take_template(template),
+                None => log::warn!("{} names no workspace", entry.key),
+            }
         }
         self.has_templates = true;
-        self.publish();
-        self.check_configured();
     }
 
-    /// A template that can't be read leaves the last good one in force.
-    fn take_template(&mut self, entry: &KeyValue) {
-        match Template::read(&Document::new(&entry.key, &entry.value)) {
-            Ok(template) => {
-                if self.configuration.apply(template, entry.revision) == Applied::Newer {
-                    self.shared.counters.increment(Counter::TemplatesApplied);
-                    log::info!("{} is in force at revision {}", entry.key, entry.revision);
-                }
-            }
-            Err(error) => {
-                self.shared.counters.increment(Counter::TemplatesUnreadable);
-                log::error!("the last good template stays in force: {error}");
-            }
+    /// Takes over what the other nodes and the platform have told.
+    fn take_changes(&mut self) {
+        let changes = self.cluster.take_changes();
+        let mut configured = false;
+        for template in changes.templates {
+            configured |= self.take_template(&template);
         }
-    }
-
-    fn take_vms(&mut self, reply: VmListReply) {
-        if self.vms.as_ref() == Some(&reply.vms) {
-            return;
+        if changes.conditions || configured {
+            self.publish_within(CONDITION_SNAPSHOT_DELAY_MS);
+        }
+        if changes.loads {
+            self.publish_within(LOAD_SNAPSHOT_DELAY_MS);
+        }
+        if self.life.state() == NodeState::Starting {
+            self.check_configured();
         }
-        let engines = reply
-            .vms
-            .iter()
-            .filter(|vm| matches!(vm.role, VmRole::Engine { .. }));
-        let watched: WatchedEndpoints = engines.map(|vm| (vm.id.clone(), vm.address)).collect();
-        self.watched.send_if_modified(|current| {
-            let changed = *current != watched;
-            *current = watched;
-            changed
-        });
-        self.vms = Some(reply.vms);
-        self.publish();
-        self.check_configured();
     }
 
-    fn take_load(&mut self, endpoint: EndpointId, report: Option<LoadReport>) {
-        let known = self.loads.entry(endpoint).or_default();
-        match report {
-            Some(report) => {
-                *known = KnownLoad {
-                    report,
-                    unanswered: 0,
-                }
+    /// A template that can't be read leaves the last good one in force.
+    fn take_template(&mut self, template: &LearnedTemplate) -> bool {
+        let id = &template.workspace;
+        let revision = template.revision;
+        if self.configuration.newest(id) >= Some(revision) {
+            return false;
+        }
+        let read = Template::read(&Document::new(
+            &format!("{TEMPLATE_PREFIX}{id}"),
+            &template.text,
+        ));
+        if let Err(error) = &read {
+            log::error!("revision {revision} is not in force: {error}");
+        }
+        let now = self.shared.clock.now();
+        match self.configuration.take(now, id, revision, read) {
+            Applied::Newer => {
+                self.has_templates = true;
+                self.shared.counters.increment(Counter::TemplatesApplied);
+                log::info!("template of {id} is in force at revision {revision}");
+                true
             }
-            None => known.unanswered += 1,
+            Applied::Unreadable => {
+                self.shared.counters.increment(Counter::TemplatesUnreadable);
+                false
+            }
+            Applied::NotNewer => false,
         }
-        self.publish();
     }
 
-    fn take_attempt(&mut self, report: &AttemptReport) {
+    fn take_attempt(&mut self, report: AttemptReport) {
         if let Some(fault) = report.fault {
             log::debug!("attempt lost at {}: {fault}", report.endpoint);
         }
+        let lost = report.fault.is_some();
+        self.cluster.take_attempt(report.endpoint, lost);
     }
 
     fn check_configured(&mut self) {
-        if self.has_templates && self.vms.is_some() {
+        if self.has_templates && self.cluster.has_vms() {
             self.step_life(NodeEvent::Configured);
         }
     }
@@ -175,6 +184,7 @@
             match effect {
                 NodeEffect::AnnounceReady => self.announce_ready(),
                 NodeEffect::AnnounceNotReady => {
+                    self.cluster.leave();
                     self.shared
                         .ready
                         .store(false, std::sync::atomic::Ordering::Release);
@@ -202,67 +212,107 @@
         }
     }
 
-    fn publish(&self) {
-        let vms = self.vms.as_deref().unwrap_or_default();
+    /// Publishes a snapshot soon, so that several changes share it.
+    fn publish_within(&mut self, delay: Millis) {
+        let at = self.shared.clock.now() + delay;
+        self.publish_at = Some(self.publish_at.map_or(at, |before| before.min(at)));
+    }
+
+    fn publish(&mut self) {
+        self.publish_at = None;
+        self.refresh_views();
         let snapshot = Snapshot {
             workspaces: self.configuration.by_key(),
-            endpoints: vms
-                .iter()
-                .filter_map(|vm| self.endpoint_view(vm))
-                .map(Arc::new)
-                .collect(),
-            peers: vms.iter().filter_map(|vm| self.peer_view(vm)).collect(),
+            endpoints: self.views.values().cloned().collect(),
+            peers: self.cluster.membership().members().map(peer_view).collect(),
             accepting: self.accepting,
         };
+        self.shared.counters.increment(Counter::SnapshotsPublished);
         self.shared.snapshot.store(Arc::new(snapshot));
     }
 
-    fn endpoint_view(&self, vm: &VmEntry) -> Option<EndpointView> {
-        let kind = match &vm.role {
-            VmRole::Node { .. } => return None,
-            VmRole::Engine {
-                model,
-                endpoint_version,
-            } => EndpointKind::Engine {
-                model: model.clone(),
-                version: endpoint_version.clone(),
-            },
-            VmRole::Service { service } => EndpointKind::Service {
-                service: service.clone(),
-            },
-        };
-        let load = self.loads.get(&vm.id).copied().unwrap_or_default();
-        let condition = match () {
-            () if vm.leaving || load.report.leaving => EndpointCondition::Leaving,
-            () if load.unanswered >= SUSPECT_AFTER_UNANSWERED => EndpointCondition::Suspect,
-            () => EndpointCondition::Live,
-        };
-        Some(EndpointView {
-            id: vm.id.clone(),
-            address: vm.address,
-            kind,
-            failure_domain: vm.failure_domain.clone(),
-            region: vm.region.clone(),
-            condition,
-            reported_running: load.report.running,
-            reported_waiting: load.report.waiting,
-            capacity: load.report.capacity.max(RequestCount::new(1)),
-            pace_us: None,
-        })
+    /// Makes the views of endpoints that are not what they were.
+    fn refresh_views(&mut self) {
+        let mut before = std::mem::take(&mut self.views);
+        for vm in self.cluster.vms() {
+            let condition = self.cluster.condition(&vm.id);
+            let load = self.cluster.load(&vm.id);
+            let known = before
+                .remove(&vm.id)
+                .filter(|view| is_current(view, vm, condition, load));
+            let view = known.or_else(|| endpoint_view(vm, condition, load).map(Arc::new));
+            if let Some(view) = view {
+                self.views.insert(vm.id.clone(), view);
+            }
+        }
     }
+}
 
-    fn peer_view(&self, vm: &VmEntry) -> Option<PeerView> {
-        let VmRole::Node { caller_address } = &vm.role else {
-            return None;
-        };
-        let id = vm.id.as_str().parse().ok()?;
-        (id != self.shared.settings.node_id).then(|| PeerView {
-            id,
-            peer_address: vm.address,
-            caller_address: Some(*caller_address),
-            failure_domain: vm.failure_domain.clone(),
-            region: vm.region.clone(),
-            live: !vm.leaving,
-        })
+fn template_of(entry: &KeyValue) -> Option<LearnedTemplate> {
+    let workspace = entry.key.strip_prefix(TEMPLATE_PREFIX)?;
+    Some(LearnedTemplate {
+        workspace: workspace.parse().ok()?,
+        revision: entry.revision,
+        text: entry.value.as_str().into(),
+    })
+}
+
+fn endpoint_kind(role: &VmRole) -> Option<EndpointKind> {
+    match role {
+        VmRole::Node { .. } => None,
+        VmRole::Engine {
+            model,
+            endpoint_version,
+        } => Some(EndpointKind::Engine {
+            model: model.clone(),
+            version: endpoint_version.clone(),
+        }),
+        VmRole::Service { service } => Some(EndpointKind::Service {
+            service: service.clone(),
+        }),
+    }
+}
+
+fn is_current(
+    view: &EndpointView,
+    vm: &VmEntry,
+    condition: EndpointCondition,
+    load: EndpointLoad,
+) -> bool {
+    view.condition == condition
+        && view.reported_running == load.running
+        && view.reported_waiting == load.waiting
+        && view.capacity == load.capacity.max(RequestCount::new(1))
+        && view.address == vm.address
+        && endpoint_kind(&vm.role).as_ref() == Some(&view.kind)
+}
+
+fn endpoint_view(
+    vm: &VmEntry,
+    condition: EndpointCondition,
+    load: EndpointLoad,
+) -> Option<EndpointView> {
+    Some(EndpointView {
+        id: vm.id.clone(),
+        address: vm.address,
+        kind: endpoint_kind(&vm.role)?,
+        failure_domain: vm.failure_domain.clone(),
+        region: vm.region.clone(),
+        condition,
+        reported_running: load.running,
+        reported_waiting: load.waiting,
+        capacity: load.capacity.max(RequestCount::new(1)),
+        pace_us: None,
+    })
+}
+
+fn peer_view(member: MemberView<'_>) -> PeerView {
+    PeerView {
+        id: member.place.node.clone(),
+        peer_address: member.peer_address,
+        caller_address: Some(member.caller_address),
+        failure_domain: member.place.failure_domain.clone(),
+        region: member.place.region.clone(),
+        live: member.live,
     }
 }
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -1,104 +1,163 @@
 //! Tasks of the control thread that wait for the platform and the endpoints.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
-use futures::future::join_all;
+use futures::{StreamExt, stream::FuturesUnordered};
+use parsleylatch_decide::store_session::{
+    SessionState, TemplateCall, TemplateDuty, TemplateReader,
+};
 use parsleylatch_endpoint::EngineClient;
 use parsleylatch_store::{StoreClient, StoreError, VmListClient};
-use parsleylatch_types::{Millis, Revision};
+use parsleylatch_types::{EndpointId, Micros, Millis, Seed};
+use parsleylatch_wire::platform::ListReply;
 use tokio::{
     sync::watch,
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{ControlInput, state::WatchedEndpoints};
+use super::ControlInput;
 use crate::{
+    clock::Clock,
     shared::Shared,
     telemetry::{Counter, StatsdReporter},
 };
 
 /// Prefix of the keys of accepted templates.
-const TEMPLATE_PREFIX: &str = "templates/";
+pub(crate) const TEMPLATE_PREFIX: &str = "templates/";
 /// Longest wait of one watch call.
 const WATCH_WAIT_MS: Millis = Millis::new(30_000);
-/// Delay after a failed call to the store.
-const STORE_RETRY_DELAY_MS: Millis = Millis::new(500);
-/// Time between two reads of the VM list.
-const VM_LIST_INTERVAL_MS: Millis = Millis::new(500);
-/// Time between two load reports of an engine.
+/// Delay after a failed read of the VM list.
+const LIST_RETRY_DELAY_MS: Millis = Millis::new(500);
+/// Shortest time between two load reports of an engine.
 const LOAD_INTERVAL_MS: Millis = Millis::new(500);
+/// Load reports that a node asks for a second.
+const LOADS_PER_SECOND: u64 = 12;
 /// Time between two reports of the counters.
 const COUNTERS_INTERVAL_MS: Millis = Millis::new(1_000);
 
-/// Lists the templates, then waits for changes.
-pub(crate) async fn watch_templates(shared: Arc<Shared>) {
+/// An engine whose load is to be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WatchedEndpoint {
+    pub(crate) id: EndpointId,
+    pub(crate) address: SocketAddr,
+    /// Whether this node is its first watcher; the others ask half as often.
+    pub(crate) is_first: bool,
+}
+
+/// Engines whose load is to be read.
+pub(crate) type WatchedEndpoints = Vec<WatchedEndpoint>;
+
+/// Lists the templates, then waits for changes, as the node's duty asks.
+pub(crate) async fn watch_templates(shared: Arc<Shared>, mut duty: watch::Receiver<TemplateDuty>) {
     let store = StoreClient::new(shared.settings.store_address);
-    let mut after = Revision::ZERO;
+    let seed = Seed::new(shared.identity.incarnation.get());
+    let mut reader = TemplateReader::new(shared.clock.now(), seed);
     loop {
+        let current = *duty.borrow_and_update();
+        let (at, call) = reader.next_call(current);
+        tokio::select! {
+            () = shared.clock.sleep_until(Some(at)) => {}
+            Ok(()) = duty.changed() => continue,
+        }
+        reader.call_started(shared.clock.now());
         shared.counters.increment(Counter::StoreCalls);
-        let reply = match after {
-            Revision::ZERO => store.list(TEMPLATE_PREFIX).await,
-            after => store.watch(TEMPLATE_PREFIX, after, WATCH_WAIT_MS).await,
+        let reply = match call {
+            TemplateCall::List => store.list(TEMPLATE_PREFIX).await,
+            TemplateCall::Watch(after) => store.watch(TEMPLATE_PREFIX, after, WATCH_WAIT_MS).await,
         };
-        match reply {
-            Ok(reply) => {
-                after = reply.revision.max(Revision::new(1));
-                if shared
-                    .control
-                    .send(ControlInput::Templates(reply))
-                    .await
-                    .is_err()
-                {
-                    return;
-                }
-            }
-            Err(error) => note_failure(&shared, &error).await,
+        note_state(&shared, &mut reader, &reply);
+        if let Ok(reply) = reply
+            && shared
+                .control
+                .send(ControlInput::Templates(reply))
+                .await
+                .is_err()
+        {
+            return;
         }
     }
 }
 
-async fn note_failure(shared: &Shared, error: &StoreError) {
-    shared.counters.increment(Counter::StoreCallsFailed);
-    log::debug!("{error}");
-    sleep(STORE_RETRY_DELAY_MS.duration()).await;
+fn note_state(shared: &Shared, reader: &mut TemplateReader, reply: &Result<ListReply, StoreError>) {
+    if let Err(error) = reply {
+        shared.counters.increment(Counter::StoreCallsFailed);
+        log::debug!("{error}");
+    }
+    let revision = reply.as_ref().ok().map(|reply| reply.revision);
+    match reader.call_ended(shared.clock.now(), revision) {
+        Some(SessionState::Out) => log::warn!("the store is out"),
+        Some(state) => log::info!("store session: {state}"),
+        None => {}
+    }
 }
 
-/// Reads the list of VMs again and again.
-pub(crate) async fn watch_vms(shared: Arc<Shared>) {
+/// Reads the list of VMs at the pace that the node's share asks for.
+pub(crate) async fn watch_vms(shared: Arc<Shared>, mut interval: watch::Receiver<Micros>) {
     let client = VmListClient::new(shared.settings.vm_list_address);
     loop {
-        let next = Instant::now() + VM_LIST_INTERVAL_MS.duration();
+        let started = Instant::now();
+        let read_at = Clock::unix_now();
+        shared.counters.increment(Counter::VmListCalls);
         match client.list().await {
             Ok(reply) => {
-                if shared.control.send(ControlInput::Vms(reply)).await.is_err() {
+                let input = ControlInput::Vms(reply, read_at);
+                if shared.control.send(input).await.is_err() {
                     return;
                 }
             }
-            Err(error) => log::debug!("{error}"),
+            Err(error) => {
+                log::debug!("{error}");
+                sleep(LIST_RETRY_DELAY_MS.duration()).await;
+            }
+        }
+        loop {
+            let pause = interval.borrow_and_update().duration();
+            tokio::select! {
+                () = sleep_until(started + pause) => break,
+                Ok(()) = interval.changed() => {}
+            }
         }
-        sleep_until(next).await;
     }
 }
 
 /// Reads the load of every watched engine again and again.
 pub(crate) async fn watch_loads(shared: Arc<Shared>, endpoints: watch::Receiver<WatchedEndpoints>) {
     let client = EngineClient::new();
+    let mut is_even_round = true;
     loop {
-        let next = Instant::now() + LOAD_INTERVAL_MS.duration();
+        let started = Instant::now();
         let watched = endpoints.borrow().clone();
-        let reports = watched.into_iter().map(|(id, address)| {
-            let client = &client;
-            async move { ControlInput::Load(id, client.load(address).await.ok()) }
-        });
-        for report in join_all(reports).await {
+        let interval = load_interval(&watched);
+        let asked = watched
+            .into_iter()
+            .filter(|endpoint| endpoint.is_first || is_even_round);
+        let mut reports: FuturesUnordered<_> = asked
+            .map(|endpoint| {
+                let client = &client;
+                async move {
+                    let report = client.load(endpoint.address).await.ok();
+                    ControlInput::Load(endpoint.id, report)
+                }
+            })
+            .collect();
+        while let Some(report) = reports.next().await {
             if shared.control.send(report).await.is_err() {
                 return;
             }
         }
-        sleep_until(next).await;
+        is_even_round = !is_even_round;
+        sleep_until(started + interval.duration()).await;
     }
 }
 
+/// Time between two rounds, so that the requests stay within their rate.
+fn load_interval(watched: &[WatchedEndpoint]) -> Millis {
+    let first = watched.iter().filter(|endpoint| endpoint.is_first).count();
+    let asked_twice = (watched.len() + first) as u64;
+    let affordable = asked_twice * 1_000 / (2 * LOADS_PER_SECOND);
+    LOAD_INTERVAL_MS.max(Millis::new(affordable))
+}
+
 /// Sends the counters to the StatsD address, if there is one.
 pub(crate) async fn report_counters(shared: Arc<Shared>) {
     let Some(address) = shared.settings.statsd_address else {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod args;
 mod clock;
 mod control;
+pub mod gossip_codec;
 mod node;
 mod peering;
 mod shared;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -55,6 +55,11 @@
         let (caller, caller_listeners) = bind(settings.caller_address, threads, "caller_address")?;
         let (admin, admin_listeners) = bind(settings.admin_address, 1, "admin_address")?;
         let (peer, peer_listeners) = bind(settings.peer_address, 1, "peer_address")?;
+        let addresses = Addresses {
+            caller,
+            admin,
+            peer,
+        };
         let (sender, inputs) = mpsc::channel(CONTROL_BUFFER);
         let shared = Arc::new(Shared::new(settings, sender));
         let (ready, is_ready) = oneshot::channel();
@@ -63,6 +68,7 @@
             move |runtime| {
                 let listeners = control::Listeners {
                     admin: admin_listeners,
+                    addresses,
                 };
                 runtime.block_on(control::run(shared, inputs, listeners, ready));
             }
@@ -88,11 +94,6 @@
         is_ready
             .blocking_recv()
             .map_err(|_| eyre!("the control thread ended while starting"))?;
-        let addresses = Addresses {
-            caller,
-            admin,
-            peer,
-        };
         Ok(Self {
             addresses,
             shared,
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -45,6 +45,12 @@
     ReportsDropped,
     /// Gossip that found the control thread's channel full.
     GossipDropped,
+    /// Messages of gossip that were sent.
+    GossipSent,
+    /// Snapshots that were published to the traffic threads.
+    SnapshotsPublished,
+    /// Reads of the list of VMs.
+    VmListCalls,
     /// Calls to the store.
     StoreCalls,
     /// Calls to the store that failed.
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -66,6 +66,11 @@
     pub fn send(&self, body: Body) -> bool {
         self.0.try_send(PeerMessage { body: Some(body) }).is_ok()
     }
+
+    /// Whether both send on the same connection.
+    pub fn is_same_link(&self, other: &Self) -> bool {
+        self.0.same_channel(&other.0)
+    }
 }
 
 /// A message from another node.
