--- a/crates/node/src/control/admin.rs
+++ b/crates/node/src/control/admin.rs
@@ -1,6 +1,9 @@
 //! Routes of the administration address.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+};
 
 use parsleylatch_decide::view::{EndpointKind, Snapshot};
 use parsleylatch_settings::{KeyDigest, Role};
@@ -18,6 +21,7 @@
         .get("/admin/v1/nodes", nodes)
         .get("/admin/v1/endpoints", endpoints)
         .get("/admin/v1/counters", counters)
+        .get("/admin/v1/revisions", revisions)
         .post("/admin/v1/drain", drain)
         .with(State::new(shared))
 }
@@ -120,6 +124,17 @@
     json_response(&shared.counters.snapshot())
 }
 
+/// Revision in force of each workspace's template.
+async fn revisions(request: Request) -> Result<Response> {
+    let shared = authorize(&request, Role::Read)?;
+    let snapshot = shared.snapshot.load();
+    let views = snapshot.workspaces.values();
+    let revisions: BTreeMap<_, _> = views
+        .map(|view| (&view.template.workspace, view.revision))
+        .collect();
+    json_response(&revisions)
+}
+
 async fn drain(request: Request) -> Result<Response> {
     let shared = authorize(&request, Role::Accept)?;
     let sent = shared.control.send(ControlInput::StopRequested).await;
--- /dev/null
+++ b/tests/process/configuration.rs
@@ -0,0 +1,285 @@
+//! Accepted templates are in force on every node, and never go back.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufRead as _, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use parsleylatch::{
+    standin::{FaultOrder, StoreFault},
+    store::{Condition, StoreClient},
+    types::Revision,
+};
+
+use crate::harness::{Running, Shape, signal};
+
+/// Longest time until an accepted template is in force on every node.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time between two looks at a node.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+const KEY: &str = "templates/local-paying";
+
+fn fleet(nodes: usize) -> Shape<'static> {
+    Shape {
+        nodes,
+        engines: 1,
+        services: 0,
+        options: &["--pace-ms", "5"],
+    }
+}
+
+/// A node that the test started itself; killed when dropped.
+struct Replacement {
+    child: Child,
+    admin: SocketAddr,
+}
+
+impl Replacement {
+    /// Starts the node with the settings of one that was killed.
+    fn start(running: &Running, number: usize) -> Self {
+        let settings = running.dir.join(format!("node-{number}.jsonc"));
+        let mut child = Command::new(env!("CARGO_BIN_EXE_parsleylatch-node"))
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the node starts");
+        let (sender, line) = std::sync::mpsc::channel();
+        let stdout = child.stdout.take().expect("piped");
+        std::thread::spawn(move || {
+            let mut text = String::new();
+            let _ = BufReader::new(stdout).read_line(&mut text);
+            let _ = sender.send(text);
+        });
+        let line = line.recv_timeout(IN_FORCE_TIMEOUT);
+        let admin = line.ok().and_then(|line| admin_address(&line));
+        if admin.is_none() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        Self {
+            child,
+            admin: admin.expect("the node becomes ready"),
+        }
+    }
+}
+
+impl Drop for Replacement {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn admin_address(ready: &str) -> Option<SocketAddr> {
+    let mut words = ready.split_whitespace();
+    let word = words.find_map(|word| word.strip_prefix("admin="));
+    word?.parse().ok()
+}
+
+async fn fault(running: &Running, fault: StoreFault) {
+    let order = FaultOrder {
+        fault,
+        at_index: None,
+        delay_ms: None,
+    };
+    running
+        .post(running.fleet.store.control, "/fault", &order)
+        .await;
+}
+
+/// Accepts a new revision of the template; the weight tells it apart.
+async fn accept(running: &Running, weight: u32) -> Revision {
+    let store = StoreClient::new(running.fleet.store.address);
+    let entry = store.read(KEY).await.unwrap().expect("the template exists");
+    let value = with_weight(&entry.value, weight);
+    let reply = store
+        .write(KEY, value, Condition::At(entry.revision), None)
+        .await;
+    let reply = reply.expect("the store answers");
+    assert!(reply.written);
+    reply.entry.expect("written").revision
+}
+
+fn with_weight(text: &str, weight: u32) -> String {
+    let mut lines: Vec<&str> = text
+        .lines()
+        .filter(|line| !line.contains("\"weight\""))
+        .collect();
+    let line = format!("  \"weight\": {weight},");
+    let first = lines.iter().position(|line| line.contains('{')).unwrap() + 1;
+    lines.insert(first, &line);
+    lines.join("\n")
+}
+
+async fn revision_at(running: &Running, admin: SocketAddr) -> Revision {
+    let templates = running.get(admin, "/admin/v1/revisions").await;
+    Revision::new(templates["local-paying"].as_u64().unwrap_or_default())
+}
+
+/// Waits until the revision is in force at the nodes; returns the longest time.
+async fn await_in_force(running: &Running, admins: &[SocketAddr], revision: Revision) -> Duration {
+    let started = Instant::now();
+    for admin in admins {
+        let mut seen = Revision::ZERO;
+        while seen < revision {
+            let now = revision_at(running, *admin).await;
+            assert!(now >= seen, "{admin} went back from {seen} to {now}");
+            seen = now;
+            assert!(
+                started.elapsed() < IN_FORCE_TIMEOUT,
+                "{admin} has revision {seen} in force and not {revision}"
+            );
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+    started.elapsed()
+}
+
+fn admins(running: &Running) -> Vec<SocketAddr> {
+    running.fleet.nodes.iter().map(|node| node.admin).collect()
+}
+
+#[tokio::test]
+async fn accept_store_up() {
+    let running = Running::start(fleet(3)).await;
+    let revision = accept(&running, 2).await;
+    let time = await_in_force(&running, &admins(&running), revision).await;
+    println!("in force on 3 nodes after {time:?}");
+}
+
+#[tokio::test]
+async fn accept_store_out_then_new_node() {
+    let running = Running::start(fleet(3)).await;
+    let revision = accept(&running, 3).await;
+    await_in_force(&running, &admins(&running)[..1], revision).await;
+    fault(&running, StoreFault::Outage).await;
+    signal(running.fleet.nodes[2].pid, "KILL");
+    let replacement = Replacement::start(&running, 3);
+    let mut admins = admins(&running);
+    admins[2] = replacement.admin;
+    let time = await_in_force(&running, &admins, revision).await;
+    println!("in force on 3 nodes, one of them new, after {time:?}");
+    fault(&running, StoreFault::None).await;
+    let next = accept(&running, 4).await;
+    await_in_force(&running, &admins, next).await;
+}
+
+#[tokio::test]
+async fn accept_watchers_killed() {
+    let running = Running::start(fleet(9)).await;
+    // All nodes but two of one region die before the write; somebody has to take
+    // up the watch.
+    for node in &running.fleet.nodes[2..] {
+        signal(node.pid, "KILL");
+    }
+    let revision = accept(&running, 5).await;
+    let time = await_in_force(&running, &admins(&running)[..2], revision).await;
+    println!("in force on the 2 nodes left of 9 after {time:?}");
+}
+
+#[tokio::test]
+async fn accept_unreadable_document() {
+    let running = Running::start(fleet(1)).await;
+    let before = revision_at(&running, running.fleet.nodes[0].admin).await;
+    let store = StoreClient::new(running.fleet.store.address);
+    let entry = store.read(KEY).await.unwrap().unwrap();
+    let condition = Condition::At(entry.revision);
+    let text = "{ \"tier\": 7 }".to_owned();
+    store.write(KEY, text, condition, None).await.unwrap();
+    running.await_counter(0, "templates_unreadable", 1).await;
+    let after = revision_at(&running, running.fleet.nodes[0].admin).await;
+    assert_eq!(after, before, "the last good document stays in force");
+    let next = accept_over_unreadable(&running, &entry.value).await;
+    await_in_force(&running, &admins(&running), next).await;
+}
+
+async fn accept_over_unreadable(running: &Running, good: &str) -> Revision {
+    let store = StoreClient::new(running.fleet.store.address);
+    let entry = store.read(KEY).await.unwrap().unwrap();
+    let condition = Condition::At(entry.revision);
+    let reply = store
+        .write(KEY, with_weight(good, 6), condition, None)
+        .await;
+    reply.unwrap().entry.unwrap().revision
+}
+
+/// Several operators write the same template; what nodes show never goes back,
+/// is always what one of them wrote, and ends with the last one written.
+#[tokio::test]
+async fn accept_racing_operators() {
+    let running = Running::start(fleet(3)).await;
+    let writers = (0..4_u32).map(|writer| race(&running, 10 + 10 * writer));
+    let watching = watch_revisions(&running);
+    let (written, seen) = tokio::join!(futures::future::join_all(writers), watching);
+    let written: BTreeMap<u64, u32> = written.into_iter().flatten().collect();
+    let last = *written.keys().last().expect("somebody wrote");
+    for (node, revisions) in seen.iter().enumerate() {
+        assert!(
+            revisions.is_sorted(),
+            "node {node} went back: {revisions:?}"
+        );
+        let first = revisions.first().copied();
+        for revision in revisions {
+            let known = written.contains_key(revision) || Some(*revision) == first;
+            assert!(known, "nobody wrote revision {revision}");
+        }
+    }
+    await_in_force(&running, &admins(&running), Revision::new(last)).await;
+}
+
+/// Writes five revisions against whatever the others write.
+async fn race(running: &Running, first_weight: u32) -> Vec<(u64, u32)> {
+    let store = StoreClient::new(running.fleet.store.address);
+    let mut written = Vec::new();
+    for weight in first_weight..first_weight + 5 {
+        loop {
+            let entry = store.read(KEY).await.unwrap().unwrap();
+            let value = with_weight(&entry.value, weight);
+            let condition = Condition::At(entry.revision);
+            let reply = store.write(KEY, value, condition, None).await.unwrap();
+            if reply.written {
+                written.push((reply.entry.unwrap().revision.get(), weight));
+                break;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    written
+}
+
+async fn watch_revisions(running: &Running) -> Vec<Vec<u64>> {
+    let mut seen = vec![Vec::new(); running.fleet.nodes.len()];
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        for (node, revisions) in seen.iter_mut().enumerate() {
+            let admin = running.fleet.nodes[node].admin;
+            revisions.push(revision_at(running, admin).await.get());
+        }
+    }
+    seen
+}
+
+#[tokio::test]
+async fn store_calls_quiet_fleet() {
+    let running = Running::start(fleet(9)).await;
+    let before = calls(&running).await;
+    let window = Duration::from_secs(5);
+    tokio::time::sleep(window).await;
+    let made = calls(&running).await - before;
+    println!("{made} calls to the store by 9 nodes in {window:?}");
+    // A node that watches makes one call each half minute, another one a minute.
+    assert!(made <= 18, "{made} calls in {window:?}");
+}
+
+async fn calls(running: &Running) -> u64 {
+    let mut sum = 0;
+    for node in 0..running.fleet.nodes.len() {
+        sum += running.counter(node, "store_calls").await;
+    }
+    sum
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole fleets as separate processes, by feature.
 
+mod configuration;
 mod generations;
 mod harness;
 mod refusals;
