--- /dev/null
+++ b/crates/bench/src/calls.rs
@@ -0,0 +1,148 @@
+//! Calls of services: what a claim adds, and what the store carries.
+
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use argh::FromArgs;
+use eyre::{Result, ensure};
+use futures::future::join_all;
+use parsleylatch_http::Client;
+use parsleylatch_types::{Millis, RequestId, RequestsPerSecond};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::{caller::Caller, fleet::Fleet, latencies::Latencies, report::Report, slots};
+
+/// Delay after each pair of calls, so that the store's rate is not reached.
+const PAIR_DELAY: Duration = Duration::from_millis(5);
+/// Time for which each rate is offered.
+const RATE_DURATION: Duration = Duration::from_secs(6);
+/// Time for the store's buckets to fill again between two rates.
+const PAUSE: Duration = Duration::from_secs(3);
+/// Rates that are offered, one after the other.
+const RATES: [u64; 6] = [100, 200, 240, 280, 350, 500];
+/// Longest wait for the store's counters.
+const COUNTERS_TIMEOUT_MS: Millis = Millis::new(5_000);
+/// Operation that may run again.
+const IDEMPOTENT: &str = "dispatch/status";
+/// Operation that is claimed.
+const ONCE_ONLY: &str = "dispatch/book";
+
+/// measures once-only calls: added latency, store calls, rates, and the skew of slots
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "calls")]
+pub(crate) struct CallsArgs {
+    /// fleet file
+    #[argh(option)]
+    fleet: PathBuf,
+    /// calls of each kind for the latency
+    #[argh(option, default = "1500")]
+    calls: u32,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct StoreCounts {
+    reads: u64,
+    writes: u64,
+}
+
+/// Runs the measurements.
+///
+/// # Errors
+/// The step that failed.
+pub(crate) async fn run(args: CallsArgs, report: &mut Report) -> Result<()> {
+    slots::measure_skew(report);
+    let fleet = Fleet::read(&args.fleet)?;
+    measure_latency(&fleet, args.calls, report).await?;
+    for rate in RATES.map(RequestsPerSecond::new) {
+        tokio::time::sleep(PAUSE).await;
+        measure_rate(&fleet, rate, report).await?;
+    }
+    Ok(())
+}
+
+fn callers(fleet: &Fleet) -> Vec<Caller> {
+    let key = &fleet.workspaces[0].key;
+    let nodes = fleet.nodes.iter();
+    nodes.map(|node| Caller::new(node.caller, key)).collect()
+}
+
+async fn store_counts(fleet: &Fleet) -> Result<StoreCounts> {
+    let deadline = COUNTERS_TIMEOUT_MS.duration();
+    let client = Client::new();
+    let counts = client.get_json(fleet.store.control, "/counters", deadline);
+    Ok(counts.await?)
+}
+
+/// Both kinds take turns, so that a disturbance of the machine falls on both.
+async fn measure_latency(fleet: &Fleet, calls: u32, report: &mut Report) -> Result<()> {
+    let callers = callers(fleet);
+    let mut latencies = [Latencies::new(), Latencies::new()];
+    let before = store_counts(fleet).await?;
+    for number in 0..calls {
+        let caller = &callers[number as usize % callers.len()];
+        for (latency, path) in latencies.iter_mut().zip([IDEMPOTENT, ONCE_ONLY]) {
+            let started_at = Instant::now();
+            let body = json!({ "truck": number });
+            let id = RequestId::generate();
+            let reply = caller.call_service(id, path, &body).await?;
+            ensure!(reply.status.is_success(), "{path}: {}", reply.status);
+            latency.record(started_at.elapsed());
+        }
+        tokio::time::sleep(PAIR_DELAY).await;
+    }
+    let after = store_counts(fleet).await?;
+    let [idempotent, once_only] = latencies;
+    report.add_latencies("call", "idempotent", &idempotent);
+    report.add_latencies("call", "once-only", &once_only);
+    for percent in [50.0, 95.0] {
+        let added = once_only.percentile_ms(percent) - idempotent.percentile_ms(percent);
+        report.add("call_added_by_claim", &format!("p{percent}"), added, "ms");
+    }
+    let per_call = |after: u64, before: u64| (after - before) as f64 / f64::from(calls);
+    let writes = per_call(after.writes, before.writes);
+    report.add("store_calls_per_once_only_call", "writes", writes, "");
+    let reads = per_call(after.reads, before.reads);
+    report.add(
+        "store_calls_per_once_only_call",
+        "reads, with watches",
+        reads,
+        "",
+    );
+    Ok(())
+}
+
+/// Offers once-only calls at a rate, whether or not earlier ones have ended.
+async fn measure_rate(fleet: &Fleet, rate: RequestsPerSecond, report: &mut Report) -> Result<()> {
+    let callers = callers(fleet);
+    let interval = Duration::from_secs(1) / rate.get() as u32;
+    let calls = rate.get() * RATE_DURATION.as_secs();
+    let started_at = Instant::now();
+    let mut running = Vec::new();
+    for number in 0..calls as u32 {
+        tokio::time::sleep_until((started_at + interval * number).into()).await;
+        let caller = callers[number as usize % callers.len()].clone();
+        running.push(tokio::spawn(async move {
+            let called_at = Instant::now();
+            let body = json!({ "truck": number });
+            let id = RequestId::generate();
+            let reply = caller.call_service(id, ONCE_ONLY, &body).await;
+            let answered = reply.is_ok_and(|reply| reply.status.is_success());
+            (answered, called_at.elapsed())
+        }));
+    }
+    let mut latency = Latencies::new();
+    for ended in join_all(running).await {
+        let (answered, elapsed) = ended?;
+        if answered {
+            latency.record(elapsed);
+        }
+    }
+    let case = format!("offered {rate}");
+    report.add_latencies("once_only", &case, &latency);
+    let share = latency.count() as f64 / calls as f64;
+    report.add("once_only_answered", &case, share * 100.0, "%");
+    Ok(())
+}
--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -5,7 +5,10 @@
 use parsleylatch_chart::{Bindings, ChartError, Machine};
 use strum::{VariantArray, VariantNames};
 
-use crate::{configuration, endpoint_health, generation, membership, node_life, store_session};
+use crate::{
+    call, configuration, endpoint_health, generation, lease_holder, limits, membership, moves,
+    node_life, store_session,
+};
 
 /// One embedded chart file.
 #[derive(Clone, Copy, Debug)]
@@ -25,25 +28,37 @@
     };
 }
 
+pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
+pub(crate) const CALL: ChartSource = chart_source!("call");
+pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const CONFIGURATION: ChartSource = chart_source!("configuration");
 pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
 pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
+pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
+pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 
 /// Every embedded chart, by name.
-pub const ALL: [ChartSource; 8] = [
+pub const ALL: &[ChartSource] = &[
+    ADMISSION,
     ATTEMPT,
+    CALL,
+    CLAIM_SETTLEMENT,
     CONFIGURATION,
     ENDPOINT_HEALTH,
     ENDPOINT_PROBE,
     GENERATION,
+    IDEMPOTENT_CALL,
+    LEASE_HOLDER,
     MEMBER,
     NODE_LIFE,
     STORE_SESSION,
+    VERSION_MOVE,
 ];
 
 /// A machine that is compiled when it is first used.
@@ -74,10 +89,14 @@
 /// # Errors
 /// The first chart that can't be used.
 pub fn verify() -> Result<(), ChartError> {
+    call::verify_charts()?;
     configuration::verify_chart()?;
     endpoint_health::verify_charts()?;
     generation::verify_charts()?;
+    limits::verify_chart()?;
+    lease_holder::verify_chart()?;
     membership::verify_chart()?;
+    moves::verify_chart()?;
     node_life::verify_chart()?;
     store_session::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,15 +11,21 @@
 //! process starts; [`charts::verify`] reports the first one that is wrong.
 
 pub mod admission;
+pub mod call;
 pub mod charts;
 pub mod configuration;
+pub mod deployment;
 pub mod endpoint_health;
 pub mod generation;
 pub mod gossip;
+pub mod lease_holder;
+pub mod limits;
 pub mod membership;
+pub mod moves;
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
 pub mod store_session;
+pub mod version_choice;
 pub mod view;
 pub mod vm_list;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,7 +4,11 @@
 //! [`ControlInput`]; only the loop changes the state, so nothing is locked.
 
 mod admin;
+mod claim_sweep;
+pub(crate) mod events;
 mod gossip;
+mod move_records;
+mod moves;
 mod peer_links;
 mod state;
 mod watchers;
@@ -35,6 +39,8 @@
     Templates(ListReply),
     /// The platform's list, and when the read started.
     Vms(VmListReply, UnixMillis),
+    /// Moves that were written.
+    MoveRecords(ListReply),
     /// Load of an engine; `None` if it did not answer.
     Load(EndpointId, Option<LoadReport>),
     /// What became of an attempt.
@@ -101,5 +107,7 @@
         Arc::clone(shared),
         duties.endpoints.subscribe(),
     ));
+    tokio::spawn(watchers::watch_move_records(Arc::clone(shared)));
     tokio::spawn(watchers::report_counters(Arc::clone(shared)));
+    tokio::spawn(claim_sweep::run(Arc::clone(shared)));
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -19,6 +19,7 @@
 use super::{
     ControlInput,
     gossip::{Cluster, LearnedTemplate},
+    moves::MoveControl,
     watchers::TEMPLATE_PREFIX,
 };
 use crate::{
@@ -31,11 +32,15 @@
 /// Longest time for which a changed condition does.
 const CONDITION_SNAPSHOT_DELAY_MS: Millis = Millis::new(5);
 
+/// Time between two snapshots while a move is open.
+const MOVE_SNAPSHOT_INTERVAL_MS: Millis = Millis::new(250);
+
 pub(crate) struct ControlState {
     shared: Arc<Shared>,
     life: NodeLife,
     ready: Option<oneshot::Sender<()>>,
     configuration: Configuration,
+    moves: MoveControl,
     has_templates: bool,
     cluster: Cluster,
     views: BTreeMap<EndpointId, Arc<EndpointView>>,
@@ -47,6 +52,7 @@
     pub(crate) fn new(shared: Arc<Shared>, cluster: Cluster, ready: oneshot::Sender<()>) -> Self {
         let life = NodeLife::new(shared.clock.now());
         Self {
+            moves: MoveControl::new(Arc::clone(&shared)),
             shared,
             life,
             ready: Some(ready),
@@ -67,6 +73,7 @@
         let deadlines = [
             self.life.next_deadline(),
             self.cluster.next_deadline(),
+            self.moves.next_deadline(),
             self.publish_at,
         ];
         deadlines.into_iter().flatten().min()
@@ -78,6 +85,10 @@
         self.carry_out(effects);
         self.cluster.expire();
         self.take_changes();
+        if self.moves.next_deadline().is_some_and(|at| at <= now) {
+            self.moves.expire(now);
+            self.publish_within(CONDITION_SNAPSHOT_DELAY_MS);
+        }
         if self.publish_at.is_some_and(|at| at <= now) {
             self.publish();
         }
@@ -91,8 +102,15 @@
     pub(crate) fn handle(&mut self, input: ControlInput) {
         match input {
             ControlInput::Templates(reply) => self.take_templates(reply),
+            ControlInput::MoveRecords(reply) => {
+                self.moves.take_records(&reply);
+                self.publish_within(CONDITION_SNAPSHOT_DELAY_MS);
+            }
             ControlInput::Vms(reply, read_at) => self.cluster.take_list(&reply, read_at),
-            ControlInput::Load(endpoint, report) => self.cluster.take_load(endpoint, report),
+            ControlInput::Load(endpoint, report) => {
+                self.moves.take_answer(endpoint.clone(), report.is_some());
+                self.cluster.take_load(endpoint, report);
+            }
             ControlInput::Attempt(report) => self.take_attempt(report),
             ControlInput::Gossip(received) => self.cluster.take_message(*received),
             ControlInput::Idle => {}
@@ -154,6 +172,9 @@
                 self.has_templates = true;
                 self.shared.counters.increment(Counter::TemplatesApplied);
                 log::info!("template of {id} is in force at revision {revision}");
+                if let Some(view) = self.configuration.workspace(id) {
+                    self.moves.take_template(view);
+                }
                 true
             }
             Applied::Unreadable => {
@@ -168,6 +189,11 @@
         if let Some(fault) = report.fault {
             log::debug!("attempt lost at {}: {fault}", report.endpoint);
         }
+        let snapshot = self.shared.snapshot.load_full();
+        self.moves.take_attempt(&report, &snapshot);
+        if self.moves.version_plans(&self.configuration) != snapshot.version_plans {
+            self.publish();
+        }
         let lost = report.fault.is_some();
         self.cluster.take_attempt(report.endpoint, lost);
     }
@@ -225,10 +251,16 @@
             workspaces: self.configuration.by_key(),
             endpoints: self.views.values().cloned().collect(),
             peers: self.cluster.membership().members().map(peer_view).collect(),
+            version_plans: self.moves.version_plans(&self.configuration),
+            moves: self.moves.views(),
             accepting: self.accepting,
         };
         self.shared.counters.increment(Counter::SnapshotsPublished);
-        self.shared.snapshot.store(Arc::new(snapshot));
+        self.shared.publish(snapshot);
+        if self.moves.next_deadline().is_some() {
+            // Shares of open moves grow with time.
+            self.publish_within(MOVE_SNAPSHOT_INTERVAL_MS);
+        }
     }
 
     /// Makes the views of endpoints that are not what they were.
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -8,14 +8,14 @@
 };
 use parsleylatch_endpoint::EngineClient;
 use parsleylatch_store::{StoreClient, StoreError, VmListClient};
-use parsleylatch_types::{EndpointId, Micros, Millis, Seed};
+use parsleylatch_types::{EndpointId, Micros, Millis, Revision, Seed};
 use parsleylatch_wire::platform::ListReply;
 use tokio::{
     sync::watch,
     time::{Instant, sleep, sleep_until},
 };
 
-use super::ControlInput;
+use super::{ControlInput, move_records::MOVE_PREFIX};
 use crate::{
     clock::Clock,
     shared::Shared,
@@ -26,6 +26,8 @@
 pub(crate) const TEMPLATE_PREFIX: &str = "templates/";
 /// Longest wait of one watch call.
 const WATCH_WAIT_MS: Millis = Millis::new(30_000);
+/// Delay after a failed read of the moves.
+const STORE_RETRY_DELAY_MS: Millis = Millis::new(500);
 /// Delay after a failed read of the VM list.
 const LIST_RETRY_DELAY_MS: Millis = Millis::new(500);
 /// Shortest time between two load reports of an engine.
@@ -91,6 +93,33 @@
     }
 }
 
+/// Lists the moves, then waits for changes.
+pub(crate) async fn watch_move_records(shared: Arc<Shared>) {
+    let store = StoreClient::new(shared.settings.store_address);
+    let mut after = Revision::ZERO;
+    loop {
+        shared.counters.increment(Counter::StoreCalls);
+        let reply = match after {
+            Revision::ZERO => store.list(MOVE_PREFIX).await,
+            after => store.watch(MOVE_PREFIX, after, WATCH_WAIT_MS).await,
+        };
+        match reply {
+            Ok(reply) => {
+                after = reply.revision.max(Revision::new(1));
+                let input = ControlInput::MoveRecords(reply);
+                if shared.control.send(input).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                shared.counters.increment(Counter::StoreCallsFailed);
+                log::debug!("{error}");
+                sleep(STORE_RETRY_DELAY_MS.duration()).await;
+            }
+        }
+    }
+}
+
 /// Reads the list of VMs at the pace that the node's share asks for.
 pub(crate) async fn watch_vms(shared: Arc<Shared>, mut interval: watch::Receiver<Micros>) {
     let client = VmListClient::new(shared.settings.vm_list_address);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,20 +1,27 @@
 //! What the control thread and the traffic threads share.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use arc_swap::ArcSwap;
-use parsleylatch_decide::{generation::AttemptReport, view::Snapshot};
+use parsleylatch_decide::{
+    call::{RecentIds, StoreHealth},
+    generation::AttemptReport,
+    view::Snapshot,
+};
 use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
 use parsleylatch_types::Incarnation;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
     clock::Clock,
-    control::ControlInput,
+    control::{
+        ControlInput,
+        events::{AdminEvent, EVENTS_BUFFER},
+    },
     peering,
     telemetry::{Counter, Counters},
 };
@@ -34,9 +41,16 @@
     pub(crate) identity: Identity,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) store_health: ArcSwap<StoreHealth>,
+    /// Once-only requests that this node has tried.
+    recent_ids: Mutex<RecentIds>,
+    /// Told of every new snapshot.
+    pub(crate) snapshot_changed: watch::Sender<()>,
     pub(crate) counters: Counters,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    /// What operators are told while it happens.
+    pub(crate) events: broadcast::Sender<AdminEvent>,
     /// Whether the balancer may send callers here.
     pub(crate) ready: AtomicBool,
     in_flight: AtomicUsize,
@@ -51,14 +65,24 @@
             settings,
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
+            store_health: ArcSwap::default(),
+            recent_ids: Mutex::default(),
+            snapshot_changed: watch::Sender::new(()),
             counters: Counters::new(),
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
+            events: broadcast::Sender::new(EVENTS_BUFFER),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
     }
 
+    /// Publishes a snapshot.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.snapshot.store(Arc::new(snapshot));
+        self.snapshot_changed.send_replace(());
+    }
+
     /// Sends a report to the control thread; drops and counts it if that is busy.
     pub(crate) fn report(&self, report: AttemptReport) {
         if self
@@ -70,6 +94,30 @@
         }
     }
 
+    pub(crate) fn recent_ids(&self) -> MutexGuard<'_, RecentIds> {
+        self.recent_ids
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store failed a call a moment ago.
+    pub(crate) fn store_is_down(&self) -> bool {
+        self.store_health.load().is_down(self.clock.now())
+    }
+
+    /// Notes a call that the store failed.
+    pub(crate) fn note_store_failure(&self) {
+        let health = StoreHealth::failed_at(self.clock.now());
+        self.store_health.store(Arc::new(health));
+    }
+
+    /// Notes a call that the store answered.
+    pub(crate) fn note_store_success(&self) {
+        if self.store_is_down() {
+            self.store_health.store(Arc::default());
+        }
+    }
+
     /// Requests that are being answered.
     pub(crate) fn requests_in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
--- a/crates/node/src/traffic/generation.rs
+++ b/crates/node/src/traffic/generation.rs
@@ -10,10 +10,11 @@
         Token,
     },
     placement::PlacementQuestion,
-    view::WorkspaceView,
+    view::{Snapshot, WorkspaceView},
 };
 use parsleylatch_endpoint::{EngineError, EngineStream};
 use parsleylatch_http::encode_event;
+use parsleylatch_settings::Tier;
 use parsleylatch_types::{AttemptNumber, EndpointId, MonoTime, TokenIndex};
 use parsleylatch_wire::{
     caller::{DoneData, TokenData},
@@ -22,7 +23,7 @@
 use tokio::{sync::watch, task::JoinHandle};
 use viz::Response;
 
-use super::{Traffic, output::Output, problem};
+use super::{Traffic, admissions::Place, output::Output, problem};
 use crate::{
     shared::{InFlight, StopPhase},
     telemetry::{self, Counter},
@@ -34,6 +35,7 @@
     pub(crate) request: GenerationRequest,
     pub(crate) earlier: EarlierOwner,
     pub(crate) in_flight: InFlight,
+    pub(crate) place: Place,
     pub(crate) span: Span,
 }
 
@@ -54,6 +56,7 @@
     let now = traffic.shared.clock.now();
     let limits = GenerationLimits::default();
     let Accepted {
+        place,
         workspace,
         request,
         earlier,
@@ -71,6 +74,7 @@
         caller_lost: false,
         span,
         _in_flight: in_flight,
+        _place: place,
     };
     task.carry_out(now, effects);
     while !task.is_over() {
@@ -90,6 +94,7 @@
     traffic: Arc<Traffic>,
     attempt: AttemptNumber,
     endpoint: EndpointId,
+    tier: Tier,
     stream: AttemptStream,
     _span: Span,
 }
@@ -125,7 +130,7 @@
         if let AttemptStream::Opening(opening) = &self.stream {
             opening.abort();
         }
-        self.traffic.placer().note_end(&self.endpoint);
+        self.traffic.placer().note_end(&self.endpoint, self.tier);
     }
 }
 
@@ -164,6 +169,7 @@
     caller_lost: bool,
     span: Span,
     _in_flight: InFlight,
+    _place: Place,
 }
 
 impl Task {
@@ -297,18 +303,38 @@
     fn place(&self, now: MonoTime, order: &PlacementOrder) -> GenerationInput {
         let snapshot = self.traffic.shared.snapshot.load();
         let request = self.generation.request();
-        let question = PlacementQuestion {
-            model: &request.model,
-            prompt: &request.prompt,
-            order,
-            detection: &self.workspace.template.detection,
-        };
-        match self.traffic.placer().place(now, &snapshot, &question) {
+        let orders = self.orders(&snapshot, order);
+        let placement = orders.iter().find_map(|order| {
+            let question = PlacementQuestion {
+                model: &request.model,
+                prompt: &request.prompt,
+                order,
+                detection: &self.workspace.template.detection,
+                tier: self.workspace.template.tier,
+                sharers: self.traffic.admissions.sharers(),
+            };
+            self.traffic.placer().place(now, &snapshot, &question)
+        });
+        match placement {
             Some(placement) => GenerationInput::Placed(placement),
             None => GenerationInput::Unplaced,
         }
     }
 
+    /// Orders to try in turn. A generation with tokens stays on its version; for
+    /// others a version move decides, if the workspace has one.
+    fn orders(&self, snapshot: &Snapshot, order: &PlacementOrder) -> Vec<PlacementOrder> {
+        let request = self.generation.request();
+        let plan = snapshot.version_plans.get(&request.workspace);
+        match plan.filter(|_| self.generation.tokens().is_empty()) {
+            Some(plan) => vec![
+                plan.order_for(request.request_id, order),
+                plan.fallback(order),
+            ],
+            None => vec![order.clone()],
+        }
+    }
+
     fn open(&mut self, order: &AttemptOrder) {
         let traffic = Arc::clone(&self.traffic);
         traffic.shared.counters.increment(Counter::AttemptsStarted);
@@ -323,6 +349,7 @@
             traffic,
             attempt: order.attempt,
             endpoint: order.endpoint.clone(),
+            tier: self.workspace.template.tier,
             stream: AttemptStream::Opening(opening),
             _span: span,
         });
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,11 +1,16 @@
 //! Traffic threads: each owns the requests that it accepted.
 
+mod admissions;
 mod body;
 mod caller;
 mod generation;
+mod idempotent;
+mod once_only;
 mod output;
+mod peers;
 mod problem;
 mod service;
+mod settlement;
 
 use std::{
     future::IntoFuture,
@@ -13,36 +18,67 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use parsleylatch_decide::placement::Placer;
+use parsleylatch_decide::{
+    call::{FreeClaims, RetryBudgets},
+    placement::Placer,
+};
 use parsleylatch_endpoint::{EngineClient, ServiceClient};
-use parsleylatch_http::NodelayListener;
+use parsleylatch_http::{Client, NodelayListener};
 use tokio::sync::oneshot;
 use viz::{Router, types::State};
 
-use crate::shared::Shared;
+use crate::{claims::ClaimStore, shared::Shared};
+use admissions::Admissions;
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
     pub(crate) shared: Arc<Shared>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) claims: ClaimStore,
+    pub(crate) peers: Client,
+    pub(crate) admissions: Arc<Admissions>,
     /// Only this thread takes the lock; handlers have to be `Sync`.
     placer: Mutex<Placer>,
+    retry_budgets: Mutex<RetryBudgets>,
+    free_claims: Mutex<FreeClaims>,
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Traffic {
     fn new(shared: Arc<Shared>) -> Self {
         let placer = Mutex::new(Placer::new(shared.settings.region.clone()));
+        let admissions = Arc::new(Admissions::new(Arc::clone(&shared)));
+        let (engines, services) = (EngineClient::new(), ServiceClient::new());
         Self {
+            claims: ClaimStore::new(&shared),
             shared,
-            engines: EngineClient::new(),
-            services: ServiceClient::new(),
+            peers: Client::new(),
+            engines,
+            services,
+            admissions,
             placer,
+            retry_budgets: Mutex::default(),
+            free_claims: Mutex::default(),
         }
     }
 
     pub(crate) fn placer(&self) -> MutexGuard<'_, Placer> {
-        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.placer)
+    }
+
+    /// Takes one claim of the free tier; `false` if this thread's share is used up.
+    pub(crate) fn take_free_claim(&self) -> bool {
+        let nodes = self.shared.snapshot.load().peers.len() + 1;
+        let sharers = nodes * self.shared.settings.traffic_threads;
+        lock(&self.free_claims).take(self.shared.clock.now(), sharers)
+    }
+
+    pub(crate) fn retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
+        lock(&self.retry_budgets)
     }
 }
 
@@ -53,9 +89,11 @@
     stopped: oneshot::Receiver<()>,
 ) {
     let traffic = Arc::new(Traffic::new(shared));
+    tokio::spawn(Arc::clone(&traffic.admissions).run());
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
+        .get("/v1/calls/:id", caller::tell_call)
         .with(State::new(traffic));
     match NodelayListener::from_std(listener) {
         Ok(listener) => {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,9 +1,17 @@
 //! Tests of whole fleets as separate processes, by feature.
 
+mod admin;
+mod calls;
+mod calls_random;
 mod configuration;
+mod extra_node;
 mod generations;
 mod harness;
+mod limits;
 mod membership;
+mod moves;
+mod operator;
 mod refusals;
+mod regression;
 mod services;
 mod settings;
