--- a/crates/decide/src/endpoint_health/mod.rs
+++ b/crates/decide/src/endpoint_health/mod.rs
@@ -263,8 +263,12 @@
         self.endpoint_of.clear();
         for (id, endpoint) in &mut self.endpoints {
             let region = &endpoint.listed.region;
-            let near = self.members.iter().filter(|place| place.region == *region);
-            let holders = duty_holders(id.as_str(), near, HEARD_WATCHERS);
+            let is_near = |place: &&Place| place.region == *region;
+            // A region without a node is watched by the others.
+            let any_near = self.members.iter().any(|place| is_near(&place));
+            let candidates = self.members.iter();
+            let candidates = candidates.filter(|place| !any_near || is_near(place));
+            let holders = duty_holders(id.as_str(), candidates, HEARD_WATCHERS);
             endpoint.heard = holders
                 .iter()
                 .map(|place| ObservationId::new(id, &place.node))
--- a/crates/decide/tests/endpoint_health.rs
+++ b/crates/decide/tests/endpoint_health.rs
@@ -106,6 +106,23 @@
     assert!(is_first(watchers[0]) && !is_first(watchers[1]));
 }
 
+#[test]
+fn watch_region_without_nodes() {
+    let far = |node: usize| Place {
+        region: "elsewhere".parse().unwrap(),
+        ..place(node)
+    };
+    let members: Vec<Place> = (0..NODES).map(far).collect();
+    let mut watching = 0;
+    for node in 0..NODES {
+        let mut watch = EndpointWatch::new(far(node), ItemVersion::default());
+        watch.handle(at(0), WatchInput::Members(members.clone()));
+        watch.handle(at(0), listed(false));
+        watching += usize::from(watch.is_watched_by(&endpoint(), &far(node).node));
+    }
+    assert_eq!(watching, 2);
+}
+
 #[test]
 fn watch_taken_over() {
     let gone = watchers()[0];
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -63,6 +63,7 @@
         }
         reader.call_started(shared.clock.now());
         shared.counters.increment(Counter::StoreCalls);
+        shared.counters.increment(Counter::TemplateCalls);
         let reply = match call {
             TemplateCall::List => store.list(TEMPLATE_PREFIX).await,
             TemplateCall::Watch(after) => store.watch(TEMPLATE_PREFIX, after, WATCH_WAIT_MS).await,
@@ -150,12 +151,15 @@
 }
 
 /// Reads the load of every watched engine again and again.
-pub(crate) async fn watch_loads(shared: Arc<Shared>, endpoints: watch::Receiver<WatchedEndpoints>) {
+pub(crate) async fn watch_loads(
+    shared: Arc<Shared>,
+    mut endpoints: watch::Receiver<WatchedEndpoints>,
+) {
     let client = EngineClient::new();
     let mut is_even_round = true;
     loop {
         let started = Instant::now();
-        let watched = endpoints.borrow().clone();
+        let watched = endpoints.borrow_and_update().clone();
         let interval = load_interval(&watched);
         let asked = watched
             .into_iter()
@@ -175,7 +179,11 @@
             }
         }
         is_even_round = !is_even_round;
-        sleep_until(started + interval.duration()).await;
+        tokio::select! {
+            () = sleep_until(started + interval.duration()) => {}
+            // Endpoints that this node watches from now on are asked at once.
+            Ok(()) = endpoints.changed() => is_even_round = true,
+        }
     }
 }
 
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -61,6 +61,8 @@
     GossipSent,
     /// Snapshots that were published to the traffic threads.
     SnapshotsPublished,
+    /// Calls to the store for templates.
+    TemplateCalls,
     /// Reads of the list of VMs.
     VmListCalls,
     /// Calls to the store.
--- a/tests/process/configuration.rs
+++ b/tests/process/configuration.rs
@@ -307,7 +307,7 @@
     let window = Duration::from_secs(5);
     tokio::time::sleep(window).await;
     let made = calls(&running).await - before;
-    println!("{made} calls to the store by 9 nodes in {window:?}");
+    println!("{made} calls to the store for templates by 9 nodes in {window:?}");
     // A node that watches makes one call each half minute, another one a minute.
     assert!(made <= 18, "{made} calls in {window:?}");
 }
@@ -315,7 +315,7 @@
 async fn calls(running: &Running) -> u64 {
     let mut sum = 0;
     for node in 0..running.fleet.nodes.len() {
-        sum += running.counter(node, "store_calls").await;
+        sum += running.counter(node, "template_calls").await;
     }
     sum
 }
