--- a/crates/bench/src/slopes/control.rs
+++ b/crates/bench/src/slopes/control.rs
@@ -83,11 +83,13 @@
     let entries = state::templates(size);
     let mut configuration = state::configuration(size);
     let mut revision = Revision::new(1_000_000);
+    let entry = &entries[0];
+    let first = Template::read(&Document::new(&entry.key, &entry.value))?;
+    let workspace = first.workspace;
     let nanos = nanos_per_call(|| {
-        let entry = &entries[0];
         revision = revision.next();
         let template = Template::read(&Document::new(&entry.key, &entry.value));
-        configuration.apply(template.expect("a valid template"), revision);
+        configuration.take(MonoTime::ZERO, &workspace, revision, template);
         configuration.by_key()
     });
     let workspaces = size.workspaces as u64;
--- a/crates/bench/src/slopes/state.rs
+++ b/crates/bench/src/slopes/state.rs
@@ -8,7 +8,7 @@
 };
 use parsleylatch_settings::{Document, KeyDigest, Template};
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, FailureDomain, ModelId, Region, RequestCount, Revision,
+    EndpointId, EndpointVersion, FailureDomain, ModelId, MonoTime, Region, RequestCount, Revision,
 };
 use parsleylatch_wire::platform::{KeyValue, VmEntry, VmListReply, VmRole};
 
@@ -115,7 +115,8 @@
     for entry in templates(size) {
         let document = Document::new(&entry.key, &entry.value);
         let template = Template::read(&document).expect("a valid template");
-        configuration.apply(template, entry.revision);
+        let workspace = template.workspace.clone();
+        configuration.take(MonoTime::ZERO, &workspace, entry.revision, Ok(template));
     }
     configuration
 }
--- a/crates/node/src/control/admin/mod.rs
+++ b/crates/node/src/control/admin/mod.rs
@@ -45,6 +45,7 @@
         .get("/admin/v1/nodes", fleet::nodes)
         .get("/admin/v1/endpoints", fleet::endpoints)
         .get("/admin/v1/counters", fleet::counters)
+        .get("/admin/v1/revisions", templates::revisions)
         .post("/admin/v1/drain", fleet::drain)
         .get("/admin/v1/templates", templates::list)
         .get("/admin/v1/templates/:workspace", templates::show)
--- a/crates/node/src/control/admin/templates.rs
+++ b/crates/node/src/control/admin/templates.rs
@@ -47,6 +47,17 @@
         .collect()
 }
 
+/// `GET /admin/v1/revisions`: revision in force of each workspace's template.
+pub(super) async fn revisions(request: Request) -> Result<Response> {
+    let authorized = authorize(&request, Role::Read)?;
+    let views = in_force(&authorized.shared().snapshot.load());
+    let revisions: BTreeMap<_, _> = views
+        .iter()
+        .map(|(workspace, view)| (workspace, view.revision))
+        .collect();
+    json_body(&revisions)
+}
+
 /// `GET /admin/v1/templates/{workspace}`.
 pub(super) async fn show(request: Request) -> Result<Response> {
     let authorized = authorize(&request, Role::Read)?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod clock;
 mod control;
+pub mod gossip_codec;
 mod node;
 mod peering;
 mod running;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -57,6 +57,11 @@
         let (caller, caller_listeners) = bind(settings.caller_address, threads, "caller_address")?;
         let (admin, admin_listeners) = bind(settings.admin_address, 1, "admin_address")?;
         let (peer, peer_listeners) = bind(settings.peer_address, 1, "peer_address")?;
+        let addresses = Addresses {
+            caller,
+            admin,
+            peer,
+        };
         let (sender, inputs) = mpsc::channel(CONTROL_BUFFER);
         let (peering_sender, peering_inputs) = mpsc::channel(PEERING_BUFFER);
         let shared = Arc::new(Shared::new(settings, sender, peering_sender));
@@ -66,6 +71,7 @@
             move |runtime| {
                 let listeners = control::Listeners {
                     admin: admin_listeners,
+                    addresses,
                 };
                 runtime.block_on(control::run(shared, inputs, listeners, ready));
             }
@@ -91,11 +97,6 @@
         is_ready
             .blocking_recv()
             .map_err(|_| eyre!("the control thread ended while starting"))?;
-        let addresses = Addresses {
-            caller,
-            admin,
-            peer,
-        };
         Ok(Self {
             addresses,
             shared,
