--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -6,8 +6,8 @@
 use strum::{VariantArray, VariantNames};
 
 use crate::{
-    call, configuration, endpoint_health, generation, lease_holder, limits, membership, moves,
-    node_life, store_session,
+    call, configuration, endpoint_health, generation, journal, lease_holder, limits, membership,
+    moves, node_life, store_session,
 };
 
 /// One embedded chart file.
@@ -36,12 +36,15 @@
 pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
 pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
+pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
+pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
 pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
+pub(crate) const PEER: ChartSource = chart_source!("peer");
 
 /// Every embedded chart, by name.
 pub const ALL: &[ChartSource] = &[
@@ -59,6 +62,9 @@
     NODE_LIFE,
     STORE_SESSION,
     VERSION_MOVE,
+    JOURNAL,
+    JOURNAL_ENTRY,
+    PEER,
 ];
 
 /// A machine that is compiled when it is first used.
@@ -93,6 +99,7 @@
     configuration::verify_chart()?;
     endpoint_health::verify_charts()?;
     generation::verify_charts()?;
+    journal::verify_charts()?;
     limits::verify_chart()?;
     lease_holder::verify_chart()?;
     membership::verify_chart()?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod endpoint_health;
 pub mod generation;
 pub mod gossip;
+pub mod journal;
 pub mod lease_holder;
 pub mod limits;
 pub mod membership;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,7 +12,7 @@
 };
 use parsleylatch_peer::LinkEvent;
 use parsleylatch_settings::{Document, Template};
-use parsleylatch_types::{EndpointId, Millis, MonoTime, RequestCount};
+use parsleylatch_types::{EndpointId, Millis, MonoTime};
 use parsleylatch_wire::platform::{KeyValue, ListReply, VmEntry, VmRole};
 use tokio::sync::oneshot;
 
@@ -214,6 +214,7 @@
                     self.shared
                         .ready
                         .store(false, std::sync::atomic::Ordering::Release);
+                    self.shared.stop_phase.send_replace(StopPhase::Noticing);
                 }
                 NodeEffect::RefuseNew => {
                     self.accepting = false;
@@ -314,7 +315,7 @@
     view.condition == condition
         && view.reported_running == load.running
         && view.reported_waiting == load.waiting
-        && view.capacity == load.capacity.max(RequestCount::new(1))
+        && view.capacity == load.capacity
         && view.address == vm.address
         && endpoint_kind(&vm.role).as_ref() == Some(&view.kind)
 }
@@ -333,7 +334,7 @@
         condition,
         reported_running: load.running,
         reported_waiting: load.waiting,
-        capacity: load.capacity.max(RequestCount::new(1)),
+        capacity: load.capacity,
         pace_us: None,
     })
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,19 +1,22 @@
 //! What the control thread and the traffic threads share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    collections::HashSet,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::{
     call::{RecentIds, StoreHealth},
     generation::AttemptReport,
-    view::Snapshot,
+    view::{PeerView, Snapshot},
 };
 use parsleylatch_peer::Identity;
 use parsleylatch_settings::NodeSettings;
-use parsleylatch_types::Incarnation;
+use parsleylatch_types::{Incarnation, NodeId};
 use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
@@ -22,7 +25,8 @@
         ControlInput,
         events::{AdminEvent, EVENTS_BUFFER},
     },
-    peering,
+    peering::{self, PeeringInput},
+    running::Running,
     telemetry::{Counter, Counters},
 };
 
@@ -31,6 +35,8 @@
 pub(crate) enum StopPhase {
     /// No stop was asked for.
     None,
+    /// The node says that it is not ready; its journals go elsewhere.
+    Noticing,
     /// Generations that still run go to other nodes.
     HandOver,
 }
@@ -51,13 +57,23 @@
     pub(crate) control: mpsc::Sender<ControlInput>,
     /// What operators are told while it happens.
     pub(crate) events: broadcast::Sender<AdminEvent>,
+    pub(crate) peering: mpsc::Sender<PeeringInput>,
+    /// Nodes that the list names, for the peer thread.
+    pub(crate) peers: watch::Sender<Vec<PeerView>>,
+    /// Nodes that can hold journals now.
+    pub(crate) linked: ArcSwap<HashSet<NodeId>>,
+    pub(crate) running: Running,
     /// Whether the balancer may send callers here.
     pub(crate) ready: AtomicBool,
     in_flight: AtomicUsize,
 }
 
 impl Shared {
-    pub(crate) fn new(settings: NodeSettings, control: mpsc::Sender<ControlInput>) -> Self {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        control: mpsc::Sender<ControlInput>,
+        peering: mpsc::Sender<PeeringInput>,
+    ) -> Self {
         let incarnation = Incarnation::new(Clock::unix_now().get());
         let identity = peering::identity_of(&settings, incarnation);
         Self {
@@ -72,6 +88,10 @@
             stop_phase: watch::Sender::new(StopPhase::None),
             control,
             events: broadcast::Sender::new(EVENTS_BUFFER),
+            peering,
+            peers: watch::Sender::new(Vec::new()),
+            linked: ArcSwap::default(),
+            running: Running::default(),
             ready: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
@@ -79,6 +99,11 @@
 
     /// Publishes a snapshot.
     pub(crate) fn publish(&self, snapshot: Snapshot) {
+        self.peers.send_if_modified(|known| {
+            let changed = *known != snapshot.peers;
+            known.clone_from(&snapshot.peers);
+            changed
+        });
         self.snapshot.store(Arc::new(snapshot));
         self.snapshot_changed.send_replace(());
     }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -5,10 +5,12 @@
 mod caller;
 mod generation;
 mod idempotent;
+mod journal;
 mod once_only;
 mod output;
 mod peers;
 mod problem;
+mod resume;
 mod service;
 mod settlement;
 
@@ -92,6 +94,8 @@
     tokio::spawn(Arc::clone(&traffic.admissions).run());
     let router = Router::new()
         .post("/v1/generations", caller::start_generation)
+        .get("/v1/generations/:request", resume::resume_generation)
+        .post("/v1/generations/:request", resume::rebuild_generation)
         .post("/v1/services/:service/:operation", caller::call_service)
         .get("/v1/calls/:id", caller::tell_call)
         .with(State::new(traffic));
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -23,6 +23,8 @@
         ask_id,
         request_id: Vec::new(),
         workspace: String::new(),
+        origin: 0,
+        received: 0,
     })
 }
 
