--- a/crates/bench/src/slopes/control.rs
+++ b/crates/bench/src/slopes/control.rs
@@ -18,7 +18,7 @@
 use crate::{process::resident_memory, prompts::Prompts, report::Report, timing::nanos_per_call};
 
 /// Nodes, endpoints and workspaces that grow together, up to the target.
-const SIZES: [Size; 4] = [
+pub(super) const SIZES: [Size; 4] = [
     Size {
         nodes: 9,
         endpoints: 36,
--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -7,7 +7,9 @@
 
 mod control;
 mod fleets;
+mod gossip;
 mod journal;
+mod node_share;
 mod state;
 
 use std::path::PathBuf;
@@ -46,6 +48,7 @@
     if !args.no_control {
         machines::measure_steps(report);
         control::measure(report)?;
+        gossip::measure(report)?;
         journal::measure(report);
     }
     if !args.no_processes {
--- /dev/null
+++ b/crates/bench/src/slopes/node_share.rs
@@ -0,0 +1,497 @@
+//! One node's part in gossip, driven by generated frames of its peers.
+//!
+//! The node has the links that the real overlay gives it. What other nodes tell
+//! arrives first on one link, chosen at random; on each other link it crosses
+//! once, in either direction with the same chance, as it does where all nodes
+//! learn at about the same time.
+
+use std::collections::BTreeSet;
+
+use parsleylatch_decide::{
+    endpoint_health::{
+        EndpointLoad, EndpointWatch, ListedEndpoint, LoadAnswer, WatchEffect, WatchInput,
+    },
+    gossip::{
+        EndpointSummary, Gossip, GossipEffect, GossipInput, GossipMessage, GossipSettings, Item,
+        ItemKey, ItemValue, ItemVersion, NodeRecord, NodeStatus, ObservationId, ObservedCondition,
+    },
+    membership::{
+        ListedNode, Membership, MembershipEffect, MembershipInput, Place, duty_holders, partners,
+    },
+};
+use parsleylatch_node::gossip_codec;
+use parsleylatch_types::{EndpointId, FailureDomain, Incarnation, MonoTime, NodeId, RequestCount};
+use parsleylatch_wire::{
+    gossip::{Gossip as GossipBody, Probe, ProbeReply, gossip::Kind},
+    peer::{PeerMessage, peer_message::Body},
+    platform::{VmEntry, VmRole},
+};
+use prost::Message;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    gossip::{ByLink, encode, encode_body},
+    state::{self, Size},
+};
+
+/// Loads that the nodes of a region tell a second, at most.
+const REGION_LOADS_PER_SECOND: f64 = 70.0;
+/// Loads that cross a link between regions a second, at most.
+const ACROSS_LOADS_PER_SECOND: usize = 4;
+/// Loads that one node tells a second, at most.
+const NODE_LOADS_PER_SECOND: f64 = 20.0;
+/// Loads that a node reads a second, at most.
+const READS_PER_SECOND: u64 = 12;
+/// Length that stands before each frame.
+const FRAME_HEAD_BYTES: u64 = 4;
+/// Streams that an engine runs at once.
+const ENGINE_CAPACITY: u64 = 64;
+
+/// What went over the links.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Counts {
+    pub(super) bytes_in: u64,
+    pub(super) bytes_out: u64,
+    pub(super) messages_out: u64,
+    pub(super) loads_in: u64,
+}
+
+/// A load that another node may tell.
+struct Told {
+    id: ObservationId,
+    version: ItemVersion,
+}
+
+/// Loads that the other nodes of one region tell.
+#[derive(Default)]
+struct ToldLoads {
+    told: Vec<Told>,
+    per_second: usize,
+}
+
+/// State and inputs of one node.
+pub(super) struct NodeShare {
+    gossip: Gossip,
+    membership: Membership,
+    pub(super) endpoints: EndpointWatch,
+    pub(super) counts: Counts,
+    links: Vec<(NodeId, bool)>,
+    watched: Vec<EndpointId>,
+    own: Place,
+    places: Vec<Place>,
+    told_near: ToldLoads,
+    told_far: ToldLoads,
+    random: Pcg64Mcg,
+}
+
+impl NodeShare {
+    /// Share of the node at a position of the list.
+    pub(super) fn new(size: Size, position: usize) -> Self {
+        let vms = state::vm_list(size).vms;
+        let listed: Vec<ListedNode> = vms.iter().filter_map(listed_node).collect();
+        let places: Vec<Place> = listed.iter().map(|node| node.place.clone()).collect();
+        let own = places[position].clone();
+        let version = ItemVersion {
+            incarnation: Incarnation::new(1_765_000_000_000),
+            counter: 1,
+        };
+        let record = record_of(&listed[position]);
+        let (mut membership, own_item) = Membership::new(own.node.clone(), version, record);
+        let mut gossip = Gossip::new(GossipSettings::default());
+        for item in lasting_items(size, &vms, &listed)
+            .into_iter()
+            .chain([own_item])
+        {
+            gossip.handle(MonoTime::ZERO, GossipInput::Publish(item));
+        }
+        membership.handle(MonoTime::ZERO, MembershipInput::Listed(listed));
+        let mut endpoints = EndpointWatch::new(own.clone(), version);
+        let listed_endpoints = vms.iter().filter_map(listed_endpoint).collect();
+        endpoints.handle(MonoTime::ZERO, WatchInput::Members(places.clone()));
+        let effects = endpoints.handle(MonoTime::ZERO, WatchInput::Listed(listed_endpoints));
+        let links = links_of(&own, &places);
+        let (told_near, told_far) = told(&vms, &places, &own);
+        let mut share = Self {
+            gossip,
+            membership,
+            endpoints,
+            counts: Counts::default(),
+            links,
+            watched: Vec::new(),
+            own,
+            places,
+            told_near,
+            told_far,
+            random: Pcg64Mcg::new(7),
+        };
+        share.note_watched(&effects);
+        share.open_links();
+        share
+    }
+
+    pub(super) fn links(&self) -> usize {
+        self.links.len()
+    }
+
+    pub(super) fn watched(&self) -> usize {
+        self.watched.len()
+    }
+
+    pub(super) fn places(&self) -> Vec<Place> {
+        self.places.clone()
+    }
+
+    pub(super) fn reset_counts(&mut self) {
+        self.counts = Counts::default();
+    }
+
+    /// Items other than loads.
+    pub(super) fn lasting_items(&self) -> Vec<Item> {
+        let items = self.gossip.items().items();
+        let lasting = items.filter(|item| !matches!(item.key, ItemKey::Endpoint(_)));
+        lasting.cloned().collect()
+    }
+
+    fn note_watched(&mut self, effects: &[WatchEffect]) {
+        for effect in effects {
+            if let WatchEffect::Watch(watched) = effect {
+                self.watched = watched.iter().map(|(id, _)| id.clone()).collect();
+            }
+        }
+    }
+
+    fn open_links(&mut self) {
+        for (peer, opened_here) in self.links.clone() {
+            let place = self.places.iter().find(|place| place.node == peer);
+            let across = place.is_some_and(|place| place.region != self.own.region);
+            let input = GossipInput::LinkUp {
+                peer,
+                opened_here,
+                across,
+            };
+            self.gossip.handle(MonoTime::ZERO, input);
+        }
+    }
+
+    /// Frames that the peers send in one second, in a random order.
+    pub(super) fn frames_of_second(&mut self) -> Vec<(NodeId, Vec<u8>)> {
+        let mut by_link: ByLink<Vec<Item>> = ByLink::new();
+        let near = self.told_near.per_second;
+        let domains: BTreeSet<&FailureDomain> = self
+            .places
+            .iter()
+            .map(|place| &place.failure_domain)
+            .collect();
+        let far = self.told_far.per_second;
+        let far = far.min(domains.len() * ACROSS_LOADS_PER_SECOND);
+        let within: Vec<NodeId> = self.links_within();
+        let links = within.len() as f64;
+        // On average as much comes in as goes out.
+        let repeated = ((links / 2.0 - 1.0) / (links - 1.0)).clamp(0.0, 1.0);
+        for position in (0..near).chain(near..near + far) {
+            let item = self.next_load(position < near);
+            self.counts.loads_in += 1;
+            let first = self.random.random_range(0..within.len());
+            for (link, peer) in within.iter().enumerate() {
+                if link == first || self.random.random_bool(repeated) {
+                    by_link.entry(peer.clone()).or_default().push(item.clone());
+                }
+            }
+        }
+        let items = by_link.into_iter().map(|(peer, items)| {
+            let frame = encode(GossipMessage::Items(items));
+            (peer, frame)
+        });
+        let mut frames: Vec<(NodeId, Vec<u8>)> = items.collect();
+        frames.extend(self.quiet_frames());
+        frames
+    }
+
+    /// Peers of the own region.
+    fn links_within(&self) -> Vec<NodeId> {
+        let within = self.links.iter().filter(|(peer, _)| {
+            let mut places = self.places.iter();
+            places.any(|place| place.node == *peer && place.region == self.own.region)
+        });
+        within.map(|(peer, _)| peer.clone()).collect()
+    }
+
+    /// Probes and digests of peers; a digest that agrees needs no answer.
+    fn quiet_frames(&mut self) -> Vec<(NodeId, Vec<u8>)> {
+        let mut frames = Vec::new();
+        for (peer, opened_here) in &self.links {
+            let kind = if *opened_here {
+                Kind::ProbeReply(ProbeReply {})
+            } else {
+                Kind::Probe(Probe {})
+            };
+            frames.push((peer.clone(), encode_body(GossipBody { kind: Some(kind) })));
+            if !opened_here && self.random.random_range(0..10) == 0 {
+                let digest = self.gossip.items().digest().to_vec();
+                frames.push((peer.clone(), encode(GossipMessage::Digest(digest))));
+            }
+        }
+        frames
+    }
+
+    fn next_load(&mut self, near: bool) -> Item {
+        let told = if near {
+            &mut self.told_near.told
+        } else {
+            &mut self.told_far.told
+        };
+        let position = self.random.random_range(0..told.len());
+        let told = &mut told[position];
+        told.version = told.version.next();
+        let load = random_load(&mut self.random);
+        Item {
+            key: ItemKey::Endpoint(told.id),
+            version: told.version,
+            value: ItemValue::Endpoint(EndpointSummary::new(
+                ObservedCondition::Live,
+                load.running,
+                load.waiting,
+                load.capacity,
+            )),
+        }
+    }
+
+    /// Loads that this node reads within one step of a second.
+    pub(super) fn own_loads(
+        &mut self,
+        now: MonoTime,
+        step: u64,
+        steps: u64,
+    ) -> Vec<(EndpointId, LoadAnswer)> {
+        let rate = READS_PER_SECOND.min(2 * self.watched.len() as u64);
+        let due = rate * (step + 1) / steps - rate * step / steps;
+        let mut loads = Vec::new();
+        for turn in 0..due {
+            let position = (now.get() / 50_000 + turn) as usize % self.watched.len();
+            let answer = LoadAnswer {
+                load: random_load(&mut self.random),
+                leaving: false,
+            };
+            loads.push((self.watched[position].clone(), answer));
+        }
+        loads
+    }
+
+    pub(super) fn take_loads(&mut self, now: MonoTime, loads: Vec<(EndpointId, LoadAnswer)>) {
+        for (endpoint, answer) in loads {
+            let input = WatchInput::Load(endpoint, Some(answer));
+            let effects = self.endpoints.handle(now, input);
+            for effect in effects {
+                if let WatchEffect::Publish(item) = effect {
+                    let effects = self.gossip.handle(now, GossipInput::Publish(item));
+                    self.send(effects);
+                }
+            }
+        }
+    }
+
+    /// Takes a frame of a peer, as the node's control thread does.
+    pub(super) fn take_frame(&mut self, now: MonoTime, from: NodeId, frame: &[u8]) {
+        self.counts.bytes_in += frame.len() as u64 + FRAME_HEAD_BYTES;
+        let Ok(message) = PeerMessage::decode(frame) else {
+            return;
+        };
+        let Some(Body::Gossip(body)) = message.body else {
+            return;
+        };
+        let answered = MembershipInput::Answered(from.clone());
+        self.membership.handle(now, answered);
+        if matches!(body.kind, Some(Kind::Probe(_))) {
+            let kind = Some(Kind::ProbeReply(ProbeReply {}));
+            self.count_out(&encode_body(GossipBody { kind }));
+        }
+        if let Some(message) = gossip_codec::decode(body) {
+            let input = GossipInput::Message { from, message };
+            let effects = self.gossip.handle(now, input);
+            self.learn(now, &effects);
+            self.send(effects);
+        }
+    }
+
+    fn learn(&mut self, now: MonoTime, effects: &[GossipEffect]) {
+        for effect in effects {
+            let GossipEffect::Learned(item) = effect else {
+                continue;
+            };
+            if let (ItemKey::Endpoint(id), ItemValue::Endpoint(summary)) = (&item.key, &item.value)
+            {
+                let input = WatchInput::Observed(*id, item.version, *summary);
+                self.endpoints.handle(now, input);
+            }
+        }
+    }
+
+    /// Handles deadlines that have passed.
+    pub(super) fn expire(&mut self, now: MonoTime) {
+        if self.membership.next_deadline().is_some_and(|at| at <= now) {
+            for effect in self.membership.expire(now) {
+                if let MembershipEffect::Probe(_) = effect {
+                    let kind = Some(Kind::Probe(Probe {}));
+                    self.count_out(&encode_body(GossipBody { kind }));
+                }
+            }
+        }
+        if self.endpoints.next_deadline().is_some_and(|at| at <= now) {
+            self.endpoints.expire(now);
+        }
+        if self.gossip.next_deadline().is_some_and(|at| at <= now) {
+            let effects = self.gossip.expire(now);
+            self.send(effects);
+        }
+    }
+
+    fn send(&mut self, effects: Vec<GossipEffect>) {
+        for effect in effects {
+            if let GossipEffect::Send { message, .. } = effect {
+                let frame = encode(message);
+                self.count_out(&frame);
+            }
+        }
+    }
+
+    fn count_out(&mut self, frame: &[u8]) {
+        self.counts.bytes_out += frame.len() as u64 + FRAME_HEAD_BYTES;
+        self.counts.messages_out += 1;
+    }
+}
+
+/// Links of a node: those it opens, and those that others open to it.
+fn links_of(own: &Place, places: &[Place]) -> Vec<(NodeId, bool)> {
+    let others_of = |place: &Place| -> Vec<Place> {
+        let others = places.iter().filter(|other| other.node != place.node);
+        others.cloned().collect()
+    };
+    let opened: Vec<NodeId> = partners(own, &others_of(own));
+    let mut links: Vec<(NodeId, bool)> = Vec::new();
+    links.extend(opened.iter().map(|peer| (peer.clone(), true)));
+    for place in places.iter().filter(|place| *place != own) {
+        let opens = partners(place, &others_of(place)).contains(&own.node);
+        if opens && !opened.contains(&place.node) {
+            links.push((place.node.clone(), false));
+        }
+    }
+    links
+}
+
+/// Loads that other nodes tell, of the own region and of the other.
+fn told(vms: &[VmEntry], places: &[Place], own: &Place) -> (ToldLoads, ToldLoads) {
+    let (near, far): (Vec<ListedEndpoint>, Vec<ListedEndpoint>) = vms
+        .iter()
+        .filter_map(listed_endpoint)
+        .partition(|endpoint| endpoint.region == own.region);
+    (told_of(&near, places, own), told_of(&far, places, own))
+}
+
+/// Each node tells within its share of the region's rate, and each endpoint's
+/// load once a second.
+fn told_of(endpoints: &[ListedEndpoint], places: &[Place], own: &Place) -> ToldLoads {
+    let version = ItemVersion {
+        incarnation: Incarnation::new(1_765_000_000_500),
+        counter: 1_000,
+    };
+    let Some(region) = endpoints.first().map(|endpoint| &endpoint.region) else {
+        return ToldLoads::default();
+    };
+    let near: Vec<&Place> = places
+        .iter()
+        .filter(|place| place.region == *region)
+        .collect();
+    let mut told = Vec::new();
+    let mut by_watcher: ByLink<usize> = ByLink::new();
+    for endpoint in endpoints {
+        let watchers = duty_holders(endpoint.id.as_str(), near.iter().copied(), 1);
+        for watcher in watchers.into_iter().filter(|watcher| *watcher != own) {
+            let id = ObservationId::new(&endpoint.id, &watcher.node);
+            told.push(Told { id, version });
+            *by_watcher.entry(watcher.node.clone()).or_default() += 1;
+        }
+    }
+    let share = REGION_LOADS_PER_SECOND / near.len() as f64;
+    let share = share.min(NODE_LOADS_PER_SECOND);
+    let rates = by_watcher.values().map(|count| share.min(*count as f64));
+    ToldLoads {
+        per_second: rates.sum::<f64>().round() as usize,
+        told,
+    }
+}
+
+/// Nodes, templates and VMs as items.
+fn lasting_items(size: Size, vms: &[VmEntry], listed: &[ListedNode]) -> Vec<Item> {
+    let version = ItemVersion {
+        incarnation: Incarnation::new(1_765_000_000_000),
+        counter: 1,
+    };
+    let nodes = listed.iter().map(|node| Item {
+        key: ItemKey::Node(node.place.node.clone()),
+        version,
+        value: ItemValue::Node(record_of(node)),
+    });
+    let templates = state::templates(size);
+    let templates = templates
+        .into_iter()
+        .enumerate()
+        .map(|(position, entry)| Item {
+            key: ItemKey::Template(state::workspace_id(position)),
+            version: ItemVersion::of_revision(entry.revision),
+            value: ItemValue::Template(entry.value.into()),
+        });
+    let vms = vms.iter().map(|vm| {
+        let text = serde_json::to_string(vm).unwrap_or_default();
+        Item {
+            key: ItemKey::Vm(vm.id.clone()),
+            version,
+            value: ItemValue::Vm(Some(text.into())),
+        }
+    });
+    nodes.chain(templates).chain(vms).collect()
+}
+
+fn random_load(random: &mut Pcg64Mcg) -> EndpointLoad {
+    EndpointLoad {
+        running: RequestCount::new(random.random_range(0..=ENGINE_CAPACITY)),
+        waiting: RequestCount::new(random.random_range(0..8)),
+        capacity: RequestCount::new(ENGINE_CAPACITY),
+    }
+}
+
+fn record_of(node: &ListedNode) -> NodeRecord {
+    NodeRecord {
+        status: NodeStatus::Alive,
+        peer_address: node.peer_address,
+        caller_address: node.caller_address,
+        failure_domain: node.place.failure_domain.clone(),
+        region: node.place.region.clone(),
+    }
+}
+
+fn listed_node(vm: &VmEntry) -> Option<ListedNode> {
+    let VmRole::Node { caller_address } = &vm.role else {
+        return None;
+    };
+    Some(ListedNode {
+        place: Place {
+            node: vm.id.as_str().parse().ok()?,
+            failure_domain: vm.failure_domain.clone(),
+            region: vm.region.clone(),
+        },
+        peer_address: vm.address,
+        caller_address: *caller_address,
+        leaving: vm.leaving,
+    })
+}
+
+fn listed_endpoint(vm: &VmEntry) -> Option<ListedEndpoint> {
+    matches!(vm.role, VmRole::Engine { .. }).then(|| ListedEndpoint {
+        id: vm.id.clone(),
+        failure_domain: vm.failure_domain.clone(),
+        region: vm.region.clone(),
+        tells_load: true,
+        leaving: vm.leaving,
+    })
+}
