--- a/crates/bench/src/slopes/state.rs
+++ b/crates/bench/src/slopes/state.rs
@@ -9,6 +9,7 @@
 use parsleylatch_settings::{Document, KeyDigest, Template};
 use parsleylatch_types::{
     EndpointId, EndpointVersion, FailureDomain, ModelId, MonoTime, Region, RequestCount, Revision,
+    WorkspaceId,
 };
 use parsleylatch_wire::platform::{KeyValue, VmEntry, VmListReply, VmRole};
 
@@ -90,7 +91,7 @@
 pub(super) fn templates(size: Size) -> Vec<KeyValue> {
     let entries = (0..size.workspaces).map(|position| {
         let value = serde_json::json!({
-            "workspace": format!("workspace-{position}"),
+            "workspace": workspace_id(position),
             "key_sha256": [KeyDigest::of_key(&format!("key-{position}"))],
             "tier": if position % 2 == 0 { "paying" } else { "free" },
             "model": model(position),
@@ -171,6 +172,11 @@
     })
 }
 
+/// Id of a workspace.
+pub(super) fn workspace_id(position: usize) -> WorkspaceId {
+    id(format!("workspace-{position}"))
+}
+
 /// Id of an engine.
 pub(super) fn engine_id(position: usize) -> EndpointId {
     id(format!("engine-{position}"))
