--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -12,6 +12,7 @@
         NodeRecord, NodeStatus,
     },
     membership::{ListedNode, Membership, MembershipEffect, MembershipInput, Place},
+    moves::Observer,
     store_session::{TemplateDuty, template_duty},
     view::EndpointCondition,
     vm_list,
@@ -29,6 +30,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::{
+    move_counts::LearnedCounts,
     peer_links::{PeerLinks, Sent},
     watchers::{WatchedEndpoint, WatchedEndpoints},
 };
@@ -46,6 +48,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Changes {
     pub(crate) templates: Vec<LearnedTemplate>,
+    pub(crate) counts: Vec<LearnedCounts>,
     /// Conditions or members, which matter at once.
     pub(crate) conditions: bool,
     /// Loads, which may wait a little.
@@ -334,6 +337,17 @@
                     text,
                 });
             }
+            (ItemKey::Evidence { origin, move_id }, ItemValue::Evidence(content)) => {
+                let observer = Observer {
+                    node: origin,
+                    incarnation: version.incarnation,
+                };
+                self.changes.counts.push(LearnedCounts {
+                    move_id,
+                    observer,
+                    content,
+                });
+            }
             (ItemKey::Vm(id), ItemValue::Vm(text)) => self.learn_vm(id, text.as_deref()),
             _ => {}
         }
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -5,35 +5,48 @@
 use parsleylatch_decide::{
     configuration::Configuration,
     generation::AttemptReport,
+    gossip::{Item, ItemKey, ItemValue, ItemVersion},
     moves::{MoveEffect, MoveEnd, MoveInput, MovePlan, MoveTable, MoveView, Observer, Trial},
     version_choice::VersionPlan,
     view::{EndpointKind, Snapshot, WorkspaceView},
 };
-use parsleylatch_types::{EndpointId, Incarnation, MonoTime, MoveId, WorkspaceId};
+use parsleylatch_types::{EndpointId, MonoTime, MoveId, NodeId, WorkspaceId};
 use parsleylatch_wire::platform::ListReply;
 
 use super::{
     events,
+    move_counts::{self, LearnedCounts},
     move_records::{self, MoveRecord},
 };
 use crate::{clock::Clock, shared::Shared};
 
+/// Counters of other nodes that are kept for moves that open later.
+const LEARNED_LIMIT: usize = 8_192;
+
 pub(crate) struct MoveControl {
     shared: Arc<Shared>,
     table: MoveTable,
     plans: BTreeMap<MoveId, MovePlan>,
+    observer: Observer,
+    /// Own counters as they were last published.
+    published: BTreeMap<MoveId, (u64, Arc<[u8]>)>,
+    /// Counters of other nodes, for moves that open here later.
+    learned: BTreeMap<(MoveId, NodeId), LearnedCounts>,
 }
 
 impl MoveControl {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         let observer = Observer {
             node: shared.settings.node_id.clone(),
-            incarnation: Incarnation::new(Clock::unix_now().get()),
+            incarnation: shared.identity.incarnation,
         };
         Self {
             shared,
-            table: MoveTable::new(observer),
+            table: MoveTable::new(observer.clone()),
             plans: BTreeMap::new(),
+            observer,
+            published: BTreeMap::new(),
+            learned: BTreeMap::new(),
         }
     }
 
@@ -56,7 +69,51 @@
             self.plans.insert(plan.id.clone(), plan.clone());
         }
         let workspace = view.template.workspace.clone();
+        let move_id = plan.as_ref().map(|plan| plan.id.clone());
         self.handle(MoveInput::Template { workspace, plan });
+        let early: Vec<LearnedCounts> = self
+            .learned
+            .values()
+            .filter(|counts| Some(&counts.move_id) == move_id.as_ref())
+            .cloned()
+            .collect();
+        early.iter().for_each(|counts| self.merge_counts(counts));
+    }
+
+    /// Takes over what another node has counted.
+    pub(crate) fn take_counts(&mut self, counts: LearnedCounts) {
+        self.merge_counts(&counts);
+        if self.learned.len() < LEARNED_LIMIT {
+            let key = (counts.move_id.clone(), counts.observer.node.clone());
+            self.learned.insert(key, counts);
+        }
+    }
+
+    fn merge_counts(&mut self, counts: &LearnedCounts) {
+        match move_counts::decode(&counts.content, &counts.observer) {
+            Some(evidence) => self.handle(MoveInput::Evidence {
+                move_id: counts.move_id.clone(),
+                evidence,
+            }),
+            None => log::warn!("unreadable counts of {}", counts.observer.node),
+        }
+    }
+
+    /// Own counters that have changed since the last call, for gossip.
+    pub(crate) fn changed_counts(&mut self) -> Vec<Item> {
+        let mut items = Vec::new();
+        for (move_id, evidence) in self.table.evidence() {
+            let content: Arc<[u8]> = move_counts::encode(evidence, &self.observer).into();
+            let known = self.published.get(move_id);
+            if content.is_empty() || known.is_some_and(|(_, before)| *before == content) {
+                continue;
+            }
+            let counter = known.map_or(0, |(counter, _)| counter + 1);
+            self.published
+                .insert(move_id.clone(), (counter, Arc::clone(&content)));
+            items.push(counts_item(&self.observer, move_id, counter, content));
+        }
+        items
     }
 
     /// Takes over what the store has on moves.
@@ -157,3 +214,17 @@
         tokio::spawn(move_records::write(shared, move_id, record));
     }
 }
+
+fn counts_item(observer: &Observer, move_id: &MoveId, counter: u64, content: Arc<[u8]>) -> Item {
+    Item {
+        key: ItemKey::Evidence {
+            origin: observer.node.clone(),
+            move_id: move_id.clone(),
+        },
+        version: ItemVersion {
+            incarnation: observer.incarnation,
+            counter,
+        },
+        value: ItemValue::Evidence(content),
+    }
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -137,6 +137,10 @@
     /// Takes over what the other nodes and the platform have told.
     fn take_changes(&mut self) {
         let changes = self.cluster.take_changes();
+        for counts in changes.counts {
+            self.moves.take_counts(counts);
+            self.publish_within(CONDITION_SNAPSHOT_DELAY_MS);
+        }
         let mut configured = false;
         for template in changes.templates {
             configured |= self.take_template(&template);
@@ -247,6 +251,9 @@
 
     fn publish(&mut self) {
         self.publish_at = None;
+        for item in self.moves.changed_counts() {
+            self.cluster.publish(item);
+        }
         self.refresh_views();
         let snapshot = Snapshot {
             workspaces: self.configuration.by_key(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod platform;
 
 pub use frame::{FRAME_LIMIT, FrameError, PeerCodec, message_bytes};
-pub use generated::{gossip, journal, peer};
+pub use generated::{gossip, journal, moves, peer};
 
 /// Code that `prost` generates from `proto/*.proto`; committed, so that the
 /// build needs no generator.
@@ -23,6 +23,10 @@
     pub mod journal {
         include!("generated/parsleylatch.journal.rs");
     }
+    /// Counts of version moves.
+    pub mod moves {
+        include!("generated/parsleylatch.moves.rs");
+    }
     /// Envelope of the messages between nodes.
     pub mod peer {
         include!("generated/parsleylatch.peer.rs");
