--- a/crates/node/src/peering/mod.rs
+++ b/crates/node/src/peering/mod.rs
@@ -88,6 +88,7 @@
                 for input in batch.drain(..) {
                     state.handle(input);
                 }
+                state.flush_idle();
             }
             Ok(()) = peers.changed() => {
                 let listed = peers.borrow_and_update().clone();
--- a/crates/node/src/peering/state.rs
+++ b/crates/node/src/peering/state.rs
@@ -35,6 +35,8 @@
     link: Link,
     life: PeerLife,
     records: Vec<wire::JournalRecord>,
+    /// Whether the last frame has not been answered yet.
+    answer_due: bool,
     /// Questions that wait for the link.
     asks: Vec<wire::TakeOverAsk>,
 }
@@ -169,6 +171,7 @@
             link,
             life: PeerLife::new(self.now()),
             records: Vec::new(),
+            answer_due: false,
             asks: Vec::new(),
         };
         self.peers.insert(view.id.clone(), peer);
@@ -197,7 +200,7 @@
         }
     }
 
-    /// Lets a record wait for the next frame.
+    /// Lets a record wait for the next frame, for the interval at most.
     fn queue(&mut self, id: &NodeId, record: &JournalRecord) {
         match self.peers.get_mut(id) {
             Some(peer) => peer.records.push(codec::encode_record(record)),
@@ -212,12 +215,23 @@
         self.flush_at.get_or_insert(due);
     }
 
+    /// Sends what waits to every peer.
     fn flush(&mut self) {
         self.flush_at = None;
+        self.flush_where(|_| true);
+    }
+
+    /// Sends what waits to the peers from which no answer is due. A peer that is
+    /// still answering gets the next frame with its answer, or after the interval.
+    pub(crate) fn flush_idle(&mut self) {
+        self.flush_where(|peer| !peer.answer_due);
+    }
+
+    fn flush_where(&mut self, is_wanted: impl Fn(&Peer) -> bool) {
         let now = self.now();
         let counters = &self.shared.counters;
         for peer in self.peers.values_mut() {
-            if peer.records.is_empty() {
+            if peer.records.is_empty() || !is_wanted(peer) {
                 continue;
             }
             let records = std::mem::take(&mut peer.records);
@@ -227,6 +241,7 @@
             if peer.link.send(body) {
                 counters.increment(Counter::JournalFramesSent);
                 counters.add(Counter::JournalBytesSent, bytes.get());
+                peer.answer_due = true;
                 peer.life.handle(now, PeerEvent::BatchSent);
             } else {
                 counters.add(Counter::JournalRecordsDropped, count);
@@ -239,6 +254,7 @@
             LinkEvent::Up(identity) => {
                 self.step_peer(&identity.node_id, PeerEvent::LinkUp);
                 if let Some(peer) = self.peers.get_mut(&identity.node_id) {
+                    peer.answer_due = false;
                     for ask in std::mem::take(&mut peer.asks) {
                         peer.link.send(Body::TakeOverAsk(ask));
                     }
@@ -281,6 +297,7 @@
             // A task that is too busy to hear it has a timeout of its own.
             let _ = follower.messages.try_send(TaskMessage::Journal(input));
         }
+        self.flush_idle();
     }
 
     fn receive(&mut self, received: Received) {
@@ -341,6 +358,9 @@
 
     fn take_acks(&mut self, from: &NodeId, acks: &wire::JournalAcks) {
         self.step_peer(from, PeerEvent::Acked);
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.answer_due = false;
+        }
         for ack in acks.acks.iter().filter_map(codec::decode_ack) {
             let Some(follower) = self.followers.get(&ack.key) else {
                 continue;
