Records of moves are watched by duty, as templates are

Cause: every node held a waiting watch of moves, 350 of the store's 2,000 reads a second at the target size. Three nodes of a region now watch; the others ask once a minute and learn vetoes and shares by gossip meanwhile. The reader of templates serves both kinds of documents, and is named for it.

--- a/crates/decide/src/store_session.rs
+++ b/crates/decide/src/store_session.rs
@@ -76,9 +76,9 @@
     MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
 }
 
-/// How a node learns of changed templates.
+/// How a node learns of changed documents.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TemplateDuty {
+pub enum WatchDuty {
     /// Holds a waiting watch.
     Watch,
     /// Learns changes by gossip.
@@ -86,22 +86,19 @@
 }
 
 /// Duty of a node among the live nodes of its region.
-pub fn template_duty<'places>(
-    own: &Place,
-    live: impl Iterator<Item = &'places Place>,
-) -> TemplateDuty {
+pub fn watch_duty<'places>(own: &Place, live: impl Iterator<Item = &'places Place>) -> WatchDuty {
     let near = live.filter(|place| place.region == own.region);
     if duty_holders(WATCH_DUTY, near, WATCHERS_PER_REGION).contains(&own) {
-        TemplateDuty::Watch
+        WatchDuty::Watch
     } else {
-        TemplateDuty::Reconcile
+        WatchDuty::Reconcile
     }
 }
 
 /// Next call to the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TemplateCall {
-    /// List every template.
+pub enum DocumentCall {
+    /// List every document.
     List,
     /// Read what has changed since a revision, without waiting.
     Changes(Revision),
@@ -109,9 +106,9 @@
     Watch(Revision),
 }
 
-/// Reads templates from the service.
+/// Reads the documents of one kind from the service.
 #[derive(Clone, Debug)]
-pub struct TemplateReader {
+pub struct DocumentReader {
     life: Instance<SessionState>,
     failures: u32,
     after: Option<Revision>,
@@ -120,7 +117,7 @@
     jitter: Pcg32,
 }
 
-impl TemplateReader {
+impl DocumentReader {
     /// Reader that has read nothing.
     pub fn new(now: MonoTime, seed: Seed) -> Self {
         let mut failures = 0;
@@ -140,16 +137,16 @@
     }
 
     /// Next call, and when to make it.
-    pub fn next_call(&mut self, duty: TemplateDuty) -> (MonoTime, TemplateCall) {
+    pub fn next_call(&mut self, duty: WatchDuty) -> (MonoTime, DocumentCall) {
         let call = match (self.after, duty) {
-            (Some(after), TemplateDuty::Watch) => TemplateCall::Watch(after),
-            (Some(after), TemplateDuty::Reconcile) => TemplateCall::Changes(after),
-            (None, _) => TemplateCall::List,
+            (Some(after), WatchDuty::Watch) => DocumentCall::Watch(after),
+            (Some(after), WatchDuty::Reconcile) => DocumentCall::Changes(after),
+            (None, _) => DocumentCall::List,
         };
         let Some(ended_at) = self.ended_at else {
             return (self.started_at, call);
         };
-        let waits_for_gossip = self.after.is_some() && duty == TemplateDuty::Reconcile;
+        let waits_for_gossip = self.after.is_some() && duty == WatchDuty::Reconcile;
         let delay = match (self.state(), waits_for_gossip) {
             (SessionState::Connected, false) => CALL_INTERVAL_MS.micros(),
             (SessionState::Connected, true) => self.with_jitter(RECONCILE_INTERVAL_MS),
@@ -158,7 +155,7 @@
         };
         let at = match call {
             // A watch that waited long has earned its successor already.
-            TemplateCall::Watch(_) if self.state() == SessionState::Connected => {
+            DocumentCall::Watch(_) if self.state() == SessionState::Connected => {
                 self.started_at + delay
             }
             _ => ended_at + delay,
--- a/crates/decide/tests/configuration.rs
+++ b/crates/decide/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 use parsleylatch_decide::{
     configuration::{Applied, Configuration, TemplateState},
-    store_session::{SessionState, TemplateCall, TemplateDuty, TemplateReader},
+    store_session::{DocumentCall, DocumentReader, SessionState, WatchDuty},
 };
 use parsleylatch_settings::{Document, Template};
 use parsleylatch_types::{Millis, MonoTime, Revision, Seed, WorkspaceId};
@@ -73,11 +73,11 @@
     assert_eq!(in_force(&configuration), None);
 }
 
-fn reader() -> TemplateReader {
-    TemplateReader::new(at(0), Seed::new(1))
+fn reader() -> DocumentReader {
+    DocumentReader::new(at(0), Seed::new(1))
 }
 
-fn end(reader: &mut TemplateReader, now: MonoTime, read: Option<u64>) {
+fn end(reader: &mut DocumentReader, now: MonoTime, read: Option<u64>) {
     reader.call_started(now);
     reader.call_ended(now, read.map(Revision::new));
 }
@@ -86,8 +86,8 @@
 fn next_call_start() {
     let mut reader = reader();
     assert_eq!(
-        reader.next_call(TemplateDuty::Reconcile),
-        (at(0), TemplateCall::List)
+        reader.next_call(WatchDuty::Reconcile),
+        (at(0), DocumentCall::List)
     );
 }
 
@@ -95,8 +95,8 @@
 fn next_call_watch_after_list() {
     let mut reader = reader();
     end(&mut reader, at(0), Some(7));
-    let (when, call) = reader.next_call(TemplateDuty::Watch);
-    assert_eq!(call, TemplateCall::Watch(Revision::new(7)));
+    let (when, call) = reader.next_call(WatchDuty::Watch);
+    assert_eq!(call, DocumentCall::Watch(Revision::new(7)));
     assert!(when <= at(250));
 }
 
@@ -104,8 +104,8 @@
 fn next_call_reconcile_is_rare() {
     let mut reader = reader();
     end(&mut reader, at(0), Some(7));
-    let (when, call) = reader.next_call(TemplateDuty::Reconcile);
-    assert_eq!(call, TemplateCall::Changes(Revision::new(7)));
+    let (when, call) = reader.next_call(WatchDuty::Reconcile);
+    assert_eq!(call, DocumentCall::Changes(Revision::new(7)));
     assert!((at(45_000)..=at(75_000)).contains(&when), "{when}");
 }
 
@@ -115,7 +115,7 @@
     let mut now = at(0);
     for _ in 0..20 {
         end(&mut reader, now, None);
-        let (next, _) = reader.next_call(TemplateDuty::Watch);
+        let (next, _) = reader.next_call(WatchDuty::Watch);
         let delay = next.since(now);
         assert!(delay >= Millis::new(180).micros() && delay <= Millis::new(2_500).micros());
         now = next;
@@ -131,6 +131,6 @@
     let mut reader = reader();
     end(&mut reader, at(0), Some(9));
     end(&mut reader, at(300), Some(4));
-    let (_, call) = reader.next_call(TemplateDuty::Watch);
-    assert_eq!(call, TemplateCall::Watch(Revision::new(9)));
+    let (_, call) = reader.next_call(WatchDuty::Watch);
+    assert_eq!(call, DocumentCall::Watch(Revision::new(9)));
 }
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -13,7 +13,7 @@
     },
     membership::{ListedNode, Membership, MembershipEffect, MembershipInput, Place},
     moves::Observer,
-    store_session::{TemplateDuty, template_duty},
+    store_session::{WatchDuty, watch_duty},
     view::EndpointCondition,
     vm_list,
 };
@@ -58,7 +58,7 @@
 /// What the watchers have to know of the fleet.
 pub(crate) struct Duties {
     pub(crate) endpoints: watch::Sender<WatchedEndpoints>,
-    pub(crate) templates: watch::Sender<TemplateDuty>,
+    pub(crate) templates: watch::Sender<WatchDuty>,
     pub(crate) list_interval: watch::Sender<Micros>,
 }
 
@@ -66,7 +66,7 @@
     fn new() -> Self {
         Self {
             endpoints: watch::Sender::new(WatchedEndpoints::new()),
-            templates: watch::Sender::new(TemplateDuty::Watch),
+            templates: watch::Sender::new(WatchDuty::Watch),
             list_interval: watch::Sender::new(vm_list::read_interval(ByteCount::ZERO, 1)),
         }
     }
@@ -423,7 +423,7 @@
     /// Works out anew which duties this node has among those that live.
     fn share_duties(&self) {
         let own = self.membership.own();
-        let duty = template_duty(own, self.membership.live_places());
+        let duty = watch_duty(own, self.membership.live_places());
         let near = self.membership.live_places();
         let near = near.filter(|place| place.region == own.region).count();
         set(&self.duties.templates, duty);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -96,10 +96,13 @@
 
 fn start_watchers(shared: &Arc<Shared>, cluster: &Cluster) {
     let duties = &cluster.duties;
-    tokio::spawn(watchers::watch_templates(
-        Arc::clone(shared),
-        duties.templates.subscribe(),
-    ));
+    for documents in [watchers::TEMPLATES, watchers::MOVE_RECORDS] {
+        tokio::spawn(watchers::watch_documents(
+            Arc::clone(shared),
+            documents,
+            duties.templates.subscribe(),
+        ));
+    }
     tokio::spawn(watchers::watch_vms(
         Arc::clone(shared),
         duties.list_interval.subscribe(),
@@ -108,7 +111,6 @@
         Arc::clone(shared),
         duties.endpoints.subscribe(),
     ));
-    tokio::spawn(watchers::watch_move_records(Arc::clone(shared)));
     tokio::spawn(watchers::report_counters(Arc::clone(shared)));
     tokio::spawn(claim_sweep::run(Arc::clone(shared)));
 }
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -3,12 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use parsleylatch_decide::store_session::{
-    SessionState, TemplateCall, TemplateDuty, TemplateReader,
-};
+use parsleylatch_decide::store_session::{DocumentCall, DocumentReader, SessionState, WatchDuty};
 use parsleylatch_endpoint::EngineClient;
 use parsleylatch_store::{StoreClient, StoreError, VmListClient};
-use parsleylatch_types::{EndpointId, Micros, Millis, Revision, Seed};
+use parsleylatch_types::{EndpointId, Micros, Millis, Seed};
 use parsleylatch_wire::platform::ListReply;
 use tokio::{
     sync::watch,
@@ -26,8 +24,6 @@
 pub(crate) const TEMPLATE_PREFIX: &str = "templates/";
 /// Longest wait of one watch call.
 const WATCH_WAIT_MS: Millis = Millis::new(30_000);
-/// Delay after a failed read of the moves.
-const STORE_RETRY_DELAY_MS: Millis = Millis::new(500);
 /// Delay after a failed read of the VM list.
 const LIST_RETRY_DELAY_MS: Millis = Millis::new(500);
 /// Shortest time between two load reports of an engine.
@@ -49,11 +45,37 @@
 /// Engines whose load is to be read.
 pub(crate) type WatchedEndpoints = Vec<WatchedEndpoint>;
 
-/// Lists the templates, then waits for changes, as the node's duty asks.
-pub(crate) async fn watch_templates(shared: Arc<Shared>, mut duty: watch::Receiver<TemplateDuty>) {
+/// Documents of one kind in the store.
+pub(crate) struct Documents {
+    prefix: &'static str,
+    input: fn(ListReply) -> ControlInput,
+    /// Counter of the calls for this kind, beside that of all calls.
+    calls: Option<Counter>,
+}
+
+/// Accepted templates.
+pub(crate) const TEMPLATES: Documents = Documents {
+    prefix: TEMPLATE_PREFIX,
+    input: ControlInput::Templates,
+    calls: Some(Counter::TemplateCalls),
+};
+
+/// Version moves that were opened or ended.
+pub(crate) const MOVE_RECORDS: Documents = Documents {
+    prefix: MOVE_PREFIX,
+    input: ControlInput::MoveRecords,
+    calls: None,
+};
+
+/// Lists the documents, then learns of changes, as the node's duty asks.
+pub(crate) async fn watch_documents(
+    shared: Arc<Shared>,
+    documents: Documents,
+    mut duty: watch::Receiver<WatchDuty>,
+) {
     let store = StoreClient::new(shared.settings.store_address);
     let seed = Seed::new(shared.identity.incarnation.get());
-    let mut reader = TemplateReader::new(shared.clock.now(), seed);
+    let mut reader = DocumentReader::new(shared.clock.now(), seed);
     loop {
         let current = *duty.borrow_and_update();
         let (at, call) = reader.next_call(current);
@@ -63,65 +85,43 @@
         }
         reader.call_started(shared.clock.now());
         shared.counters.increment(Counter::StoreCalls);
-        shared.counters.increment(Counter::TemplateCalls);
+        if let Some(calls) = documents.calls {
+            shared.counters.increment(calls);
+        }
         let reply = match call {
-            TemplateCall::List => store.list(TEMPLATE_PREFIX).await,
-            TemplateCall::Changes(after) => store.watch(TEMPLATE_PREFIX, after, Millis::ZERO).await,
-            TemplateCall::Watch(after) => store.watch(TEMPLATE_PREFIX, after, WATCH_WAIT_MS).await,
+            DocumentCall::List => store.list(documents.prefix).await,
+            DocumentCall::Changes(after) => {
+                store.watch(documents.prefix, after, Millis::ZERO).await
+            }
+            DocumentCall::Watch(after) => store.watch(documents.prefix, after, WATCH_WAIT_MS).await,
         };
-        note_state(&shared, &mut reader, &reply);
+        note_state(&shared, documents.prefix, &mut reader, &reply);
         if let Ok(reply) = reply
-            && shared
-                .control
-                .send(ControlInput::Templates(reply))
-                .await
-                .is_err()
+            && shared.control.send((documents.input)(reply)).await.is_err()
         {
             return;
         }
     }
 }
 
-fn note_state(shared: &Shared, reader: &mut TemplateReader, reply: &Result<ListReply, StoreError>) {
+fn note_state(
+    shared: &Shared,
+    prefix: &str,
+    reader: &mut DocumentReader,
+    reply: &Result<ListReply, StoreError>,
+) {
     if let Err(error) = reply {
         shared.counters.increment(Counter::StoreCallsFailed);
         log::debug!("{error}");
     }
     let revision = reply.as_ref().ok().map(|reply| reply.revision);
     match reader.call_ended(shared.clock.now(), revision) {
-        Some(SessionState::Out) => log::warn!("the store is out"),
-        Some(state) => log::info!("store session: {state}"),
+        Some(SessionState::Out) => log::warn!("the store is out, as {prefix} shows"),
+        Some(state) => log::info!("store session of {prefix}: {state}"),
         None => {}
     }
 }
 
-/// Lists the moves, then waits for changes.
-pub(crate) async fn watch_move_records(shared: Arc<Shared>) {
-    let store = StoreClient::new(shared.settings.store_address);
-    let mut after = Revision::ZERO;
-    loop {
-        shared.counters.increment(Counter::StoreCalls);
-        let reply = match after {
-            Revision::ZERO => store.list(MOVE_PREFIX).await,
-            after => store.watch(MOVE_PREFIX, after, WATCH_WAIT_MS).await,
-        };
-        match reply {
-            Ok(reply) => {
-                after = reply.revision.max(Revision::new(1));
-                let input = ControlInput::MoveRecords(reply);
-                if shared.control.send(input).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
-                shared.counters.increment(Counter::StoreCallsFailed);
-                log::debug!("{error}");
-                sleep(STORE_RETRY_DELAY_MS.duration()).await;
-            }
-        }
-    }
-}
-
 /// Reads the list of VMs at the pace that the node's share asks for.
 pub(crate) async fn watch_vms(shared: Arc<Shared>, mut interval: watch::Receiver<Micros>) {
     let client = VmListClient::new(shared.settings.vm_list_address);
--- a/tests/process/configuration.rs
+++ b/tests/process/configuration.rs
@@ -12,7 +12,7 @@
     bench::fleet::FleetNode,
     decide::{
         membership::Place,
-        store_session::{TemplateDuty, template_duty},
+        store_session::{WatchDuty, watch_duty},
     },
     standin::{FaultOrder, StoreFault},
     store::{Condition, StoreClient},
@@ -215,7 +215,7 @@
     let live: Vec<Place> = nodes.iter().map(place).collect();
     nodes
         .iter()
-        .partition(|node| template_duty(&place(node), live.iter()) == TemplateDuty::Watch)
+        .partition(|node| watch_duty(&place(node), live.iter()) == WatchDuty::Watch)
 }
 
 #[tokio::test]
--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -77,6 +77,18 @@
         }
     }
 
+    /// Starts a fleet and waits until its nodes have links to one another.
+    pub(crate) async fn start_linked(shape: Shape<'_>) -> Self {
+        let running = Self::start(shape).await;
+        let others = shape.nodes as u64 - 1;
+        for node in 0..shape.nodes {
+            running
+                .await_counter(node, "journal_peers_up", others)
+                .await;
+        }
+        running
+    }
+
     /// Paying caller at a node.
     pub(crate) fn paying(&self, node: usize) -> Caller {
         Caller::new(self.fleet.nodes[node].caller, &self.fleet.workspaces[0].key)
--- a/tests/process/planned_stop.rs
+++ b/tests/process/planned_stop.rs
@@ -32,14 +32,6 @@
 /// Callers at each node.
 const CALLERS_PER_NODE: usize = 5;
 
-async fn linked_fleet() -> Running {
-    let running = Running::start(FLEET).await;
-    for node in 0..FLEET.nodes {
-        running.await_counter(node, "journal_peers_up", 3).await;
-    }
-    running
-}
-
 /// One caller that starts at a node and knows them all.
 async fn run_caller(
     running: &Running,
@@ -107,7 +99,7 @@
 #[test_case(&[0, 1] ; "two nodes at once")]
 #[tokio::test]
 async fn stop_node_under_load(stopped: &[usize]) {
-    let running = linked_fleet().await;
+    let running = Running::start_linked(FLEET).await;
     let histories = run_load(&running, LONG_TOKENS, async {
         tokio::time::sleep(Duration::from_millis(1_000)).await;
         for node in stopped {
@@ -187,7 +179,7 @@
 
 #[tokio::test]
 async fn stop_node_rolling_restart() {
-    let running = linked_fleet().await;
+    let running = Running::start_linked(FLEET).await;
     let mut replacements = Vec::new();
     let histories = run_load(&running, LONGEST_TOKENS, async {
         for node in 0..FLEET.nodes {
--- a/tests/process/resume.rs
+++ b/tests/process/resume.rs
@@ -28,18 +28,6 @@
     options: &["--pace-ms", "5"],
 };
 
-/// Starts a fleet whose nodes have links to one another.
-async fn linked_fleet(shape: Shape<'_>) -> Running {
-    let running = Running::start(shape).await;
-    for node in 0..shape.nodes {
-        let others = shape.nodes as u64 - 1;
-        running
-            .await_counter(node, "journal_peers_up", others)
-            .await;
-    }
-    running
-}
-
 /// Caller that starts at the first node and knows them all.
 fn resuming<'a>(running: &Running) -> ResumingCaller<'a> {
     let nodes = running.fleet.nodes.iter().map(|node| node.caller).collect();
@@ -73,7 +61,7 @@
 #[tokio::test]
 async fn resume_owner_killed(at: usize, max_tokens: u32, pace_ms: &str) {
     let options = &["--pace-ms", pace_ms];
-    let running = linked_fleet(Shape { options, ..FLEET }).await;
+    let running = Running::start_linked(Shape { options, ..FLEET }).await;
     let body = body("owner", max_tokens);
     let caller = resuming(&running).on_token(|token, count| {
         if count == at {
@@ -91,7 +79,7 @@
 #[test_case(119 ; "last token")]
 #[tokio::test]
 async fn resume_journal_peer_killed(at: usize) {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("holder", 120);
     let mut killed = String::new();
     let caller = resuming(&running).on_token(|token, count| {
@@ -112,7 +100,7 @@
 
 #[tokio::test]
 async fn resume_owner_and_journal_peer_killed() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("both", 120);
     let caller = resuming(&running).on_token(|token, count| {
         if count == 60 {
@@ -128,7 +116,7 @@
 
 #[tokio::test]
 async fn resume_owner_and_engine_killed() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("engine", 120);
     // The affinity sends the same prompt to the same engine again.
     let first = generate(&running.paying(0), &body).await;
@@ -148,7 +136,7 @@
 
 #[tokio::test]
 async fn resume_owners_killed_twice() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("twice", 160);
     let caller = resuming(&running).on_token(|token, count| {
         if count == 50 || count == 100 {
@@ -163,7 +151,7 @@
 
 #[tokio::test]
 async fn resume_owner_frozen_and_woken() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("frozen", 400);
     let caller = running.paying(0);
     let id = RequestId::generate();
@@ -215,7 +203,7 @@
 
 #[tokio::test]
 async fn resume_tail_of_finished() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("tail", 40);
     let id = RequestId::generate();
     let Opened::Events(events) = running.paying(0).generate(id, &body).await.unwrap() else {
@@ -268,7 +256,7 @@
 #[test_case(true ; "other body")]
 #[tokio::test]
 async fn generate_id_again(differs: bool) {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let first_body = body("again", 200);
     let id = RequestId::generate();
     let caller = running.paying(0);
@@ -305,7 +293,7 @@
 
 #[tokio::test]
 async fn generate_id_at_two_nodes() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("two nodes", 120);
     let id = RequestId::generate();
     let mut open = Vec::new();
@@ -327,7 +315,7 @@
 
 #[tokio::test]
 async fn resume_wrong_workspace() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("foreign", 400);
     let id = RequestId::generate();
     let Opened::Events(mut events) = running.paying(0).generate(id, &body).await.unwrap() else {
@@ -351,7 +339,7 @@
 
 #[tokio::test]
 async fn resume_engine_fault_after_take_over() {
-    let running = linked_fleet(FLEET).await;
+    let running = Running::start_linked(FLEET).await;
     let body = body("fault", 120);
     for engine in &running.fleet.engines {
         let at = Some(parsleylatch::types::TokenIndex::new(80));
