--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,9 +6,11 @@
 mod client;
 mod error;
 mod listener;
+mod signal;
 mod sse;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step};
 pub use listener::{NodelayListener, bind_group, serve};
+pub use signal::until_signal;
 pub use sse::{SseEvent, SseReader, encode_event};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 };
 
 use eyre::{Result, WrapErr, eyre};
-use parsleylatch_http::bind_group;
+use parsleylatch_http::{bind_group, until_signal};
 use parsleylatch_settings::NodeSettings;
 use tokio::{
     runtime::{Builder, Runtime},
@@ -158,17 +158,6 @@
     bind_group(address, count).wrap_err_with(|| format!("binding {field} {address}"))
 }
 
-async fn until_signal() -> io::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Starts a thread with a runtime of its own.
 fn spawn(name: &str, work: impl FnOnce(Runtime) + Send + 'static) -> Result<JoinHandle<()>> {
     let runtime = Builder::new_current_thread().enable_all().build();
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
-use parsleylatch_http::{NodelayListener, bind_group};
+use parsleylatch_http::{NodelayListener, bind_group, until_signal};
 use tokio::task::JoinHandle;
 use viz::Router;
 
@@ -43,14 +43,7 @@
     /// # Errors
     /// The system's reason if signals can't be received.
     pub async fn until_signal(self) -> io::Result<()> {
-        use tokio::signal::unix::{SignalKind, signal};
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
+        until_signal().await
     }
 }
 
