--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     call, configuration, endpoint_health, generation, journal, lease_holder, limits, membership,
-    moves, node_life, store_session,
+    moves, node_life, relay, store_session,
 };
 
 /// One embedded chart file.
@@ -35,6 +35,7 @@
 pub(crate) const CONFIGURATION: ChartSource = chart_source!("configuration");
 pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
 pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
+pub(crate) const EXCHANGE: ChartSource = chart_source!("exchange");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
 pub(crate) const JOURNAL: ChartSource = chart_source!("journal");
 pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
@@ -42,6 +43,7 @@
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
+pub(crate) const RELAY_LIFE: ChartSource = chart_source!("relay_life");
 pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 pub(crate) const PEER: ChartSource = chart_source!("peer");
@@ -55,11 +57,13 @@
     CONFIGURATION,
     ENDPOINT_HEALTH,
     ENDPOINT_PROBE,
+    EXCHANGE,
     GENERATION,
     IDEMPOTENT_CALL,
     LEASE_HOLDER,
     MEMBER,
     NODE_LIFE,
+    RELAY_LIFE,
     STORE_SESSION,
     VERSION_MOVE,
     JOURNAL,
@@ -105,5 +109,6 @@
     membership::verify_chart()?;
     moves::verify_chart()?;
     node_life::verify_chart()?;
+    relay::verify_charts()?;
     store_session::verify_chart()
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod node_life;
 pub mod placement;
 pub mod refusal;
+pub mod relay;
 pub mod store_session;
 pub mod version_choice;
 pub mod view;
--- /dev/null
+++ b/crates/decide/src/relay/mod.rs
@@ -0,0 +1,38 @@
+//! The relay: requests whose bodies and answers are opaque, routed by host and
+//! path to the endpoints of a service.
+//!
+//! [`RelayConfiguration`] says what may be asked and of whom, [`EndpointBook`]
+//! what is known of the endpoints, [`Selector`] which of them takes an attempt,
+//! and [`Exchange`] what happens to one request until it is answered. Front
+//! ends carry out the effects; none of this knows a header or a status line.
+
+mod book;
+mod configuration;
+mod exchange;
+mod life;
+mod pace;
+mod registry;
+mod retry_window;
+mod selector;
+
+use parsleylatch_chart::ChartError;
+
+pub use book::{EndpointBook, EndpointEntry, EndpointKey, LoadSample, Outcome};
+pub use configuration::{
+    Backend, CallerLimits, ConfigurationError, RelayConfiguration, RelayConfigurationParts,
+    RelayRoute, RelayWorkspace, Repeat, ServiceRules,
+};
+pub use exchange::{
+    AnswerClass, Exchange, ExchangeEffect, ExchangeInput, ExchangeOrder, ExchangeState,
+    RefusalReason,
+};
+pub use life::{RelayEffect, RelayEvent, RelayLife, RelayState};
+pub use pace::StreamPace;
+pub use registry::{Registry, RegistryChange};
+pub use retry_window::RetryWindow;
+pub use selector::{Choice, SelectionQuestion, Selector};
+
+pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    exchange::verify_chart()?;
+    life::verify_chart()
+}
--- /dev/null
+++ b/crates/decide/src/relay/registry.rs
@@ -0,0 +1,108 @@
+//! Endpoints as the platform's registry lists them.
+//!
+//! Entries may lapse while the store is away although their endpoints live, so
+//! what is missing right after an outage counts as present for a while.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use parsleylatch_types::{EndpointId, Millis, MonoTime, Revision};
+
+use super::book::EndpointEntry;
+
+/// Time after an outage in which a lapsed entry may come back; the platform
+/// states about two seconds.
+const RETURN_GRACE_MS: Millis = Millis::new(2_000);
+
+/// What a reading of the registry changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegistryChange {
+    /// Endpoints that are new, or whose entry changed.
+    pub updated: Vec<EndpointId>,
+    /// Endpoints that are gone.
+    pub removed: Vec<EndpointId>,
+    /// Endpoints that are missing, and held until the grace after an outage ends.
+    pub held: Vec<EndpointId>,
+}
+
+/// Entries in force, and when they were read.
+#[derive(Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<EndpointId, Arc<EndpointEntry>>,
+    revision: Revision,
+    read_at: Option<MonoTime>,
+    /// Since when the store has not answered; `None` while it does.
+    away_since: Option<MonoTime>,
+    returned_at: Option<MonoTime>,
+}
+
+impl Registry {
+    /// Registry that was never read.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a whole reading that started at `now`.
+    ///
+    /// A reading at an older revision than the last one is ignored.
+    pub fn apply(
+        &mut self,
+        now: MonoTime,
+        revision: Revision,
+        entries: Vec<EndpointEntry>,
+    ) -> Option<RegistryChange> {
+        if self.read_at.is_some() && revision < self.revision {
+            return None;
+        }
+        if self.away_since.take().is_some() {
+            self.returned_at = Some(now);
+        }
+        let in_grace = self
+            .returned_at
+            .is_some_and(|at| now.since(at) < RETURN_GRACE_MS.micros());
+        let mut change = RegistryChange::default();
+        let mut missing = std::mem::take(&mut self.entries);
+        for entry in entries {
+            let earlier = missing.remove(&entry.key.id);
+            if earlier.as_deref() != Some(&entry) {
+                change.updated.push(entry.key.id.clone());
+            }
+            self.entries.insert(entry.key.id.clone(), Arc::new(entry));
+        }
+        for (id, entry) in missing {
+            if in_grace && !entry.is_leaving {
+                change.held.push(id.clone());
+                self.entries.insert(id, entry);
+            } else {
+                change.removed.push(id);
+            }
+        }
+        self.revision = revision;
+        self.read_at = Some(now);
+        Some(change)
+    }
+
+    /// Notes that the store did not answer.
+    pub fn note_failure(&mut self, now: MonoTime) {
+        self.away_since.get_or_insert(now);
+    }
+
+    /// Whether it was read at least once.
+    pub fn is_known(&self) -> bool {
+        self.read_at.is_some()
+    }
+
+    /// Store revision of the last reading.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// When it was read last.
+    pub fn read_at(&self) -> Option<MonoTime> {
+        self.read_at
+    }
+
+    /// Entries, by id.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
+        self.entries.values()
+    }
+}
--- /dev/null
+++ b/crates/decide/src/relay/selector.rs
@@ -0,0 +1,191 @@
+//! Which endpoint takes an attempt, and which one keeps a copy of its memory.
+//!
+//! The cost of an endpoint is the time that a request is expected to wait
+//! there: the way to it, the work in front of it and the risk that it fails. A
+//! little randomness keeps the nodes, which see much the same, from choosing
+//! the same endpoint.
+
+use std::{collections::HashMap, sync::Arc};
+
+use parsleylatch_types::{
+    FailureDomain, Micros, Millis, MonoTime, Region, ServiceName, TokenCount,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::book::{Condition, EndpointBook, EndpointEntry, EndpointKey};
+
+/// Way there and back within a region.
+const REGION_TRIP_US: Micros = Micros::new(3_000);
+/// Way there and back between regions.
+const WIDE_TRIP_US: Micros = Micros::new(25_000);
+/// Time that a call is taken to last before any was seen.
+const ASSUMED_CALL_US: Micros = Micros::new(15_000);
+/// Prompt tokens that an engine reads in a millisecond.
+const PREFILL_TOKENS_PER_MS: u64 = 5;
+/// Delay that one more running stream costs those that run beside it.
+const STREAM_COST_US: Micros = Micros::new(150_000);
+/// Cost of an endpoint that fails every request.
+const FAILURE_COST_US: Micros = Micros::new(400_000);
+/// Cost of an endpoint, or of a failure domain, that broke a moment ago.
+const SUSPENSION_COST_US: Micros = Micros::new(10_000_000);
+/// Largest random part of a call's cost.
+const CALL_JITTER_US: u64 = 1_000;
+/// Largest random part of a stream's cost.
+const STREAM_JITTER_US: u64 = 100_000;
+
+/// Question to [`Selector::select`].
+#[derive(Clone, Debug)]
+pub struct SelectionQuestion<'a> {
+    /// Service that answers.
+    pub service: &'a ServiceName,
+    /// Endpoints that must not take it.
+    pub excluded: &'a [EndpointKey],
+    /// Endpoint that has a copy of the run's memory.
+    pub preferred: Option<&'a EndpointKey>,
+    /// Tokens of the prompt; zero for a call.
+    pub prompt: TokenCount,
+    /// Whether another endpoint shall keep a copy of the run's memory.
+    pub with_backup: bool,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// Endpoint that runs it.
+    pub endpoint: Arc<EndpointEntry>,
+    /// Endpoint that keeps a copy of the run's memory.
+    pub backup: Option<Arc<EndpointEntry>>,
+    /// Whether the endpoint has a copy already.
+    pub has_copy: bool,
+    /// Endpoints that could have taken it.
+    pub candidates: usize,
+}
+
+/// Chooses endpoints for one traffic thread.
+#[derive(Debug)]
+pub struct Selector {
+    own_domain: FailureDomain,
+    own_region: Region,
+    regions: HashMap<FailureDomain, Region>,
+    random: Pcg64Mcg,
+}
+
+impl Selector {
+    /// Selector of a node in `own_domain`.
+    pub fn new(
+        own_domain: FailureDomain,
+        own_region: Region,
+        regions: HashMap<FailureDomain, Region>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            own_domain,
+            own_region,
+            regions,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses an endpoint; `None` if none may take the attempt.
+    pub fn select(
+        &mut self,
+        now: MonoTime,
+        book: &EndpointBook,
+        question: &SelectionQuestion<'_>,
+    ) -> Option<Choice> {
+        let copy = question.preferred.filter(|key| book.is_usable(key));
+        let copy = copy.and_then(|key| book.entry(key)).cloned();
+        let mut costs = self.costs(now, book, question);
+        costs.sort_by_key(|(cost, _)| *cost);
+        let candidates = costs.len();
+        let has_copy = copy.is_some();
+        let endpoint = copy.or_else(|| costs.first().map(|(_, entry)| Arc::clone(entry)))?;
+        let backup = question
+            .with_backup
+            .then(|| self.backup(&endpoint, &costs))
+            .flatten();
+        Some(Choice {
+            endpoint,
+            backup,
+            has_copy,
+            candidates,
+        })
+    }
+
+    /// Cheapest endpoint in another failure domain than the one that runs the request.
+    fn backup(
+        &self,
+        endpoint: &EndpointEntry,
+        costs: &[(u64, Arc<EndpointEntry>)],
+    ) -> Option<Arc<EndpointEntry>> {
+        let elsewhere = |entry: &EndpointEntry| entry.failure_domain != endpoint.failure_domain;
+        let mut others = costs.iter().filter(|(_, entry)| elsewhere(entry));
+        let found = others.next().or_else(|| {
+            let mut rest = costs.iter();
+            rest.find(|(_, entry)| entry.key != endpoint.key)
+        });
+        found.map(|(_, entry)| Arc::clone(entry))
+    }
+
+    fn costs(
+        &mut self,
+        now: MonoTime,
+        book: &EndpointBook,
+        question: &SelectionQuestion<'_>,
+    ) -> Vec<(u64, Arc<EndpointEntry>)> {
+        let usable = book.usable(question.service);
+        let allowed = usable.filter(|it| !question.excluded.contains(&it.entry.key));
+        let is_stream = question.prompt > TokenCount::ZERO;
+        allowed
+            .map(|condition| {
+                let cost = if is_stream {
+                    stream_cost(now, condition) + self.random.random_range(0..STREAM_JITTER_US)
+                } else {
+                    call_cost(now, condition) + self.random.random_range(0..CALL_JITTER_US)
+                };
+                let entry = &condition.entry;
+                let suspended =
+                    book.is_domain_suspended(now, question.service, &entry.failure_domain);
+                let cost = cost
+                    + self.trip(&entry.failure_domain).get()
+                    + suspension_cost(now, condition, suspended)
+                    + (condition.failure_rate(now) * FAILURE_COST_US.get() as f64) as u64;
+                (cost, Arc::clone(entry))
+            })
+            .collect()
+    }
+
+    fn trip(&self, domain: &FailureDomain) -> Micros {
+        if *domain == self.own_domain {
+            return Micros::ZERO;
+        }
+        if self.regions.get(domain) == Some(&self.own_region) {
+            REGION_TRIP_US
+        } else {
+            WIDE_TRIP_US
+        }
+    }
+}
+
+fn suspension_cost(now: MonoTime, condition: &Condition, domain_suspended: bool) -> u64 {
+    let own = condition.suspended_until > now;
+    let suspended = u64::from(own) + u64::from(domain_suspended);
+    SUSPENSION_COST_US.get() * suspended
+}
+
+/// Work in front of a stream: prompts that are not read yet, and streams that
+/// share the engine's steps.
+fn stream_cost(now: MonoTime, condition: &Condition) -> u64 {
+    let unread = Millis::new(condition.unread_tokens / PREFILL_TOKENS_PER_MS).micros();
+    let streams = u64::from(condition.occupancy(now));
+    unread.get() + STREAM_COST_US.times(streams).get()
+}
+
+/// Work in front of a call: what exceeds the slots waits.
+fn call_cost(now: MonoTime, condition: &Condition) -> u64 {
+    let latency = condition.latency.unwrap_or(ASSUMED_CALL_US);
+    let slots = u64::from(condition.entry.slots.get().max(1));
+    let occupancy = u64::from(condition.occupancy(now));
+    latency.get() * occupancy / slots
+}
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -1,7 +1,12 @@
 //! Clients of the back ends: model engines and plain services.
 
+mod connections;
 mod engine;
 mod service;
 
+pub use connections::{
+    ConnectionKey, ConnectionRules, Connections, OpenConnection, Opened, SendError,
+    is_connection_header,
+};
 pub use engine::{EngineClient, EngineError, EngineErrorKind, EngineStep, EngineStream};
 pub use service::{ServiceAnswer, ServiceClient};
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,7 +12,7 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::error::{HttpError, HttpErrorKind, Step};
+use crate::error::{HttpError, HttpErrorKind, Step, describe};
 
 /// Time to connect before a peer counts as gone.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -235,12 +235,3 @@
         kind: HttpErrorKind::TimedOut,
     })
 }
-
-/// Text of an error with its causes.
-fn describe(error: &(dyn std::error::Error + 'static)) -> String {
-    let causes = std::iter::successors(Some(error), |error| error.source());
-    causes
-        .map(ToString::to_string)
-        .collect::<Vec<_>>()
-        .join(": ")
-}
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -58,3 +58,12 @@
         matches!(self.kind, HttpErrorKind::Connect(_)) || self.step == Step::Build
     }
 }
+
+/// Text of an error with its causes.
+pub fn describe(error: &(dyn std::error::Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    causes
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(": ")
+}
--- /dev/null
+++ b/crates/http/src/head_guard.rs
@@ -0,0 +1,163 @@
+//! Looks at the raw heads of requests for what the HTTP library resolves silently.
+//!
+//! A head with both `Content-Length` and `Transfer-Encoding` can hide a second
+//! request in its body. The library drops the length and goes on; the guard sees
+//! the head before and tells the service, which refuses the request.
+
+use std::{
+    cell::RefCell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Largest head that is looked at.
+const HEAD_LIMIT_BYTES: usize = 64 << 10;
+
+/// What the guard of a connection saw.
+#[derive(Clone, Debug, Default)]
+pub struct HeadWatch(Rc<RefCell<WatchState>>);
+
+#[derive(Debug)]
+struct WatchState {
+    head: Vec<u8>,
+    in_head: bool,
+    seen: u64,
+    is_ambiguous: bool,
+}
+
+impl Default for WatchState {
+    fn default() -> Self {
+        Self {
+            head: Vec::new(),
+            in_head: true,
+            seen: 0,
+            is_ambiguous: false,
+        }
+    }
+}
+
+impl HeadWatch {
+    /// Heads that were seen whole.
+    pub fn heads_seen(&self) -> u64 {
+        self.0.borrow().seen
+    }
+
+    /// Whether the last head has two framings.
+    pub fn is_ambiguous(&self) -> bool {
+        self.0.borrow().is_ambiguous
+    }
+
+    /// Says that the request was read to its end; what comes next is a head.
+    pub fn expect_head(&self) {
+        let mut state = self.0.borrow_mut();
+        state.in_head = true;
+        state.head.clear();
+    }
+
+    fn note(&self, bytes: &[u8]) {
+        let mut state = self.0.borrow_mut();
+        if !state.in_head || bytes.is_empty() {
+            return;
+        }
+        state.head.extend_from_slice(bytes);
+        let end = find_head_end(&state.head);
+        if end.is_none() && state.head.len() < HEAD_LIMIT_BYTES {
+            return;
+        }
+        let end = end.unwrap_or(state.head.len());
+        state.is_ambiguous = has_two_framings(&state.head[..end]);
+        state.in_head = false;
+        state.seen += 1;
+        state.head = Vec::new();
+    }
+}
+
+fn find_head_end(bytes: &[u8]) -> Option<usize> {
+    let crlf = bytes.windows(4).position(|it| it == b"\r\n\r\n");
+    let lf = bytes.windows(2).position(|it| it == b"\n\n");
+    crlf.into_iter().chain(lf).min()
+}
+
+fn has_two_framings(head: &[u8]) -> bool {
+    let has = |name: &[u8]| {
+        head.split(|byte| *byte == b'\n').any(|line| {
+            line.get(..name.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(name))
+        })
+    };
+    has(b"transfer-encoding") && has(b"content-length")
+}
+
+/// Connection whose heads are looked at.
+#[derive(Debug)]
+pub struct HeadGuard<Io> {
+    io: Io,
+    watch: HeadWatch,
+}
+
+impl<Io> HeadGuard<Io> {
+    /// Guard of a connection, and where it tells what it saw.
+    pub fn new(io: Io) -> (Self, HeadWatch) {
+        let watch = HeadWatch::default();
+        let guard = Self {
+            io,
+            watch: watch.clone(),
+        };
+        (guard, watch)
+    }
+}
+
+impl<Io> AsyncRead for HeadGuard<Io>
+where
+    Io: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.io).poll_read(context, buffer);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.watch.note(&buffer.filled()[before..]);
+        }
+        polled
+    }
+}
+
+impl<Io> AsyncWrite for HeadGuard<Io>
+where
+    Io: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod client;
 mod error;
+mod head_guard;
 mod listener;
 mod signal;
 mod sse;
 
 pub use client::{Body, Client, Reply};
-pub use error::{HttpError, HttpErrorKind, Step};
+pub use error::{HttpError, HttpErrorKind, Step, describe};
+pub use head_guard::{HeadGuard, HeadWatch};
 pub use listener::{NodelayListener, bind_group, serve};
 pub use signal::until_signal;
-pub use sse::{SseEvent, SseReader, encode_event};
+pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 /// Longest event that is read.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
@@ -102,3 +102,70 @@
     }
     Ok(event)
 }
+
+/// One event of a stream that is passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawEvent {
+    /// Its bytes, with the blank line that ends it.
+    pub bytes: Bytes,
+    /// Its id, if it has a numeric one.
+    pub id: Option<u64>,
+}
+
+/// Cuts a stream of bytes at the ends of its events, without changing them.
+#[derive(Debug, Default)]
+pub struct EventFramer {
+    buffer: BytesMut,
+}
+
+impl EventFramer {
+    /// Framer without input.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a piece of the stream.
+    pub fn push(&mut self, piece: &[u8]) {
+        self.buffer.extend_from_slice(piece);
+    }
+
+    /// Takes the next whole event.
+    pub fn next_event(&mut self) -> Option<RawEvent> {
+        let end = event_end(&self.buffer)?;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = event_id(&bytes);
+        Some(RawEvent { bytes, id })
+    }
+
+    /// Bytes of an event that is not whole.
+    pub fn rest(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Whether more was read without an end of an event than is allowed.
+    pub fn is_too_long(&self) -> bool {
+        self.buffer.len() > EVENT_LIMIT_BYTES
+    }
+}
+
+/// Length of the first event with the blank line that ends it.
+fn event_end(buffer: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    while let Some(length) = buffer[line_start..].iter().position(|byte| *byte == b'\n') {
+        let line = &buffer[line_start..line_start + length];
+        let next = line_start + length + 1;
+        let is_blank = line.is_empty() || line == b"\r";
+        if is_blank && line_start > 0 {
+            return Some(next);
+        }
+        line_start = next;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(ids.next()?).ok()?;
+    text.trim().parse().ok()
+}
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -9,7 +9,7 @@
 use crate::{node::Node, telemetry};
 
 /// Exit status for settings that can't be used.
-const BAD_SETTINGS_STATUS: i32 = 2;
+pub(crate) const BAD_SETTINGS_STATUS: i32 = 2;
 
 /// A node of parsleylatch: the process between callers and back ends.
 #[derive(FromArgs)]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gossip_codec;
 mod node;
 mod peering;
+pub mod relay;
 mod running;
 mod shared;
 mod telemetry;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -159,7 +159,10 @@
 }
 
 /// Starts a thread with a runtime of its own.
-fn spawn(name: &str, work: impl FnOnce(Runtime) + Send + 'static) -> Result<JoinHandle<()>> {
+pub(crate) fn spawn(
+    name: &str,
+    work: impl FnOnce(Runtime) + Send + 'static,
+) -> Result<JoinHandle<()>> {
     let runtime = Builder::new_current_thread().enable_all().build();
     let runtime = runtime.wrap_err_with(|| format!("building the runtime of thread {name}"))?;
     let spawned = thread::Builder::new()
--- a/crates/node/src/peering/state.rs
+++ b/crates/node/src/peering/state.rs
@@ -311,7 +311,9 @@
                 self.grant(&ask, &received.from.node_id, &received.reply);
             }
             Body::TakeOverReply(reply) => self.take_reply(&received.from.node_id, reply),
-            Body::Hello(_) => log::debug!("unexpected greeting of {}", received.from.node_id),
+            Body::Hello(_) | Body::RelayAsk(_) | Body::RelayState(_) => {
+                log::debug!("unexpected message of {}", received.from.node_id);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/node/src/relay/args.rs
@@ -0,0 +1,53 @@
+//! Command line of the relay.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eyre::{Result, WrapErr, eyre};
+use parsleylatch_settings::{Document, RelaySettings};
+
+use super::{Relay, RelayCodec};
+use crate::{args::BAD_SETTINGS_STATUS, telemetry};
+
+/// A relay of parsleylatch: passes callers' requests on to endpoints.
+#[derive(FromArgs)]
+pub struct RelayArgs {
+    /// file with the relay's settings: JSON with comments
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings and the charts, and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Runs a relay until it is stopped. `default_file` holds the settings if the
+/// command line names no file.
+///
+/// Ends the process with status 2 if the settings can't be used.
+///
+/// # Errors
+/// A reason with the step, such as an address that can't be bound.
+pub fn relay_main(args: RelayArgs, default_file: Option<PathBuf>, codec: RelayCodec) -> Result<()> {
+    let file = args.settings.or(default_file);
+    let file = file.ok_or_else(|| eyre!("no settings: --settings FILE is missing"))?;
+    let read = Document::open(&file).and_then(|document| RelaySettings::read(&document));
+    let settings = read.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        std::process::exit(BAD_SETTINGS_STATUS);
+    });
+    parsleylatch_decide::charts::verify().wrap_err("checking the charts")?;
+    if args.check {
+        println!("{} is usable", file.display());
+        return Ok(());
+    }
+    telemetry::start_event_log(settings.node_id.as_str()).wrap_err("starting the log")?;
+    let relay = Relay::start(settings, Some(file), codec)?;
+    let addresses = relay.addresses();
+    log::info!(
+        version = env!("CARGO_PKG_VERSION"),
+        caller:% = addresses.caller, ready:% = addresses.ready,
+        peer:% = addresses.peer, metrics:% = addresses.metrics;
+        "started"
+    );
+    relay.join()
+}
--- /dev/null
+++ b/crates/node/src/relay/codec.rs
@@ -0,0 +1,114 @@
+//! What a platform's messages mean: a plain struct of functions that translate.
+//!
+//! A codec has no state, waits for nothing and decides nothing. The relay works
+//! with the types below and never sees a header's or a key's name.
+
+use std::net::SocketAddr;
+
+use http::{HeaderMap, HeaderName, StatusCode};
+use parsleylatch_decide::relay::{EndpointEntry, LoadSample, RelayConfigurationParts};
+use parsleylatch_store::StoreCodec;
+use parsleylatch_types::{
+    EndpointId, ExchangeId, Millis, Rank, StreamEventId, TokenCount, WorkspaceId,
+};
+
+/// What a caller says of its request, beside method, path and body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerHead {
+    /// Id that the caller gave this try.
+    pub id: ExchangeId,
+    /// Time for which the caller waits.
+    pub patience_ms: Option<Millis>,
+    /// Key of its workspace.
+    pub key: Option<String>,
+    /// Tokens of the prompt; zero if the request has none.
+    pub prompt: TokenCount,
+    /// Last event of the stream that the caller has.
+    pub last_event: Option<StreamEventId>,
+}
+
+/// What the relay adds to a request that it sends to an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendOrder<'a> {
+    /// Id that the caller gave.
+    pub id: &'a ExchangeId,
+    /// Time that is left.
+    pub remaining_ms: Millis,
+    /// Endpoint that is meant; another one refuses.
+    pub endpoint: &'a EndpointId,
+    /// Workspace of the caller.
+    pub workspace: Option<&'a WorkspaceId>,
+    /// Rank among the endpoint's requests.
+    pub rank: Option<Rank>,
+    /// Last event that the caller has.
+    pub last_event: Option<StreamEventId>,
+    /// Endpoint that gets a copy of the run's memory as it grows.
+    pub backup: Option<SocketAddr>,
+    /// Endpoint that has a copy of the memory of this request's earlier run.
+    pub copy_at: Option<SocketAddr>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Request that it answers, as the endpoint understood it.
+    pub id: Option<String>,
+    /// Whether it bears the endpoint's digest of the answer.
+    pub has_digest: bool,
+    /// Whether the endpoint says that it did not run the request.
+    pub is_not_run: bool,
+    /// Whether another endpoint than the one that was meant answers.
+    pub is_other_endpoint: bool,
+    /// Load of the endpoint.
+    pub load: Option<LoadSample>,
+}
+
+/// Reads callers' requests and writes what endpoints get.
+#[derive(Clone, Copy)]
+pub struct RequestCodec {
+    /// Reads a caller's head.
+    pub read: fn(&HeaderMap) -> Result<CallerHead, String>,
+    /// Whether only the system may set a header; it is taken off a caller's request.
+    pub is_system_header: fn(&HeaderName) -> bool,
+    /// Adds what the relay says.
+    pub write: fn(&SendOrder<'_>, &mut HeaderMap),
+}
+
+/// Reads endpoints' answers.
+#[derive(Clone, Copy)]
+pub struct AnswerCodec {
+    /// Reads the head of an answer.
+    pub read: fn(StatusCode, &HeaderMap) -> AnswerHead,
+    /// Path at which an engine tells its state without taking a slot.
+    pub probe_path: &'static str,
+}
+
+/// Reads the documents that the platform keeps in the store.
+#[derive(Clone, Copy)]
+pub struct DocumentCodec {
+    /// Prefix of the operator's documents, which is watched.
+    pub operator_prefix: &'static str,
+    /// Key of the configuration.
+    pub configuration_key: &'static str,
+    /// Reads the configuration.
+    pub configuration: fn(&str) -> Result<RelayConfigurationParts, String>,
+    /// Prefix of the endpoints' entries.
+    pub registry_prefix: &'static str,
+    /// Reads the entry under a key.
+    pub entry: fn(key: &str, value: &str) -> Result<EndpointEntry, String>,
+}
+
+/// Everything that a platform's messages mean.
+#[derive(Clone, Copy)]
+pub struct RelayCodec {
+    /// Calls of the store.
+    pub store: StoreCodec,
+    /// Documents in the store.
+    pub documents: DocumentCodec,
+    /// Requests.
+    pub requests: RequestCodec,
+    /// Answers.
+    pub answers: AnswerCodec,
+    /// Path at which the balancer asks whether the node takes callers.
+    pub ready_path: &'static str,
+}
--- /dev/null
+++ b/crates/node/src/relay/control/peers.rs
@@ -0,0 +1,122 @@
+//! Other nodes: who they are, and what they know while the store is out of reach.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use parsleylatch_peer::{Identity, ask};
+use parsleylatch_types::{Millis, MonoTime};
+use parsleylatch_wire::{
+    peer::peer_message::Body,
+    platform::KeyValue,
+    relay::{RelayAsk, StoreDocument},
+};
+use rand::seq::IteratorRandom;
+
+use super::{ControlInput, knowledge};
+use crate::{relay::shared::Shared, telemetry::RelayCounter};
+
+/// Prefix of the nodes' entries in the store.
+pub(super) const NODES_PREFIX: &str = "nodes/";
+/// Time between two rounds of questions, and between two looks whether they are
+/// needed.
+const ASK_INTERVAL_MS: Millis = Millis::new(300);
+/// Nodes that are asked in a round; one that is cut off as well does not matter.
+const ASKED_NODES: usize = 2;
+/// Longest wait for an answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Other nodes.
+pub(super) struct Peers {
+    shared: Arc<Shared>,
+    identity: Identity,
+    entries: BTreeMap<String, KeyValue>,
+    next_ask_at: MonoTime,
+}
+
+impl Peers {
+    pub(super) fn new(shared: Arc<Shared>, identity: Identity, now: MonoTime) -> Self {
+        Self {
+            shared,
+            identity,
+            entries: BTreeMap::new(),
+            next_ask_at: now + ASK_INTERVAL_MS,
+        }
+    }
+
+    /// Nodes that are known, this one included.
+    pub(super) fn count(&self) -> usize {
+        let own = format!("{NODES_PREFIX}{}", self.identity.node_id);
+        self.entries.len() + usize::from(!self.entries.contains_key(&own))
+    }
+
+    /// Takes the entries of the nodes; a reading replaces what was known.
+    pub(super) fn take_nodes(&mut self, entries: &[KeyValue]) {
+        if entries.is_empty() {
+            return;
+        }
+        let keyed = entries.iter().map(|it| (it.key.clone(), it.clone()));
+        self.entries = keyed.collect();
+    }
+
+    /// Entries as they travel between nodes.
+    pub(super) fn documents(&self) -> Vec<StoreDocument> {
+        self.entries.values().map(knowledge::document).collect()
+    }
+
+    pub(super) fn next_deadline(&self) -> MonoTime {
+        self.next_ask_at
+    }
+
+    /// Asks some nodes if the store is out of reach.
+    pub(super) fn expire(
+        &mut self,
+        now: MonoTime,
+        is_cut_off: bool,
+        question: impl FnOnce() -> RelayAsk,
+    ) {
+        if now < self.next_ask_at {
+            return;
+        }
+        self.next_ask_at = now + ASK_INTERVAL_MS;
+        if !is_cut_off {
+            return;
+        }
+        let question = question();
+        let addresses = self.addresses();
+        let chosen = addresses.into_iter().sample(&mut rand::rng(), ASKED_NODES);
+        for address in chosen {
+            let shared = Arc::clone(&self.shared);
+            let identity = self.identity.clone();
+            tokio::task::spawn_local(ask_one(shared, identity, address, question));
+        }
+    }
+
+    /// Addresses of other nodes, from their entries and from the settings.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let listed = self.entries.values().filter_map(|it| it.value.parse().ok());
+        let settings = self.shared.settings.load();
+        let own = settings.peer_address;
+        let mut addresses: Vec<SocketAddr> = listed.chain(settings.seeds.iter().copied()).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != own);
+        addresses
+    }
+}
+
+async fn ask_one(shared: Arc<Shared>, identity: Identity, address: SocketAddr, question: RelayAsk) {
+    let asked_at = shared.now();
+    shared.metrics.increment(RelayCounter::PeerAsks);
+    let answer = ask(&identity, address, Body::RelayAsk(question), ASK_TIMEOUT).await;
+    match answer {
+        Ok((_, Body::RelayState(state))) => {
+            let input = ControlInput::PeerState(Box::new(state), asked_at);
+            // A stopping loop needs no answer.
+            let _ = shared.control.send(input).await;
+        }
+        Ok((peer, _)) => log::debug!(peer:% = peer.node_id; "unexpected answer"),
+        Err(error) => {
+            shared.metrics.increment(RelayCounter::PeerAsksFailed);
+            log::debug!(peer:% = address, error:% = error; "no answer of a node");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/control/probes.rs
@@ -0,0 +1,45 @@
+//! What the balancer and the metrics reader ask.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use viz::{IntoResponse, Request, Response, Result, Router, types::State};
+
+use crate::relay::shared::{Shared, StopPhase};
+
+/// Path of counters and histograms.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers the balancer: 200 while callers are taken.
+pub(super) fn ready_router(shared: &Arc<Shared>) -> Router {
+    let path = shared.codec.ready_path;
+    Router::new()
+        .get(path, tell_ready)
+        .with(State::new(Arc::clone(shared)))
+}
+
+/// Shows counters and histograms.
+pub(super) fn metrics_router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .get(METRICS_PATH, show_metrics)
+        .with(State::new(Arc::clone(shared)))
+}
+
+async fn tell_ready(request: Request) -> Result<Response> {
+    let status = match shared(&request)?.phase() {
+        StopPhase::Serving => StatusCode::OK,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    Ok(status.into_response())
+}
+
+async fn show_metrics(request: Request) -> Result<Response> {
+    Ok(shared(&request)?.metrics.render().into_response())
+}
+
+fn shared(request: &Request) -> Result<Arc<Shared>> {
+    use viz::{IntoResponse as _, RequestExt as _};
+    request
+        .state::<Arc<Shared>>()
+        .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
+}
--- /dev/null
+++ b/crates/node/src/relay/control/settings_file.rs
@@ -0,0 +1,47 @@
+//! Reads the settings file again when it changes, with or without a signal.
+
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+use parsleylatch_settings::{Document, RelaySettings};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
+};
+
+use super::ControlInput;
+use crate::relay::shared::Shared;
+
+/// Time between two looks at the file; it may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Watches the file for as long as the control thread runs.
+pub(super) async fn watch(shared: Arc<Shared>, file: PathBuf) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(error) => {
+            log::error!(error:% = error; "reload signals can't be received");
+            return;
+        }
+    };
+    let mut known = std::fs::read(&file).ok();
+    loop {
+        let is_signal = tokio::select! {
+            _ = hangups.recv() => true,
+            () = time::sleep(LOOK_INTERVAL) => false,
+        };
+        let found = std::fs::read(&file).ok();
+        if found == known && !is_signal {
+            continue;
+        }
+        known = found;
+        match Document::open(&file).and_then(|document| RelaySettings::read(&document)) {
+            Ok(settings) => {
+                let input = ControlInput::Settings(Box::new(settings));
+                if shared.control.send(input).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::warn!(error:% = error; "settings kept; the file can't be used"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/control/store_tasks.rs
@@ -0,0 +1,207 @@
+//! Tasks that call the store: the wait for the operator's changes, the reading
+//! of the registry, and this node's own entry.
+//!
+//! Every call is paid for and counted. A waiting watch is one call, so the
+//! operator's documents are watched; the endpoints' entries are read on a timer,
+//! because their writers touch them all the time.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use parsleylatch_store::{Condition, LeaseId, ReadMode, StoreClient, StoreError};
+use parsleylatch_types::{Millis, Revision};
+use tokio::time;
+
+use super::{ControlInput, peers::NODES_PREFIX};
+use crate::{
+    relay::shared::Shared,
+    telemetry::{RelayCounter, RelayLatency},
+};
+
+/// Longest wait for an answer; the store answers in milliseconds, and sixty times
+/// as slowly in trouble.
+const CALL_TIMEOUT_MS: Millis = Millis::new(1_000);
+/// Longest wait for a change; a connection that went silent is noticed after it.
+const WATCH_WAIT_MS: Millis = Millis::new(4_000);
+/// Time between two readings of the registry; a leaving endpoint has to be left
+/// within 2.5 s.
+const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time between two readings of the nodes' entries.
+const NODES_INTERVAL: Duration = Duration::from_secs(8);
+/// Life of this node's entry without a renewal.
+const NODE_LEASE_MS: Millis = Millis::new(10_000);
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(3);
+/// First delay after a failed call; it doubles with each further one.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay after a failed call.
+const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(800);
+
+/// Starts the tasks on the current thread.
+pub(super) fn start(shared: &Arc<Shared>, peer_address: SocketAddr) {
+    tokio::task::spawn_local(watch_operator(Arc::clone(shared)));
+    tokio::task::spawn_local(read_registry(Arc::clone(shared)));
+    tokio::task::spawn_local(keep_entry(Arc::clone(shared), peer_address));
+    tokio::task::spawn_local(read_nodes(Arc::clone(shared)));
+}
+
+/// Client of the store that the settings name now.
+struct Store {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    client: StoreClient,
+    failures: u32,
+}
+
+impl Store {
+    fn new(shared: Arc<Shared>) -> Self {
+        let address = shared.settings.load().store_address;
+        let client = StoreClient::with_codec(address, shared.codec.store, CALL_TIMEOUT_MS);
+        Self {
+            shared,
+            address,
+            client,
+            failures: 0,
+        }
+    }
+
+    /// Client; a changed address counts from the next call.
+    fn client(&mut self) -> &StoreClient {
+        let address = self.shared.settings.load().store_address;
+        if address != self.address {
+            let codec = self.shared.codec.store;
+            self.client = StoreClient::with_codec(address, codec, CALL_TIMEOUT_MS);
+            self.address = address;
+        }
+        &self.client
+    }
+
+    /// Counts a call and tells the control thread of a failure; `None` after one,
+    /// and after a delay.
+    async fn check<Answer>(
+        &mut self,
+        answer: Result<Answer, StoreError>,
+        is_watch: bool,
+    ) -> Option<Answer> {
+        self.shared.metrics.increment(RelayCounter::StoreCalls);
+        match answer {
+            Ok(answer) => {
+                self.failures = 0;
+                Some(answer)
+            }
+            Err(error) => {
+                log::info!(error:% = error, failures = self.failures; "store call failed");
+                self.shared
+                    .metrics
+                    .increment(RelayCounter::StoreCallsFailed);
+                self.tell(ControlInput::StoreFailed { is_watch }).await;
+                self.back_off().await;
+                None
+            }
+        }
+    }
+
+    async fn back_off(&mut self) {
+        let doubled = RETRY_DELAY * 2_u32.pow(self.failures.min(4));
+        self.failures += 1;
+        let limit = doubled.min(RETRY_DELAY_LIMIT);
+        time::sleep(limit.mul_f64(rand::random_range(0.75..1.25))).await;
+    }
+
+    async fn tell(&self, input: ControlInput) {
+        // The loop lives as long as the tasks.
+        let _ = self.shared.control.send(input).await;
+    }
+}
+
+async fn watch_operator(shared: Arc<Shared>) {
+    let prefix = shared.codec.documents.operator_prefix;
+    let mut store = Store::new(shared);
+    let mut after: Option<Revision> = None;
+    loop {
+        let answer = match after {
+            Some(revision) => store.client().watch(prefix, revision, WATCH_WAIT_MS).await,
+            None => store.client().list(prefix).await,
+        };
+        if answer.as_ref().is_err_and(StoreError::is_history_gone) {
+            log::info!(after = after.unwrap_or_default().get(); "history of the store is gone");
+            after = None;
+            continue;
+        }
+        let Some(reply) = store.check(answer, true).await else {
+            continue;
+        };
+        after = after.max(Some(reply.revision));
+        store.tell(ControlInput::Operator(reply.entries)).await;
+        store.tell(ControlInput::WatchAnswered).await;
+    }
+}
+
+async fn read_registry(shared: Arc<Shared>) {
+    let prefix = shared.codec.documents.registry_prefix;
+    let mut store = Store::new(Arc::clone(&shared));
+    loop {
+        let started_at = shared.now();
+        let answer = store.client().list(prefix).await;
+        if let Some(listing) = store.check(answer, false).await {
+            let latency = shared.now().since(started_at);
+            shared.metrics.observe(RelayLatency::StoreCall, latency);
+            store
+                .tell(ControlInput::Registry(listing, started_at))
+                .await;
+            time::sleep(REGISTRY_INTERVAL).await;
+        }
+    }
+}
+
+async fn read_nodes(shared: Arc<Shared>) {
+    let mut store = Store::new(shared);
+    loop {
+        let answer = store
+            .client()
+            .list_with(NODES_PREFIX, ReadMode::Cached)
+            .await;
+        if let Some(listing) = store.check(answer, false).await {
+            store.tell(ControlInput::Nodes(listing.entries)).await;
+            time::sleep(NODES_INTERVAL).await;
+        }
+    }
+}
+
+/// Keeps an entry from which other nodes learn this one's address.
+async fn keep_entry(shared: Arc<Shared>, peer_address: SocketAddr) {
+    let key = format!("{NODES_PREFIX}{}", shared.settings.load().node_id);
+    let mut store = Store::new(shared);
+    loop {
+        let Some(lease) = enter(&mut store, &key, peer_address).await else {
+            continue;
+        };
+        loop {
+            time::sleep(RENEW_INTERVAL).await;
+            let answer = store.client().renew(lease).await;
+            if store.check(answer, false).await == Some(false) {
+                log::info!("lease of the node's entry has lapsed");
+                break;
+            }
+        }
+    }
+}
+
+/// Writes the entry under a new lease; over the entry of an earlier process as well.
+async fn enter(store: &mut Store, key: &str, peer_address: SocketAddr) -> Option<LeaseId> {
+    let answer = store.client().grant(NODE_LEASE_MS).await;
+    let lease = store.check(answer, false).await?;
+    let mut condition = Condition::Absent;
+    loop {
+        let value = peer_address.to_string();
+        let answer = store
+            .client()
+            .write(key, value, condition, Some(lease))
+            .await;
+        let reply = store.check(answer, false).await?;
+        match reply.entry {
+            _ if reply.written => return Some(lease),
+            Some(other) => condition = Condition::At(other.revision),
+            None => condition = Condition::Absent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/mod.rs
@@ -0,0 +1,144 @@
+//! The relay: a node whose front end passes on opaque requests.
+//!
+//! One control thread learns configuration and endpoints, from the store or from
+//! other nodes while the store turns this one away, and publishes snapshots.
+//! Traffic threads own callers' connections. What the messages of the platform
+//! mean comes from outside as a [`RelayCodec`].
+
+mod args;
+mod codec;
+mod control;
+mod shared;
+mod traffic;
+
+use std::{net::SocketAddr, net::TcpListener, path::PathBuf, sync::Arc, thread::JoinHandle};
+
+use eyre::{Result, WrapErr, eyre};
+use parsleylatch_http::bind_group;
+use parsleylatch_settings::RelaySettings;
+use tokio::sync::mpsc;
+
+use crate::{node::spawn, telemetry};
+use control::{ControlInput, Listeners};
+use shared::Shared;
+
+pub use args::{RelayArgs, relay_main};
+pub use codec::{
+    AnswerCodec, AnswerHead, CallerHead, DocumentCodec, RelayCodec, RequestCodec, SendOrder,
+};
+
+/// Inputs that may wait for the control thread.
+const CONTROL_BUFFER: usize = 1_024;
+
+/// Addresses of a running relay.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayAddresses {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for the balancer.
+    pub ready: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Address for counters and histograms.
+    pub metrics: SocketAddr,
+}
+
+/// A running relay.
+pub struct Relay {
+    addresses: RelayAddresses,
+    control_inputs: mpsc::Sender<ControlInput>,
+    control: JoinHandle<()>,
+    traffic: Vec<JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Binds the addresses and starts the threads. The file of the settings is
+    /// read again when it changes, if there is one.
+    ///
+    /// # Errors
+    /// A reason with the step, such as an address that can't be bound.
+    pub fn start(
+        settings: RelaySettings,
+        settings_file: Option<PathBuf>,
+        codec: RelayCodec,
+    ) -> Result<Self> {
+        let threads = settings.traffic_threads;
+        let (caller, caller_listeners) = bind(settings.caller_address, threads, "caller_address")?;
+        let (ready, ready_listener) = bind_one(settings.ready_address, "ready_address")?;
+        let (peer, peer_listener) = bind_one(settings.peer_address, "peer_address")?;
+        let (metrics, metrics_listener) = bind_one(settings.metrics_address, "metrics_address")?;
+        let addresses = RelayAddresses {
+            caller,
+            ready,
+            peer,
+            metrics,
+        };
+        let listeners = Listeners {
+            ready: ready_listener,
+            peer: peer_listener,
+            metrics: metrics_listener,
+            peer_address: peer,
+        };
+        let (control_inputs, inputs) = mpsc::channel(CONTROL_BUFFER);
+        let shared = Arc::new(Shared::new(settings, codec, control_inputs.clone()));
+        let control = spawn("control", {
+            let shared = Arc::clone(&shared);
+            move |runtime| control::run(&runtime, shared, inputs, listeners, settings_file)
+        })?;
+        let mut traffic = Vec::new();
+        for (index, listener) in caller_listeners.into_iter().enumerate() {
+            let shared = Arc::clone(&shared);
+            let seed = rand::random();
+            traffic.push(spawn(&format!("traffic-{index}"), move |runtime| {
+                traffic::run(&runtime, shared, listener, seed);
+            })?);
+        }
+        Ok(Self {
+            addresses,
+            control_inputs,
+            control,
+            traffic,
+        })
+    }
+
+    /// Addresses that the relay listens on.
+    pub fn addresses(&self) -> RelayAddresses {
+        self.addresses
+    }
+
+    /// Asks for a planned stop; requests in flight are finished.
+    pub fn stop(&self) {
+        // A full queue or an ended thread stops anyway.
+        let _ = self
+            .control_inputs
+            .blocking_send(ControlInput::StopRequested);
+    }
+
+    /// Waits until the relay has stopped.
+    ///
+    /// # Errors
+    /// Names the thread that panicked, if one did.
+    pub fn join(self) -> Result<()> {
+        self.control
+            .join()
+            .map_err(|_| eyre!("the control thread panicked"))?;
+        for thread in self.traffic {
+            thread
+                .join()
+                .map_err(|_| eyre!("a traffic thread panicked"))?;
+        }
+        telemetry::flush_log();
+        Ok(())
+    }
+}
+
+fn bind(address: SocketAddr, count: usize, field: &str) -> Result<(SocketAddr, Vec<TcpListener>)> {
+    bind_group(address, count).wrap_err_with(|| format!("binding {field} {address}"))
+}
+
+fn bind_one(address: SocketAddr, field: &str) -> Result<(SocketAddr, TcpListener)> {
+    let (bound, listeners) = bind(address, 1, field)?;
+    let listener = listeners.into_iter().next();
+    let listener = listener.ok_or_else(|| eyre!("binding {field} {address}: no socket"))?;
+    Ok((bound, listener))
+}
--- /dev/null
+++ b/crates/node/src/relay/shared.rs
@@ -0,0 +1,126 @@
+//! What the control thread and the traffic threads of a relay share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, AtomicUsize, Ordering},
+};
+
+use arc_swap::ArcSwap;
+use parsleylatch_decide::relay::{EndpointEntry, RelayConfiguration};
+use parsleylatch_settings::RelaySettings;
+use parsleylatch_types::{Micros, Millis, MonoTime, Revision};
+use tokio::sync::{mpsc, watch};
+
+use super::{codec::RelayCodec, control::ControlInput};
+use crate::{clock::Clock, telemetry::RelayMetrics};
+
+/// How far a planned stop has come, as callers' connections see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum StopPhase {
+    /// Configuration or endpoints are not known yet.
+    Starting,
+    /// Callers are taken.
+    Serving,
+    /// The balancer is told to send no more.
+    Noticing,
+    /// Connections end with their answers.
+    Finishing,
+    /// The process ends.
+    Stopped,
+}
+
+/// What the control thread knows, at one moment.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Snapshot {
+    /// Grows with each snapshot.
+    pub(super) number: u64,
+    pub(super) configuration: Option<Arc<RelayConfiguration>>,
+    pub(super) endpoints: Arc<[Arc<EndpointEntry>]>,
+    pub(super) registry_revision: Revision,
+    /// Nodes that are known, this one included.
+    pub(super) nodes: usize,
+}
+
+/// State that every thread of a relay can reach.
+pub(super) struct Shared {
+    pub(super) settings: ArcSwap<RelaySettings>,
+    pub(super) codec: RelayCodec,
+    pub(super) clock: Clock,
+    pub(super) snapshot: ArcSwap<Snapshot>,
+    pub(super) phase: watch::Sender<StopPhase>,
+    pub(super) metrics: RelayMetrics,
+    pub(super) control: mpsc::Sender<ControlInput>,
+    in_flight: AtomicUsize,
+    /// When the store, or a node that it serves, confirmed what is known.
+    confirmed_at: AtomicU64,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: RelaySettings,
+        codec: RelayCodec,
+        control: mpsc::Sender<ControlInput>,
+    ) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            codec,
+            clock: Clock::start(),
+            snapshot: ArcSwap::default(),
+            phase: watch::Sender::new(StopPhase::Starting),
+            metrics: RelayMetrics::new(),
+            control,
+            in_flight: AtomicUsize::new(0),
+            confirmed_at: AtomicU64::new(0),
+        }
+    }
+
+    pub(super) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    pub(super) fn phase(&self) -> StopPhase {
+        *self.phase.borrow()
+    }
+
+    /// Requests that are being answered.
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn enter_request(self: &Arc<Self>) -> RequestInFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestInFlight(Arc::clone(self))
+    }
+
+    /// Notes that what is known was confirmed; an earlier time changes nothing.
+    pub(super) fn confirm(&self, at: MonoTime) {
+        self.confirmed_at.fetch_max(at.get(), Ordering::Relaxed);
+    }
+
+    /// Age of what is known.
+    pub(super) fn confirmed_age(&self) -> Micros {
+        self.now()
+            .since(MonoTime::new(self.confirmed_at.load(Ordering::Relaxed)))
+    }
+
+    /// Whether "there is no such route or key" can be said: what is known is
+    /// younger than the time that a change may take.
+    pub(super) fn is_certain(&self) -> bool {
+        let limit: Millis = self.settings.load().bounds.configuration_ms;
+        self.confirmed_age() < limit.micros()
+    }
+}
+
+/// Counts a request until it is dropped.
+pub(super) struct RequestInFlight(Arc<Shared>);
+
+impl Drop for RequestInFlight {
+    fn drop(&mut self) {
+        let before = self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let is_stopping = self.0.phase() > StopPhase::Serving;
+        if before == 1 && is_stopping {
+            // A full queue is emptied by the next deadline.
+            let _ = self.0.control.try_send(ControlInput::Idle);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/answer.rs
@@ -0,0 +1,115 @@
+//! Answers that the relay gives itself, and heads that it passes on.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use parsleylatch_decide::relay::RefusalReason;
+use parsleylatch_endpoint::is_connection_header;
+use parsleylatch_types::Millis;
+
+use super::output::RelayBody;
+
+/// Wait after which a caller may come back to a node that knows too little.
+const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
+
+/// Why a request is refused before it is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Denial {
+    /// The head is not one of a request that can be relayed.
+    BadRequest,
+    /// No route begins the path.
+    NoRoute,
+    /// The key belongs to no workspace.
+    UnknownKey,
+    /// The body is larger than callers may send.
+    BodyTooLarge,
+    /// The body did not come in time.
+    SlowBody,
+    /// This node does not know enough to tell.
+    Uninformed,
+}
+
+impl Denial {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::Uninformed => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Whether the rest of the connection can't be trusted.
+    fn ends_connection(self) -> bool {
+        matches!(self, Self::BadRequest | Self::BodyTooLarge | Self::SlowBody)
+    }
+}
+
+/// Answer to a request that is not placed.
+pub(super) fn denied(denial: Denial) -> Response<RelayBody> {
+    let mut response = bare(denial.status());
+    if denial == Denial::Uninformed {
+        set_retry_after(response.headers_mut(), UNINFORMED_RETRY_AFTER_MS);
+    }
+    if denial.ends_connection() {
+        close_after(response.headers_mut());
+    }
+    response
+}
+
+/// Answer to a request that no endpoint answered.
+pub(super) fn refused(
+    reason: RefusalReason,
+    not_run: bool,
+    retry_after_ms: Option<Millis>,
+) -> Response<RelayBody> {
+    let status = match reason {
+        _ if not_run => StatusCode::SERVICE_UNAVAILABLE,
+        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let mut response = bare(status);
+    if let Some(retry_after_ms) = retry_after_ms {
+        set_retry_after(response.headers_mut(), retry_after_ms);
+    }
+    response
+}
+
+/// Head of an endpoint's answer as the caller gets it.
+pub(super) fn relayed(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: RelayBody,
+) -> Response<RelayBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let passed = headers
+        .iter()
+        .filter(|(name, _)| !is_connection_header(name) && *name != header::CONTENT_LENGTH);
+    for (name, value) in passed {
+        response.headers_mut().append(name.clone(), value.clone());
+    }
+    response
+}
+
+/// Says that the connection ends with this answer.
+pub(super) fn close_after(headers: &mut HeaderMap) {
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn bare(status: StatusCode) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Seconds, with a fraction.
+fn set_retry_after(headers: &mut HeaderMap, retry_after_ms: Millis) {
+    let millis = retry_after_ms.get();
+    let text = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+    if let Ok(value) = HeaderValue::try_from(text) {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/attempt.rs
@@ -0,0 +1,339 @@
+//! One attempt: a request at one endpoint, as a task that tells what came.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use parsleylatch_decide::relay::Choice;
+use parsleylatch_endpoint::{ConnectionKey, ConnectionRules, SendError, is_connection_header};
+use parsleylatch_http::{EventFramer, RawEvent, describe};
+use parsleylatch_types::{Millis, StreamEventId};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::{AbortHandle, spawn_local},
+    time,
+};
+
+use super::{Traffic, intake::Job};
+use crate::relay::codec::{AnswerHead, SendOrder};
+
+/// Longest wait for a connection: several trips between regions.
+const CONNECT_TIMEOUT_MS: Millis = Millis::new(250);
+/// Age of an unused connection up to which a request that may run again is sent on it.
+const IDLE_LIMIT_MS: Millis = Millis::new(1_500);
+/// As before, for a request that may run once: endpoints drop unused connections,
+/// and what was sent on one may have run.
+const ONCE_IDLE_LIMIT_MS: Millis = Millis::new(200);
+/// Largest answer that is not a stream.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+/// Events that may wait for the exchange.
+const EVENT_BUFFER: usize = 64;
+/// Longest wait for the answer to a probe, with its connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Whole answer of an endpoint.
+#[derive(Debug)]
+pub(super) struct WholeAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: AnswerHead,
+}
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub(super) enum AttemptEvent {
+    /// No connection could be made.
+    Unreachable(String),
+    /// Nothing was written.
+    Unsent(String),
+    /// The connection broke, or what came is no answer to the request.
+    Lost(String),
+    /// A whole answer.
+    Answer(Box<WholeAnswer>),
+    /// Head of a stream.
+    Head(Box<StreamHead>),
+    /// Events that came together.
+    Events(Vec<RawEvent>),
+    /// The stream ended as whole.
+    Finished,
+}
+
+/// Head of a stream of events.
+#[derive(Debug)]
+pub(super) struct StreamHead {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) head: AnswerHead,
+}
+
+/// A running attempt; dropped, it closes its connection.
+pub(super) struct Attempt {
+    events: mpsc::Receiver<AttemptEvent>,
+    task: AbortHandle,
+}
+
+impl Attempt {
+    /// Sends the request to the chosen endpoint.
+    pub(super) fn start(
+        traffic: &Rc<Traffic>,
+        job: &Rc<Job>,
+        choice: &Choice,
+        last_event: Option<StreamEventId>,
+    ) -> Self {
+        let (sender, events) = mpsc::channel(EVENT_BUFFER);
+        let runner = Runner {
+            traffic: Rc::clone(traffic),
+            job: Rc::clone(job),
+            key: connection_key(choice),
+            request: build_request(traffic, job, choice, last_event),
+            events: sender,
+        };
+        let task = spawn_local(runner.run()).abort_handle();
+        Self { events, task }
+    }
+
+    /// Next thing that came; a task that ended silently has lost the attempt.
+    pub(super) async fn next(&mut self) -> AttemptEvent {
+        let event = self.events.recv().await;
+        event.unwrap_or_else(|| AttemptEvent::Lost("the attempt ended".to_owned()))
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Connection to a chosen endpoint.
+pub(super) fn connection_key(choice: &Choice) -> ConnectionKey {
+    let entry = &choice.endpoint;
+    ConnectionKey {
+        address: entry.address,
+        id: entry.key.id.clone(),
+        incarnation: entry.key.incarnation,
+    }
+}
+
+fn build_request(
+    traffic: &Traffic,
+    job: &Job,
+    choice: &Choice,
+    last_event: Option<StreamEventId>,
+) -> Request<Full<Bytes>> {
+    let codec = &traffic.shared.codec.requests;
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.path.clone().into();
+    let headers = request.headers_mut();
+    let passed = job.headers.iter().filter(|(name, _)| {
+        !is_connection_header(name)
+            && !(codec.is_system_header)(name)
+            && *name != header::CONTENT_LENGTH
+            && *name != header::EXPECT
+    });
+    for (name, value) in passed {
+        headers.append(name.clone(), value.clone());
+    }
+    let remaining = job.order.deadline.since(traffic.now()).millis();
+    let order = SendOrder {
+        id: &job.head.id,
+        remaining_ms: remaining.max(Millis::new(1)),
+        endpoint: &choice.endpoint.key.id,
+        workspace: job.workspace.as_ref().map(|it| &it.id),
+        rank: job
+            .workspace
+            .as_ref()
+            .and_then(|it| it.rank)
+            .or(Some(job.route.rank)),
+        last_event,
+        backup: choice.backup.as_ref().map(|it| it.address),
+        copy_at: choice.has_copy.then_some(choice.endpoint.address),
+    };
+    (codec.write)(&order, headers);
+    request
+}
+
+struct Runner {
+    traffic: Rc<Traffic>,
+    job: Rc<Job>,
+    key: ConnectionKey,
+    request: Request<Full<Bytes>>,
+    events: mpsc::Sender<AttemptEvent>,
+}
+
+impl Runner {
+    async fn run(self) {
+        let Self {
+            traffic,
+            job,
+            key,
+            request,
+            events,
+        } = self;
+        let repeat = job.order.repeat;
+        let idle_limit_ms = match repeat.may_run_again() {
+            true => IDLE_LIMIT_MS,
+            false => ONCE_IDLE_LIMIT_MS,
+        };
+        let rules = ConnectionRules {
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            idle_limit_ms,
+        };
+        let opened = match traffic.connections.send(&key, rules, request).await {
+            Ok(opened) => opened,
+            Err(error) => return tell(&events, failure(error)).await,
+        };
+        let (response, connection) = opened.into_parts();
+        let (parts, body) = response.into_parts();
+        let head = (traffic.shared.codec.answers.read)(parts.status, &parts.headers);
+        if head
+            .id
+            .as_deref()
+            .is_some_and(|id| id != job.head.id.as_str())
+        {
+            let reason = "the answer belongs to another request".to_owned();
+            return tell(&events, AttemptEvent::Lost(reason)).await;
+        }
+        let is_stream = repeat.is_stream() && parts.status.is_success();
+        let head = StreamHead {
+            status: parts.status,
+            headers: parts.headers,
+            head,
+        };
+        let ended_well = if is_stream {
+            relay_stream(&events, head, body).await
+        } else {
+            relay_whole(&events, head, body).await
+        };
+        if ended_well {
+            traffic.connections.give_back(connection);
+        }
+    }
+}
+
+async fn tell(events: &mpsc::Sender<AttemptEvent>, event: AttemptEvent) {
+    // An exchange that has ended does not listen.
+    let _ = events.send(event).await;
+}
+
+fn failure(error: SendError) -> AttemptEvent {
+    let reason = error.to_string();
+    match error {
+        SendError::Unreachable { .. } => AttemptEvent::Unreachable(reason),
+        SendError::Unsent { .. } => AttemptEvent::Unsent(reason),
+        SendError::Lost { .. } => AttemptEvent::Lost(reason),
+    }
+}
+
+/// Reads a whole answer; returns whether its connection can be used again.
+async fn relay_whole(
+    events: &mpsc::Sender<AttemptEvent>,
+    head: StreamHead,
+    mut body: Incoming,
+) -> bool {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(piece) = frame.into_data() {
+                    whole.extend_from_slice(&piece);
+                }
+            }
+            Err(error) => {
+                tell(events, AttemptEvent::Lost(describe(&error))).await;
+                return false;
+            }
+        }
+        if whole.len() > ANSWER_LIMIT_BYTES {
+            let reason = "the answer is too large".to_owned();
+            tell(events, AttemptEvent::Lost(reason)).await;
+            return false;
+        }
+    }
+    let answer = WholeAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: whole.freeze(),
+        head: head.head,
+    };
+    tell(events, AttemptEvent::Answer(Box::new(answer))).await;
+    true
+}
+
+/// Passes whole events on; returns whether the connection can be used again.
+async fn relay_stream(
+    events: &mpsc::Sender<AttemptEvent>,
+    head: StreamHead,
+    mut body: Incoming,
+) -> bool {
+    tell(events, AttemptEvent::Head(Box::new(head))).await;
+    let mut framer = EventFramer::new();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                tell(events, AttemptEvent::Lost(describe(&error))).await;
+                return false;
+            }
+        };
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        framer.push(&piece);
+        let mut whole = Vec::new();
+        while let Some(event) = framer.next_event() {
+            whole.push(event);
+        }
+        if !whole.is_empty() && events.send(AttemptEvent::Events(whole)).await.is_err() {
+            return false;
+        }
+        if framer.is_too_long() {
+            tell(
+                events,
+                AttemptEvent::Lost("an event is too long".to_owned()),
+            )
+            .await;
+            return false;
+        }
+    }
+    if framer.rest() > 0 {
+        tell(
+            events,
+            AttemptEvent::Lost("the last event is cut".to_owned()),
+        )
+        .await;
+        return false;
+    }
+    tell(events, AttemptEvent::Finished).await;
+    true
+}
+
+/// Asks an endpoint for its state; tells `true` if it answers in time.
+pub(super) fn start_probe(traffic: Rc<Traffic>, key: ConnectionKey) -> oneshot::Receiver<bool> {
+    let (tell, told) = oneshot::channel();
+    spawn_local(async move {
+        let answered = time::timeout(PROBE_TIMEOUT, probe(&traffic, &key)).await;
+        // An exchange that has gone on does not listen.
+        let _ = tell.send(answered.unwrap_or(false));
+    });
+    told
+}
+
+async fn probe(traffic: &Traffic, key: &ConnectionKey) -> bool {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    let path = traffic.shared.codec.answers.probe_path;
+    *request.uri_mut() = http::Uri::from_static(path);
+    if let Ok(host) = http::HeaderValue::try_from(key.address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    let rules = ConnectionRules {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        idle_limit_ms: Millis::ZERO,
+    };
+    let opened = traffic.connections.send(key, rules, request).await;
+    opened.is_ok_and(|opened| opened.response.status().is_success())
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/front.rs
@@ -0,0 +1,84 @@
+//! Connections of callers.
+
+use std::{convert::Infallible, rc::Rc};
+
+use http::{Request, Response, header};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use parsleylatch_decide::relay::CallerLimits;
+use parsleylatch_http::{HeadGuard, HeadWatch};
+use parsleylatch_types::{ByteCount, Millis};
+use tokio::net::TcpStream;
+
+use super::{Traffic, answer, intake, output::RelayBody};
+use crate::relay::shared::StopPhase;
+
+/// Limits of callers until a configuration is known.
+pub(super) const UNINFORMED_LIMITS: CallerLimits = CallerLimits {
+    head_bytes: ByteCount::new(16 << 10),
+    body_bytes: ByteCount::new(1 << 20),
+    head_timeout_ms: Millis::new(3_000),
+    idle_timeout_ms: Millis::new(15_000),
+};
+/// Smallest buffer that the HTTP library takes.
+const BUFFER_FLOOR_BYTES: u64 = 8 << 10;
+
+/// Serves one connection to its end.
+pub(super) async fn serve(traffic: Rc<Traffic>, stream: TcpStream) {
+    let snapshot = traffic.snapshot();
+    let configuration = snapshot.configuration.as_ref();
+    let limits = configuration
+        .and_then(|it| it.limits())
+        .unwrap_or(&UNINFORMED_LIMITS);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout_ms.duration())
+        .max_buf_size(limits.head_bytes.get().max(BUFFER_FLOOR_BYTES) as usize);
+    drop(snapshot);
+    let (guarded, watch) = HeadGuard::new(stream);
+    let mut phase = traffic.shared.phase.subscribe();
+    let served = Rc::new(std::cell::Cell::new(0_u64));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let traffic = Rc::clone(&traffic);
+        let watch = watch.clone();
+        served.set(served.get() + 1);
+        let is_looked_at = watch.heads_seen() >= served.get();
+        async move { Ok::<_, Infallible>(respond(traffic, request, watch, is_looked_at).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(guarded), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        // The sender lives as long as the traffic state.
+        _ = phase.wait_for(|phase| *phase >= StopPhase::Finishing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "caller connection ended");
+    }
+}
+
+async fn respond(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+    watch: HeadWatch,
+    is_looked_at: bool,
+) -> Response<RelayBody> {
+    let has_chunks = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let is_ambiguous = has_chunks && (!is_looked_at || watch.is_ambiguous());
+    let shared = std::sync::Arc::clone(&traffic.shared);
+    let _in_flight = shared.enter_request();
+    let mut response = if is_ambiguous {
+        intake::deny(&shared, None, answer::Denial::BadRequest, "two framings")
+    } else {
+        intake::relay(traffic, request, &watch).await
+    };
+    // What follows a chunked body on the connection is never read as a request.
+    if has_chunks || shared.phase() > StopPhase::Serving {
+        answer::close_after(response.headers_mut());
+    }
+    response
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/intake.rs
@@ -0,0 +1,264 @@
+//! A caller's request, from its head to the start of its exchange.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, Response, header, uri::PathAndQuery};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use parsleylatch_decide::relay::{
+    Backend, CallerLimits, ExchangeOrder, RelayConfiguration, RelayRoute, RelayWorkspace,
+};
+use parsleylatch_http::HeadWatch;
+use parsleylatch_types::{ExchangeId, MonoTime, Revision, ServiceName};
+use tokio::{sync::oneshot, time};
+
+use super::{
+    Traffic,
+    answer::{self, Denial},
+    exchange,
+    front::UNINFORMED_LIMITS,
+    output::RelayBody,
+};
+use crate::{
+    relay::{
+        codec::CallerHead,
+        shared::{Shared, Snapshot},
+    },
+    telemetry::RelayCounter,
+};
+
+/// A request that is to be relayed.
+pub(super) struct Job {
+    pub(super) head: CallerHead,
+    pub(super) method: Method,
+    pub(super) path: PathAndQuery,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: Arc<RelayRoute>,
+    pub(super) workspace: Option<Arc<RelayWorkspace>>,
+    pub(super) has_backups: bool,
+    pub(super) order: ExchangeOrder,
+    /// Revision of the configuration by which it was routed.
+    pub(super) configuration_revision: Revision,
+}
+
+/// Why a request is not relayed.
+struct Denied {
+    id: Option<ExchangeId>,
+    denial: Denial,
+    detail: &'static str,
+}
+
+/// Answers a request.
+pub(super) async fn relay(
+    traffic: Rc<Traffic>,
+    request: Request<Incoming>,
+    watch: &HeadWatch,
+) -> Response<RelayBody> {
+    let arrived_at = traffic.now();
+    let job = match admit(&traffic, request, watch, arrived_at).await {
+        Ok(job) => job,
+        Err(denied) => {
+            let id = denied.id.as_ref();
+            return deny(&traffic.shared, id, denied.denial, denied.detail);
+        }
+    };
+    let (reply, replied) = oneshot::channel();
+    let shared = Arc::clone(&traffic.shared);
+    let in_flight = shared.enter_request();
+    tokio::task::spawn_local(async move {
+        exchange::run(traffic, job, reply).await;
+        drop(in_flight);
+    });
+    match replied.await {
+        Ok(response) => response,
+        // The exchange always replies; it ended with a panic.
+        Err(_) => deny(&shared, None, Denial::Uninformed, "the exchange ended"),
+    }
+}
+
+/// Refuses a request that is not placed, and says so in the log.
+pub(super) fn deny(
+    shared: &Shared,
+    id: Option<&ExchangeId>,
+    denial: Denial,
+    detail: &str,
+) -> Response<RelayBody> {
+    let snapshot = shared.snapshot.load();
+    let revision = snapshot.configuration.as_ref().map(|it| it.revision());
+    shared.metrics.increment(RelayCounter::RequestsDenied);
+    log::info!(
+        id:% = id.map_or("-", ExchangeId::as_str),
+        denial:% = denial,
+        detail = detail,
+        configuration_revision = revision.unwrap_or_default().get(),
+        configuration_age_ms = shared.confirmed_age().millis().get();
+        "request denied"
+    );
+    answer::denied(denial)
+}
+
+async fn admit(
+    traffic: &Rc<Traffic>,
+    request: Request<Incoming>,
+    watch: &HeadWatch,
+    arrived_at: MonoTime,
+) -> Result<Job, Denied> {
+    let shared = &traffic.shared;
+    shared.metrics.increment(RelayCounter::Requests);
+    let snapshot = traffic.snapshot();
+    let (parts, body) = request.into_parts();
+    let head = (shared.codec.requests.read)(&parts.headers).map_err(|reason| {
+        log::debug!(reason = reason.as_str(); "unreadable head");
+        denied(None, Denial::BadRequest, "unreadable head")
+    })?;
+    let id = Some(&head.id);
+    let host =
+        only_host(&parts.headers).ok_or_else(|| denied(id, Denial::BadRequest, "not one host"))?;
+    let path = parts.uri.path_and_query().cloned();
+    let path = path.ok_or_else(|| denied(id, Denial::BadRequest, "no path"))?;
+    let limits = snapshot
+        .configuration
+        .as_ref()
+        .and_then(|it| it.limits().copied())
+        .unwrap_or(UNINFORMED_LIMITS);
+    let body = read_body(body, &limits).await;
+    watch.expect_head();
+    let body = body.map_err(|denial| denied(id, denial, "body"))?;
+    let snapshot = newest(traffic, snapshot);
+    let configuration = snapshot.configuration.as_ref();
+    let configuration =
+        configuration.ok_or_else(|| denied(id, Denial::Uninformed, "no configuration"))?;
+    let route = configuration
+        .route(&host, path.path())
+        .ok_or_else(|| denied(id, doubtful(shared, Denial::NoRoute), "no route"))?;
+    let workspace = find_workspace(shared, configuration, route, &head)?;
+    let service = choose_service(route);
+    traffic.note_request(&service);
+    let has_backups = configuration
+        .service(&service)
+        .is_some_and(|it| it.has_backups);
+    let timeout_ms = head
+        .patience_ms
+        .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
+    let order = ExchangeOrder {
+        repeat: route.repeat,
+        service,
+        attempts: route.attempts,
+        deadline: arrived_at + timeout_ms,
+        goal_ms: route.goal_ms,
+        gap_goal_ms: route.gap_goal_ms,
+        prompt: head.prompt,
+    };
+    Ok(Job {
+        head,
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+        route: Arc::clone(route),
+        workspace,
+        has_backups,
+        order,
+        configuration_revision: configuration.revision(),
+    })
+}
+
+/// Snapshot by which the request is handled: the newest one after the body was read.
+fn newest(traffic: &Traffic, earlier: Arc<Snapshot>) -> Arc<Snapshot> {
+    drop(earlier);
+    traffic.snapshot()
+}
+
+fn denied(id: Option<&ExchangeId>, denial: Denial, detail: &'static str) -> Denied {
+    Denied {
+        id: id.cloned(),
+        denial,
+        detail,
+    }
+}
+
+/// A refusal that rests on what the node knows; if that is old, it says so instead.
+fn doubtful(shared: &Shared, denial: Denial) -> Denial {
+    if shared.is_certain() {
+        denial
+    } else {
+        Denial::Uninformed
+    }
+}
+
+fn find_workspace(
+    shared: &Shared,
+    configuration: &RelayConfiguration,
+    route: &RelayRoute,
+    head: &CallerHead,
+) -> Result<Option<Arc<RelayWorkspace>>, Denied> {
+    if !configuration.has_workspaces() {
+        return Ok(None);
+    }
+    let found = head
+        .key
+        .as_deref()
+        .and_then(|key| configuration.workspace(key));
+    match found {
+        Some(workspace) => Ok(Some(Arc::clone(workspace))),
+        None if route.is_public => Ok(None),
+        None => {
+            let denial = doubtful(shared, Denial::UnknownKey);
+            Err(denied(Some(&head.id), denial, "unknown key"))
+        }
+    }
+}
+
+/// Chooses among a route's services by weight.
+fn choose_service(route: &RelayRoute) -> ServiceName {
+    let total: u32 = route.backends.iter().map(|it| it.weight.get()).sum();
+    let first = &route.backends[0].service;
+    if total == 0 || route.backends.len() == 1 {
+        return first.clone();
+    }
+    let mut drawn = rand::random_range(0..total);
+    let takes = |it: &&Backend| {
+        let is_drawn = drawn < it.weight.get();
+        drawn = drawn.saturating_sub(it.weight.get());
+        is_drawn
+    };
+    let chosen = route.backends.iter().find(takes);
+    chosen.map_or_else(|| first.clone(), |it| it.service.clone())
+}
+
+/// The one host that the head names, without a port.
+fn only_host(headers: &HeaderMap) -> Option<String> {
+    let mut values = headers.get_all(header::HOST).iter();
+    let host = values.next()?.to_str().ok()?;
+    if values.next().is_some() {
+        return None;
+    }
+    let name = host.split(':').next().unwrap_or(host);
+    Some(name.to_ascii_lowercase())
+}
+
+async fn read_body(mut body: Incoming, limits: &CallerLimits) -> Result<Bytes, Denial> {
+    let limit = limits.body_bytes.get();
+    if body.size_hint().lower() > limit {
+        return Err(Denial::BodyTooLarge);
+    }
+    let pause: Duration = limits.head_timeout_ms.duration();
+    let mut whole = BytesMut::new();
+    loop {
+        let frame = match time::timeout(pause, body.frame()).await {
+            Err(_) => return Err(Denial::SlowBody),
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(_))) => return Err(Denial::BadRequest),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        // Trailers are not passed on.
+        if let Ok(piece) = frame.into_data() {
+            if whole.len() as u64 + piece.len() as u64 > limit {
+                return Err(Denial::BodyTooLarge);
+            }
+            whole.extend_from_slice(&piece);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/mod.rs
@@ -0,0 +1,171 @@
+//! Traffic threads of a relay: each owns the callers' connections it accepted.
+
+mod answer;
+mod attempt;
+mod exchange;
+mod front;
+mod intake;
+mod output;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use parsleylatch_decide::relay::{EndpointBook, EndpointKey, RetryWindow, Selector};
+use parsleylatch_endpoint::{ConnectionKey, Connections};
+use parsleylatch_http::NodelayListener;
+use parsleylatch_types::{MonoTime, ServiceName};
+use tokio::{runtime::Runtime, task::LocalSet, time};
+use viz::Listener;
+
+use super::shared::{Shared, Snapshot, StopPhase};
+
+/// Delay after an accept that failed, as when descriptors have run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Callers' connections of one thread; the rest of 4,100 descriptors is for
+/// connections to endpoints.
+const CONNECTION_LIMIT: usize = 2_600;
+
+/// State of one traffic thread.
+pub(super) struct Traffic {
+    pub(super) shared: Arc<Shared>,
+    pub(super) connections: Connections,
+    pub(super) book: RefCell<EndpointBook>,
+    selector: RefCell<Selector>,
+    retries: RefCell<HashMap<ServiceName, RetryWindow>>,
+    seen_snapshot: Cell<u64>,
+}
+
+impl Traffic {
+    fn new(shared: Arc<Shared>, seed: u64) -> Self {
+        let settings = shared.settings.load();
+        let selector = Selector::new(
+            settings.failure_domain.clone(),
+            settings.region.clone(),
+            settings.regions.clone(),
+            seed,
+        );
+        drop(settings);
+        Self {
+            shared,
+            connections: Connections::new(),
+            book: RefCell::default(),
+            selector: RefCell::new(selector),
+            retries: RefCell::default(),
+            seen_snapshot: Cell::new(0),
+        }
+    }
+
+    pub(super) fn now(&self) -> MonoTime {
+        self.shared.now()
+    }
+
+    /// Newest snapshot; the book is brought up to it.
+    pub(super) fn snapshot(&self) -> Arc<Snapshot> {
+        let snapshot = self.shared.snapshot.load_full();
+        if self.seen_snapshot.replace(snapshot.number) != snapshot.number {
+            let mut book = self.book.borrow_mut();
+            book.update(snapshot.endpoints.iter());
+            self.connections.forget(|key| {
+                book.entry(&endpoint_key(key))
+                    .is_some_and(|entry| entry.address == key.address)
+            });
+        }
+        snapshot
+    }
+
+    pub(super) fn selector(&self) -> std::cell::RefMut<'_, Selector> {
+        self.selector.borrow_mut()
+    }
+
+    /// Notes a caller's request for a service.
+    pub(super) fn note_request(&self, service: &ServiceName) {
+        let now = self.now();
+        self.with_retries(service, |window| window.note_request(now));
+    }
+
+    /// Takes one repeat from the budget, if there is one left.
+    pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let sharers =
+            self.shared.snapshot.load().nodes.max(1) * self.shared.settings.load().traffic_threads;
+        self.with_retries(service, |window| window.take_repeat(now, sharers))
+    }
+
+    fn with_retries<Output>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryWindow) -> Output,
+    ) -> Output {
+        let mut retries = self.retries.borrow_mut();
+        if !retries.contains_key(service) {
+            let bounds = self.shared.settings.load().bounds;
+            let window = RetryWindow::new(
+                bounds.retry_window_ms,
+                bounds.retry_ratio_percent,
+                bounds.retry_slack,
+            );
+            retries.insert(service.clone(), window);
+        }
+        let window = retries.get_mut(service);
+        work(window.expect("the window was inserted"))
+    }
+}
+
+/// Endpoint to which a connection leads.
+pub(super) fn endpoint_key(key: &ConnectionKey) -> EndpointKey {
+    EndpointKey {
+        id: key.id.clone(),
+        incarnation: key.incarnation,
+    }
+}
+
+/// Serves callers until the relay has stopped.
+pub(super) fn run(runtime: &Runtime, shared: Arc<Shared>, listener: TcpListener, seed: u64) {
+    let local = LocalSet::new();
+    local.block_on(runtime, async move {
+        let listener = match NodelayListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!(error:% = error; "caller listener can't be registered");
+                return;
+            }
+        };
+        accept(Rc::new(Traffic::new(shared, seed)), listener).await;
+    });
+}
+
+async fn accept(traffic: Rc<Traffic>, listener: NodelayListener) {
+    let mut phase = traffic.shared.phase.subscribe();
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
+            () = time::sleep(ACCEPT_RETRY_DELAY), if open.get() >= CONNECTION_LIMIT => continue,
+            stopped = phase.wait_for(|phase| *phase == StopPhase::Stopped) => {
+                // The sender lives as long as `shared`.
+                drop(stopped);
+                return;
+            }
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                open.set(open.get() + 1);
+                let (traffic, open) = (Rc::clone(&traffic), Rc::clone(&open));
+                tokio::task::spawn_local(async move {
+                    front::serve(traffic, stream).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "accepting a caller failed");
+                time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/traffic/output.rs
@@ -0,0 +1,74 @@
+//! Bodies of the answers that callers get.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// Events that may wait for a caller that reads slowly.
+const EVENT_BUFFER: usize = 256;
+
+/// The stream can't be finished; the connection ends without its last chunk.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the stream was broken off")]
+pub(super) struct BrokenOff;
+
+impl From<Infallible> for BrokenOff {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// Body of an answer: whole, or a stream that is being relayed.
+pub(super) enum RelayBody {
+    Whole(Option<Bytes>),
+    Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+}
+
+impl RelayBody {
+    pub(super) fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+
+    /// Body that is fed through the sender; it is whole when the sender is dropped.
+    pub(super) fn stream() -> (mpsc::Sender<Result<Bytes, BrokenOff>>, Self) {
+        let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
+        (sender, Self::Stream(receiver))
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Self::Stream(receiver) => receiver
+                .poll_recv(context)
+                .map(|event| event.map(|event| event.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,8 +5,10 @@
 //! was sent on a link that went down may be lost, and the sender has to send it
 //! again when it still matters.
 
+mod ask;
 mod link;
 mod server;
 
+pub use ask::ask;
 pub use link::{Identity, Link, LinkEvent, Received, ReplySender, connect};
 pub use server::serve;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod key;
 mod node;
+mod relay;
 mod template;
 mod version_move;
 
@@ -15,6 +16,7 @@
 pub use error::{SettingsError, SettingsErrorKind};
 pub use key::{KeyDigest, ParseKeyDigestError};
 pub use node::{AdminKey, LogFormat, LogSettings, NodeLimits, NodeSettings, Role};
+pub use relay::{RelayBounds, RelaySettings};
 pub use template::{
     CallKind, Detection, MAX_TOKENS_CEILING, Operation, ServiceTemplate, Template, Tier,
 };
--- /dev/null
+++ b/crates/store/src/codec.rs
@@ -0,0 +1,192 @@
+//! How the store's calls look on the wire: a plain struct of functions.
+//!
+//! The client, its deadlines and its errors are the same for every store; a
+//! codec only writes requests and reads replies.
+
+use http::{Method, StatusCode};
+use parsleylatch_types::{Millis, Revision};
+use parsleylatch_wire::platform::{
+    KeyValue, LeaseAsk, LeaseReply, ListReply, ReadReply, WriteReply,
+};
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::store::{Condition, LeaseId};
+
+/// A request to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRequest {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl StoreRequest {
+    /// Request without a body.
+    pub fn bare(method: Method, path: String) -> Self {
+        Self {
+            method,
+            path,
+            body: Vec::new(),
+        }
+    }
+}
+
+/// Why a reply is no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ReplyFault {
+    /// The status is not one that answers.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The body has another form.
+    #[error("unreadable reply: {0}")]
+    Form(String),
+}
+
+/// One write or delete under a condition.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WriteOrder<'a> {
+    /// Key.
+    pub key: &'a str,
+    /// New value; `None` deletes the key.
+    pub value: Option<&'a str>,
+    /// What the key has to be.
+    pub condition: Condition,
+    /// Lease with which the key ends.
+    pub lease: Option<LeaseId>,
+}
+
+/// How fresh a listing has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadMode {
+    /// At least as new as every change that was acknowledged before.
+    Latest,
+    /// May be seconds old; cheap.
+    Cached,
+}
+
+/// One page of a listing.
+#[derive(Clone, Debug)]
+pub struct ListPage {
+    /// The page.
+    pub reply: ListReply,
+    /// Key after which the next page starts.
+    pub next_after: Option<String>,
+}
+
+/// Reads one kind of reply.
+pub type ReadReplyFn<Answer> = fn(StatusCode, &[u8]) -> Result<Answer, ReplyFault>;
+
+/// Writes requests to a store, and reads its replies.
+#[derive(Clone, Copy)]
+pub struct StoreCodec {
+    /// Read of one key.
+    pub read: fn(key: &str) -> StoreRequest,
+    /// Answer to a read.
+    pub read_reply: ReadReplyFn<ReadReply>,
+    /// Listing of a prefix, from the key after which a page starts.
+    pub list: fn(prefix: &str, after: Option<&str>, mode: ReadMode) -> StoreRequest,
+    /// Answer to a listing.
+    pub list_reply: ReadReplyFn<ListPage>,
+    /// Wait for changes of a prefix after a revision.
+    pub watch: fn(prefix: &str, after: Revision, wait_ms: Millis) -> StoreRequest,
+    /// Answer to a watch.
+    pub watch_reply: ReadReplyFn<ListReply>,
+    /// Write or delete under a condition.
+    pub write: fn(order: &WriteOrder<'_>) -> StoreRequest,
+    /// Answer to a write.
+    pub write_reply: fn(&WriteOrder<'_>, StatusCode, &[u8]) -> Result<WriteReply, ReplyFault>,
+    /// Request for a lease.
+    pub grant: fn(ttl_ms: Millis) -> StoreRequest,
+    /// Answer to a request for a lease.
+    pub grant_reply: ReadReplyFn<LeaseId>,
+    /// Renewal of a lease.
+    pub renew: fn(lease: LeaseId) -> StoreRequest,
+    /// End of a lease.
+    pub revoke: fn(lease: LeaseId) -> StoreRequest,
+}
+
+impl StoreCodec {
+    /// Codec of the project's own store interface.
+    pub const fn own() -> Self {
+        Self {
+            read: |key| StoreRequest::bare(Method::GET, format!("/v1/kv?key={key}")),
+            read_reply: json,
+            list: |prefix, _, _| {
+                StoreRequest::bare(Method::GET, format!("/v1/list?prefix={prefix}"))
+            },
+            list_reply: |status, body| {
+                json(status, body).map(|reply| ListPage {
+                    reply,
+                    next_after: None,
+                })
+            },
+            watch: |prefix, after, wait_ms| {
+                let wait_ms = wait_ms.get();
+                let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+                StoreRequest::bare(Method::GET, path)
+            },
+            watch_reply: json,
+            write: own_write,
+            write_reply: |_, status, body| json(status, body),
+            grant: |ttl_ms| StoreRequest {
+                method: Method::POST,
+                path: "/v1/leases".to_owned(),
+                body: serde_json::to_vec(&LeaseAsk { ttl_ms }).unwrap_or_default(),
+            },
+            grant_reply: |status, body| {
+                json(status, body).map(|reply: LeaseReply| LeaseId(reply.lease_id))
+            },
+            renew: |lease| StoreRequest::bare(Method::PUT, format!("/v1/leases/{}", lease.0)),
+            revoke: |lease| StoreRequest::bare(Method::DELETE, format!("/v1/leases/{}", lease.0)),
+        }
+    }
+}
+
+fn own_write(order: &WriteOrder<'_>) -> StoreRequest {
+    let expected = order.condition.expected();
+    let mut path = format!("/v1/kv?key={}&expected={expected}", order.key);
+    if let Some(LeaseId(lease)) = order.lease {
+        path = format!("{path}&lease={lease}");
+    }
+    match order.value {
+        Some(value) => StoreRequest {
+            method: Method::PUT,
+            path,
+            body: value.as_bytes().to_vec(),
+        },
+        None => StoreRequest::bare(Method::DELETE, path),
+    }
+}
+
+fn json<Answer>(status: StatusCode, body: &[u8]) -> Result<Answer, ReplyFault>
+where
+    Answer: DeserializeOwned,
+{
+    if !status.is_success() {
+        return Err(ReplyFault::Status(status));
+    }
+    serde_json::from_slice(body).map_err(|error| ReplyFault::Form(error.to_string()))
+}
+
+/// Key that a write leaves behind.
+pub(crate) fn written_key(order: &WriteOrder<'_>, revision: Revision) -> Option<KeyValue> {
+    order.value.map(|value| KeyValue {
+        key: order.key.to_owned(),
+        value: value.to_owned(),
+        revision,
+    })
+}
+
+impl WriteOrder<'_> {
+    /// Answer to this write after it took effect at a revision.
+    pub fn written_at(&self, revision: Revision) -> WriteReply {
+        WriteReply {
+            written: true,
+            entry: written_key(self, revision),
+        }
+    }
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of calls to the platform.
 
+use http::StatusCode;
 use parsleylatch_http::{HttpError, HttpErrorKind};
 use strum::Display;
 use thiserror::Error;
@@ -43,4 +44,9 @@
             if status.is_client_error());
         self.step == StoreStep::Write && !self.source.is_unsent() && !refused
     }
+
+    /// Whether a watch failed because the changes it asked for are not kept any more.
+    pub fn is_history_gone(&self) -> bool {
+        matches!(self.source.kind, HttpErrorKind::Status(StatusCode::GONE))
+    }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,10 +3,14 @@
 //! A write that got no answer may have taken effect; [`StoreError::is_unclear`]
 //! says so, and the caller has to read back.
 
+mod codec;
 mod error;
 mod store;
 mod vm_list;
 
+pub use codec::{
+    ListPage, ReadMode, ReadReplyFn, ReplyFault, StoreCodec, StoreRequest, WriteOrder,
+};
 pub use error::{StoreError, StoreStep};
 pub use store::{Condition, LeaseId, StoreClient};
 pub use vm_list::VmListClient;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,15 +3,15 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use parsleylatch_http::{Client, HttpError, HttpErrorKind, Reply, Step};
 use parsleylatch_types::{Millis, Revision};
-use parsleylatch_wire::platform::{
-    KeyValue, LeaseAsk, LeaseReply, ListReply, ReadReply, WriteReply,
-};
-use serde::de::DeserializeOwned;
+use parsleylatch_wire::platform::{KeyValue, ListReply, WriteReply};
 
-use crate::error::{StoreError, StoreStep};
+use crate::{
+    codec::{ListPage, ReadMode, ReplyFault, StoreCodec, StoreRequest, WriteOrder},
+    error::{StoreError, StoreStep},
+};
 
 /// Longest wait for an answer other than a watch's.
 const CALL_TIMEOUT_MS: Millis = Millis::new(2_000);
@@ -30,7 +30,8 @@
 }
 
 impl Condition {
-    fn expected(self) -> Revision {
+    /// Revision that the key has to have; zero for none.
+    pub fn expected(self) -> Revision {
         match self {
             Self::Absent => Revision::ZERO,
             Self::At(revision) => revision,
@@ -43,14 +44,24 @@
 pub struct StoreClient {
     http: Client,
     address: SocketAddr,
+    codec: StoreCodec,
+    call_timeout_ms: Millis,
 }
 
 impl StoreClient {
-    /// Client without connections.
+    /// Client without connections, for the project's own store interface.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_codec(address, StoreCodec::own(), CALL_TIMEOUT_MS)
+    }
+
+    /// Client without connections; a call other than a watch waits for
+    /// `call_timeout_ms` at most.
+    pub fn with_codec(address: SocketAddr, codec: StoreCodec, call_timeout_ms: Millis) -> Self {
         Self {
             http: Client::new(),
             address,
+            codec,
+            call_timeout_ms,
         }
     }
 
@@ -59,17 +70,11 @@
     /// # Errors
     /// The call's step and peer.
     pub async fn read(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
-        let path = format!("/v1/kv?key={key}");
-        let reply: ReadReply = self
-            .call(
-                StoreStep::Read,
-                Method::GET,
-                &path,
-                Bytes::new(),
-                CALL_TIMEOUT_MS,
-            )
-            .await?;
-        Ok(reply.entry)
+        let step = StoreStep::Read;
+        let request = (self.codec.read)(key);
+        let reply = self.exchange(step, request, self.call_timeout_ms).await?;
+        let read = (self.codec.read_reply)(reply.status, &reply.body);
+        Ok(self.answer(step, read)?.entry)
     }
 
     /// Lists the keys with a prefix.
@@ -77,15 +82,36 @@
     /// # Errors
     /// The call's step and peer.
     pub async fn list(&self, prefix: &str) -> Result<ListReply, StoreError> {
-        let path = format!("/v1/list?prefix={prefix}");
-        self.call(
-            StoreStep::List,
-            Method::GET,
-            &path,
-            Bytes::new(),
-            CALL_TIMEOUT_MS,
-        )
-        .await
+        self.list_with(prefix, ReadMode::Latest).await
+    }
+
+    /// Lists the keys with a prefix, page by page; the pages are no snapshot, and
+    /// the revision is that of the first.
+    ///
+    /// # Errors
+    /// The call's step and peer.
+    pub async fn list_with(&self, prefix: &str, mode: ReadMode) -> Result<ListReply, StoreError> {
+        let first = self.list_page(prefix, None, mode).await?;
+        let (mut whole, mut next_after) = (first.reply, first.next_after);
+        while let Some(after) = next_after {
+            let page = self.list_page(prefix, Some(&after), mode).await?;
+            whole.entries.extend(page.reply.entries);
+            next_after = page.next_after;
+        }
+        Ok(whole)
+    }
+
+    async fn list_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        mode: ReadMode,
+    ) -> Result<ListPage, StoreError> {
+        let step = StoreStep::List;
+        let request = (self.codec.list)(prefix, after, mode);
+        let reply = self.exchange(step, request, self.call_timeout_ms).await?;
+        let read = (self.codec.list_reply)(reply.status, &reply.body);
+        self.answer(step, read)
     }
 
     /// Waits for changes of a prefix after a revision; an empty answer says that
@@ -99,19 +125,12 @@
         after: Revision,
         wait_ms: Millis,
     ) -> Result<ListReply, StoreError> {
-        let path = format!(
-            "/v1/watch?prefix={prefix}&after={after}&wait_ms={}",
-            wait_ms.get()
-        );
-        let timeout_ms = wait_ms.saturating_add(CALL_TIMEOUT_MS);
-        self.call(
-            StoreStep::Watch,
-            Method::GET,
-            &path,
-            Bytes::new(),
-            timeout_ms,
-        )
-        .await
+        let step = StoreStep::Watch;
+        let request = (self.codec.watch)(prefix, after, wait_ms);
+        let timeout_ms = wait_ms.saturating_add(self.call_timeout_ms);
+        let reply = self.exchange(step, request, timeout_ms).await?;
+        let read = (self.codec.watch_reply)(reply.status, &reply.body);
+        self.answer(step, read)
     }
 
     /// Writes a key if the condition holds.
@@ -126,17 +145,13 @@
         condition: Condition,
         lease: Option<LeaseId>,
     ) -> Result<WriteReply, StoreError> {
-        let mut path = format!("/v1/kv?key={key}&expected={}", condition.expected());
-        if let Some(LeaseId(lease)) = lease {
-            path = format!("{path}&lease={lease}");
-        }
-        self.call(
-            StoreStep::Write,
-            Method::PUT,
-            &path,
-            Bytes::from(value),
-            CALL_TIMEOUT_MS,
-        )
+        let value = Some(value.as_str());
+        self.change(&WriteOrder {
+            key,
+            value,
+            condition,
+            lease,
+        })
         .await
     }
 
@@ -145,14 +160,12 @@
     /// # Errors
     /// As [`StoreClient::write`].
     pub async fn delete(&self, key: &str, at: Revision) -> Result<WriteReply, StoreError> {
-        let path = format!("/v1/kv?key={key}&expected={at}");
-        self.call(
-            StoreStep::Write,
-            Method::DELETE,
-            &path,
-            Bytes::new(),
-            CALL_TIMEOUT_MS,
-        )
+        self.change(&WriteOrder {
+            key,
+            value: None,
+            condition: Condition::At(at),
+            lease: None,
+        })
         .await
     }
 
@@ -161,18 +174,11 @@
     /// # Errors
     /// The call's step and peer.
     pub async fn grant(&self, ttl_ms: Millis) -> Result<LeaseId, StoreError> {
-        let body = serde_json::to_vec(&LeaseAsk { ttl_ms }).unwrap_or_default();
-        let body = Bytes::from(body);
-        let reply: LeaseReply = self
-            .call(
-                StoreStep::Grant,
-                Method::POST,
-                "/v1/leases",
-                body,
-                CALL_TIMEOUT_MS,
-            )
-            .await?;
-        Ok(LeaseId(reply.lease_id))
+        let step = StoreStep::Grant;
+        let request = (self.codec.grant)(ttl_ms);
+        let reply = self.exchange(step, request, self.call_timeout_ms).await?;
+        let read = (self.codec.grant_reply)(reply.status, &reply.body);
+        self.answer(step, read)
     }
 
     /// Renews a lease; `false` if it has lapsed.
@@ -180,20 +186,13 @@
     /// # Errors
     /// The call's step and peer.
     pub async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
-        let path = format!("/v1/leases/{}", lease.0);
-        let reply = self
-            .exchange(
-                StoreStep::Renew,
-                Method::PUT,
-                &path,
-                Bytes::new(),
-                CALL_TIMEOUT_MS,
-            )
-            .await?;
+        let step = StoreStep::Renew;
+        let request = (self.codec.renew)(lease);
+        let reply = self.exchange(step, request, self.call_timeout_ms).await?;
         match reply.status {
             StatusCode::NOT_FOUND => Ok(false),
             status if status.is_success() => Ok(true),
-            status => Err(self.status_error(StoreStep::Renew, status)),
+            status => Err(self.fault(step, ReplyFault::Status(status))),
         }
     }
 
@@ -202,56 +201,53 @@
     /// # Errors
     /// The call's step and peer.
     pub async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/v1/leases/{}", lease.0);
-        let step = StoreStep::Revoke;
-        self.exchange(step, Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT_MS)
+        let request = (self.codec.revoke)(lease);
+        self.exchange(StoreStep::Revoke, request, self.call_timeout_ms)
             .await?;
         Ok(())
     }
 
-    async fn call<Answer>(
-        &self,
-        step: StoreStep,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout_ms: Millis,
-    ) -> Result<Answer, StoreError>
-    where
-        Answer: DeserializeOwned,
-    {
-        let reply = self.exchange(step, method, path, body, timeout_ms).await?;
-        if !reply.status.is_success() {
-            return Err(self.status_error(step, reply.status));
-        }
-        reply
-            .json(self.address)
-            .map_err(|source| StoreError { step, source })
+    async fn change(&self, order: &WriteOrder<'_>) -> Result<WriteReply, StoreError> {
+        let step = StoreStep::Write;
+        let request = (self.codec.write)(order);
+        let reply = self.exchange(step, request, self.call_timeout_ms).await?;
+        let read = (self.codec.write_reply)(order, reply.status, &reply.body);
+        self.answer(step, read)
     }
 
     async fn exchange(
         &self,
         step: StoreStep,
-        method: Method,
-        path: &str,
-        body: Bytes,
+        request: StoreRequest,
         timeout_ms: Millis,
     ) -> Result<Reply, StoreError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
+        let builder = Request::builder()
+            .method(request.method)
+            .uri(request.path)
             .header("content-type", "application/json");
+        let body = Bytes::from(request.body);
         let reply = self
             .http
-            .call(self.address, request, body, timeout_ms.duration())
+            .call(self.address, builder, body, timeout_ms.duration())
             .await;
         reply.map_err(|source| StoreError { step, source })
     }
 
-    fn status_error(&self, step: StoreStep, status: StatusCode) -> StoreError {
-        let kind = HttpErrorKind::Status(status);
+    fn answer<Answer>(
+        &self,
+        step: StoreStep,
+        read: Result<Answer, ReplyFault>,
+    ) -> Result<Answer, StoreError> {
+        read.map_err(|fault| self.fault(step, fault))
+    }
+
+    fn fault(&self, step: StoreStep, fault: ReplyFault) -> StoreError {
+        let (at, kind) = match fault {
+            ReplyFault::Status(status) => (Step::Receive, HttpErrorKind::Status(status)),
+            ReplyFault::Form(reason) => (Step::Decode, HttpErrorKind::Form(reason)),
+        };
         let source = HttpError {
-            step: Step::Receive,
+            step: at,
             peer: self.address,
             kind,
         };
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -138,3 +138,8 @@
     HolderId,
     "lease holder id"
 );
+text_id!(
+    /// Id that a caller gave one try of a relayed request.
+    ExchangeId,
+    "exchange id"
+);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,13 +11,13 @@
 mod time;
 
 pub use id::{
-    AdapterName, EndpointId, EndpointVersion, FailureDomain, HolderId, ModelId, MoveId, NodeId,
-    OperationName, ParseIdError, Region, RouteName, ServiceName, WorkspaceId,
+    AdapterName, EndpointId, EndpointVersion, ExchangeId, FailureDomain, HolderId, ModelId, MoveId,
+    NodeId, OperationName, ParseIdError, Region, RouteName, ServiceName, WorkspaceId,
 };
 pub use quantity::{
     AttemptNumber, ByteCount, BytesPerSecond, FencingNumber, Incarnation, OwnerEpoch,
-    ParseQuantityError, Percent, Priority, RequestCount, RequestsPerSecond, Revision, Seed, Share,
-    TokenCount, TokenId, TokenIndex, TokensPerSecond, Weight,
+    ParseQuantityError, Percent, Priority, Rank, RequestCount, RequestsPerSecond, Revision, Seed,
+    Share, SlotCount, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond, Weight,
 };
 pub use request_id::{ParseRequestIdError, RequestId};
 pub use time::{Micros, Millis, MonoTime, UnixMillis};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -162,6 +162,19 @@
     RequestsPerSecond, u64, "req/s"
 );
 
+quantity!(
+    /// Id of an event in a relayed stream; grows with every event.
+    StreamEventId, u64, ""
+);
+quantity!(
+    /// Count of requests that an endpoint runs at the same time.
+    SlotCount, u32, ""
+);
+quantity!(
+    /// Rank of a request; 0 goes first.
+    Rank, u8, ""
+);
+
 impl TokenIndex {
     /// Index of the first token after `count` tokens.
     pub const fn after(count: usize) -> Self {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod platform;
 
 pub use frame::{FRAME_LIMIT, FrameError, PeerCodec, message_bytes};
-pub use generated::{gossip, journal, moves, peer};
+pub use generated::{gossip, journal, moves, peer, relay};
 
 /// Code that `prost` generates from `proto/*.proto`; committed, so that the
 /// build needs no generator.
@@ -27,6 +27,10 @@
     pub mod moves {
         include!("generated/parsleylatch.moves.rs");
     }
+    /// What relays ask each other.
+    pub mod relay {
+        include!("generated/parsleylatch.relay.rs");
+    }
     /// Envelope of the messages between nodes.
     pub mod peer {
         include!("generated/parsleylatch.peer.rs");
--- a/crates/wire/tests/generated.rs
+++ b/crates/wire/tests/generated.rs
@@ -14,7 +14,7 @@
         .out_dir(&out_dir)
         .compile_fds(descriptors)
         .unwrap();
-    for name in ["peer", "journal", "gossip", "moves"] {
+    for name in ["peer", "journal", "gossip", "moves", "relay"] {
         let file = format!("parsleylatch.{name}.rs");
         let fresh = fs::read_to_string(out_dir.join(&file)).unwrap();
         let committed = root.join("src/generated").join(&file);
--- /dev/null
+++ b/src/bin/parsleylatch-relay.rs
@@ -0,0 +1,11 @@
+//! The relay, on the users' platform.
+
+use eyre::Result;
+
+fn main() -> Result<()> {
+    parsleylatch_node::relay::relay_main(
+        argh::from_env(),
+        parsleylatch_platform::settings_file(),
+        parsleylatch_platform::codec(),
+    )
+}
