Relay in a crate of its own, without the tracing library

Cause: before main the tracing library's clock spins until two clocks agree (20 ms natively, 0.3 to 31 s where the processor is a share of a core), so nodes were not ready when traffic began.

--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -30,6 +30,8 @@
 /// Part of the goal after which an idempotent call goes to another endpoint, in
 /// percent; the rest has to do for the second answer.
 const CALL_PATIENCE_GOAL_PERCENT: u64 = 65;
+/// Run of an attempt after which its memory has begun to be copied.
+const COPY_AFTER_MS: Millis = Millis::new(300);
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Time beyond twice the reading of the prompt in which a first event is due.
@@ -234,7 +236,9 @@
     unruns: u32,
     failed: Vec<EndpointKey>,
     choice: Option<Box<Choice>>,
-    /// Endpoint that has a copy of the memory of what runs or ran last.
+    /// Endpoint that gets a copy of the memory of what runs.
+    backup: Option<EndpointKey>,
+    /// Endpoint that has a copy of the memory of what ran last.
     copy_at: Option<EndpointKey>,
     has_begun: bool,
     /// Whether the running attempt has brought an event.
@@ -363,9 +367,7 @@
 
     fn request_place(&mut self) {
         self.held_since.get_or_insert(self.now);
-        let preferred = self
-            .copy_at
-            .take_if(|_| self.has_begun || self.attempt_began || self.runs > 0);
+        let preferred = self.copy_at.take();
         let excluded = self.failed.clone();
         self.effects.push(ExchangeEffect::Place {
             excluded,
@@ -381,7 +383,7 @@
         self.held_since = None;
         self.attempt_began = false;
         self.pace.restart();
-        self.copy_at = choice.backup.as_ref().map(|entry| entry.key.clone());
+        self.backup = choice.backup.as_ref().map(|entry| entry.key.clone());
         self.effects.push(ExchangeEffect::Open(choice));
     }
 
@@ -395,8 +397,12 @@
         }
     }
 
+    /// Notes that the attempt may have run; if it ran for long enough, there is a copy.
     fn note_run(&mut self) {
         self.runs += 1;
+        let ran_for = self.now.since(self.sent_at);
+        let backup = self.backup.take();
+        self.copy_at = backup.filter(|_| ran_for >= COPY_AFTER_MS.micros());
     }
 
     fn note_unrun(&mut self) {
@@ -440,6 +446,7 @@
             unruns: 0,
             failed: Vec::new(),
             choice: None,
+            backup: None,
             copy_at: None,
             has_begun: false,
             attempt_began: false,
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -4,13 +4,11 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
+use parsleylatch_runtime::BAD_SETTINGS_STATUS;
 use parsleylatch_settings::{Document, NodeSettings};
 
 use crate::{node::Node, telemetry};
 
-/// Exit status for settings that can't be used.
-pub(crate) const BAD_SETTINGS_STATUS: i32 = 2;
-
 /// A node of parsleylatch: the process between callers and back ends.
 #[derive(FromArgs)]
 pub struct Args {
--- a/crates/node/src/control/claim_sweep.rs
+++ b/crates/node/src/control/claim_sweep.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use parsleylatch_decide::call::{self, ClaimBucket, ClaimSweep};
+use parsleylatch_runtime::Clock;
 use parsleylatch_store::StoreError;
 use parsleylatch_types::{Millis, NodeId};
 use tokio::time::sleep;
 
 use crate::{
     claims::{self, ClaimStore},
-    clock::Clock,
     shared::Shared,
     telemetry::Counter,
 };
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -10,6 +10,7 @@
     version_choice::VersionPlan,
     view::{EndpointKind, Snapshot, WorkspaceView},
 };
+use parsleylatch_runtime::Clock;
 use parsleylatch_types::{EndpointId, MonoTime, MoveId, NodeId, WorkspaceId};
 use parsleylatch_wire::platform::ListReply;
 
@@ -18,7 +19,7 @@
     move_counts::{self, LearnedCounts},
     move_records::{self, MoveRecord},
 };
-use crate::{clock::Clock, shared::Shared};
+use crate::shared::Shared;
 
 /// Counters of other nodes that are kept for moves that open later.
 const LEARNED_LIMIT: usize = 8_192;
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -5,6 +5,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use parsleylatch_decide::store_session::{DocumentCall, DocumentReader, SessionState, WatchDuty};
 use parsleylatch_endpoint::EngineClient;
+use parsleylatch_runtime::Clock;
 use parsleylatch_store::{StoreClient, StoreError, VmListClient};
 use parsleylatch_types::{EndpointId, Micros, Millis, Seed};
 use parsleylatch_wire::platform::ListReply;
@@ -15,7 +16,6 @@
 
 use super::{ControlInput, move_records::MOVE_PREFIX};
 use crate::{
-    clock::Clock,
     shared::Shared,
     telemetry::{Counter, StatsdReporter},
 };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,12 +7,10 @@
 
 mod args;
 mod claims;
-mod clock;
 mod control;
 pub mod gossip_codec;
 mod node;
 mod peering;
-pub mod relay;
 mod running;
 mod shared;
 mod telemetry;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,16 +4,14 @@
     io,
     net::{SocketAddr, TcpListener},
     sync::Arc,
-    thread::{self, JoinHandle},
+    thread::JoinHandle,
 };
 
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_http::{bind_group, until_signal};
+use parsleylatch_runtime::spawn;
 use parsleylatch_settings::NodeSettings;
-use tokio::{
-    runtime::{Builder, Runtime},
-    sync::{mpsc, oneshot},
-};
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     control::{self, ControlInput},
@@ -157,16 +155,3 @@
 fn bind(address: SocketAddr, count: usize, field: &str) -> Result<(SocketAddr, Vec<TcpListener>)> {
     bind_group(address, count).wrap_err_with(|| format!("binding {field} {address}"))
 }
-
-/// Starts a thread with a runtime of its own.
-pub(crate) fn spawn(
-    name: &str,
-    work: impl FnOnce(Runtime) + Send + 'static,
-) -> Result<JoinHandle<()>> {
-    let runtime = Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.wrap_err_with(|| format!("building the runtime of thread {name}"))?;
-    let spawned = thread::Builder::new()
-        .name(name.to_owned())
-        .spawn(move || work(runtime));
-    spawned.wrap_err_with(|| format!("starting thread {name}"))
-}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,12 +15,12 @@
     view::{PeerView, Snapshot},
 };
 use parsleylatch_peer::Identity;
+use parsleylatch_runtime::Clock;
 use parsleylatch_settings::NodeSettings;
 use parsleylatch_types::{Incarnation, NodeId};
 use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
-    clock::Clock,
     control::{
         ControlInput,
         events::{AdminEvent, EVENTS_BUFFER},
--- a/crates/node/src/traffic/once_only.rs
+++ b/crates/node/src/traffic/once_only.rs
@@ -16,6 +16,7 @@
     },
     refusal::{Refusal, RefusalKind},
 };
+use parsleylatch_runtime::Clock;
 use parsleylatch_settings::Tier;
 use parsleylatch_types::{EndpointId, MonoTime};
 
@@ -24,7 +25,7 @@
     service::{self, Call},
     settlement,
 };
-use crate::{claims::ClaimReply, clock::Clock, telemetry::Counter};
+use crate::{claims::ClaimReply, telemetry::Counter};
 
 /// Calls an operation that may run at most once.
 pub(crate) async fn answer(traffic: &Arc<Traffic>, call: Call) -> Result<CallAnswer, Refusal> {
--- a/crates/node/src/traffic/settlement.rs
+++ b/crates/node/src/traffic/settlement.rs
@@ -9,11 +9,11 @@
 use parsleylatch_decide::call::{
     Claim, Settlement, SettlementEffect, SettlementInput, SettlementOrder,
 };
+use parsleylatch_runtime::Clock;
 use parsleylatch_types::RequestId;
 
 use crate::{
     claims::{ClaimReply, ClaimStore},
-    clock::Clock,
     shared::InFlight,
 };
 
--- a/crates/node/src/relay/args.rs
+++ b/crates/relay/src/args.rs
@@ -4,10 +4,10 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr, eyre};
+use parsleylatch_runtime::BAD_SETTINGS_STATUS;
 use parsleylatch_settings::{Document, RelaySettings};
 
-use super::{Relay, RelayCodec};
-use crate::{args::BAD_SETTINGS_STATUS, telemetry};
+use crate::{Relay, RelayCodec, telemetry};
 
 /// A relay of parsleylatch: passes callers' requests on to endpoints.
 #[derive(FromArgs)]
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 /// A reason with the step, such as an address that can't be bound.
-pub fn relay_main(args: RelayArgs, default_file: Option<PathBuf>, codec: RelayCodec) -> Result<()> {
+pub fn main(args: RelayArgs, default_file: Option<PathBuf>, codec: RelayCodec) -> Result<()> {
     let file = args.settings.or(default_file);
     let file = file.ok_or_else(|| eyre!("no settings: --settings FILE is missing"))?;
     let read = Document::open(&file).and_then(|document| RelaySettings::read(&document));
--- a/crates/node/src/relay/control/knowledge.rs
+++ b/crates/relay/src/control/knowledge.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    relay::shared::{Shared, Snapshot},
+    shared::{Shared, Snapshot},
     telemetry::RelayCounter,
 };
 
@@ -24,7 +24,7 @@
 const UNKNOWN_AGE_MS: u64 = u64::MAX;
 
 /// Configuration and registry, with the documents they were read from.
-pub(super) struct Knowledge {
+pub(crate) struct Knowledge {
     shared: Arc<Shared>,
     configuration: Option<Arc<RelayConfiguration>>,
     configuration_document: Option<KeyValue>,
@@ -39,7 +39,7 @@
 }
 
 impl Knowledge {
-    pub(super) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
             configuration: None,
@@ -55,19 +55,19 @@
     }
 
     /// Whether the node knows enough to take callers.
-    pub(super) fn is_informed(&self) -> bool {
+    pub(crate) fn is_informed(&self) -> bool {
         self.configuration.is_some() && self.registry.is_known()
     }
 
     /// Whether other nodes have to be asked.
-    pub(super) fn is_cut_off(&self, now: MonoTime) -> bool {
+    pub(crate) fn is_cut_off(&self, now: MonoTime) -> bool {
         let is_old = self.shared.confirmed_age() > CUT_OFF_AGE_MS.micros();
         let has_started = now.since(MonoTime::ZERO) > CUT_OFF_AGE_MS.micros();
         is_old && (has_started || self.store_fails)
     }
 
     /// Takes documents of the operator; the configuration may be among them.
-    pub(super) fn take_operator(&mut self, documents: Vec<KeyValue>) {
+    pub(crate) fn take_operator(&mut self, documents: Vec<KeyValue>) {
         let key = self.shared.codec.documents.configuration_key;
         for document in documents.into_iter().filter(|it| it.key == key) {
             self.take_configuration(document, "store");
@@ -104,7 +104,7 @@
     }
 
     /// Takes a reading of the registry.
-    pub(super) fn take_registry(&mut self, listing: ListReply, started_at: MonoTime) {
+    pub(crate) fn take_registry(&mut self, listing: ListReply, started_at: MonoTime) {
         if std::mem::take(&mut self.store_fails) {
             log::info!(
                 away_ms = self.shared.confirmed_age().millis().get();
@@ -173,12 +173,12 @@
     }
 
     /// Notes that the wait for changes works.
-    pub(super) fn note_watch(&mut self) {
+    pub(crate) fn note_watch(&mut self) {
         self.watch_fails = false;
     }
 
     /// Notes that the store did not answer a call.
-    pub(super) fn note_failure(&mut self, now: MonoTime, is_watch: bool) {
+    pub(crate) fn note_failure(&mut self, now: MonoTime, is_watch: bool) {
         self.watch_fails |= is_watch;
         self.registry.note_failure(now);
         if !std::mem::replace(&mut self.store_fails, true) {
@@ -190,7 +190,7 @@
     }
 
     /// What to ask another node.
-    pub(super) fn question(&self) -> RelayAsk {
+    pub(crate) fn question(&self) -> RelayAsk {
         RelayAsk {
             configuration_revision: self.configuration_revision(),
             registry_revision: self.registry.revision().get(),
@@ -198,7 +198,7 @@
     }
 
     /// Takes what another node knows.
-    pub(super) fn take_peer_state(&mut self, state: RelayState, asked_at: MonoTime) {
+    pub(crate) fn take_peer_state(&mut self, state: RelayState, asked_at: MonoTime) {
         if let Some(document) = &state.configuration {
             self.take_configuration(key_value(document), "peer");
         }
@@ -220,7 +220,7 @@
     }
 
     /// Answer to another node's question.
-    pub(super) fn state_for(&self, ask: &RelayAsk, nodes: Vec<StoreDocument>) -> RelayState {
+    pub(crate) fn state_for(&self, ask: &RelayAsk, nodes: Vec<StoreDocument>) -> RelayState {
         let configuration = self.configuration_document.as_ref();
         let newer = configuration.filter(|it| it.revision.get() > ask.configuration_revision);
         let registry_revision = self.registry.revision().get();
@@ -244,7 +244,7 @@
     }
 
     /// Gives the traffic threads what has changed.
-    pub(super) fn publish(&mut self, nodes: usize) {
+    pub(crate) fn publish(&mut self, nodes: usize) {
         let nodes_changed = std::mem::replace(&mut self.nodes, nodes) != nodes;
         if !std::mem::take(&mut self.changed) && !nodes_changed {
             return;
@@ -284,7 +284,7 @@
 }
 
 /// Document as it travels between nodes.
-pub(super) fn document(entry: &KeyValue) -> StoreDocument {
+pub(crate) fn document(entry: &KeyValue) -> StoreDocument {
     StoreDocument {
         key: entry.key.clone(),
         value: entry.value.clone(),
@@ -293,7 +293,7 @@
 }
 
 /// Document as the store gave it.
-pub(super) fn key_value(document: &StoreDocument) -> KeyValue {
+pub(crate) fn key_value(document: &StoreDocument) -> KeyValue {
     KeyValue {
         key: document.key.clone(),
         value: document.value.clone(),
--- a/crates/node/src/relay/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -20,6 +20,7 @@
 use parsleylatch_decide::relay::{RelayEffect, RelayEvent, RelayLife};
 use parsleylatch_http::{NodelayListener, serve};
 use parsleylatch_peer::{Identity, LinkEvent};
+use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
 use parsleylatch_types::{Incarnation, MonoTime};
 use parsleylatch_wire::{
@@ -35,8 +36,8 @@
 };
 use viz::Router;
 
-use super::shared::{Shared, StopPhase};
-use crate::{clock::Clock, telemetry};
+use crate::shared::{Shared, StopPhase};
+use crate::telemetry;
 use knowledge::Knowledge;
 
 /// Questions of other nodes that may wait.
@@ -69,15 +70,15 @@
 }
 
 /// Sockets that the control thread serves.
-pub(super) struct Listeners {
-    pub(super) ready: TcpListener,
-    pub(super) peer: TcpListener,
-    pub(super) metrics: TcpListener,
-    pub(super) peer_address: SocketAddr,
+pub(crate) struct Listeners {
+    pub(crate) ready: TcpListener,
+    pub(crate) peer: TcpListener,
+    pub(crate) metrics: TcpListener,
+    pub(crate) peer_address: SocketAddr,
 }
 
 /// Runs the control thread until the relay has stopped.
-pub(super) fn run(
+pub(crate) fn run(
     runtime: &Runtime,
     shared: Arc<Shared>,
     inputs: mpsc::Receiver<ControlInput>,
--- a/crates/node/src/relay/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -12,10 +12,10 @@
 use rand::seq::IteratorRandom;
 
 use super::{ControlInput, knowledge};
-use crate::{relay::shared::Shared, telemetry::RelayCounter};
+use crate::{shared::Shared, telemetry::RelayCounter};
 
 /// Prefix of the nodes' entries in the store.
-pub(super) const NODES_PREFIX: &str = "nodes/";
+pub(crate) const NODES_PREFIX: &str = "nodes/";
 /// Time between two rounds of questions, and between two looks whether they are
 /// needed.
 const ASK_INTERVAL_MS: Millis = Millis::new(300);
@@ -25,7 +25,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Other nodes.
-pub(super) struct Peers {
+pub(crate) struct Peers {
     shared: Arc<Shared>,
     identity: Identity,
     entries: BTreeMap<String, KeyValue>,
@@ -33,7 +33,7 @@
 }
 
 impl Peers {
-    pub(super) fn new(shared: Arc<Shared>, identity: Identity, now: MonoTime) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, identity: Identity, now: MonoTime) -> Self {
         Self {
             shared,
             identity,
@@ -43,13 +43,13 @@
     }
 
     /// Nodes that are known, this one included.
-    pub(super) fn count(&self) -> usize {
+    pub(crate) fn count(&self) -> usize {
         let own = format!("{NODES_PREFIX}{}", self.identity.node_id);
         self.entries.len() + usize::from(!self.entries.contains_key(&own))
     }
 
     /// Takes the entries of the nodes; a reading replaces what was known.
-    pub(super) fn take_nodes(&mut self, entries: &[KeyValue]) {
+    pub(crate) fn take_nodes(&mut self, entries: &[KeyValue]) {
         if entries.is_empty() {
             return;
         }
@@ -58,16 +58,16 @@
     }
 
     /// Entries as they travel between nodes.
-    pub(super) fn documents(&self) -> Vec<StoreDocument> {
+    pub(crate) fn documents(&self) -> Vec<StoreDocument> {
         self.entries.values().map(knowledge::document).collect()
     }
 
-    pub(super) fn next_deadline(&self) -> MonoTime {
+    pub(crate) fn next_deadline(&self) -> MonoTime {
         self.next_ask_at
     }
 
     /// Asks some nodes if the store is out of reach.
-    pub(super) fn expire(
+    pub(crate) fn expire(
         &mut self,
         now: MonoTime,
         is_cut_off: bool,
--- a/crates/node/src/relay/control/probes.rs
+++ b/crates/relay/src/control/probes.rs
@@ -5,13 +5,13 @@
 use http::StatusCode;
 use viz::{IntoResponse, Request, Response, Result, Router, types::State};
 
-use crate::relay::shared::{Shared, StopPhase};
+use crate::shared::{Shared, StopPhase};
 
 /// Path of counters and histograms.
 const METRICS_PATH: &str = "/metrics";
 
 /// Answers the balancer: 200 while callers are taken.
-pub(super) fn ready_router(shared: &Arc<Shared>) -> Router {
+pub(crate) fn ready_router(shared: &Arc<Shared>) -> Router {
     let path = shared.codec.ready_path;
     Router::new()
         .get(path, tell_ready)
@@ -19,7 +19,7 @@
 }
 
 /// Shows counters and histograms.
-pub(super) fn metrics_router(shared: &Arc<Shared>) -> Router {
+pub(crate) fn metrics_router(shared: &Arc<Shared>) -> Router {
     Router::new()
         .get(METRICS_PATH, show_metrics)
         .with(State::new(Arc::clone(shared)))
--- a/crates/node/src/relay/control/settings_file.rs
+++ b/crates/relay/src/control/settings_file.rs
@@ -9,13 +9,13 @@
 };
 
 use super::ControlInput;
-use crate::relay::shared::Shared;
+use crate::shared::Shared;
 
 /// Time between two looks at the file; it may change without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Watches the file for as long as the control thread runs.
-pub(super) async fn watch(shared: Arc<Shared>, file: PathBuf) {
+pub(crate) async fn watch(shared: Arc<Shared>, file: PathBuf) {
     let mut hangups = match signal(SignalKind::hangup()) {
         Ok(hangups) => hangups,
         Err(error) => {
--- a/crates/node/src/relay/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -13,7 +13,7 @@
 
 use super::{ControlInput, peers::NODES_PREFIX};
 use crate::{
-    relay::shared::Shared,
+    shared::Shared,
     telemetry::{RelayCounter, RelayLatency},
 };
 
@@ -37,7 +37,7 @@
 const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(800);
 
 /// Starts the tasks on the current thread.
-pub(super) fn start(shared: &Arc<Shared>, peer_address: SocketAddr) {
+pub(crate) fn start(shared: &Arc<Shared>, peer_address: SocketAddr) {
     tokio::task::spawn_local(watch_operator(Arc::clone(shared)));
     tokio::task::spawn_local(read_registry(Arc::clone(shared)));
     tokio::task::spawn_local(keep_entry(Arc::clone(shared), peer_address));
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,20 @@
+//! The relay: a node whose front end passes on opaque requests.
+//!
+//! One control thread learns configuration and endpoints, from the store or from
+//! other nodes while the store turns this one away, and publishes snapshots.
+//! Traffic threads own callers' connections. What the messages of the platform
+//! mean comes from outside as a [`RelayCodec`].
+
+mod args;
+mod codec;
+mod control;
+mod relay;
+mod shared;
+mod telemetry;
+mod traffic;
+
+pub use args::{RelayArgs, main};
+pub use codec::{
+    AnswerCodec, AnswerHead, CallerHead, DocumentCodec, RelayCodec, RequestCodec, SendOrder,
+};
+pub use relay::{Relay, RelayAddresses};
--- a/crates/node/src/relay/mod.rs
+++ b/crates/relay/src/relay.rs
@@ -1,30 +1,18 @@
-//! The relay: a node whose front end passes on opaque requests.
-//!
-//! One control thread learns configuration and endpoints, from the store or from
-//! other nodes while the store turns this one away, and publishes snapshots.
-//! Traffic threads own callers' connections. What the messages of the platform
-//! mean comes from outside as a [`RelayCodec`].
-
-mod args;
-mod codec;
-mod control;
-mod shared;
-mod traffic;
+//! Starts the threads of a relay and ends them.
 
 use std::{net::SocketAddr, net::TcpListener, path::PathBuf, sync::Arc, thread::JoinHandle};
 
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_http::bind_group;
+use parsleylatch_runtime::spawn;
 use parsleylatch_settings::RelaySettings;
 use tokio::sync::mpsc;
 
-use crate::{node::spawn, telemetry};
-use control::{ControlInput, Listeners};
-use shared::Shared;
-
-pub use args::{RelayArgs, relay_main};
-pub use codec::{
-    AnswerCodec, AnswerHead, CallerHead, DocumentCodec, RelayCodec, RequestCodec, SendOrder,
+use crate::{
+    codec::RelayCodec,
+    control::{self, ControlInput, Listeners},
+    shared::Shared,
+    telemetry, traffic,
 };
 
 /// Inputs that may wait for the control thread.
--- a/crates/node/src/relay/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,16 +7,17 @@
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::relay::{EndpointEntry, RelayConfiguration};
+use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
 use parsleylatch_types::{Micros, Millis, MonoTime, Revision};
 use tokio::sync::{mpsc, watch};
 
-use super::{codec::RelayCodec, control::ControlInput};
-use crate::{clock::Clock, telemetry::RelayMetrics};
+use crate::telemetry::RelayMetrics;
+use crate::{codec::RelayCodec, control::ControlInput};
 
 /// How far a planned stop has come, as callers' connections see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum StopPhase {
+pub(crate) enum StopPhase {
     /// Configuration or endpoints are not known yet.
     Starting,
     /// Callers are taken.
@@ -31,32 +32,32 @@
 
 /// What the control thread knows, at one moment.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Snapshot {
+pub(crate) struct Snapshot {
     /// Grows with each snapshot.
-    pub(super) number: u64,
-    pub(super) configuration: Option<Arc<RelayConfiguration>>,
-    pub(super) endpoints: Arc<[Arc<EndpointEntry>]>,
-    pub(super) registry_revision: Revision,
+    pub(crate) number: u64,
+    pub(crate) configuration: Option<Arc<RelayConfiguration>>,
+    pub(crate) endpoints: Arc<[Arc<EndpointEntry>]>,
+    pub(crate) registry_revision: Revision,
     /// Nodes that are known, this one included.
-    pub(super) nodes: usize,
+    pub(crate) nodes: usize,
 }
 
 /// State that every thread of a relay can reach.
-pub(super) struct Shared {
-    pub(super) settings: ArcSwap<RelaySettings>,
-    pub(super) codec: RelayCodec,
-    pub(super) clock: Clock,
-    pub(super) snapshot: ArcSwap<Snapshot>,
-    pub(super) phase: watch::Sender<StopPhase>,
-    pub(super) metrics: RelayMetrics,
-    pub(super) control: mpsc::Sender<ControlInput>,
+pub(crate) struct Shared {
+    pub(crate) settings: ArcSwap<RelaySettings>,
+    pub(crate) codec: RelayCodec,
+    pub(crate) clock: Clock,
+    pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) phase: watch::Sender<StopPhase>,
+    pub(crate) metrics: RelayMetrics,
+    pub(crate) control: mpsc::Sender<ControlInput>,
     in_flight: AtomicUsize,
     /// When the store, or a node that it serves, confirmed what is known.
     confirmed_at: AtomicU64,
 }
 
 impl Shared {
-    pub(super) fn new(
+    pub(crate) fn new(
         settings: RelaySettings,
         codec: RelayCodec,
         control: mpsc::Sender<ControlInput>,
@@ -74,45 +75,45 @@
         }
     }
 
-    pub(super) fn now(&self) -> MonoTime {
+    pub(crate) fn now(&self) -> MonoTime {
         self.clock.now()
     }
 
-    pub(super) fn phase(&self) -> StopPhase {
+    pub(crate) fn phase(&self) -> StopPhase {
         *self.phase.borrow()
     }
 
     /// Requests that are being answered.
-    pub(super) fn in_flight(&self) -> usize {
+    pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    pub(super) fn enter_request(self: &Arc<Self>) -> RequestInFlight {
+    pub(crate) fn enter_request(self: &Arc<Self>) -> RequestInFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         RequestInFlight(Arc::clone(self))
     }
 
     /// Notes that what is known was confirmed; an earlier time changes nothing.
-    pub(super) fn confirm(&self, at: MonoTime) {
+    pub(crate) fn confirm(&self, at: MonoTime) {
         self.confirmed_at.fetch_max(at.get(), Ordering::Relaxed);
     }
 
     /// Age of what is known.
-    pub(super) fn confirmed_age(&self) -> Micros {
+    pub(crate) fn confirmed_age(&self) -> Micros {
         self.now()
             .since(MonoTime::new(self.confirmed_at.load(Ordering::Relaxed)))
     }
 
     /// Whether "there is no such route or key" can be said: what is known is
     /// younger than the time that a change may take.
-    pub(super) fn is_certain(&self) -> bool {
+    pub(crate) fn is_certain(&self) -> bool {
         let limit: Millis = self.settings.load().bounds.configuration_ms;
         self.confirmed_age() < limit.micros()
     }
 }
 
 /// Counts a request until it is dropped.
-pub(super) struct RequestInFlight(Arc<Shared>);
+pub(crate) struct RequestInFlight(Arc<Shared>);
 
 impl Drop for RequestInFlight {
     fn drop(&mut self) {
--- a/crates/node/src/telemetry/event_log.rs
+++ b/crates/relay/src/telemetry/event_log.rs
@@ -23,8 +23,7 @@
     Record,
     kv::{Key, Value, VisitSource},
 };
-
-use crate::clock::Clock;
+use parsleylatch_runtime::Clock;
 
 /// Lines that may wait for the writer.
 const QUEUE_LINES: usize = 4_096;
--- a/crates/node/src/relay/traffic/answer.rs
+++ b/crates/relay/src/traffic/answer.rs
@@ -14,7 +14,7 @@
 /// Why a request is refused before it is placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
-pub(super) enum Denial {
+pub(crate) enum Denial {
     /// The head is not one of a request that can be relayed.
     BadRequest,
     /// No route begins the path.
@@ -48,7 +48,7 @@
 }
 
 /// Answer to a request that is not placed.
-pub(super) fn denied(denial: Denial) -> Response<RelayBody> {
+pub(crate) fn denied(denial: Denial) -> Response<RelayBody> {
     let mut response = bare(denial.status());
     if denial == Denial::Uninformed {
         set_retry_after(response.headers_mut(), UNINFORMED_RETRY_AFTER_MS);
@@ -60,7 +60,7 @@
 }
 
 /// Answer to a request that no endpoint answered.
-pub(super) fn refused(
+pub(crate) fn refused(
     reason: RefusalReason,
     not_run: bool,
     retry_after_ms: Option<Millis>,
@@ -78,7 +78,7 @@
 }
 
 /// Head of an endpoint's answer as the caller gets it.
-pub(super) fn relayed(
+pub(crate) fn relayed(
     status: StatusCode,
     headers: &HeaderMap,
     body: RelayBody,
@@ -95,7 +95,7 @@
 }
 
 /// Says that the connection ends with this answer.
-pub(super) fn close_after(headers: &mut HeaderMap) {
+pub(crate) fn close_after(headers: &mut HeaderMap) {
     headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
--- a/crates/node/src/relay/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{Traffic, intake::Job};
-use crate::relay::codec::{AnswerHead, SendOrder};
+use crate::codec::{AnswerHead, SendOrder};
 
 /// Longest wait for a connection: several trips between regions.
 const CONNECT_TIMEOUT_MS: Millis = Millis::new(250);
@@ -35,16 +35,16 @@
 
 /// Whole answer of an endpoint.
 #[derive(Debug)]
-pub(super) struct WholeAnswer {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) head: AnswerHead,
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) head: AnswerHead,
 }
 
 /// What came of an attempt.
 #[derive(Debug)]
-pub(super) enum AttemptEvent {
+pub(crate) enum AttemptEvent {
     /// No connection could be made.
     Unreachable(String),
     /// Nothing was written.
@@ -63,21 +63,21 @@
 
 /// Head of a stream of events.
 #[derive(Debug)]
-pub(super) struct StreamHead {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) head: AnswerHead,
+pub(crate) struct StreamHead {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: AnswerHead,
 }
 
 /// A running attempt; dropped, it closes its connection.
-pub(super) struct Attempt {
+pub(crate) struct Attempt {
     events: mpsc::Receiver<AttemptEvent>,
     task: AbortHandle,
 }
 
 impl Attempt {
     /// Sends the request to the chosen endpoint.
-    pub(super) fn start(
+    pub(crate) fn start(
         traffic: &Rc<Traffic>,
         job: &Rc<Job>,
         choice: &Choice,
@@ -96,7 +96,7 @@
     }
 
     /// Next thing that came; a task that ended silently has lost the attempt.
-    pub(super) async fn next(&mut self) -> AttemptEvent {
+    pub(crate) async fn next(&mut self) -> AttemptEvent {
         let event = self.events.recv().await;
         event.unwrap_or_else(|| AttemptEvent::Lost("the attempt ended".to_owned()))
     }
@@ -109,7 +109,7 @@
 }
 
 /// Connection to a chosen endpoint.
-pub(super) fn connection_key(choice: &Choice) -> ConnectionKey {
+pub(crate) fn connection_key(choice: &Choice) -> ConnectionKey {
     let entry = &choice.endpoint;
     ConnectionKey {
         address: entry.address,
@@ -313,7 +313,7 @@
 }
 
 /// Asks an endpoint for its state; tells `true` if it answers in time.
-pub(super) fn start_probe(traffic: Rc<Traffic>, key: ConnectionKey) -> oneshot::Receiver<bool> {
+pub(crate) fn start_probe(traffic: Rc<Traffic>, key: ConnectionKey) -> oneshot::Receiver<bool> {
     let (tell, told) = oneshot::channel();
     spawn_local(async move {
         let answered = time::timeout(PROBE_TIMEOUT, probe(&traffic, &key)).await;
--- a/crates/node/src/relay/traffic/exchange.rs
+++ b/crates/relay/src/traffic/exchange.rs
@@ -24,7 +24,7 @@
 const FREEZE_LATENESS: Millis = Millis::new(100);
 
 /// Relays one request and replies to its caller.
-pub(super) async fn run(
+pub(crate) async fn run(
     traffic: Rc<Traffic>,
     job: Job,
     reply: oneshot::Sender<Response<RelayBody>>,
@@ -475,7 +475,7 @@
         self.sent.as_ref().is_some_and(|it| it.choice.has_copy)
     }
 
-    fn note_load(&mut self, head: &crate::relay::codec::AnswerHead) {
+    fn note_load(&mut self, head: &crate::codec::AnswerHead) {
         if let (Some(sent), Some(load)) = (&self.sent, head.load) {
             let now = self.traffic.now();
             self.traffic
--- a/crates/node/src/relay/traffic/front.rs
+++ b/crates/relay/src/traffic/front.rs
@@ -11,10 +11,10 @@
 use tokio::net::TcpStream;
 
 use super::{Traffic, answer, intake, output::RelayBody};
-use crate::relay::shared::StopPhase;
+use crate::shared::StopPhase;
 
 /// Limits of callers until a configuration is known.
-pub(super) const UNINFORMED_LIMITS: CallerLimits = CallerLimits {
+pub(crate) const UNINFORMED_LIMITS: CallerLimits = CallerLimits {
     head_bytes: ByteCount::new(16 << 10),
     body_bytes: ByteCount::new(1 << 20),
     head_timeout_ms: Millis::new(3_000),
@@ -24,7 +24,7 @@
 const BUFFER_FLOOR_BYTES: u64 = 8 << 10;
 
 /// Serves one connection to its end.
-pub(super) async fn serve(traffic: Rc<Traffic>, stream: TcpStream) {
+pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream) {
     let snapshot = traffic.snapshot();
     let configuration = snapshot.configuration.as_ref();
     let limits = configuration
--- a/crates/node/src/relay/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -21,26 +21,24 @@
     output::RelayBody,
 };
 use crate::{
-    relay::{
-        codec::CallerHead,
-        shared::{Shared, Snapshot},
-    },
+    codec::CallerHead,
+    shared::{Shared, Snapshot},
     telemetry::RelayCounter,
 };
 
 /// A request that is to be relayed.
-pub(super) struct Job {
-    pub(super) head: CallerHead,
-    pub(super) method: Method,
-    pub(super) path: PathAndQuery,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    pub(super) route: Arc<RelayRoute>,
-    pub(super) workspace: Option<Arc<RelayWorkspace>>,
-    pub(super) has_backups: bool,
-    pub(super) order: ExchangeOrder,
+pub(crate) struct Job {
+    pub(crate) head: CallerHead,
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<RelayRoute>,
+    pub(crate) workspace: Option<Arc<RelayWorkspace>>,
+    pub(crate) has_backups: bool,
+    pub(crate) order: ExchangeOrder,
     /// Revision of the configuration by which it was routed.
-    pub(super) configuration_revision: Revision,
+    pub(crate) configuration_revision: Revision,
 }
 
 /// Why a request is not relayed.
@@ -51,7 +49,7 @@
 }
 
 /// Answers a request.
-pub(super) async fn relay(
+pub(crate) async fn relay(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
     watch: &HeadWatch,
@@ -79,7 +77,7 @@
 }
 
 /// Refuses a request that is not placed, and says so in the log.
-pub(super) fn deny(
+pub(crate) fn deny(
     shared: &Shared,
     id: Option<&ExchangeId>,
     denial: Denial,
--- a/crates/node/src/relay/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -23,7 +23,7 @@
 use tokio::{runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
 
-use super::shared::{Shared, Snapshot, StopPhase};
+use crate::shared::{Shared, Snapshot, StopPhase};
 
 /// Delay after an accept that failed, as when descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -32,10 +32,10 @@
 const CONNECTION_LIMIT: usize = 2_600;
 
 /// State of one traffic thread.
-pub(super) struct Traffic {
-    pub(super) shared: Arc<Shared>,
-    pub(super) connections: Connections,
-    pub(super) book: RefCell<EndpointBook>,
+pub(crate) struct Traffic {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) connections: Connections,
+    pub(crate) book: RefCell<EndpointBook>,
     selector: RefCell<Selector>,
     retries: RefCell<HashMap<ServiceName, RetryWindow>>,
     seen_snapshot: Cell<u64>,
@@ -61,12 +61,12 @@
         }
     }
 
-    pub(super) fn now(&self) -> MonoTime {
+    pub(crate) fn now(&self) -> MonoTime {
         self.shared.now()
     }
 
     /// Newest snapshot; the book is brought up to it.
-    pub(super) fn snapshot(&self) -> Arc<Snapshot> {
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         let snapshot = self.shared.snapshot.load_full();
         if self.seen_snapshot.replace(snapshot.number) != snapshot.number {
             let mut book = self.book.borrow_mut();
@@ -79,18 +79,18 @@
         snapshot
     }
 
-    pub(super) fn selector(&self) -> std::cell::RefMut<'_, Selector> {
+    pub(crate) fn selector(&self) -> std::cell::RefMut<'_, Selector> {
         self.selector.borrow_mut()
     }
 
     /// Notes a caller's request for a service.
-    pub(super) fn note_request(&self, service: &ServiceName) {
+    pub(crate) fn note_request(&self, service: &ServiceName) {
         let now = self.now();
         self.with_retries(service, |window| window.note_request(now));
     }
 
     /// Takes one repeat from the budget, if there is one left.
-    pub(super) fn take_repeat(&self, service: &ServiceName) -> bool {
+    pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
         let sharers =
             self.shared.snapshot.load().nodes.max(1) * self.shared.settings.load().traffic_threads;
@@ -118,7 +118,7 @@
 }
 
 /// Endpoint to which a connection leads.
-pub(super) fn endpoint_key(key: &ConnectionKey) -> EndpointKey {
+pub(crate) fn endpoint_key(key: &ConnectionKey) -> EndpointKey {
     EndpointKey {
         id: key.id.clone(),
         incarnation: key.incarnation,
@@ -126,7 +126,7 @@
 }
 
 /// Serves callers until the relay has stopped.
-pub(super) fn run(runtime: &Runtime, shared: Arc<Shared>, listener: TcpListener, seed: u64) {
+pub(crate) fn run(runtime: &Runtime, shared: Arc<Shared>, listener: TcpListener, seed: u64) {
     let local = LocalSet::new();
     local.block_on(runtime, async move {
         let listener = match NodelayListener::from_std(listener) {
--- a/crates/node/src/relay/traffic/output.rs
+++ b/crates/relay/src/traffic/output.rs
@@ -17,7 +17,7 @@
 /// The stream can't be finished; the connection ends without its last chunk.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the stream was broken off")]
-pub(super) struct BrokenOff;
+pub(crate) struct BrokenOff;
 
 impl From<Infallible> for BrokenOff {
     fn from(never: Infallible) -> Self {
@@ -26,18 +26,18 @@
 }
 
 /// Body of an answer: whole, or a stream that is being relayed.
-pub(super) enum RelayBody {
+pub(crate) enum RelayBody {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Result<Bytes, BrokenOff>>),
 }
 
 impl RelayBody {
-    pub(super) fn whole(bytes: Bytes) -> Self {
+    pub(crate) fn whole(bytes: Bytes) -> Self {
         Self::Whole(Some(bytes))
     }
 
     /// Body that is fed through the sender; it is whole when the sender is dropped.
-    pub(super) fn stream() -> (mpsc::Sender<Result<Bytes, BrokenOff>>, Self) {
+    pub(crate) fn stream() -> (mpsc::Sender<Result<Bytes, BrokenOff>>, Self) {
         let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
         (sender, Self::Stream(receiver))
     }
--- a/crates/node/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -7,29 +7,30 @@
 
 /// Clock of one process; copies agree.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     started_at: Instant,
 }
 
 impl Clock {
-    pub(crate) fn start() -> Self {
+    /// Clock whose zero is now.
+    pub fn start() -> Self {
         Self {
             started_at: Instant::now(),
         }
     }
 
     /// Monotonic time.
-    pub(crate) fn now(&self) -> MonoTime {
+    pub fn now(&self) -> MonoTime {
         MonoTime::ZERO + Micros::from(self.started_at.elapsed())
     }
 
     /// Instant of a monotonic time, for timers.
-    pub(crate) fn instant(&self, time: MonoTime) -> tokio::time::Instant {
+    pub fn instant(&self, time: MonoTime) -> tokio::time::Instant {
         (self.started_at + time.since(MonoTime::ZERO).duration()).into()
     }
 
     /// Wall-clock time.
-    pub(crate) fn unix_now() -> UnixMillis {
+    pub fn unix_now() -> UnixMillis {
         let since_epoch = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -37,7 +38,7 @@
     }
 
     /// Sleeps until a deadline; for ever without one.
-    pub(crate) async fn sleep_until(&self, deadline: Option<MonoTime>) {
+    pub async fn sleep_until(&self, deadline: Option<MonoTime>) {
         match deadline {
             Some(deadline) => tokio::time::sleep_until(self.instant(deadline)).await,
             None => std::future::pending().await,
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,11 @@
+//! What every daemon has: a clock, threads with a runtime of their own, and the
+//! status with which it ends over bad settings.
+
+mod clock;
+mod thread;
+
+pub use clock::Clock;
+pub use thread::spawn;
+
+/// Exit status for settings that can't be used.
+pub const BAD_SETTINGS_STATUS: i32 = 2;
