A copy of a run's memory is asked for only after its first event

Cause, from the logs: an engine sends memory to the backup from the first event on; resumes before it were rejected and cost a trip. The line of a request's end tells the first event and the longest gap.

--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -30,8 +30,6 @@
 /// Part of the goal after which an idempotent call goes to another endpoint, in
 /// percent; the rest has to do for the second answer.
 const CALL_PATIENCE_GOAL_PERCENT: u64 = 65;
-/// Run of an attempt after which its memory has begun to be copied.
-const COPY_AFTER_MS: Millis = Millis::new(300);
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Time beyond twice the reading of the prompt in which a first event is due.
@@ -397,12 +395,12 @@
         }
     }
 
-    /// Notes that the attempt may have run; if it ran for long enough, there is a copy.
+    /// Notes that the attempt may have run; its memory is copied from
+    /// its first event on.
     fn note_run(&mut self) {
         self.runs += 1;
-        let ran_for = self.now.since(self.sent_at);
         let backup = self.backup.take();
-        self.copy_at = backup.filter(|_| ran_for >= COPY_AFTER_MS.micros());
+        self.copy_at = backup.filter(|_| self.attempt_began);
     }
 
     fn note_unrun(&mut self) {
--- a/crates/relay/src/traffic/exchange.rs
+++ b/crates/relay/src/traffic/exchange.rs
@@ -42,6 +42,9 @@
         answer: None,
         stream_head: None,
         last_event,
+        last_event_at: None,
+        longest_gap: Micros::ZERO,
+        first_event_after: None,
         pending: Vec::new(),
         caller: Caller::Waiting(reply),
         probe: None,
@@ -88,6 +91,10 @@
     answer: Option<Box<WholeAnswer>>,
     stream_head: Option<Box<StreamHead>>,
     last_event: Option<StreamEventId>,
+    /// When the caller's last event came, and the longest wait between two.
+    last_event_at: Option<MonoTime>,
+    longest_gap: Micros,
+    first_event_after: Option<Micros>,
     pending: Vec<RawEvent>,
     caller: Caller,
     probe: Option<oneshot::Receiver<bool>>,
@@ -272,6 +279,7 @@
             return Vec::new();
         }
         self.note_first_event(now);
+        self.note_gap(now);
         let effects = self.exchange.handle(now, ExchangeInput::Event);
         if self.exchange.has_begun() && matches!(self.caller, Caller::Streaming(_)) {
             self.flush().await;
@@ -495,6 +503,14 @@
         }
     }
 
+    /// Notes the caller's wait for an event.
+    fn note_gap(&mut self, now: MonoTime) {
+        match self.last_event_at.replace(now) {
+            Some(last) => self.longest_gap = self.longest_gap.max(now.since(last)),
+            None => self.first_event_after = Some(now.since(self.started_at)),
+        }
+    }
+
     fn note_answered(&mut self) {
         self.note_first_event(self.traffic.now());
     }
@@ -555,6 +571,8 @@
             endpoint = endpoint,
             runs = self.exchange.runs(),
             last_event = self.last_event.unwrap_or_default().get(),
+            first_event_ms = self.first_event_after.unwrap_or_default().millis().get(),
+            longest_gap_ms = self.longest_gap.millis().get(),
             age_ms = self.exchange.age(self.traffic.now()).millis().get();
             "request ended"
         );
