--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -239,6 +239,8 @@
     /// Endpoint that has a copy of the memory of what ran last.
     copy_at: Option<EndpointKey>,
     has_begun: bool,
+    /// Whether the last attempt brought an answer, though one that tells a failure.
+    has_answer: bool,
     /// Whether the running attempt has brought an event.
     attempt_began: bool,
     may_retry: bool,
@@ -257,6 +259,7 @@
             })
             .guard("may_hold", ExchangeContext::may_hold)
             .guard("has_begun", |it| it.has_begun)
+            .guard("has_answer", |it| it.has_answer)
             .guard("may_repeat", |it| it.may_retry && it.could_repeat())
             .guard("may_resend", |it| it.may_retry && it.could_resend())
             .guard("is_overdue", |it| {
@@ -380,6 +383,7 @@
         self.sent_at = self.now;
         self.held_since = None;
         self.attempt_began = false;
+        self.has_answer = false;
         self.pace.restart();
         self.backup = choice.backup.as_ref().map(|entry| entry.key.clone());
         self.effects.push(ExchangeEffect::Open(choice));
@@ -447,6 +451,7 @@
             backup: None,
             copy_at: None,
             has_begun: false,
+            has_answer: false,
             attempt_began: false,
             may_retry: false,
             silence_found: false,
@@ -534,6 +539,7 @@
             ExchangeInput::Unplaced => ExchangeEvent::Unplaced,
             ExchangeInput::Answered { class, may_retry } => {
                 context.may_retry = may_retry;
+                context.has_answer = class == AnswerClass::Failure;
                 match class {
                     AnswerClass::Final => ExchangeEvent::Answered,
                     AnswerClass::Failure => ExchangeEvent::Errored,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -83,6 +83,17 @@
         *self.phase.borrow()
     }
 
+    /// Waits until a planned stop has come as far as `phase`.
+    ///
+    /// Holds nothing afterwards: what the channel's own wait returns locks its
+    /// value against the control thread.
+    pub(crate) async fn reached(&self, phase: StopPhase) {
+        let mut phases = self.phase.subscribe();
+        // The sender lives as long as `self`.
+        let reached = phases.wait_for(|it| *it >= phase).await;
+        drop(reached);
+    }
+
     /// Requests that are being answered.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/relay/src/traffic/answer.rs
+++ b/crates/relay/src/traffic/answer.rs
@@ -11,6 +11,9 @@
 /// Wait after which a caller may come back to a node that knows too little.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
+/// Wait after which a caller may go on at another node.
+const STOPPING_RETRY_AFTER_MS: Millis = Millis::new(20);
+
 /// Why a request is refused before it is placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -27,6 +30,8 @@
     SlowBody,
     /// This node does not know enough to tell.
     Uninformed,
+    /// This node stops, and the answer would outlast it.
+    Stopping,
 }
 
 impl Denial {
@@ -37,7 +42,16 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Uninformed => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Uninformed | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Wait after which a repeat does better.
+    fn retry_after(self) -> Option<Millis> {
+        match self {
+            Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
+            Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
+            _ => None,
         }
     }
 
@@ -50,8 +64,8 @@
 /// Answer to a request that is not placed.
 pub(crate) fn denied(denial: Denial) -> Response<RelayBody> {
     let mut response = bare(denial.status());
-    if denial == Denial::Uninformed {
-        set_retry_after(response.headers_mut(), UNINFORMED_RETRY_AFTER_MS);
+    if let Some(retry_after_ms) = denial.retry_after() {
+        set_retry_after(response.headers_mut(), retry_after_ms);
     }
     if denial.ends_connection() {
         close_after(response.headers_mut());
--- a/crates/relay/src/traffic/front.rs
+++ b/crates/relay/src/traffic/front.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use std::{convert::Infallible, rc::Rc};
+use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc};
 
 use http::{Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -37,8 +37,8 @@
         .max_buf_size(limits.head_bytes.get().max(BUFFER_FLOOR_BYTES) as usize);
     drop(snapshot);
     let (guarded, watch) = HeadGuard::new(stream);
-    let mut phase = traffic.shared.phase.subscribe();
-    let served = Rc::new(std::cell::Cell::new(0_u64));
+    let shared = Arc::clone(&traffic.shared);
+    let served = Rc::new(Cell::new(0_u64));
     let service = service_fn(move |request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         let watch = watch.clone();
@@ -48,10 +48,11 @@
     });
     let connection = builder.serve_connection(TokioIo::new(guarded), service);
     let mut connection = std::pin::pin!(connection);
+    // A caller that comes late gets an answer to its one request.
+    let is_late = shared.phase() >= StopPhase::Finishing;
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        // The sender lives as long as the traffic state.
-        _ = phase.wait_for(|phase| *phase >= StopPhase::Finishing) => {
+        () = shared.reached(StopPhase::Finishing), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -69,7 +70,7 @@
 ) -> Response<RelayBody> {
     let has_chunks = request.headers().contains_key(header::TRANSFER_ENCODING);
     let is_ambiguous = has_chunks && (!is_looked_at || watch.is_ambiguous());
-    let shared = std::sync::Arc::clone(&traffic.shared);
+    let shared = Arc::clone(&traffic.shared);
     let _in_flight = shared.enter_request();
     let mut response = if is_ambiguous {
         intake::deny(&shared, None, answer::Denial::BadRequest, "two framings")
--- a/crates/relay/src/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -22,7 +22,7 @@
 };
 use crate::{
     codec::CallerHead,
-    shared::{Shared, Snapshot},
+    shared::{Shared, Snapshot, StopPhase},
     telemetry::RelayCounter,
 };
 
@@ -131,6 +131,9 @@
     let route = configuration
         .route(&host, path.path())
         .ok_or_else(|| denied(id, doubtful(shared, Denial::NoRoute), "no route"))?;
+    if route.repeat.is_stream() && shared.phase() >= StopPhase::Finishing {
+        return Err(denied(id, Denial::Stopping, "stream"));
+    }
     let workspace = find_workspace(shared, configuration, route, &head)?;
     let service = choose_service(route);
     traffic.note_request(&service);
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -141,17 +141,12 @@
 }
 
 async fn accept(traffic: Rc<Traffic>, listener: NodelayListener) {
-    let mut phase = traffic.shared.phase.subscribe();
     let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
             () = time::sleep(ACCEPT_RETRY_DELAY), if open.get() >= CONNECTION_LIMIT => continue,
-            stopped = phase.wait_for(|phase| *phase == StopPhase::Stopped) => {
-                // The sender lives as long as `shared`.
-                drop(stopped);
-                return;
-            }
+            () = traffic.shared.reached(StopPhase::Stopped) => return,
         };
         match accepted {
             Ok((stream, _)) => {
