--- a/crates/decide/src/relay/book.rs
+++ b/crates/decide/src/relay/book.rs
@@ -8,9 +8,10 @@
 };
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, ServiceName,
-    SlotCount, TokenCount,
+    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, NodeId,
+    ServiceName, SlotCount, TokenCount,
 };
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Half-life of what is remembered of failures; a crashed endpoint is back
 /// after a second or two.
@@ -99,6 +100,8 @@
 pub(crate) struct Condition {
     pub(crate) entry: Arc<EndpointEntry>,
     pub(crate) is_listed: bool,
+    /// Whether this node goes there before others do.
+    pub(crate) is_own: bool,
     pub(crate) in_flight: u32,
     /// Prompt tokens of own requests that have no first event yet.
     pub(crate) unread_tokens: u64,
@@ -116,6 +119,7 @@
         Self {
             entry,
             is_listed: true,
+            is_own: true,
             in_flight: 0,
             unread_tokens: 0,
             load: None,
@@ -167,6 +171,14 @@
     domain_breaks: HashMap<(ServiceName, FailureDomain), DomainBreaks>,
 }
 
+/// Node to which an endpoint belongs, by rendezvous hash.
+fn owner<'a>(endpoint: &EndpointId, nodes: &'a [NodeId]) -> Option<&'a NodeId> {
+    let seed = xxh3_64(endpoint.as_str().as_bytes());
+    nodes
+        .iter()
+        .max_by_key(|node| xxh3_64_with_seed(node.as_str().as_bytes(), seed))
+}
+
 #[derive(Debug, Default)]
 struct DomainBreaks {
     recent: VecDeque<(MonoTime, EndpointKey)>,
@@ -179,8 +191,13 @@
         Self::default()
     }
 
-    /// Takes the entries of a new snapshot.
-    pub fn update<'a>(&mut self, entries: impl Iterator<Item = &'a Arc<EndpointEntry>>) {
+    /// Takes the entries of a new snapshot, and the nodes that share them.
+    pub fn update<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a Arc<EndpointEntry>>,
+        own: &NodeId,
+        nodes: &[NodeId],
+    ) {
         for condition in self.conditions.values_mut() {
             condition.is_listed = false;
         }
@@ -191,6 +208,7 @@
                 .entry(entry.key.clone())
                 .or_insert_with(|| Condition::new(Arc::clone(entry)));
             condition.is_listed = true;
+            condition.is_own = owner(&entry.key.id, nodes).is_none_or(|owner| owner == own);
             if condition.entry != *entry {
                 condition.entry = Arc::clone(entry);
             }
--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -5,7 +5,7 @@
 //! run, and whether it may run again. A refusal that promises "not run" is
 //! given only if no attempt may have run.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
 use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName, TokenCount};
@@ -32,8 +32,11 @@
 const CALL_PATIENCE_GOAL_PERCENT: u64 = 65;
 /// Prompt tokens that an engine reads in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 5;
-/// Time beyond twice the reading of the prompt in which a first event is due.
-const FIRST_EVENT_SLACK_MS: Millis = Millis::new(1_000);
+/// Prompts of the same length that may be read before a first event is due.
+const FIRST_EVENT_PREFILLS: u64 = 3;
+/// Time beyond the reading of prompts in which a first event is due; an endpoint
+/// that has lost the request shows it earlier, when it is probed.
+const FIRST_EVENT_SLACK_MS: Millis = Millis::new(2_000);
 /// Time beyond the gap goal and the reading of the prompt, as after a
 /// preemption, in which the next event is due.
 const NEXT_EVENT_SLACK_MS: Millis = Millis::new(500);
@@ -138,6 +141,29 @@
     pub prompt: TokenCount,
 }
 
+/// Name under which an endpoint finds a copy of a run's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CopySource {
+    /// The copy that grew with the run, under the request's id.
+    Backup,
+    /// The copy that was ordered from the running endpoint.
+    Ordered {
+        /// Endpoint that ran the request.
+        source: SocketAddr,
+        /// Name that it gave the copy.
+        handle: Box<str>,
+    },
+}
+
+/// A copy of a run's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemoryCopy {
+    /// Endpoint that has it.
+    pub holder: EndpointKey,
+    /// Its name there.
+    pub source: CopySource,
+}
+
 /// What happens to an exchange.
 #[derive(Clone, Debug)]
 pub enum ExchangeInput {
@@ -166,9 +192,9 @@
     Event,
     /// The stream is whole.
     Finished,
-    /// The probe was answered.
+    /// The probe was answered, and the endpoint has the request.
     ProbeAnswered,
-    /// The probe was not answered.
+    /// The probe was not answered, or the endpoint does not have the request.
     ProbeFailed {
         /// Whether the retry budget allows another send.
         may_retry: bool,
@@ -198,8 +224,8 @@
     Place {
         /// Endpoints that failed this request.
         excluded: Vec<EndpointKey>,
-        /// Endpoint that has a copy of the run's memory.
-        preferred: Option<EndpointKey>,
+        /// Copy of the run's memory.
+        copy: Option<MemoryCopy>,
     },
     /// Close what runs and send the request to the endpoint.
     Open(Box<Choice>),
@@ -234,17 +260,16 @@
     unruns: u32,
     failed: Vec<EndpointKey>,
     choice: Option<Box<Choice>>,
-    /// Endpoint that gets a copy of the memory of what runs.
-    backup: Option<EndpointKey>,
-    /// Endpoint that has a copy of the memory of what ran last.
-    copy_at: Option<EndpointKey>,
+    /// Copy of the memory of what runs, as it grows.
+    growing_copy: Option<MemoryCopy>,
+    /// Copy of the memory of what ran last.
+    copy: Option<MemoryCopy>,
     has_begun: bool,
     /// Whether the last attempt brought an answer, though one that tells a failure.
     has_answer: bool,
     /// Whether the running attempt has brought an event.
     attempt_began: bool,
     may_retry: bool,
-    silence_found: bool,
     last_event_at: MonoTime,
     pace: StreamPace,
     effects: Vec<ExchangeEffect>,
@@ -277,7 +302,6 @@
             .action("break_off", |it| it.effects.push(ExchangeEffect::BreakOff))
             .action("note_run", ExchangeContext::note_run)
             .action("note_unrun", ExchangeContext::note_unrun)
-            .action("note_silence", |it| it.silence_found = true)
             .action("refuse_unplaced", |it| it.refuse(RefusalReason::NoEndpoint))
             .action("refuse_rejected", |it| it.refuse(RefusalReason::Rejected))
             .action("refuse_lost", |it| it.refuse(RefusalReason::AnswerLost))
@@ -334,13 +358,10 @@
         }
     }
 
-    /// A first event is due after twice the reading of the prompt, and early
-    /// enough for another endpoint to keep the goal.
+    /// A first event is due after the reading of some prompts before this one.
     fn first_event_limit(&self) -> Millis {
-        let prefill = self.prefill().get();
-        let usual = 2 * prefill + FIRST_EVENT_SLACK_MS.get();
-        let for_goal = self.order.goal_ms.get().saturating_sub(prefill * 6 / 5);
-        Millis::new(usual.min(for_goal).max(prefill * 3 / 2))
+        Millis::new(FIRST_EVENT_PREFILLS * self.prefill().get())
+            .saturating_add(FIRST_EVENT_SLACK_MS)
     }
 
     fn could_repeat(&self) -> bool {
@@ -368,12 +389,9 @@
 
     fn request_place(&mut self) {
         self.held_since.get_or_insert(self.now);
-        let preferred = self.copy_at.take();
+        let copy = self.copy.take();
         let excluded = self.failed.clone();
-        self.effects.push(ExchangeEffect::Place {
-            excluded,
-            preferred,
-        });
+        self.effects.push(ExchangeEffect::Place { excluded, copy });
     }
 
     fn open_attempt(&mut self) {
@@ -385,7 +403,10 @@
         self.attempt_began = false;
         self.has_answer = false;
         self.pace.restart();
-        self.backup = choice.backup.as_ref().map(|entry| entry.key.clone());
+        self.growing_copy = choice.backup.as_ref().map(|entry| MemoryCopy {
+            holder: entry.key.clone(),
+            source: CopySource::Backup,
+        });
         self.effects.push(ExchangeEffect::Open(choice));
     }
 
@@ -403,8 +424,8 @@
     /// its first event on.
     fn note_run(&mut self) {
         self.runs += 1;
-        let backup = self.backup.take();
-        self.copy_at = backup.filter(|_| self.attempt_began);
+        let copy = self.growing_copy.take();
+        self.copy = copy.filter(|_| self.attempt_began);
     }
 
     fn note_unrun(&mut self) {
@@ -448,13 +469,12 @@
             unruns: 0,
             failed: Vec::new(),
             choice: None,
-            backup: None,
-            copy_at: None,
+            growing_copy: None,
+            copy: None,
             has_begun: false,
             has_answer: false,
             attempt_began: false,
             may_retry: false,
-            silence_found: false,
             last_event_at: now,
             pace: StreamPace::default(),
             effects: Vec::new(),
@@ -586,9 +606,14 @@
         self.take_effects()
     }
 
-    /// Whether the last failure was found by silence; the endpoint may live.
-    pub fn take_silence(&mut self) -> bool {
-        std::mem::take(&mut self.context.silence_found)
+    /// Copy of the memory of what runs, if there is to be one.
+    pub fn growing_copy(&self) -> Option<&MemoryCopy> {
+        self.context.growing_copy.as_ref()
+    }
+
+    /// Takes a copy that was ordered in place of one that was lost.
+    pub fn replace_copy(&mut self, copy: MemoryCopy) {
+        self.context.growing_copy = Some(copy);
     }
 
     fn step(&mut self, now: MonoTime, event: ExchangeEvent) -> Vec<ExchangeEffect> {
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod life;
 mod pace;
 mod registry;
+mod report;
 mod retry_window;
 mod selector;
 
@@ -23,12 +24,13 @@
     RelayRoute, RelayWorkspace, Repeat, ServiceRules,
 };
 pub use exchange::{
-    AnswerClass, Exchange, ExchangeEffect, ExchangeInput, ExchangeOrder, ExchangeState,
-    RefusalReason,
+    AnswerClass, CopySource, Exchange, ExchangeEffect, ExchangeInput, ExchangeOrder, ExchangeState,
+    MemoryCopy, RefusalReason,
 };
 pub use life::{RelayEffect, RelayEvent, RelayLife, RelayState};
 pub use pace::StreamPace;
 pub use registry::{Registry, RegistryChange};
+pub use report::{EngineReport, ProbeFinding, RunProgress};
 pub use retry_window::RetryWindow;
 pub use selector::{Choice, SelectionQuestion, Selector};
 
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -1,9 +1,10 @@
 //! Which endpoint takes an attempt, and which one keeps a copy of its memory.
 //!
 //! The cost of an endpoint is the time that a request is expected to wait
-//! there: the way to it, the work in front of it and the risk that it fails. A
-//! little randomness keeps the nodes, which see much the same, from choosing
-//! the same endpoint.
+//! there: the way to it, the work in front of it and the risk that it fails.
+//! Nodes don't see each other's work in time, so each engine belongs to one node
+//! by rendezvous hash, which goes there first and knows what it placed there. A
+//! little randomness keeps the nodes from choosing the same engine beyond that.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -13,7 +14,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::book::{Condition, EndpointBook, EndpointEntry, EndpointKey};
+use super::{
+    book::{Condition, EndpointBook, EndpointEntry, EndpointKey},
+    exchange::MemoryCopy,
+};
 
 /// Way there and back within a region.
 const REGION_TRIP_US: Micros = Micros::new(3_000);
@@ -25,6 +29,9 @@
 const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Delay that one more running stream costs those that run beside it.
 const STREAM_COST_US: Micros = Micros::new(150_000);
+/// Work that other nodes are taken to have placed at an endpoint that is theirs:
+/// a stream or two, and a prompt now and then.
+const FOREIGN_COST_US: Micros = Micros::new(300_000);
 /// Cost of an endpoint that fails every request.
 const FAILURE_COST_US: Micros = Micros::new(400_000);
 /// Cost of an endpoint, or of a failure domain, that broke a moment ago.
@@ -41,8 +48,8 @@
     pub service: &'a ServiceName,
     /// Endpoints that must not take it.
     pub excluded: &'a [EndpointKey],
-    /// Endpoint that has a copy of the run's memory.
-    pub preferred: Option<&'a EndpointKey>,
+    /// Copy of the run's memory; its holder goes first.
+    pub copy: Option<&'a MemoryCopy>,
     /// Tokens of the prompt; zero for a call.
     pub prompt: TokenCount,
     /// Whether another endpoint shall keep a copy of the run's memory.
@@ -56,8 +63,8 @@
     pub endpoint: Arc<EndpointEntry>,
     /// Endpoint that keeps a copy of the run's memory.
     pub backup: Option<Arc<EndpointEntry>>,
-    /// Whether the endpoint has a copy already.
-    pub has_copy: bool,
+    /// Copy of the run's memory that the endpoint has.
+    pub copy: Option<MemoryCopy>,
     /// Endpoints that could have taken it.
     pub candidates: usize,
 }
@@ -94,13 +101,13 @@
         book: &EndpointBook,
         question: &SelectionQuestion<'_>,
     ) -> Option<Choice> {
-        let copy = question.preferred.filter(|key| book.is_usable(key));
-        let copy = copy.and_then(|key| book.entry(key)).cloned();
+        let copy = question.copy.filter(|it| book.is_usable(&it.holder));
+        let holder = copy.and_then(|it| book.entry(&it.holder)).cloned();
         let mut costs = self.costs(now, book, question);
         costs.sort_by_key(|(cost, _)| *cost);
         let candidates = costs.len();
-        let has_copy = copy.is_some();
-        let endpoint = copy.or_else(|| costs.first().map(|(_, entry)| Arc::clone(entry)))?;
+        let copy = copy.filter(|_| holder.is_some()).cloned();
+        let endpoint = holder.or_else(|| costs.first().map(|(_, entry)| Arc::clone(entry)))?;
         let backup = question
             .with_backup
             .then(|| self.backup(&endpoint, &costs))
@@ -108,11 +115,32 @@
         Some(Choice {
             endpoint,
             backup,
-            has_copy,
+            copy,
             candidates,
         })
     }
 
+    /// Chooses an endpoint for a copy of what runs at `running`, in place of the
+    /// excluded ones.
+    pub fn select_backup(
+        &mut self,
+        now: MonoTime,
+        book: &EndpointBook,
+        running: &EndpointEntry,
+        excluded: &[EndpointKey],
+    ) -> Option<Arc<EndpointEntry>> {
+        let question = SelectionQuestion {
+            service: &running.service,
+            excluded,
+            copy: None,
+            prompt: TokenCount::new(1),
+            with_backup: true,
+        };
+        let mut costs = self.costs(now, book, &question);
+        costs.sort_by_key(|(cost, _)| *cost);
+        self.backup(running, &costs)
+    }
+
     /// Cheapest endpoint in another failure domain than the one that runs the request.
     fn backup(
         &self,
@@ -179,7 +207,11 @@
 fn stream_cost(now: MonoTime, condition: &Condition) -> u64 {
     let unread = Millis::new(condition.unread_tokens / PREFILL_TOKENS_PER_MS).micros();
     let streams = u64::from(condition.occupancy(now));
-    unread.get() + STREAM_COST_US.times(streams).get()
+    let foreign = match condition.is_own {
+        true => Micros::ZERO,
+        false => FOREIGN_COST_US,
+    };
+    unread.get() + STREAM_COST_US.times(streams).get() + foreign.get()
 }
 
 /// Work in front of a call: what exceeds the slots waits.
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 
 use http::{HeaderMap, HeaderName, StatusCode};
-use parsleylatch_decide::relay::{EndpointEntry, LoadSample, RelayConfigurationParts};
+use parsleylatch_decide::relay::{
+    CopySource, EndpointEntry, EngineReport, LoadSample, RelayConfigurationParts,
+};
 use parsleylatch_store::StoreCodec;
 use parsleylatch_types::{
     EndpointId, ExchangeId, Millis, Rank, StreamEventId, TokenCount, WorkspaceId,
@@ -44,8 +46,9 @@
     pub last_event: Option<StreamEventId>,
     /// Endpoint that gets a copy of the run's memory as it grows.
     pub backup: Option<SocketAddr>,
-    /// Endpoint that has a copy of the memory of this request's earlier run.
-    pub copy_at: Option<SocketAddr>,
+    /// Address of the endpoint, if it has a copy of this request's earlier run,
+    /// and the copy's name.
+    pub copy: Option<(SocketAddr, &'a CopySource)>,
 }
 
 /// What the head of an endpoint's answer says.
@@ -81,6 +84,19 @@
     pub read: fn(StatusCode, &HeaderMap) -> AnswerHead,
     /// Path at which an engine tells its state without taking a slot.
     pub probe_path: &'static str,
+    /// Reads an engine's state.
+    pub report: fn(&[u8]) -> Result<EngineReport, String>,
+}
+
+/// Orders copies of a run's memory from the engine that runs it.
+#[derive(Clone, Copy)]
+pub struct CopyCodec {
+    /// Path of the order, which is posted.
+    pub path: &'static str,
+    /// Body of the order: the request's id and the address that gets the copy.
+    pub order: fn(id: &ExchangeId, target: SocketAddr) -> Vec<u8>,
+    /// Reads the copy's name from the answer.
+    pub handle: fn(&[u8]) -> Result<Box<str>, String>,
 }
 
 /// Reads the documents that the platform keeps in the store.
@@ -109,6 +125,8 @@
     pub requests: RequestCodec,
     /// Answers.
     pub answers: AnswerCodec,
+    /// Copies of a run's memory.
+    pub copies: CopyCodec,
     /// Path at which the balancer asks whether the node takes callers.
     pub ready_path: &'static str,
 }
--- a/crates/relay/src/control/knowledge.rs
+++ b/crates/relay/src/control/knowledge.rs
@@ -6,7 +6,7 @@
 };
 
 use parsleylatch_decide::relay::{EndpointEntry, Registry, RelayConfiguration};
-use parsleylatch_types::{Micros, Millis, MonoTime, Revision};
+use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime, NodeId, Revision};
 use parsleylatch_wire::{
     platform::{KeyValue, ListReply},
     relay::{RelayAsk, RelayState, StoreDocument},
@@ -35,7 +35,7 @@
     watch_fails: bool,
     store_fails: bool,
     changed: bool,
-    nodes: usize,
+    nodes: Arc<[NodeId]>,
 }
 
 impl Knowledge {
@@ -50,7 +50,7 @@
             watch_fails: true,
             store_fails: false,
             changed: false,
-            nodes: 1,
+            nodes: Arc::default(),
         }
     }
 
@@ -244,8 +244,8 @@
     }
 
     /// Gives the traffic threads what has changed.
-    pub(crate) fn publish(&mut self, nodes: usize) {
-        let nodes_changed = std::mem::replace(&mut self.nodes, nodes) != nodes;
+    pub(crate) fn publish(&mut self, nodes: &Arc<[NodeId]>) {
+        let nodes_changed = self.nodes != *nodes;
         if !std::mem::take(&mut self.changed) && !nodes_changed {
             return;
         }
@@ -255,8 +255,9 @@
             configuration: self.configuration.clone(),
             endpoints: self.registry.entries().cloned().collect(),
             registry_revision: self.registry.revision(),
-            nodes,
+            nodes: Arc::clone(nodes),
         }));
+        self.nodes = Arc::clone(nodes);
     }
 
     fn configuration_revision(&self) -> u64 {
@@ -266,7 +267,7 @@
 }
 
 /// Ids of endpoints for a log line, which stays short in a large change.
-struct Names<'a>([&'a [parsleylatch_types::EndpointId]; 2]);
+struct Names<'a>([&'a [EndpointId]; 2]);
 
 /// Most ids of a log line.
 const NAMES_LIMIT: usize = 12;
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -224,7 +224,7 @@
     }
 
     fn publish(&mut self) {
-        self.knowledge.publish(self.peers.count());
+        self.knowledge.publish(self.peers.nodes());
         if self.knowledge.is_informed() {
             self.step_life(RelayEvent::Informed);
         }
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use parsleylatch_peer::{Identity, ask};
-use parsleylatch_types::{Millis, MonoTime};
+use parsleylatch_types::{Millis, MonoTime, NodeId};
 use parsleylatch_wire::{
     peer::peer_message::Body,
     platform::KeyValue,
@@ -29,6 +29,7 @@
     shared: Arc<Shared>,
     identity: Identity,
     entries: BTreeMap<String, KeyValue>,
+    nodes: Arc<[NodeId]>,
     next_ask_at: MonoTime,
 }
 
@@ -36,6 +37,7 @@
     pub(crate) fn new(shared: Arc<Shared>, identity: Identity, now: MonoTime) -> Self {
         Self {
             shared,
+            nodes: Arc::new([identity.node_id.clone()]),
             identity,
             entries: BTreeMap::new(),
             next_ask_at: now + ASK_INTERVAL_MS,
@@ -43,9 +45,8 @@
     }
 
     /// Nodes that are known, this one included.
-    pub(crate) fn count(&self) -> usize {
-        let own = format!("{NODES_PREFIX}{}", self.identity.node_id);
-        self.entries.len() + usize::from(!self.entries.contains_key(&own))
+    pub(crate) fn nodes(&self) -> &Arc<[NodeId]> {
+        &self.nodes
     }
 
     /// Takes the entries of the nodes; a reading replaces what was known.
@@ -55,6 +56,18 @@
         }
         let keyed = entries.iter().map(|it| (it.key.clone(), it.clone()));
         self.entries = keyed.collect();
+        let ids = self.entries.keys().filter_map(|key| {
+            let id = key.strip_prefix(NODES_PREFIX)?;
+            id.parse().ok()
+        });
+        let mut nodes: Vec<NodeId> = ids.collect();
+        if !nodes.contains(&self.identity.node_id) {
+            nodes.push(self.identity.node_id.clone());
+        }
+        if *self.nodes != nodes[..] {
+            log::info!(nodes = nodes.len(); "nodes changed");
+            self.nodes = nodes.into();
+        }
     }
 
     /// Entries as they travel between nodes.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use args::{RelayArgs, main};
 pub use codec::{
-    AnswerCodec, AnswerHead, CallerHead, DocumentCodec, RelayCodec, RequestCodec, SendOrder,
+    AnswerCodec, AnswerHead, CallerHead, CopyCodec, DocumentCodec, RelayCodec, RequestCodec,
+    SendOrder,
 };
 pub use relay::{Relay, RelayAddresses};
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,7 +9,7 @@
 use parsleylatch_decide::relay::{EndpointEntry, RelayConfiguration};
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{Micros, Millis, MonoTime, Revision};
+use parsleylatch_types::{Micros, Millis, MonoTime, NodeId, Revision};
 use tokio::sync::{mpsc, watch};
 
 use crate::telemetry::RelayMetrics;
@@ -39,7 +39,7 @@
     pub(crate) endpoints: Arc<[Arc<EndpointEntry>]>,
     pub(crate) registry_revision: Revision,
     /// Nodes that are known, this one included.
-    pub(crate) nodes: usize,
+    pub(crate) nodes: Arc<[NodeId]>,
 }
 
 /// State that every thread of a relay can reach.
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request at one endpoint, as a task that tells what came.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header};
@@ -11,16 +11,15 @@
 use parsleylatch_http::{EventFramer, RawEvent, describe};
 use parsleylatch_types::{Millis, StreamEventId};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     task::{AbortHandle, spawn_local},
-    time,
 };
 
-use super::{Traffic, intake::Job};
+use super::{Traffic, engine::connection_key, intake::Job};
 use crate::codec::{AnswerHead, SendOrder};
 
 /// Longest wait for a connection: several trips between regions.
-const CONNECT_TIMEOUT_MS: Millis = Millis::new(250);
+pub(crate) const CONNECT_TIMEOUT_MS: Millis = Millis::new(250);
 /// Age of an unused connection up to which a request that may run again is sent on it.
 const IDLE_LIMIT_MS: Millis = Millis::new(1_500);
 /// As before, for a request that may run once: endpoints drop unused connections,
@@ -30,8 +29,6 @@
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 /// Events that may wait for the exchange.
 const EVENT_BUFFER: usize = 64;
-/// Longest wait for the answer to a probe, with its connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Whole answer of an endpoint.
 #[derive(Debug)]
@@ -87,7 +84,7 @@
         let runner = Runner {
             traffic: Rc::clone(traffic),
             job: Rc::clone(job),
-            key: connection_key(choice),
+            key: connection_key(&choice.endpoint),
             request: build_request(traffic, job, choice, last_event),
             events: sender,
         };
@@ -108,16 +105,6 @@
     }
 }
 
-/// Connection to a chosen endpoint.
-pub(crate) fn connection_key(choice: &Choice) -> ConnectionKey {
-    let entry = &choice.endpoint;
-    ConnectionKey {
-        address: entry.address,
-        id: entry.key.id.clone(),
-        incarnation: entry.key.incarnation,
-    }
-}
-
 fn build_request(
     traffic: &Traffic,
     job: &Job,
@@ -151,7 +138,10 @@
             .or(Some(job.route.rank)),
         last_event,
         backup: choice.backup.as_ref().map(|it| it.address),
-        copy_at: choice.has_copy.then_some(choice.endpoint.address),
+        copy: choice
+            .copy
+            .as_ref()
+            .map(|copy| (choice.endpoint.address, &copy.source)),
     };
     (codec.write)(&order, headers);
     request
@@ -311,29 +301,3 @@
     tell(events, AttemptEvent::Finished).await;
     true
 }
-
-/// Asks an endpoint for its state; tells `true` if it answers in time.
-pub(crate) fn start_probe(traffic: Rc<Traffic>, key: ConnectionKey) -> oneshot::Receiver<bool> {
-    let (tell, told) = oneshot::channel();
-    spawn_local(async move {
-        let answered = time::timeout(PROBE_TIMEOUT, probe(&traffic, &key)).await;
-        // An exchange that has gone on does not listen.
-        let _ = tell.send(answered.unwrap_or(false));
-    });
-    told
-}
-
-async fn probe(traffic: &Traffic, key: &ConnectionKey) -> bool {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    let path = traffic.shared.codec.answers.probe_path;
-    *request.uri_mut() = http::Uri::from_static(path);
-    if let Ok(host) = http::HeaderValue::try_from(key.address.to_string()) {
-        request.headers_mut().insert(header::HOST, host);
-    }
-    let rules = ConnectionRules {
-        connect_timeout_ms: CONNECT_TIMEOUT_MS,
-        idle_limit_ms: Millis::ZERO,
-    };
-    let opened = traffic.connections.send(key, rules, request).await;
-    opened.is_ok_and(|opened| opened.response.status().is_success())
-}
--- /dev/null
+++ b/crates/relay/src/traffic/copies.rs
@@ -0,0 +1,91 @@
+//! Keeps a copy of a run's memory at some engine while it runs.
+//!
+//! The engine sends its memory to the backup that the request named. When that
+//! backup is lost, a copy elsewhere has to be ordered, and ordered again while
+//! the run goes on, because an ordered copy does not grow and is kept for a few
+//! seconds only.
+
+use std::{rc::Rc, sync::Arc};
+
+use parsleylatch_decide::relay::{CopySource, EndpointEntry, MemoryCopy};
+use parsleylatch_types::{ExchangeId, Millis, MonoTime};
+use tokio::sync::oneshot;
+
+use super::{Traffic, engine};
+
+/// Time between two looks at the copy's holder.
+const LOOK_INTERVAL_MS: Millis = Millis::new(250);
+/// Age of an ordered copy at which it is ordered again; engines keep one for
+/// four seconds, and what is new since is read again.
+const REFRESH_AFTER_MS: Millis = Millis::new(1_500);
+
+/// Orders of copies for one exchange.
+#[derive(Default)]
+pub(crate) struct Copies {
+    looked_at: MonoTime,
+    ordered_at: MonoTime,
+    target: Option<Arc<EndpointEntry>>,
+    order: Option<oneshot::Receiver<Option<MemoryCopy>>>,
+}
+
+impl Copies {
+    /// Orders a copy of what runs at `running` if the one there is lost or old.
+    pub(crate) fn look(
+        &mut self,
+        now: MonoTime,
+        traffic: &Rc<Traffic>,
+        id: &ExchangeId,
+        running: &EndpointEntry,
+        copy: &MemoryCopy,
+    ) {
+        let is_due = now.since(self.looked_at) >= LOOK_INTERVAL_MS.micros();
+        if !is_due || self.order.is_some() {
+            return;
+        }
+        self.looked_at = now;
+        let is_lost = !is_held(now, traffic, copy);
+        let is_old = matches!(copy.source, CopySource::Ordered { .. })
+            && now.since(self.ordered_at) >= REFRESH_AFTER_MS.micros();
+        if is_lost {
+            self.target = choose_target(now, traffic, running, copy);
+        }
+        if !is_lost && !is_old {
+            return;
+        }
+        if let Some(target) = &self.target {
+            self.ordered_at = now;
+            let key = engine::connection_key(running);
+            let order = engine::start_copy(Rc::clone(traffic), key, id.clone(), Arc::clone(target));
+            self.order = Some(order);
+        }
+    }
+
+    /// Waits for the answer to an order.
+    pub(crate) async fn next(&mut self) -> Option<MemoryCopy> {
+        let Some(order) = &mut self.order else {
+            return std::future::pending().await;
+        };
+        let copy = order.await.unwrap_or_default();
+        self.order = None;
+        copy
+    }
+}
+
+/// Whether the holder of a copy is taken to live.
+fn is_held(now: MonoTime, traffic: &Traffic, copy: &MemoryCopy) -> bool {
+    let book = traffic.book.borrow();
+    book.is_usable(&copy.holder) && !book.is_suspended(now, &copy.holder)
+}
+
+fn choose_target(
+    now: MonoTime,
+    traffic: &Traffic,
+    running: &EndpointEntry,
+    copy: &MemoryCopy,
+) -> Option<Arc<EndpointEntry>> {
+    let excluded = [running.key.clone(), copy.holder.clone()];
+    let book = traffic.book.borrow();
+    traffic
+        .selector()
+        .select_backup(now, &book, running, &excluded)
+}
--- /dev/null
+++ b/crates/relay/src/traffic/engine.rs
@@ -0,0 +1,137 @@
+//! Calls to an engine about a request that it runs: its state, and copies of the
+//! run's memory at another engine.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use parsleylatch_decide::relay::{CopySource, EndpointEntry, EngineReport, MemoryCopy};
+use parsleylatch_endpoint::{ConnectionKey, ConnectionRules};
+use parsleylatch_types::{ExchangeId, Millis};
+use tokio::{sync::oneshot, task::spawn_local, time};
+
+use super::{Traffic, attempt::CONNECT_TIMEOUT_MS};
+
+/// Longest wait for an engine's state, with a connection: two trips between
+/// regions and what the engine needs.
+const STATE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait for a copy; one takes about ten milliseconds on a free link, and
+/// queues behind others.
+const COPY_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Largest answer of such a call.
+const ANSWER_LIMIT_BYTES: usize = 256 << 10;
+
+/// Connection to an endpoint.
+pub(crate) fn connection_key(entry: &EndpointEntry) -> ConnectionKey {
+    ConnectionKey {
+        address: entry.address,
+        id: entry.key.id.clone(),
+        incarnation: entry.key.incarnation,
+    }
+}
+
+/// Asks an engine for its state; tells `None` if it does not answer in time.
+pub(crate) fn start_probe(
+    traffic: Rc<Traffic>,
+    key: ConnectionKey,
+) -> oneshot::Receiver<Option<EngineReport>> {
+    let (tell, told) = oneshot::channel();
+    spawn_local(async move {
+        let path = traffic.shared.codec.answers.probe_path;
+        let asked = call(&traffic, &key, Method::GET, path, Bytes::new());
+        let answer = time::timeout(STATE_TIMEOUT, asked).await;
+        let body = answer
+            .ok()
+            .flatten()
+            .filter(|(status, _)| status.is_success());
+        // An engine that answers lives, whatever its answer says.
+        let report = body.map(|(_, body)| read_report(&traffic, &body));
+        // An exchange that has gone on does not listen.
+        let _ = tell.send(report);
+    });
+    told
+}
+
+fn read_report(traffic: &Traffic, body: &[u8]) -> EngineReport {
+    let read = (traffic.shared.codec.answers.report)(body);
+    read.unwrap_or_else(|reason| {
+        log::warn!(reason = reason.as_str(); "engine state can't be read");
+        // Something waits: nothing can be said of the request.
+        EngineReport {
+            waiting: 1,
+            ..EngineReport::default()
+        }
+    })
+}
+
+/// Orders a copy of a run's memory; tells `None` if there is none.
+pub(crate) fn start_copy(
+    traffic: Rc<Traffic>,
+    key: ConnectionKey,
+    id: ExchangeId,
+    target: std::sync::Arc<EndpointEntry>,
+) -> oneshot::Receiver<Option<MemoryCopy>> {
+    let (tell, told) = oneshot::channel();
+    spawn_local(async move {
+        let codec = traffic.shared.codec.copies;
+        let body = Bytes::from((codec.order)(&id, target.address));
+        let asked = call(&traffic, &key, Method::POST, codec.path, body);
+        let answer = time::timeout(COPY_TIMEOUT, asked).await.ok().flatten();
+        let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
+        let handle = answer
+            .filter(|(status, _)| *status == StatusCode::OK)
+            .and_then(|(_, body)| (codec.handle)(&body).ok());
+        log::info!(
+            id:% = id,
+            endpoint:% = key.id,
+            target:% = target.key.id,
+            status = status,
+            is_made = handle.is_some();
+            "copy ordered"
+        );
+        let copy = handle.map(|handle| MemoryCopy {
+            holder: target.key.clone(),
+            source: CopySource::Ordered {
+                source: key.address,
+                handle,
+            },
+        });
+        // An exchange that has gone on does not listen.
+        let _ = tell.send(copy);
+    });
+    told
+}
+
+async fn call(
+    traffic: &Traffic,
+    key: &ConnectionKey,
+    method: Method,
+    path: &'static str,
+    body: Bytes,
+) -> Option<(StatusCode, Bytes)> {
+    let has_body = !body.is_empty();
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = http::Uri::from_static(path);
+    let headers = request.headers_mut();
+    if let Ok(host) = HeaderValue::try_from(key.address.to_string()) {
+        headers.insert(header::HOST, host);
+    }
+    if has_body {
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+    }
+    let rules = ConnectionRules {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        idle_limit_ms: Millis::ZERO,
+    };
+    let opened = traffic.connections.send(key, rules, request).await.ok()?;
+    let (response, _connection) = opened.into_parts();
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, ANSWER_LIMIT_BYTES)
+        .collect()
+        .await
+        .ok()?;
+    Some((parts.status, body.to_bytes()))
+}
--- a/crates/relay/src/traffic/exchange.rs
+++ b/crates/relay/src/traffic/exchange.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::Response;
 use parsleylatch_decide::relay::{
-    AnswerClass, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, Outcome,
-    RefusalReason, SelectionQuestion,
+    AnswerClass, Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput,
+    MemoryCopy, Outcome, ProbeFinding, RefusalReason, SelectionQuestion,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId};
@@ -14,7 +14,9 @@
 
 use super::{
     Traffic, answer,
-    attempt::{self, Attempt, AttemptEvent, StreamHead, WholeAnswer},
+    attempt::{Attempt, AttemptEvent, StreamHead, WholeAnswer},
+    copies::Copies,
+    engine,
     intake::Job,
     output::{BrokenOff, RelayBody},
 };
@@ -48,6 +50,7 @@
         pending: Vec::new(),
         caller: Caller::Waiting(reply),
         probe: None,
+        copies: Copies::default(),
     };
     driver.run(effects).await;
 }
@@ -97,13 +100,15 @@
     first_event_after: Option<Micros>,
     pending: Vec<RawEvent>,
     caller: Caller,
-    probe: Option<oneshot::Receiver<bool>>,
+    probe: Option<oneshot::Receiver<Option<EngineReport>>>,
+    copies: Copies,
 }
 
 /// What a driver waits for.
 enum Wake {
     Attempt(AttemptEvent),
-    Probe(bool),
+    Probe(Option<EngineReport>),
+    Copy(Option<MemoryCopy>),
     CallerGone,
     Deadline,
 }
@@ -121,11 +126,12 @@
 
     async fn wait(&mut self) -> Wake {
         let deadline = self.exchange.next_deadline();
-        let (attempt, probe) = (&mut self.attempt, &mut self.probe);
+        let (attempt, probe, copies) = (&mut self.attempt, &mut self.probe, &mut self.copies);
         tokio::select! {
             biased;
             event = next_event(attempt) => Wake::Attempt(event),
-            alive = next_probe(probe) => Wake::Probe(alive),
+            report = next_probe(probe) => Wake::Probe(report),
+            copy = copies.next() => Wake::Copy(copy),
             () = self.caller.gone() => Wake::CallerGone,
             () = self.traffic.shared.clock.sleep_until(Some(deadline)) => Wake::Deadline,
         }
@@ -134,9 +140,15 @@
     async fn take(&mut self, wake: Wake) -> Vec<ExchangeEffect> {
         match wake {
             Wake::Attempt(event) => self.take_event(event).await,
-            Wake::Probe(alive) => {
+            Wake::Probe(report) => {
                 self.probe = None;
-                self.take_probe(alive)
+                self.take_probe(report.as_ref())
+            }
+            Wake::Copy(copy) => {
+                if let Some(copy) = copy {
+                    self.exchange.replace_copy(copy);
+                }
+                Vec::new()
             }
             Wake::CallerGone => {
                 self.log_end("caller_gone", None);
@@ -165,14 +177,27 @@
         effects
     }
 
-    fn take_probe(&mut self, alive: bool) -> Vec<ExchangeEffect> {
+    fn take_probe(&mut self, report: Option<&EngineReport>) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
-        if alive {
+        let sent_for = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
+        let finding = report.map(|report| {
+            report.find(
+                self.job.head.id.as_str(),
+                self.last_event,
+                sent_for.unwrap_or_default(),
+            )
+        });
+        if finding == Some(ProbeFinding::Present) {
             return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
         }
         let may_retry = self.may_retry(true);
         if may_retry {
-            self.note_failure(Outcome::Broken, "silent, and no answer to a probe");
+            let reason = match finding {
+                Some(ProbeFinding::Withheld) => "silent, and events are withheld",
+                Some(_) => "silent, and the engine does not have it",
+                None => "silent, and no answer to a probe",
+            };
+            self.note_failure(Outcome::Broken, reason);
         }
         self.exchange
             .handle(now, ExchangeInput::ProbeFailed { may_retry })
@@ -284,9 +309,20 @@
         if self.exchange.has_begun() && matches!(self.caller, Caller::Streaming(_)) {
             self.flush().await;
         }
+        self.keep_copy(now);
         effects
     }
 
+    /// Orders a copy of the run's memory in place of one whose holder is lost.
+    fn keep_copy(&mut self, now: MonoTime) {
+        let (Some(sent), Some(copy)) = (&self.sent, self.exchange.growing_copy()) else {
+            return;
+        };
+        let id = &self.job.head.id;
+        let running = &sent.choice.endpoint;
+        self.copies.look(now, &self.traffic, id, running, copy);
+    }
+
     /// Hands the pending events to the caller's connection.
     async fn flush(&mut self) {
         let Caller::Streaming(sender) = &self.caller else {
@@ -304,10 +340,9 @@
         let mut queue = VecDeque::from(effects);
         while let Some(effect) = queue.pop_front() {
             match effect {
-                ExchangeEffect::Place {
-                    excluded,
-                    preferred,
-                } => queue.extend(self.place(&excluded, preferred.as_ref())),
+                ExchangeEffect::Place { excluded, copy } => {
+                    queue.extend(self.place(&excluded, copy.as_ref()));
+                }
                 ExchangeEffect::Open(choice) => self.open(choice),
                 ExchangeEffect::Probe => self.start_probe(),
                 ExchangeEffect::GiveAnswer => self.give_answer(),
@@ -326,7 +361,7 @@
     fn place(
         &mut self,
         excluded: &[EndpointKey],
-        preferred: Option<&EndpointKey>,
+        copy: Option<&MemoryCopy>,
     ) -> Vec<ExchangeEffect> {
         self.end_attempt(Outcome::Abandoned);
         let traffic = Rc::clone(&self.traffic);
@@ -336,7 +371,7 @@
         let question = SelectionQuestion {
             service: &order.service,
             excluded,
-            preferred,
+            copy,
             prompt: order.prompt,
             with_backup: self.job.has_backups && order.repeat.is_stream(),
         };
@@ -351,7 +386,7 @@
             route:% = self.job.route.name,
             endpoint:% = choice.endpoint.key.id,
             backup = choice.backup.as_ref().map_or("-", |it| it.key.id.as_str()),
-            has_copy = choice.has_copy,
+            has_copy = choice.copy.is_some(),
             candidates = choice.candidates,
             runs = self.exchange.runs(),
             last_event = self.last_event.unwrap_or_default().get(),
@@ -393,9 +428,9 @@
     fn start_probe(&mut self) {
         if let Some(sent) = &self.sent {
             self.traffic.shared.metrics.increment(RelayCounter::Probes);
-            let key = attempt::connection_key(&sent.choice);
+            let key = engine::connection_key(&sent.choice.endpoint);
             let traffic = Rc::clone(&self.traffic);
-            self.probe = Some(attempt::start_probe(traffic, key));
+            self.probe = Some(engine::start_probe(traffic, key));
         }
     }
 
@@ -480,7 +515,9 @@
     }
 
     fn has_copy(&self) -> bool {
-        self.sent.as_ref().is_some_and(|it| it.choice.has_copy)
+        self.sent
+            .as_ref()
+            .is_some_and(|it| it.choice.copy.is_some())
     }
 
     fn note_load(&mut self, head: &crate::codec::AnswerHead) {
@@ -545,6 +582,7 @@
     fn end_attempt(&mut self, outcome: Outcome) {
         self.attempt = None;
         self.probe = None;
+        self.copies = Copies::default();
         if let Some(sent) = self.sent.take() {
             let mut book = self.traffic.book.borrow_mut();
             if !sent.has_answered {
@@ -586,9 +624,11 @@
     }
 }
 
-async fn next_probe(probe: &mut Option<oneshot::Receiver<bool>>) -> bool {
+async fn next_probe(
+    probe: &mut Option<oneshot::Receiver<Option<EngineReport>>>,
+) -> Option<EngineReport> {
     match probe {
-        Some(probe) => probe.await.unwrap_or(false),
+        Some(probe) => probe.await.unwrap_or_default(),
         None => std::future::pending().await,
     }
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod attempt;
+mod copies;
+mod engine;
 mod exchange;
 mod front;
 mod intake;
@@ -70,7 +72,8 @@
         let snapshot = self.shared.snapshot.load_full();
         if self.seen_snapshot.replace(snapshot.number) != snapshot.number {
             let mut book = self.book.borrow_mut();
-            book.update(snapshot.endpoints.iter());
+            let own = &self.shared.settings.load().node_id;
+            book.update(snapshot.endpoints.iter(), own, &snapshot.nodes);
             self.connections.forget(|key| {
                 book.entry(&endpoint_key(key))
                     .is_some_and(|entry| entry.address == key.address)
@@ -92,8 +95,8 @@
     /// Takes one repeat from the budget, if there is one left.
     pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let sharers =
-            self.shared.snapshot.load().nodes.max(1) * self.shared.settings.load().traffic_threads;
+        let sharers = self.shared.snapshot.load().nodes.len().max(1)
+            * self.shared.settings.load().traffic_threads;
         self.with_retries(service, |window| window.take_repeat(now, sharers))
     }
 
