--- a/crates/decide/src/relay/book.rs
+++ b/crates/decide/src/relay/book.rs
@@ -103,6 +103,8 @@
     /// Whether this node goes there before others do.
     pub(crate) is_own: bool,
     pub(crate) in_flight: u32,
+    /// Copies of own runs' memory.
+    pub(crate) copies: u32,
     /// Prompt tokens of own requests that have no first event yet.
     pub(crate) unread_tokens: u64,
     load: Option<(LoadSample, MonoTime)>,
@@ -121,6 +123,7 @@
             is_listed: true,
             is_own: true,
             in_flight: 0,
+            copies: 0,
             unread_tokens: 0,
             load: None,
             failure_rate: 0.0,
@@ -153,6 +156,14 @@
         self.suspended_until = self.suspended_until.max(now + length);
     }
 
+    /// Requests that wait at the endpoint, as it told recently.
+    pub(crate) fn waiting(&self, now: MonoTime) -> u32 {
+        let told = self
+            .load
+            .filter(|(_, at)| now.since(*at) < LOAD_AGE_LIMIT_MS.micros());
+        told.map_or(0, |(load, _)| load.waiting)
+    }
+
     /// Requests at the endpoint: those it told of recently, or our own if more.
     pub(crate) fn occupancy(&self, now: MonoTime) -> u32 {
         let told = self
@@ -215,10 +226,27 @@
             let listed = self.by_service.entry(entry.service.clone()).or_default();
             listed.push(entry.key.clone());
         }
+        self.mark_superseded();
         self.conditions
             .retain(|_, condition| condition.is_listed || condition.in_flight > 0);
     }
 
+    /// An entry outlives its process for some seconds; one whose address belongs to
+    /// a younger process names nobody.
+    fn mark_superseded(&mut self) {
+        let mut youngest: HashMap<SocketAddr, Incarnation> = HashMap::new();
+        for condition in self.conditions.values().filter(|it| it.is_listed) {
+            let entry = &condition.entry;
+            let incarnation = youngest.entry(entry.address).or_default();
+            *incarnation = entry.key.incarnation.max(*incarnation);
+        }
+        for condition in self.conditions.values_mut() {
+            let entry = &condition.entry;
+            let youngest = youngest.get(&entry.address);
+            condition.is_replaced |= youngest.is_some_and(|it| *it > entry.key.incarnation);
+        }
+    }
+
     /// Entry of an incarnation, if the registry still lists it.
     pub fn entry(&self, key: &EndpointKey) -> Option<&Arc<EndpointEntry>> {
         let condition = self.conditions.get(key).filter(|it| it.is_listed)?;
@@ -286,6 +314,20 @@
         }
     }
 
+    /// Notes that an endpoint keeps a copy of a run's memory.
+    pub fn note_copy(&mut self, key: &EndpointKey) {
+        if let Some(condition) = self.conditions.get_mut(key) {
+            condition.copies += 1;
+        }
+    }
+
+    /// Notes that a copy is not needed any more.
+    pub fn note_copy_end(&mut self, key: &EndpointKey) {
+        if let Some(condition) = self.conditions.get_mut(key) {
+            condition.copies = condition.copies.saturating_sub(1);
+        }
+    }
+
     /// Notes a load that an endpoint told.
     pub fn note_load(&mut self, now: MonoTime, key: &EndpointKey, load: LoadSample) {
         if let Some(condition) = self.conditions.get_mut(key) {
--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -23,8 +23,9 @@
 const HOLD_GOAL_DIVISOR: u64 = 8;
 /// Longest hold of a stream that has begun; its caller waits for two seconds.
 const RESUME_HOLD_MS: Millis = Millis::new(3_000);
-/// Most sends that did not run; each goes to another endpoint.
-const UNRUN_LIMIT: u32 = 3;
+/// Most sends that did not run; each goes to another endpoint and costs a trip.
+/// After a crash, entries of several lost endpoints are still listed.
+const UNRUN_LIMIT: u32 = 6;
 /// Silence before the first event of a stream after which the endpoint is probed.
 const FIRST_EVENT_PROBE_MS: Millis = Millis::new(400);
 /// Part of the goal after which an idempotent call goes to another endpoint, in
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -29,6 +29,8 @@
 const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Delay that one more running stream costs those that run beside it.
 const STREAM_COST_US: Micros = Micros::new(150_000);
+/// Cost of a request that waits: a prompt that is not read yet.
+const WAITING_COST_US: Micros = Micros::new(1_000_000);
 /// Work that other nodes are taken to have placed at an endpoint that is theirs:
 /// a stream or two, and a prompt now and then.
 const FOREIGN_COST_US: Micros = Micros::new(300_000);
@@ -36,6 +38,10 @@
 const FAILURE_COST_US: Micros = Micros::new(400_000);
 /// Cost of an endpoint, or of a failure domain, that broke a moment ago.
 const SUSPENSION_COST_US: Micros = Micros::new(10_000_000);
+/// Cost of a copy that an engine keeps already.
+const COPY_COST_US: Micros = Micros::new(150_000);
+/// Largest random part of the cost of an engine for a copy.
+const BACKUP_JITTER_US: u64 = 250_000;
 /// Largest random part of a call's cost.
 const CALL_JITTER_US: u64 = 1_000;
 /// Largest random part of a stream's cost.
@@ -108,10 +114,12 @@
         let candidates = costs.len();
         let copy = copy.filter(|_| holder.is_some()).cloned();
         let endpoint = holder.or_else(|| costs.first().map(|(_, entry)| Arc::clone(entry)))?;
-        let backup = question
-            .with_backup
-            .then(|| self.backup(&endpoint, &costs))
-            .flatten();
+        let backup = question.with_backup.then(|| {
+            let mut excluded = question.excluded.to_vec();
+            excluded.push(endpoint.key.clone());
+            self.select_backup(now, book, &endpoint, &excluded)
+        });
+        let backup = backup.flatten();
         Some(Choice {
             endpoint,
             backup,
@@ -120,8 +128,8 @@
         })
     }
 
-    /// Chooses an endpoint for a copy of what runs at `running`, in place of the
-    /// excluded ones.
+    /// Chooses an endpoint for a copy of what runs at `running`: in another failure
+    /// domain, and spread over all engines, so that none is filled by copies.
     pub fn select_backup(
         &mut self,
         now: MonoTime,
@@ -129,31 +137,22 @@
         running: &EndpointEntry,
         excluded: &[EndpointKey],
     ) -> Option<Arc<EndpointEntry>> {
-        let question = SelectionQuestion {
-            service: &running.service,
-            excluded,
-            copy: None,
-            prompt: TokenCount::new(1),
-            with_backup: true,
-        };
-        let mut costs = self.costs(now, book, &question);
-        costs.sort_by_key(|(cost, _)| *cost);
-        self.backup(running, &costs)
-    }
-
-    /// Cheapest endpoint in another failure domain than the one that runs the request.
-    fn backup(
-        &self,
-        endpoint: &EndpointEntry,
-        costs: &[(u64, Arc<EndpointEntry>)],
-    ) -> Option<Arc<EndpointEntry>> {
-        let elsewhere = |entry: &EndpointEntry| entry.failure_domain != endpoint.failure_domain;
-        let mut others = costs.iter().filter(|(_, entry)| elsewhere(entry));
-        let found = others.next().or_else(|| {
-            let mut rest = costs.iter();
-            rest.find(|(_, entry)| entry.key != endpoint.key)
+        let service = &running.service;
+        let usable = book.usable(service);
+        let allowed = usable.filter(|it| !excluded.contains(&it.entry.key));
+        let costs = allowed.map(|condition| {
+            let domain = &condition.entry.failure_domain;
+            let domain_suspended = book.is_domain_suspended(now, service, domain);
+            let same_domain = u64::from(*domain == running.failure_domain);
+            let cost = COPY_COST_US.get() * u64::from(condition.copies)
+                + STREAM_COST_US.get() * u64::from(condition.occupancy(now))
+                + SUSPENSION_COST_US.get() * same_domain
+                + suspension_cost(now, condition, domain_suspended)
+                + self.random.random_range(0..BACKUP_JITTER_US);
+            (cost, &condition.entry)
         });
-        found.map(|(_, entry)| Arc::clone(entry))
+        let cheapest = costs.min_by_key(|(cost, _)| *cost);
+        cheapest.map(|(_, entry)| Arc::clone(entry))
     }
 
     fn costs(
@@ -207,11 +206,12 @@
 fn stream_cost(now: MonoTime, condition: &Condition) -> u64 {
     let unread = Millis::new(condition.unread_tokens / PREFILL_TOKENS_PER_MS).micros();
     let streams = u64::from(condition.occupancy(now));
+    let waiting = WAITING_COST_US.times(u64::from(condition.waiting(now)));
     let foreign = match condition.is_own {
         true => Micros::ZERO,
         false => FOREIGN_COST_US,
     };
-    unread.get() + STREAM_COST_US.times(streams).get() + foreign.get()
+    unread.get() + STREAM_COST_US.times(streams).get() + waiting.get() + foreign.get()
 }
 
 /// Work in front of a call: what exceeds the slots waits.
--- a/crates/relay/src/traffic/exchange.rs
+++ b/crates/relay/src/traffic/exchange.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use parsleylatch_decide::relay::{
     AnswerClass, Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput,
-    MemoryCopy, Outcome, ProbeFinding, RefusalReason, SelectionQuestion,
+    LoadSample, MemoryCopy, Outcome, ProbeFinding, RefusalReason, SelectionQuestion,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId};
@@ -180,6 +180,14 @@
     fn take_probe(&mut self, report: Option<&EngineReport>) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
         let sent_for = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
+        if let (Some(sent), Some(report)) = (&self.sent, report) {
+            let load = LoadSample {
+                running: report.running,
+                waiting: report.waiting,
+            };
+            let mut book = self.traffic.book.borrow_mut();
+            book.note_load(now, &sent.key, load);
+        }
         let finding = report.map(|report| {
             report.find(
                 self.job.head.id.as_str(),
@@ -410,6 +418,9 @@
             .book
             .borrow_mut()
             .note_start(&key, self.job.order.prompt);
+        if let Some(backup) = &choice.backup {
+            self.traffic.book.borrow_mut().note_copy(&backup.key);
+        }
         self.pending.clear();
         self.attempt = Some(Attempt::start(
             &self.traffic,
@@ -590,6 +601,9 @@
                 book.note_outcome(self.traffic.now(), &sent.key, outcome);
             }
             book.note_end(&sent.key);
+            if let Some(backup) = &sent.choice.backup {
+                book.note_copy_end(&backup.key);
+            }
         }
     }
 
