--- /dev/null
+++ b/crates/decide/tests/relay.rs
@@ -0,0 +1,425 @@
+//! Parts of the relay's decisions: routes, endpoints, choice, probes, budgets, life.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use parsleylatch_decide::relay::{
+    Backend, ConfigurationError, EndpointBook, EndpointEntry, EndpointKey, EngineReport,
+    LoadSample, Outcome, ProbeFinding, Registry, RelayConfiguration, RelayConfigurationParts,
+    RelayEffect, RelayEvent, RelayLife, RelayRoute, RelayState, RelayWorkspace, Repeat,
+    RetryWindow, RunProgress, SelectionQuestion, Selector, StreamPace,
+};
+use parsleylatch_settings::KeyDigest;
+use parsleylatch_types::{
+    Incarnation, Micros, Millis, MonoTime, NodeId, Rank, Revision, ServiceName, SlotCount,
+    StreamEventId, TokenCount, Weight,
+};
+use test_case::test_case;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::ZERO + Millis::new(millis)
+}
+
+fn service() -> ServiceName {
+    "engines".parse().unwrap()
+}
+
+/// Entry `number` in a failure domain; the port is 1,000 above the number.
+fn entry(number: u16, domain: &str) -> EndpointEntry {
+    EndpointEntry {
+        key: EndpointKey {
+            id: format!("i-{number}").parse().unwrap(),
+            incarnation: Incarnation::new(1),
+        },
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
+        failure_domain: domain.parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: SlotCount::new(4),
+        is_leaving: false,
+    }
+}
+
+fn book_of(entries: &[EndpointEntry], own: &str, nodes: &[&str]) -> EndpointBook {
+    let entries: Vec<Arc<EndpointEntry>> = entries.iter().cloned().map(Arc::new).collect();
+    let nodes: Vec<NodeId> = nodes.iter().map(|it| it.parse().unwrap()).collect();
+    let mut book = EndpointBook::new();
+    book.update(entries.iter(), &own.parse().unwrap(), &nodes);
+    book
+}
+
+fn selector() -> Selector {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    let regions: HashMap<_, _> = regions
+        .iter()
+        .map(|(domain, region)| (domain.parse().unwrap(), region.parse().unwrap()))
+        .collect();
+    Selector::new("a".parse().unwrap(), "north".parse().unwrap(), regions, 7)
+}
+
+fn question<'a>(
+    service: &'a ServiceName,
+    excluded: &'a [EndpointKey],
+    prompt: u32,
+) -> SelectionQuestion<'a> {
+    SelectionQuestion {
+        service,
+        excluded,
+        copy: None,
+        prompt: TokenCount::new(prompt),
+        with_backup: prompt > 0,
+    }
+}
+
+fn route(name: &str, prefix: &str) -> RelayRoute {
+    RelayRoute {
+        name: name.parse().unwrap(),
+        host: "A.example".into(),
+        path_prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout_ms: Millis::new(800),
+        goal_ms: Millis::new(150),
+        gap_goal_ms: None,
+        rank: Rank::new(1),
+        attempts: 2,
+        is_public: false,
+        backends: vec![Backend {
+            service: service(),
+            weight: Weight::new(1),
+        }],
+    }
+}
+
+fn configuration(routes: Vec<RelayRoute>) -> Result<RelayConfiguration, ConfigurationError> {
+    let workspace = RelayWorkspace {
+        id: "union-1".parse().unwrap(),
+        rank: None,
+    };
+    let parts = RelayConfigurationParts {
+        version: 3,
+        routes,
+        workspaces: Some(vec![(workspace, vec![KeyDigest::of_key("key-1")])]),
+        ..RelayConfigurationParts::default()
+    };
+    RelayConfiguration::build(Revision::new(9), parts)
+}
+
+#[test_case("a.example", "/x/1", Some("outer") ; "shorter prefix")]
+#[test_case("a.example", "/x/y/1", Some("inner") ; "longest prefix")]
+#[test_case("a.example", "/x/y", Some("outer") ; "prefix without its last slash")]
+#[test_case("a.example", "/xy/1", None ; "no prefix")]
+#[test_case("b.example", "/x/1", None ; "another host")]
+fn find_route(host: &str, path: &str, name: Option<&str>) {
+    let built = configuration(vec![route("outer", "/x/"), route("inner", "/x/y/")]).unwrap();
+    let found = built.route(host, path);
+    assert_eq!(found.map(|it| it.name.as_str()), name);
+}
+
+#[test]
+fn find_workspace_by_key() {
+    let built = configuration(Vec::new()).unwrap();
+    assert_eq!(built.workspace("key-1").unwrap().id.as_str(), "union-1");
+    assert!(built.workspace("key-2").is_none());
+}
+
+#[test_case("x/" ; "no first slash")]
+#[test_case("/x" ; "no last slash")]
+fn build_bad_prefix(prefix: &str) {
+    let error = configuration(vec![route("r", prefix)]).unwrap_err();
+    assert!(matches!(error, ConfigurationError::PathPrefix { .. }));
+}
+
+#[test]
+fn build_without_backend() {
+    let mut lonely = route("r", "/x/");
+    lonely.backends.clear();
+    assert!(matches!(
+        configuration(vec![lonely]),
+        Err(ConfigurationError::NoBackend(_))
+    ));
+}
+
+/// Each engine belongs to exactly one node, and every node has some.
+#[test]
+fn select_own_engines() {
+    let entries: Vec<EndpointEntry> = (0..36).map(|number| entry(number, "a")).collect();
+    let nodes = ["n1", "n2", "n3"];
+    let service = service();
+    let mut taken = Vec::new();
+    for own in nodes {
+        let mut book = book_of(&entries, own, &nodes);
+        let mut selector = selector();
+        let mut chosen = Vec::new();
+        for _ in 0..4 {
+            let choice = selector.select(at(0), &book, &question(&service, &[], 5_000));
+            let key = choice.unwrap().endpoint.key.clone();
+            book.note_start(&key, TokenCount::new(5_000));
+            chosen.push(key);
+        }
+        taken.extend(chosen);
+    }
+    let count = taken.len();
+    taken.sort();
+    taken.dedup();
+    assert_eq!(taken.len(), count, "two nodes chose the same engine");
+}
+
+#[test]
+fn select_backup_elsewhere() {
+    let entries = [entry(1, "a"), entry(2, "a"), entry(3, "b")];
+    let book = book_of(&entries, "n1", &["n1"]);
+    let service = service();
+    for _ in 0..20 {
+        let choice = selector()
+            .select(at(0), &book, &question(&service, &[], 5_000))
+            .unwrap();
+        let backup = choice.backup.unwrap();
+        assert_ne!(backup.failure_domain, choice.endpoint.failure_domain);
+    }
+}
+
+/// Copies of one node don't gather at one engine.
+#[test]
+fn select_backup_spread() {
+    let mut entries = vec![entry(0, "a")];
+    entries.extend((1..=10).map(|number| entry(number, "b")));
+    let mut book = book_of(&entries, "n1", &["n1"]);
+    let mut selector = selector();
+    let mut counts: HashMap<EndpointKey, u32> = HashMap::new();
+    for _ in 0..20 {
+        let excluded = [entries[0].key.clone()];
+        let backup = selector
+            .select_backup(at(0), &book, &entries[0], &excluded)
+            .unwrap();
+        book.note_copy(&backup.key);
+        *counts.entry(backup.key.clone()).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count <= 4), "{counts:?}");
+}
+
+#[test_case(Outcome::Broken ; "broken")]
+#[test_case(Outcome::Unreachable ; "unreachable")]
+fn select_after_failure(outcome: Outcome) {
+    let entries = [entry(1, "a"), entry(2, "b")];
+    let mut book = book_of(&entries, "n1", &["n1"]);
+    let service = service();
+    book.note_outcome(at(0), &entries[0].key, outcome);
+    let near = selector()
+        .select(at(100), &book, &question(&service, &[], 0))
+        .unwrap();
+    assert_eq!(near.endpoint.key, entries[1].key);
+    let later = selector()
+        .select(at(20_000), &book, &question(&service, &[], 0))
+        .unwrap();
+    assert_eq!(later.endpoint.key, entries[0].key);
+}
+
+/// Two endpoints that break together cast doubt on their whole failure domain.
+#[test]
+fn select_after_domain_broke() {
+    let entries = [entry(1, "a"), entry(2, "a"), entry(3, "a"), entry(4, "c")];
+    let mut book = book_of(&entries, "n1", &["n1"]);
+    let service = service();
+    book.note_outcome(at(0), &entries[0].key, Outcome::Broken);
+    assert!(!book.is_suspended(at(50), &entries[2].key));
+    book.note_outcome(at(100), &entries[1].key, Outcome::Broken);
+    assert!(book.is_suspended(at(150), &entries[2].key));
+    let choice = selector()
+        .select(at(150), &book, &question(&service, &[], 0))
+        .unwrap();
+    assert_eq!(choice.endpoint.key, entries[3].key);
+}
+
+#[test]
+fn select_nobody_left() {
+    let entries = [entry(1, "a")];
+    let book = book_of(&entries, "n1", &["n1"]);
+    let excluded = [entries[0].key.clone()];
+    let choice = selector().select(at(0), &book, &question(&service(), &excluded, 0));
+    assert!(choice.is_none());
+}
+
+/// An entry whose address belongs to a younger process names nobody.
+#[test]
+fn superseded_entry_unusable() {
+    let old = entry(1, "a");
+    let mut young = entry(2, "a");
+    young.address = old.address;
+    young.key.incarnation = Incarnation::new(2);
+    let book = book_of(&[old.clone(), young.clone()], "n1", &["n1"]);
+    assert!(!book.is_usable(&old.key));
+    assert!(book.is_usable(&young.key));
+}
+
+#[test]
+fn replaced_endpoint_unusable() {
+    let one = entry(1, "a");
+    let mut book = book_of(std::slice::from_ref(&one), "n1", &["n1"]);
+    book.note_outcome(at(0), &one.key, Outcome::Replaced);
+    assert!(!book.is_usable(&one.key));
+}
+
+/// What is known of an incarnation ends with it.
+#[test]
+fn restarted_endpoint_unsuspected() {
+    let old = entry(1, "a");
+    let mut book = book_of(std::slice::from_ref(&old), "n1", &["n1"]);
+    book.note_outcome(at(0), &old.key, Outcome::Broken);
+    let mut young = old.clone();
+    young.key.incarnation = Incarnation::new(2);
+    let entries = [Arc::new(young.clone())];
+    book.update(entries.iter(), &"n1".parse().unwrap(), &[]);
+    assert!(!book.is_suspended(at(1), &young.key));
+    assert!(!book.is_usable(&old.key));
+}
+
+#[test]
+fn occupancy_own_and_told() {
+    let one = entry(1, "a");
+    let mut book = book_of(std::slice::from_ref(&one), "n1", &["n1"]);
+    book.note_start(&one.key, TokenCount::ZERO);
+    assert_eq!(book.occupancy(at(0), &service()), (1, 4));
+    let load = LoadSample {
+        running: 3,
+        waiting: 2,
+    };
+    book.note_load(at(0), &one.key, load);
+    assert_eq!(book.occupancy(at(100), &service()), (5, 4));
+    assert_eq!(book.occupancy(at(5_000), &service()), (1, 4));
+    book.note_end(&one.key);
+    assert_eq!(book.occupancy(at(5_000), &service()), (0, 4));
+}
+
+fn report(running: u32, waiting: u32, events: Option<u64>) -> EngineReport {
+    let runs = events.map(|events| RunProgress {
+        id: "s1".into(),
+        events,
+    });
+    EngineReport {
+        running,
+        waiting,
+        runs: runs.into_iter().collect(),
+    }
+}
+
+#[test_case(&report(1, 0, Some(5)), 2_000, ProbeFinding::Present ; "as far as received")]
+#[test_case(&report(1, 0, Some(7)), 2_000, ProbeFinding::Present ; "events underway")]
+#[test_case(&report(1, 0, Some(8)), 2_000, ProbeFinding::Withheld ; "events that never came")]
+#[test_case(&report(1, 0, None), 2_000, ProbeFinding::Present ; "a prompt is read")]
+#[test_case(&report(0, 1, None), 2_000, ProbeFinding::Present ; "a request waits")]
+#[test_case(&report(0, 0, None), 2_000, ProbeFinding::Missing ; "nothing there")]
+#[test_case(&report(0, 0, None), 500, ProbeFinding::Present ; "report may be older than the request")]
+fn find_request(report: &EngineReport, sent_for_ms: u64, finding: ProbeFinding) {
+    let found = report.find("s1", Some(StreamEventId::new(5)), Millis::new(sent_for_ms));
+    assert_eq!(found, finding);
+}
+
+#[test]
+fn retry_window_bounded() {
+    let mut window = RetryWindow::new(Millis::new(10_000), 80, 90);
+    for request in 0..100 {
+        window.note_request(at(request));
+    }
+    // 100 requests x 0.8 x 0.85, and a ninth of 90 x 0.8.
+    let taken = (0..200).filter(|_| window.take_repeat(at(100), 9)).count();
+    assert_eq!(taken, 68 + 8);
+    assert!(!window.take_repeat(at(9_000), 9));
+    assert!(window.take_repeat(at(20_000), 9));
+}
+
+#[test]
+fn pace_suspicion_bounded() {
+    let goal = Some(Millis::new(700));
+    let mut pace = StreamPace::default();
+    assert_eq!(pace.suspicious_after(goal), Millis::new(350));
+    for event in 0..20 {
+        pace.note_event(at(event * 30));
+    }
+    assert_eq!(pace.suspicious_after(goal), Millis::new(280));
+    for event in 0..40 {
+        pace.note_event(at(1_000 + event * 230));
+    }
+    assert_eq!(pace.suspicious_after(goal), Millis::new(350));
+}
+
+fn registry_of(numbers: &[u16]) -> Vec<EndpointEntry> {
+    numbers.iter().map(|number| entry(*number, "a")).collect()
+}
+
+#[test]
+fn registry_missing_removed() {
+    let mut registry = Registry::new();
+    registry.apply(at(0), Revision::new(1), registry_of(&[1, 2]));
+    let change = registry
+        .apply(at(1_000), Revision::new(2), registry_of(&[2]))
+        .unwrap();
+    assert_eq!(change.removed, [entry(1, "a").key.id]);
+    assert_eq!(registry.entries().count(), 1);
+}
+
+/// What is missing right after an outage may come back; later it is gone.
+#[test]
+fn registry_missing_after_outage() {
+    let mut registry = Registry::new();
+    registry.apply(at(0), Revision::new(1), registry_of(&[1, 2]));
+    registry.note_failure(at(1_000));
+    let change = registry
+        .apply(at(5_000), Revision::new(2), registry_of(&[2]))
+        .unwrap();
+    assert_eq!((change.held.len(), change.removed.len()), (1, 0));
+    let change = registry
+        .apply(at(7_100), Revision::new(2), registry_of(&[2]))
+        .unwrap();
+    assert_eq!((change.held.len(), change.removed.len()), (0, 1));
+}
+
+/// Its last word was that it leaves: nothing is held.
+#[test]
+fn registry_leaving_after_outage() {
+    let mut registry = Registry::new();
+    let mut leaving = entry(1, "a");
+    leaving.is_leaving = true;
+    registry.apply(at(0), Revision::new(1), vec![leaving]);
+    registry.note_failure(at(1_000));
+    let change = registry
+        .apply(at(5_000), Revision::new(2), Vec::new())
+        .unwrap();
+    assert_eq!((change.held.len(), change.removed.len()), (0, 1));
+}
+
+#[test]
+fn registry_older_ignored() {
+    let mut registry = Registry::new();
+    registry.apply(at(0), Revision::new(5), registry_of(&[1]));
+    assert_eq!(registry.apply(at(10), Revision::new(4), Vec::new()), None);
+    assert_eq!(registry.entries().count(), 1);
+}
+
+#[test]
+fn life_planned_stop() {
+    let mut life = RelayLife::new(at(0), Millis::new(8_000));
+    assert_eq!(
+        life.handle(at(5), RelayEvent::Informed),
+        [RelayEffect::AnnounceReady]
+    );
+    let effects = life.handle(at(1_000), RelayEvent::StopRequested);
+    assert_eq!(effects, [RelayEffect::AnnounceNotReady]);
+    // Callers still come: nothing ends while the balancer may not know.
+    assert!(life.handle(at(1_100), RelayEvent::Idle).is_empty());
+    let notice_ends_at = life.next_deadline().unwrap();
+    assert_eq!(life.expire(notice_ends_at), [RelayEffect::CloseIdle]);
+    let end = life.next_deadline().unwrap();
+    assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    assert_eq!(life.expire(end), [RelayEffect::Stop]);
+    assert_eq!(life.state(), RelayState::Stopped);
+}
+
+#[test]
+fn life_stop_when_idle() {
+    let mut life = RelayLife::new(at(0), Millis::new(8_000));
+    life.handle(at(5), RelayEvent::Informed);
+    life.handle(at(1_000), RelayEvent::StopRequested);
+    let notice_ends_at = life.next_deadline().unwrap();
+    life.expire(notice_ends_at);
+    let effects = life.handle(notice_ends_at + Micros::new(1), RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::Stop]);
+}
