--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -113,6 +113,11 @@
         self.context.stop_ms = stop_ms;
     }
 
+    /// Time at which a planned stop that starts at `now` ends at the latest.
+    pub fn end_of_stop(&self, now: MonoTime) -> MonoTime {
+        now + self.context.stop_ms.saturating_sub(END_MARGIN_MS)
+    }
+
     /// Time at which [`RelayLife::expire`] has to be called.
     pub fn next_deadline(&self) -> Option<MonoTime> {
         self.life.next_deadline()
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -285,6 +285,8 @@
                     );
                 }
                 RelayEffect::AnnounceNotReady => {
+                    let now = self.shared.now();
+                    self.shared.set_end(self.life.end_of_stop(now));
                     self.shared.phase.send_replace(StopPhase::Noticing);
                 }
                 RelayEffect::CloseIdle => {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -52,6 +52,8 @@
     pub(crate) metrics: RelayMetrics,
     pub(crate) control: mpsc::Sender<ControlInput>,
     in_flight: AtomicUsize,
+    /// When a planned stop ends at the latest.
+    ends_at: AtomicU64,
     /// When the store, or a node that it serves, confirmed what is known.
     confirmed_at: AtomicU64,
 }
@@ -71,6 +73,7 @@
             metrics: RelayMetrics::new(),
             control,
             in_flight: AtomicUsize::new(0),
+            ends_at: AtomicU64::new(u64::MAX),
             confirmed_at: AtomicU64::new(0),
         }
     }
@@ -94,6 +97,15 @@
         drop(reached);
     }
 
+    /// When this process ends at the latest.
+    pub(crate) fn ends_at(&self) -> MonoTime {
+        MonoTime::new(self.ends_at.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_end(&self, at: MonoTime) {
+        self.ends_at.store(at.get(), Ordering::Relaxed);
+    }
+
     /// Requests that are being answered.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/relay/src/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, ExchangeOrder, RelayConfiguration, RelayRoute, RelayWorkspace,
+    Backend, CallerLimits, ExchangeOrder, RelayConfiguration, RelayRoute, RelayWorkspace, Repeat,
 };
 use parsleylatch_http::HeadWatch;
 use parsleylatch_types::{ExchangeId, MonoTime, Revision, ServiceName};
@@ -131,9 +131,6 @@
     let route = configuration
         .route(&host, path.path())
         .ok_or_else(|| denied(id, doubtful(shared, Denial::NoRoute), "no route"))?;
-    if route.repeat.is_stream() && shared.phase() >= StopPhase::Finishing {
-        return Err(denied(id, Denial::Stopping, "stream"));
-    }
     let workspace = find_workspace(shared, configuration, route, &head)?;
     let service = choose_service(route);
     traffic.note_request(&service);
@@ -143,6 +140,9 @@
     let timeout_ms = head
         .patience_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
+    if outlasts_process(shared, route.repeat, arrived_at + timeout_ms) {
+        return Err(denied(id, Denial::Stopping, "the answer may come too late"));
+    }
     let order = ExchangeOrder {
         repeat: route.repeat,
         service,
@@ -166,6 +166,16 @@
     })
 }
 
+/// Whether an answer that is due at `deadline` may come after the end of a planned
+/// stop. Few streams last until their deadline: one that starts before the balancer
+/// has noticed the stop is served.
+fn outlasts_process(shared: &Shared, repeat: Repeat, deadline: MonoTime) -> bool {
+    match repeat {
+        Repeat::Stream { .. } => shared.phase() >= StopPhase::Finishing,
+        Repeat::Idempotent | Repeat::OnceOnly => deadline > shared.ends_at(),
+    }
+}
+
 /// Snapshot by which the request is handled: the newest one after the body was read.
 fn newest(traffic: &Traffic, earlier: Arc<Snapshot>) -> Arc<Snapshot> {
     drop(earlier);
