--- a/crates/decide/src/journal/owner.rs
+++ b/crates/decide/src/journal/owner.rs
@@ -28,6 +28,8 @@
         Held,
         /// The peer has not confirmed every token.
         Pending,
+        /// The process was frozen; the peer is to be asked again.
+        Roused,
         /// Nobody holds it.
         Unheld,
         /// Another node owns the generation.
@@ -165,6 +167,10 @@
         .action("request_peer", JournalContext::request_peer)
         .action("open", JournalContext::open)
         .action("append", JournalContext::append)
+        .action("append_again", |it| {
+            it.sent = it.acked;
+            it.append();
+        })
         .action("note_ack", JournalContext::note_ack)
         .action("leave_peer", JournalContext::leave_peer)
         .action("release_unheld", JournalContext::release_unheld)
@@ -300,7 +306,9 @@
     /// Peer that has confirmed the journal; named in the ids of events.
     pub fn holding_peer(&self) -> Option<&NodeId> {
         match self.life.state() {
-            JournalState::Held | JournalState::Pending => self.context.peer.as_ref(),
+            JournalState::Held | JournalState::Pending | JournalState::Roused => {
+                self.context.peer.as_ref()
+            }
             JournalState::Closed => self.context.peer.as_ref(),
             _ => self.earlier_holder.as_ref(),
         }
@@ -315,6 +323,7 @@
     pub fn handle(&mut self, now: MonoTime, input: JournalInput) -> Vec<JournalEffect> {
         if let Some(event) = self.take_input(input) {
             self.context.now = now;
+            self.context.deadline = self.life.next_deadline();
             machine().step(&mut self.life, now, event, &mut self.context);
         }
         self.take_effects()
--- /dev/null
+++ b/crates/decide/tests/journal_owner.rs
@@ -0,0 +1,72 @@
+//! The owner's side of a journal, around a freeze of its process.
+
+use parsleylatch_decide::journal::{
+    JournalEffect, JournalInput, JournalOwner, JournalState, JournalStatus,
+};
+use parsleylatch_types::{Millis, MonoTime, NodeId, OwnerEpoch, TokenIndex};
+use test_case::test_case;
+
+const EPOCH: OwnerEpoch = OwnerEpoch::new(1);
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::ZERO + Millis::new(millis)
+}
+
+fn peer() -> NodeId {
+    "peer-1".parse().unwrap()
+}
+
+fn acked(end: u32, status: JournalStatus) -> JournalInput {
+    JournalInput::Acked {
+        peer: peer(),
+        epoch: EPOCH,
+        end: TokenIndex::new(end),
+        status,
+    }
+}
+
+/// An owner whose peer has 5 of 8 tokens, at 10 ms.
+fn pending() -> JournalOwner {
+    let (mut owner, _) = JournalOwner::start(at(0), EPOCH, TokenIndex::new(5), None);
+    owner.handle(at(1), JournalInput::Chosen(peer()));
+    owner.handle(at(2), acked(5, JournalStatus::Held));
+    let end = TokenIndex::new(8);
+    owner.handle(at(10), JournalInput::Kept { end });
+    assert_eq!(owner.state(), JournalState::Pending);
+    owner
+}
+
+#[test]
+fn ack_in_time_counted() {
+    let mut owner = pending();
+    let effects = owner.handle(at(20), acked(8, JournalStatus::Held));
+    let end = TokenIndex::new(8);
+    assert_eq!(effects, [JournalEffect::Held { end }]);
+}
+
+/// The word of the peer may be older than another owner's take-over.
+#[test]
+fn ack_after_freeze_not_counted() {
+    let mut owner = pending();
+    assert_eq!(owner.handle(at(1_000), acked(8, JournalStatus::Held)), []);
+    assert_eq!(owner.handle(at(1_010), acked(8, JournalStatus::Held)), []);
+    let asked_at = owner.next_deadline().unwrap();
+    let (start, end) = (TokenIndex::new(5), TokenIndex::new(8));
+    let peer = peer();
+    let append = JournalEffect::Append { peer, start, end };
+    assert_eq!(owner.expire(asked_at), [append]);
+    let effects = owner.handle(asked_at, acked(8, JournalStatus::Held));
+    assert_eq!(effects, [JournalEffect::Held { end }]);
+}
+
+#[test_case(1_000 ; "at once")]
+#[test_case(1_120 ; "after the question")]
+fn stale_after_freeze_superseded(told_at: u64) {
+    let mut owner = pending();
+    owner.handle(at(1_000), acked(8, JournalStatus::Held));
+    if told_at > 1_100 {
+        owner.expire(at(1_100));
+    }
+    let effects = owner.handle(at(told_at), acked(0, JournalStatus::StaleEpoch));
+    assert_eq!(effects, [JournalEffect::Superseded]);
+}
