One watch over the whole store

Cause: 56% to 90% of a node's store calls read the registry each second. Entries that are renewed do not change their revision (the registry stayed at revision 43 through 10 s of renewals), so a watch is quiet.

--- a/crates/decide/src/relay/registry.rs
+++ b/crates/decide/src/relay/registry.rs
@@ -33,6 +33,8 @@
     /// Since when the store has not answered; `None` while it does.
     away_since: Option<MonoTime>,
     returned_at: Option<MonoTime>,
+    /// Whether entries that lapsed are held.
+    holds: bool,
 }
 
 impl Registry {
@@ -76,6 +78,7 @@
                 change.removed.push(id);
             }
         }
+        self.holds = !change.held.is_empty();
         self.revision = revision;
         self.read_at = Some(now);
         Some(change)
@@ -86,6 +89,13 @@
         self.away_since.get_or_insert(now);
     }
 
+    /// Whether entries are held that did not come back in time; the last reading has
+    /// to be applied again.
+    pub fn is_hold_over(&self, now: MonoTime) -> bool {
+        let grace = RETURN_GRACE_MS.micros();
+        self.holds && self.returned_at.is_none_or(|at| now.since(at) >= grace)
+    }
+
     /// Whether it was read at least once.
     pub fn is_known(&self) -> bool {
         self.read_at.is_some()
--- a/crates/relay/src/control/knowledge.rs
+++ b/crates/relay/src/control/knowledge.rs
@@ -1,7 +1,7 @@
 //! What the node knows of configuration and endpoints, and since when.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
 };
 
@@ -17,8 +17,7 @@
     telemetry::RelayCounter,
 };
 
-/// Age of what is known from which other nodes are asked: a reading of the
-/// registry each second, and a slow answer.
+/// Age of what is known from which other nodes are asked: a slow answer.
 const CUT_OFF_AGE_MS: Millis = Millis::new(1_400);
 /// Age that a node without any knowledge tells.
 const UNKNOWN_AGE_MS: u64 = u64::MAX;
@@ -29,11 +28,9 @@
     configuration: Option<Arc<RelayConfiguration>>,
     configuration_document: Option<KeyValue>,
     registry: Registry,
-    registry_documents: Vec<KeyValue>,
+    registry_documents: BTreeMap<String, KeyValue>,
     /// Entries that can't be read and were told, by key.
     unreadable: HashMap<String, Revision>,
-    watch_fails: bool,
-    store_fails: bool,
     changed: bool,
     nodes: Arc<[NodeId]>,
 }
@@ -45,10 +42,8 @@
             configuration: None,
             configuration_document: None,
             registry: Registry::new(),
-            registry_documents: Vec::new(),
+            registry_documents: BTreeMap::new(),
             unreadable: HashMap::new(),
-            watch_fails: true,
-            store_fails: false,
             changed: false,
             nodes: Arc::default(),
         }
@@ -61,16 +56,49 @@
 
     /// Whether other nodes have to be asked.
     pub(crate) fn is_cut_off(&self, now: MonoTime) -> bool {
-        let is_old = self.shared.confirmed_age() > CUT_OFF_AGE_MS.micros();
-        let has_started = now.since(MonoTime::ZERO) > CUT_OFF_AGE_MS.micros();
-        is_old && (has_started || self.store_fails)
+        let limit = self.shared.fresh_limit(CUT_OFF_AGE_MS);
+        let is_old = self.shared.confirmed_age() > limit.micros();
+        is_old || !self.is_informed() && now.since(MonoTime::ZERO) > CUT_OFF_AGE_MS.micros()
     }
 
-    /// Takes documents of the operator; the configuration may be among them.
-    pub(crate) fn take_operator(&mut self, documents: Vec<KeyValue>) {
-        let key = self.shared.codec.documents.configuration_key;
-        for document in documents.into_iter().filter(|it| it.key == key) {
-            self.take_configuration(document, "store");
+    /// Takes a reading of every document, by a call that started at the time.
+    pub(crate) fn take_listing(&mut self, listing: ListReply, started_at: MonoTime) {
+        self.note_answer();
+        self.registry_documents.clear();
+        self.take_documents(listing.entries);
+        self.apply_registry(listing.revision, "store");
+        self.shared.confirm(started_at);
+    }
+
+    /// Takes what has changed, as it was known at the time.
+    pub(crate) fn take_changes(&mut self, changes: ListReply, known_at: MonoTime) {
+        self.note_answer();
+        for key in &changes.deleted {
+            self.registry_documents.remove(key);
+        }
+        self.take_documents(changes.entries);
+        self.apply_registry(changes.revision, "store");
+        self.shared.confirm(known_at);
+    }
+
+    fn take_documents(&mut self, documents: Vec<KeyValue>) {
+        let codec = self.shared.codec.documents;
+        for document in documents {
+            if document.key == codec.configuration_key {
+                self.take_configuration(document, "store");
+            } else if document.key.starts_with(codec.registry_prefix) {
+                self.registry_documents
+                    .insert(document.key.clone(), document);
+            }
+        }
+    }
+
+    fn note_answer(&mut self) {
+        if self.shared.set_store_fails(false) {
+            log::info!(
+                away_ms = self.shared.confirmed_age().millis().get();
+                "store regained"
+            );
         }
     }
 
@@ -103,29 +131,15 @@
         }
     }
 
-    /// Takes a reading of the registry.
-    pub(crate) fn take_registry(&mut self, listing: ListReply, started_at: MonoTime) {
-        if std::mem::take(&mut self.store_fails) {
-            log::info!(
-                away_ms = self.shared.confirmed_age().millis().get();
-                "store regained"
-            );
-        }
-        self.apply_registry(listing, "store");
-        if !self.watch_fails {
-            self.shared.confirm(started_at);
-        }
-    }
-
-    fn apply_registry(&mut self, listing: ListReply, source: &str) {
+    fn apply_registry(&mut self, revision: Revision, source: &str) {
         let now = self.shared.now();
-        let entries = self.read_entries(&listing.entries);
-        let Some(change) = self.registry.apply(now, listing.revision, entries) else {
+        let entries = self.read_entries();
+        let Some(change) = self.registry.apply(now, revision, entries) else {
             return;
         };
         if !change.updated.is_empty() || !change.removed.is_empty() {
             log::info!(
-                revision = listing.revision.get(),
+                revision = revision.get(),
                 source = source,
                 updated = change.updated.len(),
                 removed = change.removed.len(),
@@ -135,22 +149,22 @@
             );
             self.changed = true;
         }
-        self.registry_documents = listing.entries;
     }
 
-    fn read_entries(&mut self, documents: &[KeyValue]) -> Vec<EndpointEntry> {
+    fn read_entries(&mut self) -> Vec<EndpointEntry> {
         let read = self.shared.codec.documents.entry;
+        let documents = std::mem::take(&mut self.registry_documents);
         let mut entries = Vec::with_capacity(documents.len());
-        for document in documents {
+        for document in documents.values() {
             match read(&document.key, &document.value) {
                 Ok(entry) => entries.push(entry),
                 Err(reason) => self.tell_unreadable(document, &reason),
             }
         }
-        let listed: HashSet<&str> = documents.iter().map(|it| it.key.as_str()).collect();
         let configuration_key = self.shared.codec.documents.configuration_key;
         self.unreadable
-            .retain(|key, _| listed.contains(key.as_str()) || key == configuration_key);
+            .retain(|key, _| documents.contains_key(key) || key == configuration_key);
+        self.registry_documents = documents;
         entries
     }
 
@@ -172,16 +186,10 @@
         }
     }
 
-    /// Notes that the wait for changes works.
-    pub(crate) fn note_watch(&mut self) {
-        self.watch_fails = false;
-    }
-
     /// Notes that the store did not answer a call.
-    pub(crate) fn note_failure(&mut self, now: MonoTime, is_watch: bool) {
-        self.watch_fails |= is_watch;
+    pub(crate) fn note_failure(&mut self, now: MonoTime) {
         self.registry.note_failure(now);
-        if !std::mem::replace(&mut self.store_fails, true) {
+        if !self.shared.set_store_fails(true) {
             log::warn!(
                 knowledge_age_ms = self.shared.confirmed_age().millis().get();
                 "store lost"
@@ -189,6 +197,13 @@
         }
     }
 
+    /// Ends the time in which entries that lapsed in an outage are held.
+    pub(crate) fn expire(&mut self, now: MonoTime) {
+        if self.registry.is_hold_over(now) {
+            self.apply_registry(self.registry.revision(), "store");
+        }
+    }
+
     /// What to ask another node.
     pub(crate) fn question(&self) -> RelayAsk {
         RelayAsk {
@@ -203,13 +218,9 @@
             self.take_configuration(key_value(document), "peer");
         }
         if state.registry_revision > self.registry.revision().get() {
-            let entries = state.registry.iter().map(key_value).collect();
-            let listing = ListReply {
-                entries,
-                deleted: Vec::new(),
-                revision: Revision::new(state.registry_revision),
-            };
-            self.apply_registry(listing, "peer");
+            let entries = state.registry.iter().map(key_value);
+            self.registry_documents = entries.map(|it| (it.key.clone(), it)).collect();
+            self.apply_registry(Revision::new(state.registry_revision), "peer");
         }
         let is_newest = self.configuration_revision() >= state.configuration_revision;
         if is_newest && state.age_ms != UNKNOWN_AGE_MS {
@@ -226,7 +237,7 @@
         let registry_revision = self.registry.revision().get();
         let has_newer_registry = registry_revision > ask.registry_revision;
         let registry = match has_newer_registry {
-            true => self.registry_documents.iter().map(document).collect(),
+            true => self.registry_documents.values().map(document).collect(),
             false => Vec::new(),
         };
         let age: Micros = self.shared.confirmed_age();
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -46,19 +46,12 @@
 /// What the control thread learns.
 #[derive(Debug)]
 pub(crate) enum ControlInput {
-    /// The operator's documents were read, or those that changed.
-    Operator(Vec<KeyValue>),
-    /// The registry was read by a call that started at the time.
-    Registry(ListReply, MonoTime),
-    /// The entries of the nodes were read.
-    Nodes(Vec<KeyValue>),
+    /// Every document was read by a call that started at the time.
+    Listing(ListReply, MonoTime),
+    /// What has changed, as it was known at the time.
+    Changes(ListReply, MonoTime),
     /// A call of the store failed.
-    StoreFailed {
-        /// Whether it was the wait for changes.
-        is_watch: bool,
-    },
-    /// The store answered the wait for changes.
-    WatchAnswered,
+    StoreFailed,
     /// What another node knows, asked at the time.
     PeerState(Box<RelayState>, MonoTime),
     /// The settings file has changed.
@@ -202,15 +195,17 @@
     fn handle(&mut self, input: ControlInput) {
         let now = self.shared.now();
         match input {
-            ControlInput::Operator(documents) => self.knowledge.take_operator(documents),
-            ControlInput::Registry(listing, started_at) => {
-                self.knowledge.take_registry(listing, started_at);
+            ControlInput::Listing(listing, started_at) => {
+                self.peers.take_listing(&listing.entries);
+                self.knowledge.take_listing(listing, started_at);
             }
-            ControlInput::Nodes(entries) => self.peers.take_nodes(&entries),
-            ControlInput::StoreFailed { is_watch } => self.knowledge.note_failure(now, is_watch),
-            ControlInput::WatchAnswered => self.knowledge.note_watch(),
+            ControlInput::Changes(changes, known_at) => {
+                self.peers.take_changes(&changes);
+                self.knowledge.take_changes(changes, known_at);
+            }
+            ControlInput::StoreFailed => self.knowledge.note_failure(now),
             ControlInput::PeerState(state, asked_at) => {
-                self.peers.take_nodes(&from_documents(&state.nodes));
+                self.peers.take_told(&from_documents(&state.nodes));
                 self.knowledge.take_peer_state(*state, asked_at);
             }
             ControlInput::Settings(settings) => self.take_settings(*settings),
@@ -262,6 +257,7 @@
         let now = self.shared.now();
         let effects = self.life.expire(now);
         self.carry_out(effects);
+        self.knowledge.expire(now);
         let is_cut_off = self.knowledge.is_cut_off(now);
         self.peers
             .expire(now, is_cut_off, || self.knowledge.question());
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -6,7 +6,7 @@
 use parsleylatch_types::{Millis, MonoTime, NodeId};
 use parsleylatch_wire::{
     peer::peer_message::Body,
-    platform::KeyValue,
+    platform::{KeyValue, ListReply},
     relay::{RelayAsk, StoreDocument},
 };
 use rand::seq::IteratorRandom;
@@ -49,13 +49,37 @@
         &self.nodes
     }
 
-    /// Takes the entries of the nodes; a reading replaces what was known.
-    pub(crate) fn take_nodes(&mut self, entries: &[KeyValue]) {
-        if entries.is_empty() {
-            return;
+    /// Takes the entries of the nodes from a reading of every document.
+    pub(crate) fn take_listing(&mut self, documents: &[KeyValue]) {
+        self.entries.clear();
+        self.add(documents);
+        self.refresh();
+    }
+
+    /// Takes what has changed.
+    pub(crate) fn take_changes(&mut self, changes: &ListReply) {
+        self.add(&changes.entries);
+        for key in &changes.deleted {
+            self.entries.remove(key);
         }
-        let keyed = entries.iter().map(|it| (it.key.clone(), it.clone()));
-        self.entries = keyed.collect();
+        self.refresh();
+    }
+
+    /// Takes entries that another node told.
+    pub(crate) fn take_told(&mut self, documents: &[KeyValue]) {
+        self.add(documents);
+        self.refresh();
+    }
+
+    fn add(&mut self, documents: &[KeyValue]) {
+        let entries = documents
+            .iter()
+            .filter(|it| it.key.starts_with(NODES_PREFIX));
+        let keyed = entries.map(|it| (it.key.clone(), it.clone()));
+        self.entries.extend(keyed);
+    }
+
+    fn refresh(&mut self) {
         let ids = self.entries.keys().filter_map(|key| {
             let id = key.strip_prefix(NODES_PREFIX)?;
             id.parse().ok()
--- a/crates/relay/src/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -1,32 +1,28 @@
-//! Tasks that call the store: the wait for the operator's changes, the reading
-//! of the registry, and this node's own entry.
+//! Tasks that call the store: the wait for changes, and this node's own entry.
 //!
-//! Every call is paid for and counted. A waiting watch is one call, so the
-//! operator's documents are watched; the endpoints' entries are read on a timer,
-//! because their writers touch them all the time.
+//! Every call is paid for and counted; a waiting watch is one call. Endpoints
+//! renew their entries without changing them, so one watch over the whole store
+//! answers when something happens, and otherwise when its wait is over.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use parsleylatch_store::{Condition, LeaseId, ReadMode, StoreClient, StoreError};
+use parsleylatch_store::{Condition, LeaseId, StoreClient, StoreError};
 use parsleylatch_types::{Millis, Revision};
 use tokio::time;
 
 use super::{ControlInput, peers::NODES_PREFIX};
 use crate::{
-    shared::Shared,
+    shared::{Shared, WATCH_WAIT_MS},
     telemetry::{RelayCounter, RelayLatency},
 };
 
 /// Longest wait for an answer; the store answers in milliseconds, and sixty times
 /// as slowly in trouble.
 const CALL_TIMEOUT_MS: Millis = Millis::new(1_000);
-/// Longest wait for a change; a connection that went silent is noticed after it.
-const WATCH_WAIT_MS: Millis = Millis::new(4_000);
-/// Time between two readings of the registry; a leaving endpoint has to be left
-/// within 2.5 s.
-const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time between two readings of the nodes' entries.
-const NODES_INTERVAL: Duration = Duration::from_secs(8);
+/// Part of the shorter bound on changes that passes between the answer to a watch
+/// and the next one, in percent; changes in between come together. The rest has to
+/// do for a store that tells its watches late.
+const WATCH_PAUSE_PERCENT: u64 = 30;
 /// Life of this node's entry without a renewal.
 const NODE_LEASE_MS: Millis = Millis::new(10_000);
 /// Time between two renewals.
@@ -36,12 +32,13 @@
 /// Longest delay after a failed call.
 const RETRY_DELAY_LIMIT: Duration = Duration::from_millis(800);
 
+/// Prefix of every key.
+const ALL: &str = "";
+
 /// Starts the tasks on the current thread.
 pub(crate) fn start(shared: &Arc<Shared>, peer_address: SocketAddr) {
-    tokio::task::spawn_local(watch_operator(Arc::clone(shared)));
-    tokio::task::spawn_local(read_registry(Arc::clone(shared)));
+    tokio::task::spawn_local(watch_documents(Arc::clone(shared)));
     tokio::task::spawn_local(keep_entry(Arc::clone(shared), peer_address));
-    tokio::task::spawn_local(read_nodes(Arc::clone(shared)));
 }
 
 /// Client of the store that the settings name now.
@@ -77,11 +74,7 @@
 
     /// Counts a call and tells the control thread of a failure; `None` after one,
     /// and after a delay.
-    async fn check<Answer>(
-        &mut self,
-        answer: Result<Answer, StoreError>,
-        is_watch: bool,
-    ) -> Option<Answer> {
+    async fn check<Answer>(&mut self, answer: Result<Answer, StoreError>) -> Option<Answer> {
         self.shared.metrics.increment(RelayCounter::StoreCalls);
         match answer {
             Ok(answer) => {
@@ -93,7 +86,7 @@
                 self.shared
                     .metrics
                     .increment(RelayCounter::StoreCallsFailed);
-                self.tell(ControlInput::StoreFailed { is_watch }).await;
+                self.tell(ControlInput::StoreFailed).await;
                 self.back_off().await;
                 None
             }
@@ -113,58 +106,41 @@
     }
 }
 
-async fn watch_operator(shared: Arc<Shared>) {
-    let prefix = shared.codec.documents.operator_prefix;
-    let mut store = Store::new(shared);
+async fn watch_documents(shared: Arc<Shared>) {
+    let mut store = Store::new(Arc::clone(&shared));
     let mut after: Option<Revision> = None;
     loop {
+        let started_at = shared.now();
         let answer = match after {
-            Some(revision) => store.client().watch(prefix, revision, WATCH_WAIT_MS).await,
-            None => store.client().list(prefix).await,
+            Some(revision) => store.client().watch(ALL, revision, WATCH_WAIT_MS).await,
+            None => store.client().list(ALL).await,
         };
         if answer.as_ref().is_err_and(StoreError::is_history_gone) {
             log::info!(after = after.unwrap_or_default().get(); "history of the store is gone");
             after = None;
             continue;
         }
-        let Some(reply) = store.check(answer, true).await else {
+        let Some(reply) = store.check(answer).await else {
             continue;
         };
+        let is_listing = after.is_none();
         after = after.max(Some(reply.revision));
-        store.tell(ControlInput::Operator(reply.entries)).await;
-        store.tell(ControlInput::WatchAnswered).await;
-    }
-}
-
-async fn read_registry(shared: Arc<Shared>) {
-    let prefix = shared.codec.documents.registry_prefix;
-    let mut store = Store::new(Arc::clone(&shared));
-    loop {
-        let started_at = shared.now();
-        let answer = store.client().list(prefix).await;
-        if let Some(listing) = store.check(answer, false).await {
+        if is_listing {
             let latency = shared.now().since(started_at);
             shared.metrics.observe(RelayLatency::StoreCall, latency);
-            store
-                .tell(ControlInput::Registry(listing, started_at))
-                .await;
-            time::sleep(REGISTRY_INTERVAL).await;
+            store.tell(ControlInput::Listing(reply, started_at)).await;
+        } else {
+            let input = ControlInput::Changes(reply, shared.now());
+            store.tell(input).await;
+            time::sleep(watch_pause(&shared)).await;
         }
     }
 }
 
-async fn read_nodes(shared: Arc<Shared>) {
-    let mut store = Store::new(shared);
-    loop {
-        let answer = store
-            .client()
-            .list_with(NODES_PREFIX, ReadMode::Cached)
-            .await;
-        if let Some(listing) = store.check(answer, false).await {
-            store.tell(ControlInput::Nodes(listing.entries)).await;
-            time::sleep(NODES_INTERVAL).await;
-        }
-    }
+fn watch_pause(shared: &Shared) -> Duration {
+    let bounds = shared.settings.load().bounds;
+    let bound_ms = bounds.configuration_ms.min(bounds.leaving_ms).get();
+    Duration::from_millis(bound_ms * WATCH_PAUSE_PERCENT / 100)
 }
 
 /// Keeps an entry from which other nodes learn this one's address.
@@ -178,7 +154,7 @@
         loop {
             time::sleep(RENEW_INTERVAL).await;
             let answer = store.client().renew(lease).await;
-            if store.check(answer, false).await == Some(false) {
+            if store.check(answer).await == Some(false) {
                 log::info!("lease of the node's entry has lapsed");
                 break;
             }
@@ -189,7 +165,7 @@
 /// Writes the entry under a new lease; over the entry of an earlier process as well.
 async fn enter(store: &mut Store, key: &str, peer_address: SocketAddr) -> Option<LeaseId> {
     let answer = store.client().grant(NODE_LEASE_MS).await;
-    let lease = store.check(answer, false).await?;
+    let lease = store.check(answer).await?;
     let mut condition = Condition::Absent;
     loop {
         let value = peer_address.to_string();
@@ -197,7 +173,7 @@
             .client()
             .write(key, value, condition, Some(lease))
             .await;
-        let reply = store.check(answer, false).await?;
+        let reply = store.check(answer).await?;
         match reply.entry {
             _ if reply.written => return Some(lease),
             Some(other) => condition = Condition::At(other.revision),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 use arc_swap::ArcSwap;
@@ -15,6 +15,10 @@
 use crate::telemetry::RelayMetrics;
 use crate::{codec::RelayCodec, control::ControlInput};
 
+/// Longest wait of a watch for a change; a connection that went silent is noticed
+/// after it.
+pub(crate) const WATCH_WAIT_MS: Millis = Millis::new(4_000);
+
 /// How far a planned stop has come, as callers' connections see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -56,6 +60,8 @@
     ends_at: AtomicU64,
     /// When the store, or a node that it serves, confirmed what is known.
     confirmed_at: AtomicU64,
+    /// Whether the last call of the store failed.
+    store_fails: AtomicBool,
 }
 
 impl Shared {
@@ -75,6 +81,7 @@
             in_flight: AtomicUsize::new(0),
             ends_at: AtomicU64::new(u64::MAX),
             confirmed_at: AtomicU64::new(0),
+            store_fails: AtomicBool::new(false),
         }
     }
 
@@ -127,11 +134,25 @@
             .since(MonoTime::new(self.confirmed_at.load(Ordering::Relaxed)))
     }
 
+    /// Notes whether the store answers; returns whether it failed before.
+    pub(crate) fn set_store_fails(&self, fails: bool) -> bool {
+        self.store_fails.swap(fails, Ordering::Relaxed)
+    }
+
+    /// Age up to which what is known counts as new: a waiting watch confirms it, as
+    /// long as no call fails.
+    pub(crate) fn fresh_limit(&self, limit: Millis) -> Millis {
+        match self.store_fails.load(Ordering::Relaxed) {
+            true => limit,
+            false => limit.saturating_add(WATCH_WAIT_MS),
+        }
+    }
+
     /// Whether "there is no such route or key" can be said: what is known is
     /// younger than the time that a change may take.
     pub(crate) fn is_certain(&self) -> bool {
-        let limit: Millis = self.settings.load().bounds.configuration_ms;
-        self.confirmed_age() < limit.micros()
+        let limit = self.settings.load().bounds.configuration_ms;
+        self.confirmed_age() < self.fresh_limit(limit).micros()
     }
 }
 
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -14,6 +14,8 @@
 
 /// Time that a change of the configuration may take, unless the settings say.
 const DEFAULT_CONFIGURATION_MS: Millis = Millis::new(2_500);
+/// Time after which a leaving endpoint gets no new work, unless the settings say.
+const DEFAULT_LEAVING_MS: Millis = Millis::new(2_500);
 /// Time from the signal to the end of a planned stop, unless the settings say.
 const DEFAULT_STOP_S: f64 = 8.0;
 /// Span over which repeats are bounded, unless the settings say.
@@ -28,6 +30,7 @@
 #[serde(deny_unknown_fields, default)]
 struct RawRelayBounds {
     configuration_ms: Option<f64>,
+    leaving_ms: Option<f64>,
     stop_s: Option<f64>,
     retry_ratio: Option<f64>,
     retry_window_s: Option<f64>,
@@ -39,6 +42,8 @@
 pub struct RelayBounds {
     /// Time in which a change of the configuration is in force.
     pub configuration_ms: Millis,
+    /// Time after which a leaving endpoint gets no new work.
+    pub leaving_ms: Millis,
     /// Time from the signal to the end of a planned stop.
     pub stop_ms: Millis,
     /// Repeats for each request, of all nodes together, in percent.
@@ -136,6 +141,7 @@
 
 fn check_bounds(document: &Document, raw: RawRelayBounds) -> Result<RelayBounds, SettingsError> {
     let default_configuration = DEFAULT_CONFIGURATION_MS.get() as f64;
+    let default_leaving = DEFAULT_LEAVING_MS.get() as f64;
     let check = |name: &str, value: Option<f64>, default: f64, least: f64| {
         let value = value.unwrap_or(default);
         if value.is_finite() && value >= least {
@@ -150,6 +156,7 @@
         default_configuration,
         1.0,
     )?;
+    let leaving_ms = check("leaving_ms", raw.leaving_ms, default_leaving, 1.0)?;
     let stop_s = check("stop_s", raw.stop_s, DEFAULT_STOP_S, 1.0)?;
     let ratio = check("retry_ratio", raw.retry_ratio, DEFAULT_RETRY_RATIO, 0.0)?;
     let window_s = check(
@@ -161,6 +168,7 @@
     let slack = check("retry_slack", raw.retry_slack, DEFAULT_RETRY_SLACK, 0.0)?;
     Ok(RelayBounds {
         configuration_ms: Millis::new(configuration_ms as u64),
+        leaving_ms: Millis::new(leaving_ms as u64),
         stop_ms: Millis::new((stop_s * MILLIS_PER_SECOND) as u64),
         retry_ratio_percent: (ratio * 100.0) as u64,
         retry_window_ms: Millis::new((window_s * MILLIS_PER_SECOND) as u64),
