Resumptions go before plain repeats in the retry budget

Streams that have begun have a floor now and may use all of the part; other repeats 60%. Tests: retry_window_bounded, retry_window_resumption_after_plain.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -31,7 +31,7 @@
 pub use pace::StreamPace;
 pub use registry::{Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
-pub use retry_window::RetryWindow;
+pub use retry_window::{RepeatKind, RetryWindow};
 pub use selector::{Choice, SelectionQuestion, Selector};
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
--- a/crates/decide/src/relay/retry_window.rs
+++ b/crates/decide/src/relay/retry_window.rs
@@ -2,7 +2,9 @@
 //!
 //! All nodes together may send a service no more repeats than a ratio of the
 //! requests for it plus a fixed slack. Each node keeps to the ratio of its own
-//! requests plus its part of the slack, so the sum holds without agreement.
+//! requests plus its part of the slack, so the sum holds without agreement. On
+//! many nodes that part is less than one stream's resumption, while few nodes need
+//! theirs at the same time: streams that have begun may use a little more.
 
 use std::collections::VecDeque;
 
@@ -14,6 +16,22 @@
 /// Part of the allowed slack that the nodes use together, in percent.
 const SLACK_MARGIN_PERCENT: u64 = 80;
 
+/// Part of a node's allowance that repeats other than resumptions use, in percent.
+const PLAIN_PERCENT: u64 = 60;
+/// Resumptions that a node may always make in a window.
+const RESUMPTION_FLOOR: u64 = 4;
+/// Times the slack that the floors of all nodes together may come to.
+const FLOOR_OVERCOMMIT: u64 = 2;
+
+/// What a repeat is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatKind {
+    /// A request of which the caller has nothing.
+    Plain,
+    /// A stream that has begun.
+    Resumption,
+}
+
 /// Requests and repeats of one service in the last window.
 #[derive(Debug)]
 pub struct RetryWindow {
@@ -43,18 +61,29 @@
     }
 
     /// Whether another repeat fits; it is counted if it does.
-    pub fn take_repeat(&mut self, now: MonoTime, nodes: usize) -> bool {
+    pub fn take_repeat(&mut self, now: MonoTime, nodes: usize, kind: RepeatKind) -> bool {
         self.forget(now);
-        let from_requests =
-            self.requests.len() as u64 * self.ratio_percent * RATIO_MARGIN_PERCENT / 10_000;
-        let from_slack = self.slack * SLACK_MARGIN_PERCENT / 100 / nodes.max(1) as u64;
-        let fits = (self.repeats.len() as u64) < from_requests + from_slack;
+        let fits = (self.repeats.len() as u64) < self.allowance(nodes as u64, kind);
         if fits {
             self.repeats.push_back(now);
         }
         fits
     }
 
+    fn allowance(&self, nodes: u64, kind: RepeatKind) -> u64 {
+        let nodes = nodes.max(1);
+        let requests = self.requests.len() as u64;
+        let from_requests = requests * self.ratio_percent * RATIO_MARGIN_PERCENT / 10_000;
+        let from_slack = self.slack * SLACK_MARGIN_PERCENT / 100 / nodes;
+        match kind {
+            RepeatKind::Plain => (from_requests + from_slack) * PLAIN_PERCENT / 100,
+            RepeatKind::Resumption => {
+                let floor = RESUMPTION_FLOOR.min(FLOOR_OVERCOMMIT * self.slack / nodes);
+                from_requests + from_slack.max(floor)
+            }
+        }
+    }
+
     fn forget(&mut self, now: MonoTime) {
         let window = self.window_ms.micros();
         for times in [&mut self.requests, &mut self.repeats] {
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -5,7 +5,7 @@
 use parsleylatch_decide::relay::{
     Backend, ConfigurationError, EndpointBook, EndpointEntry, EndpointKey, EngineReport,
     LoadSample, Outcome, ProbeFinding, Registry, RelayConfiguration, RelayConfigurationParts,
-    RelayEffect, RelayEvent, RelayLife, RelayRoute, RelayState, RelayWorkspace, Repeat,
+    RelayEffect, RelayEvent, RelayLife, RelayRoute, RelayState, RelayWorkspace, Repeat, RepeatKind,
     RetryWindow, RunProgress, SelectionQuestion, Selector, StreamPace,
 };
 use parsleylatch_settings::KeyDigest;
@@ -313,17 +313,31 @@
     assert_eq!(found, finding);
 }
 
-#[test]
-fn retry_window_bounded() {
+// 100 requests x 0.8 x 0.85 and a part of 90 x 0.8; of a plain repeat's 60%.
+#[test_case(9, RepeatKind::Resumption, 68 + 8 ; "few nodes")]
+#[test_case(9, RepeatKind::Plain, 45 ; "few nodes, plain")]
+#[test_case(40, RepeatKind::Resumption, 68 + 4 ; "many nodes, floor")]
+#[test_case(40, RepeatKind::Plain, 41 ; "many nodes, plain")]
+#[test_case(400, RepeatKind::Resumption, 68 ; "more nodes than twice the slack")]
+fn retry_window_bounded(nodes: usize, kind: RepeatKind, allowed: usize) {
     let mut window = RetryWindow::new(Millis::new(10_000), 80, 90);
     for request in 0..100 {
         window.note_request(at(request));
     }
-    // 100 requests x 0.8 x 0.85, and a ninth of 90 x 0.8.
-    let taken = (0..200).filter(|_| window.take_repeat(at(100), 9)).count();
-    assert_eq!(taken, 68 + 8);
-    assert!(!window.take_repeat(at(9_000), 9));
-    assert!(window.take_repeat(at(20_000), 9));
+    let taken = (0..200)
+        .filter(|_| window.take_repeat(at(100), nodes, kind))
+        .count();
+    assert_eq!(taken, allowed);
+    assert!(!window.take_repeat(at(9_000), nodes, kind));
+}
+
+/// A stream that has begun goes on after plain repeats have used their part.
+#[test]
+fn retry_window_resumption_after_plain() {
+    let mut window = RetryWindow::new(Millis::new(10_000), 80, 90);
+    while window.take_repeat(at(0), 9, RepeatKind::Plain) {}
+    assert!(window.take_repeat(at(1), 9, RepeatKind::Resumption));
+    assert!(window.take_repeat(at(20_000), 9, RepeatKind::Plain));
 }
 
 #[test]
--- a/crates/relay/src/traffic/exchange.rs
+++ b/crates/relay/src/traffic/exchange.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use parsleylatch_decide::relay::{
     AnswerClass, Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput,
-    LoadSample, MemoryCopy, Outcome, ProbeFinding, RefusalReason, SelectionQuestion,
+    LoadSample, MemoryCopy, Outcome, ProbeFinding, RefusalReason, RepeatKind, SelectionQuestion,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId};
@@ -167,9 +167,8 @@
         let now = self.traffic.now();
         let late = now.since(self.exchange.next_deadline());
         let is_late = late > FREEZE_LATENESS.micros();
-        let may_retry = !is_late
-            && self.exchange.wants_retry_at_deadline(now)
-            && self.traffic.take_repeat(&self.job.order.service);
+        let may_retry =
+            !is_late && self.exchange.wants_retry_at_deadline(now) && self.take_repeat();
         let effects = self.exchange.expire(now, is_late, may_retry);
         if may_retry {
             self.note_failure(Outcome::Broken, "silent");
@@ -522,7 +521,24 @@
     }
 
     fn may_retry(&self, may_have_run: bool) -> bool {
-        self.exchange.wants_retry(may_have_run) && self.traffic.take_repeat(&self.job.order.service)
+        self.exchange.wants_retry(may_have_run) && self.take_repeat()
+    }
+
+    fn take_repeat(&self) -> bool {
+        let kind = match self.exchange.has_begun() {
+            true => RepeatKind::Resumption,
+            false => RepeatKind::Plain,
+        };
+        let is_taken = self.traffic.take_repeat(&self.job.order.service, kind);
+        if !is_taken {
+            log::info!(
+                id:% = self.job.head.id,
+                route:% = self.job.route.name,
+                has_begun = self.exchange.has_begun();
+                "retry budget used up"
+            );
+        }
+        is_taken
     }
 
     fn has_copy(&self) -> bool {
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 
-use parsleylatch_decide::relay::{EndpointBook, EndpointKey, RetryWindow, Selector};
+use parsleylatch_decide::relay::{EndpointBook, EndpointKey, RepeatKind, RetryWindow, Selector};
 use parsleylatch_endpoint::{ConnectionKey, Connections};
 use parsleylatch_http::NodelayListener;
 use parsleylatch_types::{MonoTime, ServiceName};
@@ -93,11 +93,11 @@
     }
 
     /// Takes one repeat from the budget, if there is one left.
-    pub(crate) fn take_repeat(&self, service: &ServiceName) -> bool {
+    pub(crate) fn take_repeat(&self, service: &ServiceName, kind: RepeatKind) -> bool {
         let now = self.now();
         let sharers = self.shared.snapshot.load().nodes.len().max(1)
             * self.shared.settings.load().traffic_threads;
-        self.with_retries(service, |window| window.take_repeat(now, sharers))
+        self.with_retries(service, |window| window.take_repeat(now, sharers, kind))
     }
 
     fn with_retries<Output>(
