--- a/crates/decide/src/relay/book.rs
+++ b/crates/decide/src/relay/book.rs
@@ -111,14 +111,17 @@
     failure_rate: f64,
     failure_noted_at: MonoTime,
     pub(crate) latency: Option<Micros>,
+    /// When it showed last that it lives: it was listed, or answered.
+    seen_at: MonoTime,
     pub(crate) suspended_until: MonoTime,
     breaks: u32,
     pub(crate) is_replaced: bool,
 }
 
 impl Condition {
-    fn new(entry: Arc<EndpointEntry>) -> Self {
+    fn new(now: MonoTime, entry: Arc<EndpointEntry>) -> Self {
         Self {
+            seen_at: now,
             entry,
             is_listed: true,
             is_own: true,
@@ -193,6 +196,8 @@
 #[derive(Debug, Default)]
 struct DomainBreaks {
     recent: VecDeque<(MonoTime, EndpointKey)>,
+    /// When several endpoints broke together last.
+    broke_at: Option<MonoTime>,
     suspended_until: MonoTime,
 }
 
@@ -205,6 +210,7 @@
     /// Takes the entries of a new snapshot, and the nodes that share them.
     pub fn update<'a>(
         &mut self,
+        now: MonoTime,
         entries: impl Iterator<Item = &'a Arc<EndpointEntry>>,
         own: &NodeId,
         nodes: &[NodeId],
@@ -217,7 +223,7 @@
             let condition = self
                 .conditions
                 .entry(entry.key.clone())
-                .or_insert_with(|| Condition::new(Arc::clone(entry)));
+                .or_insert_with(|| Condition::new(now, Arc::clone(entry)));
             condition.is_listed = true;
             condition.is_own = owner(&entry.key.id, nodes).is_none_or(|owner| owner == own);
             if condition.entry != *entry {
@@ -291,6 +297,17 @@
         breaks.is_some_and(|it| it.suspended_until > now)
     }
 
+    /// Whether an endpoint has not shown that it lives since several of its failure
+    /// domain broke together. Its entry may outlive it for long, as while the store
+    /// is away.
+    pub(crate) fn is_doubtful(&self, condition: &Condition) -> bool {
+        let entry = &condition.entry;
+        let domain = (entry.service.clone(), entry.failure_domain.clone());
+        let breaks = self.domain_breaks.get(&domain);
+        let broke_at = breaks.and_then(|it| it.broke_at);
+        broke_at.is_some_and(|at| condition.seen_at < at)
+    }
+
     /// Notes that an attempt starts.
     pub fn note_start(&mut self, key: &EndpointKey, prompt: TokenCount) {
         if let Some(condition) = self.conditions.get_mut(key) {
@@ -343,6 +360,7 @@
         match outcome {
             Outcome::Answered { latency } => {
                 condition.note_failure(now, false);
+                condition.seen_at = now;
                 condition.breaks = 0;
                 condition.suspended_until = MonoTime::ZERO;
                 let mean = condition.latency.map_or(latency.get(), |mean| {
@@ -362,7 +380,10 @@
                 condition.suspend(now, UNREACHABLE_SUSPENSION_MS);
                 self.note_domain_break(now, key);
             }
-            Outcome::Replaced => condition.is_replaced = true,
+            Outcome::Replaced => {
+                condition.is_replaced = true;
+                self.note_domain_break(now, key);
+            }
             Outcome::Abandoned => {}
         }
     }
@@ -380,6 +401,7 @@
             .retain(|(at, other)| now.since(*at) <= span && other != key);
         breaks.recent.push_back((now, key.clone()));
         if breaks.recent.len() >= DOMAIN_BREAKS {
+            breaks.broke_at = Some(now);
             breaks.suspended_until = now + DOMAIN_SUSPENSION_MS;
         }
     }
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -42,6 +42,9 @@
 const COPY_COST_US: Micros = Micros::new(150_000);
 /// Largest random part of the cost of an engine for a copy.
 const BACKUP_JITTER_US: u64 = 250_000;
+/// Cost of an endpoint that may have gone with its failure domain: a trip in vain
+/// and a repeat from the budget.
+const DOUBT_COST_US: Micros = Micros::new(1_500_000);
 /// Largest random part of a call's cost.
 const CALL_JITTER_US: u64 = 1_000;
 /// Largest random part of a stream's cost.
@@ -147,6 +150,7 @@
             let cost = COPY_COST_US.get() * u64::from(condition.copies)
                 + STREAM_COST_US.get() * u64::from(condition.occupancy(now))
                 + SUSPENSION_COST_US.get() * same_domain
+                + DOUBT_COST_US.get() * u64::from(book.is_doubtful(condition))
                 + suspension_cost(now, condition, domain_suspended)
                 + self.random.random_range(0..BACKUP_JITTER_US);
             (cost, &condition.entry)
@@ -174,7 +178,9 @@
                 let entry = &condition.entry;
                 let suspended =
                     book.is_domain_suspended(now, question.service, &entry.failure_domain);
+                let doubt = DOUBT_COST_US.times(u64::from(book.is_doubtful(condition)));
                 let cost = cost
+                    + doubt.get()
                     + self.trip(&entry.failure_domain).get()
                     + suspension_cost(now, condition, suspended)
                     + (condition.failure_rate(now) * FAILURE_COST_US.get() as f64) as u64;
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -43,7 +43,7 @@
     let entries: Vec<Arc<EndpointEntry>> = entries.iter().cloned().map(Arc::new).collect();
     let nodes: Vec<NodeId> = nodes.iter().map(|it| it.parse().unwrap()).collect();
     let mut book = EndpointBook::new();
-    book.update(entries.iter(), &own.parse().unwrap(), &nodes);
+    book.update(at(0), entries.iter(), &own.parse().unwrap(), &nodes);
     book
 }
 
@@ -229,6 +229,29 @@
     assert_eq!(choice.endpoint.key, entries[3].key);
 }
 
+/// After its failure domain broke, an endpoint is taken last until it has shown that
+/// it lives: its entry may be all that is left of it.
+#[test]
+fn select_after_domain_broke_silently() {
+    let mut entries = vec![entry(1, "a"), entry(2, "a"), entry(3, "a"), entry(4, "c")];
+    let mut book = book_of(&entries, "n1", &["n1"]);
+    let service = service();
+    book.note_outcome(at(100), &entries[0].key, Outcome::Replaced);
+    book.note_outcome(at(150), &entries[1].key, Outcome::Replaced);
+    let choice = selector()
+        .select(at(5_000), &book, &question(&service, &[], 0))
+        .unwrap();
+    assert_eq!(choice.endpoint.key, entries[3].key);
+    // One that was listed since is trusted.
+    entries.push(entry(5, "a"));
+    let listed: Vec<Arc<EndpointEntry>> = entries.iter().cloned().map(Arc::new).collect();
+    book.update(at(5_100), listed.iter(), &"n1".parse().unwrap(), &[]);
+    let choice = selector()
+        .select(at(5_200), &book, &question(&service, &[], 0))
+        .unwrap();
+    assert_eq!(choice.endpoint.key, entries[4].key);
+}
+
 #[test]
 fn select_nobody_left() {
     let entries = [entry(1, "a")];
@@ -267,7 +290,7 @@
     let mut young = old.clone();
     young.key.incarnation = Incarnation::new(2);
     let entries = [Arc::new(young.clone())];
-    book.update(entries.iter(), &"n1".parse().unwrap(), &[]);
+    book.update(at(1), entries.iter(), &"n1".parse().unwrap(), &[]);
     assert!(!book.is_suspended(at(1), &young.key));
     assert!(!book.is_usable(&old.key));
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -73,7 +73,7 @@
         if self.seen_snapshot.replace(snapshot.number) != snapshot.number {
             let mut book = self.book.borrow_mut();
             let own = &self.shared.settings.load().node_id;
-            book.update(snapshot.endpoints.iter(), own, &snapshot.nodes);
+            book.update(self.now(), snapshot.endpoints.iter(), own, &snapshot.nodes);
             self.connections.forget(|key| {
                 book.entry(&endpoint_key(key))
                     .is_some_and(|entry| entry.address == key.address)
