--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -10,6 +10,7 @@
     api::Api,
     chart, check,
     events::{self, EventsArgs, MovesArgs},
+    explain::Explanation,
     show,
     templates::{self, TemplatesArgs},
 };
@@ -43,9 +44,10 @@
     Templates(TemplatesArgs),
     Moves(MovesArgs),
     Events(EventsArgs),
+    Explain(ExplainArgs),
 }
 
-/// check a file with node settings or a template
+/// check a file with settings of a node or a relay, or a template
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct CheckArgs {
@@ -106,6 +108,15 @@
     id: RequestId,
 }
 
+/// gather what logs on standard input say of one request of a relay
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainArgs {
+    /// id that the caller gave the request
+    #[argh(positional)]
+    id: String,
+}
+
 /// Runs one command.
 ///
 /// # Errors
@@ -127,6 +138,11 @@
         Command::Templates(verb) => templates::run(&api()?, verb, args.json).await,
         Command::Moves(verb) => events::moves(&api()?, verb, args.json).await,
         Command::Events(_) => events::events(&api()?, args.json).await,
+        Command::Explain(ExplainArgs { id }) => {
+            let explanation = Explanation::read(std::io::stdin().lock(), &id)?;
+            print!("{}", explanation.text());
+            Ok(())
+        }
         Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
     }
 }
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -3,12 +3,12 @@
 use std::path::Path;
 
 use eyre::Result;
-use parsleylatch_settings::{Document, NodeSettings, SettingsError, Template};
+use parsleylatch_settings::{Document, NodeSettings, RelaySettings, SettingsError, Template};
 
 /// Exit status for a file that can't be used.
 const BAD_FILE_STATUS: i32 = 2;
 
-/// Checks a file with node settings or a template; ends the process if it can't
+/// Checks a file with settings of a node or a relay, or a template; ends the process if it can't
 /// be used.
 pub(crate) fn check_file(path: &Path) -> Result<()> {
     match read(path) {
@@ -21,10 +21,13 @@
     Ok(())
 }
 
-/// Node settings name the node; everything else is read as a template.
+/// Settings name the node, and those of a relay the balancer's address; everything
+/// else is read as a template.
 fn read(path: &Path) -> Result<&'static str, SettingsError> {
     let document = Document::open(path)?;
-    if document.text().contains("\"node_id\"") {
+    if document.text().contains("\"ready_address\"") {
+        RelaySettings::read(&document).map(|_| "relay settings")
+    } else if document.text().contains("\"node_id\"") {
         NodeSettings::read(&document).map(|_| "node settings")
     } else {
         Template::read(&document).map(|_| "template")
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,117 @@
+//! What the logs of many nodes say of one request.
+//!
+//! Lines are JSON objects; what a collector writes before them is passed over. The
+//! lines of the request are put in the order of their times, and the last one that
+//! decided something is named as the deciding one.
+
+use std::io::BufRead;
+
+use eyre::{Result, WrapErr, bail};
+use serde_json::{Map, Value};
+
+/// Events that end a request, or an attempt at it.
+const DECIDING_EVENTS: [&str; 5] = [
+    "request denied",
+    "request refused",
+    "attempt failed",
+    "retry budget used up",
+    "request ended",
+];
+/// Fields that every line has, and that the heading shows.
+const HEADING_FIELDS: [&str; 5] = ["time_ms", "level", "node", "event", "id"];
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Entry {
+    time_ms: u64,
+    node: String,
+    event: String,
+    fields: Map<String, Value>,
+}
+
+/// Lines of one request in the order of their times, with the deciding one.
+#[derive(Clone, Debug)]
+pub struct Explanation {
+    entries: Vec<Entry>,
+    deciding: Option<usize>,
+}
+
+impl Explanation {
+    /// Reads the lines of a request.
+    ///
+    /// # Errors
+    /// The log can't be read, or says nothing of the request.
+    pub fn read<Log>(log: Log, id: &str) -> Result<Self>
+    where
+        Log: BufRead,
+    {
+        let mut entries = Vec::new();
+        for line in log.lines() {
+            let line = line.wrap_err("reading the log")?;
+            entries.extend(parse(&line).filter(|entry| is_about(entry, id)));
+        }
+        if entries.is_empty() {
+            bail!("the log says nothing of {id}");
+        }
+        entries.sort_by_key(|entry| entry.time_ms);
+        let deciding = entries
+            .iter()
+            .rposition(|entry| is_deciding(entry))
+            .or_else(|| entries.iter().rposition(is_end));
+        Ok(Self { entries, deciding })
+    }
+
+    /// Text for an operator.
+    pub fn text(&self) -> String {
+        let start_ms = self.entries.first().map_or(0, |entry| entry.time_ms);
+        let mut text = String::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            let mark = if self.deciding == Some(index) {
+                '>'
+            } else {
+                ' '
+            };
+            let after_ms = entry.time_ms - start_ms;
+            let (node, event) = (&entry.node, &entry.event);
+            text.push_str(&format!("{mark} +{after_ms} ms {node}: {event}"));
+            let shown = entry.fields.iter();
+            for (name, value) in shown.filter(|(name, _)| !HEADING_FIELDS.contains(&name.as_str()))
+            {
+                text.push_str(&format!(" {name}={value}"));
+            }
+            text.push('\n');
+        }
+        text
+    }
+
+    /// Event of the deciding line.
+    pub fn deciding_event(&self) -> Option<&str> {
+        let entry = &self.entries[self.deciding?];
+        Some(&entry.event)
+    }
+}
+
+fn parse(line: &str) -> Option<Entry> {
+    let object = &line[line.find('{')?..];
+    let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
+    let text = |name: &str| fields.get(name)?.as_str().map(str::to_owned);
+    Some(Entry {
+        time_ms: fields.get("time_ms")?.as_u64()?,
+        node: text("node")?,
+        event: text("event")?,
+        fields,
+    })
+}
+
+fn is_about(entry: &Entry, id: &str) -> bool {
+    entry.fields.get("id").and_then(Value::as_str) == Some(id)
+}
+
+fn is_end(entry: &Entry) -> bool {
+    entry.event == "request ended"
+}
+
+/// The end of a request only repeats what an attempt or a refusal decided.
+fn is_deciding(entry: &Entry) -> bool {
+    DECIDING_EVENTS.contains(&entry.event.as_str()) && !is_end(entry)
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,7 +5,9 @@
 mod chart;
 mod check;
 mod events;
+mod explain;
 mod show;
 mod templates;
 
 pub use args::{Args, run};
+pub use explain::Explanation;
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,58 @@
+//! From a request's id to its cause, from the lines of several nodes.
+
+use parsleylatch_ctl::Explanation;
+use test_case::test_case;
+
+/// A booking whose answer was lost, after a first node had refused it.
+const BOOKING: &str = r#"
+  3.1 edge-2 {"time_ms":105,"level":"INFO","node":"edge-2","event":"attempt failed","id":"b1","endpoint":"i-2","reason":"connection reset","after_ms":3}
+  3.1 edge-2 {"time_ms":106,"level":"INFO","node":"edge-2","event":"request refused","id":"b1","reason":"answer_lost","not_run":false}
+  3.0 edge-2 {"time_ms":102,"level":"INFO","node":"edge-2","event":"attempt placed","id":"b1","endpoint":"i-2","knowledge_age_ms":40}
+  3.0 edge-1 {"time_ms":100,"level":"INFO","node":"edge-1","event":"request denied","id":"b1","denial":"stopping"}
+  3.0 edge-1 {"time_ms":101,"level":"INFO","node":"edge-1","event":"attempt placed","id":"other","endpoint":"i-1"}
+not a line of ours {"time_ms":
+"#;
+
+/// A stream that was broken off because the budget was used up.
+const STREAM: &str = r#"
+{"time_ms":10,"level":"INFO","node":"n1","event":"attempt placed","id":"s1","endpoint":"i-1"}
+{"time_ms":50,"level":"INFO","node":"n1","event":"attempt failed","id":"s1","reason":"silent"}
+{"time_ms":50,"level":"INFO","node":"n1","event":"retry budget used up","id":"s1"}
+{"time_ms":50,"level":"INFO","node":"n1","event":"request ended","id":"s1","outcome":"broken_off"}
+"#;
+
+/// A call that was refused although places were free.
+const REFUSED: &str = r#"
+{"time_ms":7,"level":"INFO","node":"n1","event":"request refused","id":"c1","reason":"no_endpoint","not_run":true,"taken":2,"slots":18,"knowledge_age_ms":9000}
+"#;
+
+const SERVED: &str = r#"
+{"time_ms":7,"level":"INFO","node":"n1","event":"attempt placed","id":"c1"}
+{"time_ms":9,"level":"INFO","node":"n1","event":"request ended","id":"c1","outcome":"answered"}
+"#;
+
+#[test_case(BOOKING, "b1", "request refused" ; "booking with unclear outcome")]
+#[test_case(STREAM, "s1", "retry budget used up" ; "stream broken off")]
+#[test_case(REFUSED, "c1", "request refused" ; "call refused")]
+#[test_case(SERVED, "c1", "request ended" ; "served")]
+fn read_deciding(log: &str, id: &str, event: &str) {
+    let explanation = Explanation::read(log.as_bytes(), id).unwrap();
+    assert_eq!(explanation.deciding_event(), Some(event));
+}
+
+#[test]
+fn text_ordered() {
+    let text = Explanation::read(BOOKING.as_bytes(), "b1").unwrap().text();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4);
+    assert!(lines[0].starts_with("  +0 ms edge-1: request denied"));
+    assert!(lines[1].contains("knowledge_age_ms=40"));
+    assert!(lines[3].starts_with("> +6 ms edge-2: request refused"));
+    assert!(!text.contains("other"));
+}
+
+#[test]
+fn read_unknown_request() {
+    let error = Explanation::read(BOOKING.as_bytes(), "b2").unwrap_err();
+    assert_eq!(error.to_string(), "the log says nothing of b2");
+}
