--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,6 +1,7 @@
 //! Reading and checking of settings and templates.
 
-use parsleylatch_settings::{CallKind, Document, KeyDigest, NodeSettings, Template};
+use parsleylatch_settings::{CallKind, Document, KeyDigest, NodeSettings, RelaySettings, Template};
+use parsleylatch_types::Millis;
 use test_case::test_case;
 
 const NODE: &str = r#"{
@@ -79,3 +80,43 @@
     assert_eq!(digest.to_string().parse::<KeyDigest>().unwrap(), digest);
     assert!("abc".parse::<KeyDigest>().is_err());
 }
+
+fn relay_text(bounds: &str) -> String {
+    format!(
+        r#"{{
+  // Addresses of one VM.
+  "node_id": "n1", "failure_domain": "d1", "region": "r1", "regions": {{"d1": "r1"}},
+  "caller_address": "127.0.0.1:1", "ready_address": "127.0.0.1:2",
+  "peer_address": "127.0.0.1:3", "metrics_address": "127.0.0.1:4",
+  "store_address": "127.0.0.1:5",
+  "bounds": {bounds}
+}}"#
+    )
+}
+
+#[test]
+fn relay_bounds_read() {
+    let text = relay_text(r#"{"configuration_ms": 4000, "stop_s": 8, "retry_ratio": 0.8}"#);
+    let read = RelaySettings::read(&Document::new("relay.jsonc", &text)).unwrap();
+    assert_eq!(read.bounds.configuration_ms, Millis::new(4_000));
+    assert_eq!(read.bounds.stop_ms, Millis::new(8_000));
+    assert_eq!(read.bounds.retry_ratio_percent, 80);
+}
+
+/// A bound that the platform leaves out has a default.
+#[test]
+fn relay_bounds_null() {
+    let text = relay_text(r#"{"retry_slack": null}"#);
+    let read = RelaySettings::read(&Document::new("relay.jsonc", &text)).unwrap();
+    assert_eq!(read.bounds.retry_slack, 50);
+}
+
+#[test_case("{\"stop_s\": 0}", "bounds.stop_s" ; "stop without time")]
+#[test_case("{\"retry_ratio\": -1}", "bounds.retry_ratio" ; "negative ratio")]
+#[test_case("{\"stop\": 8}", "bounds" ; "unknown bound")]
+fn relay_bounds_rejected(bounds: &str, field: &str) {
+    let text = relay_text(bounds);
+    let error = RelaySettings::read(&Document::new("relay.jsonc", &text)).unwrap_err();
+    assert!(error.field.starts_with(field), "{error}");
+    assert_eq!((error.file.as_str(), error.line), ("relay.jsonc", 7));
+}
