A stopping relay refuses streams that by their size would outlast it

Cause, from rolling restarts: streams that came in the three seconds of the balancer's notice were cut at the end of the process. The expected length of a stream (prompt at 5 tokens a ms, answer at 3.9 ms a token) decides now. Test: stop_refuses_long_stream (failed before: answered 200).

--- a/crates/decide/src/relay/exchange.rs
+++ b/crates/decide/src/relay/exchange.rs
@@ -15,7 +15,7 @@
     book::{EndpointEntry, EndpointKey},
     configuration::Repeat,
     pace::StreamPace,
-    selector::Choice,
+    selector::{Choice, PREFILL_TOKENS_PER_MS},
 };
 use crate::charts::{self, LazyMachine};
 
@@ -31,8 +31,6 @@
 /// Part of the goal after which an idempotent call goes to another endpoint, in
 /// percent; the rest has to do for the second answer.
 const CALL_PATIENCE_GOAL_PERCENT: u64 = 65;
-/// Prompt tokens that an engine reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Prompts of the same length that may be read before a first event is due.
 const FIRST_EVENT_PREFILLS: u64 = 3;
 /// Time beyond the reading of prompts in which a first event is due; an endpoint
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -32,7 +32,7 @@
 pub use registry::{Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
 pub use retry_window::{RepeatKind, RetryWindow};
-pub use selector::{Choice, SelectionQuestion, Selector};
+pub use selector::{Choice, PREFILL_TOKENS_PER_MS, SelectionQuestion, Selector};
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
     exchange::verify_chart()?;
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -25,8 +25,8 @@
 const WIDE_TRIP_US: Micros = Micros::new(25_000);
 /// Time that a call is taken to last before any was seen.
 const ASSUMED_CALL_US: Micros = Micros::new(15_000);
-/// Prompt tokens that an engine reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: u64 = 5;
+/// Prompt tokens that an engine reads in a millisecond, as the operators state.
+pub const PREFILL_TOKENS_PER_MS: u64 = 5;
 /// Delay that one more running stream costs those that run beside it.
 const STREAM_COST_US: Micros = Micros::new(150_000);
 /// Cost of a request that waits: a prompt that is not read yet.
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -25,6 +25,8 @@
     pub key: Option<String>,
     /// Tokens of the prompt; zero if the request has none.
     pub prompt: TokenCount,
+    /// Most tokens of the answer; zero if the request has none.
+    pub output: TokenCount,
     /// Last event of the stream that the caller has.
     pub last_event: Option<StreamEventId>,
 }
--- a/crates/relay/src/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -7,10 +7,11 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, ExchangeOrder, RelayConfiguration, RelayRoute, RelayWorkspace, Repeat,
+    Backend, CallerLimits, ExchangeOrder, PREFILL_TOKENS_PER_MS, RelayConfiguration, RelayRoute,
+    RelayWorkspace, Repeat,
 };
 use parsleylatch_http::HeadWatch;
-use parsleylatch_types::{ExchangeId, MonoTime, Revision, ServiceName};
+use parsleylatch_types::{ExchangeId, Micros, Millis, MonoTime, Revision, ServiceName};
 use tokio::{sync::oneshot, time};
 
 use super::{
@@ -26,6 +27,10 @@
     telemetry::RelayCounter,
 };
 
+/// Time that an engine with little to do needs for a token of an answer: a step of
+/// 3.4 to 3.6 ms, and some more for those beside it.
+const TOKEN_PACE_US: Micros = Micros::new(3_900);
+
 /// A request that is to be relayed.
 pub(crate) struct Job {
     pub(crate) head: CallerHead,
@@ -140,7 +145,7 @@
     let timeout_ms = head
         .patience_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
-    if outlasts_process(shared, route.repeat, arrived_at + timeout_ms) {
+    if outlasts_process(shared, route.repeat, &head, arrived_at + timeout_ms) {
         return Err(denied(id, Denial::Stopping, "the answer may come too late"));
     }
     let order = ExchangeOrder {
@@ -166,16 +171,30 @@
     })
 }
 
-/// Whether an answer that is due at `deadline` may come after the end of a planned
-/// stop. Few streams last until their deadline: one that starts before the balancer
-/// has noticed the stop is served.
-fn outlasts_process(shared: &Shared, repeat: Repeat, deadline: MonoTime) -> bool {
+/// Whether an answer may come after the end of a planned stop: one that is due at
+/// `deadline`, or a stream that by its size would take longer.
+fn outlasts_process(
+    shared: &Shared,
+    repeat: Repeat,
+    head: &CallerHead,
+    deadline: MonoTime,
+) -> bool {
     match repeat {
-        Repeat::Stream { .. } => shared.phase() >= StopPhase::Finishing,
+        Repeat::Stream { .. } => {
+            let expected = shared.now() + stream_length(head);
+            shared.phase() >= StopPhase::Finishing || expected > shared.ends_at()
+        }
         Repeat::Idempotent | Repeat::OnceOnly => deadline > shared.ends_at(),
     }
 }
 
+/// Time that an engine with little to do needs for a stream.
+fn stream_length(head: &CallerHead) -> Millis {
+    let reading = u64::from(head.prompt.get()) / PREFILL_TOKENS_PER_MS;
+    let writing = u64::from(head.output.get()) * TOKEN_PACE_US.get() / 1_000;
+    Millis::new(reading + writing)
+}
+
 /// Snapshot by which the request is handled: the newest one after the body was read.
 fn newest(traffic: &Traffic, earlier: Arc<Snapshot>) -> Arc<Snapshot> {
     drop(earlier);
