A store that failed is asked without a wait until it answers

Ruled out: peers, which passed the change on within 0.1 s of the first node that heard it. Test: silent_store_heard_again (both cases failed before).

--- a/crates/relay/src/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -72,6 +72,15 @@
         &self.client
     }
 
+    /// Wait of the next watch. A store that failed is asked without a wait until it
+    /// answers, so that a call does not hang beyond its return.
+    fn watch_wait(&self) -> Millis {
+        match self.failures {
+            0 => WATCH_WAIT_MS,
+            _ => Millis::ZERO,
+        }
+    }
+
     /// Counts a call and tells the control thread of a failure; `None` after one,
     /// and after a delay.
     async fn check<Answer>(&mut self, answer: Result<Answer, StoreError>) -> Option<Answer> {
@@ -112,7 +121,10 @@
     loop {
         let started_at = shared.now();
         let answer = match after {
-            Some(revision) => store.client().watch(ALL, revision, WATCH_WAIT_MS).await,
+            Some(revision) => {
+                let wait_ms = store.watch_wait();
+                store.client().watch(ALL, revision, wait_ms).await
+            }
             None => store.client().list(ALL).await,
         };
         if answer.as_ref().is_err_and(StoreError::is_history_gone) {
