--- a/crates/relay/src/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -12,17 +12,13 @@
 
 use super::{ControlInput, peers::NODES_PREFIX};
 use crate::{
-    shared::{Shared, WATCH_WAIT_MS},
+    shared::Shared,
     telemetry::{RelayCounter, RelayLatency},
 };
 
 /// Longest wait for an answer; the store answers in milliseconds, and sixty times
 /// as slowly in trouble.
 const CALL_TIMEOUT_MS: Millis = Millis::new(1_000);
-/// Part of the shorter bound on changes that passes between the answer to a watch
-/// and the next one, in percent; changes in between come together. The rest has to
-/// do for a store that tells its watches late.
-const WATCH_PAUSE_PERCENT: u64 = 30;
 /// Life of this node's entry without a renewal.
 const NODE_LEASE_MS: Millis = Millis::new(10_000);
 /// Time between two renewals.
@@ -76,7 +72,7 @@
     /// answers, so that a call does not hang beyond its return.
     fn watch_wait(&self) -> Millis {
         match self.failures {
-            0 => WATCH_WAIT_MS,
+            0 => self.shared.watch_wait(),
             _ => Millis::ZERO,
         }
     }
@@ -144,17 +140,11 @@
         } else {
             let input = ControlInput::Changes(reply, shared.now());
             store.tell(input).await;
-            time::sleep(watch_pause(&shared)).await;
+            time::sleep(shared.watch_pause().duration()).await;
         }
     }
 }
 
-fn watch_pause(shared: &Shared) -> Duration {
-    let bounds = shared.settings.load().bounds;
-    let bound_ms = bounds.configuration_ms.min(bounds.leaving_ms).get();
-    Duration::from_millis(bound_ms * WATCH_PAUSE_PERCENT / 100)
-}
-
 /// Keeps an entry from which other nodes learn this one's address.
 async fn keep_entry(shared: Arc<Shared>, peer_address: SocketAddr) {
     let key = format!("{NODES_PREFIX}{}", shared.settings.load().node_id);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -15,9 +15,13 @@
 use crate::telemetry::RelayMetrics;
 use crate::{codec::RelayCodec, control::ControlInput};
 
-/// Longest wait of a watch for a change; a connection that went silent is noticed
-/// after it.
-pub(crate) const WATCH_WAIT_MS: Millis = Millis::new(4_000);
+/// Part of the shorter bound on changes for which a watch waits, in percent. A store
+/// that drops its history may leave a watch deaf until its wait is over.
+const WATCH_WAIT_PERCENT: u64 = 45;
+/// Part of the shorter bound on changes that passes between the answer to a watch
+/// and the next one, in percent; changes in between come together. The rest has to
+/// do for a listing.
+const WATCH_PAUSE_PERCENT: u64 = 30;
 
 /// How far a planned stop has come, as callers' connections see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,10 +148,26 @@
     pub(crate) fn fresh_limit(&self, limit: Millis) -> Millis {
         match self.store_fails.load(Ordering::Relaxed) {
             true => limit,
-            false => limit.saturating_add(WATCH_WAIT_MS),
+            false => limit.saturating_add(self.watch_wait()),
         }
     }
 
+    /// Longest wait of a watch for a change.
+    pub(crate) fn watch_wait(&self) -> Millis {
+        self.bound_part(WATCH_WAIT_PERCENT)
+    }
+
+    /// Time between the answer to a watch and the next one.
+    pub(crate) fn watch_pause(&self) -> Millis {
+        self.bound_part(WATCH_PAUSE_PERCENT)
+    }
+
+    fn bound_part(&self, percent: u64) -> Millis {
+        let bounds = self.settings.load().bounds;
+        let bound_ms = bounds.configuration_ms.min(bounds.leaving_ms).get();
+        Millis::new(bound_ms * percent / 100)
+    }
+
     /// Whether "there is no such route or key" can be said: what is known is
     /// younger than the time that a change may take.
     pub(crate) fn is_certain(&self) -> bool {
