--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -56,7 +56,7 @@
         entries.sort_by_key(|entry| entry.time_ms);
         let deciding = entries
             .iter()
-            .rposition(|entry| is_deciding(entry))
+            .rposition(is_deciding)
             .or_else(|| entries.iter().rposition(is_end));
         Ok(Self { entries, deciding })
     }
--- a/crates/decide/src/relay/configuration.rs
+++ b/crates/decide/src/relay/configuration.rs
@@ -211,12 +211,6 @@
     pub fn workspace(&self, key: &str) -> Option<&Arc<RelayWorkspace>> {
         self.workspaces.as_ref()?.get(&KeyDigest::of_key(key))
     }
-
-    /// Whether a service may still answer a route, for an exchange that started earlier.
-    pub fn allows(&self, route: &RelayRoute, service: &ServiceName) -> bool {
-        let mut listed = self.routes.values().flatten();
-        listed.any(|it| it.name == route.name && it.backends.iter().any(|b| b.service == *service))
-    }
 }
 
 fn check_route(route: &RelayRoute) -> Result<(), ConfigurationError> {
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -257,7 +257,7 @@
 #[test_case(Repeat::Idempotent, 650 ; "idempotent")]
 #[test_case(RESUMABLE, 2_300 ; "stream that was not probed in vain")]
 fn overdue_sent_again(repeat: Repeat, overdue_ms: u64) {
-    let mut exchange = sent(repeat);
+    let exchange = sent(repeat);
     assert!(!exchange.wants_retry_at_deadline(at(overdue_ms - 1)));
     assert!(exchange.wants_retry_at_deadline(at(overdue_ms)));
 }
--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -33,7 +33,7 @@
 const KEEPALIVE_AFTER: Duration = Duration::from_secs(2);
 /// Part of an announced idle time after which a connection is not used any more.
 const IDLE_PART_PERCENT: u64 = 60;
-/// Unused connections that are kept for one endpoint.
+/// Most unused connections that are kept for one endpoint.
 const IDLE_CONNECTIONS: usize = 8;
 
 /// Endpoint that a connection belongs to.
@@ -165,15 +165,17 @@
         })
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn give_back(&self, connection: OpenConnection) {
-        if connection.sender.is_closed() {
+    /// Keeps a connection whose answer was read to its end, among `share` unused ones
+    /// of its endpoint at most.
+    pub fn give_back(&self, connection: OpenConnection, share: usize) {
+        let limit = share.min(IDLE_CONNECTIONS);
+        if connection.sender.is_closed() || limit == 0 {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(connection.key).or_default();
         kept.retain(|it| !it.sender.is_closed());
-        if kept.len() >= IDLE_CONNECTIONS {
+        if kept.len() >= limit {
             kept.remove(0);
         }
         kept.push(IdleConnection {
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -200,7 +200,9 @@
             relay_whole(&events, head, body).await
         };
         if ended_well {
-            traffic.connections.give_back(connection);
+            traffic
+                .connections
+                .give_back(connection, job.connection_share);
         }
     }
 }
--- /dev/null
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -0,0 +1,202 @@
+//! Carries out what an exchange wants done.
+
+use std::rc::Rc;
+
+use http::Response;
+use parsleylatch_decide::relay::{
+    Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, Outcome, RefusalReason,
+    SelectionQuestion,
+};
+use parsleylatch_types::Millis;
+
+use super::{Caller, Driver, Sent};
+use crate::{
+    telemetry::{RelayCounter, RelayLatency},
+    traffic::{
+        answer,
+        attempt::Attempt,
+        copies::Copies,
+        engine,
+        output::{BrokenOff, RelayBody},
+    },
+};
+
+impl Driver {
+    pub(super) fn place(
+        &mut self,
+        excluded: &[EndpointKey],
+        copy: Option<&MemoryCopy>,
+    ) -> Vec<ExchangeEffect> {
+        self.end_attempt(Outcome::Abandoned);
+        let traffic = Rc::clone(&self.traffic);
+        let snapshot = traffic.snapshot();
+        let now = traffic.now();
+        let order = &self.job.order;
+        let question = SelectionQuestion {
+            service: &order.service,
+            excluded,
+            copy,
+            prompt: order.prompt,
+            with_backup: self.job.has_backups && order.repeat.is_stream(),
+        };
+        let choice = traffic
+            .selector()
+            .select(now, &traffic.book.borrow(), &question);
+        let Some(choice) = choice else {
+            return self.exchange.handle(now, ExchangeInput::Unplaced);
+        };
+        log::info!(
+            id:% = self.job.head.id,
+            route:% = self.job.route.name,
+            endpoint:% = choice.endpoint.key.id,
+            backup = choice.backup.as_ref().map_or("-", |it| it.key.id.as_str()),
+            has_copy = choice.copy.is_some(),
+            candidates = choice.candidates,
+            runs = self.exchange.runs(),
+            last_event = self.last_event.unwrap_or_default().get(),
+            configuration_revision = self.job.configuration_revision.get(),
+            registry_revision = snapshot.registry_revision.get(),
+            knowledge_age_ms = traffic.shared.confirmed_age().millis().get();
+            "attempt placed"
+        );
+        self.exchange
+            .handle(now, ExchangeInput::Placed(Box::new(choice)))
+    }
+
+    pub(super) fn open(&mut self, choice: Box<Choice>) {
+        let now = self.traffic.now();
+        let key = choice.endpoint.key.clone();
+        self.traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::Attempts);
+        self.traffic
+            .book
+            .borrow_mut()
+            .note_start(&key, self.job.order.prompt);
+        if let Some(backup) = &choice.backup {
+            self.traffic.book.borrow_mut().note_copy(&backup.key);
+        }
+        self.pending.clear();
+        self.attempt = Some(Attempt::start(
+            &self.traffic,
+            &self.job,
+            &choice,
+            self.last_event,
+        ));
+        self.sent = Some(Sent {
+            key,
+            choice,
+            at: now,
+            has_answered: false,
+        });
+    }
+
+    pub(super) fn start_probe(&mut self) {
+        if let Some(sent) = &self.sent {
+            self.traffic.shared.metrics.increment(RelayCounter::Probes);
+            let key = engine::connection_key(&sent.choice.endpoint);
+            let traffic = Rc::clone(&self.traffic);
+            self.probe = Some(engine::start_probe(traffic, key));
+        }
+    }
+
+    pub(super) fn give_answer(&mut self) {
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
+        self.log_end("answered", Some(answer.status.as_u16()));
+        self.traffic.shared.metrics.increment(RelayCounter::Answers);
+        let kind = match self.job.order.repeat.may_run_again() {
+            true => RelayLatency::IdempotentCall,
+            false => RelayLatency::OnceOnlyCall,
+        };
+        self.observe(kind);
+        let body = RelayBody::whole(answer.body);
+        self.reply(answer::relayed(answer.status, &answer.headers, body));
+    }
+
+    pub(super) async fn begin_stream(&mut self) {
+        let Some(head) = self.stream_head.take() else {
+            return;
+        };
+        self.observe(RelayLatency::FirstEvent);
+        let (sender, body) = RelayBody::stream();
+        self.reply(answer::relayed(head.status, &head.headers, body));
+        self.caller = Caller::Streaming(sender);
+        self.flush().await;
+    }
+
+    pub(super) fn finish(&mut self) {
+        self.log_end("finished", None);
+        self.traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::StreamsFinished);
+        self.caller = Caller::Done;
+    }
+
+    pub(super) async fn break_off(&mut self) {
+        self.log_end("broken_off", None);
+        self.traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::StreamsBrokenOff);
+        if let Caller::Streaming(sender) = std::mem::replace(&mut self.caller, Caller::Done) {
+            // A caller that has left needs no end.
+            let _ = sender.send(Err(BrokenOff)).await;
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        reason: RefusalReason,
+        not_run: bool,
+        retry_after_ms: Option<Millis>,
+    ) {
+        let traffic = Rc::clone(&self.traffic);
+        let (taken, slots) = traffic
+            .book
+            .borrow()
+            .occupancy(traffic.now(), &self.job.order.service);
+        traffic.shared.metrics.increment(RelayCounter::Refusals);
+        log::info!(
+            id:% = self.job.head.id,
+            route:% = self.job.route.name,
+            reason:% = reason,
+            not_run = not_run,
+            runs = self.exchange.runs(),
+            age_ms = self.exchange.age(traffic.now()).millis().get(),
+            taken = taken,
+            slots = slots,
+            knowledge_age_ms = traffic.shared.confirmed_age().millis().get();
+            "request refused"
+        );
+        self.reply(answer::refused(reason, not_run, retry_after_ms));
+    }
+
+    pub(super) fn reply(&mut self, response: Response<RelayBody>) {
+        if let Caller::Waiting(reply) = std::mem::replace(&mut self.caller, Caller::Done) {
+            // A caller that has left needs no answer.
+            let _ = reply.send(response);
+        }
+    }
+
+    /// Closes what runs, and takes it out of the book.
+    pub(super) fn end_attempt(&mut self, outcome: Outcome) {
+        self.attempt = None;
+        self.probe = None;
+        self.copies = Copies::default();
+        if let Some(sent) = self.sent.take() {
+            let mut book = self.traffic.book.borrow_mut();
+            if !sent.has_answered {
+                book.note_prompt_read(&sent.key, self.job.order.prompt);
+                book.note_outcome(self.traffic.now(), &sent.key, outcome);
+            }
+            book.note_end(&sent.key);
+            if let Some(backup) = &sent.choice.backup {
+                book.note_copy_end(&backup.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -0,0 +1,210 @@
+//! Gives an exchange what came of its attempts.
+
+use parsleylatch_decide::relay::{
+    AnswerClass, EngineReport, ExchangeEffect, ExchangeInput, LoadSample, Outcome, ProbeFinding,
+    RepeatKind,
+};
+use parsleylatch_http::RawEvent;
+use parsleylatch_types::{MonoTime, StreamEventId};
+
+use super::{Caller, Driver};
+use crate::{
+    telemetry::RelayCounter,
+    traffic::attempt::{AttemptEvent, StreamHead, WholeAnswer},
+};
+
+impl Driver {
+    pub(super) fn take_probe(&mut self, report: Option<&EngineReport>) -> Vec<ExchangeEffect> {
+        let now = self.traffic.now();
+        let sent_for = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
+        if let (Some(sent), Some(report)) = (&self.sent, report) {
+            let load = LoadSample {
+                running: report.running,
+                waiting: report.waiting,
+            };
+            let mut book = self.traffic.book.borrow_mut();
+            book.note_load(now, &sent.key, load);
+        }
+        let finding = report.map(|report| {
+            report.find(
+                self.job.head.id.as_str(),
+                self.last_event,
+                sent_for.unwrap_or_default(),
+            )
+        });
+        if finding == Some(ProbeFinding::Present) {
+            return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
+        }
+        let may_retry = self.may_retry(true);
+        if may_retry {
+            let reason = match finding {
+                Some(ProbeFinding::Withheld) => "silent, and events are withheld",
+                Some(_) => "silent, and the engine does not have it",
+                None => "silent, and no answer to a probe",
+            };
+            self.note_failure(Outcome::Broken, reason);
+        }
+        self.exchange
+            .handle(now, ExchangeInput::ProbeFailed { may_retry })
+    }
+
+    pub(super) async fn take_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
+        match event {
+            AttemptEvent::Unreachable(reason) => {
+                self.note_failure(Outcome::Unreachable, &reason);
+                self.unsent()
+            }
+            AttemptEvent::Unsent(reason) => {
+                self.note_failure(Outcome::Abandoned, &reason);
+                self.unsent()
+            }
+            AttemptEvent::Lost(reason) => self.lost(&reason),
+            AttemptEvent::Answer(answer) => self.take_answer(answer),
+            AttemptEvent::Head(head) => self.take_head(head),
+            AttemptEvent::Events(events) => self.take_events(events).await,
+            AttemptEvent::Finished if self.exchange.has_begun() => {
+                self.note_answered();
+                self.exchange
+                    .handle(self.traffic.now(), ExchangeInput::Finished)
+            }
+            AttemptEvent::Finished => self.lost("the stream has no event"),
+        }
+    }
+
+    pub(super) fn unsent(&mut self) -> Vec<ExchangeEffect> {
+        let may_retry = self.may_retry(false);
+        self.exchange
+            .handle(self.traffic.now(), ExchangeInput::Unsent { may_retry })
+    }
+
+    pub(super) fn lost(&mut self, reason: &str) -> Vec<ExchangeEffect> {
+        self.note_failure(Outcome::Broken, reason);
+        let may_retry = self.may_retry(true);
+        self.exchange
+            .handle(self.traffic.now(), ExchangeInput::Lost { may_retry })
+    }
+
+    pub(super) fn take_answer(&mut self, answer: Box<WholeAnswer>) -> Vec<ExchangeEffect> {
+        self.note_load(&answer.head);
+        let status = answer.status;
+        let is_not_run = answer.head.is_not_run || answer.head.is_other_endpoint;
+        let class = if is_not_run {
+            AnswerClass::NotRun
+        } else if !answer.head.has_digest && status.is_success() {
+            return self.lost("a success without a digest");
+        } else if status.is_server_error() {
+            AnswerClass::Failure
+        } else {
+            AnswerClass::Final
+        };
+        match class {
+            AnswerClass::Final => self.note_answered(),
+            AnswerClass::Failure => self.note_failure(Outcome::Errored, status.as_str()),
+            AnswerClass::NotRun => {
+                let outcome = match answer.head.is_other_endpoint {
+                    true => Outcome::Replaced,
+                    false if self.has_copy() => Outcome::Abandoned,
+                    false => Outcome::Rejected,
+                };
+                self.note_failure(outcome, status.as_str());
+            }
+        }
+        self.answer = Some(answer);
+        let may_retry = match class {
+            AnswerClass::Final => false,
+            AnswerClass::Failure => self.may_retry(true),
+            AnswerClass::NotRun => self.may_retry(false),
+        };
+        let input = ExchangeInput::Answered { class, may_retry };
+        self.exchange.handle(self.traffic.now(), input)
+    }
+
+    pub(super) fn take_head(&mut self, head: Box<StreamHead>) -> Vec<ExchangeEffect> {
+        self.note_load(&head.head);
+        if !head.head.has_digest {
+            return self.lost("a stream without a digest");
+        }
+        if self.stream_head.is_none() {
+            self.stream_head = Some(head);
+        }
+        Vec::new()
+    }
+
+    /// Passes on the events that the caller does not have.
+    pub(super) async fn take_events(&mut self, events: Vec<RawEvent>) -> Vec<ExchangeEffect> {
+        let now = self.traffic.now();
+        for event in events {
+            let id = event.id.map(StreamEventId::new);
+            if id.is_some() && id <= self.last_event {
+                self.traffic
+                    .shared
+                    .metrics
+                    .increment(RelayCounter::EventsDropped);
+                continue;
+            }
+            self.last_event = id.or(self.last_event);
+            self.pending.push(event);
+        }
+        if self.pending.is_empty() {
+            return Vec::new();
+        }
+        self.note_first_event(now);
+        self.note_gap(now);
+        let effects = self.exchange.handle(now, ExchangeInput::Event);
+        if self.exchange.has_begun() && matches!(self.caller, Caller::Streaming(_)) {
+            self.flush().await;
+        }
+        self.keep_copy(now);
+        effects
+    }
+
+    /// Orders a copy of the run's memory in place of one whose holder is lost.
+    pub(super) fn keep_copy(&mut self, now: MonoTime) {
+        let (Some(sent), Some(copy)) = (&self.sent, self.exchange.growing_copy()) else {
+            return;
+        };
+        let id = &self.job.head.id;
+        let running = &sent.choice.endpoint;
+        self.copies.look(now, &self.traffic, id, running, copy);
+    }
+
+    /// Hands the pending events to the caller's connection.
+    pub(super) async fn flush(&mut self) {
+        let Caller::Streaming(sender) = &self.caller else {
+            return;
+        };
+        let shared = &self.traffic.shared;
+        for event in self.pending.drain(..) {
+            shared.metrics.increment(RelayCounter::EventsRelayed);
+            // A caller that has left is seen by the next wait.
+            let _ = sender.send(Ok(event.bytes)).await;
+        }
+    }
+
+    pub(super) fn may_retry(&self, may_have_run: bool) -> bool {
+        self.exchange.wants_retry(may_have_run) && self.take_repeat()
+    }
+
+    pub(super) fn take_repeat(&self) -> bool {
+        let kind = match self.exchange.has_begun() {
+            true => RepeatKind::Resumption,
+            false => RepeatKind::Plain,
+        };
+        let is_taken = self.traffic.take_repeat(&self.job.order.service, kind);
+        if !is_taken {
+            log::info!(
+                id:% = self.job.head.id,
+                route:% = self.job.route.name,
+                has_begun = self.exchange.has_begun();
+                "retry budget used up"
+            );
+        }
+        is_taken
+    }
+
+    pub(super) fn has_copy(&self) -> bool {
+        self.sent
+            .as_ref()
+            .is_some_and(|it| it.choice.copy.is_some())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/traffic/exchange/notes.rs
@@ -0,0 +1,93 @@
+//! What an exchange tells the endpoint book, the metrics and the log.
+
+use parsleylatch_decide::relay::Outcome;
+use parsleylatch_types::{Micros, MonoTime};
+
+use super::Driver;
+use crate::{
+    codec::AnswerHead,
+    telemetry::{RelayCounter, RelayLatency},
+};
+
+impl Driver {
+    pub(super) fn note_load(&mut self, head: &AnswerHead) {
+        if let (Some(sent), Some(load)) = (&self.sent, head.load) {
+            let now = self.traffic.now();
+            self.traffic
+                .book
+                .borrow_mut()
+                .note_load(now, &sent.key, load);
+        }
+    }
+
+    pub(super) fn note_first_event(&mut self, now: MonoTime) {
+        if let Some(sent) = self.sent.as_mut().filter(|it| !it.has_answered) {
+            sent.has_answered = true;
+            let mut book = self.traffic.book.borrow_mut();
+            book.note_prompt_read(&sent.key, self.job.order.prompt);
+            let latency = now.since(sent.at);
+            book.note_outcome(now, &sent.key, Outcome::Answered { latency });
+        }
+    }
+
+    /// Notes the caller's wait for an event.
+    pub(super) fn note_gap(&mut self, now: MonoTime) {
+        match self.last_event_at.replace(now) {
+            Some(last) => self.longest_gap = self.longest_gap.max(now.since(last)),
+            None => self.first_event_after = Some(now.since(self.started_at)),
+        }
+    }
+
+    pub(super) fn note_answered(&mut self) {
+        self.note_first_event(self.traffic.now());
+    }
+
+    /// Notes that the endpoint failed this attempt, and why.
+    pub(super) fn note_failure(&mut self, outcome: Outcome, reason: &str) {
+        let Some(sent) = &self.sent else {
+            return;
+        };
+        let now = self.traffic.now();
+        let traffic = &self.traffic;
+        traffic
+            .book
+            .borrow_mut()
+            .note_outcome(now, &sent.key, outcome);
+        traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::AttemptsFailed);
+        log::info!(
+            id:% = self.job.head.id,
+            route:% = self.job.route.name,
+            endpoint:% = sent.key.id,
+            reason = reason,
+            after_ms = now.since(sent.at).millis().get(),
+            last_event = self.last_event.unwrap_or_default().get();
+            "attempt failed"
+        );
+    }
+
+    pub(super) fn observe(&self, kind: RelayLatency) {
+        let shared = &self.traffic.shared;
+        let latency: Micros = shared.now().since(self.started_at);
+        shared.metrics.observe(kind, latency);
+    }
+
+    pub(super) fn log_end(&self, outcome: &str, status: Option<u16>) {
+        let endpoint = self.sent.as_ref().map_or("-", |it| it.key.id.as_str());
+        log::info!(
+            id:% = self.job.head.id,
+            route:% = self.job.route.name,
+            outcome = outcome,
+            status = status.unwrap_or_default(),
+            endpoint = endpoint,
+            runs = self.exchange.runs(),
+            last_event = self.last_event.unwrap_or_default().get(),
+            first_event_ms = self.first_event_after.unwrap_or_default().millis().get(),
+            longest_gap_ms = self.longest_gap.millis().get(),
+            age_ms = self.exchange.age(self.traffic.now()).millis().get();
+            "request ended"
+        );
+    }
+}
--- a/crates/relay/src/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -41,6 +41,8 @@
     pub(crate) route: Arc<RelayRoute>,
     pub(crate) workspace: Option<Arc<RelayWorkspace>>,
     pub(crate) has_backups: bool,
+    /// Unused connections that this thread may keep to one endpoint.
+    pub(crate) connection_share: usize,
     pub(crate) order: ExchangeOrder,
     /// Revision of the configuration by which it was routed.
     pub(crate) configuration_revision: Revision,
@@ -139,9 +141,9 @@
     let workspace = find_workspace(shared, configuration, route, &head)?;
     let service = choose_service(route);
     traffic.note_request(&service);
-    let has_backups = configuration
-        .service(&service)
-        .is_some_and(|it| it.has_backups);
+    let rules = configuration.service(&service);
+    let has_backups = rules.is_some_and(|it| it.has_backups);
+    let connection_share = rules.map_or(1, |it| traffic.connection_share(it));
     let timeout_ms = head
         .patience_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
@@ -166,6 +168,7 @@
         route: Arc::clone(route),
         workspace,
         has_backups,
+        connection_share,
         order,
         configuration_revision: configuration.revision(),
     })
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -18,7 +18,9 @@
     time::Duration,
 };
 
-use parsleylatch_decide::relay::{EndpointBook, EndpointKey, RepeatKind, RetryWindow, Selector};
+use parsleylatch_decide::relay::{
+    EndpointBook, EndpointKey, RepeatKind, RetryWindow, Selector, ServiceRules,
+};
 use parsleylatch_endpoint::{ConnectionKey, Connections};
 use parsleylatch_http::NodelayListener;
 use parsleylatch_types::{MonoTime, ServiceName};
@@ -92,11 +94,22 @@
         self.with_retries(service, |window| window.note_request(now));
     }
 
+    /// Unused connections that this thread may keep to one endpoint of a service: its
+    /// part of half of what the endpoint accepts; the other half is for requests.
+    pub(crate) fn connection_share(&self, rules: &ServiceRules) -> usize {
+        rules.connection_limit as usize / 2 / self.sharers()
+    }
+
+    /// Traffic threads of all nodes.
+    fn sharers(&self) -> usize {
+        let nodes = self.shared.snapshot.load().nodes.len().max(1);
+        nodes * self.shared.settings.load().traffic_threads
+    }
+
     /// Takes one repeat from the budget, if there is one left.
     pub(crate) fn take_repeat(&self, service: &ServiceName, kind: RepeatKind) -> bool {
         let now = self.now();
-        let sharers = self.shared.snapshot.load().nodes.len().max(1)
-            * self.shared.settings.load().traffic_threads;
+        let sharers = self.sharers();
         self.with_retries(service, |window| window.take_repeat(now, sharers, kind))
     }
 
