--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -462,3 +462,13 @@
         }
     }
 }
+
+/// An engine that answers no probe is given up: without budget the caller hears at
+/// once, and may go on at another node.
+#[test]
+fn probe_failed_without_budget_refused() {
+    let mut exchange = sent(RESUMABLE);
+    exchange.expire(at(400), false, false);
+    let effects = exchange.handle(at(550), ExchangeInput::ProbeFailed { may_retry: false });
+    assert_eq!(refusal(&effects), Some((RefusalReason::AnswerLost, false)));
+}
