Read once more: one cost of doubt for requests and copies, dead pieces out

The selector worked out suspension and doubt in two places; doubt_cost serves both, with the same draws in the same order. Behaviour is the same.

--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -145,13 +145,11 @@
         let allowed = usable.filter(|it| !excluded.contains(&it.entry.key));
         let costs = allowed.map(|condition| {
             let domain = &condition.entry.failure_domain;
-            let domain_suspended = book.is_domain_suspended(now, service, domain);
             let same_domain = u64::from(*domain == running.failure_domain);
             let cost = COPY_COST_US.get() * u64::from(condition.copies)
                 + STREAM_COST_US.get() * u64::from(condition.occupancy(now))
                 + SUSPENSION_COST_US.get() * same_domain
-                + DOUBT_COST_US.get() * u64::from(book.is_doubtful(condition))
-                + suspension_cost(now, condition, domain_suspended)
+                + doubt_cost(now, book, condition)
                 + self.random.random_range(0..BACKUP_JITTER_US);
             (cost, &condition.entry)
         });
@@ -176,13 +174,9 @@
                     call_cost(now, condition) + self.random.random_range(0..CALL_JITTER_US)
                 };
                 let entry = &condition.entry;
-                let suspended =
-                    book.is_domain_suspended(now, question.service, &entry.failure_domain);
-                let doubt = DOUBT_COST_US.times(u64::from(book.is_doubtful(condition)));
                 let cost = cost
-                    + doubt.get()
                     + self.trip(&entry.failure_domain).get()
-                    + suspension_cost(now, condition, suspended)
+                    + doubt_cost(now, book, condition)
                     + (condition.failure_rate(now) * FAILURE_COST_US.get() as f64) as u64;
                 (cost, Arc::clone(entry))
             })
@@ -201,10 +195,14 @@
     }
 }
 
-fn suspension_cost(now: MonoTime, condition: &Condition, domain_suspended: bool) -> u64 {
+/// Cost of an endpoint that broke a moment ago, or whose failure domain did.
+fn doubt_cost(now: MonoTime, book: &EndpointBook, condition: &Condition) -> u64 {
+    let entry = &condition.entry;
     let own = condition.suspended_until > now;
-    let suspended = u64::from(own) + u64::from(domain_suspended);
+    let domain = book.is_domain_suspended(now, &entry.service, &entry.failure_domain);
+    let suspended = u64::from(own) + u64::from(domain);
     SUSPENSION_COST_US.get() * suspended
+        + DOUBT_COST_US.get() * u64::from(book.is_doubtful(condition))
 }
 
 /// Work in front of a stream: prompts that are not read yet, and streams that
--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -102,8 +102,6 @@
 pub struct Opened {
     /// Head with the open body.
     pub response: Response<Incoming>,
-    /// Whether the connection was made for this request.
-    pub is_new: bool,
     connection: OpenConnection,
 }
 
@@ -139,7 +137,6 @@
     ) -> Result<Opened, SendError> {
         let peer = key.address;
         let kept = self.take_idle(key, rules.idle_limit_ms.duration());
-        let is_new = kept.is_none();
         let mut sender = match kept {
             Some(sender) => sender,
             None => connect(peer, rules.connect_timeout_ms.duration()).await?,
@@ -156,7 +153,6 @@
         let good_for = announced_idle_time(&response).unwrap_or(Duration::MAX);
         Ok(Opened {
             response,
-            is_new,
             connection: OpenConnection {
                 key: key.clone(),
                 sender,
--- a/crates/relay/src/traffic/intake.rs
+++ b/crates/relay/src/traffic/intake.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     codec::CallerHead,
-    shared::{Shared, Snapshot, StopPhase},
+    shared::{Shared, StopPhase},
     telemetry::RelayCounter,
 };
 
@@ -131,7 +131,8 @@
     let body = read_body(body, &limits).await;
     watch.expect_head();
     let body = body.map_err(|denial| denied(id, denial, "body"))?;
-    let snapshot = newest(traffic, snapshot);
+    // The newest one after the body was read decides.
+    let snapshot = traffic.snapshot();
     let configuration = snapshot.configuration.as_ref();
     let configuration =
         configuration.ok_or_else(|| denied(id, Denial::Uninformed, "no configuration"))?;
@@ -198,12 +199,6 @@
     Millis::new(reading + writing)
 }
 
-/// Snapshot by which the request is handled: the newest one after the body was read.
-fn newest(traffic: &Traffic, earlier: Arc<Snapshot>) -> Arc<Snapshot> {
-    drop(earlier);
-    traffic.snapshot()
-}
-
 fn denied(id: Option<&ExchangeId>, denial: Denial, detail: &'static str) -> Denied {
     Denied {
         id: id.cloned(),
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -172,21 +172,16 @@
     serde_json::from_slice(body).map_err(|error| ReplyFault::Form(error.to_string()))
 }
 
-/// Key that a write leaves behind.
-pub(crate) fn written_key(order: &WriteOrder<'_>, revision: Revision) -> Option<KeyValue> {
-    order.value.map(|value| KeyValue {
-        key: order.key.to_owned(),
-        value: value.to_owned(),
-        revision,
-    })
-}
-
 impl WriteOrder<'_> {
     /// Answer to this write after it took effect at a revision.
     pub fn written_at(&self, revision: Revision) -> WriteReply {
         WriteReply {
             written: true,
-            entry: written_key(self, revision),
+            entry: self.value.map(|value| KeyValue {
+                key: self.key.to_owned(),
+                value: value.to_owned(),
+                revision,
+            }),
         }
     }
 }
