--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -13,7 +13,11 @@
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::readers::NodeLocation;
+use super::{
+    overload::{EngineLoad, OwnStreams, StreamSize},
+    readers::NodeLocation,
+    report::EngineReport,
+};
 
 /// Half-life of the failure rate; a crashed endpoint is back after one or two seconds.
 const FAILURE_HALF_LIFE_MS: Millis = Millis::new(2_000);
@@ -109,6 +113,7 @@
     /// Prompt tokens of this thread's requests that have no first event yet.
     pub(crate) unread_tokens: u64,
     load: Option<(LoadSample, MonoTime)>,
+    pub(crate) engine_load: EngineLoad,
     failure_rate: f64,
     failure_rate_updated_at: MonoTime,
     pub(crate) latency: Option<Micros>,
@@ -130,6 +135,7 @@
             copies: 0,
             unread_tokens: 0,
             load: None,
+            engine_load: EngineLoad::default(),
             failure_rate: 0.0,
             failure_rate_updated_at: MonoTime::ZERO,
             latency: None,
@@ -160,6 +166,11 @@
         self.suspended_until = self.suspended_until.max(now + length);
     }
 
+    pub(crate) fn has_room(&self, now: MonoTime, size: StreamSize) -> Option<bool> {
+        self.engine_load
+            .has_room(now, self.entry.slots, self.is_owned, size)
+    }
+
     /// Queued requests, if reported recently.
     pub(crate) fn waiting(&self, now: MonoTime) -> u32 {
         let reported = self
@@ -385,6 +396,81 @@
         }
     }
 
+    /// Records a state report of an engine.
+    pub fn record_report(&mut self, now: MonoTime, key: &EndpointKey, report: &EngineReport) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            let load = LoadSample {
+                running: report.running,
+                waiting: report.waiting,
+            };
+            stats.load = Some((load, now));
+            stats.engine_load.record_report(now, report);
+        }
+    }
+
+    /// Records that a stream was sent to an engine.
+    pub fn record_placement(&mut self, now: MonoTime, key: &EndpointKey, size: StreamSize) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            stats.engine_load.record_placement(now, size);
+        }
+    }
+
+    /// Records that a stream is assigned to an engine, and will be sent at once.
+    pub fn reserve(&mut self, now: MonoTime, key: &EndpointKey, size: StreamSize) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            stats.engine_load.reserve(now, size);
+        }
+    }
+
+    /// Whether an engine has room for a stream, as reported; `None` without a recent
+    /// report or if the engine can't be used.
+    pub fn has_room(&self, now: MonoTime, key: &EndpointKey, size: StreamSize) -> Option<bool> {
+        let stats = self.endpoints.get(key).filter(|_| self.is_usable(key))?;
+        stats.has_room(now, size)
+    }
+
+    /// Whether any engine of a service reports room for a stream.
+    pub(crate) fn any_has_room(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+        size: StreamSize,
+    ) -> bool {
+        self.usable(service).any(|it| {
+            it.has_room(now, size) == Some(true) && !self.is_suspended(now, &it.entry.key)
+        })
+    }
+
+    /// Whether the last report of an engine explains why a stream there makes no progress:
+    /// others have to be read before, or the memory is full.
+    pub fn explains_delay(&self, now: MonoTime, key: &EndpointKey, size: StreamSize) -> bool {
+        self.has_room(now, key, size) == Some(false)
+    }
+
+    /// This thread's streams and copies at the usable engines of a service.
+    pub fn own_streams(&self, service: &ServiceName) -> OwnStreams {
+        let usable = self.usable(service);
+        usable.fold(OwnStreams::default(), |sum, it| OwnStreams {
+            streams: sum.streams + it.in_flight,
+            copies: sum.copies + it.copies,
+            engines: sum.engines + 1,
+        })
+    }
+
+    /// Records the first event of the stream that was sent to an engine at `sent_at`.
+    pub fn record_first_event(&mut self, now: MonoTime, key: &EndpointKey, sent_at: MonoTime) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            stats.engine_load.record_first_event(now, sent_at);
+        }
+    }
+
+    /// Records the end of the attempt that was sent to an engine at `sent_at`.
+    pub fn record_stream_end(&mut self, key: &EndpointKey, sent_at: MonoTime) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            stats.engine_load.record_end(sent_at);
+        }
+    }
+
     /// Records the outcome of an attempt.
     pub fn record_outcome(&mut self, now: MonoTime, key: &EndpointKey, outcome: Outcome) {
         let Some(stats) = self.endpoints.get_mut(key) else {
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -44,6 +44,8 @@
     pub(super) now: MonoTime,
     pub(super) sent_at: MonoTime,
     pub(super) unplaced_since: Option<MonoTime>,
+    /// Reason and retry delay of a request that can't be served in time.
+    pub(super) hopeless: Option<(RefusalReason, Option<Millis>)>,
     pub(super) runs: u32,
     pub(super) not_run_attempts: u32,
     pub(super) failed: Vec<EndpointKey>,
@@ -178,6 +180,19 @@
         self.not_run_attempts += 1;
     }
 
+    pub(super) fn refuse_hopeless(&mut self) {
+        let (reason, retry_after_ms) = self
+            .hopeless
+            .take()
+            .unwrap_or((RefusalReason::Hopeless, None));
+        let not_run = self.runs == 0;
+        self.effects.push(ExchangeEffect::Refuse {
+            reason,
+            not_run,
+            retry_after_ms: retry_after_ms.filter(|_| not_run),
+        });
+    }
+
     pub(super) fn refuse(&mut self, reason: RefusalReason) {
         let not_run = self.runs == 0;
         let retry_after_ms = not_run.then(|| {
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -44,6 +44,17 @@
     Placed(Box<Choice>),
     /// No endpoint is eligible.
     PlacementFailed,
+    /// All engines are full; the request waits for one with room.
+    Queued,
+    /// The engine that was assigned to the waiting request can no longer be used.
+    AssignmentFailed,
+    /// The request can't be served before its deadline.
+    Hopeless {
+        /// Why it is refused.
+        reason: RefusalReason,
+        /// Time after which the caller may try again.
+        retry_after_ms: Option<Millis>,
+    },
     /// A complete response arrived.
     Answered {
         /// Class of the response.
@@ -88,6 +99,10 @@
     AnswerLost,
     /// The deadline has passed.
     DeadlinePassed,
+    /// The deadline is too close for any endpoint to respond.
+    Hopeless,
+    /// The engines are full, and too many requests wait already.
+    Overloaded,
 }
 
 /// Effects that the front end carries out.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -15,7 +15,11 @@
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
 use parsleylatch_types::{Micros, MonoTime};
 
-use super::{copy::MemoryCopy, endpoint_table::EndpointEntry, stall_detector::StallDetector};
+use super::{
+    copy::MemoryCopy,
+    endpoint_table::{EndpointEntry, EndpointKey},
+    stall_detector::StallDetector,
+};
 use crate::charts::{self, LazyMachine};
 use context::ExchangeContext;
 
@@ -28,6 +32,8 @@
         Placing,
         /// No endpoint is eligible at present.
         AwaitingEndpoint,
+        /// All engines are full; the request waits for one with room.
+        Queued,
         /// The request was sent, and no response has arrived.
         AwaitingResponse,
         /// As `AwaitingResponse`, with a probe in flight.
@@ -56,6 +62,12 @@
         Placed,
         /// No endpoint is eligible.
         PlacementFailed,
+        /// All engines are full.
+        Queued,
+        /// The assigned engine can no longer be used.
+        AssignmentFailed,
+        /// The request can't be served before its deadline.
+        Hopeless,
         /// A complete response arrived.
         Answered,
         /// A complete error response arrived.
@@ -122,6 +134,7 @@
                 it.refuse(RefusalReason::NoEndpoint);
             })
             .action("refuse_rejected", |it| it.refuse(RefusalReason::Rejected))
+            .action("refuse_hopeless", ExchangeContext::refuse_hopeless)
             .action("refuse_answer_lost", |it| {
                 it.refuse(RefusalReason::AnswerLost);
             })
@@ -155,6 +168,7 @@
             now,
             sent_at: now,
             unplaced_since: None,
+            hopeless: None,
             runs: 0,
             not_run_attempts: 0,
             failed: Vec::new(),
@@ -199,6 +213,11 @@
         self.context.runs
     }
 
+    /// Endpoints at which an attempt has failed.
+    pub fn excluded_endpoints(&self) -> &[EndpointKey] {
+        &self.context.failed
+    }
+
     /// Time since the start.
     pub fn age(&self, now: MonoTime) -> Micros {
         now.since(self.context.started_at)
@@ -247,6 +266,15 @@
                 ExchangeEvent::Placed
             }
             ExchangeInput::PlacementFailed => ExchangeEvent::PlacementFailed,
+            ExchangeInput::Queued => ExchangeEvent::Queued,
+            ExchangeInput::AssignmentFailed => ExchangeEvent::AssignmentFailed,
+            ExchangeInput::Hopeless {
+                reason,
+                retry_after_ms,
+            } => {
+                context.hopeless = Some((reason, retry_after_ms));
+                ExchangeEvent::Hopeless
+            }
             ExchangeInput::Answered { class, may_retry } => {
                 context.may_retry = may_retry;
                 context.has_error_response = class == ResponseClass::Failure;
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_table;
 mod exchange;
 mod life;
+mod overload;
 mod readers;
 mod registry;
 mod report;
@@ -35,6 +36,11 @@
     ResponseClass,
 };
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
+pub use overload::{
+    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueFull, QueueTicket, QueuedStream,
+    StreamSize, assign_engines, is_copy_unaffordable, is_hopeless, may_be_full, must_wait,
+    retry_delay,
+};
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
 pub use registry::{Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
--- /dev/null
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -0,0 +1,75 @@
+//! Whether a stream waits, and which engine a waiting stream is assigned to.
+//!
+//! Load pattern: a burst that fills all engines, on many nodes at once. A stream is sent
+//! at once as long as the engines are presumed to have room, so that calm days need no
+//! state reports. Otherwise it is assigned to the least loaded engine that reports room.
+
+use parsleylatch_types::{MonoTime, ServiceName};
+
+use super::{
+    engine_load::StreamSize,
+    pressure::may_be_full,
+    queue::{PlacementQueue, QueueTicket},
+};
+use crate::relay::{
+    endpoint_table::{EndpointKey, EndpointTable},
+    selector::Selector,
+};
+
+/// Result of a wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Assignment {
+    /// An engine that has room.
+    Engine(EndpointKey),
+    /// No engine reports its state, so that any of them may be used.
+    Unrestricted,
+    /// The stream can't begin before its deadline.
+    Hopeless,
+}
+
+/// Whether a stream has to wait although the engine `key` could be used. `threads` is the
+/// number of traffic threads of all nodes.
+pub fn must_wait(
+    now: MonoTime,
+    table: &EndpointTable,
+    service: &ServiceName,
+    key: &EndpointKey,
+    size: StreamSize,
+    threads: usize,
+) -> bool {
+    let may_be_full = may_be_full(table.own_streams(service), threads, size);
+    may_be_full && table.has_room(now, key, size) != Some(true)
+}
+
+/// Assigns the engines that have room to waiting streams, and takes those out of the queue
+/// that have become hopeless. `has_reports` is false if no engine reports its state.
+pub fn assign_engines(
+    now: MonoTime,
+    table: &mut EndpointTable,
+    selector: &mut Selector,
+    service: &ServiceName,
+    queue: &mut PlacementQueue,
+    has_reports: bool,
+) -> Vec<(QueueTicket, Assignment)> {
+    let hopeless = queue.take_hopeless(now).into_iter();
+    let mut assignments: Vec<_> = hopeless
+        .map(|ticket| (ticket, Assignment::Hopeless))
+        .collect();
+    loop {
+        let has_room = |size: StreamSize| !has_reports || table.any_has_room(now, service, size);
+        let Some((ticket, stream)) = queue.take_next(now, has_room) else {
+            if !queue.is_empty() {
+                queue.record_full(now);
+            }
+            return assignments;
+        };
+        let assignment = match selector.engine_with_room(now, table, service, stream.size) {
+            Some(key) => {
+                table.reserve(now, &key, stream.size);
+                Assignment::Engine(key)
+            }
+            None => Assignment::Unrestricted,
+        };
+        assignments.push((ticket, assignment));
+    }
+}
--- /dev/null
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -0,0 +1,35 @@
+//! Waiting, rejection and placement of streams while the engines are overloaded.
+//!
+//! An engine that is sent more prompts than it can read or hold queues them, preempts
+//! running streams and reads their prompts again. A queue in an engine can't be
+//! reordered, and its requests can't use another engine that has room first. Streams
+//! therefore wait at the node while the engines are full:
+//!
+//! - [`EngineLoad`] decides from an engine's state report whether it has room for another
+//!   prompt. Load pattern: several times the usual traffic, which fills the engines'
+//!   memory.
+//! - [`may_be_full`] decides when the engines are asked for their state. Load pattern: a
+//!   burst that is spread over so many nodes that none of them sees it.
+//! - [`must_wait`] and [`assign_engines`] bring these decisions together. Load pattern:
+//!   a burst on many nodes at once.
+//! - [`PlacementQueue`] decides which waiting stream is placed next and which are
+//!   rejected. Load pattern: a burst whose end leaves a backlog of late streams that
+//!   would make the following ones late as well.
+//! - [`is_hopeless`] rejects a stream that can't begin before its deadline. Load pattern:
+//!   callers that return with little time left.
+//! - [`retry_delay`] spreads the callers that are rejected over the time at which they
+//!   can be served. Load pattern: callers that return all at once.
+
+mod assignment;
+mod engine_load;
+mod hopeless;
+mod pressure;
+mod queue;
+mod retry_delay;
+
+pub use assignment::{Assignment, assign_engines, must_wait};
+pub use engine_load::{EngineLoad, StreamSize};
+pub use hopeless::is_hopeless;
+pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
+pub use queue::{PlacementQueue, QueueFull, QueueTicket, QueuedStream};
+pub use retry_delay::retry_delay;
--- /dev/null
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -0,0 +1,219 @@
+//! Streams that wait at the node until an engine has room.
+//!
+//! Load pattern: a burst of several times the usual traffic. In order of arrival, the
+//! backlog makes every stream late that arrives before it is worked off. The streams that
+//! can still begin in time go first, by rank and by the time until which they can. Late
+//! ones use the remaining room, and leave room for a stream that arrives after them. One
+//! placement in [`LATE_TURN_INTERVAL`] goes to the stream whose caller leaves first,
+//! whatever its rank, so that none starves in a long overload. A stream that can't be
+//! reached before its caller leaves is rejected as soon as this shows.
+
+use std::collections::VecDeque;
+
+use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, Rank, RequestCount};
+
+use super::{engine_load::StreamSize, hopeless::is_hopeless};
+use crate::relay::selector::PREFILL_TOKENS_PER_MS;
+
+/// Requests that may wait for one service at one traffic thread.
+const QUEUE_LIMIT: RequestCount = RequestCount::new(512);
+/// Bytes of request bodies that may wait for one service at one traffic thread.
+const QUEUE_BYTES_LIMIT: ByteCount = ByteCount::new(8 << 20);
+/// Placements of which one goes to the stream with the earliest deadline.
+const LATE_TURN_INTERVAL: u64 = 4;
+/// Period over which the rate of placements is measured.
+const RATE_WINDOW_MS: Millis = Millis::new(4_000);
+/// Placements within that period from which the rate is known.
+const MEASURED_PLACEMENTS: usize = 2;
+
+/// Identifies a stream in a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QueueTicket(u64);
+
+/// A stream that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuedStream {
+    /// Rank of the request.
+    pub rank: Rank,
+    /// Time until which the first event is on time.
+    pub goal_at: MonoTime,
+    /// Time at which the caller leaves.
+    pub deadline: MonoTime,
+    /// Size of the stream.
+    pub size: StreamSize,
+    /// Size of the request body.
+    pub body_bytes: ByteCount,
+}
+
+impl QueuedStream {
+    /// Whether the first event is on time if the prompt is sent to an idle engine `now`.
+    fn is_in_time(&self, now: MonoTime) -> bool {
+        let prompt = u64::from(self.size.prompt.get());
+        now + Millis::new(prompt / PREFILL_TOKENS_PER_MS) <= self.goal_at
+    }
+
+    /// Order in which streams are placed; late ones come last.
+    fn order(&self, now: MonoTime) -> (bool, Rank, MonoTime) {
+        match self.is_in_time(now) {
+            true => (false, self.rank, self.goal_at),
+            false => (true, self.rank, self.deadline),
+        }
+    }
+
+    /// Room that an engine needs for the stream.
+    fn required_room(&self, now: MonoTime, is_late_turn: bool) -> StreamSize {
+        if is_late_turn || self.is_in_time(now) {
+            return self.size;
+        }
+        StreamSize {
+            prompt: self.size.prompt.saturating_add(self.size.prompt),
+            output: self.size.output.saturating_add(self.size.output),
+        }
+    }
+}
+
+/// The queue is at its limit, or the stream would wait beyond its deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFull {
+    /// Time after which the streams that wait now are presumably placed.
+    pub expected_wait: Micros,
+}
+
+/// Waiting streams of one service at one traffic thread.
+#[derive(Debug, Default)]
+pub struct PlacementQueue {
+    waiting: Vec<(QueueTicket, QueuedStream)>,
+    body_bytes: u64,
+    next_ticket: u64,
+    placements: u64,
+    recent_placements: VecDeque<MonoTime>,
+    last_full_at: Option<MonoTime>,
+}
+
+impl PlacementQueue {
+    /// Adds a stream.
+    ///
+    /// # Errors
+    /// The queue has reached a limit, or moves too slowly for the stream's deadline.
+    pub fn push(&mut self, now: MonoTime, stream: QueuedStream) -> Result<QueueTicket, QueueFull> {
+        let body_bytes = self.body_bytes.saturating_add(stream.body_bytes.get());
+        let expected_wait = self.expected_wait(now);
+        let is_full =
+            self.waiting.len() as u64 >= QUEUE_LIMIT.get() || body_bytes > QUEUE_BYTES_LIMIT.get();
+        if is_full || now + expected_wait >= stream.deadline {
+            return Err(QueueFull { expected_wait });
+        }
+        let ticket = QueueTicket(self.next_ticket);
+        self.next_ticket += 1;
+        self.body_bytes = body_bytes;
+        self.waiting.push((ticket, stream));
+        Ok(ticket)
+    }
+
+    /// Removes a stream whose caller has left.
+    pub fn remove(&mut self, ticket: QueueTicket) {
+        if let Some(index) = self.waiting.iter().position(|(it, _)| *it == ticket) {
+            self.take(index);
+        }
+    }
+
+    /// Removes and returns the next stream to place, among those for whose size an engine
+    /// `has_room`.
+    pub fn take_next<HasRoom>(
+        &mut self,
+        now: MonoTime,
+        has_room: HasRoom,
+    ) -> Option<(QueueTicket, QueuedStream)>
+    where
+        HasRoom: Fn(StreamSize) -> bool,
+    {
+        let is_late_turn = self.placements % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1;
+        let candidates = self.waiting.iter().enumerate();
+        let candidates =
+            candidates.filter(|(_, (_, stream))| has_room(stream.required_room(now, is_late_turn)));
+        let next = candidates.min_by_key(|(_, (ticket, stream))| match is_late_turn {
+            true => ((false, Rank::ZERO, stream.deadline), *ticket),
+            false => (stream.order(now), *ticket),
+        });
+        let index = next.map(|(index, _)| index)?;
+        self.placements += 1;
+        self.drop_expired(now);
+        self.recent_placements.push_back(now);
+        Some(self.take(index))
+    }
+
+    /// Removes and returns the streams that can't begin before their deadline, even if all
+    /// further placements go to waiting streams.
+    pub fn take_hopeless(&mut self, now: MonoTime) -> Vec<QueueTicket> {
+        let interval = self.placement_interval(now);
+        let mut in_order = self.waiting.clone();
+        in_order.sort_unstable_by_key(|(ticket, stream)| (stream.order(now), *ticket));
+        let mut placed_at = now;
+        let mut hopeless = Vec::new();
+        for (ticket, stream) in in_order {
+            if is_hopeless(placed_at, stream.deadline, stream.size.prompt) {
+                hopeless.push(ticket);
+            } else {
+                placed_at = placed_at + interval;
+            }
+        }
+        for ticket in &hopeless {
+            self.remove(*ticket);
+        }
+        hopeless
+    }
+
+    /// Number of waiting streams.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no stream waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Records that streams still wait after all engines with room were assigned.
+    pub(super) fn record_full(&mut self, now: MonoTime) {
+        self.last_full_at = Some(now);
+    }
+
+    /// Whether streams found no engine with room within `period`.
+    pub fn was_full_within(&self, now: MonoTime, period: Millis) -> bool {
+        self.last_full_at
+            .is_some_and(|at| now.since(at) <= period.micros())
+    }
+
+    /// Time after which the streams that wait now are presumably placed, by the recent
+    /// rate of placements; zero if it is unknown.
+    pub fn expected_wait(&self, now: MonoTime) -> Micros {
+        let waiting = self.waiting.len() as u64;
+        self.placement_interval(now).saturating_mul(waiting)
+    }
+
+    /// Mean interval between recent placements; zero if there were too few.
+    fn placement_interval(&self, now: MonoTime) -> Micros {
+        let window = RATE_WINDOW_MS.micros();
+        let recent = self.recent_placements.iter();
+        let placed = recent.filter(|at| now.since(**at) <= window).count();
+        match placed < MEASURED_PLACEMENTS {
+            true => Micros::ZERO,
+            false => Micros::new(window.get() / placed as u64),
+        }
+    }
+
+    fn take(&mut self, index: usize) -> (QueueTicket, QueuedStream) {
+        let taken = self.waiting.swap_remove(index);
+        self.body_bytes = self.body_bytes.saturating_sub(taken.1.body_bytes.get());
+        taken
+    }
+
+    fn drop_expired(&mut self, now: MonoTime) {
+        let window = RATE_WINDOW_MS.micros();
+        while let Some(oldest) = self.recent_placements.front()
+            && now.since(*oldest) > window
+        {
+            self.recent_placements.pop_front();
+        }
+    }
+}
--- a/crates/decide/src/relay/report.rs
+++ b/crates/decide/src/relay/report.rs
@@ -3,7 +3,7 @@
 //! A report is some hundred milliseconds old on arrival. It shows whether the
 //! engine still has a request, and whether it generated events that never arrived.
 
-use parsleylatch_types::{Millis, StreamEventId};
+use parsleylatch_types::{Millis, StreamEventId, TokenCount};
 
 /// Events that may still be in transit when a report arrives.
 const EVENTS_IN_TRANSIT: u64 = 2;
@@ -26,6 +26,10 @@
     pub running: u32,
     /// Queued requests.
     pub waiting: u32,
+    /// Memory that running requests and copies use.
+    pub memory_used: TokenCount,
+    /// Memory of the engine; zero if it is unknown.
+    pub memory_total: TokenCount,
     /// Runs that have started to generate events.
     pub runs: Vec<RunProgress>,
 }
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -18,6 +18,7 @@
 use super::{
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey, EndpointStats, EndpointTable},
+    overload::StreamSize,
     rollout::VersionLimit,
 };
 
@@ -156,6 +157,73 @@
         })
     }
 
+    /// Chooses an engine that has room for a stream, with a backup if one is asked for;
+    /// `None` if the engine can't be used any more.
+    pub fn choose(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+        key: &EndpointKey,
+    ) -> Option<Choice> {
+        let entry = table.entry(key).filter(|_| table.is_usable(key))?;
+        let endpoint = Arc::clone(entry);
+        if criteria.excluded.contains(key) || !criteria.allows(&endpoint) {
+            return None;
+        }
+        let excluded = std::slice::from_ref(key);
+        let backup = criteria
+            .with_backup
+            .then(|| self.select_backup(now, table, &endpoint, excluded));
+        Some(Choice {
+            endpoint,
+            backup: backup.flatten(),
+            copy: None,
+            candidates: 1,
+        })
+    }
+
+    /// Engines of a service whose state is worth asking for while streams wait: those of
+    /// the lowest costs, at most `limit`.
+    pub fn engines_to_query(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        service: &ServiceName,
+        limit: usize,
+    ) -> Vec<Arc<EndpointEntry>> {
+        let usable = table.usable(service);
+        let mut costs: Vec<_> = usable
+            .map(|stats| {
+                let cost = self.stream_placement_cost(now, table, stats, TokenCount::ZERO);
+                (cost, &stats.entry)
+            })
+            .collect();
+        costs.sort_unstable_by_key(|(cost, _)| *cost);
+        let cheapest = costs.into_iter().take(limit);
+        cheapest.map(|(_, entry)| Arc::clone(entry)).collect()
+    }
+
+    /// Engine of the lowest cost among those of a service that report room for a stream.
+    pub fn engine_with_room(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        service: &ServiceName,
+        size: StreamSize,
+    ) -> Option<EndpointKey> {
+        let usable = table.usable(service);
+        let free = usable.filter(|it| {
+            it.has_room(now, size) == Some(true) && !table.is_suspended(now, &it.entry.key)
+        });
+        let costs = free.map(|stats| {
+            let cost = self.stream_placement_cost(now, table, stats, size.prompt);
+            (cost, &stats.entry.key)
+        });
+        let cheapest = costs.min_by_key(|(cost, _)| *cost);
+        cheapest.map(|(_, key)| key.clone())
+    }
+
     /// Endpoints of a service in this node's region, at most `limit`.
     pub fn in_own_region(
         &self,
@@ -209,31 +277,53 @@
         let is_stream = criteria.prompt > TokenCount::ZERO;
         allowed
             .map(|stats| {
-                let cost = if is_stream {
-                    stream_cost(now, stats) + self.random.random_range(0..STREAM_JITTER_US)
-                } else {
-                    call_cost(now, stats) + self.random.random_range(0..CALL_JITTER_US)
-                };
                 let entry = &stats.entry;
-                // An engine that has just answered is alive, even if others in its
-                // failure domain are not.
-                let (reading, penalty) = match criteria.prompt_holder == Some(&entry.key) {
-                    true => (0, 0),
-                    false => (
-                        prefill(criteria.prompt).get(),
-                        failure_penalty(now, table, stats),
-                    ),
+                let is_holder = criteria.prompt_holder == Some(&entry.key);
+                let cost = match (is_stream, is_holder) {
+                    (false, _) => self.call_placement_cost(now, table, stats),
+                    // An engine that has just answered is alive, even if others in its
+                    // failure domain are not, and has read the prompt.
+                    (true, true) => self.stream_base_cost(now, stats),
+                    (true, false) => self.stream_placement_cost(now, table, stats, criteria.prompt),
                 };
-                let cost = cost
-                    + self.round_trip(&entry.failure_domain).get()
-                    + reading
-                    + penalty
-                    + (stats.failure_rate(now) * FAILURE_COST_US.get() as f64) as u64;
                 (cost, Arc::clone(entry))
             })
             .collect()
     }
 
+    fn call_placement_cost(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        stats: &EndpointStats,
+    ) -> u64 {
+        call_cost(now, stats)
+            + self.random.random_range(0..CALL_JITTER_US)
+            + self.round_trip(&stats.entry.failure_domain).get()
+            + failure_penalty(now, table, stats)
+            + failure_rate_cost(now, stats)
+    }
+
+    fn stream_placement_cost(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        stats: &EndpointStats,
+        prompt: TokenCount,
+    ) -> u64 {
+        self.stream_base_cost(now, stats)
+            + prefill(prompt).get()
+            + failure_penalty(now, table, stats)
+    }
+
+    /// Cost of a stream whose prompt the engine has read.
+    fn stream_base_cost(&mut self, now: MonoTime, stats: &EndpointStats) -> u64 {
+        stream_cost(now, stats)
+            + self.random.random_range(0..STREAM_JITTER_US)
+            + self.round_trip(&stats.entry.failure_domain).get()
+            + failure_rate_cost(now, stats)
+    }
+
     fn round_trip(&self, domain: &FailureDomain) -> Micros {
         if *domain == self.own_domain {
             return Micros::ZERO;
@@ -256,6 +346,11 @@
         + POSSIBLY_LOST_COST_US.get() * u64::from(table.may_be_lost(stats))
 }
 
+/// Cost of the recent failure rate of an endpoint.
+fn failure_rate_cost(now: MonoTime, stats: &EndpointStats) -> u64 {
+    (stats.failure_rate(now) * FAILURE_COST_US.get() as f64) as u64
+}
+
 /// Time for an engine to read a prompt.
 fn prefill(prompt: TokenCount) -> Micros {
     Millis::new(u64::from(prompt.get()) / PREFILL_TOKENS_PER_MS).micros()
--- /dev/null
+++ b/crates/decide/tests/overload/main.rs
@@ -0,0 +1,331 @@
+//! Waiting, rejection and placement of streams under the load patterns that they answer.
+
+mod model;
+
+use parsleylatch_decide::relay::{
+    EngineLoad, EngineReport, OwnStreams, PlacementQueue, QueueFull, QueuedStream, RunProgress,
+    StreamSize, is_copy_unaffordable, is_hopeless, may_be_full, retry_delay,
+};
+use parsleylatch_types::{
+    ByteCount, Micros, Millis, MonoTime, Rank, RequestCount, SlotCount, TokenCount,
+};
+use test_case::test_case;
+
+use model::{LoadPattern, SIZE, Strategy, Tally, replay};
+
+/// Twelve engines read 10 streams a second with nothing else to do, and hold their
+/// streams for some 8 s while they read others.
+const CALM: LoadPattern = LoadPattern {
+    calm_per_s: 3.0,
+    burst_per_s: 3.0,
+    burst_s: (8, 16),
+    end_s: 34,
+    slow_engines: 0,
+};
+const SLOTS: SlotCount = SlotCount::new(64);
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::ZERO + Millis::new(millis)
+}
+
+fn report(running: u32, waiting: u32, begun: usize, memory_used: u32) -> EngineReport {
+    let run = |number: usize| RunProgress {
+        id: number.to_string().into(),
+        events: 1,
+    };
+    EngineReport {
+        running,
+        waiting,
+        memory_used: TokenCount::new(memory_used),
+        memory_total: TokenCount::new(55_000),
+        runs: (0..begun).map(run).collect(),
+    }
+}
+
+fn queued(rank: u8, arrived_ms: u64) -> QueuedStream {
+    QueuedStream {
+        rank: Rank::new(rank),
+        goal_at: at(arrived_ms + 4_500),
+        deadline: at(arrived_ms + 25_000),
+        size: SIZE,
+        body_bytes: ByteCount::new(5_000),
+    }
+}
+
+/// Sums over several seeds, for each strategy.
+fn replay_both(pattern: LoadPattern) -> (Tally, Tally) {
+    let sum = |strategy| {
+        let tallies = (1..=6).map(|seed| replay(strategy, pattern, seed));
+        tallies.fold(Tally::default(), Tally::plus)
+    };
+    let (at_once, waiting) = (sum(Strategy::SendAtOnce), sum(Strategy::Wait));
+    println!("sent at once: {at_once:?}");
+    println!("waiting: {waiting:?}");
+    (at_once, waiting)
+}
+
+const TWICE: LoadPattern = LoadPattern {
+    burst_per_s: 15.0,
+    ..CALM
+};
+const THREE_TIMES: LoadPattern = LoadPattern {
+    burst_per_s: 22.0,
+    ..CALM
+};
+const SLOW_ENGINES: LoadPattern = LoadPattern {
+    burst_per_s: 12.0,
+    slow_engines: 5,
+    ..CALM
+};
+
+/// Beyond capacity, more streams are in time, and fewer prompt tokens are read in vain.
+#[test_case(TWICE ; "twice the capacity")]
+#[test_case(THREE_TIMES ; "three times the capacity")]
+#[test_case(SLOW_ENGINES ; "slow engines")]
+fn replay_burst(pattern: LoadPattern) {
+    let (at_once, waiting) = replay_both(pattern);
+    assert!(waiting.in_time > at_once.in_time);
+    assert!(waiting.in_time_afterwards > at_once.in_time_afterwards);
+    assert!(waiting.wasted_tokens < at_once.wasted_tokens);
+}
+
+/// The prompt tokens that are read in vain fall to a third.
+#[test_case(TWICE ; "twice the capacity")]
+#[test_case(THREE_TIMES ; "three times the capacity")]
+#[test_case(SLOW_ENGINES ; "slow engines")]
+fn replay_waste(pattern: LoadPattern) {
+    let (at_once, waiting) = replay_both(pattern);
+    assert!(waiting.wasted_tokens * 3 <= at_once.wasted_tokens);
+}
+
+/// Two seconds after the burst, nine streams in ten are in time again.
+#[test_case(TWICE ; "twice the capacity")]
+#[test_case(THREE_TIMES ; "three times the capacity")]
+#[test_case(SLOW_ENGINES ; "slow engines")]
+fn replay_recovery(pattern: LoadPattern) {
+    let (_, waiting) = replay_both(pattern);
+    assert!(waiting.in_time_afterwards * 10 >= waiting.arrived_afterwards * 9);
+}
+
+/// Three times the capacity leaves nine tenths of the best goodput.
+#[test]
+fn replay_goodput() {
+    let loads = [6.0, 8.0, 10.0, 12.0, 15.0, 18.0];
+    let in_time = loads.map(|burst_per_s| {
+        let pattern = LoadPattern {
+            burst_per_s,
+            ..CALM
+        };
+        replay_both(pattern).1.in_time
+    });
+    let best = in_time.into_iter().max().unwrap();
+    let overloaded = replay_both(THREE_TIMES).1.in_time;
+    assert!(overloaded * 10 >= best * 9, "{overloaded} of {best}");
+}
+
+/// On a calm day nothing is rejected, and waiting costs nothing.
+#[test]
+fn replay_calm() {
+    let (at_once, waiting) = replay_both(CALM);
+    assert_eq!(waiting.refused, 0);
+    assert!(waiting.in_time >= at_once.in_time);
+}
+
+#[test_case(report(0, 0, 0, 0), true, true ; "idle")]
+#[test_case(report(1, 0, 0, 5_000), true, true ; "assigned, one unread prompt")]
+#[test_case(report(1, 0, 0, 5_000), false, false ; "not assigned, one unread prompt")]
+#[test_case(report(2, 0, 0, 10_000), true, false ; "two unread prompts")]
+#[test_case(report(8, 0, 8, 43_000), true, true ; "memory for one more")]
+#[test_case(report(9, 0, 9, 47_000), true, false ; "memory would be outgrown")]
+#[test_case(report(3, 1, 3, 15_000), false, false ; "queued prompt")]
+#[test_case(report(64, 0, 64, 0), true, false ; "no slot")]
+#[test_case(report(u32::MAX, u32::MAX, 0, u32::MAX), true, false ; "absurd numbers")]
+#[test_case(report(0, 0, 5, 60_000), true, true ; "contradicting numbers")]
+fn has_room(report: EngineReport, is_owned: bool, expected: bool) {
+    let mut load = EngineLoad::default();
+    load.record_report(at(1_000), &report);
+    let has_room = load.has_room(at(1_010), SLOTS, is_owned, SIZE);
+    assert_eq!(has_room, Some(expected));
+}
+
+#[test]
+fn has_room_without_report() {
+    let mut load = EngineLoad::default();
+    assert_eq!(load.has_room(at(0), SLOTS, true, SIZE), None);
+    load.record_report(at(0), &report(0, 0, 0, 0));
+    assert_eq!(load.has_room(at(2_000), SLOTS, true, SIZE), None);
+}
+
+/// A report does not include the streams that were sent shortly before.
+#[test]
+fn has_room_after_placements() {
+    let mut load = EngineLoad::default();
+    load.record_report(at(0), &report(1, 0, 1, 5_000));
+    load.reserve(at(0), SIZE);
+    assert_eq!(load.has_room(at(1), SLOTS, true, SIZE), Some(true));
+    // Sending the stream replaces the reservation.
+    load.record_placement(at(2), SIZE);
+    assert_eq!(load.has_room(at(3), SLOTS, true, SIZE), Some(true));
+    load.record_placement(at(4), SIZE);
+    assert_eq!(load.has_room(at(5), SLOTS, true, SIZE), Some(false));
+}
+
+/// A four times slower engine needs 4 s for a prompt of 1 s.
+#[test_case(1_050, 1_100, false ; "usual pace")]
+#[test_case(4_000, 4_100, true ; "slow")]
+fn is_slow_after_first_event(event_ms: u64, asked_ms: u64, expected: bool) {
+    let mut load = EngineLoad::default();
+    load.record_report(at(0), &report(0, 0, 0, 0));
+    load.record_placement(at(0), SIZE);
+    load.record_first_event(at(event_ms), at(0));
+    assert_eq!(load.is_slow(at(asked_ms)), expected);
+    assert!(!load.is_slow(at(asked_ms + 10_000)));
+}
+
+#[test]
+fn is_slow_before_first_event() {
+    let mut load = EngineLoad::default();
+    load.record_report(at(0), &report(0, 0, 0, 0));
+    load.record_placement(at(0), SIZE);
+    assert!(!load.is_slow(at(1_200)));
+    assert!(load.is_slow(at(3_000)));
+    load.record_end(at(0));
+    assert!(!load.is_slow(at(3_000)));
+}
+
+#[test_case(2, 7, false ; "calm")]
+#[test_case(16, 7, true ; "burst")]
+#[test_case(1, 300, false ; "one stream at each of many nodes")]
+#[test_case(0, 300, false ; "no own stream")]
+fn may_be_full_by_own_streams(streams: u32, threads: usize, expected: bool) {
+    let engines = if threads > 100 { 256 } else { 18 };
+    let own = OwnStreams {
+        streams,
+        copies: streams,
+        engines,
+    };
+    assert_eq!(may_be_full(own, threads, SIZE), expected);
+}
+
+#[test_case(8, false ; "with memory for copies")]
+#[test_case(16, true ; "without")]
+fn is_copy_unaffordable_by_own_streams(streams: u32, expected: bool) {
+    let own = OwnStreams {
+        streams,
+        copies: streams,
+        engines: 18,
+    };
+    assert_eq!(is_copy_unaffordable(own, 7, SIZE), expected);
+}
+
+fn take_all(queue: &mut PlacementQueue, now: MonoTime) -> Vec<MonoTime> {
+    let next = || queue.take_next(now, |_| true);
+    std::iter::from_fn(next)
+        .map(|(_, stream)| stream.goal_at)
+        .collect()
+}
+
+/// Streams that can be in time go before late ones, and in the order of their goals.
+#[test]
+fn take_next_in_time_first() {
+    let mut queue = PlacementQueue::default();
+    for arrived_ms in [0, 4_000, 3_000] {
+        queue.push(at(4_000), queued(1, arrived_ms)).unwrap();
+    }
+    let expected = [7_500, 8_500, 4_500].map(at);
+    assert_eq!(take_all(&mut queue, at(4_000)), expected);
+}
+
+#[test]
+fn take_next_by_rank() {
+    let mut queue = PlacementQueue::default();
+    queue.push(at(0), queued(5, 0)).unwrap();
+    queue.push(at(100), queued(1, 100)).unwrap();
+    assert_eq!(take_all(&mut queue, at(100)), [4_600, 4_500].map(at));
+}
+
+/// In a long overload, one placement in four goes to the stream that waits longest.
+#[test]
+fn take_next_starves_none() {
+    let mut queue = PlacementQueue::default();
+    queue.push(at(0), queued(9, 0)).unwrap();
+    for _ in 0..6 {
+        queue.push(at(8_000), queued(1, 8_000)).unwrap();
+    }
+    let order = take_all(&mut queue, at(8_000));
+    assert_eq!(order[3], at(4_500), "{order:?}");
+}
+
+/// A late stream leaves room for one that arrives after it.
+#[test]
+fn take_next_late_needs_more_room() {
+    let mut queue = PlacementQueue::default();
+    queue.push(at(0), queued(1, 0)).unwrap();
+    let has_room = |size: StreamSize| size.prompt <= SIZE.prompt;
+    assert!(queue.take_next(at(6_000), has_room).is_none());
+    queue.push(at(6_000), queued(1, 6_000)).unwrap();
+    assert!(queue.take_next(at(6_000), has_room).is_some());
+}
+
+/// A stream is rejected as soon as those before it take its time, not at its deadline.
+#[test]
+fn take_hopeless_by_position() {
+    let mut queue = PlacementQueue::default();
+    for _ in 0..8 {
+        queue.push(at(0), queued(1, 0)).unwrap();
+    }
+    assert!(queue.take_hopeless(at(0)).is_empty());
+    // Two placements in four seconds.
+    for _ in 0..2 {
+        assert!(queue.take_next(at(14_000), |_| true).is_some());
+    }
+    // At one in two seconds, the last of the other six would be placed at its deadline.
+    assert_eq!(queue.take_hopeless(at(15_000)).len(), 1);
+    assert_eq!(queue.take_hopeless(at(24_900)).len(), 5);
+}
+
+#[test]
+fn push_beyond_limit() {
+    let mut queue = PlacementQueue::default();
+    let pushed = (0..).take_while(|_| queue.push(at(0), queued(1, 0)).is_ok());
+    let limit = RequestCount::new(512);
+    assert_eq!(pushed.count() as u64, limit.get());
+}
+
+#[test]
+fn push_beyond_body_limit() {
+    let mut queue = PlacementQueue::default();
+    let large = QueuedStream {
+        body_bytes: ByteCount::new(5 << 20),
+        ..queued(1, 0)
+    };
+    let ticket = queue.push(at(0), large).unwrap();
+    let expected_wait = Micros::ZERO;
+    assert_eq!(queue.push(at(0), large), Err(QueueFull { expected_wait }));
+    queue.remove(ticket);
+    assert!(queue.push(at(0), large).is_ok());
+}
+
+#[test_case(400, true ; "no time to read")]
+#[test_case(0, true ; "deadline passed")]
+#[test_case(2_000, false ; "time to read")]
+#[test_case(u64::MAX / 2_000, false ; "huge deadline")]
+fn is_hopeless_before_deadline(remaining_ms: u64, expected: bool) {
+    let now = at(5_000);
+    let deadline = now + Millis::new(remaining_ms);
+    assert_eq!(is_hopeless(now, deadline, SIZE.prompt), expected);
+}
+
+/// Rejected callers return over a period, and with time left to be served.
+#[test_case(4_000, 24_000, 0.0, 2_000 ; "first to return")]
+#[test_case(4_000, 24_000, 1.0, 4_000 ; "last to return")]
+#[test_case(0, 24_000, 1.0, 500 ; "unknown wait")]
+#[test_case(60_000, 9_000, 1.0, 3_000 ; "longer than a third of the rest")]
+#[test_case(60_000, 0, 1.0, 0 ; "no time left")]
+#[test_case(4_000, 24_000, f64::NAN, 2_000 ; "invalid draw")]
+fn retry_delay_spread(wait_ms: u64, remaining_ms: u64, draw: f64, expected_ms: u64) {
+    let wait = Millis::new(wait_ms).micros();
+    let remaining = Millis::new(remaining_ms).micros();
+    let delay = retry_delay(wait, remaining, Millis::new(500), draw);
+    assert_eq!(delay, Millis::new(expected_ms));
+}
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -428,6 +428,7 @@
         running,
         waiting,
         runs: runs.into_iter().collect(),
+        ..EngineReport::default()
     }
 }
 
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -199,6 +199,12 @@
 struct StateReply {
     running: u32,
     waiting: u32,
+    /// Memory that can't be reclaimed, in tokens.
+    #[serde(default)]
+    memory_used: TokenCount,
+    /// Memory of the engine, in tokens.
+    #[serde(default)]
+    memory_total: TokenCount,
     runs: Vec<RunReply>,
 }
 
@@ -217,6 +223,8 @@
     Ok(EngineReport {
         running: reply.running,
         waiting: reply.waiting,
+        memory_used: reply.memory_used,
+        memory_total: reply.memory_total,
         runs: runs.collect(),
     })
 }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -33,6 +33,10 @@
     Refusals,
     /// Responses of endpoints forwarded to callers, other than streams.
     Answers,
+    /// Streams that had to wait for an engine with room.
+    StreamsQueued,
+    /// Streams refused because too many waited already.
+    StreamsTurnedAway,
     /// Streams delivered completely.
     StreamsFinished,
     /// Streams aborted before their end.
@@ -81,6 +85,8 @@
     IdempotentCall,
     /// From the arrival of a once-only call to its response.
     OnceOnlyCall,
+    /// Wait of a stream for an engine with room.
+    QueueWait,
     /// Duration of a call to the store.
     StoreCall,
 }
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -29,31 +29,37 @@
 ) -> oneshot::Receiver<Option<EngineReport>> {
     let (sender, receiver) = oneshot::channel();
     spawn_local(async move {
-        let path = traffic.shared.codec.responses.probe_path;
-        let pending = call(&traffic, &key, Method::GET, path, Bytes::new());
-        let response = time::timeout(PROBE_TIMEOUT, pending).await;
-        let body = response
-            .ok()
-            .flatten()
-            .filter(|(status, _)| status.is_success());
-        // A response shows that the engine is alive, even if its report is invalid.
-        let report = body.map(|(_, body)| read_report(&traffic, &body));
+        let report = fetch_report(&traffic, &key).await;
+        // A response shows that the engine is alive, even if its report is invalid. A
+        // waiting request makes the report inconclusive about any one request.
+        let report = report.map(|read| {
+            read.unwrap_or_else(|_| EngineReport {
+                waiting: 1,
+                ..EngineReport::default()
+            })
+        });
         // Fails if the exchange no longer waits for the result.
         let _ = sender.send(report);
     });
     receiver
 }
 
-fn read_report(traffic: &Traffic, body: &[u8]) -> EngineReport {
-    let read = (traffic.shared.codec.responses.read_report)(body);
-    read.unwrap_or_else(|reason| {
-        log::warn!(reason = reason.as_str(); "engine state can't be parsed");
-        // A waiting request makes the report inconclusive about any one request.
-        EngineReport {
-            waiting: 1,
-            ..EngineReport::default()
-        }
-    })
+/// Fetches an engine's state; `None` if it does not respond in time.
+///
+/// # Errors
+/// The inner error tells that the report is invalid; it is already logged.
+pub(crate) async fn fetch_report(
+    traffic: &Traffic,
+    key: &ConnectionKey,
+) -> Option<Result<EngineReport, String>> {
+    let codec = &traffic.shared.codec.responses;
+    let pending = call(traffic, key, Method::GET, codec.probe_path, Bytes::new());
+    let response = time::timeout(PROBE_TIMEOUT, pending).await.ok().flatten();
+    let (_, body) = response.filter(|(status, _)| status.is_success())?;
+    let read = (codec.read_report)(&body);
+    Some(read.inspect_err(|reason| {
+        log::warn!(endpoint:% = key.id, reason = reason.as_str(); "engine state can't be parsed");
+    }))
 }
 
 /// Lists the prompt parts in an engine's KV cache; empty if the engine does not respond.
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -35,13 +35,16 @@
         let rule = snapshot.versions.get(&spec.service);
         let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
         let version = rule.map(|rule| rule.limit(self.version_draw, is_retry));
+        let may_copy = self.job.has_backups
+            && spec.repeat.is_stream()
+            && !traffic.are_copies_unaffordable(&spec.service, self.stream_size());
         let criteria = SelectionCriteria {
             service: &spec.service,
             excluded,
             copy,
             prompt_holder: self.job.prompt_holder.as_ref(),
             prompt: spec.prompt,
-            with_backup: self.job.has_backups && spec.repeat.is_stream(),
+            with_backup: may_copy,
             version: version.as_ref(),
         };
         let choice = traffic
@@ -50,6 +53,11 @@
         let Some(choice) = choice else {
             return self.exchange.handle(now, ExchangeInput::PlacementFailed);
         };
+        if version.is_none()
+            && let Some(effects) = self.hold_back(&choice)
+        {
+            return effects;
+        }
         log::info!(
             id:% = self.job.metadata.id,
             route:% = self.job.route.name,
@@ -80,6 +88,11 @@
             .endpoint_table
             .borrow_mut()
             .record_start(&key, self.job.spec.prompt);
+        if self.job.spec.repeat.is_stream() {
+            let size = self.stream_size();
+            let mut table = self.traffic.endpoint_table.borrow_mut();
+            table.record_placement(now, &key, size);
+        }
         if let Some(backup) = &choice.backup {
             self.traffic
                 .endpoint_table
@@ -206,6 +219,7 @@
                 table.record_outcome(self.traffic.now(), &sent.key, outcome);
             }
             table.record_end(&sent.key);
+            table.record_stream_end(&sent.key, sent.at);
             if let Some(backup) = &sent.choice.backup {
                 table.record_copy_end(&backup.key);
             }
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -1,8 +1,7 @@
 //! Passes the events of attempts to their exchange.
 
 use parsleylatch_decide::relay::{
-    EngineReport, ExchangeEffect, ExchangeInput, LoadSample, Outcome, ProbeFinding, ResponseClass,
-    RetryKind,
+    EngineReport, ExchangeEffect, ExchangeInput, Outcome, ProbeFinding, ResponseClass, RetryKind,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{MonoTime, StreamEventId};
@@ -18,12 +17,8 @@
         let now = self.traffic.now();
         let since_sent = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
         if let (Some(sent), Some(report)) = (&self.sent, report) {
-            let load = LoadSample {
-                running: report.running,
-                waiting: report.waiting,
-            };
             let mut table = self.traffic.endpoint_table.borrow_mut();
-            table.record_load(now, &sent.key, load);
+            table.record_report(now, &sent.key, report);
         }
         let finding = report.map(|report| {
             report.find_request(
@@ -164,6 +159,13 @@
         let (Some(sent), Some(copy)) = (&self.sent, self.exchange.live_copy()) else {
             return;
         };
+        let service = &self.job.spec.service;
+        if self
+            .traffic
+            .are_copies_unaffordable(service, self.stream_size())
+        {
+            return;
+        }
         let id = &self.job.metadata.id;
         let running = &sent.choice.endpoint;
         self.copy_monitor
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -3,6 +3,7 @@
 
 mod effects;
 mod inputs;
+mod queueing;
 mod recording;
 
 use std::{collections::VecDeque, rc::Rc};
@@ -12,8 +13,8 @@
 use parsleylatch_decide::{
     moves::FULL_SHARE,
     relay::{
-        Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput, MemoryCopy,
-        Outcome,
+        Assignment, Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput,
+        ExchangeState, MemoryCopy, Outcome,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -25,6 +26,7 @@
     body::{RelayBody, StreamAborted},
     copy_monitor::CopyMonitor,
     job::Job,
+    placement_queue::QueueSlot,
     state::Traffic,
 };
 use crate::telemetry::RelayCounter;
@@ -59,6 +61,9 @@
         caller: CallerState::Waiting(reply),
         probe: None,
         copy_monitor: CopyMonitor::default(),
+        queue_slot: None,
+        queued_at: now,
+        bypasses_queue: false,
     };
     driver.run(effects).await;
 }
@@ -113,6 +118,11 @@
     caller: CallerState,
     probe: Option<oneshot::Receiver<Option<EngineReport>>>,
     copy_monitor: CopyMonitor,
+    /// Place in the queue for an engine with room.
+    queue_slot: Option<QueueSlot>,
+    queued_at: MonoTime,
+    /// Whether the next attempt is sent even if all engines are full.
+    bypasses_queue: bool,
 }
 
 /// Event that wakes the driver.
@@ -120,6 +130,7 @@
     Attempt(AttemptEvent),
     Probe(Option<EngineReport>),
     Copy(Option<MemoryCopy>),
+    Assigned(Assignment),
     CallerGone,
     Deadline,
 }
@@ -137,13 +148,14 @@
 
     async fn wait(&mut self) -> Wake {
         let deadline = self.exchange.next_deadline();
-        let (attempt, probe, copy_monitor) =
-            (&mut self.attempt, &mut self.probe, &mut self.copy_monitor);
+        let (attempt, probe) = (&mut self.attempt, &mut self.probe);
+        let (copy_monitor, queue_slot) = (&mut self.copy_monitor, &mut self.queue_slot);
         tokio::select! {
             biased;
             event = next_event(attempt) => Wake::Attempt(event),
             report = next_probe(probe) => Wake::Probe(report),
             copy = copy_monitor.next() => Wake::Copy(copy),
+            assignment = next_assignment(queue_slot) => Wake::Assigned(assignment),
             () = self.caller.closed() => Wake::CallerGone,
             () = self.traffic.shared.clock.sleep_until(Some(deadline)) => Wake::Deadline,
         }
@@ -162,6 +174,7 @@
                 }
                 Vec::new()
             }
+            Wake::Assigned(assignment) => self.handle_assignment(&assignment),
             Wake::CallerGone => {
                 self.log_outcome("caller_gone", None);
                 self.traffic
@@ -179,8 +192,10 @@
         let now = self.traffic.now();
         let lateness = now.since(self.exchange.next_deadline());
         let was_paused = lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
-        let may_retry =
-            !was_paused && self.exchange.allows_retry_at_deadline(now) && self.take_retry();
+        let may_retry = !was_paused
+            && self.exchange.allows_retry_at_deadline(now)
+            && !self.is_delay_explained(now)
+            && self.take_retry();
         let effects = self.exchange.expire(now, was_paused, may_retry);
         if may_retry {
             self.record_failure(Outcome::Broken, "silent");
@@ -188,6 +203,22 @@
         effects
     }
 
+    /// Whether the engine has confirmed the request and reports so much work that the
+    /// next event can't be expected yet.
+    fn is_delay_explained(&self, now: MonoTime) -> bool {
+        let is_unanswered = matches!(
+            self.exchange.state(),
+            ExchangeState::Probing | ExchangeState::StreamProbing
+        );
+        let table = self.traffic.endpoint_table.borrow();
+        let size = self.stream_size();
+        !is_unanswered
+            && self
+                .sent
+                .as_ref()
+                .is_some_and(|sent| table.explains_delay(now, &sent.key, size))
+    }
+
     async fn apply_effects(&mut self, effects: Vec<ExchangeEffect>) {
         let mut queue = VecDeque::from(effects);
         while let Some(effect) = queue.pop_front() {
@@ -218,6 +249,13 @@
     }
 }
 
+async fn next_assignment(queue_slot: &mut Option<QueueSlot>) -> Assignment {
+    match queue_slot {
+        Some(queue_slot) => queue_slot.assigned().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn next_probe(
     probe: &mut Option<oneshot::Receiver<Option<EngineReport>>>,
 ) -> Option<EngineReport> {
--- /dev/null
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -0,0 +1,155 @@
+//! Wait of a stream for an engine with room.
+
+use std::rc::Rc;
+
+use parsleylatch_decide::relay::{
+    Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueuedStream, RefusalReason,
+    SelectionCriteria, StreamSize, is_hopeless, retry_delay,
+};
+use parsleylatch_types::{ByteCount, Millis};
+
+use super::ExchangeDriver;
+use crate::{
+    telemetry::{RelayCounter, RelayLatency},
+    traffic::placement_queue::{self, QueueSlot},
+};
+
+/// Shortest `Retry-After` of a stream that finds the queue full.
+const MIN_RETRY_AFTER_MS: Millis = Millis::new(500);
+
+impl ExchangeDriver {
+    pub(super) fn stream_size(&self) -> StreamSize {
+        StreamSize {
+            prompt: self.job.spec.prompt,
+            output: self.job.metadata.max_output_tokens,
+        }
+    }
+
+    /// Whether the next attempt may have to wait for an engine: its prompt has to be read
+    /// from the start, and its caller has received no event.
+    fn is_queueable(&self, choice: &Choice) -> bool {
+        let is_stream = self.job.spec.repeat.is_stream();
+        let has_events = self.last_event.is_some_and(|it| it.get() > 0);
+        let has_prompt = self.job.prompt_holder.is_some() || choice.copy.is_some();
+        is_stream && !has_events && !has_prompt
+    }
+
+    /// Decides whether an attempt can be sent now. If not, the stream is queued or
+    /// refused, and the effects are returned.
+    pub(super) fn hold_back(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
+        if !self.is_queueable(choice) {
+            return None;
+        }
+        let now = self.traffic.now();
+        let spec = &self.job.spec;
+        if is_hopeless(now, spec.deadline, spec.prompt) {
+            return Some(self.refuse_hopeless());
+        }
+        let size = self.stream_size();
+        let must_wait = self
+            .traffic
+            .must_wait(&spec.service, &choice.endpoint.key, size);
+        if self.bypasses_queue || !must_wait {
+            return None;
+        }
+        let rank = self.job.workspace.as_ref().and_then(|it| it.rank);
+        let stream = QueuedStream {
+            rank: rank.unwrap_or(self.job.route.rank),
+            goal_at: self.started_at + spec.goal_ms,
+            deadline: spec.deadline,
+            size,
+            body_bytes: ByteCount::new(self.job.body.len() as u64),
+        };
+        let metrics = &self.traffic.shared.metrics;
+        let input = match QueueSlot::enter(&self.traffic, &spec.service, stream) {
+            Ok(slot) => {
+                metrics.increment(RelayCounter::StreamsQueued);
+                self.queue_slot = Some(slot);
+                self.queued_at = now;
+                ExchangeInput::Queued
+            }
+            Err(full) => {
+                metrics.increment(RelayCounter::StreamsTurnedAway);
+                let remaining = spec.deadline.since(now);
+                let draw = rand::random();
+                let delay = retry_delay(full.expected_wait, remaining, MIN_RETRY_AFTER_MS, draw);
+                ExchangeInput::Hopeless {
+                    reason: RefusalReason::Overloaded,
+                    retry_after_ms: Some(delay),
+                }
+            }
+        };
+        log::info!(
+            id:% = self.job.metadata.id,
+            route:% = self.job.route.name,
+            is_queued = self.queue_slot.is_some(),
+            expected_wait_ms =
+                placement_queue::expected_wait(&self.traffic, &spec.service).millis().get(),
+            remaining_ms = spec.deadline.since(now).millis().get();
+            "engines are full"
+        );
+        Some(self.exchange.handle(now, input))
+    }
+
+    pub(super) fn handle_assignment(&mut self, assignment: &Assignment) -> Vec<ExchangeEffect> {
+        self.queue_slot = None;
+        let now = self.traffic.now();
+        let waited = now.since(self.queued_at);
+        self.traffic
+            .shared
+            .metrics
+            .observe(RelayLatency::QueueWait, waited);
+        let choice = match assignment {
+            Assignment::Engine(key) => self.choose_assigned(key),
+            Assignment::Unrestricted => None,
+            Assignment::Hopeless => return self.refuse_hopeless(),
+        };
+        log::info!(
+            id:% = self.job.metadata.id,
+            route:% = self.job.route.name,
+            endpoint = choice.as_ref().map_or("-", |it| it.endpoint.key.id.as_str()),
+            waited_ms = waited.millis().get(),
+            age_ms = now.since(self.started_at).millis().get();
+            "stream assigned to an engine"
+        );
+        let input = match choice {
+            Some(choice) => ExchangeInput::Placed(Box::new(choice)),
+            None => {
+                self.bypasses_queue = true;
+                ExchangeInput::AssignmentFailed
+            }
+        };
+        self.exchange.handle(now, input)
+    }
+
+    fn choose_assigned(&self, key: &EndpointKey) -> Option<Choice> {
+        let traffic = Rc::clone(&self.traffic);
+        traffic.snapshot();
+        let spec = &self.job.spec;
+        let excluded = self.exchange.excluded_endpoints();
+        let criteria = SelectionCriteria {
+            service: &spec.service,
+            excluded,
+            copy: None,
+            prompt_holder: None,
+            prompt: spec.prompt,
+            with_backup: self.job.has_backups
+                && !traffic.are_copies_unaffordable(&spec.service, self.stream_size()),
+            version: None,
+        };
+        traffic.selector().choose(
+            traffic.now(),
+            &traffic.endpoint_table.borrow(),
+            &criteria,
+            key,
+        )
+    }
+
+    fn refuse_hopeless(&mut self) -> Vec<ExchangeEffect> {
+        let input = ExchangeInput::Hopeless {
+            reason: RefusalReason::Hopeless,
+            retry_after_ms: None,
+        };
+        self.exchange.handle(self.traffic.now(), input)
+    }
+}
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -28,6 +28,7 @@
             table.record_prompt_read(&sent.key, self.job.spec.prompt);
             let latency = now.since(sent.at);
             table.record_outcome(now, &sent.key, Outcome::Answered { latency });
+            table.record_first_event(now, &sent.key, sent.at);
             drop(table);
             self.report_trial(Some(latency));
         }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod holder_query;
 mod job;
+mod placement_queue;
 mod prompts;
 mod request_handler;
 mod responses;
--- /dev/null
+++ b/crates/relay/src/traffic/placement_queue.rs
@@ -0,0 +1,180 @@
+//! Streams that wait for an engine with room, and the task that assigns engines to them.
+//!
+//! The task runs while streams of a service wait. It asks some engines for their state
+//! at short intervals, because the load that other nodes place there is unknown, and
+//! assigns the engines that have room.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use parsleylatch_decide::relay::{
+    self, Assignment, EndpointEntry, PlacementQueue, QueueFull, QueueTicket, QueuedStream,
+};
+use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName};
+use tokio::{sync::oneshot, task::spawn_local, time};
+
+use super::{
+    engine,
+    state::{Traffic, connection_key},
+};
+use crate::telemetry::RelayCounter;
+
+/// Interval between two rounds of queries.
+const QUERY_INTERVAL: Duration = Duration::from_millis(150);
+/// Engines queried in one round.
+const QUERIED_ENGINES: usize = 4;
+/// Time for which engines that did not report their state are not asked for it.
+const UNREPORTED_MEMORY_MS: Millis = Millis::new(10_000);
+/// Time for which a service counts as overloaded after no engine had room.
+const OVERLOAD_MEMORY_MS: Millis = Millis::new(2_000);
+
+/// Waiting streams of one service.
+#[derive(Default)]
+pub(crate) struct ServiceQueue {
+    queue: PlacementQueue,
+    waiting: HashMap<QueueTicket, oneshot::Sender<Assignment>>,
+    /// Whether the task that assigns engines is running.
+    is_served: bool,
+    /// Time until which the engines' state is not asked for, as none of them reported it.
+    unreported_until: MonoTime,
+}
+
+impl ServiceQueue {
+    /// Whether the engines reported their state when they were last asked for it.
+    pub(crate) fn is_reported(&self, now: MonoTime) -> bool {
+        now >= self.unreported_until
+    }
+
+    /// Whether new streams have to wait behind others.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Whether streams find no engine with room, or found none a short time ago.
+    pub(crate) fn is_overloaded(&self, now: MonoTime) -> bool {
+        self.queue.was_full_within(now, OVERLOAD_MEMORY_MS)
+    }
+
+    fn assign(&mut self, ticket: QueueTicket, assignment: Assignment) {
+        if let Some(sender) = self.waiting.remove(&ticket) {
+            // Fails if the caller has disconnected.
+            let _ = sender.send(assignment);
+        }
+    }
+}
+
+/// Place of a stream in a queue, which it leaves when dropped.
+pub(crate) struct QueueSlot {
+    traffic: Rc<Traffic>,
+    service: ServiceName,
+    ticket: QueueTicket,
+    assignment: oneshot::Receiver<Assignment>,
+}
+
+impl QueueSlot {
+    /// Adds a stream to the queue of a service.
+    pub(crate) fn enter(
+        traffic: &Rc<Traffic>,
+        service: &ServiceName,
+        stream: QueuedStream,
+    ) -> Result<Self, QueueFull> {
+        let now = traffic.now();
+        let (sender, assignment) = oneshot::channel();
+        let mut queues = traffic.placement_queues.borrow_mut();
+        let entered = queues.entry(service.clone()).or_default();
+        let ticket = entered.queue.push(now, stream)?;
+        entered.waiting.insert(ticket, sender);
+        if !std::mem::replace(&mut entered.is_served, true) {
+            spawn_local(serve(Rc::clone(traffic), service.clone()));
+        }
+        Ok(Self {
+            traffic: Rc::clone(traffic),
+            service: service.clone(),
+            ticket,
+            assignment,
+        })
+    }
+
+    /// Waits for an engine.
+    pub(crate) async fn assigned(&mut self) -> Assignment {
+        let assignment = (&mut self.assignment).await;
+        assignment.unwrap_or(Assignment::Unrestricted)
+    }
+}
+
+impl Drop for QueueSlot {
+    fn drop(&mut self) {
+        let mut queues = self.traffic.placement_queues.borrow_mut();
+        if let Some(left) = queues.get_mut(&self.service) {
+            left.queue.remove(self.ticket);
+            left.waiting.remove(&self.ticket);
+        }
+    }
+}
+
+/// Assigns engines until no stream of the service waits.
+async fn serve(traffic: Rc<Traffic>, service: ServiceName) {
+    loop {
+        let has_reports = query_engines(&traffic, &service).await;
+        if assign_engines(&traffic, &service, has_reports) {
+            return;
+        }
+        time::sleep(QUERY_INTERVAL).await;
+    }
+}
+
+/// Records the state of some engines; returns whether any engine reported it.
+async fn query_engines(traffic: &Rc<Traffic>, service: &ServiceName) -> bool {
+    let engines = traffic.selector().engines_to_query(
+        traffic.now(),
+        &traffic.endpoint_table.borrow(),
+        service,
+        QUERIED_ENGINES,
+    );
+    let queries = engines.iter().map(|entry| query_engine(traffic, entry));
+    join_all(queries).await.contains(&true)
+}
+
+async fn query_engine(traffic: &Rc<Traffic>, entry: &Arc<EndpointEntry>) -> bool {
+    traffic.shared.metrics.increment(RelayCounter::Probes);
+    let fetched = engine::fetch_report(traffic, &connection_key(entry)).await;
+    let Some(Ok(report)) = fetched else {
+        return false;
+    };
+    let mut table = traffic.endpoint_table.borrow_mut();
+    table.record_report(traffic.now(), &entry.key, &report);
+    true
+}
+
+/// Assigns the engines with room; returns whether no stream waits any more.
+fn assign_engines(traffic: &Traffic, service: &ServiceName, has_reports: bool) -> bool {
+    let now = traffic.now();
+    let mut queues = traffic.placement_queues.borrow_mut();
+    let Some(served) = queues.get_mut(service) else {
+        return true;
+    };
+    if !has_reports {
+        served.unreported_until = now + UNREPORTED_MEMORY_MS;
+    }
+    let mut table = traffic.endpoint_table.borrow_mut();
+    let assigned = relay::assign_engines(
+        now,
+        &mut table,
+        &mut traffic.selector(),
+        service,
+        &mut served.queue,
+        has_reports,
+    );
+    for (ticket, assignment) in assigned {
+        served.assign(ticket, assignment);
+    }
+    served.is_served = served.has_waiting();
+    !served.is_served
+}
+
+/// Wait of a stream that was just added to a queue, as far as it can be predicted.
+pub(crate) fn expected_wait(traffic: &Traffic, service: &ServiceName) -> Micros {
+    let queues = traffic.placement_queues.borrow();
+    let queue = queues.get(service);
+    queue.map_or(Micros::ZERO, |it| it.queue.expected_wait(traffic.now()))
+}
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -9,12 +9,12 @@
 
 use parsleylatch_decide::relay::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, RetryKind, RetryWindow, Selector,
-    ServiceRules,
+    ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
 use parsleylatch_types::{MonoTime, ServiceName};
 
-use super::holder_query::HolderQuery;
+use super::{holder_query::HolderQuery, placement_queue::ServiceQueue};
 use crate::shared::{Shared, Snapshot};
 
 /// State of one traffic thread.
@@ -25,6 +25,7 @@
     selector: RefCell<Selector>,
     retry_windows: RefCell<HashMap<ServiceName, RetryWindow>>,
     pub(crate) holder_queries: RefCell<HashMap<ServiceName, Rc<HolderQuery>>>,
+    pub(crate) placement_queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
     seen_sequence: Cell<u64>,
 }
 
@@ -45,6 +46,7 @@
             selector: RefCell::new(selector),
             retry_windows: RefCell::default(),
             holder_queries: RefCell::default(),
+            placement_queues: RefCell::default(),
             seen_sequence: Cell::new(0),
         }
     }
@@ -78,6 +80,40 @@
         self.selector.borrow_mut()
     }
 
+    /// Whether a stream has to wait for an engine, although `key` could be used.
+    pub(crate) fn must_wait(
+        &self,
+        service: &ServiceName,
+        key: &EndpointKey,
+        size: StreamSize,
+    ) -> bool {
+        let now = self.now();
+        let queues = self.placement_queues.borrow();
+        let queue = queues.get(service);
+        if queue.is_some_and(|it| !it.is_reported(now)) {
+            return false;
+        }
+        let table = self.endpoint_table.borrow();
+        let threads = self.cluster_traffic_threads();
+        queue.is_some_and(ServiceQueue::has_waiting)
+            || must_wait(now, &table, service, key, size, threads)
+    }
+
+    /// Whether copies of the memory of runs would take memory from other runs.
+    pub(crate) fn are_copies_unaffordable(&self, service: &ServiceName, size: StreamSize) -> bool {
+        let threads = self.cluster_traffic_threads();
+        let own = self.endpoint_table.borrow().own_streams(service);
+        self.is_overloaded(service) || is_copy_unaffordable(own, threads, size)
+    }
+
+    /// Whether streams of a service find no engine with room, or found none a short
+    /// time ago.
+    fn is_overloaded(&self, service: &ServiceName) -> bool {
+        let queues = self.placement_queues.borrow();
+        let queue = queues.get(service);
+        queue.is_some_and(|it| it.is_overloaded(self.now()))
+    }
+
     /// Records a caller's request for a service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let now = self.now();
