Relay: drop what is no response, and end streams that only drip

- Comments and blank lines counted as events.
An engine that sent only these kept its stream until the caller's deadline.
They are no progress now, and are forwarded with the next event.
- A response without a request id on a connection in use again was taken for that of the next request: a caller got 'stale'.
It counts as lost now; a booking is not sent again.
- Informational responses without end kept the HTTP library in a loop, so that the traffic thread answered nobody.

By reading, with tests that were not run on the code before: a stream whose task ends early looked complete, since dropping the sender ended the body; its end is explicit now. A caller that stopped reading kept the exchange waiting beyond its deadline, with the engine's connection; delivery ends at the deadline now.

A report that can't be read no longer counts as a load.

Ruled out, the tests passed before: header lines, one header line, blank lines and a body without end, an event that is never complete.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -20,7 +20,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::error_chain;
+use parsleylatch_http::{HeadLimiter, ResponseHeadCount, error_chain};
 use parsleylatch_types::{EndpointId, Incarnation, Millis};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -92,11 +92,17 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    link: Link,
     idle_since: Instant,
     usable_for: Duration,
 }
 
+/// Sending side of a connection.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    head_count: ResponseHeadCount,
+}
+
 /// Response head, with the connection that its body arrives on.
 pub struct OpenResponse {
     /// Response whose body is still being received.
@@ -107,10 +113,20 @@
 /// Connection that a response arrives on.
 pub struct OpenConnection {
     key: ConnectionKey,
-    sender: SendRequest<Full<Bytes>>,
+    link: Link,
+    /// Whether it carried another request before this one.
+    is_reused: bool,
     usable_for: Duration,
 }
 
+impl OpenConnection {
+    /// Whether the connection carried another request before, so that the response may be
+    /// a late one to that request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
 impl OpenResponse {
     /// Returns the response, and the connection to release after the end of its body.
     pub fn into_parts(self) -> (Response<Incoming>, OpenConnection) {
@@ -136,11 +152,14 @@
     ) -> Result<OpenResponse, SendError> {
         let peer = key.address;
         let pooled = self.take_idle(key, settings.max_idle_ms.duration());
-        let mut sender = match pooled {
-            Some(sender) => sender,
+        let is_reused = pooled.is_some();
+        let mut link = match pooled {
+            Some(link) => link,
             None => connect(peer, settings.connect_timeout_ms.duration()).await?,
         };
-        let sent = sender.try_send_request(request).await;
+        link.head_count.expect_head();
+        let sent = link.sender.try_send_request(request).await;
+        link.head_count.head_received();
         let response = sent.map_err(|mut failure| {
             let is_unsent = failure.take_message().is_some();
             let reason = error_chain(&failure.into_error());
@@ -154,7 +173,8 @@
             response,
             connection: OpenConnection {
                 key: key.clone(),
-                sender,
+                link,
+                is_reused,
                 usable_for,
             },
         })
@@ -164,17 +184,17 @@
     /// `max_idle` connections of the endpoint are kept; the oldest is closed first.
     pub fn release(&self, connection: OpenConnection, max_idle: usize) {
         let limit = max_idle.min(MAX_IDLE_CONNECTIONS);
-        if connection.sender.is_closed() || limit == 0 {
+        if connection.link.sender.is_closed() || limit == 0 {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.entry(connection.key).or_default();
-        pooled.retain(|it| !it.sender.is_closed());
+        pooled.retain(|it| !it.link.sender.is_closed());
         if pooled.len() >= limit {
             pooled.remove(0);
         }
         pooled.push(IdleConnection {
-            sender: connection.sender,
+            link: connection.link,
             idle_since: Instant::now(),
             usable_for: connection.usable_for,
         });
@@ -187,31 +207,25 @@
             .retain(|key, pooled| is_known(key) && !pooled.is_empty());
     }
 
-    fn take_idle(
-        &self,
-        key: &ConnectionKey,
-        max_idle_time: Duration,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, key: &ConnectionKey, max_idle_time: Duration) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.get_mut(key)?;
-        pooled.retain(|it| !it.sender.is_closed() && it.idle_since.elapsed() < it.usable_for);
+        pooled.retain(|it| !it.link.sender.is_closed() && it.idle_since.elapsed() < it.usable_for);
         let newest = pooled
             .iter()
-            .rposition(|it| it.sender.is_ready() && it.idle_since.elapsed() < max_idle_time)?;
-        Some(pooled.remove(newest).sender)
+            .rposition(|it| it.link.sender.is_ready() && it.idle_since.elapsed() < max_idle_time)?;
+        Some(pooled.remove(newest).link)
     }
 }
 
-async fn connect(
-    peer: SocketAddr,
-    timeout: Duration,
-) -> Result<SendRequest<Full<Bytes>>, SendError> {
+async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Link, SendError> {
     let unreachable = |reason: String| SendError::Unreachable { peer, reason };
     let connected = time::timeout(timeout, TcpStream::connect(peer)).await;
     let stream = connected
         .map_err(|_| unreachable("timed out".to_owned()))?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
+    let (stream, head_count) = HeadLimiter::new(stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
@@ -221,7 +235,7 @@
             log::debug!("connection to {peer} failed: {}", error_chain(&error));
         }
     });
-    Ok(sender)
+    Ok(Link { sender, head_count })
 }
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod error;
 mod head_inspector;
+mod head_limiter;
 mod header;
 mod listener;
 mod signal;
@@ -14,6 +15,7 @@
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
 pub use head_inspector::{HeadInspection, HeadInspector};
+pub use head_limiter::{HeadLimiter, ResponseHeadCount};
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
 pub use signal::shutdown_signal;
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -110,6 +110,8 @@
     pub bytes: Bytes,
     /// Id, if it is numeric.
     pub id: Option<u64>,
+    /// Whether it has a field. Comments and blank lines alone are no event.
+    pub has_field: bool,
 }
 
 /// Splits a stream of bytes into events without changing them.
@@ -134,7 +136,12 @@
         let end = event_end(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
-        Some(RawEvent { bytes, id })
+        let has_field = has_field(&bytes);
+        Some(RawEvent {
+            bytes,
+            id,
+            has_field,
+        })
     }
 
     /// Number of buffered bytes; after the last complete event, those of an incomplete one.
@@ -163,6 +170,11 @@
     None
 }
 
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -183,12 +183,13 @@
         let (response, connection) = opened.into_parts();
         let (parts, body) = response.into_parts();
         let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
-        if metadata
-            .id
-            .as_deref()
-            .is_some_and(|id| id != job.metadata.id.as_str())
-        {
-            let reason = "response belongs to another request".to_owned();
+        let is_foreign = match metadata.id.as_deref() {
+            Some(id) => id != job.metadata.id.as_str(),
+            // On a connection in use again, it may be a late response to another request.
+            None => connection.is_reused(),
+        };
+        if is_foreign {
+            let reason = "response may belong to another request".to_owned();
             return send_event(&events, AttemptEvent::Lost(reason)).await;
         }
         let is_stream = repeat.is_stream() && parts.status.is_success();
--- a/crates/relay/src/traffic/body.rs
+++ b/crates/relay/src/traffic/body.rs
@@ -14,7 +14,7 @@
 /// Number of events buffered for a caller that reads slowly.
 const EVENT_QUEUE_CAPACITY: usize = 256;
 
-/// The stream can't be completed; the connection is closed without the last chunk.
+/// The stream was not completed; the connection is closed without the last chunk.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("stream aborted before its end")]
 pub(crate) struct StreamAborted;
@@ -25,10 +25,19 @@
     }
 }
 
+/// Part of a stream.
+#[derive(Clone, Debug)]
+pub(crate) enum StreamPart {
+    /// Complete events.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+}
+
 /// Body of a response: complete, or a stream that is being relayed.
 pub(crate) enum RelayBody {
     Whole(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, StreamAborted>>),
+    Stream(mpsc::Receiver<StreamPart>),
 }
 
 impl RelayBody {
@@ -36,8 +45,9 @@
         Self::Whole(Some(bytes))
     }
 
-    /// Returns a body and the sender that feeds it; dropping the sender completes it.
-    pub(crate) fn stream() -> (mpsc::Sender<Result<Bytes, StreamAborted>>, Self) {
+    /// Returns a body and the sender that feeds it. Dropping the sender before
+    /// [`StreamPart::End`] aborts the stream.
+    pub(crate) fn stream() -> (mpsc::Sender<StreamPart>, Self) {
         let (sender, receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         (sender, Self::Stream(receiver))
     }
@@ -53,9 +63,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|event| event.map(|event| event.map(Frame::data))),
+            Self::Stream(receiver) => receiver.poll_recv(context).map(|part| match part {
+                Some(StreamPart::Events(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(StreamAborted)),
+            }),
         }
     }
 
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -22,36 +22,25 @@
 /// Maximum size of a response to such a call.
 const RESPONSE_LIMIT_BYTES: usize = 256 << 10;
 
-/// Starts a state probe; its result is `None` if the engine does not respond in time.
+/// Result of a state probe: `None` if the engine did not respond in time, and an error if
+/// its report is invalid.
+pub(crate) type ProbeResult = Option<Result<EngineReport, String>>;
+
+/// Starts a state probe.
 pub(crate) fn start_probe(
     traffic: Rc<Traffic>,
     key: ConnectionKey,
-) -> oneshot::Receiver<Option<EngineReport>> {
+) -> oneshot::Receiver<ProbeResult> {
     let (sender, receiver) = oneshot::channel();
     spawn_local(async move {
-        let report = fetch_report(&traffic, &key).await;
-        // A response shows that the engine is alive, even if its report is invalid. A
-        // waiting request makes the report inconclusive about any one request.
-        let report = report.map(|read| {
-            read.unwrap_or_else(|_| EngineReport {
-                waiting: 1,
-                ..EngineReport::default()
-            })
-        });
         // Fails if the exchange no longer waits for the result.
-        let _ = sender.send(report);
+        let _ = sender.send(fetch_report(&traffic, &key).await);
     });
     receiver
 }
 
-/// Fetches an engine's state; `None` if it does not respond in time.
-///
-/// # Errors
-/// The inner error tells that the report is invalid; it is already logged.
-pub(crate) async fn fetch_report(
-    traffic: &Traffic,
-    key: &ConnectionKey,
-) -> Option<Result<EngineReport, String>> {
+/// Fetches an engine's state.
+pub(crate) async fn fetch_report(traffic: &Traffic, key: &ConnectionKey) -> ProbeResult {
     let codec = &traffic.shared.codec.responses;
     let pending = call(traffic, key, Method::GET, codec.probe_path, Bytes::new());
     let response = time::timeout(PROBE_TIMEOUT, pending).await.ok().flatten();
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -14,7 +14,7 @@
     telemetry::{RelayCounter, RelayLatency},
     traffic::{
         attempt::Attempt,
-        body::{RelayBody, StreamAborted},
+        body::{RelayBody, StreamPart},
         copy_monitor::CopyMonitor,
         engine, responses,
         state::connection_key,
@@ -149,7 +149,12 @@
         self.flush_events().await;
     }
 
-    pub(super) fn finish_stream(&mut self) {
+    pub(super) async fn finish_stream(&mut self) {
+        self.flush_events().await;
+        self.deliver(StreamPart::End).await;
+        if self.has_caller_stalled {
+            return;
+        }
         self.log_outcome("finished", None);
         self.traffic
             .shared
@@ -158,17 +163,35 @@
         self.caller = CallerState::Done;
     }
 
-    pub(super) async fn abort_stream(&mut self) {
+    pub(super) fn abort_stream(&mut self) {
         self.log_outcome("broken_off", None);
         self.traffic
             .shared
             .metrics
             .increment(RelayCounter::StreamsBrokenOff);
-        if let CallerState::Streaming(sender) =
-            std::mem::replace(&mut self.caller, CallerState::Done)
-        {
-            // Fails if the caller has disconnected.
-            let _ = sender.send(Err(StreamAborted)).await;
+        self.caller = CallerState::Done;
+    }
+
+    /// Passes a part of the stream to the caller's connection. A caller that reads too
+    /// slowly to take it before the deadline loses its stream.
+    pub(super) async fn deliver(&mut self, part: StreamPart) {
+        let CallerState::Streaming(sender) = &self.caller else {
+            return;
+        };
+        let clock = self.traffic.shared.clock;
+        let is_taken = tokio::select! {
+            // Fails if the caller has disconnected, which the next wait detects.
+            _ = sender.send(part) => true,
+            () = clock.sleep_until(Some(self.job.spec.deadline)) => false,
+        };
+        if !is_taken {
+            self.log_outcome("caller_stalled", None);
+            self.traffic
+                .shared
+                .metrics
+                .increment(RelayCounter::CallersGone);
+            self.caller = CallerState::Done;
+            self.has_caller_stalled = true;
         }
     }
 
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -9,23 +9,36 @@
 use super::{CallerState, ExchangeDriver};
 use crate::{
     telemetry::RelayCounter,
-    traffic::attempt::{AttemptEvent, FullResponse, ResponseHead},
+    traffic::{
+        attempt::{AttemptEvent, FullResponse, ResponseHead},
+        body::StreamPart,
+    },
 };
 
+/// Comments that are kept until the next event.
+const HELD_COMMENTS: usize = 16;
+/// Size up to which a comment is kept.
+const HELD_COMMENT_BYTES: usize = 1 << 10;
+
 impl ExchangeDriver {
-    pub(super) fn handle_probe(&mut self, report: Option<&EngineReport>) -> Vec<ExchangeEffect> {
+    pub(super) fn handle_probe(
+        &mut self,
+        report: Option<&Result<EngineReport, String>>,
+    ) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
-        let since_sent = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
-        if let (Some(sent), Some(report)) = (&self.sent, report) {
+        if let (Some(sent), Some(Ok(report))) = (&self.sent, report) {
             let mut table = self.traffic.endpoint_table.borrow_mut();
             table.record_report(now, &sent.key, report);
         }
-        let finding = report.map(|report| {
-            report.find_request(
+        let since_sent = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
+        let finding = report.map(|report| match report {
+            Ok(report) => report.find_request(
                 self.job.metadata.id.as_str(),
                 self.last_event,
                 since_sent.unwrap_or_default(),
-            )
+            ),
+            // The engine is alive, and its report tells nothing about the request.
+            Err(_) => ProbeFinding::Present,
         });
         if finding == Some(ProbeFinding::Present) {
             return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
@@ -129,7 +142,12 @@
     /// Forwards the events that the caller does not have yet.
     pub(super) async fn handle_events(&mut self, events: Vec<RawEvent>) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
+        let mut has_event = false;
         for event in events {
+            if !event.has_field {
+                self.hold_comment(event);
+                continue;
+            }
             let id = event.id.map(StreamEventId::new);
             if id.is_some() && id <= self.last_event {
                 self.traffic
@@ -139,9 +157,10 @@
                 continue;
             }
             self.last_event = id.or(self.last_event);
+            has_event = true;
             self.pending.push(event);
         }
-        if self.pending.is_empty() {
+        if !has_event {
             return Vec::new();
         }
         self.record_first_event(now);
@@ -154,6 +173,14 @@
         effects
     }
 
+    /// Keeps a comment until the next event. Comments alone are no progress, and more than
+    /// a few of them are dropped.
+    fn hold_comment(&mut self, comment: RawEvent) {
+        if self.pending.len() < HELD_COMMENTS && comment.bytes.len() <= HELD_COMMENT_BYTES {
+            self.pending.push(comment);
+        }
+    }
+
     /// Requests a new copy of the run's KV cache if needed.
     pub(super) fn check_copy(&mut self, now: MonoTime) {
         let (Some(sent), Some(copy)) = (&self.sent, self.exchange.live_copy()) else {
@@ -174,14 +201,15 @@
 
     /// Sends the pending events to the caller's connection.
     pub(super) async fn flush_events(&mut self) {
-        let CallerState::Streaming(sender) = &self.caller else {
-            return;
-        };
-        let shared = &self.traffic.shared;
-        for event in self.pending.drain(..) {
-            shared.metrics.increment(RelayCounter::EventsRelayed);
-            // Fails if the caller has disconnected, which the next wait detects.
-            let _ = sender.send(Ok(event.bytes)).await;
+        for event in std::mem::take(&mut self.pending) {
+            if !matches!(self.caller, CallerState::Streaming(_)) {
+                return;
+            }
+            self.traffic
+                .shared
+                .metrics
+                .increment(RelayCounter::EventsRelayed);
+            self.deliver(StreamPart::Events(event.bytes)).await;
         }
     }
 
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -8,13 +8,12 @@
 
 use std::{collections::VecDeque, rc::Rc};
 
-use bytes::Bytes;
 use http::Response;
 use parsleylatch_decide::{
     moves::FULL_SHARE,
     relay::{
-        Assignment, Choice, EndpointKey, EngineReport, Exchange, ExchangeEffect, ExchangeInput,
-        ExchangeState, MemoryCopy, Outcome,
+        Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
+        MemoryCopy, Outcome,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -23,8 +22,9 @@
 
 use super::{
     attempt::{Attempt, AttemptEvent, FullResponse, ResponseHead},
-    body::{RelayBody, StreamAborted},
+    body::{RelayBody, StreamPart},
     copy_monitor::CopyMonitor,
+    engine::ProbeResult,
     job::Job,
     placement_queue::QueueSlot,
     state::Traffic,
@@ -61,6 +61,7 @@
         caller: CallerState::Waiting(reply),
         probe: None,
         copy_monitor: CopyMonitor::default(),
+        has_caller_stalled: false,
         queue_slot: None,
         queued_at: now,
         bypasses_queue: false,
@@ -73,7 +74,7 @@
     /// No response has been sent.
     Waiting(oneshot::Sender<Response<RelayBody>>),
     /// The stream has begun.
-    Streaming(mpsc::Sender<Result<Bytes, StreamAborted>>),
+    Streaming(mpsc::Sender<StreamPart>),
     /// The response is complete.
     Done,
 }
@@ -116,8 +117,10 @@
     first_event_after: Option<Micros>,
     pending: Vec<RawEvent>,
     caller: CallerState,
-    probe: Option<oneshot::Receiver<Option<EngineReport>>>,
+    probe: Option<oneshot::Receiver<ProbeResult>>,
     copy_monitor: CopyMonitor,
+    /// Whether the caller has not read its stream until the deadline.
+    has_caller_stalled: bool,
     /// Place in the queue for an engine with room.
     queue_slot: Option<QueueSlot>,
     queued_at: MonoTime,
@@ -128,7 +131,7 @@
 /// Event that wakes the driver.
 enum Wake {
     Attempt(AttemptEvent),
-    Probe(Option<EngineReport>),
+    Probe(ProbeResult),
     Copy(Option<MemoryCopy>),
     Assigned(Assignment),
     CallerGone,
@@ -142,6 +145,11 @@
             let wake = self.wait().await;
             let effects = self.handle_wake(wake).await;
             self.apply_effects(effects).await;
+            if std::mem::take(&mut self.has_caller_stalled) && !self.exchange.is_over() {
+                let now = self.traffic.now();
+                let effects = self.exchange.handle(now, ExchangeInput::CallerGone);
+                self.apply_effects(effects).await;
+            }
         }
         self.end_attempt(Outcome::Abandoned);
     }
@@ -230,8 +238,8 @@
                 ExchangeEffect::Probe => self.start_probe(),
                 ExchangeEffect::ForwardResponse => self.forward_response(),
                 ExchangeEffect::BeginStream => self.begin_stream().await,
-                ExchangeEffect::Finish => self.finish_stream(),
-                ExchangeEffect::BreakOff => self.abort_stream().await,
+                ExchangeEffect::Finish => self.finish_stream().await,
+                ExchangeEffect::BreakOff => self.abort_stream(),
                 ExchangeEffect::Refuse {
                     reason,
                     not_run,
@@ -256,9 +264,7 @@
     }
 }
 
-async fn next_probe(
-    probe: &mut Option<oneshot::Receiver<Option<EngineReport>>>,
-) -> Option<EngineReport> {
+async fn next_probe(probe: &mut Option<oneshot::Receiver<ProbeResult>>) -> ProbeResult {
     match probe {
         Some(probe) => probe.await.unwrap_or_default(),
         None => std::future::pending().await,
