Relay: answer accepted callers in a planned stop

Cause: once no request was in flight, a stopping relay ended at once, and at its time limit in any case.

Change: an accepted connection counts as in flight until its first request. At the end the relay first takes the connections in the queue, closes the listener, and finishes what is in flight, 1.5 s before its time limit at the latest.

lifecycle_planned_stop and lifecycle_stop_when_idle expected the process to end at once; they now check each step of the longer way, and that requests in flight still have until 0.3 s before the kill.

Not covered: a connection that the kernel accepts between the last look at the queue and the close of the listener. The node's own interface was not looked at.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -10,6 +10,11 @@
 const BALANCER_DETECTION_MS: Millis = Millis::new(3_200);
 /// Time before the platform's kill at which the process exits by itself.
 const KILL_MARGIN_MS: Millis = Millis::new(250);
+/// Time in which the connections that were accepted last are counted as in flight.
+const CLOSING_SETTLE_MS: Millis = Millis::new(100);
+/// Time before the end of the process from which it accepts no connections, so that the
+/// requests of those accepted last can be finished.
+const CLOSING_RESERVE_MS: Millis = Millis::new(1_500);
 
 chart_names! {
     /// States of a relay.
@@ -22,6 +27,10 @@
         NotReady,
         /// Finishes the requests in flight.
         Draining,
+        /// Has finished all requests and accepts no more connections.
+        Closing,
+        /// Finishes the requests of the connections that were accepted last.
+        Finishing,
         /// Has stopped.
         Stopped,
     }
@@ -50,15 +59,27 @@
     AnnounceNotReady,
     /// Close idle connections, and the others after their current response.
     CloseIdle,
+    /// Accept the connections that wait in the socket's queue, and no more.
+    StopAccepting,
     /// Exit the process.
     Stop,
 }
 
 struct LifecycleContext {
     stop_ms: Millis,
+    now: MonoTime,
+    /// Latest end of the process.
+    stops_at: MonoTime,
     effects: Vec<RelayEffect>,
 }
 
+impl LifecycleContext {
+    /// Time until the process has to end.
+    fn rest(&self) -> Millis {
+        self.stops_at.since(self.now).millis()
+    }
+}
+
 static MACHINE: LazyMachine<RelayState, RelayEvent, LifecycleContext> = LazyMachine::new(|| {
     let bindings = Bindings::<LifecycleContext>::new()
         .duration("balancer_detection", |_| BALANCER_DETECTION_MS)
@@ -66,6 +87,12 @@
             it.stop_ms
                 .saturating_sub(BALANCER_DETECTION_MS)
                 .saturating_sub(KILL_MARGIN_MS)
+                .saturating_sub(CLOSING_RESERVE_MS)
+        })
+        .duration("closing_settle", |it| CLOSING_SETTLE_MS.min(it.rest()))
+        .duration("finish_timeout", LifecycleContext::rest)
+        .action("stop_accepting", |it| {
+            it.effects.push(RelayEffect::StopAccepting);
         })
         .action("announce_ready", |it| {
             it.effects.push(RelayEffect::AnnounceReady);
@@ -97,6 +124,8 @@
     pub fn new(now: MonoTime, stop_ms: Millis) -> Self {
         let mut context = LifecycleContext {
             stop_ms,
+            now,
+            stops_at: MonoTime::MAX,
             effects: Vec::new(),
         };
         let instance = machine().start(now, &mut context);
@@ -125,12 +154,17 @@
 
     /// Handles an event.
     pub fn handle(&mut self, now: MonoTime, event: RelayEvent) -> Vec<RelayEffect> {
+        self.context.now = now;
+        if event == RelayEvent::StopRequested && self.state() == RelayState::Serving {
+            self.context.stops_at = self.stop_deadline(now);
+        }
         machine().step(&mut self.instance, now, event, &mut self.context);
         std::mem::take(&mut self.context.effects)
     }
 
     /// Handles an expired deadline.
     pub fn expire(&mut self, now: MonoTime) -> Vec<RelayEffect> {
+        self.context.now = now;
         machine().expire(&mut self.instance, now, &mut self.context);
         std::mem::take(&mut self.context.effects)
     }
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -555,7 +555,13 @@
         lifecycle.expire(detection_ends_at),
         [RelayEffect::CloseIdle]
     );
+    // Requests that are still in flight have until shortly before the kill.
+    let closes_at = lifecycle.next_deadline().unwrap();
+    assert_eq!(lifecycle.expire(closes_at), [RelayEffect::StopAccepting]);
+    let settled_at = lifecycle.next_deadline().unwrap();
+    assert!(lifecycle.expire(settled_at).is_empty());
     let end = lifecycle.next_deadline().unwrap();
+    assert!(end > at(8_700), "requests are cut at {end}");
     assert!(end < at(9_000), "the platform kills at 9,000 ms");
     assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
     assert_eq!(lifecycle.state(), RelayState::Stopped);
@@ -569,9 +575,30 @@
     let detection_ends_at = lifecycle.next_deadline().unwrap();
     lifecycle.expire(detection_ends_at);
     let effects = lifecycle.handle(detection_ends_at + Micros::new(1), RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::StopAccepting]);
+    // Connections that were accepted last may still have requests.
+    let settled_at = lifecycle.next_deadline().unwrap();
+    assert!(lifecycle.handle(settled_at, RelayEvent::Idle).is_empty());
+    assert!(lifecycle.expire(settled_at).is_empty());
+    let effects = lifecycle.handle(settled_at, RelayEvent::Idle);
     assert_eq!(effects, [RelayEffect::Stop]);
 }
 
+/// A relay that becomes idle just before it is killed still exits by itself.
+#[test]
+fn lifecycle_idle_before_kill() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    lifecycle.expire(lifecycle.next_deadline().unwrap());
+    let effects = lifecycle.handle(at(8_700), RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::StopAccepting]);
+    lifecycle.expire(lifecycle.next_deadline().unwrap());
+    let end = lifecycle.next_deadline().unwrap();
+    assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
+}
+
 fn node_locations(counts: &[(&str, usize)]) -> Vec<NodeLocation> {
     let mut node_locations = Vec::new();
     for (region, count) in counts {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -339,6 +339,9 @@
                 RelayEffect::CloseIdle => {
                     self.shared.phase.send_replace(LifecyclePhase::Draining);
                 }
+                RelayEffect::StopAccepting => {
+                    self.shared.phase.send_replace(LifecyclePhase::Closing);
+                }
                 RelayEffect::Stop => {
                     self.is_stopped = true;
                     log::info!(in_flight = self.shared.in_flight(); "stopped");
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -40,6 +40,8 @@
     NotReady,
     /// Connections are closed after their current response.
     Draining,
+    /// No more connections are accepted.
+    Closing,
     /// The process ends.
     Stopped,
 }
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -1,21 +1,25 @@
 //! Connections of callers.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc};
+use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc, time::Duration};
 
 use http::{Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use parsleylatch_http::{HeadInspection, HeadInspector};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time};
 
 use super::{body::RelayBody, request_handler, responses, state::Traffic};
-use crate::shared::LifecyclePhase;
+use crate::shared::{InFlightGuard, LifecyclePhase};
 
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: u64 = 8 << 10;
 
-/// Serves one connection until it is closed.
-pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream) {
+/// Time for which a stopping relay waits for the first request of a connection.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
+/// Serves one connection until it is closed. `awaited` counts its first request as in
+/// flight, so that a stopping relay does not end between accepting and reading it.
+pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: InFlightGuard) {
     let snapshot = traffic.snapshot();
     let configuration = snapshot.configuration.as_ref();
     let limits = configuration
@@ -30,13 +34,17 @@
     let (guarded, watch) = HeadInspector::new(stream);
     let shared = Arc::clone(&traffic.shared);
     let served = Rc::new(Cell::new(0_u64));
+    let awaited = Rc::new(Cell::new(Some(awaited)));
+    let first_request = Rc::clone(&awaited);
     let service = service_fn(move |request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         let watch = watch.clone();
         served.set(served.get() + 1);
         let is_head_checked = watch.inspected_heads() >= served.get();
+        let awaited = first_request.take();
         async move {
-            Ok::<_, Infallible>(handle_request(traffic, request, watch, is_head_checked).await)
+            let handled = handle_request(traffic, request, watch, is_head_checked, awaited);
+            Ok::<_, Infallible>(handled.await)
         }
     });
     let connection = builder.serve_connection(TokioIo::new(guarded), service);
@@ -44,10 +52,22 @@
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = shared.wait_for_phase(LifecyclePhase::Draining), if !is_late => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        ended = connection.as_mut() => Some(ended),
+        () = shared.wait_for_phase(LifecyclePhase::Draining) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            if !is_late {
+                connection.as_mut().graceful_shutdown();
+            }
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = time::sleep(FIRST_REQUEST_WAIT) => {
+                    drop(awaited.take());
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = ended {
@@ -60,11 +80,12 @@
     request: Request<Incoming>,
     watch: HeadInspection,
     is_head_checked: bool,
+    awaited: Option<InFlightGuard>,
 ) -> Response<RelayBody> {
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let is_ambiguous = is_chunked && (!is_head_checked || watch.is_ambiguous());
     let shared = Arc::clone(&traffic.shared);
-    let _in_flight = shared.track_request();
+    let _in_flight = awaited.unwrap_or_else(|| shared.track_request());
     let mut response = if is_ambiguous {
         request_handler::deny(
             &shared,
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -16,8 +16,9 @@
 
 use std::{cell::Cell, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
+use futures::FutureExt;
 use parsleylatch_http::NodelayListener;
-use tokio::{runtime::Runtime, task::LocalSet, time};
+use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
 
 use crate::shared::{LifecyclePhase, Shared};
@@ -50,21 +51,30 @@
         let accepted = tokio::select! {
             accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
             () = time::sleep(ACCEPT_RETRY_DELAY), if open.get() >= CONNECTION_LIMIT => continue,
-            () = traffic.shared.wait_for_phase(LifecyclePhase::Stopped) => return,
+            () = traffic.shared.wait_for_phase(LifecyclePhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                open.set(open.get() + 1);
-                let (traffic, open) = (Rc::clone(&traffic), Rc::clone(&open));
-                tokio::task::spawn_local(async move {
-                    caller_connection::serve(traffic, stream).await;
-                    open.set(open.get() - 1);
-                });
-            }
+            Ok((stream, _)) => serve(&traffic, &open, stream),
             Err(error) => {
                 log::warn!(error:% = error; "accepting a caller connection failed");
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    // Connections that the kernel has accepted may carry requests already.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(&traffic, &open, stream);
+    }
+    drop(listener);
+    traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
+}
+
+fn serve(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, stream: TcpStream) {
+    open.set(open.get() + 1);
+    let (traffic, open) = (Rc::clone(traffic), Rc::clone(open));
+    let awaited = traffic.shared.track_request();
+    tokio::task::spawn_local(async move {
+        caller_connection::serve(traffic, stream, awaited).await;
+        open.set(open.get() - 1);
+    });
 }
