Relay: one wrapper for connections whose reads are observed

The limiter of response heads repeated the pass-through of the inspector of request heads. Both give closures to one wrapper now. Two names follow the usual terms.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -20,7 +20,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{HeadLimiter, ResponseHeadCount, error_chain};
+use parsleylatch_http::{ResponseHeadCount, error_chain, limit_heads};
 use parsleylatch_types::{EndpointId, Incarnation, Millis};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -225,7 +225,7 @@
         .map_err(|_| unreachable("timed out".to_owned()))?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
-    let (stream, head_count) = HeadLimiter::new(stream);
+    let (stream, head_count) = limit_heads(stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
--- a/crates/http/src/head_inspector.rs
+++ b/crates/http/src/head_inspector.rs
@@ -4,15 +4,11 @@
 //! in its body. The HTTP library silently drops the length, so the inspector checks the
 //! raw bytes before the library parses them, and the service rejects the request.
 
-use std::{
-    cell::RefCell,
-    io,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll},
-};
+use std::{cell::RefCell, rc::Rc};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::read_observer::ReadObserver;
 
 /// Maximum number of bytes of a head that are inspected.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -92,72 +88,14 @@
     has(b"transfer-encoding") && has(b"content-length")
 }
 
-/// Connection that inspects the request heads it reads.
-#[derive(Debug)]
-pub struct HeadInspector<Io> {
-    io: Io,
-    inspection: HeadInspection,
-}
-
-impl<Io> HeadInspector<Io> {
-    /// Wraps a connection; the second value gives access to the result.
-    pub fn new(io: Io) -> (Self, HeadInspection) {
-        let inspection = HeadInspection::default();
-        let inspector = Self {
-            io,
-            inspection: inspection.clone(),
-        };
-        (inspector, inspection)
-    }
-}
-
-impl<Io> AsyncRead for HeadInspector<Io>
-where
-    Io: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.io).poll_read(context, buffer);
-        if matches!(polled, Poll::Ready(Ok(()))) {
-            self.inspection.record(&buffer.filled()[before..]);
-        }
-        polled
-    }
-}
-
-impl<Io> AsyncWrite for HeadInspector<Io>
+/// Wraps a connection whose request heads are inspected; the second value gives access to
+/// the result.
+pub fn inspect_heads<Io>(io: Io) -> (impl AsyncRead + AsyncWrite + Unpin, HeadInspection)
 where
-    Io: AsyncWrite + Unpin,
+    Io: AsyncRead + AsyncWrite + Unpin,
 {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
-    }
+    let inspection = HeadInspection::default();
+    let recorded = inspection.clone();
+    let observer = ReadObserver::new(io, || Ok(()), move |bytes| recorded.record(bytes));
+    (observer, inspection)
 }
--- a/crates/http/src/head_limiter.rs
+++ b/crates/http/src/head_limiter.rs
@@ -6,15 +6,15 @@
 
 use std::{
     io,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
 };
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::read_observer::ReadObserver;
 
 /// Bytes that may arrive before a response head is complete.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -36,9 +36,13 @@
         self.0.store(NOT_COUNTED, Ordering::Relaxed);
     }
 
-    fn is_exceeded(&self) -> bool {
+    fn check(&self) -> io::Result<()> {
         let count = self.0.load(Ordering::Relaxed);
-        count != NOT_COUNTED && count >= MAX_HEAD_BYTES
+        if count == NOT_COUNTED || count < MAX_HEAD_BYTES {
+            return Ok(());
+        }
+        let error = format!("no response head within {MAX_HEAD_BYTES} bytes");
+        Err(io::Error::new(io::ErrorKind::InvalidData, error))
     }
 
     fn record(&self, bytes: usize) {
@@ -49,74 +53,23 @@
     }
 }
 
-/// Connection that limits the response heads it reads.
-#[derive(Debug)]
-pub struct HeadLimiter<Io> {
+/// Wraps a connection whose response heads are limited; the second value tells it when a
+/// head is expected.
+pub fn limit_heads<Io>(
     io: Io,
-    count: ResponseHeadCount,
-}
-
-impl<Io> HeadLimiter<Io> {
-    /// Wraps a connection; the second value tells it when a head is expected.
-    pub fn new(io: Io) -> (Self, ResponseHeadCount) {
-        let count = ResponseHeadCount(Arc::new(AtomicUsize::new(NOT_COUNTED)));
-        let limiter = Self {
-            io,
-            count: count.clone(),
-        };
-        (limiter, count)
-    }
-}
-
-impl<Io> AsyncRead for HeadLimiter<Io>
-where
-    Io: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.count.is_exceeded() {
-            let error = format!("no response head within {MAX_HEAD_BYTES} bytes");
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
-        }
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.io).poll_read(context, buffer);
-        self.count.record(buffer.filled().len() - before);
-        polled
-    }
-}
-
-impl<Io> AsyncWrite for HeadLimiter<Io>
+) -> (
+    impl AsyncRead + AsyncWrite + Send + Unpin,
+    ResponseHeadCount,
+)
 where
-    Io: AsyncWrite + Unpin,
+    Io: AsyncRead + AsyncWrite + Send + Unpin,
 {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
-    }
+    let count = ResponseHeadCount(Arc::new(AtomicUsize::new(NOT_COUNTED)));
+    let (checked, recorded) = (count.clone(), count.clone());
+    let observer = ReadObserver::new(
+        io,
+        move || checked.check(),
+        move |bytes| recorded.record(bytes.len()),
+    );
+    (observer, count)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,13 +9,14 @@
 mod head_limiter;
 mod header;
 mod listener;
+mod read_observer;
 mod signal;
 mod sse;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
-pub use head_inspector::{HeadInspection, HeadInspector};
-pub use head_limiter::{HeadLimiter, ResponseHeadCount};
+pub use head_inspector::{HeadInspection, inspect_heads};
+pub use head_limiter::{ResponseHeadCount, limit_heads};
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
 pub use signal::shutdown_signal;
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -35,8 +35,8 @@
     Answers,
     /// Streams that had to wait for an engine with room.
     StreamsQueued,
-    /// Streams refused because too many waited already.
-    StreamsTurnedAway,
+    /// Streams rejected because too many waited already.
+    StreamsRejected,
     /// Streams delivered completely.
     StreamsFinished,
     /// Streams aborted before their end.
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use parsleylatch_http::{HeadInspection, HeadInspector};
+use parsleylatch_http::{HeadInspection, inspect_heads};
 use tokio::{net::TcpStream, time};
 
 use super::{body::RelayBody, request_handler, responses, state::Traffic};
@@ -31,7 +31,7 @@
         .header_read_timeout(limits.idle_timeout_ms.duration())
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
     drop(snapshot);
-    let (guarded, watch) = HeadInspector::new(stream);
+    let (guarded, watch) = inspect_heads(stream);
     let shared = Arc::clone(&traffic.shared);
     let served = Rc::new(Cell::new(0_u64));
     let awaited = Rc::new(Cell::new(Some(awaited)));
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -54,7 +54,7 @@
             return self.exchange.handle(now, ExchangeInput::PlacementFailed);
         };
         if version.is_none()
-            && let Some(effects) = self.hold_back(&choice)
+            && let Some(effects) = self.queue_if_full(&choice)
         {
             return effects;
         }
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -36,7 +36,7 @@
 
     /// Decides whether an attempt can be sent now. If not, the stream is queued or
     /// refused, and the effects are returned.
-    pub(super) fn hold_back(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
+    pub(super) fn queue_if_full(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
         if !self.is_queueable(choice) {
             return None;
         }
@@ -69,7 +69,7 @@
                 ExchangeInput::Queued
             }
             Err(full) => {
-                metrics.increment(RelayCounter::StreamsTurnedAway);
+                metrics.increment(RelayCounter::StreamsRejected);
                 let remaining = spec.deadline.since(now);
                 let draw = rand::random();
                 let delay = retry_delay(full.expected_wait, remaining, MIN_RETRY_AFTER_MS, draw);
