Queue: reject a stream only for those that are placed before it

Cause: a new stream was rejected if all waiting ones together would take its time, although it goes before those that are late already. push_before_late failed before.

--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -100,7 +100,11 @@
         let expected_wait = self.expected_wait(now);
         let is_full =
             self.waiting.len() as u64 >= QUEUE_LIMIT.get() || body_bytes > QUEUE_BYTES_LIMIT.get();
-        if is_full || now + expected_wait >= stream.deadline {
+        let order = stream.order(now);
+        let before = self.waiting.iter();
+        let before = before.filter(|(_, it)| it.order(now) <= order).count() as u64;
+        let own_wait = self.placement_interval(now).saturating_mul(before);
+        if is_full || now + own_wait >= stream.deadline {
             return Err(QueueFull { expected_wait });
         }
         let ticket = QueueTicket(self.next_ticket);
--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -284,6 +284,21 @@
     assert_eq!(queue.take_hopeless(at(24_900)).len(), 5);
 }
 
+/// A stream is not rejected because of late ones, which are placed after it.
+#[test]
+fn push_before_late() {
+    let mut queue = PlacementQueue::default();
+    for _ in 0..20 {
+        queue.push(at(0), queued(1, 0)).unwrap();
+    }
+    for _ in 0..2 {
+        assert!(queue.take_next(at(8_000), |_| true).is_some());
+    }
+    // At one in two seconds, the eighteen late streams take longer than its deadline.
+    assert!(queue.push(at(8_000), queued(1, 8_000)).is_ok());
+    assert!(queue.push(at(8_000), queued(1, 0)).is_err());
+}
+
 #[test]
 fn push_beyond_limit() {
     let mut queue = PlacementQueue::default();
