Relay: take the connections that wait at the close from the kernel

The runtime learns of new connections only when it polls, so the queue looked empty while connections waited in it. The socket is asked directly now.

--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -35,6 +35,30 @@
     pub fn from_std(listener: std::net::TcpListener) -> io::Result<Self> {
         TcpListener::from_std(listener).map(Self)
     }
+
+    /// Closes the socket and returns the connections that wait in its queue.
+    ///
+    /// Asks the kernel and not the runtime, which learns of new connections only when it
+    /// polls.
+    ///
+    /// # Errors
+    /// Returns the I/O error of the runtime or of a connection; the others in the queue
+    /// are closed.
+    pub fn close(self) -> io::Result<Vec<TcpStream>> {
+        let listener = self.0.into_std()?;
+        let mut waiting = Vec::new();
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    stream.set_nodelay(true)?;
+                    waiting.push(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(waiting),
+                Err(error) => return Err(error),
+            }
+        }
+    }
 }
 
 impl Listener for NodelayListener {
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -16,7 +16,6 @@
 
 use std::{cell::Cell, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
-use futures::FutureExt;
 use parsleylatch_http::NodelayListener;
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
@@ -62,10 +61,14 @@
         }
     }
     // Connections that the kernel has accepted may carry requests already.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(&traffic, &open, stream);
+    match listener.close() {
+        Ok(waiting) => {
+            for stream in waiting {
+                serve(&traffic, &open, stream);
+            }
+        }
+        Err(error) => log::warn!(error:% = error; "closing the caller listener failed"),
     }
-    drop(listener);
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
 }
 
