--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -10,7 +10,7 @@
 const BALANCER_DETECTION_MS: Millis = Millis::new(3_200);
 /// Time before the platform's kill at which the process exits by itself.
 const KILL_MARGIN_MS: Millis = Millis::new(250);
-/// Time in which the connections that were accepted last are counted as in flight.
+/// Time after which the connections that were accepted last are counted as in flight.
 const CLOSING_SETTLE_MS: Millis = Millis::new(100);
 /// Time before the end of the process from which it accepts no connections, so that the
 /// requests of those accepted last can be finished.
@@ -27,7 +27,7 @@
         NotReady,
         /// Finishes the requests in flight.
         Draining,
-        /// Has finished all requests and accepts no more connections.
+        /// Accepts no more connections, and reads those that were accepted last.
         Closing,
         /// Finishes the requests of the connections that were accepted last.
         Finishing,
--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a burst that fills all engines, on many nodes at once. A stream is sent
 //! at once as long as the engines are presumed to have room, so that calm days need no
-//! state reports. Otherwise it is assigned to the least loaded engine that reports room.
+//! state reports. Otherwise it is assigned to the engine of the lowest cost among those that
+//! report room.
 
 use parsleylatch_types::{MonoTime, ServiceName};
 
