Overload: judge a delay by other requests only, and decide on waits in one place

- explains_delay asked has_room, so that a stream's own unread prompt explained its delay, and reports older than 300 ms explained nothing, though a probe comes every 500 ms.
- Comments beyond 16 in a row were dropped also while a stream ran, which changed a sound body.
- Whether a stream waits behind others, how long engines count as unreported and a service as overloaded were decided in the relay; they are in decide now.

--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -441,10 +441,10 @@
         })
     }
 
-    /// Whether the last report of an engine explains why a stream there makes no progress:
-    /// others have to be read before, or the memory is full.
-    pub fn explains_delay(&self, now: MonoTime, key: &EndpointKey, size: StreamSize) -> bool {
-        self.has_room(now, key, size) == Some(false)
+    /// Whether other requests at an engine explain why a stream there makes no progress.
+    pub fn explains_delay(&self, now: MonoTime, key: &EndpointKey) -> bool {
+        let stats = self.endpoints.get(key);
+        stats.is_some_and(|it| it.engine_load.explains_delay(now))
     }
 
     /// This thread's streams and copies at the usable engines of a service.
--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -28,18 +28,23 @@
     Hopeless,
 }
 
-/// Whether a stream has to wait although the engine `key` could be used. `threads` is the
-/// number of traffic threads of all nodes.
+/// Whether a stream has to wait although the engine `key` could be used. `queue` is that of
+/// its service, and `threads` the number of traffic threads of all nodes.
 pub fn must_wait(
     now: MonoTime,
     table: &EndpointTable,
+    queue: Option<&PlacementQueue>,
     service: &ServiceName,
     key: &EndpointKey,
     size: StreamSize,
     threads: usize,
 ) -> bool {
+    if queue.is_some_and(|it| !it.is_reported(now)) {
+        return false;
+    }
+    let is_behind_others = queue.is_some_and(|it| !it.is_empty());
     let may_be_full = may_be_full(table.own_streams(service), threads, size);
-    may_be_full && table.has_room(now, key, size) != Some(true)
+    is_behind_others || may_be_full && table.has_room(now, key, size) != Some(true)
 }
 
 /// Assigns the engines that have room to waiting streams, and takes those out of the queue
@@ -52,6 +57,9 @@
     queue: &mut PlacementQueue,
     has_reports: bool,
 ) -> Vec<(QueueTicket, Assignment)> {
+    if !has_reports {
+        queue.record_unreported(now);
+    }
     let hopeless = queue.take_hopeless(now).into_iter();
     let mut assignments: Vec<_> = hopeless
         .map(|ticket| (ticket, Assignment::Hopeless))
--- a/crates/decide/src/relay/overload/engine_load.rs
+++ b/crates/decide/src/relay/overload/engine_load.rs
@@ -15,8 +15,11 @@
 
 use crate::relay::{report::EngineReport, selector::PREFILL_TOKENS_PER_MS};
 
-/// Age up to which a report is used.
+/// Age up to which a report is used for placements.
 const REPORT_AGE_LIMIT_MS: Millis = Millis::new(300);
+/// Age up to which the answer to a probe is used; a stream without progress is probed about
+/// every 500 ms.
+const PROBE_AGE_LIMIT_MS: Millis = Millis::new(1_000);
 /// Time until a placement is included in the engine's reports.
 const REPORT_LAG_MS: Millis = Millis::new(450);
 /// Prompts that an engine may have to read before another one is sent to it, if it is
@@ -24,7 +27,7 @@
 /// sees the same room.
 const UNREAD_PROMPT_LIMIT: u32 = 1;
 /// Memory of an engine that has not reported it, as specified by the operators.
-pub(crate) const DEFAULT_MEMORY: TokenCount = TokenCount::new(55_000);
+pub(crate) const DEFAULT_MEMORY_TOKENS: TokenCount = TokenCount::new(55_000);
 
 /// Share of the specified reading rate below which an engine counts as slow, in percent.
 const SLOW_RATE_PERCENT: u64 = 40;
@@ -110,7 +113,7 @@
                 .saturating_add(report.running.saturating_sub(begun)),
             memory_used: report.memory_used,
             memory_total: match report.memory_total {
-                TokenCount::ZERO => DEFAULT_MEMORY,
+                TokenCount::ZERO => DEFAULT_MEMORY_TOKENS,
                 total => total,
             },
         };
@@ -200,6 +203,15 @@
             })
     }
 
+    /// Whether other requests explain why a stream that was sent to the engine makes no
+    /// progress: some are queued or preempted, or another prompt has to be read.
+    pub fn explains_delay(&self, now: MonoTime) -> bool {
+        self.reported.is_some_and(|(load, at)| {
+            let is_recent = now.since(at) <= PROBE_AGE_LIMIT_MS.micros();
+            is_recent && (load.waiting > 0 || load.unread > 1)
+        })
+    }
+
     /// Whether the engine can read the prompt soon and hold the stream to its end;
     /// `None` without a recent report.
     pub fn has_room(
--- a/crates/decide/src/relay/overload/pressure.rs
+++ b/crates/decide/src/relay/overload/pressure.rs
@@ -6,7 +6,7 @@
 //! once these would fill a part of their memory. Copies of runs are made only while
 //! there is memory for them: a copy at a full engine preempts a run.
 
-use super::engine_load::{DEFAULT_MEMORY, StreamSize};
+use super::engine_load::{DEFAULT_MEMORY_TOKENS, StreamSize};
 
 /// Part of the engines' memory from which their state is asked for, in percent.
 const QUERY_FILL_PERCENT: u64 = 40;
@@ -40,6 +40,6 @@
     let own_streams = u64::from(own.streams) + u64::from(own.copies);
     let streams = own_streams.saturating_mul(threads as u64);
     let filled = streams.saturating_mul(size.total()).saturating_mul(100);
-    let memory = u64::from(DEFAULT_MEMORY.get()).saturating_mul(own.engines as u64);
+    let memory = u64::from(DEFAULT_MEMORY_TOKENS.get()).saturating_mul(own.engines as u64);
     filled > memory.saturating_mul(fill_percent)
 }
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -26,6 +26,11 @@
 /// Placements within that period from which the rate is known.
 const MEASURED_PLACEMENTS: usize = 2;
 
+/// Time for which a service counts as overloaded after no engine had room.
+const OVERLOAD_MEMORY_MS: Millis = Millis::new(2_000);
+/// Time for which engines that did not report their state are not asked for it.
+const UNREPORTED_MEMORY_MS: Millis = Millis::new(10_000);
+
 /// Identifies a stream in a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueTicket(u64);
@@ -88,6 +93,7 @@
     placements: u64,
     recent_placements: VecDeque<MonoTime>,
     last_full_at: Option<MonoTime>,
+    unreported_at: Option<MonoTime>,
 }
 
 impl PlacementQueue {
@@ -167,11 +173,6 @@
         hopeless
     }
 
-    /// Number of waiting streams.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Whether no stream waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -182,10 +183,21 @@
         self.last_full_at = Some(now);
     }
 
-    /// Whether streams found no engine with room within `period`.
-    pub fn was_full_within(&self, now: MonoTime, period: Millis) -> bool {
-        self.last_full_at
-            .is_some_and(|at| now.since(at) <= period.micros())
+    /// Whether streams find no engine with room, or found none a short time ago.
+    pub fn is_overloaded(&self, now: MonoTime) -> bool {
+        let period = OVERLOAD_MEMORY_MS.micros();
+        self.last_full_at.is_some_and(|at| now.since(at) <= period)
+    }
+
+    /// Records that no engine reported its state.
+    pub(super) fn record_unreported(&mut self, now: MonoTime) {
+        self.unreported_at = Some(now);
+    }
+
+    /// Whether the engines reported their state when they were last asked for it.
+    pub(super) fn is_reported(&self, now: MonoTime) -> bool {
+        let period = UNREPORTED_MEMORY_MS.micros();
+        self.unreported_at.is_none_or(|at| now.since(at) > period)
     }
 
     /// Time after which the streams that wait now are presumably placed, by the recent
--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -170,6 +170,20 @@
     assert_eq!(load.has_room(at(5), SLOTS, true, SIZE), Some(false));
 }
 
+/// Only other requests explain why a stream makes no progress, not the stream itself.
+#[test_case(report(1, 0, 0, 5_000), false ; "only its own prompt")]
+#[test_case(report(3, 0, 3, 15_000), false ; "others that have begun")]
+#[test_case(report(2, 0, 0, 10_000), true ; "another prompt")]
+#[test_case(report(8, 1, 8, 43_000), true ; "queued or preempted")]
+fn explains_delay(report: EngineReport, expected: bool) {
+    let mut load = EngineLoad::default();
+    load.record_placement(at(0), SIZE);
+    load.record_report(at(5_000), &report);
+    // The next probe is answered some 500 ms later.
+    assert_eq!(load.explains_delay(at(5_450)), expected);
+    assert!(!load.explains_delay(at(7_000)));
+}
+
 /// A four times slower engine needs 4 s for a prompt of 1 s.
 #[test_case(1_050, 1_100, false ; "usual pace")]
 #[test_case(4_000, 4_100, true ; "slow")]
--- a/crates/decide/tests/overload/model.rs
+++ b/crates/decide/tests/overload/model.rs
@@ -259,7 +259,8 @@
         let at = &mut self.nodes[node];
         let choice = at.selector.select(now, &at.table, &criteria).unwrap();
         let key = choice.endpoint.key.clone();
-        let waits = !at.queue.is_empty() || must_wait(now, &at.table, &service, &key, SIZE, NODES);
+        let queue = Some(&at.queue);
+        let waits = must_wait(now, &at.table, queue, &service, &key, SIZE, NODES);
         if self.strategy == Strategy::SendAtOnce || !waits {
             self.send(now_us, request, &key);
             return;
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -15,7 +15,7 @@
     },
 };
 
-/// Comments that are kept until the next event.
+/// Comments that are kept until the first event.
 const HELD_COMMENTS: usize = 16;
 /// Size up to which a comment is kept.
 const HELD_COMMENT_BYTES: usize = 1 << 10;
@@ -145,7 +145,7 @@
         let mut has_event = false;
         for event in events {
             if !event.has_field {
-                self.hold_comment(event);
+                self.keep_comment(event);
                 continue;
             }
             let id = event.id.map(StreamEventId::new);
@@ -161,6 +161,8 @@
             self.pending.push(event);
         }
         if !has_event {
+            // Comments are forwarded, but are no progress.
+            self.flush_events().await;
             return Vec::new();
         }
         self.record_first_event(now);
@@ -173,10 +175,12 @@
         effects
     }
 
-    /// Keeps a comment until the next event. Comments alone are no progress, and more than
-    /// a few of them are dropped.
-    fn hold_comment(&mut self, comment: RawEvent) {
-        if self.pending.len() < HELD_COMMENTS && comment.bytes.len() <= HELD_COMMENT_BYTES {
+    /// Keeps a comment until it is forwarded. Before the first event only a few are kept,
+    /// so that an engine that sends nothing else takes no memory.
+    fn keep_comment(&mut self, comment: RawEvent) {
+        let is_streaming = matches!(self.caller, CallerState::Streaming(_));
+        let is_small = comment.bytes.len() <= HELD_COMMENT_BYTES;
+        if is_streaming || is_small && self.pending.len() < HELD_COMMENTS {
             self.pending.push(comment);
         }
     }
@@ -201,6 +205,9 @@
 
     /// Sends the pending events to the caller's connection.
     pub(super) async fn flush_events(&mut self) {
+        if !matches!(self.caller, CallerState::Streaming(_)) {
+            return;
+        }
         for event in std::mem::take(&mut self.pending) {
             if !matches!(self.caller, CallerState::Streaming(_)) {
                 return;
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -219,12 +219,11 @@
             ExchangeState::Probing | ExchangeState::StreamProbing
         );
         let table = self.traffic.endpoint_table.borrow();
-        let size = self.stream_size();
         !is_unanswered
             && self
                 .sent
                 .as_ref()
-                .is_some_and(|sent| table.explains_delay(now, &sent.key, size))
+                .is_some_and(|sent| table.explains_delay(now, &sent.key))
     }
 
     async fn apply_effects(&mut self, effects: Vec<ExchangeEffect>) {
--- a/crates/relay/src/traffic/placement_queue.rs
+++ b/crates/relay/src/traffic/placement_queue.rs
@@ -10,7 +10,7 @@
 use parsleylatch_decide::relay::{
     self, Assignment, EndpointEntry, PlacementQueue, QueueFull, QueueTicket, QueuedStream,
 };
-use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName};
+use parsleylatch_types::{Micros, ServiceName};
 use tokio::{sync::oneshot, task::spawn_local, time};
 
 use super::{
@@ -23,10 +23,6 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(150);
 /// Engines queried in one round.
 const QUERIED_ENGINES: usize = 4;
-/// Time for which engines that did not report their state are not asked for it.
-const UNREPORTED_MEMORY_MS: Millis = Millis::new(10_000);
-/// Time for which a service counts as overloaded after no engine had room.
-const OVERLOAD_MEMORY_MS: Millis = Millis::new(2_000);
 
 /// Waiting streams of one service.
 #[derive(Default)]
@@ -35,24 +31,12 @@
     waiting: HashMap<QueueTicket, oneshot::Sender<Assignment>>,
     /// Whether the task that assigns engines is running.
     is_served: bool,
-    /// Time until which the engines' state is not asked for, as none of them reported it.
-    unreported_until: MonoTime,
 }
 
 impl ServiceQueue {
-    /// Whether the engines reported their state when they were last asked for it.
-    pub(crate) fn is_reported(&self, now: MonoTime) -> bool {
-        now >= self.unreported_until
-    }
-
-    /// Whether new streams have to wait behind others.
-    pub(crate) fn has_waiting(&self) -> bool {
-        !self.queue.is_empty()
-    }
-
-    /// Whether streams find no engine with room, or found none a short time ago.
-    pub(crate) fn is_overloaded(&self, now: MonoTime) -> bool {
-        self.queue.was_full_within(now, OVERLOAD_MEMORY_MS)
+    /// Streams that wait.
+    pub(crate) fn queue(&self) -> &PlacementQueue {
+        &self.queue
     }
 
     fn assign(&mut self, ticket: QueueTicket, assignment: Assignment) {
@@ -153,9 +137,6 @@
     let Some(served) = queues.get_mut(service) else {
         return true;
     };
-    if !has_reports {
-        served.unreported_until = now + UNREPORTED_MEMORY_MS;
-    }
     let mut table = traffic.endpoint_table.borrow_mut();
     let assigned = relay::assign_engines(
         now,
@@ -168,7 +149,7 @@
     for (ticket, assignment) in assigned {
         served.assign(ticket, assignment);
     }
-    served.is_served = served.has_waiting();
+    served.is_served = !served.queue.is_empty();
     !served.is_served
 }
 
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -87,16 +87,11 @@
         key: &EndpointKey,
         size: StreamSize,
     ) -> bool {
-        let now = self.now();
         let queues = self.placement_queues.borrow();
-        let queue = queues.get(service);
-        if queue.is_some_and(|it| !it.is_reported(now)) {
-            return false;
-        }
+        let queue = queues.get(service).map(ServiceQueue::queue);
         let table = self.endpoint_table.borrow();
         let threads = self.cluster_traffic_threads();
-        queue.is_some_and(ServiceQueue::has_waiting)
-            || must_wait(now, &table, service, key, size, threads)
+        must_wait(self.now(), &table, queue, service, key, size, threads)
     }
 
     /// Whether copies of the memory of runs would take memory from other runs.
@@ -111,7 +106,7 @@
     fn is_overloaded(&self, service: &ServiceName) -> bool {
         let queues = self.placement_queues.borrow();
         let queue = queues.get(service);
-        queue.is_some_and(|it| it.is_overloaded(self.now()))
+        queue.is_some_and(|it| it.queue().is_overloaded(self.now()))
     }
 
     /// Records a caller's request for a service.
