Relay: don't shut down a connection before its first request

Cause, traced: stop_answers_accepted_callers failed again, beside the other tests only (3 callers of 4,785). When the drain begins, each connection is shut down gracefully, and the HTTP library closes one on which no byte has been seen. A caller whose request was on its way was cut off. The race between the queue and the close of the socket, which was suspected before, has not been seen.

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -58,13 +58,17 @@
     let ended = match ended {
         Some(ended) => ended,
         None => {
-            if !is_late {
+            // A graceful shutdown closes a connection without a request at once, although
+            // its first request may be on its way.
+            if !is_late && !is_present(&awaited) {
                 connection.as_mut().graceful_shutdown();
             }
             tokio::select! {
                 ended = connection.as_mut() => ended,
                 () = time::sleep(FIRST_REQUEST_WAIT) => {
-                    drop(awaited.take());
+                    if awaited.take().is_some() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                     connection.await
                 }
             }
@@ -75,6 +79,14 @@
     }
 }
 
+/// Whether the cell holds a value, which stays there.
+fn is_present<Value>(cell: &Cell<Option<Value>>) -> bool {
+    let value = cell.take();
+    let is_present = value.is_some();
+    cell.set(value);
+    is_present
+}
+
 async fn handle_request(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
