Relay: log why a stream is aborted

A stream that was broken off left one line, which named the endpoint but not the cause: silence, a lost connection, no endpoint, a rejection or the deadline. The effect now carries the reason; a line tells it with the time since the last event, the time left and the revision of the configuration. No decision changes.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -10,9 +10,10 @@
 use serde_json::{Map, Value};
 
 /// Events that can decide the outcome of a request or of one of its attempts.
-const DECIDING_EVENTS: [&str; 5] = [
+const DECIDING_EVENTS: [&str; 6] = [
     "request denied",
     "request refused",
+    "stream aborted",
     "attempt failed",
     "retry budget used up",
     "request ended",
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -193,6 +193,10 @@
         });
     }
 
+    pub(super) fn break_off(&mut self, reason: RefusalReason) {
+        self.effects.push(ExchangeEffect::BreakOff { reason });
+    }
+
     pub(super) fn refuse(&mut self, reason: RefusalReason) {
         let not_run = self.runs == 0;
         let retry_after_ms = not_run.then(|| {
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -87,7 +87,7 @@
     CallerGone,
 }
 
-/// Why a request was refused.
+/// Why a request was refused, or its stream aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum RefusalReason {
@@ -97,6 +97,10 @@
     Rejected,
     /// The request was sent, and no usable response arrived.
     AnswerLost,
+    /// The last endpoint answered with an error.
+    Errored,
+    /// The endpoint made no progress with the request.
+    NoProgress,
     /// The deadline has passed.
     DeadlinePassed,
     /// The deadline is too close for any endpoint to respond.
@@ -126,7 +130,10 @@
     /// End the caller's stream normally.
     Finish,
     /// Abort the caller's stream, so that it can't be mistaken for a complete one.
-    BreakOff,
+    BreakOff {
+        /// Why the stream can't be continued.
+        reason: RefusalReason,
+    },
     /// Refuse the request.
     Refuse {
         /// Reason of the refusal.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -127,7 +127,27 @@
             })
             .action("begin_stream", ExchangeContext::begin_stream)
             .action("finish", |it| it.effects.push(ExchangeEffect::Finish))
-            .action("break_off", |it| it.effects.push(ExchangeEffect::BreakOff))
+            .action("break_off_no_endpoint", |it| {
+                it.break_off(RefusalReason::NoEndpoint);
+            })
+            .action("break_off_rejected", |it| {
+                it.break_off(RefusalReason::Rejected);
+            })
+            .action("break_off_errored", |it| {
+                it.break_off(RefusalReason::Errored);
+            })
+            .action("break_off_answer_lost", |it| {
+                it.break_off(RefusalReason::AnswerLost);
+            })
+            .action("break_off_no_progress", |it| {
+                it.break_off(RefusalReason::NoProgress);
+            })
+            .action("break_off_hopeless", |it| {
+                it.break_off(RefusalReason::Hopeless);
+            })
+            .action("break_off_deadline_passed", |it| {
+                it.break_off(RefusalReason::DeadlinePassed);
+            })
             .action("record_possible_run", ExchangeContext::record_possible_run)
             .action("record_not_run", ExchangeContext::record_not_run)
             .action("refuse_no_endpoint", |it| {
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -217,7 +217,7 @@
     let mut exchange = begun(repeat);
     let may_retry = !resumable;
     let effects = exchange.handle(at(200), ExchangeInput::Lost { may_retry });
-    assert!(matches!(effects[..], [ExchangeEffect::BreakOff]));
+    assert!(matches!(effects[..], [ExchangeEffect::BreakOff { .. }]));
 }
 
 /// The caller already has all events, so the resumed stream ends without further ones.
@@ -366,7 +366,7 @@
                 }
                 ExchangeEffect::ForwardResponse
                 | ExchangeEffect::Finish
-                | ExchangeEffect::BreakOff => {
+                | ExchangeEffect::BreakOff { .. } => {
                     self.ends += 1;
                 }
                 ExchangeEffect::Place { .. }
@@ -491,7 +491,7 @@
     assert_eq!(exchange.state(), ExchangeState::StreamProbing);
     let effects = exchange.handle(at(1_150), ExchangeInput::ProbeFailed { may_retry: false });
     assert!(
-        matches!(effects[..], [ExchangeEffect::BreakOff]),
+        matches!(effects[..], [ExchangeEffect::BreakOff { .. }]),
         "{effects:?}"
     );
 }
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -163,7 +163,18 @@
         self.caller = CallerState::Done;
     }
 
-    pub(super) fn abort_stream(&mut self) {
+    pub(super) fn abort_stream(&mut self, reason: RefusalReason) {
+        let now = self.traffic.now();
+        let silence = self.last_event_at.map(|last| now.since(last));
+        log::info!(
+            id:% = self.job.metadata.id,
+            route:% = self.job.route.name,
+            reason:% = reason,
+            silence_ms = silence.unwrap_or_default().millis().get(),
+            remaining_ms = self.job.spec.deadline.since(now).millis().get(),
+            configuration_revision = self.job.configuration_revision.get();
+            "stream aborted"
+        );
         self.log_outcome("broken_off", None);
         self.traffic
             .shared
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -238,7 +238,7 @@
                 ExchangeEffect::ForwardResponse => self.forward_response(),
                 ExchangeEffect::BeginStream => self.begin_stream().await,
                 ExchangeEffect::Finish => self.finish_stream().await,
-                ExchangeEffect::BreakOff => self.abort_stream(),
+                ExchangeEffect::BreakOff { reason } => self.abort_stream(reason),
                 ExchangeEffect::Refuse {
                     reason,
                     not_run,
