Relay: an endpoint's silence does not end a response without a retry left

Callers saw: streams aborted half a second after an event, and 502 before the first one, while the endpoint was sound and went on a second later. Cause: a stream without events for 280 to 350 ms is probed; a probe that is not answered within 150 ms counted as the loss of the request. With no retry left in the budget the response was ended at once, so that the caller could resume elsewhere. Change: the chart tells a request that its endpoint has lost (the probe is answered, the run is gone) from an endpoint that is silent. The former still ends at once. The latter is asked again, and moves as soon as the budget allows; a stream that has begun is never ended by silence, one without an event is refused after 3 s without any sign of life.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -33,6 +33,9 @@
 /// Time beyond the gap goal and the reading of the prompt after which the next event is
 /// overdue. An engine reads the prompt again after a preemption.
 const NEXT_EVENT_SLACK_MS: Millis = Millis::new(500);
+/// Time without any sign of life after which an endpoint counts as lost to a request that
+/// has no event yet and no retry left. A sound endpoint is silent for about a second.
+const SILENCE_LIMIT_MS: Millis = Millis::new(3_000);
 /// Retry-after of a refused stream that did not run.
 const STREAM_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// Retry-after of a refused call that did not run.
@@ -60,6 +63,10 @@
     /// Whether the running attempt has delivered an event.
     pub(super) attempt_began: bool,
     pub(super) may_retry: bool,
+    /// Whether the last probe was answered by an endpoint that does not have the request.
+    pub(super) is_request_lost: bool,
+    /// Last sign of life of the running attempt's endpoint.
+    pub(super) last_sign_at: MonoTime,
     pub(super) last_event_at: MonoTime,
     pub(super) stall_detector: StallDetector,
     pub(super) effects: Vec<ExchangeEffect>,
@@ -106,6 +113,13 @@
         }
     }
 
+    /// Whether the caller should be told to try elsewhere, because its request waits at an
+    /// endpoint that gives no sign of life. A stream that has begun is never ended by silence.
+    pub(super) fn is_silent_too_long(&self) -> bool {
+        let silence = self.now.since(self.last_sign_at);
+        !self.has_begun && self.is_repeatable() && silence >= SILENCE_LIMIT_MS.micros()
+    }
+
     /// Time after the send at which the first event is overdue.
     pub(super) fn first_event_limit(&self) -> Millis {
         Millis::new(FIRST_EVENT_PREFILLS * self.prefill().get())
@@ -147,6 +161,7 @@
             return;
         };
         self.sent_at = self.now;
+        self.last_sign_at = self.now;
         self.unplaced_since = None;
         self.attempt_began = false;
         self.has_error_response = false;
@@ -161,6 +176,7 @@
     pub(super) fn begin_stream(&mut self) {
         self.attempt_began = true;
         self.last_event_at = self.now;
+        self.last_sign_at = self.now;
         self.stall_detector.record_event(self.now);
         if !self.has_begun {
             self.has_begun = true;
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -80,6 +80,8 @@
     ProbeAnswered,
     /// The probe was not answered, or the endpoint does not have the request.
     ProbeFailed {
+        /// Whether the probe was answered by an endpoint that does not have the request.
+        is_request_lost: bool,
         /// Whether the retry budget allows another attempt.
         may_retry: bool,
     },
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -110,10 +110,13 @@
             .guard("has_begun", |it| it.has_begun)
             .guard("has_error_response", |it| it.has_error_response)
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
-            .guard("is_repeatable", ExchangeContext::is_repeatable)
-            .guard("has_begun_and_repeatable", |it| {
-                it.has_begun && it.is_repeatable()
+            .guard("is_request_lost", |it| {
+                it.is_request_lost && it.is_repeatable()
             })
+            .guard("has_begun_and_request_lost", |it| {
+                it.has_begun && it.is_request_lost && it.is_repeatable()
+            })
+            .guard("is_silent_too_long", ExchangeContext::is_silent_too_long)
             .guard("may_resend", |it| it.may_retry && it.is_resendable())
             .guard("is_overdue", |it| {
                 it.may_retry && it.is_repeatable() && it.is_overdue()
@@ -154,6 +157,10 @@
                 it.refuse(RefusalReason::NoEndpoint);
             })
             .action("refuse_rejected", |it| it.refuse(RefusalReason::Rejected))
+            .action("refuse_no_progress", |it| {
+                it.refuse(RefusalReason::NoProgress);
+            })
+            .action("record_probe_answer", |it| it.last_sign_at = it.now)
             .action("refuse_hopeless", ExchangeContext::refuse_hopeless)
             .action("refuse_answer_lost", |it| {
                 it.refuse(RefusalReason::AnswerLost);
@@ -199,6 +206,8 @@
             has_error_response: false,
             attempt_began: false,
             may_retry: false,
+            is_request_lost: false,
+            last_sign_at: now,
             last_event_at: now,
             stall_detector: StallDetector::default(),
             effects: Vec::new(),
@@ -314,13 +323,18 @@
             }
             ExchangeInput::Event if context.attempt_began => {
                 context.last_event_at = now;
+                context.last_sign_at = now;
                 context.stall_detector.record_event(now);
                 ExchangeEvent::Progressed
             }
             ExchangeInput::Event => ExchangeEvent::Began,
             ExchangeInput::Finished => ExchangeEvent::Finished,
             ExchangeInput::ProbeAnswered => ExchangeEvent::ProbeAnswered,
-            ExchangeInput::ProbeFailed { may_retry } => {
+            ExchangeInput::ProbeFailed {
+                is_request_lost,
+                may_retry,
+            } => {
+                context.is_request_lost = is_request_lost;
                 context.may_retry = may_retry;
                 ExchangeEvent::ProbeFailed
             }
@@ -339,6 +353,7 @@
     ) -> Vec<ExchangeEffect> {
         self.context.now = now;
         self.context.may_retry = may_retry;
+        self.context.is_request_lost = false;
         if now >= self.context.spec.deadline {
             return self.step(now, ExchangeEvent::DeadlinePassed);
         }
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -53,8 +53,11 @@
             };
             self.record_failure(Outcome::Broken, reason);
         }
-        self.exchange
-            .handle(now, ExchangeInput::ProbeFailed { may_retry })
+        let input = ExchangeInput::ProbeFailed {
+            is_request_lost: finding.is_some(),
+            may_retry,
+        };
+        self.exchange.handle(now, input)
     }
 
     pub(super) async fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
