Relay: a silent endpoint is left only if another can take the request

Callers saw: a stream or call at the only usable endpoint of a service ended although the endpoint went on a second later: aborted 3.4 s after the last event, or 502. Cause: the attempt was closed before another endpoint was looked for, and the silent one was excluded from the placement that followed. Change: the request leaves a silent endpoint, or one that is late, only if another one is eligible. Otherwise it stays, the budget is not charged, and the endpoint counts as failed for other requests until its next event. A request that its endpoint has lost moves as before.

--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -507,6 +507,15 @@
         }
     }
 
+    /// Records that an endpoint that was silent goes on.
+    pub fn record_sign_of_life(&mut self, now: MonoTime, key: &EndpointKey) {
+        if let Some(stats) = self.endpoints.get_mut(key) {
+            stats.last_alive_at = now;
+            stats.consecutive_failures = 0;
+            stats.suspended_until = MonoTime::ZERO;
+        }
+    }
+
     fn record_domain_failure(&mut self, now: MonoTime, key: &EndpointKey) {
         let Some(stats) = self.endpoints.get(key) else {
             return;
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -359,8 +359,36 @@
     let entries = [entry(1, "a")];
     let table = table_of(&entries, "n1", &["n1"]);
     let excluded = [entries[0].key.clone()];
-    let choice = selector().select(at(0), &table, &criteria(&service(), &excluded, 0));
-    assert!(choice.is_none());
+    let service = service();
+    let criteria = criteria(&service, &excluded, 0);
+    assert!(selector().select(at(0), &table, &criteria).is_none());
+    assert!(!selector().is_any_eligible(&table, &criteria));
+}
+
+/// A suspended endpoint is still an alternative, one that is leaving is not.
+#[test_case(false, true ; "suspended")]
+#[test_case(true, false ; "leaving")]
+fn alternative_eligible(is_leaving: bool, expected: bool) {
+    let mut other = entry(2, "b");
+    other.is_leaving = is_leaving;
+    let entries = [entry(1, "a"), other];
+    let mut table = table_of(&entries, "n1", &["n1"]);
+    table.record_outcome(at(0), &entries[1].key, Outcome::Broken);
+    let excluded = [entries[0].key.clone()];
+    let service = service();
+    let criteria = criteria(&service, &excluded, 0);
+    assert_eq!(selector().is_any_eligible(&table, &criteria), expected);
+}
+
+/// An endpoint that goes on after a silence is used again at once.
+#[test]
+fn sign_of_life_ends_suspension() {
+    let entries = [entry(1, "a"), entry(2, "b")];
+    let mut table = table_of(&entries, "n1", &["n1"]);
+    table.record_outcome(at(0), &entries[0].key, Outcome::Broken);
+    assert!(table.is_suspended(at(100), &entries[0].key));
+    table.record_sign_of_life(at(100), &entries[0].key);
+    assert!(!table.is_suspended(at(100), &entries[0].key));
 }
 
 /// An entry whose address belongs to a newer process is unusable.
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -5,12 +5,13 @@
 use http::Response;
 use parsleylatch_decide::relay::{
     Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, Outcome, RefusalReason,
-    SelectionCriteria,
+    SelectionCriteria, VersionLimit,
 };
 use parsleylatch_types::Millis;
 
 use super::{CallerState, ExchangeDriver, SentAttempt};
 use crate::{
+    shared::Snapshot,
     telemetry::{RelayCounter, RelayLatency},
     traffic::{
         attempt::Attempt,
@@ -32,9 +33,7 @@
         let snapshot = traffic.snapshot();
         let now = traffic.now();
         let spec = &self.job.spec;
-        let rule = snapshot.versions.get(&spec.service);
-        let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
-        let version = rule.map(|rule| rule.limit(self.version_draw, is_retry));
+        let version = self.version_limit(&snapshot, excluded);
         let may_copy = self.job.has_backups
             && spec.repeat.is_stream()
             && !traffic.are_copies_unaffordable(&spec.service, self.stream_size());
@@ -77,6 +76,35 @@
             .handle(now, ExchangeInput::Placed(Box::new(choice)))
     }
 
+    /// Whether another endpoint than that of the running attempt can take the request.
+    pub(super) fn has_alternative(&self) -> bool {
+        let Some(sent) = &self.sent else {
+            return false;
+        };
+        let snapshot = self.traffic.snapshot();
+        let mut excluded = self.exchange.excluded_endpoints().to_vec();
+        excluded.push(sent.key.clone());
+        let version = self.version_limit(&snapshot, &excluded);
+        let spec = &self.job.spec;
+        let criteria = SelectionCriteria {
+            service: &spec.service,
+            excluded: &excluded,
+            copy: None,
+            prompt_holder: None,
+            prompt: spec.prompt,
+            with_backup: false,
+            version: version.as_ref(),
+        };
+        let table = self.traffic.endpoint_table.borrow();
+        self.traffic.selector().is_any_eligible(&table, &criteria)
+    }
+
+    fn version_limit(&self, snapshot: &Snapshot, excluded: &[EndpointKey]) -> Option<VersionLimit> {
+        let rule = snapshot.versions.get(&self.job.spec.service)?;
+        let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
+        Some(rule.limit(self.version_draw, is_retry))
+    }
+
     pub(super) fn start_attempt(&mut self, choice: Box<Choice>) {
         let now = self.traffic.now();
         let key = choice.endpoint.key.clone();
@@ -246,6 +274,7 @@
         self.attempt = None;
         self.probe = None;
         self.copy_monitor = CopyMonitor::default();
+        self.is_endpoint_silent = false;
         if let Some(sent) = self.sent.take() {
             let mut table = self.traffic.endpoint_table.borrow_mut();
             if !sent.has_responded {
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -43,18 +43,27 @@
         if finding == Some(ProbeFinding::Present) {
             return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
         }
+        let is_request_lost = finding.is_some();
         let allows_retry = self.exchange.allows_retry(true);
-        let may_retry = allows_retry && self.take_retry();
+        let may_retry = allows_retry
+            && match is_request_lost {
+                true => self.take_retry(),
+                false => self.may_move(),
+            };
         if allows_retry {
             let reason = match finding {
                 Some(ProbeFinding::Undelivered) => "no progress; the engine has undelivered events",
                 Some(_) => "no progress; the engine does not run the request",
                 None => "no progress and no response to a probe",
             };
-            self.record_failure(Outcome::Broken, reason);
+            if may_retry || is_request_lost {
+                self.record_failure(Outcome::Broken, reason);
+            } else {
+                self.record_silence();
+            }
         }
         let input = ExchangeInput::ProbeFailed {
-            is_request_lost: finding.is_some(),
+            is_request_lost,
             may_retry,
         };
         self.exchange.handle(now, input)
@@ -170,6 +179,7 @@
         }
         self.record_first_event(now);
         self.record_gap(now);
+        self.record_silence_end();
         let effects = self.exchange.handle(now, ExchangeInput::Event);
         if self.exchange.has_begun() && matches!(self.caller, CallerState::Streaming(_)) {
             self.flush_events().await;
@@ -227,6 +237,12 @@
         self.exchange.allows_retry(may_have_run) && self.take_retry()
     }
 
+    /// Whether a request may leave an endpoint that is silent. It stays if no other endpoint
+    /// can take it, as a sound endpoint goes on after a while.
+    pub(super) fn may_move(&self) -> bool {
+        self.has_alternative() && self.take_retry()
+    }
+
     pub(super) fn take_retry(&self) -> bool {
         let kind = match self.exchange.has_begun() {
             true => RetryKind::Resumption,
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -61,6 +61,7 @@
         caller: CallerState::Waiting(reply),
         probe: None,
         copy_monitor: CopyMonitor::default(),
+        is_endpoint_silent: false,
         has_caller_stalled: false,
         queue_slot: None,
         queued_at: now,
@@ -119,6 +120,8 @@
     caller: CallerState,
     probe: Option<oneshot::Receiver<ProbeResult>>,
     copy_monitor: CopyMonitor,
+    /// Whether the endpoint of the running attempt answers no probe.
+    is_endpoint_silent: bool,
     /// Whether the caller has not read its stream until the deadline.
     has_caller_stalled: bool,
     /// Place in the queue for an engine with room.
@@ -203,7 +206,7 @@
         let may_retry = !was_paused
             && self.exchange.allows_retry_at_deadline(now)
             && !self.is_delay_explained(now)
-            && self.take_retry();
+            && self.may_move();
         let effects = self.exchange.expire(now, was_paused, may_retry);
         if may_retry {
             self.record_failure(Outcome::Broken, "silent");
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -99,6 +99,37 @@
         }
     }
 
+    /// Records that the endpoint gives no sign of life while the request stays there.
+    pub(super) fn record_silence(&mut self) {
+        let Some(sent) = &self.sent else {
+            return;
+        };
+        if std::mem::replace(&mut self.is_endpoint_silent, true) {
+            return;
+        }
+        let now = self.traffic.now();
+        let mut table = self.traffic.endpoint_table.borrow_mut();
+        table.record_outcome(now, &sent.key, Outcome::Broken);
+        log::info!(
+            id:% = self.job.metadata.id,
+            route:% = self.job.route.name,
+            endpoint:% = sent.key.id,
+            after_ms = now.since(sent.at).millis().get(),
+            last_event = self.last_event.unwrap_or_default().get();
+            "endpoint is silent; the request stays there"
+        );
+    }
+
+    /// Records that a silent endpoint has sent an event.
+    pub(super) fn record_silence_end(&mut self) {
+        if std::mem::take(&mut self.is_endpoint_silent)
+            && let Some(sent) = &self.sent
+        {
+            let mut table = self.traffic.endpoint_table.borrow_mut();
+            table.record_sign_of_life(self.traffic.now(), &sent.key);
+        }
+    }
+
     pub(super) fn observe(&self, kind: RelayLatency) {
         let shared = &self.traffic.shared;
         let latency: Micros = shared.now().since(self.started_at);
