Relay: a stream returns to a silent endpoint when the others reject it

Callers saw: a stream that was moved off a silent endpoint, and rejected by the next one, was aborted 3 s later, although the first one had gone on. Cause: an endpoint at which an attempt ended was excluded for the rest of the request, whether it had failed or had merely been silent. Change: once no other endpoint is eligible, a stream that has begun may return to endpoints that it left for their silence. Endpoints that broke a connection, lost or rejected the request stay excluded.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -52,6 +52,10 @@
     pub(super) runs: u32,
     pub(super) not_run_attempts: u32,
     pub(super) failed: Vec<EndpointKey>,
+    /// Endpoints among the failed ones that were merely silent.
+    pub(super) silent: Vec<EndpointKey>,
+    /// Whether the latest input shows only the silence of the endpoint.
+    pub(super) is_silence: bool,
     pub(super) choice: Option<Box<Choice>>,
     /// Copy of the memory of the running attempt.
     pub(super) live_copy: Option<MemoryCopy>,
@@ -149,6 +153,15 @@
         self.now.since(since) < limit.micros()
     }
 
+    /// Lets a stream that has begun return to the endpoints that it left for their silence,
+    /// once no other one is eligible: they may go on meanwhile.
+    pub(super) fn readmit_silent(&mut self) {
+        if self.has_begun {
+            let silent = std::mem::take(&mut self.silent);
+            self.failed.retain(|failed| !silent.contains(failed));
+        }
+    }
+
     pub(super) fn request_placement(&mut self) {
         self.unplaced_since.get_or_insert(self.now);
         let copy = self.copy.take();
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -199,6 +199,8 @@
             runs: 0,
             not_run_attempts: 0,
             failed: Vec::new(),
+            silent: Vec::new(),
+            is_silence: false,
             choice: None,
             live_copy: None,
             copy: None,
@@ -288,13 +290,17 @@
     pub fn handle(&mut self, now: MonoTime, input: ExchangeInput) -> Vec<ExchangeEffect> {
         let context = &mut self.context;
         context.now = now;
+        context.is_silence = false;
         let event = match input {
             ExchangeInput::Placed(choice) => {
                 self.running = Some(Arc::clone(&choice.endpoint));
                 context.choice = Some(choice);
                 ExchangeEvent::Placed
             }
-            ExchangeInput::PlacementFailed => ExchangeEvent::PlacementFailed,
+            ExchangeInput::PlacementFailed => {
+                context.readmit_silent();
+                ExchangeEvent::PlacementFailed
+            }
             ExchangeInput::Queued => ExchangeEvent::Queued,
             ExchangeInput::AssignmentFailed => ExchangeEvent::AssignmentFailed,
             ExchangeInput::Hopeless {
@@ -335,6 +341,7 @@
                 may_retry,
             } => {
                 context.is_request_lost = is_request_lost;
+                context.is_silence = !is_request_lost;
                 context.may_retry = may_retry;
                 ExchangeEvent::ProbeFailed
             }
@@ -354,6 +361,7 @@
         self.context.now = now;
         self.context.may_retry = may_retry;
         self.context.is_request_lost = false;
+        self.context.is_silence = true;
         if now >= self.context.spec.deadline {
             return self.step(now, ExchangeEvent::DeadlinePassed);
         }
@@ -387,6 +395,9 @@
             if let ExchangeEffect::Place { excluded, .. } = effect
                 && let Some(abandoned) = self.running.take()
             {
+                if self.context.is_silence {
+                    self.context.silent.push(abandoned.key.clone());
+                }
                 self.context.failed.push(abandoned.key.clone());
                 excluded.push(abandoned.key.clone());
             }
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -531,6 +531,28 @@
     assert_eq!(is_aborted, is_request_lost, "{effects:?}");
 }
 
+/// A stream that was moved off a silent endpoint may return there once every other endpoint
+/// has rejected it; not to one that has lost it.
+#[test_case(false, &[2] ; "silent")]
+#[test_case(true, &[1, 2] ; "request lost")]
+fn silent_endpoint_readmitted(is_request_lost: bool, excluded_numbers: &[u16]) {
+    let mut exchange = begun(RESUMABLE);
+    exchange.expire(at(1_000), false, false);
+    exchange.handle(at(1_150), probe_failed(is_request_lost, true));
+    exchange.handle(at(1_150), placed(2));
+    exchange.handle(at(1_160), answered(ResponseClass::NotRun, true));
+    exchange.handle(at(1_160), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(1_185), false, false);
+    let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    let expected: Vec<EndpointKey> = excluded_numbers
+        .iter()
+        .map(|number| entry(*number).key.clone())
+        .collect();
+    assert_eq!(*excluded, expected);
+}
+
 /// A run that can't be repeated is not abandoned because of a single lost probe.
 #[test]
 fn probe_failed_not_resumable_waits() {
