Relay: an error of the next endpoint does not end a stream with attempts left

Callers saw: a stream that was moved to another endpoint was aborted when that endpoint answered with an error, although its route allows further attempts and the budget had retries. Cause: in the chart, an error response of a stream that has begun led to broken_off before may_repeat was asked. Found while looking for other ways in which a move ends a stream. Change: the stream is placed again if that is allowed; an error response is never forwarded into a stream that has begun. Result: resumed_stream_error_repeated (with budget) and resumed_stream_error_not_forwarded fail on the chart before and pass; the property test now delivers errors to streams that have begun as well.

--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -108,7 +108,9 @@
             })
             .guard("may_wait", ExchangeContext::may_wait)
             .guard("has_begun", |it| it.has_begun)
-            .guard("has_error_response", |it| it.has_error_response)
+            .guard("has_error_response", |it| {
+                it.has_error_response && !it.has_begun
+            })
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
             .guard("is_request_lost", |it| {
                 it.is_request_lost && it.is_repeatable()
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -227,6 +227,31 @@
     assert!(matches!(effects[..], [ExchangeEffect::BreakOff { .. }]));
 }
 
+/// An endpoint that answers a resumed stream with an error is one of several attempts.
+#[test_case(true, true ; "with budget")]
+#[test_case(false, false ; "without budget")]
+fn resumed_stream_error_repeated(may_retry: bool, is_repeated: bool) {
+    let mut exchange = begun(RESUMABLE);
+    exchange.handle(at(200), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(200), placed(2));
+    let effects = exchange.handle(at(220), answered(ResponseClass::Failure, may_retry));
+    let is_placed = matches!(effects[..], [ExchangeEffect::Place { .. }]);
+    assert_eq!(is_placed, is_repeated, "{effects:?}");
+    assert_eq!(exchange.is_over(), !is_repeated);
+}
+
+/// The error response of a resumed stream's endpoint never ends the caller's stream.
+#[test]
+fn resumed_stream_error_not_forwarded() {
+    let mut exchange = begun(RESUMABLE);
+    exchange.handle(at(200), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(200), placed(2));
+    exchange.handle(at(220), answered(ResponseClass::Failure, true));
+    let effects = exchange.handle(at(220), ExchangeInput::PlacementFailed);
+    assert!(effects.is_empty(), "{effects:?}");
+    assert_eq!(exchange.state(), ExchangeState::AwaitingEndpoint);
+}
+
 /// The caller already has all events, so the resumed stream ends without further ones.
 #[test]
 fn resumed_without_events_finishes() {
@@ -432,7 +457,7 @@
                 TestInput::Answered if open => {
                     exchange.handle(now, answered(ResponseClass::Final, may_retry))
                 }
-                TestInput::Failed if open && !exchange.has_begun() => {
+                TestInput::Failed if open => {
                     history.close(true);
                     exchange.handle(now, answered(ResponseClass::Failure, may_retry))
                 }
