Relay: a stream rejected after a move waits for a retry

Callers saw: a stream that was moved off a silent endpoint, and not run by the next one, was aborted at once when the retry budget was used up by that move, as it is when many endpoints fall silent together. Cause: a rejection without a retry left ended the request, also where the stream had begun and its caller waits for the next event. Change: a state awaiting_retry asks for a retry every 100 ms, for as long as a stream may wait for an endpoint (3 s). Requests that have not begun are refused at once as before.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -206,6 +206,7 @@
     }
 
     pub(super) fn record_not_run(&mut self) {
+        self.unplaced_since.get_or_insert(self.now);
         self.not_run_attempts += 1;
     }
 
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -32,6 +32,8 @@
         Placing,
         /// No endpoint is eligible at present.
         AwaitingEndpoint,
+        /// The next endpoint did not run the stream, and no retry is left.
+        AwaitingRetry,
         /// All engines are full; the request waits for one with room.
         Queued,
         /// The request was sent, and no response has arrived.
@@ -120,6 +122,9 @@
             })
             .guard("is_silent_too_long", ExchangeContext::is_silent_too_long)
             .guard("may_resend", |it| it.may_retry && it.is_resendable())
+            .guard("may_wait_for_retry", |it| {
+                it.has_begun && it.is_resendable()
+            })
             .guard("is_overdue", |it| {
                 it.may_retry && it.is_repeatable() && it.is_overdue()
             })
@@ -277,8 +282,8 @@
             ExchangeState::Probing | ExchangeState::StreamProbing
         );
         now < context.spec.deadline
-            && context.is_repeatable()
-            && (is_probing || context.is_overdue_at(now))
+            && (self.state() == ExchangeState::AwaitingRetry
+                || context.is_repeatable() && (is_probing || context.is_overdue_at(now)))
     }
 
     /// Time at which [`Exchange::expire`] has to be called.
@@ -363,7 +368,7 @@
         self.context.now = now;
         self.context.may_retry = may_retry;
         self.context.is_request_lost = false;
-        self.context.is_silence = true;
+        self.context.is_silence = self.state() != ExchangeState::AwaitingRetry;
         if now >= self.context.spec.deadline {
             return self.step(now, ExchangeEvent::DeadlinePassed);
         }
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -578,6 +578,21 @@
     assert_eq!(*excluded, expected);
 }
 
+/// A stream whose next endpoint does not run it waits for a retry, but not for longer than
+/// for an endpoint.
+#[test_case(100, true, ExchangeState::Placing ; "retry left")]
+#[test_case(100, false, ExchangeState::AwaitingRetry ; "no retry left")]
+#[test_case(3_000, false, ExchangeState::BrokenOff ; "no retry left for long")]
+fn resumed_stream_rejected_without_budget(wait_ms: u64, may_retry: bool, state: ExchangeState) {
+    let mut exchange = begun(RESUMABLE);
+    exchange.handle(at(200), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(200), placed(2));
+    let effects = exchange.handle(at(220), answered(ResponseClass::NotRun, false));
+    assert!(effects.is_empty(), "{effects:?}");
+    exchange.expire(at(220 + wait_ms), false, may_retry);
+    assert_eq!(exchange.state(), state);
+}
+
 /// A run that can't be repeated is not abandoned because of a single lost probe.
 #[test]
 fn probe_failed_not_resumable_waits() {
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -174,7 +174,13 @@
 
     async fn handle_wake(&mut self, wake: Wake) -> Vec<ExchangeEffect> {
         match wake {
-            Wake::Attempt(event) => self.handle_event(event).await,
+            Wake::Attempt(event) => {
+                let effects = self.handle_event(event).await;
+                if self.exchange.state() == ExchangeState::AwaitingRetry {
+                    self.end_attempt(Outcome::Abandoned);
+                }
+                effects
+            }
             Wake::Probe(report) => {
                 self.probe = None;
                 self.handle_probe(report.as_ref())
@@ -203,12 +209,15 @@
         let now = self.traffic.now();
         let lateness = now.since(self.exchange.next_deadline());
         let was_paused = lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
+        let is_unplaced = self.exchange.state() == ExchangeState::AwaitingRetry;
         let may_retry = !was_paused
             && self.exchange.allows_retry_at_deadline(now)
-            && !self.is_delay_explained(now)
-            && self.may_move();
+            && match is_unplaced {
+                true => self.take_retry(),
+                false => !self.is_delay_explained(now) && self.may_move(),
+            };
         let effects = self.exchange.expire(now, was_paused, may_retry);
-        if may_retry {
+        if may_retry && !is_unplaced {
             self.record_failure(Outcome::Broken, "silent");
         }
         effects
