Relay: log requests whose connection ends before their response

A connection that ended while its request had no complete response left a line at level debug without the request's id, so that a closed connection could not be told from a caller that left, and a rejected head left nothing.

Each connection now knows its open request. Its end logs the id, the reason and the age, and counts responses_cut_off; the line also appears if the connection's task panics. Errors without an open request are logged at info.

--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -43,6 +43,8 @@
     StreamsBrokenOff,
     /// Callers that disconnected before the response was complete.
     CallersGone,
+    /// Requests whose connection ended before their response was complete.
+    ResponsesCutOff,
     /// Attempts started.
     Attempts,
     /// Attempts that failed.
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -8,7 +8,11 @@
 use parsleylatch_http::{HeadInspection, inspect_heads};
 use tokio::{net::TcpStream, time};
 
-use super::{body::RelayBody, request_handler, responses, state::Traffic};
+use super::{
+    connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
+    request_handler, responses,
+    state::Traffic,
+};
 use crate::shared::{InFlightGuard, LifecyclePhase};
 
 /// Smallest buffer size that hyper accepts.
@@ -32,6 +36,8 @@
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
     drop(snapshot);
     let (guarded, watch) = inspect_heads(stream);
+    let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
+    let connection_activity = Rc::clone(&activity);
     let shared = Arc::clone(&traffic.shared);
     let served = Rc::new(Cell::new(0_u64));
     let awaited = Rc::new(Cell::new(Some(awaited)));
@@ -42,8 +48,9 @@
         served.set(served.get() + 1);
         let is_head_checked = watch.inspected_heads() >= served.get();
         let awaited = first_request.take();
+        let guard = connection_activity.begin_request();
         async move {
-            let handled = handle_request(traffic, request, watch, is_head_checked, awaited);
+            let handled = handle_request(traffic, request, watch, is_head_checked, awaited, guard);
             Ok::<_, Infallible>(handled.await)
         }
     });
@@ -75,7 +82,7 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!(error:% = error; "caller connection ended with an error");
+        activity.record_failure(&error);
     }
 }
 
@@ -93,7 +100,8 @@
     watch: HeadInspection,
     is_head_checked: bool,
     awaited: Option<InFlightGuard>,
-) -> Response<RelayBody> {
+    guard: RequestGuard,
+) -> Response<GuardedBody> {
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let is_ambiguous = is_chunked && (!is_head_checked || watch.is_ambiguous());
     let shared = Arc::clone(&traffic.shared);
@@ -106,12 +114,12 @@
             "ambiguous body framing",
         )
     } else {
-        request_handler::relay(traffic, request, &watch).await
+        request_handler::relay(traffic, request, &watch, &guard).await
     };
     // Guards against request smuggling: data after a chunked body is never parsed as a
     // request.
     if is_chunked || shared.phase() > LifecyclePhase::Serving {
         responses::close_after(response.headers_mut());
     }
-    response
+    response.map(|body| GuardedBody::new(body, guard))
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod body;
 mod caller_connection;
+mod connection_activity;
 mod copy_monitor;
 mod engine;
 mod exchange;
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -18,6 +18,7 @@
 
 use super::{
     body::RelayBody,
+    connection_activity::RequestGuard,
     exchange,
     job::Job,
     prompts,
@@ -59,9 +60,10 @@
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
     watch: &HeadInspection,
+    guard: &RequestGuard,
 ) -> Response<RelayBody> {
     let arrived_at = traffic.now();
-    let mut job = match admit(&traffic, request, watch, arrived_at).await {
+    let mut job = match admit(&traffic, request, watch, guard, arrived_at).await {
         Ok(job) => job,
         Err(denied) => {
             let id = denied.id.as_ref();
@@ -113,6 +115,7 @@
     traffic: &Rc<Traffic>,
     request: Request<Incoming>,
     watch: &HeadInspection,
+    guard: &RequestGuard,
     arrived_at: MonoTime,
 ) -> Result<Job, Denied> {
     let shared = &traffic.shared;
@@ -123,6 +126,7 @@
         log::debug!(reason = reason.as_str(); "malformed request headers");
         denied(None, Denial::BadRequest, "malformed request headers")
     })?;
+    guard.identify(&metadata.id);
     let id = Some(&metadata.id);
     let host = single_host(&parts.headers)
         .ok_or_else(|| denied(id, Denial::BadRequest, "missing or repeated host"))?;
