Relay: inspect the heads of requests that arrive together

Seen by callers: on a connection on which requests had arrived in one read, a later request with a chunked body was answered 400, which callers don't repeat. And a head that had arrived in part with the previous request was checked only from its second part on, so that one with both Content-Length and Transfer-Encoding was forwarded.

Cause: the inspector looked for one head at a time, was told by the service when the next one begins, and ignored the bytes that had arrived before. Its count of heads then stayed behind the count of requests.

It now follows the framing of the bytes by itself, queues one result per head, and skips bodies by their length.

Failed before: chunked_body_after_pipelined_requests and both cases of split_ambiguous_head_refused. pipelined_requests_answered and request_after_close_not_run passed before and are kept as evidence.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
-pub use head_inspector::{HeadInspection, inspect_heads};
+pub use head_inspector::{HeadInspection, InspectedHead, inspect_heads};
 pub use head_limiter::{ResponseHeadCount, limit_heads};
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use parsleylatch_http::{HeadInspection, inspect_heads};
+use parsleylatch_http::{InspectedHead, inspect_heads};
 use tokio::{net::TcpStream, time};
 
 use super::{
@@ -35,26 +35,23 @@
         .header_read_timeout(limits.idle_timeout_ms.duration())
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
     drop(snapshot);
-    let (guarded, watch) = inspect_heads(stream);
+    let (observed, inspection) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
     let shared = Arc::clone(&traffic.shared);
-    let served = Rc::new(Cell::new(0_u64));
     let awaited = Rc::new(Cell::new(Some(awaited)));
     let first_request = Rc::clone(&awaited);
     let service = service_fn(move |request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
-        let watch = watch.clone();
-        served.set(served.get() + 1);
-        let is_head_checked = watch.inspected_heads() >= served.get();
+        let head = inspection.take_head();
         let awaited = first_request.take();
         let guard = connection_activity.begin_request();
         async move {
-            let handled = handle_request(traffic, request, watch, is_head_checked, awaited, guard);
+            let handled = handle_request(traffic, request, head, awaited, guard);
             Ok::<_, Infallible>(handled.await)
         }
     });
-    let connection = builder.serve_connection(TokioIo::new(guarded), service);
+    let connection = builder.serve_connection(TokioIo::new(observed), service);
     let mut connection = std::pin::pin!(connection);
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
@@ -97,13 +94,12 @@
 async fn handle_request(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
-    watch: HeadInspection,
-    is_head_checked: bool,
+    head: Option<InspectedHead>,
     awaited: Option<InFlightGuard>,
     guard: RequestGuard,
 ) -> Response<GuardedBody> {
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let is_ambiguous = is_chunked && (!is_head_checked || watch.is_ambiguous());
+    let is_ambiguous = is_chunked && head.is_none_or(|it| it.is_ambiguous);
     let shared = Arc::clone(&traffic.shared);
     let _in_flight = awaited.unwrap_or_else(|| shared.track_request());
     let mut response = if is_ambiguous {
@@ -114,7 +110,7 @@
             "ambiguous body framing",
         )
     } else {
-        request_handler::relay(traffic, request, &watch, &guard).await
+        request_handler::relay(traffic, request, &guard).await
     };
     // Guards against request smuggling: data after a chunked body is never parsed as a
     // request.
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -10,7 +10,6 @@
     Backend, CallerLimits, ExchangeSpec, PREFILL_TOKENS_PER_MS, RelayConfiguration, RelayRoute,
     RelayWorkspace, RepeatPolicy,
 };
-use parsleylatch_http::HeadInspection;
 use parsleylatch_types::{
     ByteCount, ExchangeId, Micros, Millis, MonoTime, ServiceName, TokenCount,
 };
@@ -59,11 +58,10 @@
 pub(crate) async fn relay(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
-    watch: &HeadInspection,
     guard: &RequestGuard,
 ) -> Response<RelayBody> {
     let arrived_at = traffic.now();
-    let mut job = match admit(&traffic, request, watch, guard, arrived_at).await {
+    let mut job = match admit(&traffic, request, guard, arrived_at).await {
         Ok(job) => job,
         Err(denied) => {
             let id = denied.id.as_ref();
@@ -114,7 +112,6 @@
 async fn admit(
     traffic: &Rc<Traffic>,
     request: Request<Incoming>,
-    watch: &HeadInspection,
     guard: &RequestGuard,
     arrived_at: MonoTime,
 ) -> Result<Job, Denied> {
@@ -138,7 +135,6 @@
         .and_then(|it| it.limits().copied())
         .unwrap_or(DEFAULT_LIMITS);
     let body = read_body(body, &limits).await;
-    watch.expect_head();
     let body = body.map_err(|denial| denied(id, denial, "body rejected"))?;
     if snapshot.configuration.is_none() {
         // A starting node gets its initial state shortly, and a rejection would cost the
