Relay: give callers' connections their own idle and head timeouts

Seen by callers: a connection that had been idle for less than the limit was closed while the head of its next request arrived, if idle time and head together passed the idle timeout. An idle timeout that was raised did not reach open connections, which were closed after the old one, possibly while a request was on its way. An unfinished head was kept for the idle timeout (15 s) and not for the head timeout (3 s).

Cause: the HTTP library's header timeout starts when a connection becomes idle, also covers the head that follows, and is fixed when the connection is accepted. A connection that was accepted before the first configuration kept the default for life.

Each connection now has a timer that tells idle from an incomplete head and reads the limits of the configuration in force. Before an idle connection is closed, the runtime gets one more chance to notice data that has arrived, and the close is the library's graceful one, which answers a request that was read.

--- a/crates/http/src/head_inspector.rs
+++ b/crates/http/src/head_inspector.rs
@@ -61,6 +61,11 @@
         self.0.borrow_mut().inspected.pop_front()
     }
 
+    /// Whether a head has begun to arrive and is not complete.
+    pub fn has_partial_head(&self) -> bool {
+        matches!(&self.0.borrow().position, Position::Head(head) if !head.is_empty())
+    }
+
     fn record(&self, mut bytes: &[u8]) {
         let mut state = self.0.borrow_mut();
         while !bytes.is_empty() {
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -1,15 +1,20 @@
 //! Connections of callers.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, convert::Infallible, pin::Pin, rc::Rc, sync::Arc, time::Duration};
 
 use http::{Request, Response, header};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use parsleylatch_http::{InspectedHead, inspect_heads};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::{HttpService, service_fn},
+};
+use hyper_util::rt::TokioIo;
+use parsleylatch_http::{InspectedHead, error_chain, inspect_heads};
 use tokio::{net::TcpStream, time};
 
 use super::{
     connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
+    connection_timer::{ConnectionTimeout, ConnectionTimer},
     request_handler, responses,
     state::Traffic,
 };
@@ -18,26 +23,25 @@
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: u64 = 8 << 10;
 
+/// Delay after the idle timeout, in which the runtime notices data that has arrived.
+const LAST_READ_DELAY: Duration = Duration::from_millis(1);
+
 /// Time for which a stopping relay waits for the first request of a connection.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Serves one connection until it is closed. `awaited` counts its first request as in
 /// flight, so that a stopping relay does not end between accepting and reading it.
 pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: InFlightGuard) {
-    let snapshot = traffic.snapshot();
-    let configuration = snapshot.configuration.as_ref();
-    let limits = configuration
-        .and_then(|it| it.limits())
-        .unwrap_or(&request_handler::DEFAULT_LIMITS);
+    let limits = request_handler::limits(&traffic.snapshot());
     let mut builder = http1::Builder::new();
+    // The connection's own timer replaces the timeout of the library.
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout_ms.duration())
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
-    drop(snapshot);
     let (observed, inspection) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
+    let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
     let shared = Arc::clone(&traffic.shared);
     let awaited = Rc::new(Cell::new(Some(awaited)));
     let first_request = Rc::clone(&awaited);
@@ -56,7 +60,7 @@
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
+        ended = run(connection.as_mut(), &mut timer) => Some(ended),
         () = shared.wait_for_phase(LifecyclePhase::Draining) => None,
     };
     let ended = match ended {
@@ -68,18 +72,51 @@
                 connection.as_mut().graceful_shutdown();
             }
             tokio::select! {
-                ended = connection.as_mut() => ended,
+                ended = run(connection.as_mut(), &mut timer) => ended,
                 () = time::sleep(FIRST_REQUEST_WAIT) => {
                     if awaited.take().is_some() {
                         connection.as_mut().graceful_shutdown();
                     }
-                    connection.await
+                    run(connection.as_mut(), &mut timer).await
                 }
             }
         }
     };
-    if let Err(error) = ended {
-        activity.record_failure(&error);
+    if let Err(reason) = ended {
+        activity.record_failure(reason);
+    }
+}
+
+/// Runs a connection until it ends or until one of its timeouts.
+async fn run<Io, Handler>(
+    mut connection: Pin<&mut http1::Connection<Io, Handler>>,
+    timer: &mut ConnectionTimer,
+) -> Result<(), String>
+where
+    Io: hyper::rt::Read + hyper::rt::Write + Unpin,
+    Handler: HttpService<Incoming, ResBody = GuardedBody, Error = Infallible>,
+{
+    let mut is_closing = false;
+    loop {
+        let timeout = tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
+            timeout = timer.expired() => timeout,
+        };
+        match timeout {
+            ConnectionTimeout::Head => return Err("head not complete in time".to_owned()),
+            ConnectionTimeout::Idle if is_closing => return Ok(()),
+            ConnectionTimeout::Idle => {}
+        }
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
+            () = time::sleep(LAST_READ_DELAY) => {}
+        }
+        if timer.is_expired() {
+            connection.as_mut().graceful_shutdown();
+            is_closing = true;
+        }
     }
 }
 
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -1,7 +1,8 @@
-//! What a caller's connection is doing, to report a request that gets no complete response.
+//! What a caller's connection is doing, for its timeouts and to report a request that gets
+//! no complete response.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -10,10 +11,14 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use parsleylatch_http::error_chain;
+use parsleylatch_decide::relay::CallerLimits;
 use parsleylatch_types::{ExchangeId, MonoTime};
+use tokio::time::Instant;
 
-use super::body::{RelayBody, StreamAborted};
+use super::{
+    body::{RelayBody, StreamAborted},
+    request_handler,
+};
 use crate::{shared::Shared, telemetry::RelayCounter};
 
 /// A request whose response is not complete.
@@ -26,13 +31,16 @@
 pub(crate) struct ConnectionActivity {
     shared: Arc<Shared>,
     request: RefCell<Option<OpenRequest>>,
-    /// Error that the connection ended with.
+    /// When the connection was accepted, or its last response completed.
+    idle_since: Cell<MonoTime>,
+    /// Reason for which the connection ended.
     failure: RefCell<Option<String>>,
 }
 
 impl ConnectionActivity {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
         Self {
+            idle_since: Cell::new(shared.now()),
             shared,
             request: RefCell::default(),
             failure: RefCell::default(),
@@ -51,12 +59,31 @@
         }
     }
 
-    /// Records the error that the connection ends with.
-    pub(crate) fn record_failure(&self, error: &hyper::Error) {
-        *self.failure.borrow_mut() = Some(error_chain(error));
-        if self.request.borrow().is_none() && !error.is_timeout() {
-            log::info!(reason = error_chain(error).as_str(); "caller connection failed");
+    /// When the connection became idle; `None` while a request is in progress.
+    pub(crate) fn idle_since(&self) -> Option<MonoTime> {
+        let is_idle = self.request.borrow().is_none();
+        is_idle.then(|| self.idle_since.get())
+    }
+
+    /// Limits of the configuration in force.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        request_handler::limits(&self.shared.snapshot.load())
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.shared.now()
+    }
+
+    pub(crate) fn to_instant(&self, time: MonoTime) -> Instant {
+        self.shared.clock.to_instant(time)
+    }
+
+    /// Records the reason for which the connection ends.
+    pub(crate) fn record_failure(&self, reason: String) {
+        if self.request.borrow().is_none() {
+            log::info!(reason = reason.as_str(); "caller connection failed");
         }
+        *self.failure.borrow_mut() = Some(reason);
     }
 }
 
@@ -104,6 +131,7 @@
     fn drop(&mut self) {
         if self.is_complete {
             *self.activity.request.borrow_mut() = None;
+            self.activity.idle_since.set(self.activity.now());
         }
     }
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod caller_connection;
 mod connection_activity;
+mod connection_timer;
 mod copy_monitor;
 mod engine;
 mod exchange;
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -26,12 +26,12 @@
 };
 use crate::{
     codec::RequestMetadata,
-    shared::{LifecyclePhase, Shared},
+    shared::{LifecyclePhase, Shared, Snapshot},
     telemetry::RelayCounter,
 };
 
 /// Limits on callers until a configuration is known.
-pub(super) const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+const DEFAULT_LIMITS: CallerLimits = CallerLimits {
     head_bytes: ByteCount::new(16 << 10),
     body_bytes: ByteCount::new(1 << 20),
     head_timeout_ms: Millis::new(3_000),
@@ -54,6 +54,13 @@
     detail: &'static str,
 }
 
+/// Limits on callers in force.
+pub(super) fn limits(snapshot: &Snapshot) -> CallerLimits {
+    let configuration = snapshot.configuration.as_ref();
+    let configured = configuration.and_then(|it| it.limits().copied());
+    configured.unwrap_or(DEFAULT_LIMITS)
+}
+
 /// Relays a request and returns the response for its caller.
 pub(crate) async fn relay(
     traffic: Rc<Traffic>,
@@ -129,12 +136,7 @@
         .ok_or_else(|| denied(id, Denial::BadRequest, "missing or repeated host"))?;
     let path = parts.uri.path_and_query().cloned();
     let path = path.ok_or_else(|| denied(id, Denial::BadRequest, "missing path"))?;
-    let limits = snapshot
-        .configuration
-        .as_ref()
-        .and_then(|it| it.limits().copied())
-        .unwrap_or(DEFAULT_LIMITS);
-    let body = read_body(body, &limits).await;
+    let body = read_body(body, &limits(&snapshot)).await;
     let body = body.map_err(|denial| denied(id, denial, "body rejected"))?;
     if snapshot.configuration.is_none() {
         // A starting node gets its initial state shortly, and a rejection would cost the
