Relay: end the process only after responses have been written

Seen by callers: during a planned stop, a response that its caller read slowly was cut off in the middle, up to 4 s before the process had to end.

Cause: a request counted as in flight until its response was handed to the caller's connection, not until the connection had written it. Without other requests in flight the process ended at once, and what the connection still held was lost.

While the relay stops, each connection counts as in flight until it has ended, which it does as soon as its response is written. The count begins with the stop and not with the drain, as the process can end 0.1 s after the drain begins, before a busy traffic thread has noticed it.

--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -16,7 +16,7 @@
 mod responses;
 mod state;
 
-use std::{cell::Cell, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
 use parsleylatch_http::NodelayListener;
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
@@ -79,7 +79,19 @@
     let (traffic, open) = (Rc::clone(traffic), Rc::clone(open));
     let awaited = traffic.shared.track_request();
     tokio::task::spawn_local(async move {
-        caller_connection::serve(traffic, stream, awaited).await;
+        let shared = Arc::clone(&traffic.shared);
+        tokio::select! {
+            () = caller_connection::serve(traffic, stream, awaited) => {}
+            never = count_while_stopping(&shared) => match never {},
+        }
         open.set(open.get() - 1);
     });
 }
+
+/// Counts a connection as in flight while the relay stops, so that the process ends only
+/// after its response has been written.
+async fn count_while_stopping(shared: &Arc<Shared>) -> Infallible {
+    shared.wait_for_phase(LifecyclePhase::NotReady).await;
+    let _open = shared.track_request();
+    std::future::pending().await
+}
