Relay: answer 502 if an exchange ends without a response

A request whose exchange had ended without a reply was answered 503, which promises callers that it has not run. An exchange only ends so if it panics, which may be after an attempt was sent. The answer is now 502, which promises nothing, and the id is logged as an error.

Not reproduced: no input is known that makes an exchange panic, so there is no test of it.

--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -7,8 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, ExchangeSpec, PREFILL_TOKENS_PER_MS, RelayConfiguration, RelayRoute,
-    RelayWorkspace, RepeatPolicy,
+    Backend, CallerLimits, ExchangeSpec, PREFILL_TOKENS_PER_MS, RefusalReason, RelayConfiguration,
+    RelayRoute, RelayWorkspace, RepeatPolicy,
 };
 use parsleylatch_types::{
     ByteCount, ExchangeId, Micros, Millis, MonoTime, ServiceName, TokenCount,
@@ -76,6 +76,7 @@
         }
     };
     job.prompt_holder = prompts::find_holder(&traffic, &job).await;
+    let id = job.metadata.id.clone();
     let (reply, replied) = oneshot::channel();
     let shared = Arc::clone(&traffic.shared);
     let in_flight = shared.track_request();
@@ -85,13 +86,12 @@
     });
     match replied.await {
         Ok(response) => response,
-        // The exchange always replies unless it panics.
-        Err(_) => deny(
-            &shared,
-            None,
-            Denial::Uninformed,
-            "exchange ended without a response",
-        ),
+        // The exchange always replies unless it panics. The request may have run.
+        Err(_) => {
+            log::error!(id:% = id; "exchange ended without a response");
+            shared.metrics.increment(RelayCounter::Refusals);
+            responses::refused(RefusalReason::AnswerLost, false, None)
+        }
     }
 }
 
