Relay: numbers of endpoints, callers and configurations can't overflow a decision

What callers saw: an endpoint that reports a load of 4294967295,4294967295 ends the tasks of the next requests that consider it: 503 for calls that a sound endpoint would have served. A stream whose last event id is the largest number ends in the middle, or gets 503 although the engine runs it, when its engine is probed.

Cause: plain additions and multiplications on numbers from outside: the load of an endpoint, the sum over a service, the last event, the growth of running streams, goals and weights. Debug builds panic; release builds wrap and decide on a random number.

Change: these sums and products saturate; weights are added in 64 bits. The types of durations and times saturate already.

Evidence: odd_numbers and extreme_configuration_served in platform/tests/relay; on the code before (debug build), odd_load_served (largest), odd_report_served (largest event, with and without a large run), largest_last_event_answered and extreme_configuration_served (goal of a call, weights) fail with "attempt to add / multiply with overflow". The other cases hold before and after: entries with 200,000 levels of nesting, numbers out of range and odd values are skipped, by a running relay, one that starts, and one that gets its state from another.

--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -185,7 +185,7 @@
         let reported = self
             .load
             .filter(|(_, at)| now.since(*at) < LOAD_AGE_LIMIT_MS.micros());
-        let reported = reported.map_or(0, |(load, _)| load.running + load.waiting);
+        let reported = reported.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
         reported.max(self.in_flight)
     }
 }
@@ -321,7 +321,10 @@
     pub fn occupancy(&self, now: MonoTime, service: &ServiceName) -> (u32, u32) {
         let endpoints = self.usable(service);
         endpoints.fold((0, 0), |(taken, slots), it| {
-            (taken + it.occupancy(now), slots + it.entry.slots.get())
+            (
+                u32::saturating_add(taken, it.occupancy(now)),
+                u32::saturating_add(slots, it.entry.slots.get()),
+            )
         })
     }
 
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -91,7 +91,13 @@
     }
 
     pub(super) fn call_timeout(&self) -> Millis {
-        Millis::new(self.spec.goal_ms.get() * CALL_TIMEOUT_GOAL_PERCENT / 100)
+        Millis::new(
+            self.spec
+                .goal_ms
+                .get()
+                .saturating_mul(CALL_TIMEOUT_GOAL_PERCENT)
+                / 100,
+        )
     }
 
     /// Whether the next response or event of the running attempt is overdue.
--- a/crates/decide/src/relay/overload/engine_load.rs
+++ b/crates/decide/src/relay/overload/engine_load.rs
@@ -77,7 +77,8 @@
     fn slow_after(&self) -> Option<Micros> {
         let prompts = u64::from(self.unread_before?) + 1;
         let tokens = prompts.saturating_mul(u64::from(self.size.prompt.get()));
-        let reading = Millis::new(tokens * 100 / SLOW_RATE_PERCENT / PREFILL_TOKENS_PER_MS);
+        let reading =
+            Millis::new(tokens.saturating_mul(100) / SLOW_RATE_PERCENT / PREFILL_TOKENS_PER_MS);
         Some(reading.saturating_add(FIRST_EVENT_OVERHEAD_MS).micros())
     }
 }
@@ -235,7 +236,7 @@
         // Streams that have begun have generated half of their output on average.
         let unbegun = load.unread.saturating_sub(load.waiting).min(load.running);
         let halves = 2 * u64::from(unbegun) + u64::from(load.running - unbegun);
-        let growth = halves * u64::from(size.output.get()) / 2;
+        let growth = halves.saturating_mul(u64::from(size.output.get())) / 2;
         let needed = u64::from(load.memory_used.get())
             .saturating_add(queued_tokens)
             .saturating_add(growth)
--- a/crates/decide/src/relay/report.rs
+++ b/crates/decide/src/relay/report.rs
@@ -58,7 +58,9 @@
         }
         let received = last_event.unwrap_or_default().get();
         match self.runs.iter().find(|run| &*run.id == id) {
-            Some(run) if run.events > received + EVENTS_IN_TRANSIT => ProbeFinding::Undelivered,
+            Some(run) if run.events > received.saturating_add(EVENTS_IN_TRANSIT) => {
+                ProbeFinding::Undelivered
+            }
             Some(_) => ProbeFinding::Present,
             None if self.has_unlisted() => ProbeFinding::Present,
             None => ProbeFinding::Missing,
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -384,5 +384,5 @@
     let latency = stats.latency.unwrap_or(DEFAULT_CALL_LATENCY_US);
     let slots = u64::from(stats.entry.slots.get().max(1));
     let occupancy = u64::from(stats.occupancy(now));
-    latency.get() * occupancy / slots
+    latency.saturating_mul(occupancy).get() / slots
 }
--- a/crates/decide/src/relay/stall_detector.rs
+++ b/crates/decide/src/relay/stall_detector.rs
@@ -42,7 +42,7 @@
     /// Time without an event after which the endpoint is probed.
     pub fn stall_timeout(&self, gap_goal_ms: Option<Millis>) -> Millis {
         let limit = gap_goal_ms.map_or(STALL_TIMEOUT_MAX_MS, |goal| {
-            Millis::new(goal.get() * STALL_GOAL_PERCENT / 100)
+            Millis::new(goal.get().saturating_mul(STALL_GOAL_PERCENT) / 100)
         });
         let from_gaps = self
             .mean_gap
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -266,15 +266,16 @@
 
 /// Picks one of a route's services at random by weight.
 fn choose_service(route: &RelayRoute) -> ServiceName {
-    let total: u32 = route.backends.iter().map(|it| it.weight.get()).sum();
+    let weight = |it: &Backend| u64::from(it.weight.get());
+    let total: u64 = route.backends.iter().map(weight).sum();
     let first = &route.backends[0].service;
     if total == 0 || route.backends.len() == 1 {
         return first.clone();
     }
     let mut draw = rand::random_range(0..total);
     let covers_draw = |it: &&Backend| {
-        let is_chosen = draw < it.weight.get();
-        draw = draw.saturating_sub(it.weight.get());
+        let is_chosen = draw < weight(it);
+        draw = draw.saturating_sub(weight(it));
         is_chosen
     };
     let chosen = route.backends.iter().find(covers_draw);
