Store: a listing whose pages repeat is given up instead of read for ever

What callers saw: a node whose store answers each page of a listing with the same one calls it without a pause and keeps all copies, until its memory is used up.

Cause: the listing goes on as long as a page says that there are more, whatever key it ends with.

Change: a page that ends with the key after which it was requested fails the listing, which is tried again after the usual delay.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -87,6 +87,10 @@
         let (mut listing, mut next_after) = (first.reply, first.next_after);
         while let Some(after) = next_after {
             let page = self.list_page(prefix, Some(&after)).await?;
+            if page.next_after.as_ref() == Some(&after) {
+                let reason = format!("a page after key `{after}` ends with it");
+                return Err(self.reply_error(StoreStep::List, ReplyError::Malformed(reason)));
+            }
             listing.entries.extend(page.reply.entries);
             next_after = page.next_after;
         }
