Relay: an entry of a service that the configuration doesn't name affects no other

What callers saw: an entry of another writer with an unknown service, the address of a sound endpoint and a larger `born` makes that endpoint unusable: calls get 503 while the entry stays.

Cause: of two entries with one address, the one with the older process counts as replaced, whatever service the newer one names.

Change: the traffic threads get the entries of the services that the configuration names, in its list of services or in a route. An address that moves to another service of the configuration is recognized as before.

--- a/crates/decide/src/relay/configuration.rs
+++ b/crates/decide/src/relay/configuration.rs
@@ -1,6 +1,9 @@
 //! Immutable configuration: routes, services, caller limits and workspace keys.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use parsleylatch_settings::KeyDigest;
 use parsleylatch_types::{
@@ -142,6 +145,8 @@
     /// Routes of each host, longest prefix first.
     routes: HashMap<Box<str>, Vec<Arc<RelayRoute>>>,
     services: HashMap<ServiceName, Arc<ServiceRules>>,
+    /// Services that are configured or answer the requests of a route.
+    named_services: HashSet<ServiceName>,
     limits: Option<CallerLimits>,
     workspaces: Option<HashMap<KeyDigest, Arc<RelayWorkspace>>>,
 }
@@ -156,8 +161,11 @@
         parts: RelayConfigurationParts,
     ) -> Result<Self, ConfigurationError> {
         let mut routes: HashMap<Box<str>, Vec<Arc<RelayRoute>>> = HashMap::new();
+        let configured = parts.services.iter().map(|it| it.name.clone());
+        let mut named_services: HashSet<ServiceName> = configured.collect();
         for route in parts.routes {
             check_route(&route)?;
+            named_services.extend(route.backends.iter().map(|it| it.service.clone()));
             let host = route.host.to_ascii_lowercase().into_boxed_str();
             routes.entry(host).or_default().push(Arc::new(route));
         }
@@ -171,6 +179,7 @@
             version: parts.version,
             routes,
             services,
+            named_services,
             limits: parts.limits,
             workspaces: parts.workspaces.map(index_keys),
         })
@@ -197,6 +206,11 @@
         self.services.get(name)
     }
 
+    /// Whether a service is configured or answers the requests of a route.
+    pub fn names_service(&self, name: &ServiceName) -> bool {
+        self.named_services.contains(name)
+    }
+
     /// Limits of callers.
     pub fn limits(&self) -> Option<&CallerLimits> {
         self.limits.as_ref()
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -339,7 +339,7 @@
         self.shared.snapshot.store(Arc::new(Snapshot {
             sequence,
             configuration: self.configuration.clone(),
-            endpoints: self.registry.entries().cloned().collect(),
+            endpoints: self.served_entries(),
             registry_revision: self.registry.revision(),
             nodes: Arc::clone(nodes),
             versions: versions.clone(),
@@ -347,6 +347,16 @@
         self.nodes = Arc::clone(nodes);
     }
 
+    /// Entries of services that the configuration names. An entry of another service must
+    /// not affect these, for example by naming the address of one of their endpoints.
+    fn served_entries(&self) -> Arc<[Arc<EndpointEntry>]> {
+        let configuration = self.configuration.as_ref();
+        let entries = self.registry.entries();
+        let served = entries
+            .filter(|entry| configuration.is_some_and(|it| it.names_service(&entry.service)));
+        served.cloned().collect()
+    }
+
     /// Versions of a service in the registry.
     pub(crate) fn versions_of(&self, service: &ServiceName) -> BTreeSet<EndpointVersion> {
         let entries = self.registry.entries();
