Relay: an entry without an address is no node

What callers saw: with many entries under `nodes/` that name no address, each node assumes that many others share the endpoints: it keeps no idle connections, takes a small part of the retry budget, and leaves endpoints to nodes that don't exist.

Cause: a node's entry counted by its key alone.

Change: it counts only if its address can be read.

Evidence: odd_node_not_counted in platform/tests/relay (200 entries with port 70000); on the code before, no connection is kept.

--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -318,7 +318,9 @@
     entry.value.split(' ').next()?.parse().ok()
 }
 
+/// Location of a node; `None` if its entry names no address.
 fn entry_location(entry: &KeyValue) -> Option<NodeLocation> {
+    entry_address(entry)?;
     let region = entry.value.split(' ').nth(1);
     Some(NodeLocation {
         id: entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?,
