Relay: a status that promises "not run" is forwarded only if the endpoint says so

What callers saw: 503, 429 or 408 for a booking that an endpoint had run, or may have run: these statuses tell a caller to try again.

Cause: a response without `X-Not-Run` is no refusal, and was forwarded with its status, whatever that promises. A faulty endpoint's 503 became the relay's promise.

Change: such a response counts as a failure of the endpoint, which an idempotent call may repeat elsewhere, and is answered 502. 421 is a refusal as before: only an endpoint other than the intended one sends it.

Evidence: promising_status_not_forwarded (5 cases) in platform/tests/relay; all fail on the code before with the endpoint's status. Earlier refusals that are written once more on a kept connection hold before and after: repeated_refusal_dropped (13 cases: 503, 429, 421 and 400, with and without id, at once, late and during the next request; bookings, idempotent calls and streams), refusal_after_answer_dropped and repeated_refusal_beside_probe.

--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -162,8 +162,15 @@
             false => RelayLatency::OnceOnlyCall,
         };
         self.observe(kind);
-        let body = RelayBody::whole(response.body);
-        self.reply(responses::relayed(response.status, &response.headers, body));
+        // An endpoint that did not run the request says so, and is not forwarded.
+        let reply = match responses::promises_not_run(response.status) {
+            true => responses::refused(RefusalReason::AnswerLost, false, None),
+            false => {
+                let body = RelayBody::whole(response.body);
+                responses::relayed(response.status, &response.headers, body)
+            }
+        };
+        self.reply(reply);
     }
 
     pub(super) async fn begin_stream(&mut self) {
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -12,6 +12,7 @@
     traffic::{
         attempt::{AttemptEvent, FullResponse, ResponseHead},
         body::StreamPart,
+        responses,
     },
 };
 
@@ -113,7 +114,7 @@
             ResponseClass::NotRun
         } else if !response.metadata.has_digest && status.is_success() {
             return self.handle_lost("successful response without a digest");
-        } else if status.is_server_error() {
+        } else if status.is_server_error() || responses::promises_not_run(status) {
             ResponseClass::Failure
         } else {
             ResponseClass::Final
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -91,6 +91,17 @@
     response
 }
 
+/// Whether a status promises the caller that the request did not run.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Response to a caller with an endpoint's status and end-to-end headers.
 pub(crate) fn relayed(
     status: StatusCode,
