Relay: a successful response is no refusal

What callers saw: a booking that an endpoint answered with 200, its digest and `X-Not-Run` was sent to a second endpoint, and answered 503 at last.

Cause: the header alone made a response a refusal, whatever its status.

Change: a success is an answer.

Evidence: answer_with_not_run_kept in platform/tests/relay; on the code before the caller gets 503.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -109,7 +109,8 @@
     pub(super) fn handle_response(&mut self, response: Box<FullResponse>) -> Vec<ExchangeEffect> {
         self.record_load(&response.metadata);
         let status = response.status;
-        let is_not_run = response.metadata.is_not_run || response.metadata.is_misdirected;
+        let is_not_run = response.metadata.is_not_run && !status.is_success()
+            || response.metadata.is_misdirected;
         let class = if is_not_run {
             ResponseClass::NotRun
         } else if !response.metadata.has_digest && status.is_success() {
