Relay: a connection on which a request was refused carries no other of the same id

What callers saw: 503 for a request that the endpoint was running, if it repeats the id of an earlier one that the endpoint refused: the refusal, written once more on the kept connection, was taken for one of the second request. An idempotent call or a stream was sent to another endpoint while the first one ran it.

Cause: a response is told from one to another request by its id alone. Within one request this can't happen, as an endpoint that refused it is not tried again; a caller that sends an id twice made it happen.

Change: a connection remembers the last 64 requests that were refused on it, and is not taken for a request with one of these ids. Connections stay in use otherwise: only a caller that repeats an id costs a new one. To close each connection after a refusal would cost one for each refusal in an overload.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -21,7 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parsleylatch_http::{ResponseHeadCount, error_chain, limit_heads};
-use parsleylatch_types::{EndpointId, Incarnation, Millis};
+use parsleylatch_types::{EndpointId, ExchangeId, Incarnation, Millis};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{net::TcpStream, time};
@@ -35,6 +35,8 @@
 const IDLE_TIMEOUT_USED_PERCENT: u64 = 60;
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Refused requests that a connection remembers; the oldest is forgotten first.
+const MAX_REFUSED: usize = 64;
 
 /// Key of the connections to one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -101,6 +103,9 @@
 struct Link {
     sender: SendRequest<Full<Bytes>>,
     head_count: ResponseHeadCount,
+    /// Requests that the endpoint refused on this connection. If it writes such a refusal
+    /// once more, it can't be told from a refusal of another request with the same id.
+    refused: VecDeque<ExchangeId>,
 }
 
 /// Response head, with the connection that its body arrives on.
@@ -125,6 +130,15 @@
     pub fn is_reused(&self) -> bool {
         self.is_reused
     }
+
+    /// Records that the endpoint refused a request on this connection, which then carries
+    /// no other request with the same id.
+    pub fn record_refusal(&mut self, id: ExchangeId) {
+        if self.link.refused.len() >= MAX_REFUSED {
+            self.link.refused.pop_front();
+        }
+        self.link.refused.push_back(id);
+    }
 }
 
 impl OpenResponse {
@@ -140,7 +154,8 @@
         Self::default()
     }
 
-    /// Sends a request, whose URI is only a path, and waits for the response head.
+    /// Sends a request, whose URI is only a path, and waits for the response head. `id` is
+    /// that of a caller's request.
     ///
     /// # Errors
     /// The variant of the error tells whether the endpoint can have received the request.
@@ -148,10 +163,11 @@
         &self,
         key: &ConnectionKey,
         settings: ConnectionSettings,
+        id: Option<&ExchangeId>,
         request: Request<Full<Bytes>>,
     ) -> Result<OpenResponse, SendError> {
         let peer = key.address;
-        let pooled = self.take_idle(key, settings.max_idle_ms.duration());
+        let pooled = self.take_idle(key, settings.max_idle_ms.duration(), id);
         let is_reused = pooled.is_some();
         let mut link = match pooled {
             Some(link) => link,
@@ -207,13 +223,20 @@
             .retain(|key, pooled| is_known(key) && !pooled.is_empty());
     }
 
-    fn take_idle(&self, key: &ConnectionKey, max_idle_time: Duration) -> Option<Link> {
+    fn take_idle(
+        &self,
+        key: &ConnectionKey,
+        max_idle_time: Duration,
+        id: Option<&ExchangeId>,
+    ) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.get_mut(key)?;
         pooled.retain(|it| !it.link.sender.is_closed() && it.idle_since.elapsed() < it.usable_for);
-        let newest = pooled
-            .iter()
-            .rposition(|it| it.link.sender.is_ready() && it.idle_since.elapsed() < max_idle_time)?;
+        let is_usable = |it: &IdleConnection| {
+            let has_refused = id.is_some_and(|id| it.link.refused.contains(id));
+            it.link.sender.is_ready() && it.idle_since.elapsed() < max_idle_time && !has_refused
+        };
+        let newest = pooled.iter().rposition(is_usable)?;
         Some(pooled.remove(newest).link)
     }
 }
@@ -235,7 +258,11 @@
             log::debug!("connection to {peer} failed: {}", error_chain(&error));
         }
     });
-    Ok(Link { sender, head_count })
+    Ok(Link {
+        sender,
+        head_count,
+        refused: VecDeque::new(),
+    })
 }
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -7,9 +7,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use parsleylatch_decide::relay::Choice;
-use parsleylatch_endpoint::{ConnectionKey, ConnectionSettings, SendError, is_connection_header};
+use parsleylatch_endpoint::{
+    ConnectionKey, ConnectionSettings, OpenConnection, SendError, is_connection_header,
+};
 use parsleylatch_http::{EventFramer, RawEvent, error_chain};
-use parsleylatch_types::{Millis, StreamEventId};
+use parsleylatch_types::{ExchangeId, Millis, StreamEventId};
 use tokio::{
     sync::mpsc,
     task::{AbortHandle, spawn_local},
@@ -176,22 +178,22 @@
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             max_idle_ms,
         };
-        let opened = match traffic.connections.send(&key, rules, request).await {
+        let id = &job.metadata.id;
+        let sent = traffic.connections.send(&key, rules, Some(id), request);
+        let opened = match sent.await {
             Ok(opened) => opened,
             Err(error) => return send_event(&events, send_failure(error)).await,
         };
-        let (response, connection) = opened.into_parts();
+        let (response, mut connection) = opened.into_parts();
         let (parts, body) = response.into_parts();
         let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
-        let is_foreign = match metadata.id.as_deref() {
-            Some(id) => id != job.metadata.id.as_str(),
-            // On a connection in use again, it may be a late response to another request.
-            None => connection.is_reused(),
-        };
-        if is_foreign {
+        if is_foreign(&metadata, id, &connection) {
             let reason = "response may belong to another request".to_owned();
             return send_event(&events, AttemptEvent::Lost(reason)).await;
         }
+        if metadata.is_not_run || metadata.is_misdirected {
+            connection.record_refusal(id.clone());
+        }
         let is_stream = repeat.is_stream() && parts.status.is_success();
         let head = ResponseHead {
             status: parts.status,
@@ -211,6 +213,15 @@
     }
 }
 
+/// Whether a response may belong to another request.
+fn is_foreign(metadata: &ResponseMetadata, id: &ExchangeId, connection: &OpenConnection) -> bool {
+    match metadata.id.as_deref() {
+        Some(found) => found != id.as_str(),
+        // On a connection in use again, it may be a late response to another request.
+        None => connection.is_reused(),
+    }
+}
+
 async fn send_event(events: &mpsc::Sender<AttemptEvent>, event: AttemptEvent) {
     // Fails only if the exchange has ended.
     let _ = events.send(event).await;
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -131,7 +131,11 @@
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
         max_idle_ms: Millis::ZERO,
     };
-    let opened = traffic.connections.send(key, rules, request).await.ok()?;
+    let opened = traffic
+        .connections
+        .send(key, rules, None, request)
+        .await
+        .ok()?;
     let (response, _connection) = opened.into_parts();
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, RESPONSE_LIMIT_BYTES)
