Node: a response of a service or an engine is read on its own connection only

What callers saw: the answer or refusal of an earlier call in place of their own, if a service writes a response once more on a kept connection; and a generation that consists of another one's tokens, if an engine does.

Cause: in the project's own formats a response doesn't name its request, and the pooled client takes what arrives next on the connection.

Change: calls to services and streams of engines have a connection each. It costs a round trip for each, which was not measured here; reports of load and cancellations use kept connections as before. Ids in responses would save it, but change what services have to send.

--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -65,15 +65,27 @@
 }
 
 /// Client for engines, for use on one runtime.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct EngineClient {
     http: Client,
+    /// Client for streams, whose responses don't name their request, so that each has its
+    /// own connection.
+    streams: Client,
+}
+
+impl Default for EngineClient {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl EngineClient {
     /// Creates a client without open connections.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            http: Client::new(),
+            streams: Client::without_reuse(),
+        }
     }
 
     /// Starts or resumes a stream.
@@ -99,7 +111,7 @@
             .header("traceparent", traceparent);
         let timeout = OPEN_TIMEOUT_MS.duration();
         let opened = self
-            .http
+            .streams
             .open(peer, request, Bytes::from(body), timeout)
             .await;
         let response = opened.map_err(|error| failed(error.into()))?;
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -18,15 +18,24 @@
 }
 
 /// Client for services, for use on one runtime.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ServiceClient {
     http: Client,
 }
 
+impl Default for ServiceClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl ServiceClient {
-    /// Creates a client without open connections.
+    /// Creates a client. Responses don't name their request, so each call has its own
+    /// connection.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            http: Client::without_reuse(),
+        }
     }
 
     /// Calls an operation without retries.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -68,11 +68,22 @@
 impl Client {
     /// Creates a client without open connections.
     pub fn new() -> Self {
+        Self::with_idle_connections(usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each request. A server that writes a
+    /// response once more can't have it taken for that of a later request.
+    pub fn without_reuse() -> Self {
+        Self::with_idle_connections(0)
+    }
+
+    fn with_idle_connections(limit_per_peer: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(limit_per_peer)
             .build(connector);
         Self { pool }
     }
