Wire: damaged frames between nodes

A property test: frames with changed bytes or cut off are read or rejected without a panic, and no message that is read exceeds the limit.

--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -1,12 +1,15 @@
 //! Framing of messages between nodes: round trip, compression, malformed input.
+//! The seed of the property is that of `.cargo/config.toml`.
 
 use bytes::{BufMut, BytesMut};
 use parsleylatch_wire::{
-    FrameError, PeerCodec,
+    FrameError, MAX_FRAME_SIZE, PeerCodec,
     peer::{PeerMessage, peer_message::Body},
     relay::{RelayState, StoreDocument},
     uncompressed_frame_size,
 };
+use proptest::{prelude::*, sample::Index};
+use prost::Message;
 use test_case::test_case;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -68,3 +71,27 @@
     let read = PeerCodec::default().decode(&mut frame_with(content));
     assert!(!matches!(read, Ok(_) | Err(FrameError::Io(_))), "{read:?}");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Damaged frames are read or rejected; none of them panics.
+    #[test]
+    fn frame_damaged_handled(
+        entries in prop_oneof![0..4_usize, Just(300)],
+        changes in prop::collection::vec((any::<Index>(), any::<u8>()), 0..6),
+        kept in any::<Index>(),
+    ) {
+        let mut bytes = encode(&state(entries));
+        for (at, byte) in changes {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        bytes.truncate(kept.index(bytes.len() + 1));
+        let size = bytes.len();
+        let mut codec = PeerCodec::default();
+        while let Ok(Some(message)) = codec.decode(&mut bytes) {
+            prop_assert!(message.encoded_len() <= MAX_FRAME_SIZE.get() as usize, "{size} bytes");
+        }
+    }
+}
