Relay: undelivered events do not end a stream without a retry left

Callers saw: a stream aborted about a second after it was sent, although its engine went on; and, at the only engine of a service, a stream aborted 3 s after its connection had gone dead, although new connections worked. Cause: a probe that finds events which have not arrived counted as the loss of the request. Without a retry the stream ended at once; with one, the engine was excluded for the rest of the request. Change: only a probe that does not find the request counts as its loss. With undelivered events the request still moves if the budget allows it, and may come back on a new connection; without a retry it stays.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -44,12 +44,13 @@
         if finding == Some(ProbeFinding::Present) {
             return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
         }
-        let is_request_lost = finding.is_some();
+        // Undelivered events may still arrive, unless the connection is dead.
+        let is_request_lost = finding == Some(ProbeFinding::Missing);
         let allows_retry = self.exchange.allows_retry(true);
         let may_retry = allows_retry
-            && match is_request_lost {
-                true => self.take_retry(),
-                false => self.may_move(),
+            && match finding {
+                Some(_) => self.take_retry(),
+                None => self.may_move(),
             };
         if allows_retry {
             let reason = match finding {
