Relay: a late probe result takes no retry

Callers saw: a stream aborted when its connection broke, although the retry budget had room for a resumption. Cause: a probe whose result arrived after the request had made progress, or after the timeout of the probe, was still taken as a failed one: a retry was charged and the endpoint suspended, and the chart then ignored the result. Change: outside of the probing states only the report is recorded. The endpoint counts as silent from the timeout of the probe on.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -31,6 +31,10 @@
             let mut table = self.traffic.endpoint_table.borrow_mut();
             table.record_report(now, &sent.key, report);
         }
+        // The request has made progress since, or its probe has timed out.
+        if !self.is_probing() {
+            return Vec::new();
+        }
         let since_sent = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
         let finding = report.map(|report| match report {
             Ok(report) => report.find_request(
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -210,8 +210,9 @@
         let lateness = now.since(self.exchange.next_deadline());
         let was_paused = lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
         let is_unplaced = self.exchange.state() == ExchangeState::AwaitingRetry;
-        let may_retry = !was_paused
-            && self.exchange.allows_retry_at_deadline(now)
+        let allows_retry = !was_paused && self.exchange.allows_retry_at_deadline(now);
+        let is_silent = allows_retry && self.is_probing();
+        let may_retry = allows_retry
             && match is_unplaced {
                 true => self.take_retry(),
                 false => !self.is_delay_explained(now) && self.may_move(),
@@ -219,19 +220,24 @@
         let effects = self.exchange.expire(now, was_paused, may_retry);
         if may_retry && !is_unplaced {
             self.record_failure(Outcome::Broken, "silent");
+        } else if is_silent {
+            self.record_silence();
         }
         effects
     }
 
+    fn is_probing(&self) -> bool {
+        matches!(
+            self.exchange.state(),
+            ExchangeState::Probing | ExchangeState::StreamProbing
+        )
+    }
+
     /// Whether the engine has confirmed the request and reports so much work that the
     /// next event can't be expected yet.
     fn is_delay_explained(&self, now: MonoTime) -> bool {
-        let is_unanswered = matches!(
-            self.exchange.state(),
-            ExchangeState::Probing | ExchangeState::StreamProbing
-        );
         let table = self.traffic.endpoint_table.borrow();
-        !is_unanswered
+        !self.is_probing()
             && self
                 .sent
                 .as_ref()
