Relay: a request without an event may return to a silent endpoint too

Callers saw: 502 for a stream or call that was moved off a silent endpoint and rejected by the others, although the first endpoint went on within its deadline. Cause: endpoints that were left for their silence came back only for streams that had begun. Change: they come back for every request, once no other one is eligible.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -159,13 +159,11 @@
         self.now.since(since) < limit.micros()
     }
 
-    /// Lets a stream that has begun return to the endpoints that it left for their silence,
-    /// once no other one is eligible: they may go on meanwhile.
+    /// Lets a request return to the endpoints that it left for their silence, once no other
+    /// one is eligible: they may go on meanwhile.
     pub(super) fn readmit_silent(&mut self) {
-        if self.has_begun {
-            let silent = std::mem::take(&mut self.silent);
-            self.failed.retain(|failed| !silent.contains(failed));
-        }
+        let silent = std::mem::take(&mut self.silent);
+        self.failed.retain(|failed| !silent.contains(failed));
     }
 
     pub(super) fn request_placement(&mut self) {
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -578,6 +578,25 @@
     assert_eq!(*excluded, expected);
 }
 
+/// So may a request without an event.
+#[test_case(RESUMABLE, 400 ; "stream")]
+#[test_case(RepeatPolicy::Idempotent, 650 ; "call")]
+fn silent_endpoint_readmitted_before_response(repeat: RepeatPolicy, silent_ms: u64) {
+    let mut exchange = sent(repeat);
+    exchange.expire(at(silent_ms), false, true);
+    if repeat.is_stream() {
+        exchange.handle(at(550), probe_failed(false, true));
+    }
+    exchange.handle(at(700), placed(2));
+    exchange.handle(at(710), answered(ResponseClass::NotRun, true));
+    exchange.handle(at(710), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(735), false, false);
+    let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(*excluded, [entry(2).key.clone()]);
+}
+
 /// A stream whose next endpoint does not run it waits for a retry, but not for longer than
 /// for an endpoint.
 #[test_case(100, true, ExchangeState::Placing ; "retry left")]
