Relay: a stream without an event stays if a restart is hopeless

Callers saw: 502 for a stream whose engine was silent for 0.7 s before the first event, although it went on and completed within the deadline. Cause: the stream left the silent engine, and was then refused because no other engine could read its prompt before the deadline. Change: whether a restart is hopeless is asked before the stream leaves.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -245,9 +245,9 @@
     }
 
     /// Whether a request may leave an endpoint that is silent. It stays if no other endpoint
-    /// can take it, as a sound endpoint goes on after a while.
+    /// can take it in time, as a sound endpoint goes on after a while.
     pub(super) fn may_move(&self) -> bool {
-        self.has_alternative() && self.take_retry()
+        self.has_alternative() && !self.is_restart_hopeless() && self.take_retry()
     }
 
     pub(super) fn take_retry(&self) -> bool {
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -27,17 +27,23 @@
 
     /// Whether the next attempt may have to wait for an engine: its prompt has to be read
     /// from the start, and its caller has received no event.
-    fn is_queueable(&self, choice: &Choice) -> bool {
+    fn is_queueable(&self, has_copy: bool) -> bool {
         let is_stream = self.job.spec.repeat.is_stream();
         let has_events = self.last_event.is_some_and(|it| it.get() > 0);
-        let has_prompt = self.job.prompt_holder.is_some() || choice.copy.is_some();
+        let has_prompt = self.job.prompt_holder.is_some() || has_copy;
         is_stream && !has_events && !has_prompt
     }
 
+    /// Whether another engine could not read the prompt before the deadline.
+    pub(super) fn is_restart_hopeless(&self) -> bool {
+        let spec = &self.job.spec;
+        self.is_queueable(false) && is_hopeless(self.traffic.now(), spec.deadline, spec.prompt)
+    }
+
     /// Decides whether an attempt can be sent now. If not, the stream is queued or
     /// refused, and the effects are returned.
     pub(super) fn queue_if_full(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
-        if !self.is_queueable(choice) {
+        if !self.is_queueable(choice.copy.is_some()) {
             return None;
         }
         let now = self.traffic.now();
