Relay: one report without the request does not abort a stream

Callers saw: a stream aborted although its engine had completed the run; the last events were on their way, or were written in the same instant as the answer to a probe, after a silence. Cause: a single report that does not list the run counted as its loss, and without a retry left ended a stream that had begun. Change: a stream that has begun is aborted after two such reports without an event between them.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -36,6 +36,9 @@
 /// Time without any sign of life after which an endpoint counts as lost to a request that
 /// has no event yet and no retry left. A sound endpoint is silent for about a second.
 const SILENCE_LIMIT_MS: Millis = Millis::new(3_000);
+/// Successive reports without the request that confirm its loss. The last events of a run
+/// that has completed may still be in transit when the first one arrives.
+const LOSS_CONFIRMING_REPORTS: u32 = 2;
 /// Retry-after of a refused stream that did not run.
 const STREAM_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// Retry-after of a refused call that did not run.
@@ -69,6 +72,8 @@
     pub(super) may_retry: bool,
     /// Whether the last probe was answered by an endpoint that does not have the request.
     pub(super) is_request_lost: bool,
+    /// Reports without the request since the last event of the running attempt.
+    pub(super) missing_reports: u32,
     /// Last sign of life of the running attempt's endpoint.
     pub(super) last_sign_at: MonoTime,
     pub(super) last_event_at: MonoTime,
@@ -130,6 +135,10 @@
         !self.has_begun && self.is_repeatable() && silence >= SILENCE_LIMIT_MS.micros()
     }
 
+    pub(super) fn is_loss_confirmed(&self) -> bool {
+        self.is_request_lost && self.missing_reports >= LOSS_CONFIRMING_REPORTS
+    }
+
     /// Time after the send at which the first event is overdue.
     pub(super) fn first_event_limit(&self) -> Millis {
         Millis::new(FIRST_EVENT_PREFILLS * self.prefill().get())
@@ -181,6 +190,7 @@
         self.last_sign_at = self.now;
         self.unplaced_since = None;
         self.attempt_began = false;
+        self.missing_reports = 0;
         self.has_error_response = false;
         self.stall_detector.restart();
         self.live_copy = choice.backup.as_ref().map(|entry| MemoryCopy {
@@ -194,6 +204,7 @@
         self.attempt_began = true;
         self.last_event_at = self.now;
         self.last_sign_at = self.now;
+        self.missing_reports = 0;
         self.stall_detector.record_event(self.now);
         if !self.has_begun {
             self.has_begun = true;
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -117,8 +117,8 @@
             .guard("is_request_lost", |it| {
                 it.is_request_lost && it.is_repeatable()
             })
-            .guard("has_begun_and_request_lost", |it| {
-                it.has_begun && it.is_request_lost && it.is_repeatable()
+            .guard("has_begun_and_loss_confirmed", |it| {
+                it.has_begun && it.is_loss_confirmed() && it.is_repeatable()
             })
             .guard("is_silent_too_long", ExchangeContext::is_silent_too_long)
             .guard("may_resend", |it| it.may_retry && it.is_resendable())
@@ -216,6 +216,7 @@
             attempt_began: false,
             may_retry: false,
             is_request_lost: false,
+            missing_reports: 0,
             last_sign_at: now,
             last_event_at: now,
             stall_detector: StallDetector::default(),
@@ -337,17 +338,22 @@
             ExchangeInput::Event if context.attempt_began => {
                 context.last_event_at = now;
                 context.last_sign_at = now;
+                context.missing_reports = 0;
                 context.stall_detector.record_event(now);
                 ExchangeEvent::Progressed
             }
             ExchangeInput::Event => ExchangeEvent::Began,
             ExchangeInput::Finished => ExchangeEvent::Finished,
-            ExchangeInput::ProbeAnswered => ExchangeEvent::ProbeAnswered,
+            ExchangeInput::ProbeAnswered => {
+                context.missing_reports = 0;
+                ExchangeEvent::ProbeAnswered
+            }
             ExchangeInput::ProbeFailed {
                 is_request_lost,
                 may_retry,
             } => {
                 context.is_request_lost = is_request_lost;
+                context.missing_reports += u32::from(is_request_lost);
                 context.is_silence = !is_request_lost;
                 context.may_retry = may_retry;
                 ExchangeEvent::ProbeFailed
