Known red: a stopped node leaves responses unwritten

The cause of the responses that a stopping relay cut off also acts in the node: a call counts as in flight until its response is handed to the caller's connection, and the process ends when nothing is in flight. Callers that read slowly get a part of the response.

--- a/tests/process/planned_stop.rs
+++ b/tests/process/planned_stop.rs
@@ -12,6 +12,7 @@
     wire::caller::GenerationBody,
 };
 use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::harness::{EVENT_TIMEOUT, FleetSpec, RunningFleet, body, signal};
 
@@ -208,3 +209,38 @@
     let moved: usize = histories.iter().map(|it| it.moves.len()).sum();
     assert!(moved > 0, "no generation was moved");
 }
+
+/// Size of a call whose response doesn't fit into the buffers of a connection.
+const LARGE_CALL_BYTES: usize = 800_000;
+
+/// A response that its caller reads slowly is delivered as a whole before the process
+/// ends.
+#[tokio::test]
+async fn stop_node_slowly_read_response() {
+    let running = RunningFleet::start(crate::calls::FLEET).await;
+    let node = &running.fleet.nodes[0];
+    let body = format!("\"{}\"", "x".repeat(LARGE_CALL_BYTES));
+    let head = format!(
+        "POST /v1/services/dispatch/book HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         request-id: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        running.fleet.workspaces[0].key,
+        RequestId::generate(),
+        body.len()
+    );
+    let mut stream = tokio::net::TcpStream::connect(node.caller).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut received = vec![0; 12];
+    stream.read_exact(&mut received).await.unwrap();
+    assert_eq!(received, b"HTTP/1.1 200");
+    signal(node.pid, "TERM");
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    // Fails if the connection is reset; the length shows it.
+    let _ = stream.read_to_end(&mut received).await;
+    assert!(
+        received.len() > LARGE_CALL_BYTES,
+        "{} bytes arrived",
+        received.len()
+    );
+    await_exit(node.pid).await;
+}
