Relay: log the start before the threads run

The first line of a process was not always 'started': the threads ran before it was written, and one of them could log first. Seen twice on the busy machine, in process_memory_open_streams and process_log_decisions, which read the addresses from the first line; both passed alone. The line is now written when the addresses are bound, before the first thread is spawned.

--- a/crates/relay/src/args.rs
+++ b/crates/relay/src/args.rs
@@ -41,13 +41,5 @@
         return Ok(());
     }
     telemetry::start_event_log(settings.node_id.as_str()).wrap_err("starting the log")?;
-    let relay = Relay::start(settings, Some(file), codec)?;
-    let addresses = relay.addresses();
-    log::info!(
-        version = env!("CARGO_PKG_VERSION"),
-        caller:% = addresses.caller, ready:% = addresses.ready,
-        peer:% = addresses.peer, metrics:% = addresses.metrics;
-        "started"
-    );
-    relay.join()
+    Relay::start(settings, Some(file), codec)?.join()
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -69,6 +69,13 @@
             metrics: metrics_listener,
             peer_address: peer,
         };
+        // The threads log as soon as they run.
+        log::info!(
+            version = env!("CARGO_PKG_VERSION"),
+            caller:% = addresses.caller, ready:% = addresses.ready,
+            peer:% = addresses.peer, metrics:% = addresses.metrics;
+            "started"
+        );
         let (control_inputs, inputs) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let shared = Arc::new(Shared::new(settings, codec, control_inputs.clone()));
         let control = spawn("control", {
