Roll-outs: decide on services with few requests, and in time

What callers saw: a version of the model endpoints that answered 4.5 times slower stayed in use until the time limit of its roll-out, and its end was written 0.02 s after it; a good version was taken back as well.

Cause: 2 to 5 results of the new version in 15 s, 4 bad ones are needed for a veto and 49 good ones to pass. The share used the ratio of the exposure limit only and not its fixed number of requests; an attempt counted when it responded or was given up, 5 to 8 s later; the decision for lack of evidence was made at the time limit itself.

Change: the share also uses the fixed number, evenly over the time (setting exposure_slack). An attempt that exceeds the latency that counts as slow counts at once. All routes are judged together as well. A service whose traffic is too small for the full test passes after 13 good results, and is observed further. The end is decided at 90% of the time. Slow is 2.5 times the old mean.

--- a/crates/decide/src/moves/mod.rs
+++ b/crates/decide/src/moves/mod.rs
@@ -24,7 +24,8 @@
 
 pub use evidence::{EvidenceKey, MoveEvidence, Observer, TrialCounts, Veto};
 pub use plan::{
-    MoveEffect, MoveEnd, MoveInput, MoveOutcome, MovePlan, MoveReason, MoveView, Trial,
+    ExposureLimit, MoveEffect, MoveEnd, MoveInput, MoveOutcome, MovePlan, MoveReason, MoveView,
+    Trial,
 };
 pub use sequential_test::{
     FALSE_PASS_RATE, FALSE_PASS_RATE_ONCE_ONLY, FALSE_VETO_RATE, SequentialTest,
@@ -123,6 +124,12 @@
         open.map(|(id, open)| (id, &open.evidence))
     }
 
+    /// Whether an open move covers an attempt and its pace counts as slow.
+    pub(crate) fn is_slow(&self, trial: &Trial) -> bool {
+        let mut open = self.moves.values().filter(|open| !open.is_recorded());
+        open.any(|open| open.plan.covers(trial) && open.is_slow(trial))
+    }
+
     /// Time at which [`MoveTable::expire`] has to be called.
     pub fn next_deadline(&self) -> Option<MonoTime> {
         let timeouts = self
@@ -227,7 +234,7 @@
                 let view = open.view(now, open.share(now, self.pending_failures.failures()));
                 vec![
                     MoveEffect::RecordOpened(id.clone()),
-                    MoveEffect::Announce(view),
+                    MoveEffect::Announce(Box::new(view)),
                 ]
             }
         };
--- a/crates/decide/src/moves/open_move.rs
+++ b/crates/decide/src/moves/open_move.rs
@@ -21,16 +21,19 @@
     pub(crate) plan: MovePlan,
     pub(crate) evidence: MoveEvidence,
     scores: BTreeMap<RouteName, CusumScore>,
+    /// Score of all routes together.
+    total_score: CusumScore,
     pub(crate) state_machine: MoveStateMachine,
 }
 
 impl OpenMove {
     pub(crate) fn new(now: MonoTime, plan: MovePlan) -> Self {
         Self {
-            state_machine: MoveStateMachine::start(now, Millis::ZERO, plan.deadline_ms),
+            state_machine: MoveStateMachine::start(now, Millis::ZERO, plan.decision_ms),
             plan,
             evidence: MoveEvidence::default(),
             scores: BTreeMap::new(),
+            total_score: CusumScore::default(),
         }
     }
 
@@ -47,7 +50,7 @@
     pub(crate) fn set_elapsed(&mut self, now: MonoTime, elapsed_ms: Millis) {
         let is_longer = elapsed_ms > self.state_machine.context.elapsed_ms(now);
         if is_longer && self.state_machine.state() == MoveState::Observing {
-            self.state_machine = MoveStateMachine::start(now, elapsed_ms, self.plan.deadline_ms);
+            self.state_machine = MoveStateMachine::start(now, elapsed_ms, self.plan.decision_ms);
         }
     }
 
@@ -74,14 +77,8 @@
 
     /// Updates the scores, and vetoes, passes or completes the move accordingly.
     pub(crate) fn review(&mut self, now: MonoTime, observer: &Observer) -> Vec<MoveEffect> {
-        let test = self.sequential_test();
-        for (route, counts) in self.evidence.by_route(&self.plan.to) {
-            let score = self.scores.entry(route.clone()).or_default();
-            if score.update(&test, counts) >= test.veto_threshold() {
-                let observer = observer.clone();
-                self.evidence.add_veto(Veto { route, observer });
-            }
-        }
+        let test = self.sequential_test(now);
+        self.update_scores(&test, observer);
         let mut effects = Vec::new();
         if self.evidence.veto().is_some() {
             effects.extend(self.step(now, MoveEvent::Vetoed));
@@ -97,6 +94,30 @@
         effects
     }
 
+    /// Vetoes the version if it is bad on a route, or on all routes together: a service
+    /// with few requests has too few trials on each of its routes.
+    fn update_scores(&mut self, test: &SequentialTest, observer: &Observer) {
+        let routes = self.evidence.by_route(&self.plan.to);
+        let total = self.evidence.total(&self.plan.to);
+        let is_bad_in_total = self.total_score.update(test, total) >= test.veto_threshold();
+        let worst_route = routes.iter().max_by_key(|(_, counts)| counts.bad());
+        let mut vetoed: Vec<RouteName> = worst_route
+            .filter(|_| is_bad_in_total)
+            .map(|(route, _)| route.clone())
+            .into_iter()
+            .collect();
+        for (route, counts) in routes {
+            let score = self.scores.entry(route.clone()).or_default();
+            if score.update(test, counts) >= test.veto_threshold() {
+                vetoed.push(route);
+            }
+        }
+        for route in vetoed {
+            let observer = observer.clone();
+            self.evidence.add_veto(Veto { route, observer });
+        }
+    }
+
     pub(crate) fn apply_recorded_end(&mut self, now: MonoTime, end: MoveEnd) -> Vec<MoveEffect> {
         if !self.is_recorded() {
             self.state_machine.context.reason = Some(end.reason);
@@ -126,7 +147,7 @@
     where
         Failures: Iterator<Item = &'a Trial>,
     {
-        let test = self.sequential_test();
+        let test = self.sequential_test(now);
         let by_evidence = match self.state_machine.state() {
             MoveState::Observing => self.share_inputs(now, &test).observing_share(&test),
             MoveState::Growing => self.share_inputs(now, &test).growing_share(),
@@ -166,19 +187,24 @@
                 end,
             },
             TransitionEffect::Announce => {
-                MoveEffect::Announce(self.view(now, self.share(now, std::iter::empty())))
+                let share = self.share(now, std::iter::empty());
+                MoveEffect::Announce(Box::new(self.view(now, share)))
             }
         });
         effects.collect()
     }
 
-    fn sequential_test(&self) -> SequentialTest {
-        SequentialTest::new(
+    fn sequential_test(&self, now: MonoTime) -> SequentialTest {
+        let test = SequentialTest::new(
             self.plan.tolerated_failures,
             self.plan.rejected_failures,
             self.plan.old_counts(&self.evidence),
             self.plan.has_once_only_operations,
-        )
+        );
+        match self.share_inputs(now, &test).has_little_traffic() {
+            true => test.with_little_traffic(),
+            false => test,
+        }
     }
 
     /// Whether the version passes on all routes together and no single route has a
@@ -205,7 +231,7 @@
     /// Whether an attempt was slow compared with the pace of the old versions on its
     /// route. Attempts on the old versions are classified in the same way, so that
     /// noise that slows down all versions raises the tolerated rate.
-    fn is_slow(&self, trial: &Trial) -> bool {
+    pub(crate) fn is_slow(&self, trial: &Trial) -> bool {
         let old = self.plan.old_counts_on(&self.evidence, &trial.route);
         let baseline_pace = old.mean_pace_us();
         let baseline_pace = baseline_pace.filter(|_| old.paced >= PACE_BASELINE_TRIALS);
--- a/crates/decide/src/moves/plan.rs
+++ b/crates/decide/src/moves/plan.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, Micros, Millis, ModelId, MoveId, Percent, RouteName, Share,
-    WorkspaceId,
+    EndpointId, EndpointVersion, Micros, Millis, ModelId, MoveId, Percent, RequestCount, RouteName,
+    Share, WorkspaceId,
 };
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
@@ -28,8 +28,10 @@
     pub from: Vec<EndpointVersion>,
     /// Version that replaces them.
     pub to: EndpointVersion,
-    /// Time after which the move is done or rolled back.
+    /// Time after which the move has to be done or rolled back.
     pub deadline_ms: Millis,
+    /// Time after which its end is decided; the rest is for recording it.
+    pub decision_ms: Millis,
     /// Minimum share of a version that has not passed.
     pub canary_share: Share,
     /// Highest failure rate of a good version.
@@ -40,9 +42,19 @@
     pub slow_pace_percent: Percent,
     /// Whether the workspace has operations that run at most once.
     pub has_once_only_operations: bool,
-    /// Maximum fraction of all requests, from the order to the deadline, that may
-    /// reach a version that turns out to be bad; `None` if only the evidence limits it.
-    pub exposure_limit: Option<Share>,
+    /// Maximum number of requests that may reach a version that turns out to be bad;
+    /// `None` if only the evidence limits it.
+    pub exposure_limit: Option<ExposureLimit>,
+}
+
+/// Maximum number of requests, from the order to the deadline, that may reach a version
+/// that turns out to be bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExposureLimit {
+    /// Fraction of all requests.
+    pub share: Share,
+    /// Requests in addition to the fraction.
+    pub slack: RequestCount,
 }
 
 impl MovePlan {
@@ -58,6 +70,7 @@
             from: template.endpoint_versions.clone(),
             to: wanted.to.clone(),
             deadline_ms: wanted.deadline_ms(),
+            decision_ms: wanted.deadline_ms(),
             canary_share: wanted.canary_share_ppm,
             tolerated_failures: wanted.tolerated_failures_ppm,
             rejected_failures: wanted.rejected_failures_ppm,
@@ -221,7 +234,7 @@
         end: MoveEnd,
     },
     /// Report a change to operators.
-    Announce(MoveView),
+    Announce(Box<MoveView>),
 }
 
 /// One move as shown to operators.
--- a/crates/decide/src/moves/share.rs
+++ b/crates/decide/src/moves/share.rs
@@ -4,6 +4,7 @@
 
 use super::{
     evidence::TrialCounts,
+    plan::ExposureLimit,
     sequential_test::{FULL_SHARE_PPM, SequentialTest},
 };
 
@@ -22,6 +23,13 @@
 /// Percentage of the exposure limit that the share may reach before then. The
 /// rest covers requests that are sent before a veto has reached every node.
 const EXPOSURE_LIMIT_USE_PERCENT: u64 = 70;
+/// Percentage of the slack of the exposure limit that is used before
+/// [`EXPOSURE_LIMIT_TIME_PERCENT`] of the time is over.
+const EXPOSURE_SLACK_USE_PERCENT: u64 = 60;
+/// Maximum share that is given for the slack alone.
+const MAX_SLACK_SHARE: Share = Share::new(600_000);
+/// Percentage of the time to the deadline after which the rate of requests is known.
+const RATE_TIME_PERCENT: u64 = 10;
 /// Percentage of the time to the deadline after which the share is full.
 const FULL_SHARE_TIME_PERCENT: u64 = 85;
 /// Percentage of the time to the deadline after which a move with the full share
@@ -50,9 +58,8 @@
     pub canary_share: Share,
     /// Good trials with which a version passes if none fails.
     pub pass_trials: u64,
-    /// Maximum fraction of all requests, from the order to the deadline, that may
-    /// reach a version that turns out to be bad.
-    pub exposure_limit: Option<Share>,
+    /// Maximum number of requests that may reach a version that turns out to be bad.
+    pub exposure_limit: Option<ExposureLimit>,
 }
 
 impl ShareInputs {
@@ -61,14 +68,18 @@
     pub fn observing_share(&self, test: &SequentialTest) -> Share {
         let until = self.percent_of_deadline(OBSERVING_TIME_PERCENT);
         let left_ms = until.saturating_sub(self.elapsed_ms).get();
+        let least = self.canary_share;
+        let slack_share = self.slack_share();
         if left_ms == 0 {
-            return self.within_exposure_limit(MAX_LATE_OBSERVING_SHARE.max(self.canary_share));
+            let most = MAX_LATE_OBSERVING_SHARE.max(slack_share);
+            return self.within_exposure_limit(most.max(least));
         }
         let requests = self.old.trials.saturating_add(self.new.trials).get();
         let expected = requests.saturating_mul(left_ms) / self.elapsed_ms.get().max(1);
         let missing = test.trials_to_pass(self.new);
         let wanted = ppm(missing, expected.max(1));
-        self.within_exposure_limit(wanted.min(MAX_OBSERVING_SHARE).max(self.canary_share))
+        let most = MAX_OBSERVING_SHARE.max(slack_share);
+        self.within_exposure_limit(wanted.min(most).max(least))
     }
 
     /// Share once the version has passed. It grows with good trials, slowly enough
@@ -99,7 +110,36 @@
             self.elapsed_ms.saturating_sub(start).get(),
             end.saturating_sub(start).get().max(1),
         );
-        share.min(percent_of(limit, EXPOSURE_LIMIT_USE_PERCENT).max(grown))
+        let early = percent_of(limit.share, EXPOSURE_LIMIT_USE_PERCENT);
+        let early = early.saturating_add(self.slack_share()).min(FULL_SHARE);
+        share.min(early.max(grown))
+    }
+
+    /// Whether the traffic was too small for a decision in the time for observation. A
+    /// service with more requests has that time, so its version must pass the full test.
+    pub fn has_little_traffic(&self) -> bool {
+        let is_late = self.elapsed_ms >= self.percent_of_deadline(OBSERVING_TIME_PERCENT);
+        is_late && self.slack_share() >= MAX_LATE_OBSERVING_SHARE
+    }
+
+    /// Share that uses the slack of the exposure limit evenly over the time, so that a
+    /// service with few requests has enough trials for a decision. It does not depend on
+    /// what was exposed so far, which a node only knows of attempts that have ended.
+    fn slack_share(&self) -> Share {
+        let latency_ms = self.old.mean_pace_us().unwrap_or_default().millis();
+        let counted_ms = self.elapsed_ms.saturating_sub(latency_ms).get();
+        let requests = self.old.trials.saturating_add(self.new.trials).get();
+        let is_rate_known = counted_ms >= self.percent_of_deadline(RATE_TIME_PERCENT).get();
+        let Some(limit) = self
+            .exposure_limit
+            .filter(|_| is_rate_known && requests > 0)
+        else {
+            return Share::ZERO;
+        };
+        let window_ms = self.percent_of_deadline(EXPOSURE_LIMIT_TIME_PERCENT).get();
+        let expected = requests.saturating_mul(window_ms) / counted_ms.max(1);
+        let slack = limit.slack.get().saturating_mul(EXPOSURE_SLACK_USE_PERCENT) / 100;
+        ppm(slack, expected.max(1)).min(MAX_SLACK_SHARE)
     }
 
     /// Whether the version has had all traffic for long enough.
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_table;
 mod exchange;
 mod life;
+mod open_trials;
 mod overload;
 mod readers;
 mod registry;
--- a/crates/decide/src/relay/rollout.rs
+++ b/crates/decide/src/relay/rollout.rs
@@ -9,13 +9,14 @@
 
 use parsleylatch_types::{
     EndpointId, EndpointVersion, Micros, Millis, MonoTime, MoveId, Percent, Revision, RouteName,
-    ServiceName, Share, WorkspaceId,
+    ServiceName, Share, TrialNumber, WorkspaceId,
 };
 use strum::{Display, EnumString};
 
+use super::open_trials::OpenTrials;
 use crate::moves::{
-    FULL_SHARE, MoveEffect, MoveEnd, MoveEvidence, MoveInput, MoveOutcome, MovePlan, MoveReason,
-    MoveTable, MoveView, Observer, Trial,
+    ExposureLimit, FULL_SHARE, MoveEffect, MoveEnd, MoveEvidence, MoveInput, MoveOutcome, MovePlan,
+    MoveReason, MoveTable, MoveView, Observer, Trial,
 };
 
 /// Minimum share of a version that has not passed: enough for a decision on a service
@@ -28,7 +29,10 @@
 const REJECTED_FAILURES: Share = Share::new(100_000);
 /// Latency that counts as slow, relative to the old version's mean. A bad version is
 /// expected to be several times slower.
-const SLOW_LATENCY_PERCENT: Percent = Percent::new(300);
+const SLOW_LATENCY_PERCENT: Percent = Percent::new(250);
+/// Percentage of an order's time after which its end is decided. The status has to be in
+/// the store when the time is over, and nodes learn of the order late.
+const DECISION_TIME_PERCENT: u64 = 90;
 
 /// An operator's order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -110,6 +114,20 @@
     pub latency: Option<Micros>,
 }
 
+impl VersionTrial {
+    /// The attempt as evidence on a move; `None` if its service can't be a model's name.
+    fn counted(&self) -> Option<Trial> {
+        Some(Trial {
+            model: self.service.as_str().parse().ok()?,
+            version: self.version.clone(),
+            route: self.route.clone(),
+            endpoint: self.endpoint.clone(),
+            failed: self.latency.is_none(),
+            pace_us: self.latency,
+        })
+    }
+}
+
 /// Effects that the control thread carries out for roll-outs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RolloutEffect {
@@ -121,7 +139,7 @@
         status: RolloutStatus,
     },
     /// Log the changed roll-out.
-    Announce(MoveView),
+    Announce(Box<MoveView>),
 }
 
 struct OrderedRollout {
@@ -133,6 +151,7 @@
 /// Roll-outs known to a node, one per service.
 pub struct Rollouts {
     table: MoveTable,
+    open_trials: OpenTrials,
     ordered: BTreeMap<ServiceName, OrderedRollout>,
 }
 
@@ -141,6 +160,7 @@
     pub fn new(observer: Observer) -> Self {
         Self {
             table: MoveTable::new(observer),
+            open_trials: OpenTrials::default(),
             ordered: BTreeMap::new(),
         }
     }
@@ -153,7 +173,7 @@
         revision: Revision,
         order: RolloutOrder,
         old: Vec<EndpointVersion>,
-        exposure_limit: Share,
+        exposure_limit: ExposureLimit,
         phase: Option<RolloutPhase>,
     ) -> Vec<RolloutEffect> {
         let known = self.ordered.get(&order.service);
@@ -208,18 +228,10 @@
     /// endpoint has answered again: a crashed endpoint is no evidence against its
     /// version.
     pub fn record_trial(&mut self, now: MonoTime, trial: &VersionTrial) -> Vec<RolloutEffect> {
-        let Ok(model) = trial.service.as_str().parse() else {
+        let Some(counted) = trial.counted() else {
             return Vec::new();
         };
-        let input = MoveInput::Trial(Trial {
-            model,
-            version: trial.version.clone(),
-            route: trial.route.clone(),
-            endpoint: trial.endpoint.clone(),
-            failed: trial.latency.is_none(),
-            pace_us: trial.latency,
-        });
-        let mut effects = self.table.handle(now, input);
+        let mut effects = self.table.handle(now, MoveInput::Trial(counted));
         if trial.latency.is_some() {
             let answered = MoveInput::EndpointAnswered(trial.endpoint.clone());
             effects.extend(self.table.handle(now, answered));
@@ -227,6 +239,42 @@
         self.translate(effects)
     }
 
+    /// Records the start of an attempt; `trial.latency` is not used.
+    pub fn start_trial(&mut self, now: MonoTime, number: TrialNumber, trial: VersionTrial) {
+        self.open_trials.start(now, number, trial);
+    }
+
+    /// Counts the result of a started attempt, unless the attempt is counted as slow
+    /// already.
+    pub fn end_trial(
+        &mut self,
+        now: MonoTime,
+        number: TrialNumber,
+        latency: Option<Micros>,
+    ) -> Vec<RolloutEffect> {
+        let Some(trial) = self.open_trials.end(number) else {
+            return Vec::new();
+        };
+        self.record_trial(now, &VersionTrial { latency, ..trial })
+    }
+
+    /// Removes a started attempt that has no result.
+    pub fn abandon_trial(&mut self, number: TrialNumber) {
+        let _ = self.open_trials.end(number);
+    }
+
+    /// Counts the started attempts that are slow by now: callers wait already, and the
+    /// result may come too late for the decision.
+    fn count_late_trials(&mut self, now: MonoTime) -> Vec<MoveEffect> {
+        let table = &self.table;
+        let is_late = |trial: &VersionTrial| trial.counted().is_some_and(|it| table.is_slow(&it));
+        let late = self.open_trials.take_late(now, is_late);
+        let counted = late.iter().filter_map(VersionTrial::counted);
+        counted
+            .flat_map(|trial| self.table.handle(now, MoveInput::Trial(trial)))
+            .collect()
+    }
+
     /// Merges another node's evidence on an order.
     pub fn merge(
         &mut self,
@@ -293,7 +341,8 @@
         if self.next_deadline().is_none_or(|deadline| deadline > now) {
             return Vec::new();
         }
-        let effects = self.table.expire(now);
+        let mut effects = self.count_late_trials(now);
+        effects.extend(self.table.expire(now));
         self.translate(effects)
     }
 
@@ -333,7 +382,7 @@
     revision: Revision,
     order: &RolloutOrder,
     old: Vec<EndpointVersion>,
-    exposure_limit: Share,
+    exposure_limit: ExposureLimit,
 ) -> Option<MovePlan> {
     let service = order.service.as_str();
     let workspace: WorkspaceId = service.parse().ok()?;
@@ -345,7 +394,14 @@
         from: old,
         to: order.target.clone(),
         deadline_ms: order.duration_ms,
-        canary_share: CANARY_SHARE.min(exposure_limit),
+        decision_ms: Millis::new(
+            order
+                .duration_ms
+                .get()
+                .saturating_mul(DECISION_TIME_PERCENT)
+                / 100,
+        ),
+        canary_share: CANARY_SHARE.min(exposure_limit.share),
         tolerated_failures: TOLERATED_FAILURES,
         rejected_failures: REJECTED_FAILURES,
         slow_pace_percent: SLOW_LATENCY_PERCENT,
--- a/crates/decide/tests/moves/fleet.rs
+++ b/crates/decide/tests/moves/fleet.rs
@@ -93,6 +93,7 @@
         from: vec!["v1".parse().unwrap()],
         to: "v2".parse().unwrap(),
         deadline_ms: Millis::new(deadline_ms),
+        decision_ms: Millis::new(deadline_ms),
         canary_share: Share::new(5_000),
         tolerated_failures: Share::new(10_000),
         rejected_failures: Share::new(100_000),
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -228,6 +228,9 @@
                 self.cluster.apply_peer_state(&state, sent_at);
             }
             ControlInput::Trial(trial) => self.rollouts.record_trial(&trial),
+            ControlInput::TrialStarted(number, trial) => self.rollouts.start_trial(number, *trial),
+            ControlInput::TrialEnded(number, latency) => self.rollouts.end_trial(number, latency),
+            ControlInput::TrialAbandoned(number) => self.rollouts.abandon_trial(number),
             ControlInput::Settings(settings) => self.apply_settings(*settings),
             ControlInput::Idle => {}
             ControlInput::StopRequested => {
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -6,11 +6,13 @@
 };
 
 use parsleylatch_decide::{
-    moves::{MoveEvidence, Observer},
+    moves::{ExposureLimit, MoveEvidence, Observer},
     relay::{RolloutEffect, RolloutPhase, Rollouts, VersionRule, VersionTrial},
 };
 use parsleylatch_peer::{Identity, decode_move_counts, encode_move_counts};
-use parsleylatch_types::{Incarnation, Millis, MonoTime, Revision, ServiceName};
+use parsleylatch_types::{
+    Incarnation, Micros, Millis, MonoTime, Revision, ServiceName, TrialNumber,
+};
 use parsleylatch_wire::{
     platform::KeyValue,
     relay::{ObserverCounts, RolloutEvidence},
@@ -123,7 +125,11 @@
             "roll-out ordered"
         );
         let phase = self.stored_phase(&order.service);
-        let exposure_limit = self.shared.settings.load().bounds.exposure_limit;
+        let bounds = self.shared.settings.load().bounds;
+        let exposure_limit = ExposureLimit {
+            share: bounds.exposure_limit,
+            slack: bounds.exposure_slack,
+        };
         let other_versions = other_versions.into_iter().collect();
         let revision = document.revision;
         let effects =
@@ -146,6 +152,25 @@
     pub(crate) fn record_trial(&mut self, trial: &VersionTrial) {
         self.shared.metrics.increment(RelayCounter::Trials);
         let effects = self.rollouts.record_trial(self.shared.now(), trial);
+        self.apply_trial_effects(effects);
+    }
+
+    pub(crate) fn start_trial(&mut self, number: TrialNumber, trial: VersionTrial) {
+        self.rollouts.start_trial(self.shared.now(), number, trial);
+    }
+
+    pub(crate) fn end_trial(&mut self, number: TrialNumber, latency: Option<Micros>) {
+        self.shared.metrics.increment(RelayCounter::Trials);
+        let now = self.shared.now();
+        let effects = self.rollouts.end_trial(now, number, latency);
+        self.apply_trial_effects(effects);
+    }
+
+    pub(crate) fn abandon_trial(&mut self, number: TrialNumber) {
+        self.rollouts.abandon_trial(number);
+    }
+
+    fn apply_trial_effects(&mut self, effects: Vec<RolloutEffect>) {
         let has_effects = !effects.is_empty();
         self.apply_effects(effects);
         if has_effects {
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -4,7 +4,7 @@
 
 use parsleylatch_decide::relay::VersionTrial;
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::MonoTime;
+use parsleylatch_types::{Micros, MonoTime, TrialNumber};
 use parsleylatch_wire::{platform::ListReply, relay::RelayState};
 use tokio::sync::oneshot;
 
@@ -24,8 +24,15 @@
     PeerUnresponsive(SocketAddr),
     /// State of another node, and when the query for it was sent.
     PeerState(Box<RelayState>, MonoTime),
-    /// Result of an attempt made during a rollout of its service.
+    /// Result of an attempt made during a rollout of its service, if it was not reported as
+    /// started or fails after its first event.
     Trial(Box<VersionTrial>),
+    /// Start of an attempt made during a rollout of its service.
+    TrialStarted(TrialNumber, Box<VersionTrial>),
+    /// Time to the first event of a started attempt; `None` if it failed.
+    TrialEnded(TrialNumber, Option<Micros>),
+    /// A started attempt has no result.
+    TrialAbandoned(TrialNumber),
     /// The settings file has changed.
     Settings(Box<RelaySettings>),
     /// No request is in flight.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,7 @@
 use parsleylatch_decide::relay::{EndpointEntry, NodeLocation, RelayConfiguration, VersionRule};
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{Micros, Millis, MonoTime, Revision, ServiceName};
+use parsleylatch_types::{Micros, Millis, MonoTime, Revision, ServiceName, TrialNumber};
 use tokio::sync::{mpsc, watch};
 
 use crate::telemetry::RelayMetrics;
@@ -74,6 +74,7 @@
     /// Store revision of the known endpoints and nodes; zero if none are known.
     known_revision: AtomicU64,
     in_flight: AtomicUsize,
+    started_trials: AtomicU64,
     /// Deadline of a graceful stop.
     stop_deadline: AtomicU64,
     /// When the store, or a node that reads it, last confirmed the known state.
@@ -99,6 +100,7 @@
             reads_store: watch::Sender::new(true),
             known_revision: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
+            started_trials: AtomicU64::new(0),
             stop_deadline: AtomicU64::new(u64::MAX),
             confirmed_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
@@ -133,6 +135,11 @@
         self.stop_deadline.store(at.get(), Ordering::Relaxed);
     }
 
+    /// Number for the next attempt that is reported as started.
+    pub(crate) fn next_trial_number(&self) -> TrialNumber {
+        TrialNumber::new(self.started_trials.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Number of requests in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -139,7 +139,9 @@
             choice,
             at: now,
             has_responded: false,
+            trial: None,
         });
+        self.report_trial_start();
     }
 
     pub(super) fn start_probe(&mut self) {
@@ -282,6 +284,7 @@
         self.probe = None;
         self.copy_monitor = CopyMonitor::default();
         self.is_endpoint_silent = false;
+        self.report_trial_abandoned();
         if let Some(sent) = self.sent.take() {
             let mut table = self.traffic.endpoint_table.borrow_mut();
             if !sent.has_responded {
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -17,7 +17,7 @@
     },
 };
 use parsleylatch_http::RawEvent;
-use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId};
+use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId, TrialNumber};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
@@ -97,6 +97,8 @@
     choice: Box<Choice>,
     at: MonoTime,
     has_responded: bool,
+    /// Number of the attempt if it was reported as started and has no result yet.
+    trial: Option<TrialNumber>,
 }
 
 struct ExchangeDriver {
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -34,28 +34,66 @@
         }
     }
 
-    /// Reports the result of an attempt on a version under rollout to the control thread.
-    fn report_trial(&self, latency: Option<Micros>) {
-        let shared = &self.traffic.shared;
-        let service = &self.job.spec.service;
-        let Some(sent) = &self.sent else {
+    /// Reports the start of an attempt on a service under rollout, so that one without a
+    /// response counts as soon as it is late.
+    pub(super) fn report_trial_start(&mut self) {
+        let Some(trial) = self.version_trial(None) else {
             return;
         };
-        if !shared.snapshot.load().versions.contains_key(service) {
-            return;
+        let number = self.traffic.shared.next_trial_number();
+        if self.send_trial_input(ControlInput::TrialStarted(number, Box::new(trial)))
+            && let Some(sent) = &mut self.sent
+        {
+            sent.trial = Some(number);
         }
-        let endpoint = &sent.choice.endpoint;
-        let trial = VersionTrial {
-            service: service.clone(),
-            version: endpoint.version.clone(),
-            route: self.job.route.name.clone(),
-            endpoint: endpoint.key.id.clone(),
-            latency,
+    }
+
+    /// Reports that a started attempt ends without a result.
+    pub(super) fn report_trial_abandoned(&mut self) {
+        if let Some(number) = self.sent.as_mut().and_then(|sent| sent.trial.take()) {
+            self.send_trial_input(ControlInput::TrialAbandoned(number));
+        }
+    }
+
+    /// Reports the result of an attempt on a version under rollout to the control thread.
+    fn report_trial(&mut self, latency: Option<Micros>) {
+        let number = self.sent.as_mut().and_then(|sent| sent.trial.take());
+        let input = match number {
+            Some(number) => Some(ControlInput::TrialEnded(number, latency)),
+            None => self
+                .version_trial(latency)
+                .map(|trial| ControlInput::Trial(Box::new(trial))),
         };
-        let input = ControlInput::Trial(Box::new(trial));
-        if shared.control.try_send(input).is_err() {
+        if let Some(input) = input {
+            self.send_trial_input(input);
+        }
+    }
+
+    /// The current attempt as evidence; `None` if its service is not under rollout.
+    fn version_trial(&self, latency: Option<Micros>) -> Option<VersionTrial> {
+        let service = &self.job.spec.service;
+        let endpoint = &self.sent.as_ref()?.choice.endpoint;
+        let snapshot = self.traffic.shared.snapshot.load();
+        snapshot
+            .versions
+            .contains_key(service)
+            .then(|| VersionTrial {
+                service: service.clone(),
+                version: endpoint.version.clone(),
+                route: self.job.route.name.clone(),
+                endpoint: endpoint.key.id.clone(),
+                latency,
+            })
+    }
+
+    /// Returns whether the control thread receives the input.
+    fn send_trial_input(&self, input: ControlInput) -> bool {
+        let shared = &self.traffic.shared;
+        let is_sent = shared.control.try_send(input).is_ok();
+        if !is_sent {
             shared.metrics.increment(RelayCounter::TrialsDropped);
         }
+        is_sent
     }
 
     /// Records the interval since the previous event.
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use parsleylatch_types::{FailureDomain, Millis, NodeId, Region, Share};
+use parsleylatch_types::{FailureDomain, Millis, NodeId, Region, RequestCount, Share};
 use serde::Deserialize;
 
 use crate::{document::Document, error::SettingsError};
@@ -25,6 +25,8 @@
 const DEFAULT_RETRY_SLACK: f64 = 50.0;
 /// Default of [`RelayBounds::exposure_limit`], as a ratio.
 const DEFAULT_EXPOSURE_RATIO: f64 = 0.1;
+/// Default of [`RelayBounds::exposure_slack`].
+const DEFAULT_EXPOSURE_SLACK: f64 = 50.0;
 /// Parts per million in a share of 1.
 const FULL_SHARE_PPM: f64 = 1_000_000.0;
 
@@ -39,6 +41,7 @@
     retry_window_s: Option<f64>,
     retry_slack: Option<f64>,
     exposure_ratio: Option<f64>,
+    exposure_slack: Option<f64>,
 }
 
 /// Service-level bounds that the operators guarantee to callers.
@@ -58,6 +61,8 @@
     pub retry_slack: u64,
     /// Maximum share of a service's requests that a version may receive before it is rejected.
     pub exposure_limit: Share,
+    /// Requests that it may receive in addition to that share.
+    pub exposure_slack: RequestCount,
 }
 
 #[derive(Deserialize)]
@@ -179,6 +184,12 @@
         DEFAULT_EXPOSURE_RATIO,
         0.0,
     )?;
+    let exposure_slack = check(
+        "exposure_slack",
+        raw.exposure_slack,
+        DEFAULT_EXPOSURE_SLACK,
+        0.0,
+    )?;
     Ok(RelayBounds {
         configuration_ms: Millis::new(configuration_ms as u64),
         leaving_ms: Millis::new(leaving_ms as u64),
@@ -187,5 +198,6 @@
         retry_window_ms: Millis::new((window_s * MILLIS_PER_SECOND) as u64),
         retry_slack: slack as u64,
         exposure_limit: Share::new((exposure.min(1.0) * FULL_SHARE_PPM) as u32),
+        exposure_slack: RequestCount::new(exposure_slack as u64),
     })
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,7 +18,8 @@
 pub use quantity::{
     AttemptNumber, ByteCount, BytesPerSecond, FencingNumber, Incarnation, OwnerEpoch,
     ParseQuantityError, Percent, Priority, Rank, RequestCount, RequestsPerSecond, Revision, Seed,
-    Share, SlotCount, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond, Weight,
+    Share, SlotCount, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond, TrialNumber,
+    Weight,
 };
 pub use request_id::{ParseRequestIdError, RequestId};
 pub use time::{Micros, Millis, MonoTime, UnixMillis};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -170,6 +170,10 @@
     /// Number of requests that an endpoint runs concurrently.
     SlotCount, u32, ""
 );
+quantity!(
+    /// Number of an attempt that is evidence on a version, within one process.
+    TrialNumber, u64, ""
+);
 quantity!(
     /// Rank of a request; lower ranks are served first.
     Rank, u8, ""
