Roll-outs: compare the mean latency where traffic is small, and routes with their own past

A mean over 1.3 times the old one is now no pass, and a veto while the share grows. Failures of a route were compared with the rate of all routes together.

--- a/crates/decide/src/moves/open_move.rs
+++ b/crates/decide/src/moves/open_move.rs
@@ -14,6 +14,10 @@
 
 /// Attempts on the old versions of a route that are needed for a mean pace.
 const PACE_BASELINE_TRIALS: RequestCount = RequestCount::new(5);
+/// Attempts on the new version whose mean pace is compared with that of the old ones.
+const MEAN_PACE_TRIALS: RequestCount = RequestCount::new(10);
+/// Mean pace of a worse version, relative to that of the old ones.
+const WORSE_MEAN_PACE_PERCENT: u64 = 130;
 /// An attempt that exceeds the mean pace by no more than this is not slow.
 const SLOW_PACE_SLACK_US: Micros = Micros::new(3_000);
 
@@ -83,7 +87,14 @@
         if self.evidence.veto().is_some() {
             effects.extend(self.step(now, MoveEvent::Vetoed));
         }
-        if self.state_machine.state() == MoveState::Observing && self.has_passed(&test) {
+        let has_worse_pace = self.has_worse_pace(&self.share_inputs(now, &test));
+        if self.state_machine.state() == MoveState::Growing && has_worse_pace {
+            effects.extend(self.step(now, MoveEvent::Vetoed));
+        }
+        if self.state_machine.state() == MoveState::Observing
+            && !has_worse_pace
+            && self.has_passed(&test)
+        {
             effects.extend(self.step(now, MoveEvent::Passed));
         }
         if self.state_machine.state() == MoveState::Growing
@@ -107,8 +118,9 @@
             .into_iter()
             .collect();
         for (route, counts) in routes {
+            let test = self.test_on(&route);
             let score = self.scores.entry(route.clone()).or_default();
-            if score.update(test, counts) >= test.veto_threshold() {
+            if score.update(&test, counts) >= test.veto_threshold() {
                 vetoed.push(route);
             }
         }
@@ -195,24 +207,47 @@
     }
 
     fn sequential_test(&self, now: MonoTime) -> SequentialTest {
-        let test = SequentialTest::new(
-            self.plan.tolerated_failures,
-            self.plan.rejected_failures,
-            self.plan.old_counts(&self.evidence),
-            self.plan.has_once_only_operations,
-        );
+        let test = self.test_against(self.plan.old_counts(&self.evidence));
         match self.share_inputs(now, &test).has_little_traffic() {
             true => test.with_little_traffic(),
             false => test,
         }
     }
 
+    /// Test for one route: its old versions may fail more often than those of others.
+    fn test_on(&self, route: &RouteName) -> SequentialTest {
+        self.test_against(self.plan.old_counts_on(&self.evidence, route))
+    }
+
+    fn test_against(&self, old: TrialCounts) -> SequentialTest {
+        SequentialTest::new(
+            self.plan.tolerated_failures,
+            self.plan.rejected_failures,
+            old,
+            self.plan.has_once_only_operations,
+        )
+    }
+
+    /// Whether the version's mean pace is worse than the old one's although no single
+    /// attempt is slow; a service with little traffic passes with too few attempts for
+    /// slow ones to show.
+    fn has_worse_pace(&self, inputs: &ShareInputs) -> bool {
+        let is_counted = inputs.new.paced >= MEAN_PACE_TRIALS && inputs.has_little_traffic();
+        let means = inputs.new.mean_pace_us().zip(inputs.old.mean_pace_us());
+        is_counted
+            && means.is_some_and(|(new, old)| {
+                new.saturating_mul(100) > old.saturating_mul(WORSE_MEAN_PACE_PERCENT)
+            })
+    }
+
     /// Whether the version passes on all routes together and no single route has a
     /// score against it.
     fn has_passed(&self, test: &SequentialTest) -> bool {
         let routes = self.evidence.by_route(&self.plan.to);
         let total = self.evidence.total(&self.plan.to);
-        let no_route_is_worse = routes.values().all(|counts| test.score(*counts) <= 0.0);
+        let no_route_is_worse = routes
+            .iter()
+            .all(|(route, counts)| self.test_on(route).score(*counts) <= 0.0);
         no_route_is_worse && test.score(total) <= test.pass_threshold()
     }
 
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -350,6 +350,7 @@
 #[test_case(105, |_| 5_400 ; "nine requests per second")]
 #[test_case(215, |_| 5_400 ; "five requests per second")]
 #[test_case(105, |_| 3_900 ; "three times slower")]
+#[test_case(105, |_| 2_400 ; "twice slower")]
 #[test_case(105, |_| 9_600 ; "eight times slower")]
 #[test_case(105, |now_ms| if now_ms < 6_000 { 1_200 } else { 5_400 } ; "slow after a while")]
 #[test_case(10, |_| 5_400 ; "a hundred requests per second")]
