Relay: quarantine a prompt part that crashes endpoints

Callers saw engines end one after the other: a request with a deadly prompt part ended an engine at each of its attempts, its caller's retry five more, and every further request with the part again.

Cause: a lost attempt counted against the endpoint only. Nothing related crashes of several endpoints to what their requests had in common.

The control thread now keeps, per incarnation of an endpoint, the prompts of the requests that it had not begun to answer when it failed. A part is blamed if three separate incidents at two or more endpoints hit two or more requests with it; crashes that it explains don't count against the parts that its requests share. A request that crashed three endpoints is not sent again. An answer that gets under way clears the parts of its prompt. Records are merged as a union and go to two random nodes every 300 ms while they are new, without the store; a starting node asks for them before it is ready. Requests with a quarantined part are refused before each placement, and take no retries from the budget.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -10,11 +10,12 @@
 use serde_json::{Map, Value};
 
 /// Events that can decide the outcome of a request or of one of its attempts.
-const DECIDING_EVENTS: [&str; 6] = [
+const DECIDING_EVENTS: [&str; 7] = [
     "request denied",
     "request refused",
     "stream aborted",
     "attempt failed",
+    "prompt part in quarantine",
     "retry budget used up",
     "request ended",
 ];
--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -43,6 +43,7 @@
 pub(crate) const STORE_SOURCE: ChartSource = chart_source!("store_source");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 pub(crate) const PEER: ChartSource = chart_source!("peer");
+pub(crate) const PROMPT_PART: ChartSource = chart_source!("prompt_part");
 
 /// All embedded charts.
 pub const ALL: &[ChartSource] = &[
@@ -66,6 +67,7 @@
     JOURNAL,
     JOURNAL_ENTRY,
     PEER,
+    PROMPT_PART,
 ];
 
 /// A state machine that is compiled on first use.
--- /dev/null
+++ b/crates/decide/src/relay/crash_evidence/record.rs
@@ -0,0 +1,95 @@
+//! A crash of an endpoint, with the requests that it had not begun to answer.
+
+use std::collections::BTreeSet;
+
+use parsleylatch_types::{Micros, MonoTime, PromptPartId};
+
+use super::{MAX_RETENTION_MS, PromptChain, RETENTION_MS};
+use crate::relay::endpoint_table::EndpointKey;
+
+/// Maximum number of requests that are kept of a crash.
+pub(super) const REQUEST_LIMIT: usize = 8;
+/// Maximum number of cleared parts that are kept of a crash.
+const CLEARED_PART_LIMIT: usize = REQUEST_LIMIT * 33;
+
+/// A crash as nodes report it to each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedCrash {
+    /// Endpoint that crashed.
+    pub endpoint: EndpointKey,
+    /// Time since the crash.
+    pub age: Micros,
+    /// Time since the crash, or since a request with one of its parts was last refused.
+    pub idle: Micros,
+    /// Prompts of the requests that the endpoint had not begun to answer.
+    pub requests: Vec<PromptChain>,
+    /// Parts on which an endpoint has begun an answer since the crash.
+    pub cleared: Vec<PromptPartId>,
+}
+
+/// A crash as this node knows it.
+#[derive(Clone, Debug)]
+pub(super) struct CrashRecord {
+    pub(super) at: MonoTime,
+    pub(super) active_at: MonoTime,
+    /// When anything apart from the times last changed.
+    pub(super) changed_at: MonoTime,
+    pub(super) requests: BTreeSet<PromptChain>,
+    pub(super) cleared: BTreeSet<PromptPartId>,
+}
+
+impl CrashRecord {
+    pub(super) fn new(now: MonoTime, at: MonoTime) -> Self {
+        Self {
+            at,
+            active_at: at,
+            changed_at: now,
+            requests: BTreeSet::new(),
+            cleared: BTreeSet::new(),
+        }
+    }
+
+    /// When the crash is forgotten.
+    pub(super) fn ends_at(&self) -> MonoTime {
+        let idle_end = self.active_at + RETENTION_MS;
+        idle_end.min(self.at + MAX_RETENTION_MS)
+    }
+
+    /// Whether the crash speaks against a part.
+    pub(super) fn accuses(&self, part: &PromptPartId) -> bool {
+        let mut requests = self.requests.iter();
+        !self.cleared.contains(part) && requests.any(|it| it.parts().any(|known| known == part))
+    }
+
+    pub(super) fn add_request(&mut self, now: MonoTime, request: &PromptChain) {
+        if insert_limited(&mut self.requests, request, REQUEST_LIMIT) {
+            self.changed_at = now;
+        }
+    }
+
+    pub(super) fn clear_part(&mut self, now: MonoTime, part: &PromptPartId) {
+        if insert_limited(&mut self.cleared, part, CLEARED_PART_LIMIT) {
+            self.changed_at = now;
+        }
+    }
+}
+
+/// Keeps the smallest items, so that nodes agree on them in whatever order they learn
+/// them; returns whether the set has changed.
+fn insert_limited<Item>(items: &mut BTreeSet<Item>, item: &Item, limit: usize) -> bool
+where
+    Item: Clone + Ord,
+{
+    if items.contains(item) {
+        return false;
+    }
+    if items.len() < limit {
+        return items.insert(item.clone());
+    }
+    let is_kept = items.last().is_some_and(|last| item < last);
+    if is_kept {
+        items.pop_last();
+        items.insert(item.clone());
+    }
+    is_kept
+}
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -48,7 +48,8 @@
     Queued,
     /// The engine that was assigned to the waiting request can no longer be used.
     AssignmentFailed,
-    /// The request can't be served before its deadline.
+    /// The request is not to be sent: it can't be served before its deadline, or it would
+    /// crash the endpoint.
     Hopeless {
         /// Why it is refused.
         reason: RefusalReason,
@@ -109,6 +110,8 @@
     Hopeless,
     /// The engines are full, and too many requests wait already.
     Overloaded,
+    /// A part of the prompt crashes endpoints.
+    Quarantined,
 }
 
 /// Effects that the front end carries out.
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod configuration;
 mod copy;
+mod crash_evidence;
 mod endpoint_table;
 mod exchange;
 mod life;
@@ -29,6 +30,9 @@
     RelayRoute, RelayWorkspace, RepeatPolicy, ServiceRules,
 };
 pub use copy::{CopySource, MemoryCopy};
+pub use crash_evidence::{
+    CrashEvidence, PartDecision, PartVerdicts, PromptChain, PromptPartState, ReportedCrash,
+};
 pub use endpoint_table::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, LoadSample, Outcome,
 };
@@ -55,6 +59,7 @@
 pub use stall_detector::StallDetector;
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    crash_evidence::verify_chart()?;
     exchange::verify_chart()?;
     life::verify_chart()?;
     source::verify_chart()
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -7,8 +7,8 @@
 
 use http::{HeaderMap, HeaderName, StatusCode};
 use parsleylatch_decide::relay::{
-    CopySource, EndpointEntry, EngineReport, LoadSample, RelayConfigurationParts, RolloutOrder,
-    RolloutStatus,
+    CopySource, EndpointEntry, EngineReport, LoadSample, PromptChain, RelayConfigurationParts,
+    RolloutOrder, RolloutStatus,
 };
 use parsleylatch_store::StoreCodec;
 use parsleylatch_types::{
@@ -29,8 +29,8 @@
     pub prompt_tokens: TokenCount,
     /// Maximum number of generated tokens; zero if the request generates none.
     pub max_output_tokens: TokenCount,
-    /// Last part of the prompt, which no other request or session shares.
-    pub last_prompt_part: Option<PromptPartId>,
+    /// Parts of the prompt.
+    pub prompt: PromptChain,
     /// Last event of the stream that the caller has received.
     pub last_event: Option<StreamEventId>,
 }
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -6,7 +6,8 @@
 };
 
 use parsleylatch_decide::relay::{
-    EndpointEntry, NodeLocation, Registry, RelayConfiguration, RemovalLog, VersionRule,
+    EndpointEntry, NodeLocation, PartVerdicts, Registry, RelayConfiguration, RemovalLog,
+    VersionRule,
 };
 use parsleylatch_types::{
     EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName,
@@ -224,7 +225,7 @@
         RelayQuery {
             configuration_revision: self.configuration_revision(),
             registry_revision: self.registry.revision().get(),
-            rollouts: Vec::new(),
+            ..RelayQuery::default()
         }
     }
 
@@ -298,10 +299,8 @@
             entries,
             registry_revision,
             removed: removed.map(str::to_owned).collect(),
-            rollouts: Vec::new(),
             is_complete,
-            reads_store: false,
-            same_region_nodes: Vec::new(),
+            ..RelayState::default()
         }
     }
 
@@ -328,11 +327,14 @@
         &mut self,
         nodes: &Arc<[NodeLocation]>,
         versions: &BTreeMap<ServiceName, VersionRule>,
+        prompt_parts: &Arc<PartVerdicts>,
     ) {
         let nodes_changed = self.nodes != *nodes;
         let earlier = self.shared.snapshot.load();
         let versions_changed = earlier.versions != *versions;
-        if !std::mem::take(&mut self.changed) && !nodes_changed && !versions_changed {
+        let parts_changed = !Arc::ptr_eq(&earlier.prompt_parts, prompt_parts);
+        let rules_changed = versions_changed || parts_changed;
+        if !std::mem::take(&mut self.changed) && !nodes_changed && !rules_changed {
             return;
         }
         let sequence = earlier.sequence + 1;
@@ -343,6 +345,7 @@
             registry_revision: self.registry.revision(),
             nodes: Arc::clone(nodes),
             versions: versions.clone(),
+            prompt_parts: Arc::clone(prompt_parts),
         }));
         self.nodes = Arc::clone(nodes);
     }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! [`ControlInput`]; only the loop changes the state.
 
 mod cluster_state;
+mod crash_evidence;
 mod peers;
 mod rollouts;
 mod settings_file;
@@ -39,6 +40,7 @@
     telemetry::{self, RelayCounter},
 };
 use cluster_state::ClusterState;
+use crash_evidence::CrashController;
 use rollouts::RolloutController;
 
 /// Capacity of the queue of other nodes' queries.
@@ -154,6 +156,7 @@
     identity: Identity,
     cluster: ClusterState,
     rollouts: RolloutController,
+    crashes: CrashController,
     peers: peers::Peers,
     lifecycle: RelayLifecycle,
     is_stopped: bool,
@@ -166,6 +169,7 @@
         Self {
             cluster: ClusterState::new(Arc::clone(&shared)),
             rollouts: RolloutController::new(Arc::clone(&shared), &identity),
+            crashes: CrashController::new(Arc::clone(&shared)),
             peers: peers::Peers::new(Arc::clone(&shared), identity.clone(), now),
             lifecycle: RelayLifecycle::new(now, stop_ms),
             shared,
@@ -181,6 +185,7 @@
         lifecycle
             .into_iter()
             .chain(rollouts)
+            .chain(self.crashes.next_deadline())
             .fold(peers, MonoTime::min)
     }
 
@@ -225,12 +230,16 @@
                     self.rollouts.apply_recorded(&self.cluster);
                 }
                 self.rollouts.merge(&state.rollouts);
+                self.crashes.merge_response(&state.crashes);
                 self.cluster.apply_peer_state(&state, sent_at);
             }
             ControlInput::Trial(trial) => self.rollouts.record_trial(&trial),
             ControlInput::TrialStarted(number, trial) => self.rollouts.start_trial(number, *trial),
             ControlInput::TrialEnded(number, latency) => self.rollouts.end_trial(number, latency),
             ControlInput::TrialAbandoned(number) => self.rollouts.abandon_trial(number),
+            ControlInput::EndpointCrashed(key, prompt) => self.crashes.record_crash(&key, &prompt),
+            ControlInput::AnswerUnderWay(at, parts) => self.crashes.record_answer(at, &parts),
+            ControlInput::PartRefused(part) => self.crashes.record_refusal(&part),
             ControlInput::Settings(settings) => self.apply_settings(*settings),
             ControlInput::Idle => {}
             ControlInput::StopRequested => {
@@ -242,9 +251,12 @@
     }
 
     fn publish(&mut self) {
-        self.cluster
-            .publish(self.peers.nodes(), self.rollouts.rules());
-        if self.cluster.is_initialized() {
+        self.cluster.publish(
+            self.peers.nodes(),
+            self.rollouts.rules(),
+            self.crashes.verdicts(),
+        );
+        if self.cluster.is_initialized() && self.is_informed() {
             self.step_lifecycle(RelayEvent::Initialized);
         }
         if self.shared.in_flight() == 0 {
@@ -252,6 +264,17 @@
         }
     }
 
+    /// Whether other nodes' evidence on crashes is known, as far as there are any.
+    fn is_informed(&mut self) -> bool {
+        if self.peers.nodes().len() <= 1 {
+            return true;
+        }
+        if self.crashes.start_wait() {
+            self.peers.poll_now(self.shared.now());
+        }
+        self.crashes.is_informed()
+    }
+
     fn apply_settings(&mut self, settings: RelaySettings) {
         if !settings.has_same_listeners(&self.shared.settings.load()) {
             log::warn!("settings change the listen addresses; they take effect after a restart");
@@ -268,6 +291,7 @@
         match received.body {
             Body::RelayQuery(query) => {
                 self.rollouts.merge(&query.rollouts);
+                self.crashes.merge(&query.crashes);
                 let has_registry = query.registry_revision > 0;
                 let near = match has_registry {
                     true => Vec::new(),
@@ -290,6 +314,7 @@
                     state.age_ms = state.age_ms.min(pause_ms);
                 }
                 state.rollouts = self.rollouts.evidence_messages();
+                self.crashes.add_to_state(&query, &mut state);
                 if !received.reply.send(Body::RelayState(state)) {
                     log::debug!("peer disconnected before the response");
                 }
@@ -304,16 +329,22 @@
         self.apply_effects(effects);
         self.cluster.expire(now);
         self.rollouts.expire();
+        self.crashes.expire();
         self.poll_peers();
         self.publish();
     }
 
     fn poll_peers(&mut self) {
         let now = self.shared.now();
-        let is_needed = self.cluster.is_stale(now) || self.rollouts.is_open();
-        self.peers.expire(now, is_needed, || RelayQuery {
-            rollouts: self.rollouts.evidence_messages(),
-            ..self.cluster.peer_query()
+        let shares_evidence = self.rollouts.is_open() || self.crashes.needs_peers();
+        let is_needed = self.cluster.is_stale(now) || shares_evidence;
+        self.peers.expire(now, is_needed, || {
+            let mut query = RelayQuery {
+                rollouts: self.rollouts.evidence_messages(),
+                ..self.cluster.peer_query()
+            };
+            self.crashes.add_to_query(&mut query);
+            query
         });
     }
 
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use parsleylatch_decide::relay::VersionTrial;
+use parsleylatch_decide::relay::{EndpointKey, PromptChain, VersionTrial};
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{Micros, MonoTime, TrialNumber};
+use parsleylatch_types::{Micros, MonoTime, PromptPartId, TrialNumber};
 use parsleylatch_wire::{platform::ListReply, relay::RelayState};
 use tokio::sync::oneshot;
 
@@ -33,6 +33,12 @@
     TrialEnded(TrialNumber, Option<Micros>),
     /// A started attempt has no result.
     TrialAbandoned(TrialNumber),
+    /// An endpoint failed as a whole before it had begun to answer a request.
+    EndpointCrashed(EndpointKey, PromptChain),
+    /// An answer that began at a time is under way; its prompt has these suspected parts.
+    AnswerUnderWay(MonoTime, Vec<PromptPartId>),
+    /// A request was refused because of a quarantined part.
+    PartRefused(PromptPartId),
     /// The settings file has changed.
     Settings(Box<RelaySettings>),
     /// No request is in flight.
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use parsleylatch_decide::relay::{
     Backend, CallerLimits, CopySource, EndpointEntry, EndpointKey, EngineReport, LoadSample,
-    RelayConfigurationParts, RelayRoute, RelayWorkspace, RepeatPolicy, RolloutOrder, RolloutStatus,
-    RunProgress, ServiceRules,
+    PromptChain, RelayConfigurationParts, RelayRoute, RelayWorkspace, RepeatPolicy, RolloutOrder,
+    RolloutStatus, RunProgress, ServiceRules,
 };
 use parsleylatch_http::{single_header, u64_header};
 use parsleylatch_settings::KeyDigest;
@@ -29,6 +29,8 @@
 const REMAINING_MS: HeaderName = HeaderName::from_static("remaining-ms");
 /// API key of the caller's workspace.
 const WORKSPACE_KEY: HeaderName = HeaderName::from_static("workspace-key");
+/// Parts of the prompt that other requests may share, in order, separated by commas.
+const SHARED_PROMPT_PARTS: HeaderName = HeaderName::from_static("shared-prompt-parts");
 /// Last part of the prompt.
 const PROMPT_PART: HeaderName = HeaderName::from_static("prompt-part");
 /// Number of tokens in the prompt.
@@ -146,11 +148,21 @@
         key: single_header(headers, &WORKSPACE_KEY)?.map(str::to_owned),
         prompt_tokens: tokens(&PROMPT_TOKENS)?,
         max_output_tokens: tokens(&OUTPUT_TOKENS)?,
-        last_prompt_part: single_header(headers, &PROMPT_PART)?.and_then(|it| it.parse().ok()),
+        prompt: read_prompt(headers)?,
         last_event: number(&LAST_EVENT_ID)?.map(StreamEventId::new),
     })
 }
 
+fn read_prompt(headers: &HeaderMap) -> Result<PromptChain, String> {
+    let shared = single_header(headers, &SHARED_PROMPT_PARTS)?.unwrap_or_default();
+    let shared = shared.split(',').filter_map(|it| it.trim().parse().ok());
+    let last = single_header(headers, &PROMPT_PART)?;
+    Ok(PromptChain::new(
+        shared,
+        last.and_then(|it| it.parse().ok()),
+    ))
+}
+
 fn write_request(metadata: &ForwardMetadata<'_>, headers: &mut HeaderMap) {
     let copy = metadata.copy.map(|(holder, source)| match source {
         CopySource::Backup => format!("{holder}/{}", metadata.id),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,7 +9,9 @@
 };
 
 use arc_swap::ArcSwap;
-use parsleylatch_decide::relay::{EndpointEntry, NodeLocation, RelayConfiguration, VersionRule};
+use parsleylatch_decide::relay::{
+    EndpointEntry, NodeLocation, PartVerdicts, RelayConfiguration, VersionRule,
+};
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
 use parsleylatch_types::{Micros, Millis, MonoTime, Revision, ServiceName, TrialNumber};
@@ -58,6 +60,8 @@
     pub(crate) nodes: Arc<[NodeLocation]>,
     /// Rules that select the version for new requests, for services with a rollout.
     pub(crate) versions: BTreeMap<ServiceName, VersionRule>,
+    /// Prompt parts that may crash endpoints.
+    pub(crate) prompt_parts: Arc<PartVerdicts>,
 }
 
 /// State shared by all threads of a relay.
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -75,6 +75,14 @@
     Trials,
     /// Attempts not counted because the control thread's queue was full.
     TrialsDropped,
+    /// Crashes of endpoints before they had begun to answer a request.
+    CrashesObserved,
+    /// Crashes and answers not counted because the control thread's queue was full.
+    CrashEvidenceDropped,
+    /// Prompt parts put in quarantine.
+    PromptPartsQuarantined,
+    /// Requests refused because of a prompt part in quarantine.
+    RequestsQuarantined,
 }
 
 /// Latency histogram of a relay.
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -51,8 +51,10 @@
     Unreachable(String),
     /// The connection failed before any of the request was written.
     Unsent(String),
-    /// The connection was lost, or the response is invalid.
+    /// The connection was lost.
     Lost(String),
+    /// The response is invalid or may belong to another request.
+    Invalid(String),
     /// A complete response.
     Response(Box<FullResponse>),
     /// Head of a stream.
@@ -189,7 +191,7 @@
         let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
         if is_foreign(&metadata, id, &connection) {
             let reason = "response may belong to another request".to_owned();
-            return send_event(&events, AttemptEvent::Lost(reason)).await;
+            return send_event(&events, AttemptEvent::Invalid(reason)).await;
         }
         if metadata.is_not_run || metadata.is_misdirected {
             connection.record_refusal(id.clone());
@@ -257,7 +259,7 @@
         }
         if received.len() > RESPONSE_LIMIT_BYTES {
             let reason = "response body too large".to_owned();
-            send_event(events, AttemptEvent::Lost(reason)).await;
+            send_event(events, AttemptEvent::Invalid(reason)).await;
             return false;
         }
     }
@@ -301,7 +303,7 @@
         if framer.is_too_long() {
             send_event(
                 events,
-                AttemptEvent::Lost("stream event too long".to_owned()),
+                AttemptEvent::Invalid("stream event too long".to_owned()),
             )
             .await;
             return false;
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -29,6 +29,9 @@
         copy: Option<&MemoryCopy>,
     ) -> Vec<ExchangeEffect> {
         self.end_attempt(Outcome::Abandoned);
+        if let Some(effects) = self.refuse_if_quarantined() {
+            return effects;
+        }
         let traffic = Rc::clone(&self.traffic);
         let snapshot = traffic.snapshot();
         let now = traffic.now();
@@ -140,6 +143,8 @@
             at: now,
             has_responded: false,
             trial: None,
+            began_at: None,
+            is_under_way: false,
         });
         self.report_trial_start();
     }
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -85,7 +85,11 @@
                 self.record_failure(Outcome::Abandoned, &reason);
                 self.handle_unsent()
             }
-            AttemptEvent::Lost(reason) => self.handle_lost(&reason),
+            AttemptEvent::Lost(reason) => {
+                self.report_crash();
+                self.handle_lost(&reason)
+            }
+            AttemptEvent::Invalid(reason) => self.handle_lost(&reason),
             AttemptEvent::Response(response) => self.handle_response(response),
             AttemptEvent::Head(head) => self.handle_head(head),
             AttemptEvent::Events(events) => self.handle_events(events).await,
@@ -94,7 +98,10 @@
                 self.exchange
                     .handle(self.traffic.now(), ExchangeInput::Finished)
             }
-            AttemptEvent::Finished => self.handle_lost("stream ended without an event"),
+            AttemptEvent::Finished => {
+                self.report_crash();
+                self.handle_lost("stream ended without an event")
+            }
         }
     }
 
@@ -187,6 +194,7 @@
         self.record_first_event(now);
         self.record_gap(now);
         self.record_silence_end();
+        self.report_answer(now, false);
         let effects = self.exchange.handle(now, ExchangeInput::Event);
         if self.exchange.has_begun() && matches!(self.caller, CallerState::Streaming(_)) {
             self.flush_events().await;
@@ -251,6 +259,9 @@
     }
 
     pub(super) fn take_retry(&self) -> bool {
+        if self.check_quarantine().is_some() {
+            return false;
+        }
         let kind = match self.exchange.has_begun() {
             true => RetryKind::Resumption,
             false => RetryKind::Plain,
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -3,6 +3,7 @@
 
 mod effects;
 mod inputs;
+mod prompt_parts;
 mod queueing;
 mod recording;
 
@@ -99,6 +100,10 @@
     has_responded: bool,
     /// Number of the attempt if it was reported as started and has no result yet.
     trial: Option<TrialNumber>,
+    /// When its first event arrived.
+    began_at: Option<MonoTime>,
+    /// Whether the answer has got on since.
+    is_under_way: bool,
 }
 
 struct ExchangeDriver {
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -105,6 +105,9 @@
             .shared
             .metrics
             .observe(RelayLatency::QueueWait, waited);
+        if let Some(effects) = self.refuse_if_quarantined() {
+            return effects;
+        }
         let choice = match assignment {
             Assignment::Engine(key) => self.choose_assigned(key),
             Assignment::Unrestricted => None,
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -105,7 +105,9 @@
     }
 
     pub(super) fn record_success(&mut self) {
-        self.record_first_event(self.traffic.now());
+        let now = self.traffic.now();
+        self.record_first_event(now);
+        self.report_answer(now, true);
     }
 
     /// Records and logs the failure of this attempt.
--- a/crates/relay/src/traffic/prompts.rs
+++ b/crates/relay/src/traffic/prompts.rs
@@ -34,7 +34,7 @@
 /// Finds the engine that has the prompt of a resumed stream in its KV cache, if one
 /// reports so in time.
 pub(crate) async fn find_holder(traffic: &Rc<Traffic>, job: &Job) -> Option<EndpointKey> {
-    let part = job.metadata.last_prompt_part.as_ref()?;
+    let part = job.metadata.prompt.last()?;
     let is_resumed = job.metadata.last_event.is_some_and(|it| it.get() > 0);
     let is_eligible = job.spec.prompt >= MIN_PROMPT_TOKENS && job.spec.repeat.may_run_again();
     if !is_resumed || !is_eligible {
--- a/crates/relay/tests/own_codec.rs
+++ b/crates/relay/tests/own_codec.rs
@@ -3,7 +3,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use parsleylatch_decide::relay::{CopySource, LoadSample, RepeatPolicy};
 use parsleylatch_relay::{ForwardMetadata, RelayCodec};
-use parsleylatch_types::{Millis, StreamEventId, TokenCount};
+use parsleylatch_types::{Millis, PromptPartId, StreamEventId, TokenCount};
 use test_case::test_case;
 
 fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
@@ -38,6 +38,19 @@
     assert_eq!(head.last_event, Some(StreamEventId::new(7)));
 }
 
+#[test]
+fn read_request_prompt() {
+    let lines = [
+        ("request-id", "c-1"),
+        ("shared-prompt-parts", "first, ,b{d,second"),
+        ("prompt-part", "own"),
+    ];
+    let head = (RelayCodec::own().requests.read)(&headers(&lines)).unwrap();
+    let parts: Vec<&str> = head.prompt.parts().map(PromptPartId::as_str).collect();
+    assert_eq!(parts, ["first", "second", "own"]);
+    assert_eq!(head.prompt.last().map(PromptPartId::as_str), Some("own"));
+}
+
 #[test_case(&[], "no request id" ; "no id")]
 #[test_case(&[("request-id", "a"), ("request-id", "b")], "request-id comes twice" ; "two ids")]
 #[test_case(&[("request-id", "a"), ("remaining-ms", "soon")], "remaining-ms is not a whole number" ; "no number")]
