--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -29,6 +29,7 @@
 pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const CONFIGURATION: ChartSource = chart_source!("configuration");
 pub(crate) const ENDPOINT_HEALTH: ChartSource = chart_source!("endpoint_health");
+pub(crate) const ENDPOINT_NOTICE: ChartSource = chart_source!("endpoint_notice");
 pub(crate) const ENDPOINT_PROBE: ChartSource = chart_source!("endpoint_probe");
 pub(crate) const EXCHANGE: ChartSource = chart_source!("exchange");
 pub(crate) const GENERATION: ChartSource = chart_source!("generation");
@@ -53,6 +54,7 @@
     CLAIM_SETTLEMENT,
     CONFIGURATION,
     ENDPOINT_HEALTH,
+    ENDPOINT_NOTICE,
     ENDPOINT_PROBE,
     EXCHANGE,
     GENERATION,
--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
+    endpoint_notice::EndpointNotices,
     overload::{EngineLoad, OwnStreams, StreamSize},
     readers::NodeLocation,
     report::EngineReport,
@@ -226,6 +227,7 @@
     nodes: Arc<[NodeLocation]>,
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     domain_failures: HashMap<(ServiceName, FailureDomain), DomainFailures>,
+    pub(super) notices: EndpointNotices,
 }
 
 #[derive(Debug, Default)]
@@ -305,7 +307,7 @@
     /// Whether an incarnation may receive new requests.
     pub fn is_usable(&self, key: &EndpointKey) -> bool {
         let stats = self.endpoints.get(key);
-        stats.is_some_and(|it| it.is_listed && !it.entry.is_leaving && !it.is_replaced)
+        stats.is_some_and(|it| it.is_listed && self.is_available(it))
     }
 
     /// Whether an incarnation or its failure domain is suspended, so that it is chosen
@@ -331,7 +333,22 @@
     pub(crate) fn usable(&self, service: &ServiceName) -> impl Iterator<Item = &EndpointStats> {
         let keys = self.by_service.get(service).into_iter().flatten();
         keys.filter_map(|key| self.endpoints.get(key))
-            .filter(|it| !it.entry.is_leaving && !it.is_replaced)
+            .filter(|it| self.is_available(it))
+    }
+
+    fn is_available(&self, stats: &EndpointStats) -> bool {
+        let is_leaving = stats.entry.is_leaving || self.notices.is_leaving(&stats.entry.key);
+        !is_leaving && !stats.is_replaced
+    }
+
+    /// Usable endpoints that take requests at present.
+    pub(crate) fn open(
+        &self,
+        now: MonoTime,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &EndpointStats> {
+        self.usable(service)
+            .filter(move |it| !self.is_paused(now, &it.entry.key))
     }
 
     pub(crate) fn is_domain_suspended(
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -157,15 +157,17 @@
     }
 
     pub(super) fn may_wait(&self) -> bool {
-        let Some(since) = self.unplaced_since else {
-            return true;
-        };
-        let limit = if self.has_begun {
+        let waited = self.unplaced_since.map(|since| self.now.since(since));
+        waited.is_none_or(|waited| waited < self.placement_wait().micros())
+    }
+
+    /// Longest wait for an endpoint.
+    pub(super) fn placement_wait(&self) -> Millis {
+        if self.has_begun {
             RESUME_PLACEMENT_WAIT_MS
         } else {
             Millis::new(self.spec.goal_ms.get() / PLACEMENT_WAIT_GOAL_DIVISOR)
-        };
-        self.now.since(since) < limit.micros()
+        }
     }
 
     /// Lets a request return to the endpoints that it left for their silence, once no other
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -108,6 +108,8 @@
     DeadlinePassed,
     /// The deadline is too close for any endpoint to respond.
     Hopeless,
+    /// All endpoints have said that they want no requests for a while.
+    EndpointsPaused,
     /// The engines are full, and too many requests wait already.
     Overloaded,
     /// A part of the prompt crashes endpoints.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -287,6 +287,16 @@
                 || context.is_repeatable() && (is_probing || context.is_overdue_at(now)))
     }
 
+    /// Whether the request may wait for an endpoint that takes requests again after `pause`. A
+    /// stream that has begun always waits.
+    pub fn may_wait_for(&self, now: MonoTime, pause: Micros) -> bool {
+        let context = &self.context;
+        let waited = context
+            .unplaced_since
+            .map_or(Micros::ZERO, |since| now.since(since));
+        context.has_begun || waited.saturating_add(pause) < context.placement_wait().micros()
+    }
+
     /// Time at which [`Exchange::expire`] has to be called.
     pub fn next_deadline(&self) -> MonoTime {
         let deadline = self.context.spec.deadline;
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod copy;
 mod crash_evidence;
+mod endpoint_notice;
 mod endpoint_table;
 mod exchange;
 mod life;
@@ -33,6 +34,7 @@
 pub use crash_evidence::{
     CrashEvidence, PartDecision, PartVerdicts, PromptChain, PromptPartState, ReportedCrash,
 };
+pub use endpoint_notice::{EndpointNotices, Notice, NoticeState, return_delay};
 pub use endpoint_table::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, LoadSample, Outcome,
 };
@@ -60,6 +62,7 @@
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
     crash_evidence::verify_chart()?;
+    endpoint_notice::verify_chart()?;
     exchange::verify_chart()?;
     life::verify_chart()?;
     source::verify_chart()
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -127,7 +127,9 @@
         table: &EndpointTable,
         criteria: &SelectionCriteria<'_>,
     ) -> Option<Choice> {
-        let copy = criteria.copy.filter(|it| table.is_usable(&it.holder));
+        let copy = criteria
+            .copy
+            .filter(|it| table.is_usable(&it.holder) && !table.is_paused(now, &it.holder));
         let holder = copy.and_then(|it| table.entry(&it.holder));
         let holder = holder.filter(|it| criteria.allows(it)).cloned();
         let mut costs = self.costs(now, table, criteria);
@@ -158,10 +160,15 @@
     }
 
     /// Whether any endpoint can be selected.
-    pub fn is_any_eligible(&self, table: &EndpointTable, criteria: &SelectionCriteria<'_>) -> bool {
+    pub fn is_any_eligible(
+        &self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+    ) -> bool {
         let is_preference = matches!(criteria.version, Some(VersionLimit::Preferred(_)));
-        let mut usable = table.usable(criteria.service);
-        usable.any(|it| {
+        let mut open = table.open(now, criteria.service);
+        open.any(|it| {
             let is_allowed = is_preference || criteria.allows(&it.entry);
             is_allowed && !criteria.excluded.contains(&it.entry.key)
         })
@@ -176,7 +183,8 @@
         criteria: &SelectionCriteria<'_>,
         key: &EndpointKey,
     ) -> Option<Choice> {
-        let entry = table.entry(key).filter(|_| table.is_usable(key))?;
+        let is_open = table.is_usable(key) && !table.is_paused(now, key);
+        let entry = table.entry(key).filter(|_| is_open)?;
         let endpoint = Arc::clone(entry);
         if criteria.excluded.contains(key) || !criteria.allows(&endpoint) {
             return None;
@@ -202,8 +210,8 @@
         service: &ServiceName,
         limit: usize,
     ) -> Vec<Arc<EndpointEntry>> {
-        let usable = table.usable(service);
-        let mut costs: Vec<_> = usable
+        let open = table.open(now, service);
+        let mut costs: Vec<_> = open
             .map(|stats| {
                 let cost = self.stream_placement_cost(now, table, stats, TokenCount::ZERO);
                 (cost, &stats.entry)
@@ -222,8 +230,8 @@
         service: &ServiceName,
         size: StreamSize,
     ) -> Option<EndpointKey> {
-        let usable = table.usable(service);
-        let free = usable.filter(|it| {
+        let open = table.open(now, service);
+        let free = open.filter(|it| {
             it.has_room(now, size) == Some(true) && !table.is_suspended(now, &it.entry.key)
         });
         let costs = free.map(|stats| {
@@ -237,6 +245,7 @@
     /// Endpoints of a service in this node's region, at most `limit`.
     pub fn in_own_region(
         &self,
+        now: MonoTime,
         table: &EndpointTable,
         service: &ServiceName,
         limit: usize,
@@ -244,8 +253,8 @@
         let is_near = |entry: &EndpointEntry| {
             self.regions.get(&entry.failure_domain) == Some(&self.own_region)
         };
-        let usable = table.usable(service).map(|it| &it.entry);
-        let near = usable.filter(|entry| is_near(entry));
+        let open = table.open(now, service).map(|it| &it.entry);
+        let near = open.filter(|entry| is_near(entry));
         near.take(limit).cloned().collect()
     }
 
@@ -281,8 +290,8 @@
         table: &EndpointTable,
         criteria: &SelectionCriteria<'_>,
     ) -> Vec<(u64, Arc<EndpointEntry>)> {
-        let usable = table.usable(criteria.service);
-        let allowed = usable
+        let open = table.open(now, criteria.service);
+        let allowed = open
             .filter(|it| !criteria.excluded.contains(&it.entry.key) && criteria.allows(&it.entry));
         let is_stream = criteria.prompt > TokenCount::ZERO;
         allowed
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -362,7 +362,7 @@
     let service = service();
     let criteria = criteria(&service, &excluded, 0);
     assert!(selector().select(at(0), &table, &criteria).is_none());
-    assert!(!selector().is_any_eligible(&table, &criteria));
+    assert!(!selector().is_any_eligible(at(0), &table, &criteria));
 }
 
 /// A suspended endpoint is still an alternative, one that is leaving is not.
@@ -377,7 +377,10 @@
     let excluded = [entries[0].key.clone()];
     let service = service();
     let criteria = criteria(&service, &excluded, 0);
-    assert_eq!(selector().is_any_eligible(&table, &criteria), expected);
+    assert_eq!(
+        selector().is_any_eligible(at(0), &table, &criteria),
+        expected
+    );
 }
 
 /// An endpoint that goes on after a silence is used again at once.
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -70,6 +70,11 @@
     pub is_misdirected: bool,
     /// Load of the endpoint.
     pub load: Option<LoadSample>,
+    /// Whether the endpoint states that it leaves.
+    pub is_leaving: bool,
+    /// Time for which an endpoint that rejects the request wants no others, or why it can't
+    /// be read.
+    pub pause: Option<Result<Millis, String>>,
 }
 
 /// Reads the headers of callers' requests and writes those of forwarded requests.
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -56,6 +56,10 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
 /// Load of the endpoint, as `RUNNING,WAITING` requests.
 const ENDPOINT_LOAD: HeaderName = HeaderName::from_static("endpoint-load");
+/// Present if the endpoint leaves.
+const ENDPOINT_LEAVING: HeaderName = HeaderName::from_static("endpoint-leaving");
+/// Milliseconds for which an endpoint that did not run the request wants no others.
+const PAUSE_MS: HeaderName = HeaderName::from_static("pause-ms");
 
 /// Prefix of the keys of the endpoints' entries, followed by the id.
 const REGISTRY_PREFIX: &str = "endpoints/";
@@ -199,6 +203,11 @@
                 waiting: waiting.parse().ok()?,
             })
         }),
+        is_leaving: headers.contains_key(ENDPOINT_LEAVING),
+        pause: (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| text(&PAUSE_MS))
+            .flatten()
+            .map(|text| text.parse().map_err(|error| format!("{text:?}: {error}"))),
     }
 }
 
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -49,6 +49,10 @@
     Attempts,
     /// Attempts that failed.
     AttemptsFailed,
+    /// Endpoints that said that they leave.
+    EndpointsLeaving,
+    /// Pauses that endpoints asked for.
+    EndpointsPaused,
     /// State and prompt queries to engines.
     Probes,
     /// Stream events forwarded to callers.
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -11,7 +11,10 @@
 use parsleylatch_types::{ExchangeId, Millis, PromptPartId};
 use tokio::{sync::oneshot, task::spawn_local, time};
 
-use super::{attempt::CONNECT_TIMEOUT_MS, state::Traffic};
+use super::{
+    attempt::CONNECT_TIMEOUT_MS,
+    state::{Traffic, endpoint_key},
+};
 
 /// Timeout of a state probe, including the connection: two round trips between regions
 /// and the engine's processing time.
@@ -138,6 +141,8 @@
         .ok()?;
     let (response, _connection) = opened.into_parts();
     let (parts, body) = response.into_parts();
+    let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
+    traffic.record_notices(&endpoint_key(key), &metadata);
     let body = Limited::new(body, RESPONSE_LIMIT_BYTES)
         .collect()
         .await
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -5,9 +5,9 @@
 use http::Response;
 use parsleylatch_decide::relay::{
     Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, Outcome, RefusalReason,
-    SelectionCriteria, VersionLimit,
+    SelectionCriteria, VersionLimit, return_delay,
 };
-use parsleylatch_types::Millis;
+use parsleylatch_types::{Millis, MonoTime};
 
 use super::{CallerState, ExchangeDriver, SentAttempt};
 use crate::{
@@ -53,7 +53,7 @@
             .selector()
             .select(now, &traffic.endpoint_table.borrow(), &criteria);
         let Some(choice) = choice else {
-            return self.exchange.handle(now, ExchangeInput::PlacementFailed);
+            return self.handle_no_endpoint(now);
         };
         if version.is_none()
             && let Some(effects) = self.queue_if_full(&choice)
@@ -79,6 +79,25 @@
             .handle(now, ExchangeInput::Placed(Box::new(choice)))
     }
 
+    /// Handles a failed placement: a request whose endpoints are all paused for longer than it
+    /// may wait is refused at once.
+    fn handle_no_endpoint(&mut self, now: MonoTime) -> Vec<ExchangeEffect> {
+        let spec = &self.job.spec;
+        let pause_left = self
+            .traffic
+            .endpoint_table
+            .borrow()
+            .pause_left(now, &spec.service);
+        let input = match pause_left {
+            Some(wait) if !self.exchange.may_wait_for(now, wait) => ExchangeInput::Hopeless {
+                reason: RefusalReason::EndpointsPaused,
+                retry_after_ms: Some(return_delay(wait, spec.deadline.since(now), rand::random())),
+            },
+            _ => ExchangeInput::PlacementFailed,
+        };
+        self.exchange.handle(now, input)
+    }
+
     /// Whether another endpoint than that of the running attempt can take the request.
     pub(super) fn has_alternative(&self) -> bool {
         let Some(sent) = &self.sent else {
@@ -99,7 +118,9 @@
             version: version.as_ref(),
         };
         let table = self.traffic.endpoint_table.borrow();
-        self.traffic.selector().is_any_eligible(&table, &criteria)
+        self.traffic
+            .selector()
+            .is_any_eligible(self.traffic.now(), &table, &criteria)
     }
 
     fn version_limit(&self, snapshot: &Snapshot, excluded: &[EndpointKey]) -> Option<VersionLimit> {
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -12,6 +12,9 @@
 
 impl ExchangeDriver {
     pub(super) fn record_load(&mut self, metadata: &ResponseMetadata) {
+        if let Some(sent) = &self.sent {
+            self.traffic.record_notices(&sent.key, metadata);
+        }
         if let (Some(sent), Some(load)) = (&self.sent, metadata.load) {
             let now = self.traffic.now();
             self.traffic
--- a/crates/relay/src/traffic/prompts.rs
+++ b/crates/relay/src/traffic/prompts.rs
@@ -67,6 +67,7 @@
         return Rc::clone(fresh);
     }
     let engines = traffic.selector().in_own_region(
+        now,
         &traffic.endpoint_table.borrow(),
         service,
         MAX_QUERIED_ENGINES,
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -8,14 +8,18 @@
 };
 
 use parsleylatch_decide::relay::{
-    EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, RetryKind, RetryWindow, Selector,
-    ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
+    EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
+    Selector, ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
-use parsleylatch_types::{MonoTime, ServiceName};
+use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
 use super::{holder_query::HolderQuery, placement_queue::ServiceQueue};
-use crate::shared::{Shared, Snapshot};
+use crate::{
+    codec::ResponseMetadata,
+    shared::{Shared, Snapshot},
+    telemetry::RelayCounter,
+};
 
 /// State of one traffic thread.
 pub(crate) struct Traffic {
@@ -109,6 +113,52 @@
         queue.is_some_and(|it| it.queue().is_overloaded(self.now()))
     }
 
+    /// Records what a response says about further requests to its endpoint.
+    pub(crate) fn record_notices(&self, key: &EndpointKey, metadata: &ResponseMetadata) {
+        if metadata.is_leaving {
+            self.record_notice(key, Notice::Leaving);
+        }
+        match &metadata.pause {
+            Some(Ok(pause)) => self.record_notice(key, Notice::Pause(*pause)),
+            Some(Err(reason)) => {
+                log::warn!(
+                    endpoint:% = key.id,
+                    reason = reason.as_str();
+                    "pause of an endpoint can't be parsed"
+                );
+            }
+            None => {}
+        }
+    }
+
+    fn record_notice(&self, key: &EndpointKey, notice: Notice) {
+        let now = self.now();
+        let changed = self
+            .endpoint_table
+            .borrow_mut()
+            .record_notice(now, key, notice);
+        let Some((state, granted)) = changed else {
+            return;
+        };
+        let metrics = &self.shared.metrics;
+        let asked = match notice {
+            Notice::Leaving => Millis::ZERO,
+            Notice::Pause(asked) => asked,
+        };
+        metrics.increment(match notice {
+            Notice::Leaving => RelayCounter::EndpointsLeaving,
+            Notice::Pause(_) => RelayCounter::EndpointsPaused,
+        });
+        log::info!(
+            endpoint:% = key.id,
+            state:% = state,
+            asked_ms = asked.get(),
+            granted_ms = granted.get(),
+            knowledge_age_ms = self.shared.confirmed_age().millis().get();
+            "endpoint takes no requests"
+        );
+    }
+
     /// Records a caller's request for a service.
     pub(crate) fn record_request(&self, service: &ServiceName) {
         let now = self.now();
