Relay: keep the requests of a crash whatever the ids of their parts

What callers saw: nothing yet; found in a review. Endpoints would go on crashing at requests with a deadly part.

Cause: of a crash that hits more than eight requests, the eight smallest prompts were kept, in the order of the ids of their parts. Where sound requests with smaller ids wait at each endpoint that crashes, the deadly request is never among them.

Change: requests yield by the hash of their prompt, which all nodes compute alike, so that a deadly request is kept at a share of the crashes.

Evidence: deadly_part_quarantined_beside_many_requests (16 crashes with 15 other requests each) quarantined nothing before, and the deadly part now.

--- a/crates/decide/src/relay/crash_evidence/record.rs
+++ b/crates/decide/src/relay/crash_evidence/record.rs
@@ -1,6 +1,9 @@
 //! A crash of an endpoint, with the requests that it had not begun to answer.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::{BTreeSet, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+};
 
 use parsleylatch_types::{Micros, MonoTime, PromptPartId};
 
@@ -62,7 +65,14 @@
     }
 
     pub(super) fn add_request(&mut self, now: MonoTime, request: &PromptChain) {
-        if insert_limited(&mut self.requests, request, REQUEST_LIMIT) {
+        if !self.requests.insert(request.clone()) {
+            return;
+        }
+        if self.requests.len() > REQUEST_LIMIT {
+            let yielding = self.requests.iter().max_by_key(|it| rank_of(it)).cloned();
+            self.requests.retain(|it| Some(it) != yielding.as_ref());
+        }
+        if self.requests.contains(request) {
             self.changed_at = now;
         }
     }
@@ -74,6 +84,14 @@
     }
 }
 
+/// Rank of a request among those of a crash; the highest ones yield. All nodes compute the
+/// same, and it does not depend on how the ids of the parts are ordered.
+fn rank_of(request: &PromptChain) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Keeps the smallest items, so that nodes agree on them in whatever order they learn
 /// them; returns whether the set has changed.
 fn insert_limited<Item>(items: &mut BTreeSet<Item>, item: &Item, limit: usize) -> bool
--- a/crates/decide/tests/crash_evidence.rs
+++ b/crates/decide/tests/crash_evidence.rs
@@ -111,6 +111,27 @@
     assert_eq!(quarantined(&evidence), ["deadly"]);
 }
 
+/// More requests wait at each crashed endpoint than are kept, and the ids of their parts
+/// come first in order.
+#[test]
+fn deadly_part_quarantined_beside_many_requests() {
+    let mut evidence = CrashEvidence::default();
+    for number in 0..16 {
+        let now = at(number * 700);
+        let key = endpoint(number as usize);
+        let deadly = prompt(&["popular", "deadly"], &format!("d-{number}"));
+        evidence.record_crash(now, &key, &deadly);
+        for bystander in 0..15 {
+            let waiting = prompt(&["another"], &format!("s-{number}-{bystander}"));
+            evidence.record_crash(now, &key, &waiting);
+        }
+        let cleared = [part("another"), part("popular")];
+        evidence.record_answer(now + Millis::new(500), now + Millis::new(200), &cleared);
+    }
+    expire_until(&mut evidence, at(14_000));
+    assert_eq!(quarantined(&evidence), ["deadly"]);
+}
+
 /// A request that has crashed three endpoints is not sent again, also if no other has.
 #[test]
 fn deadly_request_quarantined() {
