Relay: count the crash of an endpoint whose connections were reset before

What callers saw: nothing yet; found in a review. Endpoints would go on crashing at requests with a deadly part.

Cause: an incarnation of an endpoint has one record, and a part that an answer has cleared from it stays cleared.

Change: an incarnation crashes once, so a loss later than five seconds after the one on record, at a request with a cleared part, takes its place: the parts count again, and requests that have been answered are dropped. Nodes keep the latest loss of an endpoint.

Evidence: deadly_part_quarantined_after_resets (six resets, then four crashes seen by two nodes in turn) quarantined nothing before; now both nodes quarantine the part and agree.

--- a/crates/decide/src/relay/crash_evidence/mod.rs
+++ b/crates/decide/src/relay/crash_evidence/mod.rs
@@ -98,6 +98,9 @@
     ) -> Vec<PartDecision> {
         let now = now + TIME_OFFSET_MS;
         let record = self.record_of(now, now, endpoint);
+        if record.is_recurrence(now, request) {
+            record.restart(now, now);
+        }
         record.add_request(now, request);
         record.active_at = now;
         self.review_soon(now)
@@ -139,16 +142,10 @@
         for crash in recent {
             let (at, active_at) = (before(crash.age), before(crash.idle));
             let record = self.record_of(now, at, &crash.endpoint);
-            record.at = record.at.min(at);
             if active_at.since(record.active_at) > ACTIVITY_TOLERANCE_MS.micros() {
                 record.active_at = active_at;
             }
-            for request in &crash.requests {
-                record.add_request(now, request);
-            }
-            for part in &crash.cleared {
-                record.clear_part(now, part);
-            }
+            record.merge(now, at, crash);
         }
         match crashes.is_empty() {
             true => Vec::new(),
--- a/crates/decide/src/relay/crash_evidence/prompt_chain.rs
+++ b/crates/decide/src/relay/crash_evidence/prompt_chain.rs
@@ -1,6 +1,6 @@
 //! The parts of a request's prompt.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use parsleylatch_types::PromptPartId;
 
@@ -36,6 +36,14 @@
         self.last.as_ref()
     }
 
+    /// Whether the request itself has been answered, if these parts are cleared.
+    pub(super) fn is_answered(&self, cleared: &BTreeSet<PromptPartId>) -> bool {
+        match &self.last {
+            Some(last) => cleared.contains(last),
+            None => self.shared.iter().all(|part| cleared.contains(part)),
+        }
+    }
+
     /// All parts.
     pub fn parts(&self) -> impl Iterator<Item = &PromptPartId> {
         self.shared.iter().chain(&self.last)
--- a/crates/decide/src/relay/crash_evidence/record.rs
+++ b/crates/decide/src/relay/crash_evidence/record.rs
@@ -5,7 +5,7 @@
     hash::{Hash, Hasher},
 };
 
-use parsleylatch_types::{Micros, MonoTime, PromptPartId};
+use parsleylatch_types::{Micros, Millis, MonoTime, PromptPartId};
 
 use super::{MAX_RETENTION_MS, PromptChain, RETENTION_MS};
 use crate::relay::endpoint_table::EndpointKey;
@@ -14,6 +14,9 @@
 pub(super) const REQUEST_LIMIT: usize = 8;
 /// Maximum number of cleared parts that are kept of a crash.
 const CLEARED_PART_LIMIT: usize = REQUEST_LIMIT * 33;
+/// Time after which another loss of the same endpoint is a separate one; above the
+/// inaccuracy of ages that are sent between nodes.
+const RECURRENCE_MS: Millis = Millis::new(5_000);
 
 /// A crash as nodes report it to each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +67,43 @@
         !self.cleared.contains(part) && requests.any(|it| it.parts().any(|known| known == part))
     }
 
+    /// Whether the loss of a request is another one than that on record, as an answer has
+    /// cleared one of its parts meanwhile.
+    pub(super) fn is_recurrence(&self, now: MonoTime, request: &PromptChain) -> bool {
+        let mut parts = request.parts();
+        is_distinct(self.at, now) && parts.any(|part| self.cleared.contains(part))
+    }
+
+    /// Starts over with a later loss of the same endpoint. What was cleared before it may
+    /// have caused it; requests that have been answered did not.
+    pub(super) fn restart(&mut self, now: MonoTime, at: MonoTime) {
+        let cleared = std::mem::take(&mut self.cleared);
+        self.requests.retain(|it| !it.is_answered(&cleared));
+        self.at = at;
+        self.changed_at = now;
+    }
+
+    /// Merges a crash of the same endpoint, with the time at which it happened.
+    pub(super) fn merge(&mut self, now: MonoTime, at: MonoTime, crash: &ReportedCrash) {
+        if is_distinct(self.at, at) {
+            self.restart(now, at);
+        }
+        if is_distinct(at, self.at) {
+            let cleared = crash.cleared.iter().cloned().collect();
+            for request in crash.requests.iter().filter(|it| !it.is_answered(&cleared)) {
+                self.add_request(now, request);
+            }
+            return;
+        }
+        self.at = self.at.min(at);
+        for request in &crash.requests {
+            self.add_request(now, request);
+        }
+        for part in &crash.cleared {
+            self.clear_part(now, part);
+        }
+    }
+
     pub(super) fn add_request(&mut self, now: MonoTime, request: &PromptChain) {
         if !self.requests.insert(request.clone()) {
             return;
@@ -84,6 +124,11 @@
     }
 }
 
+/// Whether two losses of an endpoint are separate ones, the second later than the first.
+fn is_distinct(first: MonoTime, second: MonoTime) -> bool {
+    second.since(first) > RECURRENCE_MS.micros()
+}
+
 /// Rank of a request among those of a crash; the highest ones yield. All nodes compute the
 /// same, and it does not depend on how the ids of the parts are ordered.
 fn rank_of(request: &PromptChain) -> u64 {
--- a/crates/decide/tests/crash_evidence.rs
+++ b/crates/decide/tests/crash_evidence.rs
@@ -150,6 +150,40 @@
     assert!(!quarantined(&evidence).contains(&"first"));
 }
 
+/// The network has reset the connections of all endpoints, and answers have cleared the
+/// part since. Later it becomes deadly.
+#[test]
+fn deadly_part_quarantined_after_resets() {
+    let mut nodes = [CrashEvidence::default(), CrashEvidence::default()];
+    for number in 0..6 {
+        let request = prompt(&["first", "deadly"], &format!("s-{number}"));
+        nodes[0].record_crash(at(0), &endpoint(number), &request);
+    }
+    let answered = [part("first"), part("deadly")];
+    nodes[0].record_answer(at(2_000), at(1_000), &answered);
+    for number in 0..6 {
+        nodes[0].record_answer(at(2_100), at(1_100), &[part(&format!("s-{number}"))]);
+    }
+    let known = nodes[0].crashes(at(3_000));
+    nodes[1].merge(at(3_000), &known);
+    for number in 0..4_usize {
+        let now = at(20_000 + number as u64 * 800);
+        let request = prompt(&["first", "deadly"], &format!("d-{number}"));
+        nodes[number % 2].record_crash(now, &endpoint(number), &request);
+        // The other node may not know of the latest crash yet.
+        let stale = nodes[(number + 1) % 2].crashes(now);
+        nodes[number % 2].merge(now, &stale);
+        let recent = nodes[number % 2].crashes(now);
+        nodes[(number + 1) % 2].merge(now, &recent);
+    }
+    for node in &mut nodes {
+        node.record_answer(at(23_000), at(22_900), &[part("first")]);
+        expire_until(node, at(27_000));
+        assert_eq!(quarantined(node), ["deadly"]);
+    }
+    assert_eq!(nodes[0].digest(), nodes[1].digest());
+}
+
 /// Once a part is blamed, crashes of another deadly part don't move the blame to a part
 /// that both have in common.
 #[test]
