Relay: an error response clears no prompt part

What callers saw: nothing yet; found in a review. Endpoints would go on crashing at requests with a deadly part.

Cause: each complete response cleared the parts of its prompt from the crashes before it. That includes a final error response, which an endpoint may send without reading the prompt, and a resumed stream that ends without a further event.

Change: only a successful response, or a stream with an event of this attempt, counts as an answer.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -95,6 +95,9 @@
             AttemptEvent::Events(events) => self.handle_events(events).await,
             AttemptEvent::Finished if self.exchange.has_begun() => {
                 self.record_success();
+                // A resumed stream may have no further events, which shows nothing.
+                let has_events = self.sent.as_ref().is_some_and(|it| it.began_at.is_some());
+                self.report_answer(self.traffic.now(), has_events);
                 self.exchange
                     .handle(self.traffic.now(), ExchangeInput::Finished)
             }
@@ -133,7 +136,12 @@
             ResponseClass::Final
         };
         match class {
-            ResponseClass::Final => self.record_success(),
+            ResponseClass::Final => {
+                self.record_success();
+                if status.is_success() {
+                    self.report_answer(self.traffic.now(), true);
+                }
+            }
             ResponseClass::Failure => self.record_failure(Outcome::Errored, status.as_str()),
             ResponseClass::NotRun => {
                 let outcome = match response.metadata.is_misdirected {
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -110,7 +110,6 @@
     pub(super) fn record_success(&mut self) {
         let now = self.traffic.now();
         self.record_first_event(now);
-        self.report_answer(now, true);
     }
 
     /// Records and logs the failure of this attempt.
