--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -8,14 +8,14 @@
 };
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, NodeId,
-    Region, ServiceName, SlotCount, TokenCount,
+    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, ServiceName,
+    SlotCount, TokenCount,
 };
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
     endpoint_notice::EndpointNotices,
     overload::{EngineLoad, OwnStreams, StreamSize},
+    ownership::EndpointOwnership,
     readers::NodeLocation,
     report::EngineReport,
 };
@@ -191,34 +191,6 @@
     }
 }
 
-/// Assigns each endpoint to one node.
-#[derive(Clone, Copy, Debug)]
-pub struct EndpointOwnership<'a> {
-    /// This node.
-    pub own: &'a NodeId,
-    /// All nodes, including this one.
-    pub nodes: &'a Arc<[NodeLocation]>,
-    /// Region of each failure domain.
-    pub regions: &'a HashMap<FailureDomain, Region>,
-}
-
-impl EndpointOwnership<'_> {
-    /// Whether an endpoint is assigned to this node, by rendezvous hashing. Nodes of the
-    /// endpoint's region take precedence, which keeps prompts and responses in the region.
-    fn owns(&self, endpoint: &EndpointEntry) -> bool {
-        let region = self.regions.get(&endpoint.failure_domain);
-        let seed = xxh3_64(endpoint.key.id.as_str().as_bytes());
-        let owner = self.nodes.iter().max_by_key(|node| {
-            let is_in_region = region.is_some() && node.region.as_ref() == region;
-            (
-                is_in_region,
-                xxh3_64_with_seed(node.id.as_str().as_bytes(), seed),
-            )
-        });
-        owner.is_none_or(|owner| owner.id == *self.own)
-    }
-}
-
 /// Endpoints known to one traffic thread.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod life;
 mod open_trials;
 mod overload;
+mod ownership;
 mod readers;
 mod registry;
 mod report;
@@ -35,9 +36,7 @@
     CrashEvidence, PartDecision, PartVerdicts, PromptChain, PromptPartState, ReportedCrash,
 };
 pub use endpoint_notice::{EndpointNotices, Notice, NoticeState, return_delay};
-pub use endpoint_table::{
-    EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, LoadSample, Outcome,
-};
+pub use endpoint_table::{EndpointEntry, EndpointKey, EndpointTable, LoadSample, Outcome};
 pub use exchange::{
     Exchange, ExchangeEffect, ExchangeInput, ExchangeSpec, ExchangeState, RefusalReason,
     ResponseClass,
@@ -48,6 +47,7 @@
     StreamSize, assign_engines, is_copy_unaffordable, is_hopeless, may_be_full, must_wait,
     retry_delay,
 };
+pub use ownership::EndpointOwnership;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
 pub use registry::{Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
