Relay: crash evidence is hashed alike by all builds

The digest that nodes compare, and the choice of requests that a crash keeps, used the standard library's default hasher, whose algorithm may differ between compiler releases. Nodes of two builds would have exchanged all evidence again and again, and kept different requests. Both now use the project's hash, as the assignment of endpoints does. Found by reading the change again; the tests of crash_evidence pass.

--- a/crates/decide/src/relay/crash_evidence/mod.rs
+++ b/crates/decide/src/relay/crash_evidence/mod.rs
@@ -12,12 +12,13 @@
 mod record;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, hash_map::DefaultHasher},
+    collections::{BTreeMap, BTreeSet},
     hash::{Hash, Hasher},
     sync::Arc,
 };
 
 use parsleylatch_types::{Micros, Millis, MonoTime, PromptPartId};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::endpoint_table::EndpointKey;
 use blame::Blame;
@@ -208,7 +209,7 @@
         if self.records.is_empty() {
             return 0;
         }
-        let mut hasher = DefaultHasher::new();
+        let mut hasher = Xxh3::new();
         for (endpoint, record) in &self.records {
             endpoint.hash(&mut hasher);
             record.requests.hash(&mut hasher);
--- a/crates/decide/src/relay/crash_evidence/record.rs
+++ b/crates/decide/src/relay/crash_evidence/record.rs
@@ -1,11 +1,12 @@
 //! A crash of an endpoint, with the requests that it had not begun to answer.
 
 use std::{
-    collections::{BTreeSet, hash_map::DefaultHasher},
+    collections::BTreeSet,
     hash::{Hash, Hasher},
 };
 
 use parsleylatch_types::{Micros, Millis, MonoTime, PromptPartId};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{MAX_RETENTION_MS, PromptChain, RETENTION_MS};
 use crate::relay::endpoint_table::EndpointKey;
@@ -132,7 +133,7 @@
 /// Rank of a request among those of a crash; the highest ones yield. All nodes compute the
 /// same, and it does not depend on how the ids of the parts are ordered.
 fn rank_of(request: &PromptChain) -> u64 {
-    let mut hasher = DefaultHasher::new();
+    let mut hasher = Xxh3::new();
     request.hash(&mut hasher);
     hasher.finish()
 }
