--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -224,7 +224,12 @@
     let mut exchange = begun(repeat);
     let may_retry = !resumable;
     let effects = exchange.handle(at(200), ExchangeInput::Lost { may_retry });
-    assert!(matches!(effects[..], [ExchangeEffect::BreakOff { .. }]));
+    assert!(matches!(
+        effects[..],
+        [ExchangeEffect::BreakOff {
+            reason: RefusalReason::AnswerLost
+        }]
+    ));
 }
 
 /// An endpoint that answers a resumed stream with an error is one of several attempts.
