--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,8 @@
-"""A roll-out order is ignored by machines that start while the workers' entries have lapsed."""
+"""A planned stop under load cuts off streams that wait for a model worker with room."""
 
-import json
 import os
 import pathlib
-import random
+import signal
 import sys
 import threading
 import time
@@ -11,59 +10,90 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
 
-from client import Consumers  # noqa: E402
+from client import Attempt, Channel, new_id  # noqa: E402
+from engine import Engine  # noqa: E402
+from http_server import header  # noqa: E402
 from relay import BOUNDS, Relay, temporary_folder  # noqa: E402
 from site_settings import Site  # noqa: E402
 from store import Store  # noqa: E402
-from worker import Worker  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVICE = "dispatch-app"
-ZONES = ["dar-kariakoo", "dar-mikocheni", "arusha-njiro"]
-# Time limit of the order.
-DURATION_S = 25
-# Seconds after the order at which the store goes down, and how long it is down.
-DOWN_AFTER_S = 1.0
-DOWN_FOR_S = 4.5
-# Seconds after the order at which all processes are killed, and until they start again.
-KILL_AFTER_S = 3.0
-RESTART_S = 1.0
-# The workers' entries are back within about two seconds of the store's return.
-BACK_S = {"v1": (1.2, 1.8), "v2": (1.2, 1.8)}
-# The new version is bad later: from this time after the order on, its answers arrive five
-# times slower than the old one's.
-BAD_AFTER_S = 8.0
-WORK_MS = 15
-SLOW_WORK_MS = 75
-# Time from `rolled_back` until the new workers drain, and from `done` until the old ones stop.
-DRAIN_AFTER_S = 3.0
-CONSUMERS_PER_NODE = 4
-REQUESTS_PER_S = 6
+ZONES = ["dar-kariakoo", "dar-mikocheni"]
+ENGINES = 2
+# Consumers of the first relay, which is stopped, and of the second one.
+CONSUMERS = [28, 4]
+# Constant load for this long before the stop, and the time after its end.
+LOAD_S = 20.0
+AFTER_S = 3.0
+
+
+class Balancer:
+    """Checks readiness once a second; two misses take a machine out of rotation."""
+
+    def __init__(self, relays):
+        self.relays = relays
+        self.in_rotation = {it: True for it in relays}
+        self.misses = {it: 0 for it in relays}
+        self.stopping = threading.Event()
+        for relay in relays:
+            threading.Thread(target=self._check, args=(relay,), daemon=True).start()
+
+    def _check(self, relay):
+        while not self.stopping.wait(1.0):
+            self.misses[relay] = 0 if relay.is_ready() else self.misses[relay] + 1
+            self.in_rotation[relay] = self.misses[relay] < 2
+
+    def pick(self, home):
+        """The machine of a new channel."""
+        others = [it for it in self.relays if self.in_rotation[it]]
+        return home if self.in_rotation[home] or not others else others[0]
+
+
+def consume(site, balancer, home, attempts, lock, stopping):
+    """Sends one stream after the other on a kept channel."""
+    channel, relay = None, home
+    while not stopping.is_set():
+        attempt = Attempt(relay, Site.BRIEF, new_id())
+        data, timeout_s = site.request(Site.BRIEF, attempt.id)
+        try:
+            if channel is None:
+                relay = attempt.node = balancer.pick(home)
+                channel = Channel(relay.front, timeout_s)
+            attempt.sent_at = time.monotonic()
+            attempt.status, attempt.headers, attempt.body = channel.exchange(data)
+            if (header(attempt.headers, "connection") or "").lower() == "close":
+                channel.close()
+                channel = None
+        except (OSError, ValueError) as error:
+            attempt.failure = f"{type(error).__name__}: {error}"
+            if channel is not None:
+                channel.close()
+            channel = None
+        attempt.ended_at = time.monotonic()
+        with lock:
+            attempts.append(attempt)
+        if attempt.status != 200:
+            time.sleep(float(header(attempt.headers, "retry-after") or 0.2))
+    if channel is not None:
+        channel.close()
 
 
 def main():
     """Runs the case; returns the exit code."""
-    random.seed(1)
     record = open(HERE / "record.txt", "w", encoding="utf-8")
     start = time.monotonic()
 
     def note(text):
         print(f"{time.monotonic() - start:8.3f} {text}", file=record, flush=True)
 
-    arrivals, attempts = [], []
+    arrivals, attempts, lock = [], [], threading.Lock()
     store = Store()
     site = Site()
-
-    def add(version):
-        added = [Worker(store, f"i-{version}{number}", SERVICE, zone, version=version,
-                        work_ms=WORK_MS, arrivals=arrivals)
-                 for number, zone in enumerate(ZONES)]
-        for worker in added:
-            worker.register()
-        return added
-
     store.put("op/config", site.configuration())
-    workers = add("v1")
+    engines = [Engine(store, f"i-engine{number}", "brief-llm", ZONES[number % 2],
+                      arrivals=arrivals) for number in range(ENGINES)]
+    for engine in engines:
+        engine.register()
     with temporary_folder() as folder:
         relays = [Relay(number + 1, zone, store.address, folder)
                   for number, zone in enumerate(ZONES)]
@@ -74,127 +104,90 @@
             if not all(relay.wait_ready() for relay in relays):
                 note("a relay did not get ready")
                 return 2
-            consumers = Consumers(site, attempts)
-            for relay in relays:
-                for _ in range(CONSUMERS_PER_NODE):
-                    consumers.start(relay, [Site.BOOK, Site.BOOK, Site.READ], REQUESTS_PER_S)
-            time.sleep(BOUNDS["stable_ms"] / 1000 + 1)
-            workers += add("v2")
-            store.put(f"op/rollout/{SERVICE}",
-                      {"service": SERVICE, "target": "v2", "duration_s": DURATION_S})
-            ordered_at = time.monotonic()
-            note(f"order: {SERVICE} to v2 in {DURATION_S} s")
-            threading.Thread(target=operate, args=(store, workers, note, ordered_at),
-                             daemon=True).start()
-            # Since when the store and all machines have been without disruption.
-            calm_since = start
+            balancer, stopping = Balancer(relays), threading.Event()
+            threads = []
+            for relay, count in zip(relays, CONSUMERS):
+                for _ in range(count):
+                    arguments = (site, balancer, relay, attempts, lock, stopping)
+                    threads.append(threading.Thread(target=consume, args=arguments, daemon=True))
+            for thread in threads:
+                thread.start()
+                time.sleep(0.05)
+            time.sleep(LOAD_S)
+            stopped_at = time.monotonic()
+            stopped = relays[0]
             if TROUBLE:
-                time.sleep(DOWN_AFTER_S)
-                store.go_down()
-                note("store down")
-                time.sleep(KILL_AFTER_S - DOWN_AFTER_S)
-                for relay in relays:
-                    relay.kill()
-                note("all relays killed")
-                store.lapse("servers/")
-                store.lapse_leases()
-                note("leases have run out")
-                time.sleep(RESTART_S)
-                for relay in relays:
-                    relay.start()
-                note("all relays started")
-                time.sleep(ordered_at + DOWN_AFTER_S + DOWN_FOR_S - time.monotonic())
-                store.come_back()
-                calm_since = time.monotonic()
-                note("store back")
-                for worker in workers:
-                    delay = random.uniform(*BACK_S[worker.version])
-                    threading.Timer(delay, worker.register).start()
-            time.sleep(max(0.0, ordered_at + DURATION_S - time.monotonic()))
-            consumers.stop()
-            status = store.document(f"status/rollout/{SERVICE}")
-            memory = [round(relay.memory_mb()) for relay in relays]
-            logs = []
+                stopped.signal(signal.SIGTERM)
+                note(f"SIGTERM to {stopped.node}")
+                try:
+                    stopped.process.wait(BOUNDS["grace_s"])
+                    note(f"{stopped.node} has ended by itself")
+                except Exception:
+                    note(f"SIGKILL to {stopped.node} after grace_s")
+                    stopped.process.kill()
+                ended_at = time.monotonic()
+            else:
+                time.sleep(BOUNDS["grace_s"])
+                ended_at = time.monotonic()
+            time.sleep(AFTER_S)
+            with lock:
+                seen = list(attempts)
+            stopping.set()
             for relay in relays:
                 relay.kill()
-            for path in sorted(pathlib.Path(folder).glob("*.log")):
-                for line in path.read_text(errors="replace").splitlines():
-                    if "roll-out ordered" in line:
-                        logs.append(f"{path.name}: {line}")
         finally:
             for relay in relays:
                 relay.kill()
             store.server.close()
-            for worker in workers:
-                worker.server.close()
-    return judge(note, ordered_at, calm_since, attempts, arrivals, status, memory, logs, start)
-
-
-def operate(store, workers, note, ordered_at):
-    """Makes the new version slow, and drains it once the system has taken it back."""
-    new = [it for it in workers if it.version == "v2"]
-    time.sleep(ordered_at + BAD_AFTER_S - time.monotonic())
-    for worker in new:
-        worker.work_ms = SLOW_WORK_MS
-    note("the new version is slow from now on")
-    while time.monotonic() < ordered_at + DURATION_S:
-        status = store.document(f"status/rollout/{SERVICE}") or {}
-        if status.get("state") == "rolled_back":
-            note("rolled_back")
-            time.sleep(DRAIN_AFTER_S)
-            for worker in new:
-                worker.state = "draining"
-                worker.register()
-            note("the new workers drain")
-            return
-        if status.get("state") == "done":
-            note("done")
-            for worker in workers:
-                if worker.version == "v1":
-                    store.remove(f"servers/{worker.id}")
-                    worker.server.close()
-            return
-        time.sleep(0.1)
-
-
-def judge(note, ordered_at, calm_since, attempts, arrivals, status, memory, logs, start):
-    """Checks the rule EXPOSURE and writes the record; returns the exit code."""
-    stable_s = BOUNDS["stable_ms"] / 1000
-    rollback_s = BOUNDS["rollback_ms"] / 1000
-    in_touch_from = calm_since + stable_s
-    limit_at = ordered_at + DURATION_S
-    kept = {it.id: it for it in attempts}
-    reached = [it for it in arrivals if ordered_at <= it.at <= limit_at]
-    new = [it for it in reached if it.worker.startswith("i-v2")]
-    in_touch = [it for it in new
-                if it.id in kept and kept[it.id].sent_at >= in_touch_from]
-    allowed = BOUNDS["expose_share"] * len(reached) + BOUNDS["expose_slack"]
-    bad_from = max(calm_since, ordered_at + BAD_AFTER_S)
-    bad_at = sorted(it.at for it in new if it.at >= bad_from)
-    late = []
-    if len(bad_at) >= 50:
-        late = [it for it in in_touch if kept[it.id].sent_at > bad_at[49] + rollback_s]
-    note(f"status in the store at the time limit: {json.dumps(status)}")
-    note(f"memory at the end, MB: {memory}")
-    note(f"sent: {len(attempts)} requests; 200: {sum(1 for it in attempts if it.status == 200)}, "
-         f"503: {sum(1 for it in attempts if it.status == 503)}, "
-         f"no answer: {sum(1 for it in attempts if it.status is None)}")
-    note(f"arrivals at the service between the order and the time limit: {len(reached)}, "
-         f"of these at the bad version: {len(new)}, from machines in touch: {len(in_touch)}, "
-         f"allowed: {allowed:.0f}")
-    note(f"slow answers since the store was last unstable: {len(bad_at)}; requests sent by "
-         f"machines in touch later than {rollback_s:.0f} s after the 50th: {len(late)}")
-    for line in logs:
-        note(f"log {line}")
-    for it in late[:5]:
-        sent = kept[it.id]
-        note(f"request {it.id} sent at {sent.sent_at - start:.3f} to {sent.node.node} ran at "
-             f"{it.worker} at {it.at - start:.3f} with status {it.status}")
-    is_broken = len(in_touch) > allowed or bool(late)
-    note("EXPOSURE broken" if is_broken else "EXPOSURE held")
-    if len(reached) < 300:
-        note("too few requests for a result")
+            for engine in engines:
+                engine.server.close()
+    return judge(note, start, stopped, stopped_at, ended_at, seen, arrivals)
+
+
+def judge(note, start, stopped, stopped_at, ended_at, attempts, arrivals):
+    """Checks the rule LOST and writes the record; returns the exit code."""
+    grace_s = BOUNDS["grace_s"]
+    slack_s = BOUNDS["loss_slack_ms"] / 1000
+    runs = {}
+    for arrival in arrivals:
+        runs.setdefault(arrival.id, []).append(arrival)
+    at_stopped = [it for it in attempts if it.node is stopped]
+    for name, chosen in (("all", attempts), (stopped.node, at_stopped)):
+        complete = [it for it in chosen if it.status == 200]
+        waits = sorted(min(run.at for run in runs[it.id]) - it.sent_at
+                       for it in complete if it.id in runs)
+        note(f"{name}: {len(chosen)} streams ended, complete: {len(complete)}, "
+             f"503: {sum(1 for it in chosen if it.status == 503)}, "
+             f"502 or 504: {sum(1 for it in chosen if it.status in (502, 504))}, "
+             f"no complete answer: {sum(1 for it in chosen if it.status is None)}; "
+             f"longest wait for a worker {waits[-1] if waits else 0:.1f} s")
+    lost_unsent, lost_sent, excused = [], [], []
+    for it in at_stopped:
+        is_planned = stopped_at <= it.ended_at <= stopped_at + grace_s + 1
+        if it.status is not None or not is_planned or (it.failure or "").startswith("Timeout"):
+            continue
+        if it.ended_at - it.sent_at <= slack_s and it.id not in runs:
+            continue
+        if it.id not in runs:
+            lost_unsent.append(it)
+        elif (it.sent_at <= stopped_at + 3
+              and any((run.ended_at or ended_at) >= stopped_at + grace_s * 5 / 6
+                      for run in runs[it.id])):
+            excused.append(it)
+        else:
+            lost_sent.append(it)
+    note(f"channels that ended without a complete answer around the stop: "
+         f"{len(lost_unsent)} never passed on to a worker, {len(lost_sent)} passed on, and "
+         f"{len(excused)} excused (a worker was still at work in the last sixth of grace_s)")
+    for it in (lost_unsent + lost_sent)[:40]:
+        note(f"request {it.id} sent at {it.sent_at - start:.3f} "
+             f"({it.sent_at - stopped_at:+.3f} s from the SIGTERM), channel ended at "
+             f"{it.ended_at - start:.3f} after {it.ended_at - it.sent_at:.3f} s: {it.failure}")
+    if len(at_stopped) < 20:
+        note("too few streams for a result")
         return 2
+    is_broken = bool(lost_unsent or lost_sent)
+    note("LOST broken" if is_broken else "LOST held")
     return 1 if is_broken else 0
 
 
