--- a/review/lib/relay.py
+++ b/review/lib/relay.py
@@ -7,10 +7,14 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
 
+# A script that is stopped still ends its processes.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 # The bounds of the small sites.
