Relay: a planned stop answers every request that still waits

Cause: a request knew only its caller's deadline. The end of the process was looked at once, on admission, with the duration of a stream on an idle engine. Everything that holds a request afterwards (queue, wait for an endpoint or a retry, attempt, probe, body) held it beyond that end.

Change: the lifecycle gives one time by which all responses are due.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -43,9 +43,14 @@
 const STREAM_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// Retry-after of a refused call that did not run.
 const CALL_RETRY_AFTER_MS: Millis = Millis::new(50);
+/// Retry-after of a request that did not run and that a stopping process refuses; the
+/// retry goes to another node.
+pub const STOPPING_RETRY_AFTER_MS: Millis = Millis::new(20);
 
 pub(super) struct ExchangeContext {
     pub(super) spec: ExchangeSpec,
+    /// Time by which a stopping process has to respond.
+    pub(super) response_deadline: MonoTime,
     pub(super) started_at: MonoTime,
     pub(super) now: MonoTime,
     pub(super) sent_at: MonoTime,
@@ -246,12 +251,10 @@
 
     pub(super) fn refuse(&mut self, reason: RefusalReason) {
         let not_run = self.runs == 0;
-        let retry_after_ms = not_run.then(|| {
-            if self.spec.repeat.is_stream() {
-                STREAM_RETRY_AFTER_MS
-            } else {
-                CALL_RETRY_AFTER_MS
-            }
+        let retry_after_ms = not_run.then(|| match reason {
+            RefusalReason::Stopping => STOPPING_RETRY_AFTER_MS,
+            _ if self.spec.repeat.is_stream() => STREAM_RETRY_AFTER_MS,
+            _ => CALL_RETRY_AFTER_MS,
         });
         self.effects.push(ExchangeEffect::Refuse {
             reason,
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -114,6 +114,8 @@
     Overloaded,
     /// A part of the prompt crashes endpoints.
     Quarantined,
+    /// The process stops before the request can be completed.
+    Stopping,
 }
 
 /// Effects that the front end carries out.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -23,6 +23,7 @@
 use crate::charts::{self, LazyMachine};
 use context::ExchangeContext;
 
+pub use context::STOPPING_RETRY_AFTER_MS;
 pub use message::{ExchangeEffect, ExchangeInput, ExchangeSpec, RefusalReason, ResponseClass};
 
 chart_names! {
@@ -96,6 +97,8 @@
         ProcessPaused,
         /// The caller's or the route's deadline has passed.
         DeadlinePassed,
+        /// The process is about to end.
+        ProcessEnding,
         /// The caller disconnected.
         CallerGone,
     }
@@ -158,6 +161,9 @@
             .action("break_off_deadline_passed", |it| {
                 it.break_off(RefusalReason::DeadlinePassed);
             })
+            .action("break_off_stopping", |it| {
+                it.break_off(RefusalReason::Stopping);
+            })
             .action("record_possible_run", ExchangeContext::record_possible_run)
             .action("record_not_run", ExchangeContext::record_not_run)
             .action("refuse_no_endpoint", |it| {
@@ -174,7 +180,8 @@
             })
             .action("refuse_deadline_passed", |it| {
                 it.refuse(RefusalReason::DeadlinePassed);
-            });
+            })
+            .action("refuse_stopping", |it| it.refuse(RefusalReason::Stopping));
         charts::compile(charts::EXCHANGE, &bindings)
     });
 
@@ -198,6 +205,7 @@
     pub fn start(now: MonoTime, spec: ExchangeSpec) -> (Self, Vec<ExchangeEffect>) {
         let mut context = ExchangeContext {
             spec,
+            response_deadline: MonoTime::MAX,
             started_at: now,
             now,
             sent_at: now,
@@ -282,7 +290,7 @@
             self.state(),
             ExchangeState::Probing | ExchangeState::StreamProbing
         );
-        now < context.spec.deadline
+        now < context.spec.deadline.min(self.process_deadline())
             && (self.state() == ExchangeState::AwaitingRetry
                 || context.is_repeatable() && (is_probing || context.is_overdue_at(now)))
     }
@@ -297,13 +305,27 @@
         context.has_begun || waited.saturating_add(pause) < context.placement_wait().micros()
     }
 
+    /// Sets the time by which a stopping process has to respond. A stream whose events
+    /// arrive may go on until the process ends.
+    pub fn set_response_deadline(&mut self, at: MonoTime) {
+        self.context.response_deadline = at;
+    }
+
     /// Time at which [`Exchange::expire`] has to be called.
     pub fn next_deadline(&self) -> MonoTime {
-        let deadline = self.context.spec.deadline;
+        let deadline = self.context.spec.deadline.min(self.process_deadline());
         let state = self.instance.next_deadline();
         state.map_or(deadline, |state| state.min(deadline))
     }
 
+    /// Time at which the current state ends because the process does.
+    fn process_deadline(&self) -> MonoTime {
+        match self.state() {
+            ExchangeState::Streaming | ExchangeState::StreamProbing => MonoTime::MAX,
+            _ => self.context.response_deadline,
+        }
+    }
+
     /// Handles an input.
     pub fn handle(&mut self, now: MonoTime, input: ExchangeInput) -> Vec<ExchangeEffect> {
         let context = &mut self.context;
@@ -388,6 +410,9 @@
         if now >= self.context.spec.deadline {
             return self.step(now, ExchangeEvent::DeadlinePassed);
         }
+        if now >= self.process_deadline() {
+            return self.step(now, ExchangeEvent::ProcessEnding);
+        }
         if was_paused {
             return self.step(now, ExchangeEvent::ProcessPaused);
         }
--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -10,6 +10,9 @@
 const BALANCER_DETECTION_MS: Millis = Millis::new(3_200);
 /// Time before the platform's kill at which the process exits by itself.
 const KILL_MARGIN_MS: Millis = Millis::new(250);
+/// Time before the end of the process by which every request has a response, so that the
+/// response can still be written.
+const RESPONSE_MARGIN_MS: Millis = Millis::new(250);
 /// Time after which the connections that were accepted last are counted as in flight.
 const CLOSING_SETTLE_MS: Millis = Millis::new(100);
 /// Time before the end of the process from which it accepts no connections, so that the
@@ -143,10 +146,18 @@
     }
 
     /// Latest end of a planned stop that starts at `now`.
-    pub fn stop_deadline(&self, now: MonoTime) -> MonoTime {
+    fn stop_deadline(&self, now: MonoTime) -> MonoTime {
         now + self.context.stop_ms.saturating_sub(KILL_MARGIN_MS)
     }
 
+    /// Time by which all requests have to have a response; `None` before a stop.
+    pub fn response_deadline(&self) -> Option<MonoTime> {
+        let stops_at = self.context.stops_at;
+        let margin = RESPONSE_MARGIN_MS.micros();
+        (stops_at < MonoTime::MAX)
+            .then(|| MonoTime::new(stops_at.get().saturating_sub(margin.get())))
+    }
+
     /// Time at which [`RelayLifecycle::expire`] has to be called.
     pub fn next_deadline(&self) -> Option<MonoTime> {
         self.instance.next_deadline()
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -39,13 +39,13 @@
 pub use endpoint_table::{EndpointEntry, EndpointKey, EndpointTable, LoadSample, Outcome};
 pub use exchange::{
     Exchange, ExchangeEffect, ExchangeInput, ExchangeSpec, ExchangeState, RefusalReason,
-    ResponseClass,
+    ResponseClass, STOPPING_RETRY_AFTER_MS,
 };
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
 pub use overload::{
-    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueFull, QueueTicket, QueuedStream,
-    StreamSize, assign_engines, is_copy_unaffordable, is_hopeless, may_be_full, must_wait,
-    retry_delay,
+    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
+    StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless, may_be_full,
+    must_wait, retry_delay,
 };
 pub use ownership::EndpointOwnership;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -26,6 +26,8 @@
     Unrestricted,
     /// The stream can't begin before its deadline.
     Hopeless,
+    /// The stream would outlast the process.
+    Stopping,
 }
 
 /// Whether a stream has to wait although the engine `key` could be used. `queue` is that of
@@ -60,10 +62,7 @@
     if !has_reports {
         queue.record_unreported(now);
     }
-    let hopeless = queue.take_hopeless(now).into_iter();
-    let mut assignments: Vec<_> = hopeless
-        .map(|ticket| (ticket, Assignment::Hopeless))
-        .collect();
+    let mut assignments = queue.take_hopeless(now);
     loop {
         let has_room = |size: StreamSize| !has_reports || table.any_has_room(now, service, size);
         let Some((ticket, stream)) = queue.take_next(now, has_room) else {
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -17,6 +17,8 @@
 //!   would make the following ones late as well.
 //! - [`is_hopeless`] rejects a stream that can't begin before its deadline. Load pattern:
 //!   callers that return with little time left.
+//! - [`StreamDurations`] tells which streams would outlast a stopping process. Load
+//!   pattern: a planned stop of a node while the engines are full.
 //! - [`retry_delay`] spreads the callers that are rejected over the time at which they
 //!   can be served. Load pattern: callers that return all at once.
 
@@ -26,10 +28,12 @@
 mod pressure;
 mod queue;
 mod retry_delay;
+mod stream_duration;
 
 pub use assignment::{Assignment, assign_engines, must_wait};
 pub use engine_load::{EngineLoad, StreamSize};
 pub use hopeless::is_hopeless;
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
-pub use queue::{PlacementQueue, QueueFull, QueueTicket, QueuedStream};
+pub use queue::{PlacementQueue, QueueRejection, QueueTicket, QueuedStream};
 pub use retry_delay::retry_delay;
+pub use stream_duration::StreamDurations;
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -7,12 +7,19 @@
 //! placement in [`LATE_TURN_INTERVAL`] goes to the stream whose caller leaves first,
 //! whatever its rank, so that none starves in a long overload. A stream that can't be
 //! reached before its caller leaves is rejected as soon as this shows.
+//!
+//! Load pattern: a planned stop of the node meanwhile. A stream that would outlast the
+//! process is rejected as soon as this shows, so that its caller goes to another node with
+//! most of its time left.
 
 use std::collections::VecDeque;
 
 use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, Rank, RequestCount};
 
-use super::{engine_load::StreamSize, hopeless::is_hopeless};
+use super::{
+    assignment::Assignment, engine_load::StreamSize, hopeless::is_hopeless,
+    stream_duration::StreamDurations,
+};
 use crate::relay::selector::PREFILL_TOKENS_PER_MS;
 
 /// Requests that may wait for one service at one traffic thread.
@@ -77,15 +84,20 @@
     }
 }
 
-/// The queue is at its limit, or the stream would wait beyond its deadline.
+/// Why a stream may not wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QueueFull {
-    /// Time after which the streams that wait now are presumably placed.
-    pub expected_wait: Micros,
+pub enum QueueRejection {
+    /// The queue is at its limit, or the stream would wait beyond its deadline.
+    Full {
+        /// Time after which the streams that wait now are presumably placed.
+        expected_wait: Micros,
+    },
+    /// The stream would outlast the process.
+    Stopping,
 }
 
 /// Waiting streams of one service at one traffic thread.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PlacementQueue {
     waiting: Vec<(QueueTicket, QueuedStream)>,
     body_bytes: u64,
@@ -94,14 +106,38 @@
     recent_placements: VecDeque<MonoTime>,
     last_full_at: Option<MonoTime>,
     unreported_at: Option<MonoTime>,
+    durations: StreamDurations,
+    /// Time by which a stopping process has to respond.
+    response_deadline: MonoTime,
+}
+
+impl Default for PlacementQueue {
+    fn default() -> Self {
+        Self {
+            waiting: Vec::new(),
+            body_bytes: 0,
+            next_ticket: 0,
+            placements: 0,
+            recent_placements: VecDeque::new(),
+            last_full_at: None,
+            unreported_at: None,
+            durations: StreamDurations::default(),
+            response_deadline: MonoTime::MAX,
+        }
+    }
 }
 
 impl PlacementQueue {
     /// Adds a stream.
     ///
     /// # Errors
-    /// The queue has reached a limit, or moves too slowly for the stream's deadline.
-    pub fn push(&mut self, now: MonoTime, stream: QueuedStream) -> Result<QueueTicket, QueueFull> {
+    /// The queue has reached a limit, or moves too slowly for the stream's deadline or for
+    /// the end of the process.
+    pub fn push(
+        &mut self,
+        now: MonoTime,
+        stream: QueuedStream,
+    ) -> Result<QueueTicket, QueueRejection> {
         let body_bytes = self.body_bytes.saturating_add(stream.body_bytes.get());
         let expected_wait = self.expected_wait(now);
         let is_full =
@@ -110,8 +146,11 @@
         let before = self.waiting.iter();
         let before = before.filter(|(_, it)| it.order(now) <= order).count() as u64;
         let own_wait = self.placement_interval(now).saturating_mul(before);
+        if self.outlasts_process(now + own_wait, stream.size) {
+            return Err(QueueRejection::Stopping);
+        }
         if is_full || now + own_wait >= stream.deadline {
-            return Err(QueueFull { expected_wait });
+            return Err(QueueRejection::Full { expected_wait });
         }
         let ticket = QueueTicket(self.next_ticket);
         self.next_ticket += 1;
@@ -152,27 +191,44 @@
         Some(self.take(index))
     }
 
-    /// Removes and returns the streams that can't begin before their deadline, even if all
-    /// further placements go to waiting streams.
-    pub fn take_hopeless(&mut self, now: MonoTime) -> Vec<QueueTicket> {
+    /// Removes and returns the streams that can't begin before their deadline, or would
+    /// outlast the process, even if all further placements go to waiting streams.
+    pub fn take_hopeless(&mut self, now: MonoTime) -> Vec<(QueueTicket, Assignment)> {
         let interval = self.placement_interval(now);
         let mut in_order = self.waiting.clone();
         in_order.sort_unstable_by_key(|(ticket, stream)| (stream.order(now), *ticket));
         let mut placed_at = now;
         let mut hopeless = Vec::new();
         for (ticket, stream) in in_order {
-            if is_hopeless(placed_at, stream.deadline, stream.size.prompt) {
-                hopeless.push(ticket);
+            if self.outlasts_process(placed_at, stream.size) {
+                hopeless.push((ticket, Assignment::Stopping));
+            } else if is_hopeless(placed_at, stream.deadline, stream.size.prompt) {
+                hopeless.push((ticket, Assignment::Hopeless));
             } else {
                 placed_at = placed_at + interval;
             }
         }
-        for ticket in &hopeless {
+        for (ticket, _) in &hopeless {
             self.remove(*ticket);
         }
         hopeless
     }
 
+    /// Sets the time by which a stopping process has to respond.
+    pub fn set_response_deadline(&mut self, at: MonoTime) {
+        self.response_deadline = at;
+    }
+
+    /// Records that one attempt has run a whole stream in `duration`.
+    pub fn record_finished(&mut self, size: StreamSize, duration: Micros) {
+        self.durations.record(size, duration);
+    }
+
+    /// Whether a stream that is sent at `sent_at` would not end before the process does.
+    pub fn outlasts_process(&self, sent_at: MonoTime, size: StreamSize) -> bool {
+        sent_at + self.durations.expected(size) > self.response_deadline
+    }
+
     /// Whether no stream waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -320,6 +320,48 @@
     );
 }
 
+/// A request that still waits when the process is about to end is refused while its
+/// response can be written, and as not run if it was not sent.
+#[test_case(RepeatPolicy::OnceOnly, false, true ; "waiting for an endpoint")]
+#[test_case(RepeatPolicy::OnceOnly, true, false ; "running once only")]
+#[test_case(RepeatPolicy::Idempotent, true, false ; "running idempotent")]
+#[test_case(RESUMABLE, true, false ; "stream without an event")]
+fn process_ending_refused(repeat: RepeatPolicy, is_sent: bool, not_run: bool) {
+    let (mut exchange, _) = Exchange::start(at(0), spec(repeat));
+    if is_sent {
+        exchange.handle(at(0), placed(1));
+    } else {
+        exchange.handle(at(0), ExchangeInput::PlacementFailed);
+    }
+    exchange.set_response_deadline(at(20));
+    assert_eq!(exchange.next_deadline(), at(20));
+    let effects = exchange.expire(at(20), false, false);
+    assert_eq!(refusal(&effects), Some((RefusalReason::Stopping, not_run)));
+}
+
+#[test]
+fn process_ending_queued_refused() {
+    let (mut exchange, _) = Exchange::start(at(0), spec(RESUMABLE));
+    exchange.handle(at(0), ExchangeInput::Queued);
+    exchange.set_response_deadline(at(20));
+    let effects = exchange.expire(at(20), false, false);
+    assert_eq!(refusal(&effects), Some((RefusalReason::Stopping, true)));
+}
+
+/// A stream whose events arrive goes on until the process ends; one that waits for its next
+/// attempt is aborted.
+#[test]
+fn process_ending_begun() {
+    let mut exchange = begun(RESUMABLE);
+    exchange.set_response_deadline(at(110));
+    assert!(exchange.next_deadline() > at(110));
+    exchange.handle(at(105), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(105), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(110), false, false);
+    let reason = RefusalReason::Stopping;
+    assert!(matches!(&effects[..], [ExchangeEffect::BreakOff { reason: it }] if *it == reason));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum TestInput {
     Placed,
@@ -334,13 +376,14 @@
     ProbeFailed,
     RequestLost,
     Deadline,
+    Stop,
     CallerGone,
 }
 
 fn test_input() -> impl Strategy<Value = TestInput> {
     use TestInput::{
         Answered, CallerGone, Deadline, Event, Failed, Finished, Lost, NotRun, Placed,
-        PlacementFailed, ProbeFailed, RequestLost, Unsent,
+        PlacementFailed, ProbeFailed, RequestLost, Stop, Unsent,
     };
     proptest::sample::select(vec![
         Placed,
@@ -360,6 +403,7 @@
         RequestLost,
         Deadline,
         Deadline,
+        Stop,
         CallerGone,
     ])
 }
@@ -505,6 +549,10 @@
                     }
                     effects
                 }
+                TestInput::Stop => {
+                    exchange.set_response_deadline(now + Millis::new(500));
+                    continue;
+                }
                 TestInput::CallerGone => exchange.handle(now, ExchangeInput::CallerGone),
                 _ => continue,
             };
--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -3,8 +3,9 @@
 mod model;
 
 use parsleylatch_decide::relay::{
-    EngineLoad, EngineReport, OwnStreams, PlacementQueue, QueueFull, QueuedStream, RunProgress,
-    StreamSize, is_copy_unaffordable, is_hopeless, may_be_full, retry_delay,
+    Assignment, EngineLoad, EngineReport, OwnStreams, PlacementQueue, QueueRejection, QueuedStream,
+    RunProgress, StreamDurations, StreamSize, is_copy_unaffordable, is_hopeless, may_be_full,
+    retry_delay,
 };
 use parsleylatch_types::{
     ByteCount, Micros, Millis, MonoTime, Rank, RequestCount, SlotCount, TokenCount,
@@ -330,7 +331,10 @@
     };
     let ticket = queue.push(at(0), large).unwrap();
     let expected_wait = Micros::ZERO;
-    assert_eq!(queue.push(at(0), large), Err(QueueFull { expected_wait }));
+    assert_eq!(
+        queue.push(at(0), large),
+        Err(QueueRejection::Full { expected_wait })
+    );
     queue.remove(ticket);
     assert!(queue.push(at(0), large).is_ok());
 }
@@ -358,3 +362,45 @@
     let delay = retry_delay(wait, remaining, Millis::new(500), draw);
     assert_eq!(delay, Millis::new(expected_ms));
 }
+
+/// A stream that would outlast a stopping process is rejected as soon as this shows, also
+/// for the streams before it.
+#[test]
+fn take_hopeless_at_stop() {
+    let mut queue = PlacementQueue::default();
+    for _ in 0..4 {
+        queue.push(at(0), queued(1, 0)).unwrap();
+    }
+    for placed_ms in [0, 2_000] {
+        assert!(queue.take_next(at(placed_ms), |_| true).is_some());
+    }
+    // A stream takes 4 s, and one is placed in two seconds.
+    queue.set_response_deadline(at(7_000));
+    let rejected = queue.take_hopeless(at(2_000));
+    assert!(matches!(rejected[..], [(_, Assignment::Stopping)]));
+    let late = queue.push(at(4_000), queued(1, 4_000));
+    assert_eq!(late, Err(QueueRejection::Stopping));
+    assert_eq!(queue.take_hopeless(at(4_000)).len(), 1);
+    assert!(queue.is_empty());
+}
+
+/// Streams that take longer under load are expected to do so in a stop as well.
+#[test]
+fn stream_durations_follow_load() {
+    let mut durations = StreamDurations::default();
+    let idle = durations.expected(SIZE);
+    durations.record(SIZE, Micros::new(idle.get() / 2));
+    assert_eq!(durations.expected(SIZE), idle);
+    for _ in 0..20 {
+        durations.record(SIZE, idle.saturating_mul(2));
+    }
+    let loaded = durations.expected(SIZE);
+    assert!(
+        loaded >= Micros::new(idle.get() * 19 / 10),
+        "{loaded} after {idle}"
+    );
+    for _ in 0..20 {
+        durations.record(SIZE, idle.saturating_mul(100));
+    }
+    assert!(durations.expected(SIZE) <= idle.saturating_mul(4));
+}
--- a/crates/decide/tests/overload/model.rs
+++ b/crates/decide/tests/overload/model.rs
@@ -325,7 +325,9 @@
             match assignment {
                 Assignment::Engine(key) => self.send(now_us, request, &key),
                 Assignment::Unrestricted => unreachable!("engines report their state"),
-                Assignment::Hopeless => self.requests[request].is_refused = true,
+                Assignment::Hopeless | Assignment::Stopping => {
+                    self.requests[request].is_refused = true;
+                }
             }
         }
     }
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -594,6 +594,12 @@
     let end = lifecycle.next_deadline().unwrap();
     assert!(end > at(8_700), "requests are cut at {end}");
     assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    // All responses are due early enough to be written.
+    let respond_by = lifecycle.response_deadline().unwrap();
+    assert!(
+        end.since(respond_by) >= Millis::new(200).micros(),
+        "{respond_by}"
+    );
     assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
     assert_eq!(lifecycle.state(), RelayState::Stopped);
 }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -365,9 +365,9 @@
                     );
                 }
                 RelayEffect::AnnounceNotReady => {
-                    let now = self.shared.now();
-                    self.shared
-                        .set_stop_deadline(self.lifecycle.stop_deadline(now));
+                    if let Some(deadline) = self.lifecycle.response_deadline() {
+                        self.shared.set_response_deadline(deadline);
+                    }
                     self.shared.phase.send_replace(LifecyclePhase::NotReady);
                 }
                 RelayEffect::CloseIdle => {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -79,8 +79,8 @@
     known_revision: AtomicU64,
     in_flight: AtomicUsize,
     started_trials: AtomicU64,
-    /// Deadline of a graceful stop.
-    stop_deadline: AtomicU64,
+    /// Time by which a stopping process has to respond.
+    response_deadline: AtomicU64,
     /// When the store, or a node that reads it, last confirmed the known state.
     confirmed_at: AtomicU64,
     /// Whether the last call to the store failed.
@@ -105,7 +105,7 @@
             known_revision: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             started_trials: AtomicU64::new(0),
-            stop_deadline: AtomicU64::new(u64::MAX),
+            response_deadline: AtomicU64::new(u64::MAX),
             confirmed_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
         }
@@ -130,13 +130,19 @@
         drop(reached);
     }
 
-    /// Latest time at which this process ends.
-    pub(crate) fn stop_deadline(&self) -> MonoTime {
-        MonoTime::new(self.stop_deadline.load(Ordering::Relaxed))
+    /// Time by which all requests have to have a response; the maximum before a stop.
+    pub(crate) fn response_deadline(&self) -> MonoTime {
+        MonoTime::new(self.response_deadline.load(Ordering::Relaxed))
     }
 
-    pub(crate) fn set_stop_deadline(&self, at: MonoTime) {
-        self.stop_deadline.store(at.get(), Ordering::Relaxed);
+    pub(crate) fn set_response_deadline(&self, at: MonoTime) {
+        self.response_deadline.store(at.get(), Ordering::Relaxed);
+    }
+
+    /// Waits until a stopping process has to respond.
+    pub(crate) async fn wait_for_response_deadline(&self) {
+        self.wait_for_phase(LifecyclePhase::NotReady).await;
+        self.clock.sleep_until(Some(self.response_deadline())).await;
     }
 
     /// Number for the next attempt that is reported as started.
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -32,6 +32,9 @@
         if let Some(effects) = self.refuse_if_quarantined() {
             return effects;
         }
+        if let Some(effects) = self.refuse_if_outlasting(copy.is_some()) {
+            return effects;
+        }
         let traffic = Rc::clone(&self.traffic);
         let snapshot = traffic.snapshot();
         let now = traffic.now();
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -95,6 +95,7 @@
             AttemptEvent::Events(events) => self.handle_events(events).await,
             AttemptEvent::Finished if self.exchange.has_begun() => {
                 self.record_success();
+                self.record_duration();
                 // A resumed stream may have no further events, which shows nothing.
                 let has_events = self.sent.as_ref().is_some_and(|it| it.began_at.is_some());
                 self.report_answer(self.traffic.now(), has_events);
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -7,7 +7,7 @@
 mod queueing;
 mod recording;
 
-use std::{collections::VecDeque, rc::Rc};
+use std::{collections::VecDeque, pin::pin, rc::Rc, sync::Arc};
 
 use http::Response;
 use parsleylatch_decide::{
@@ -30,7 +30,7 @@
     placement_queue::QueueSlot,
     state::Traffic,
 };
-use crate::telemetry::RelayCounter;
+use crate::{shared::LifecyclePhase, telemetry::RelayCounter};
 
 /// Delay of a timer from which the process is assumed to have been paused.
 const TIMER_PAUSE_THRESHOLD_MS: Millis = Millis::new(100);
@@ -67,6 +67,7 @@
         queue_slot: None,
         queued_at: now,
         bypasses_queue: false,
+        is_stopping: false,
     };
     driver.run(effects).await;
 }
@@ -136,6 +137,8 @@
     queued_at: MonoTime,
     /// Whether the next attempt is sent even if all engines are full.
     bypasses_queue: bool,
+    /// Whether a planned stop of the process has begun.
+    is_stopping: bool,
 }
 
 /// Event that wakes the driver.
@@ -144,15 +147,22 @@
     Probe(ProbeResult),
     Copy(Option<MemoryCopy>),
     Assigned(Assignment),
+    Stopping,
     CallerGone,
     Deadline,
 }
 
 impl ExchangeDriver {
     async fn run(&mut self, effects: Vec<ExchangeEffect>) {
+        let shared = Arc::clone(&self.traffic.shared);
+        let mut stopping = pin!(shared.wait_for_phase(LifecyclePhase::NotReady));
         self.apply_effects(effects).await;
         while !self.exchange.is_over() {
-            let wake = self.wait().await;
+            let wake = tokio::select! {
+                biased;
+                () = &mut stopping, if !self.is_stopping => Wake::Stopping,
+                wake = self.wait() => wake,
+            };
             let effects = self.handle_wake(wake).await;
             self.apply_effects(effects).await;
             if std::mem::take(&mut self.has_caller_stalled) && !self.exchange.is_over() {
@@ -199,6 +209,12 @@
                 Vec::new()
             }
             Wake::Assigned(assignment) => self.handle_assignment(&assignment),
+            Wake::Stopping => {
+                self.is_stopping = true;
+                let deadline = self.traffic.shared.response_deadline();
+                self.exchange.set_response_deadline(deadline);
+                Vec::new()
+            }
             Wake::CallerGone => {
                 self.log_outcome("caller_gone", None);
                 self.traffic
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 
 use parsleylatch_decide::relay::{
-    Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueuedStream, RefusalReason,
-    SelectionCriteria, StreamSize, is_hopeless, retry_delay,
+    Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueueRejection, QueuedStream,
+    RefusalReason, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize, is_hopeless,
+    retry_delay,
 };
 use parsleylatch_types::{ByteCount, Millis};
 
@@ -40,6 +41,16 @@
         self.is_queueable(false) && is_hopeless(self.traffic.now(), spec.deadline, spec.prompt)
     }
 
+    /// Refuses a stream that would run from its start and outlast a stopping process.
+    pub(super) fn refuse_if_outlasting(&mut self, has_copy: bool) -> Option<Vec<ExchangeEffect>> {
+        if !self.is_stopping || !self.is_queueable(has_copy) {
+            return None;
+        }
+        let (service, size) = (&self.job.spec.service, self.stream_size());
+        let outlasts = placement_queue::outlasts_process(&self.traffic, service, size);
+        outlasts.then(|| self.exchange.handle(self.traffic.now(), stopping()))
+    }
+
     /// Decides whether an attempt can be sent now. If not, the stream is queued or
     /// refused, and the effects are returned.
     pub(super) fn queue_if_full(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
@@ -74,16 +85,17 @@
                 self.queued_at = now;
                 ExchangeInput::Queued
             }
-            Err(full) => {
+            Err(QueueRejection::Full { expected_wait }) => {
                 metrics.increment(RelayCounter::StreamsRejected);
                 let remaining = spec.deadline.since(now);
                 let draw = rand::random();
-                let delay = retry_delay(full.expected_wait, remaining, MIN_RETRY_AFTER_MS, draw);
+                let delay = retry_delay(expected_wait, remaining, MIN_RETRY_AFTER_MS, draw);
                 ExchangeInput::Hopeless {
                     reason: RefusalReason::Overloaded,
                     retry_after_ms: Some(delay),
                 }
             }
+            Err(QueueRejection::Stopping) => stopping(),
         };
         log::info!(
             id:% = self.job.metadata.id,
@@ -112,6 +124,7 @@
             Assignment::Engine(key) => self.choose_assigned(key),
             Assignment::Unrestricted => None,
             Assignment::Hopeless => return self.refuse_hopeless(),
+            Assignment::Stopping => return self.exchange.handle(now, stopping()),
         };
         log::info!(
             id:% = self.job.metadata.id,
@@ -162,3 +175,12 @@
         self.exchange.handle(self.traffic.now(), input)
     }
 }
+
+/// Input for a stream that would outlast the process. Its caller can wait for an engine at
+/// another node at once.
+fn stopping() -> ExchangeInput {
+    ExchangeInput::Hopeless {
+        reason: RefusalReason::Stopping,
+        retry_after_ms: Some(STOPPING_RETRY_AFTER_MS),
+    }
+}
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -8,6 +8,7 @@
     codec::ResponseMetadata,
     input::ControlInput,
     telemetry::{RelayCounter, RelayLatency},
+    traffic::placement_queue,
 };
 
 impl ExchangeDriver {
@@ -112,6 +113,15 @@
         self.record_first_event(now);
     }
 
+    /// Records the duration of a stream that one attempt has run completely.
+    pub(super) fn record_duration(&self) {
+        if let Some(sent) = self.sent.as_ref().filter(|_| self.exchange.runs() == 0) {
+            let duration = self.traffic.now().since(sent.at);
+            let service = &self.job.spec.service;
+            placement_queue::record_finished(&self.traffic, service, self.stream_size(), duration);
+        }
+    }
+
     /// Records and logs the failure of this attempt.
     pub(super) fn record_failure(&mut self, outcome: Outcome, reason: &str) {
         let Some(sent) = &self.sent else {
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -48,6 +48,7 @@
 
 async fn accept(traffic: Rc<Traffic>, listener: NodelayListener) {
     let open = Rc::new(Cell::new(0_usize));
+    tokio::task::spawn_local(placement_queue::reject_at_stop(Rc::clone(&traffic)));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
--- a/crates/relay/src/traffic/placement_queue.rs
+++ b/crates/relay/src/traffic/placement_queue.rs
@@ -8,16 +8,17 @@
 
 use futures::future::join_all;
 use parsleylatch_decide::relay::{
-    self, Assignment, EndpointEntry, PlacementQueue, QueueFull, QueueTicket, QueuedStream,
+    self, Assignment, EndpointEntry, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
+    StreamSize,
 };
-use parsleylatch_types::{Micros, ServiceName};
+use parsleylatch_types::{Micros, MonoTime, ServiceName};
 use tokio::{sync::oneshot, task::spawn_local, time};
 
 use super::{
     engine,
     state::{Traffic, connection_key},
 };
-use crate::telemetry::RelayCounter;
+use crate::{shared::LifecyclePhase, telemetry::RelayCounter};
 
 /// Interval between two rounds of queries.
 const QUERY_INTERVAL: Duration = Duration::from_millis(150);
@@ -39,6 +40,19 @@
         &self.queue
     }
 
+    /// Applies the time by which a stopping process has to respond.
+    fn follow_stop(&mut self, traffic: &Traffic) {
+        self.queue
+            .set_response_deadline(traffic.shared.response_deadline());
+    }
+
+    /// Rejects the streams that can't be served any more.
+    fn reject_hopeless(&mut self, now: MonoTime) {
+        for (ticket, assignment) in self.queue.take_hopeless(now) {
+            self.assign(ticket, assignment);
+        }
+    }
+
     fn assign(&mut self, ticket: QueueTicket, assignment: Assignment) {
         if let Some(sender) = self.waiting.remove(&ticket) {
             // Fails if the caller has disconnected.
@@ -61,11 +75,12 @@
         traffic: &Rc<Traffic>,
         service: &ServiceName,
         stream: QueuedStream,
-    ) -> Result<Self, QueueFull> {
+    ) -> Result<Self, QueueRejection> {
         let now = traffic.now();
         let (sender, assignment) = oneshot::channel();
         let mut queues = traffic.placement_queues.borrow_mut();
         let entered = queues.entry(service.clone()).or_default();
+        entered.follow_stop(traffic);
         let ticket = entered.queue.push(now, stream)?;
         entered.waiting.insert(ticket, sender);
         if !std::mem::replace(&mut entered.is_served, true) {
@@ -96,6 +111,41 @@
     }
 }
 
+/// Rejects the waiting streams that would outlast the process as soon as a stop begins,
+/// because a round of queries may take a while.
+pub(crate) async fn reject_at_stop(traffic: Rc<Traffic>) {
+    traffic
+        .shared
+        .wait_for_phase(LifecyclePhase::NotReady)
+        .await;
+    let now = traffic.now();
+    for queue in traffic.placement_queues.borrow_mut().values_mut() {
+        queue.follow_stop(&traffic);
+        queue.reject_hopeless(now);
+    }
+}
+
+/// Whether a stream that is sent now would outlast the process.
+pub(crate) fn outlasts_process(traffic: &Traffic, service: &ServiceName, size: StreamSize) -> bool {
+    let now = traffic.now();
+    let mut queues = traffic.placement_queues.borrow_mut();
+    let queue = queues.entry(service.clone()).or_default();
+    queue.follow_stop(traffic);
+    queue.queue.outlasts_process(now, size)
+}
+
+/// Records that one attempt has run a whole stream.
+pub(crate) fn record_finished(
+    traffic: &Traffic,
+    service: &ServiceName,
+    size: StreamSize,
+    duration: Micros,
+) {
+    let mut queues = traffic.placement_queues.borrow_mut();
+    let queue = queues.entry(service.clone()).or_default();
+    queue.queue.record_finished(size, duration);
+}
+
 /// Assigns engines until no stream of the service waits.
 async fn serve(traffic: Rc<Traffic>, service: ServiceName) {
     loop {
@@ -137,6 +187,7 @@
     let Some(served) = queues.get_mut(service) else {
         return true;
     };
+    served.follow_stop(traffic);
     let mut table = traffic.endpoint_table.borrow_mut();
     let assigned = relay::assign_engines(
         now,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -7,12 +7,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, ExchangeSpec, PREFILL_TOKENS_PER_MS, RefusalReason, RelayConfiguration,
-    RelayRoute, RelayWorkspace, RepeatPolicy,
-};
-use parsleylatch_types::{
-    ByteCount, ExchangeId, Micros, Millis, MonoTime, ServiceName, TokenCount,
+    Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration, RelayRoute,
+    RelayWorkspace, RepeatPolicy, StreamSize,
 };
+use parsleylatch_types::{ByteCount, ExchangeId, Millis, MonoTime, ServiceName, TokenCount};
 use tokio::{sync::oneshot, time};
 
 use super::{
@@ -20,7 +18,7 @@
     connection_activity::RequestGuard,
     exchange,
     job::Job,
-    prompts,
+    placement_queue, prompts,
     responses::{self, Denial},
     state::Traffic,
 };
@@ -43,9 +41,6 @@
 /// Maximum delay of a stream until a starting node has its initial state; the remainder
 /// of the operators' goal of 4.5 s for the first event is enough for the prefill.
 const STARTUP_STREAM_HOLD_MS: Millis = Millis::new(2_000);
-/// Time per generated token on a lightly loaded engine: a step takes 3.4 to 3.6 ms, and
-/// slightly more with other requests in the batch.
-const TOKEN_INTERVAL_US: Micros = Micros::new(3_900);
 
 /// Rejection of a request.
 struct Denied {
@@ -136,7 +131,12 @@
         .ok_or_else(|| denied(id, Denial::BadRequest, "missing or repeated host"))?;
     let path = parts.uri.path_and_query().cloned();
     let path = path.ok_or_else(|| denied(id, Denial::BadRequest, "missing path"))?;
-    let body = read_body(body, &limits(&snapshot)).await;
+    let limits = limits(&snapshot);
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, &limits) => body,
+        () = shared.wait_for_response_deadline() => Err(Denial::Stopping),
+    };
     let body = body.map_err(|denial| denied(id, denial, "body rejected"))?;
     if snapshot.configuration.is_none() {
         // A starting node gets its initial state shortly, and a rejection would cost the
@@ -167,7 +167,13 @@
     let timeout_ms = metadata
         .timeout_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
-    if may_outlast_process(shared, route.repeat, &metadata, arrived_at + timeout_ms) {
+    if may_outlast_process(
+        traffic,
+        route.repeat,
+        &service,
+        &metadata,
+        arrived_at + timeout_ms,
+    ) {
         return Err(denied(
             id,
             Denial::Stopping,
@@ -200,29 +206,28 @@
 }
 
 /// Whether a response may outlast a graceful stop: a call by its `deadline`, a stream by
-/// its estimated duration.
+/// its expected duration.
 fn may_outlast_process(
-    shared: &Shared,
+    traffic: &Traffic,
     repeat: RepeatPolicy,
+    service: &ServiceName,
     metadata: &RequestMetadata,
     deadline: MonoTime,
 ) -> bool {
+    let shared = &traffic.shared;
     match repeat {
         RepeatPolicy::Stream { .. } => {
-            let expected = shared.now() + estimate_stream_duration(metadata);
-            shared.phase() >= LifecyclePhase::Draining || expected > shared.stop_deadline()
+            let size = StreamSize {
+                prompt: metadata.prompt_tokens,
+                output: metadata.max_output_tokens,
+            };
+            shared.phase() >= LifecyclePhase::Draining
+                || placement_queue::outlasts_process(traffic, service, size)
         }
-        RepeatPolicy::Idempotent | RepeatPolicy::OnceOnly => deadline > shared.stop_deadline(),
+        RepeatPolicy::Idempotent | RepeatPolicy::OnceOnly => deadline > shared.response_deadline(),
     }
 }
 
-/// Estimated duration of a stream on a lightly loaded engine.
-fn estimate_stream_duration(metadata: &RequestMetadata) -> Millis {
-    let prefill = u64::from(metadata.prompt_tokens.get()) / PREFILL_TOKENS_PER_MS;
-    let decode = u64::from(metadata.max_output_tokens.get()) * TOKEN_INTERVAL_US.get() / 1_000;
-    Millis::new(prefill + decode)
-}
-
 fn denied(id: Option<&ExchangeId>, denial: Denial, detail: &'static str) -> Denied {
     Denied {
         id: id.cloned(),
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
-use parsleylatch_decide::relay::RefusalReason;
+use parsleylatch_decide::relay::{RefusalReason, STOPPING_RETRY_AFTER_MS};
 use parsleylatch_endpoint::is_connection_header;
 use parsleylatch_types::Millis;
 
@@ -11,9 +11,6 @@
 /// `Retry-After` of a node that lacks recent state.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
-/// `Retry-After` of a stopping node; the retry goes to another node.
-const STOPPING_RETRY_AFTER_MS: Millis = Millis::new(20);
-
 /// Why a request is rejected before an endpoint is selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
