Relay: a roll-out order holds while no other version is listed

Cause: the plan of a roll-out took the versions that it replaces from the registry at the moment the order was read. If none was listed, as after a restart while entries have lapsed, there was no plan, and the order was dropped for good.

Change: a roll-out replaces every version but its target (ReplacedVersions::AllOthers), so that the registry is not needed. The order is in force at once; versions listed later are compared. A plan that can't be made is logged as an error.

--- a/crates/decide/src/moves/evidence.rs
+++ b/crates/decide/src/moves/evidence.rs
@@ -150,12 +150,20 @@
 
     /// Counts of a version by route, summed over all observers.
     pub fn by_route(&self, version: &EndpointVersion) -> BTreeMap<RouteName, TrialCounts> {
+        self.by_route_where(|it| it == version)
+    }
+
+    /// Counts of the selected versions by route, summed over all observers.
+    pub(crate) fn by_route_where<Selects>(
+        &self,
+        selects: Selects,
+    ) -> BTreeMap<RouteName, TrialCounts>
+    where
+        Selects: Fn(&EndpointVersion) -> bool,
+    {
         let mut routes = BTreeMap::<RouteName, TrialCounts>::new();
-        let of_version = self
-            .counts
-            .iter()
-            .filter(|(key, _)| key.version == *version);
-        for (key, counts) in of_version {
+        let selected = self.counts.iter().filter(|(key, _)| selects(&key.version));
+        for (key, counts) in selected {
             let total = routes.entry(key.route.clone()).or_default();
             *total = total.plus(*counts);
         }
@@ -164,11 +172,16 @@
 
     /// Counts of a version, summed over all routes and observers.
     pub fn total(&self, version: &EndpointVersion) -> TrialCounts {
-        let of_version = self
-            .counts
-            .iter()
-            .filter(|(key, _)| key.version == *version);
-        of_version.fold(TrialCounts::default(), |sum, (_, counts)| sum.plus(*counts))
+        self.total_where(|key| key.version == *version)
+    }
+
+    /// Sum of the selected counters.
+    pub(crate) fn total_where<Selects>(&self, selects: Selects) -> TrialCounts
+    where
+        Selects: Fn(&EvidenceKey) -> bool,
+    {
+        let selected = self.counts.iter().filter(|(key, _)| selects(key));
+        selected.fold(TrialCounts::default(), |sum, (_, counts)| sum.plus(*counts))
     }
 
     /// Adds to the counters of one observer; only that observer may do so.
--- a/crates/decide/src/moves/mod.rs
+++ b/crates/decide/src/moves/mod.rs
@@ -25,7 +25,7 @@
 pub use evidence::{EvidenceKey, MoveEvidence, Observer, TrialCounts, Veto};
 pub use plan::{
     ExposureLimit, MoveEffect, MoveEnd, MoveInput, MoveOutcome, MovePlan, MoveReason, MoveView,
-    Trial,
+    ReplacedVersions, Trial,
 };
 pub use sequential_test::{
     FALSE_PASS_RATE, FALSE_PASS_RATE_ONCE_ONLY, FALSE_VETO_RATE, SequentialTest,
@@ -166,7 +166,7 @@
         let share = open.share(now, self.pending_failures.failures());
         match () {
             () if open.plan.to == *version => Some(share),
-            () if open.plan.from.contains(version) => Some(FULL_SHARE.saturating_sub(share)),
+            () if open.plan.replaces(version) => Some(FULL_SHARE.saturating_sub(share)),
             () => None,
         }
     }
@@ -182,7 +182,7 @@
                 candidate: None,
             },
             share => VersionPlan {
-                in_use: open.plan.from.clone(),
+                in_use: open.plan.from.named().to_vec(),
                 candidate: (share > Share::ZERO).then_some(CandidateVersion { version, share }),
             },
         })
--- a/crates/decide/src/moves/plan.rs
+++ b/crates/decide/src/moves/plan.rs
@@ -24,8 +24,8 @@
     pub workspace: WorkspaceId,
     /// Model of the generations.
     pub model: ModelId,
-    /// Versions in use before the move.
-    pub from: Vec<EndpointVersion>,
+    /// Versions that the move replaces.
+    pub from: ReplacedVersions,
     /// Version that replaces them.
     pub to: EndpointVersion,
     /// Time after which the move has to be done or rolled back.
@@ -47,6 +47,25 @@
     pub exposure_limit: Option<ExposureLimit>,
 }
 
+/// Versions that a move replaces.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplacedVersions {
+    /// These versions.
+    Named(Vec<EndpointVersion>),
+    /// All versions except the new one, also those that become known later.
+    AllOthers,
+}
+
+impl ReplacedVersions {
+    /// The versions that are named.
+    pub fn named(&self) -> &[EndpointVersion] {
+        match self {
+            Self::Named(versions) => versions,
+            Self::AllOthers => &[],
+        }
+    }
+}
+
 /// Maximum number of requests, from the order to the deadline, that may reach a version
 /// that turns out to be bad.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +86,7 @@
             id: id.parse().ok()?,
             workspace: template.workspace.clone(),
             model: template.model.clone(),
-            from: template.endpoint_versions.clone(),
+            from: ReplacedVersions::Named(template.endpoint_versions.clone()),
             to: wanted.to.clone(),
             deadline_ms: wanted.deadline_ms(),
             decision_ms: wanted.deadline_ms(),
@@ -81,14 +100,21 @@
     }
 
     pub(crate) fn covers(&self, trial: &Trial) -> bool {
-        let is_named = self.to == trial.version || self.from.contains(&trial.version);
-        is_named && self.model == trial.model
+        let is_covered = self.to == trial.version || self.replaces(&trial.version);
+        is_covered && self.model == trial.model
+    }
+
+    /// Whether the move replaces a version.
+    pub(crate) fn replaces(&self, version: &EndpointVersion) -> bool {
+        match &self.from {
+            ReplacedVersions::Named(versions) => versions.contains(version),
+            ReplacedVersions::AllOthers => *version != self.to,
+        }
     }
 
     /// Total counts of the versions in use before the move.
     pub(crate) fn old_counts(&self, evidence: &MoveEvidence) -> TrialCounts {
-        let totals = self.from.iter().map(|version| evidence.total(version));
-        totals.fold(TrialCounts::default(), TrialCounts::plus)
+        evidence.total_where(|key| self.replaces(&key.version))
     }
 
     /// Counts of the versions in use before the move, by route.
@@ -96,22 +122,12 @@
         &self,
         evidence: &MoveEvidence,
     ) -> BTreeMap<RouteName, TrialCounts> {
-        let mut routes = BTreeMap::<RouteName, TrialCounts>::new();
-        let counts = self.from.iter().flat_map(|it| evidence.by_route(it));
-        for (route, counts) in counts {
-            let total = routes.entry(route).or_default();
-            *total = total.plus(counts);
-        }
-        routes
+        evidence.by_route_where(|version| self.replaces(version))
     }
 
     /// Counts of the versions in use before the move, on one route.
     pub(crate) fn old_counts_on(&self, evidence: &MoveEvidence, route: &RouteName) -> TrialCounts {
-        let totals = self.from.iter().map(|version| {
-            let routes: BTreeMap<RouteName, TrialCounts> = evidence.by_route(version);
-            routes.get(route).copied().unwrap_or_default()
-        });
-        totals.fold(TrialCounts::default(), TrialCounts::plus)
+        evidence.total_where(|key| key.route == *route && self.replaces(&key.version))
     }
 }
 
--- a/crates/decide/src/relay/rollout.rs
+++ b/crates/decide/src/relay/rollout.rs
@@ -8,15 +8,15 @@
 use std::collections::BTreeMap;
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, Micros, Millis, MonoTime, MoveId, Percent, Revision, RouteName,
-    ServiceName, Share, TrialNumber, WorkspaceId,
+    EndpointId, EndpointVersion, Micros, Millis, MonoTime, MoveId, ParseIdError, Percent, Revision,
+    RouteName, ServiceName, Share, TrialNumber,
 };
 use strum::{Display, EnumString};
 
 use super::open_trials::OpenTrials;
 use crate::moves::{
     ExposureLimit, FULL_SHARE, MoveEffect, MoveEnd, MoveEvidence, MoveInput, MoveOutcome, MovePlan,
-    MoveReason, MoveTable, MoveView, Observer, Trial,
+    MoveReason, MoveTable, MoveView, Observer, ReplacedVersions, Trial,
 };
 
 /// Minimum share of a version that has not passed: enough for a decision on a service
@@ -165,24 +165,25 @@
         }
     }
 
-    /// Applies an order from a store revision. `old` lists the service's other
-    /// versions, `phase` is the status of this order in the store.
+    /// Applies an order from a store revision. `phase` is the status of this order in the
+    /// store. The order holds whether or not endpoints of any version are listed: they may
+    /// have lapsed, and their versions are compared with the target once they are back.
+    ///
+    /// # Errors
+    /// The service's name is too long to name a move.
     pub fn apply_order(
         &mut self,
         now: MonoTime,
         revision: Revision,
         order: RolloutOrder,
-        old: Vec<EndpointVersion>,
         exposure_limit: ExposureLimit,
         phase: Option<RolloutPhase>,
-    ) -> Vec<RolloutEffect> {
+    ) -> Result<Vec<RolloutEffect>, ParseIdError> {
         let known = self.ordered.get(&order.service);
         if known.is_some_and(|known| known.revision >= revision) {
-            return Vec::new();
+            return Ok(Vec::new());
         }
-        let Some(plan) = plan(revision, &order, old, exposure_limit) else {
-            return Vec::new();
-        };
+        let plan = plan(revision, &order, exposure_limit)?;
         let move_id = plan.id.clone();
         let mut effects = Vec::new();
         if let Some(end) = phase.and_then(recorded_end) {
@@ -206,7 +207,7 @@
             plan: Some(plan),
         };
         effects.extend(self.table.handle(now, template));
-        self.translate(effects)
+        Ok(self.translate(effects))
     }
 
     /// Applies the stored status of a service's current order.
@@ -376,22 +377,18 @@
     }
 }
 
-/// Plan of the move for an order; `None` if the service has no other version, or if its
-/// name is not a valid workspace or model name.
+/// Plan of the move for an order.
 fn plan(
     revision: Revision,
     order: &RolloutOrder,
-    old: Vec<EndpointVersion>,
     exposure_limit: ExposureLimit,
-) -> Option<MovePlan> {
+) -> Result<MovePlan, ParseIdError> {
     let service = order.service.as_str();
-    let workspace: WorkspaceId = service.parse().ok()?;
-    (!old.is_empty()).then_some(())?;
-    Some(MovePlan {
-        id: format!("{service}:{revision}").parse().ok()?,
-        workspace,
-        model: service.parse().ok()?,
-        from: old,
+    Ok(MovePlan {
+        id: format!("{service}:{revision}").parse()?,
+        workspace: service.parse()?,
+        model: service.parse()?,
+        from: ReplacedVersions::AllOthers,
         to: order.target.clone(),
         deadline_ms: order.duration_ms,
         decision_ms: Millis::new(
--- a/crates/decide/tests/moves/fleet.rs
+++ b/crates/decide/tests/moves/fleet.rs
@@ -6,7 +6,7 @@
     generation::PlacementConstraints,
     moves::{
         FULL_SHARE, MoveEffect, MoveInput, MoveOutcome, MovePlan, MoveReason, MoveTable, Observer,
-        Trial,
+        ReplacedVersions, Trial,
     },
     version_choice::VersionPlan,
 };
@@ -90,7 +90,7 @@
         id: "mvua:7".parse().unwrap(),
         workspace: workspace(),
         model: "drafts".parse().unwrap(),
-        from: vec!["v1".parse().unwrap()],
+        from: ReplacedVersions::Named(vec!["v1".parse().unwrap()]),
         to: "v2".parse().unwrap(),
         deadline_ms: Millis::new(deadline_ms),
         decision_ms: Millis::new(deadline_ms),
@@ -232,7 +232,7 @@
 
     fn version_of(&self, node: usize, now_ms: u64, id: RequestId) -> EndpointVersion {
         let order = PlacementConstraints {
-            endpoint_versions: self.plan.from.clone(),
+            endpoint_versions: self.plan.from.named().to_vec(),
             failed_endpoints: Vec::new(),
         };
         let versions: Option<VersionPlan> =
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -58,8 +58,8 @@
 }
 
 fn apply_order(node: &mut Rollouts, phase: Option<RolloutPhase>) -> Vec<RolloutEffect> {
-    let old = vec![version("v1")];
-    node.apply_order(at(0), Revision::new(5), order(), old, EXPOSURE_LIMIT, phase)
+    node.apply_order(at(0), Revision::new(5), order(), EXPOSURE_LIMIT, phase)
+        .unwrap()
 }
 
 fn phases(effects: &[RolloutEffect]) -> Vec<RolloutPhase> {
@@ -199,19 +199,45 @@
     assert!(!node.is_open());
 }
 
+/// An order holds although no endpoint is listed: entries lapse in an outage of the store.
+/// Until another version answers, the target gets its share only.
 #[test]
-fn order_without_other_version_ignored() {
+fn order_without_other_version_in_force() {
     let mut node = node(1);
-    let effects = node.apply_order(
-        at(0),
-        Revision::new(5),
-        order(),
-        Vec::new(),
-        EXPOSURE_LIMIT,
-        None,
+    assert_eq!(
+        phases(&apply_order(&mut node, None)),
+        [RolloutPhase::Running]
     );
-    assert!(effects.is_empty());
-    assert!(node.rules(at(10)).is_empty());
+    let rule = node.rules(at(10)).remove(&service()).unwrap();
+    assert!(rule.share <= EXPOSURE_LIMIT.share, "{rule:?}");
+    // The old version is back, and the target turns out to be slow.
+    let mut effects = Vec::new();
+    for now in (2_000..6_000).step_by(20).map(at) {
+        for (name, latency_us) in [("v1", 10_000), ("v2", 50_000)] {
+            let answered = trial(name, Some(Micros::new(latency_us)));
+            effects.extend(node.record_trial(now, &answered));
+        }
+        effects.extend(node.expire(now));
+    }
+    assert_eq!(phases(&effects).last(), Some(&RolloutPhase::TakenBack));
+    let rule = node.rules(at(6_000)).remove(&service()).unwrap();
+    assert_eq!(rule.share, Share::ZERO);
+}
+
+/// All versions except the target are compared with it, also one that is listed later.
+#[test]
+fn order_compares_version_listed_later() {
+    let mut node = node(1);
+    apply_order(&mut node, None);
+    let mut effects = Vec::new();
+    for now in (0..4_000).step_by(20).map(at) {
+        for (name, latency_us) in [("v0", 10_000), ("v2", 50_000)] {
+            let answered = trial(name, Some(Micros::new(latency_us)));
+            effects.extend(node.record_trial(now, &answered));
+        }
+        effects.extend(node.expire(now));
+    }
+    assert_eq!(phases(&effects).last(), Some(&RolloutPhase::TakenBack));
 }
 
 #[test_case(0, false, true ; "in the share")]
@@ -258,15 +284,8 @@
     };
     let mut nodes: Vec<Rollouts> = (0..NODES).map(node).collect();
     for node in &mut nodes {
-        let old = vec![version("v1")];
-        node.apply_order(
-            at(0),
-            Revision::new(5),
-            order.clone(),
-            old,
-            EXPOSURE_LIMIT,
-            None,
-        );
+        node.apply_order(at(0), Revision::new(5), order.clone(), EXPOSURE_LIMIT, None)
+            .unwrap();
     }
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut simulation = Simulation {
--- a/crates/node/src/control/admin/templates.rs
+++ b/crates/node/src/control/admin/templates.rs
@@ -150,7 +150,7 @@
         view.state == MoveState::Done
             && view.plan.workspace == template.workspace
             && view.plan.to == requested.to
-            && view.plan.from == template.endpoint_versions
+            && view.plan.from.named() == template.endpoint_versions
     });
     let Some(view) = done else {
         return Ok(());
--- a/crates/node/src/control/events.rs
+++ b/crates/node/src/control/events.rs
@@ -46,7 +46,7 @@
 pub(crate) fn describe_move(view: &MoveView) -> Value {
     let plan = &view.plan;
     json!({
-        "id": plan.id, "workspace": plan.workspace, "from": plan.from, "to": plan.to,
+        "id": plan.id, "workspace": plan.workspace, "from": plan.from.named(), "to": plan.to,
         "state": view.state.to_string(), "share_ppm": view.share,
         "trials": view.counts.trials, "failures": view.counts.failures,
         "slow": view.counts.slow, "elapsed_ms": view.elapsed_ms,
--- a/crates/node/src/control/move_records.rs
+++ b/crates/node/src/control/move_records.rs
@@ -31,7 +31,7 @@
     pub(crate) fn new(plan: &MovePlan, opened_at_unix_ms: UnixMillis) -> Self {
         Self {
             workspace: plan.workspace.clone(),
-            from: plan.from.clone(),
+            from: plan.from.named().to_vec(),
             to: plan.to.clone(),
             opened_at_unix_ms,
             end: None,
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -130,12 +130,16 @@
             share: bounds.exposure_limit,
             slack: bounds.exposure_slack,
         };
-        let other_versions = other_versions.into_iter().collect();
-        let revision = document.revision;
-        let effects =
+        let applied =
             self.rollouts
-                .apply_order(now, revision, order, other_versions, exposure_limit, phase);
-        self.apply_effects(effects);
+                .apply_order(now, document.revision, order, exposure_limit, phase);
+        match applied {
+            Ok(effects) => self.apply_effects(effects),
+            Err(error) => {
+                let key = document.key.as_str();
+                log::error!(key = key, error:% = error; "roll-out can't be planned");
+            }
+        }
     }
 
     /// Stored phase of the current order of a service.
