Relay: the status of a replaced roll-out order is not written

Operators saw (by reading in the review, now shown): a node that lost the store had taken a version back, and wrote that once the store was back, although a new order for the same version had come meanwhile. All nodes took it for the end of the new order; a `done` would have moved the service to an unproven version.

Cause: the write of a status was bound to the revision of the status only. A status has no order in it, and counts for the newest one.

--- a/crates/relay/src/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use parsleylatch_decide::relay::{RolloutPhase, RolloutStatus};
-use parsleylatch_store::{Condition, LeaseId, StoreClient, StoreError};
+use parsleylatch_store::{Condition, Guard, LeaseId, StoreClient, StoreError};
 use parsleylatch_types::{Millis, Revision};
 use tokio::{sync::oneshot, time};
 
@@ -226,8 +226,8 @@
     }
 }
 
-/// Writes the status of a rollout, unless the store already has it or a final status of
-/// this order. Retries until the store responds.
+/// Writes the status of a rollout, unless the store already has it, a final status of
+/// this order, or a newer order. Retries until the store responds.
 pub(crate) async fn record_rollout(
     shared: Arc<Shared>,
     order_revision: Revision,
@@ -235,6 +235,11 @@
 ) {
     let codec = shared.codec.rollouts;
     let key = format!("{}{}", codec.status_prefix, status.service);
+    let order_key = format!("{}{}", codec.order_prefix, status.service);
+    let guard = Guard {
+        key: &order_key,
+        revision: order_revision,
+    };
     let mut store = RetryingStore::new(shared, CALL_TIMEOUT_MS);
     loop {
         let result = store.client().read(&key).await;
@@ -252,12 +257,28 @@
         }
         let condition = entry.map_or(Condition::Absent, |it| Condition::At(it.revision));
         let value = (codec.write_status)(&status);
-        let result = store.client().write(&key, value, condition, None).await;
-        if store
-            .handle_result(result)
-            .await
-            .is_some_and(|reply| reply.written)
-        {
+        let client = store.client();
+        let result = client.write_guarded(&key, &value, condition, guard).await;
+        let Some(reply) = store.handle_result(result).await else {
+            continue;
+        };
+        if reply.written {
+            return;
+        }
+        let result = store.client().read(&order_key).await;
+        let Some(order) = store.handle_result(result).await else {
+            continue;
+        };
+        let revision = order.map_or(Revision::ZERO, |order| order.revision);
+        if revision != order_revision {
+            log::info!(
+                service:% = status.service,
+                target:% = status.target,
+                state:% = status.phase,
+                order_revision = order_revision.get(),
+                replaced_by = revision.get();
+                "status of a replaced roll-out order not written"
+            );
             return;
         }
     }
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -24,6 +24,17 @@
     pub revision: Revision,
 }
 
+/// Conditions under which a write takes effect.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WriteConditions<'a> {
+    /// Revision of the key.
+    pub(crate) expected: Option<Revision>,
+    /// Lease that has to be valid, and whose end deletes the key.
+    pub(crate) lease_id: Option<u64>,
+    /// Another key and its revision.
+    pub(crate) guard: Option<(&'a str, Revision)>,
+}
+
 struct StoredValue {
     value: String,
     revision: Revision,
@@ -92,23 +103,29 @@
         }
     }
 
-    /// Writes or deletes a key if it has the expected revision and the lease, if
-    /// any, is valid.
+    /// Writes or deletes a key if the conditions are met.
     pub(crate) fn write(
         &mut self,
         now: Instant,
         key: &str,
         value: Option<&str>,
-        expected: Option<Revision>,
-        lease_id: Option<u64>,
+        conditions: WriteConditions<'_>,
     ) -> WriteReply {
         self.expire_leases(now);
-        let current = self
-            .keys
-            .get(key)
-            .map_or(Revision::ZERO, |stored| stored.revision);
+        let WriteConditions {
+            expected,
+            lease_id,
+            guard,
+        } = conditions;
+        let revision_of = |key: &str| {
+            let stored = self.keys.get(key);
+            stored.map_or(Revision::ZERO, |stored| stored.revision)
+        };
+        let current = revision_of(key);
+        let is_guard_met = guard.is_none_or(|(key, revision)| revision_of(key) == revision);
         let is_lease_valid = lease_id.is_none_or(|lease_id| self.leases.contains_key(&lease_id));
-        let written = is_lease_valid && expected.is_none_or(|expected| expected == current);
+        let written =
+            is_lease_valid && is_guard_met && expected.is_none_or(|expected| expected == current);
         if written {
             self.apply(key, value, lease_id);
         }
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -16,8 +16,8 @@
 use serde::Serialize;
 use tokio::sync::{Notify, watch};
 
-use data::StoreData;
 pub use data::StoreLogEntry;
+use data::{StoreData, WriteConditions};
 use rate::RateLimiter;
 
 use crate::{
@@ -125,13 +125,13 @@
     /// Writes a key unconditionally.
     pub fn put(&self, key: &str, value: &str) {
         let now = Instant::now();
-        lock(&self.state.data).write(now, key, Some(value), None, None);
+        lock(&self.state.data).write(now, key, Some(value), WriteConditions::default());
         self.state.changed.notify_waiters();
     }
 
     /// Deletes a key unconditionally.
     pub fn remove(&self, key: &str) {
-        lock(&self.state.data).write(Instant::now(), key, None, None, None);
+        lock(&self.state.data).write(Instant::now(), key, None, WriteConditions::default());
         self.state.changed.notify_waiters();
     }
 
--- a/crates/standin/src/store/routes.rs
+++ b/crates/standin/src/store/routes.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `GET /v1/kv?key=K` | reads one key |
 //! | `PUT /v1/kv?key=K&expected=R&lease=L` | writes the body; `expected=0` requires that the key is new |
+//! | `PUT ...&guard=G&guard_revision=S` | the same, and requires that key G is at revision S |
 //! | `DELETE /v1/kv?key=K&expected=R` | deletes a key |
 //! | `GET /v1/list?prefix=P` | lists the keys with a prefix |
 //! | `GET /v1/watch?prefix=P&after=R&wait_ms=W` | waits for a change after `R` |
@@ -22,7 +23,7 @@
     types::State,
 };
 
-use super::{StoreCounters, StoreState, lock, rate::RateLimiter};
+use super::{StoreCounters, StoreState, data::WriteConditions, lock, rate::RateLimiter};
 use crate::control::{self, StoreFault};
 
 /// Maximum size of a value.
@@ -35,6 +36,19 @@
     key: String,
     expected: Option<Revision>,
     lease: Option<u64>,
+    guard: Option<String>,
+    #[serde(default)]
+    guard_revision: Revision,
+}
+
+impl KeyQuery {
+    fn conditions(&self) -> WriteConditions<'_> {
+        WriteConditions {
+            expected: self.expected,
+            lease_id: self.lease,
+            guard: self.guard.as_deref().map(|key| (key, self.guard_revision)),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -124,8 +138,7 @@
         .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()).into_error())?;
     admit(&state, &state.writes, |counters| counters.writes += 1).await?;
     let now = Instant::now();
-    let (key, expected, lease) = (&query.key, query.expected, query.lease);
-    let reply = lock(&state.data).write(now, key, Some(&value), expected, lease);
+    let reply = lock(&state.data).write(now, &query.key, Some(&value), query.conditions());
     write_response(&state, &reply)
 }
 
@@ -134,7 +147,7 @@
     let query: KeyQuery = request.query()?;
     admit(&state, &state.writes, |counters| counters.writes += 1).await?;
     let now = Instant::now();
-    let reply = lock(&state.data).write(now, &query.key, None, query.expected, None);
+    let reply = lock(&state.data).write(now, &query.key, None, query.conditions());
     write_response(&state, &reply)
 }
 
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -46,6 +46,15 @@
     Malformed(String),
 }
 
+/// Another key that has to be at a revision for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guard<'a> {
+    /// Key, which the write leaves as it is.
+    pub key: &'a str,
+    /// Required revision.
+    pub revision: Revision,
+}
+
 /// Write or delete that takes effect only if a condition is met.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConditionalWrite<'a> {
@@ -55,6 +64,8 @@
     pub value: Option<&'a str>,
     /// Required state of the key.
     pub condition: Condition,
+    /// Required state of another key.
+    pub guard: Option<Guard<'a>>,
     /// Lease whose end deletes the key.
     pub lease: Option<LeaseId>,
 }
@@ -149,6 +160,9 @@
     if let Some(LeaseId(lease)) = write.lease {
         path = format!("{path}&lease={lease}");
     }
+    if let Some(Guard { key, revision }) = write.guard {
+        path = format!("{path}&guard={key}&guard_revision={revision}");
+    }
     match write.value {
         Some(value) => StoreRequest {
             method: Method::PUT,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,7 +8,9 @@
 mod store;
 mod vm_list;
 
-pub use codec::{ConditionalWrite, ListPage, ReadReplyFn, ReplyError, StoreCodec, StoreRequest};
+pub use codec::{
+    ConditionalWrite, Guard, ListPage, ReadReplyFn, ReplyError, StoreCodec, StoreRequest,
+};
 pub use error::{StoreError, StoreStep};
 pub use store::{Condition, LeaseId, StoreClient};
 pub use vm_list::VmListClient;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -9,7 +9,7 @@
 use parsleylatch_wire::platform::{KeyValue, ListReply, WriteReply};
 
 use crate::{
-    codec::{ConditionalWrite, ListPage, ReplyError, StoreCodec, StoreRequest},
+    codec::{ConditionalWrite, Guard, ListPage, ReplyError, StoreCodec, StoreRequest},
     error::{StoreError, StoreStep},
 };
 
@@ -141,11 +141,33 @@
             key,
             value,
             condition,
+            guard: None,
             lease,
         })
         .await
     }
 
+    /// Writes a key if the condition is met and the guard's key is at its revision.
+    ///
+    /// # Errors
+    /// Same as [`StoreClient::write`].
+    pub async fn write_guarded(
+        &self,
+        key: &str,
+        value: &str,
+        condition: Condition,
+        guard: Guard<'_>,
+    ) -> Result<WriteReply, StoreError> {
+        self.send_write(&ConditionalWrite {
+            key,
+            value: Some(value),
+            condition,
+            guard: Some(guard),
+            lease: None,
+        })
+        .await
+    }
+
     /// Deletes a key if it is at the revision.
     ///
     /// # Errors
@@ -155,6 +177,7 @@
             key,
             value: None,
             condition: Condition::At(revision),
+            guard: None,
             lease: None,
         })
         .await
