Relay: an older listing of the store replaces no newer documents

Cause: a listing that arrives late, after another node has passed on newer state, replaced the stored documents. The registry kept the newer revision, so that the node passed the older documents on under it, and their receivers had no reason to ask again for what had changed in between.

Change: documents from the store with a revision below the known one are not applied, with a log line; the answer still counts as a sign of the store.

Evidence: late_listing_brings_no_endpoint_back failed before (200 from the endpoint that had left, asked of one of the two nodes) and passes.

--- a/crates/decide/src/relay/registry.rs
+++ b/crates/decide/src/relay/registry.rs
@@ -101,6 +101,11 @@
         self.is_known
     }
 
+    /// Whether newer state than that of a store revision is known.
+    pub fn is_newer_than(&self, revision: Revision) -> bool {
+        self.is_known && self.revision > revision
+    }
+
     /// Store revision of the last listing.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -76,6 +76,28 @@
         is_outdated || !self.is_initialized() && now.since(MonoTime::ZERO) > STALE_AGE_MS.micros()
     }
 
+    /// Whether documents read from the store are older than what another node has passed on.
+    /// They must not replace the newer ones, which this node would pass on under their
+    /// revision.
+    pub(crate) fn is_outdated(&self, read: &ListReply) -> bool {
+        let is_outdated = self.registry.is_newer_than(read.revision);
+        if is_outdated {
+            log::info!(
+                revision = read.revision.get(),
+                known = self.registry.revision().get();
+                "older documents from the store ignored"
+            );
+        }
+        is_outdated
+    }
+
+    /// Records that the store has answered a call that began at `started_at`, with documents
+    /// that are not applied.
+    pub(crate) fn record_outdated(&mut self, started_at: MonoTime) {
+        self.record_store_success();
+        self.shared.record_confirmation(started_at);
+    }
+
     /// Applies a listing of all documents, read by a call that began at `started_at`.
     pub(crate) fn apply_listing(&mut self, listing: ListReply, started_at: MonoTime) {
         self.record_store_success();
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -192,6 +192,11 @@
     fn handle(&mut self, input: ControlInput) {
         let now = self.shared.now();
         match input {
+            ControlInput::Listing(read, at) | ControlInput::Changes(read, at)
+                if self.cluster.is_outdated(&read) =>
+            {
+                self.cluster.record_outdated(at);
+            }
             ControlInput::Listing(listing, started_at) => {
                 self.peers.apply_listing(&listing.entries);
                 self.rollouts.record_documents(&listing.entries);
