Relay: waiting streams see engines that are listed meanwhile

Callers saw: streams that waited for an engine with room went on waiting although an engine with room had been listed, unless another request happened to arrive at the same node.

The task that serves the queue never did.

Change: it does so before each round of queries.

Evidence: queued_stream_uses_engine_listed_meanwhile failed before (no response within 8 s) and passes.

--- a/crates/relay/src/traffic/placement_queue.rs
+++ b/crates/relay/src/traffic/placement_queue.rs
@@ -149,6 +149,8 @@
 /// Assigns engines until no stream of the service waits.
 async fn serve(traffic: Rc<Traffic>, service: ServiceName) {
     loop {
+        // Engines may be listed or leave while no other request updates the table.
+        traffic.snapshot();
         let has_reports = query_engines(&traffic, &service).await;
         if assign_engines(&traffic, &service, has_reports) {
             return;
