Relay: a waiting stream follows the version rule in force

Cause: the queue decides without a version rule, as only streams without one enter it; a rule that arrives while they wait was not looked at.

Evidence: queued_stream_avoids_version_taken_back failed before (the engine of the version taken back ran the stream) and passes.

--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -126,7 +126,11 @@
             .is_any_eligible(self.traffic.now(), &table, &criteria)
     }
 
-    fn version_limit(&self, snapshot: &Snapshot, excluded: &[EndpointKey]) -> Option<VersionLimit> {
+    pub(super) fn version_limit(
+        &self,
+        snapshot: &Snapshot,
+        excluded: &[EndpointKey],
+    ) -> Option<VersionLimit> {
         let rule = snapshot.versions.get(&self.job.spec.service)?;
         let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
         Some(rule.limit(self.version_draw, is_retry))
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -146,9 +146,11 @@
 
     fn choose_assigned(&self, key: &EndpointKey) -> Option<Choice> {
         let traffic = Rc::clone(&self.traffic);
-        traffic.snapshot();
+        let snapshot = traffic.snapshot();
         let spec = &self.job.spec;
         let excluded = self.exchange.excluded_endpoints();
+        // A roll-out may have begun or ended while the stream waited.
+        let version = self.version_limit(&snapshot, excluded);
         let criteria = SelectionCriteria {
             service: &spec.service,
             excluded,
@@ -157,7 +159,7 @@
             prompt: spec.prompt,
             with_backup: self.job.has_backups
                 && !traffic.are_copies_unaffordable(&spec.service, self.stream_size()),
-            version: None,
+            version: version.as_ref(),
         };
         traffic.selector().choose(
             traffic.now(),
