Relay: another endpoint's error never gets into a stream

Its text, or its head, was in the stream, which then ended as if it were complete; a 404 ended it although another endpoint could go on.

Cause: a success was read as events whatever its type, events without an id passed in a stream of numbered events, and the chart forwarded a whole response also after the stream had begun.

Change: the type of a response decides whether it is read as events; an event without an id ends the attempt of a resumable stream; a whole response is a failure of a stream that has begun, by chart and Exchange::classify.

--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -270,6 +270,15 @@
         now.since(self.context.started_at)
     }
 
+    /// Class of a complete response in the current state: it can't continue a stream that
+    /// has begun.
+    pub fn classify(&self, class: ResponseClass) -> ResponseClass {
+        match class {
+            ResponseClass::Final if self.has_begun() => ResponseClass::Failure,
+            class => class,
+        }
+    }
+
     /// Whether another attempt may follow a failed one.
     ///
     /// The front end takes a retry from the budget only if so.
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -258,6 +258,23 @@
 }
 
 /// The caller already has all events, so the resumed stream ends without further ones.
+/// Whatever the next endpoint answers as a whole is a failure of a stream that has begun.
+#[test]
+fn resumed_stream_response_is_failure() {
+    let mut exchange = begun(RESUMABLE);
+    assert_eq!(
+        exchange.classify(ResponseClass::Final),
+        ResponseClass::Failure
+    );
+    exchange.handle(at(150), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(150), placed(2));
+    let effects = exchange.handle(at(160), answered(ResponseClass::Final, true));
+    assert!(
+        matches!(effects[..], [ExchangeEffect::BreakOff { .. }]),
+        "{effects:?}"
+    );
+}
+
 #[test]
 fn resumed_without_events_finishes() {
     let mut exchange = begun(RESUMABLE);
@@ -425,6 +442,7 @@
     /// Whether an attempt is open.
     open: bool,
     ends: u32,
+    has_begun: bool,
 }
 
 impl History {
@@ -447,14 +465,15 @@
                     );
                     self.ends += 1;
                 }
-                ExchangeEffect::ForwardResponse
-                | ExchangeEffect::Finish
-                | ExchangeEffect::BreakOff { .. } => {
+                ExchangeEffect::ForwardResponse => {
+                    assert!(!self.has_begun, "response in a stream that has begun");
+                    self.ends += 1;
+                }
+                ExchangeEffect::Finish | ExchangeEffect::BreakOff { .. } => {
                     self.ends += 1;
                 }
-                ExchangeEffect::Place { .. }
-                | ExchangeEffect::Probe
-                | ExchangeEffect::BeginStream => {}
+                ExchangeEffect::BeginStream => self.has_begun = true,
+                ExchangeEffect::Place { .. } | ExchangeEffect::Probe => {}
             }
         }
         assert!(self.ends <= 1, "answered twice");
@@ -470,7 +489,7 @@
 
 proptest! {
     /// For any sequence of inputs: one response, one attempt at a time, no second run of
-    /// a request that may run only once, and no false "not run".
+    /// a request that may run only once, no false "not run", and no response in a stream.
     #[test]
     fn exchange_invariants(
         repeat in repeats(),
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -32,6 +32,8 @@
 const NON_REPEATABLE_IDLE_LIMIT_MS: Millis = Millis::new(200);
 /// Maximum size of a response that is not a stream.
 const RESPONSE_LIMIT_BYTES: usize = 8 << 20;
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Capacity of the queue of events for the exchange.
 const EVENT_QUEUE_CAPACITY: usize = 64;
 
@@ -196,7 +198,8 @@
         if metadata.is_not_run || metadata.is_misdirected {
             connection.record_refusal(id.clone());
         }
-        let is_stream = repeat.is_stream() && parts.status.is_success();
+        let is_stream =
+            repeat.is_stream() && parts.status.is_success() && may_be_events(&parts.headers);
         let head = ResponseHead {
             status: parts.status,
             headers: parts.headers,
@@ -215,6 +218,14 @@
     }
 }
 
+/// Whether a body may consist of events, by its type if it has one.
+fn may_be_events(headers: &HeaderMap) -> bool {
+    headers.get(header::CONTENT_TYPE).is_none_or(|it| {
+        let media_type = it.as_bytes().split(|byte| *byte == b';').next();
+        media_type.is_some_and(|it| it.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
 /// Whether a response may belong to another request.
 fn is_foreign(metadata: &ResponseMetadata, id: &ExchangeId, connection: &OpenConnection) -> bool {
     match metadata.id.as_deref() {
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -136,6 +136,7 @@
         } else {
             ResponseClass::Final
         };
+        let class = self.exchange.classify(class);
         match class {
             ResponseClass::Final => {
                 self.record_success();
@@ -178,12 +179,18 @@
     pub(super) async fn handle_events(&mut self, events: Vec<RawEvent>) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
         let mut has_event = false;
+        let mut is_foreign = false;
         for event in events {
             if !event.has_field {
                 self.keep_comment(event);
                 continue;
             }
             let id = event.id.map(StreamEventId::new);
+            // Such as the text of an error. A caller could not resume after it either.
+            is_foreign = id.is_none() && self.requires_event_ids();
+            if is_foreign {
+                break;
+            }
             if id.is_some() && id <= self.last_event {
                 self.traffic
                     .shared
@@ -198,20 +205,35 @@
         if !has_event {
             // Comments are forwarded, but are no progress.
             self.flush_events().await;
-            return Vec::new();
+            return self.leave_foreign(is_foreign);
         }
         self.record_first_event(now);
         self.record_gap(now);
         self.record_silence_end();
         self.report_answer(now, false);
-        let effects = self.exchange.handle(now, ExchangeInput::Event);
+        let mut effects = self.exchange.handle(now, ExchangeInput::Event);
         if self.exchange.has_begun() && matches!(self.caller, CallerState::Streaming(_)) {
             self.flush_events().await;
         }
         self.check_copy(now);
+        effects.extend(self.leave_foreign(is_foreign));
         effects
     }
 
+    /// Whether an event without an id can't belong to the stream.
+    fn requires_event_ids(&self) -> bool {
+        let has_ids = self.last_event.is_some_and(|it| it.get() > 0);
+        has_ids && self.job.spec.repeat.may_run_again()
+    }
+
+    /// Ends the attempt if an event of it can't belong to the stream.
+    fn leave_foreign(&mut self, is_foreign: bool) -> Vec<ExchangeEffect> {
+        match is_foreign {
+            true => self.handle_lost("event without an id in a stream of numbered events"),
+            false => Vec::new(),
+        }
+    }
+
     /// Keeps a comment until it is forwarded. Before the first event only a few are kept,
     /// so that an engine that sends nothing else takes no memory.
     fn keep_comment(&mut self, comment: RawEvent) {
