Relay: an endpoint gets the whole pause that it asks for

A second 503 with a shorter time, for a request that was on its way, ended the long pause as well.

Cause: a pause was bounded by 30 s, and the latest notice replaced an earlier one.

Change: the bound is ten minutes, for absurd numbers; of two pauses the longer one holds.

--- a/crates/decide/src/relay/endpoint_notice.rs
+++ b/crates/decide/src/relay/endpoint_notice.rs
@@ -18,8 +18,8 @@
 use super::endpoint_table::{EndpointKey, EndpointTable};
 use crate::charts::{self, LazyMachine};
 
-/// Longest pause that an endpoint is granted; it can ask again.
-const PAUSE_LIMIT_MS: Millis = Millis::new(30_000);
+/// Longest pause that an endpoint is granted, far longer than callers wait; it can ask again.
+const PAUSE_LIMIT_MS: Millis = Millis::new(600_000);
 /// Time for which a notice is kept after the last one of its endpoint, far longer than
 /// endpoints take to leave.
 const NOTICE_LIFETIME_MS: Millis = Millis::new(600_000);
@@ -110,6 +110,11 @@
                 recorded_at: now,
             });
         machine().expire(&mut recorded.instance, now, &mut context);
+        // Requests that were on their way when the endpoint asked for a long pause may be
+        // rejected with a shorter one.
+        let earlier_end = recorded.instance.next_deadline().unwrap_or(now);
+        let pause_left = pause_left.max(earlier_end.since(now).millis());
+        context.pause_left = pause_left;
         recorded.recorded_at = now;
         let earlier = recorded.instance.state();
         let event = match notice {
