--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_bench::process::{Signal, resident_memory, send_signal};
 use parsleylatch_runtime::Clock;
-use parsleylatch_standin::{FaultSpec, RelayedFault, StoreFault};
+use parsleylatch_standin::{FaultSpec, RelayedFault, RelayedNotice, StoreFault};
 use parsleylatch_types::{Millis, MonoTime};
 use tokio::sync::{mpsc, watch};
 
@@ -256,6 +256,7 @@
                 ProcessEffect::Spawn => {
                     let pid = self.program.spawn(relay, self.update_sender.clone())?;
                     self.relays[relay].pid = Some(pid);
+                    self.environment.checker().record_relay_start(relay);
                 }
                 ProcessEffect::SendStop => self.signal(relay, Signal::Term),
                 ProcessEffect::SendKill => {
@@ -353,6 +354,7 @@
                 self.newest_version.send_replace(version);
             }
             Fault::DrainEndpoint(index) => self.drain_endpoint(index),
+            Fault::Notice(index, notice) => self.announce(index, notice),
             Fault::CallerLink(relay, mode, duration_ms) => {
                 let link = environment.caller_links[relay].clone();
                 self.disturb_link(link, mode, duration_ms, Scope::Relay(relay));
@@ -425,6 +427,21 @@
         self.schedule(delay_ms, move |it| it.environment.replace(index));
     }
 
+    /// Makes an endpoint say that it leaves, until it is replaced, or that it pauses.
+    fn announce(&mut self, index: usize, notice: RelayedNotice) {
+        self.environment.set_notice(index, Some(notice));
+        let delay_ms = match notice {
+            RelayedNotice::Leaving => MAX_DRAIN_DELAY_MS.saturating_add(REPLACEMENT_SLACK_MS),
+            RelayedNotice::Pause(pause_ms) => pause_ms,
+        };
+        self.schedule(delay_ms, move |it| {
+            it.environment.set_notice(index, None);
+            if notice == RelayedNotice::Leaving {
+                it.environment.replace(index);
+            }
+        });
+    }
+
     fn disturb_link(&mut self, link: Link, mode: LinkMode, duration_ms: Millis, scope: Scope) {
         let target = link.clone();
         let inject = || target.set_mode(mode);
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -8,7 +8,8 @@
 
 use parsleylatch_runtime::Clock;
 use parsleylatch_standin::{
-    ArrivalSink, FaultSpec, RelayedEndpoint, RelayedFault, RelayedSettings, Store, StoreSettings,
+    ArrivalSink, FaultSpec, NoticeSpec, RelayedEndpoint, RelayedFault, RelayedNotice,
+    RelayedSettings, Store, StoreSettings,
 };
 use parsleylatch_types::{EndpointId, Millis, RequestsPerSecond};
 use serde_json::{Value, json};
@@ -146,6 +147,14 @@
         });
     }
 
+    /// Sets what an endpoint says about further requests.
+    pub(crate) fn set_notice(&self, index: usize, notice: Option<RelayedNotice>) {
+        let broken = [Invariant::LeavingNotice, Invariant::PauseNotice];
+        let is_sent = self.broken_invariant.is_none_or(|it| !broken.contains(&it));
+        let notice_spec = NoticeSpec { notice, is_sent };
+        self.endpoints[index].endpoint.set_notice(notice_spec);
+    }
+
     /// Writes a configuration version; each version after the first adds a route.
     pub(crate) fn write_configuration(&self, version: u64) {
         let text = configuration(version, self.broken_invariant).to_string();
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use parsleylatch_standin::{ArrivedRequest, call_text, event_text};
+use parsleylatch_standin::{ArrivedRequest, RelayedNotice, call_text, event_text};
 use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime};
 use strum::{Display, EnumString, VariantArray};
 
@@ -24,6 +24,10 @@
 const ARRIVAL_SLACK_MS: Millis = Millis::new(200);
 /// Age from which the relay is assumed to have read a request whose connection closes.
 const READ_SLACK_MS: Millis = Millis::new(200);
+/// Time in which requests may be on their way when an endpoint asks for a pause.
+const PAUSE_SLACK_MS: Millis = Millis::new(500);
+/// Requests that an endpoint may get from one relay in the rest of a pause.
+const MAX_ARRIVALS_IN_PAUSE: u32 = 2;
 /// Limit of a relay's resident memory, as specified by the operators.
 pub(crate) const MEMORY_LIMIT_BYTES: u64 = 260 << 20;
 
@@ -68,6 +72,10 @@
     /// A process stays within its memory limit.
     #[strum(serialize = "memory")]
     MemoryLimit,
+    /// An endpoint that says that it leaves receives no new requests.
+    LeavingNotice,
+    /// An endpoint that asks for a pause gets it.
+    PauseNotice,
 }
 
 /// A violation of an invariant.
@@ -156,12 +164,28 @@
     is_refused: bool,
 }
 
+/// What one endpoint has said to one relay.
+#[derive(Clone, Copy, Debug, Default)]
+struct HeardNotices {
+    leaving_since: Option<MonoTime>,
+    pause: Option<HeardPause>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardPause {
+    asked_at: MonoTime,
+    until: MonoTime,
+    arrivals: u32,
+}
+
 /// Records all requests and checks them against the invariants.
 #[derive(Default)]
 pub(crate) struct InvariantChecker {
     requests: HashMap<String, TrackedRequest>,
     pub(crate) disturbance_log: DisturbanceLog,
     draining: HashMap<EndpointId, MonoTime>,
+    /// By endpoint and index of the relay.
+    heard_notices: HashMap<(EndpointId, usize), HeardNotices>,
     configurations: HashMap<u64, MonoTime>,
     violations: Vec<Violation>,
     tally: Tally,
@@ -202,6 +226,13 @@
     /// Records that an endpoint has been replaced by a new process.
     pub(crate) fn record_replacement(&mut self, endpoint: &EndpointId) {
         self.draining.remove(endpoint);
+        self.heard_notices.retain(|(heard, _), _| heard != endpoint);
+    }
+
+    /// Records that a relay's process starts, which knows no notices.
+    pub(crate) fn record_relay_start(&mut self, relay: usize) {
+        self.heard_notices
+            .retain(|(_, heard_by), _| *heard_by != relay);
     }
 
     /// Records that the store has acknowledged a configuration version.
@@ -238,6 +269,51 @@
             );
             self.report(Invariant::Drain, now, reason);
         }
+        self.check_notices(now, &sent, arrived);
+    }
+
+    /// Checks a request against what its endpoint has said to the relay before, and records
+    /// what the response says.
+    fn check_notices(&mut self, now: MonoTime, sent: &SentRequest, arrived: &ArrivedRequest) {
+        let key = (arrived.endpoint.clone(), sent.relay);
+        let mut heard = self.heard_notices.get(&key).copied().unwrap_or_default();
+        let id = &sent.id;
+        if let Some(since) = heard.leaving_since
+            && sent.sent_at > since + MAX_DRAIN_DELAY_MS
+            && now > since + MAX_DRAIN_DELAY_MS + ARRIVAL_SLACK_MS
+            && self.is_relay_undisturbed(sent.relay, since, now)
+        {
+            let reason = format!("{id} arrived at {}, which has said that it leaves", key.0);
+            self.report(Invariant::LeavingNotice, now, reason);
+        }
+        if let Some(pause) = &mut heard.pause
+            && now > pause.asked_at + PAUSE_SLACK_MS
+            && now < pause.until
+        {
+            pause.arrivals += 1;
+            let (asked_at, arrivals) = (pause.asked_at, pause.arrivals);
+            if arrivals > MAX_ARRIVALS_IN_PAUSE
+                && self.is_relay_undisturbed(sent.relay, asked_at, now)
+            {
+                let reason = format!("{id} arrived at {} within its pause", key.0);
+                self.report(Invariant::PauseNotice, now, reason);
+            }
+        }
+        match arrived.notice {
+            Some(RelayedNotice::Leaving) => {
+                heard.leaving_since.get_or_insert(now);
+            }
+            Some(RelayedNotice::Pause(pause_ms)) => {
+                heard.pause.get_or_insert(HeardPause {
+                    asked_at: now,
+                    until: now + pause_ms,
+                    arrivals: 0,
+                });
+            }
+            None => {}
+        }
+        heard.pause = heard.pause.filter(|pause| now < pause.until);
+        self.heard_notices.insert(key, heard);
     }
 
     fn check_run(&mut self, now: MonoTime, sent: &SentRequest, runs: usize, is_refused: bool) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,7 +1,7 @@
 //! Fault plan of a run, a pure function of the seed, the load duration and the targets.
 //! Faults come in series that may overlap.
 
-use parsleylatch_standin::{RelayedFault, StoreFault};
+use parsleylatch_standin::{RelayedFault, RelayedNotice, StoreFault};
 use parsleylatch_types::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -19,6 +19,12 @@
 const DURATION_MS: std::ops::RangeInclusive<u64> = 100..=3_500;
 /// Delay added by slow links, endpoints and stores.
 const DELAY_MS: std::ops::RangeInclusive<u64> = 20..=400;
+/// Notices of endpoints in a run. They have a generator of their own, so that the other faults
+/// of a seed stay as they are.
+const NOTICE_COUNT: std::ops::RangeInclusive<usize> = 0..=2;
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
+/// Time for which an endpoint wants no requests.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 600..=2_500;
 /// Duration of the faults that reveal an invariant violated on purpose.
 const BREAKING_DURATION_MS: Millis = Millis::new(2_000);
 /// Length of a pause that outlasts the request timeout.
@@ -50,6 +56,9 @@
     EndpointLink(usize, LinkMode, Millis),
     /// Resets an endpoint's connections as in a crash, then replaces it by a new process.
     CrashEndpoint(usize, Millis),
+    /// Makes an endpoint say something about further requests: that it leaves, until it is
+    /// replaced by a new process, or that it wants none for a while.
+    Notice(usize, RelayedNotice),
     /// Makes an endpoint misbehave.
     Endpoint {
         index: usize,
@@ -103,10 +112,30 @@
             at += gap;
         }
     }
+    faults.extend(plan_notices(seed, load_ms, targets));
     faults.sort_by_key(|planned| planned.at);
     faults
 }
 
+fn plan_notices(seed: u64, load_ms: Millis, targets: Targets) -> Vec<PlannedFault> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ NOTICE_SEED);
+    let count = random.random_range(NOTICE_COUNT);
+    let notices = (0..count).map(|_| {
+        let at = random.random_range(WARM_UP_MS..load_ms.get().max(WARM_UP_MS + 1));
+        let index = random.random_range(0..targets.endpoints);
+        let pause_ms = Millis::new(random.random_range(PAUSE_MS));
+        let notice = match random.random() {
+            true => RelayedNotice::Leaving,
+            false => RelayedNotice::Pause(pause_ms),
+        };
+        PlannedFault {
+            at: Millis::new(at),
+            fault: Fault::Notice(index, notice),
+        }
+    });
+    notices.collect()
+}
+
 /// Faults that make a deployment that violates an invariant on purpose show it.
 pub(crate) fn breaking_faults(invariant: Invariant, targets: Targets) -> Vec<PlannedFault> {
     let at = |seconds: u64, fault| PlannedFault {
@@ -129,6 +158,11 @@
         Invariant::ResponseDeadline => vec![at(1, Fault::PauseRelay(0, BREAKING_PAUSE_MS))],
         Invariant::RequestLoss | Invariant::ProcessExit => vec![at(1, Fault::KillRelay(0))],
         Invariant::Drain => vec![at(1, Fault::DrainEndpoint(0))],
+        Invariant::LeavingNotice => vec![at(1, Fault::Notice(0, RelayedNotice::Leaving))],
+        Invariant::PauseNotice => {
+            let pause = RelayedNotice::Pause(BREAKING_DURATION_MS);
+            vec![at(1, Fault::Notice(0, pause))]
+        }
         Invariant::ConfigurationDelay => vec![at(1, Fault::ChangeConfiguration)],
         Invariant::RequestIntegrity | Invariant::Recovery | Invariant::MemoryLimit => Vec::new(),
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,8 +19,8 @@
 pub use control::{EngineFault, FaultSpec, ServiceFault, StoreFault};
 pub use engine::{Engine, EngineSettings};
 pub use relayed::{
-    ArrivalSink, ArrivedRequest, RelayedEndpoint, RelayedFault, RelayedSettings, body_digest,
-    call_text, event_text,
+    ArrivalSink, ArrivedRequest, NoticeSpec, RelayedEndpoint, RelayedFault, RelayedNotice,
+    RelayedSettings, body_digest, call_text, event_text,
 };
 pub use serve::{Addresses, ServerHandle};
 pub use service::{Service, ServiceSettings};
--- a/crates/standin/src/relayed.rs
+++ b/crates/standin/src/relayed.rs
@@ -55,6 +55,25 @@
     FalseReject,
 }
 
+/// What an endpoint says in its responses about further requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayedNotice {
+    /// It leaves; it still runs what arrives.
+    Leaving,
+    /// It rejects all requests, and wants none for this long.
+    Pause(Millis),
+}
+
+/// Notice of an endpoint, and whether its responses have it: an endpoint may violate its
+/// protocol on purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeSpec {
+    /// What the endpoint means.
+    pub notice: Option<RelayedNotice>,
+    /// Whether it says so.
+    pub is_sent: bool,
+}
+
 /// A request as the endpoint received it.
 #[derive(Clone, Debug)]
 pub struct ArrivedRequest {
@@ -70,6 +89,8 @@
     pub headers: BTreeMap<String, String>,
     /// Digest of the body.
     pub body_digest: u64,
+    /// What the response says about further requests.
+    pub notice: Option<RelayedNotice>,
 }
 
 /// Callback that receives each request that arrives at an endpoint.
@@ -89,6 +110,7 @@
 struct RelayedState {
     settings: RelayedSettings,
     fault: watch::Sender<FaultSpec<RelayedFault>>,
+    notice: watch::Sender<NoticeSpec>,
     /// Events generated so far, by request id.
     runs: Mutex<BTreeMap<String, u64>>,
     /// Last prompt parts of the most recently read prompts.
@@ -102,6 +124,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notice that responses have.
+    fn sent_notice(&self) -> Option<RelayedNotice> {
+        let spec = *self.notice.borrow();
+        spec.notice.filter(|_| spec.is_sent)
+    }
+
     fn runs(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -131,6 +159,7 @@
         let state = Arc::new(RelayedState {
             settings,
             fault: watch::Sender::new(no_fault),
+            notice: watch::Sender::default(),
             runs: Mutex::default(),
             prompt_parts: Mutex::default(),
         });
@@ -153,6 +182,11 @@
     pub fn inject_fault(&self, fault_spec: FaultSpec<RelayedFault>) {
         self.state.fault.send_replace(fault_spec);
     }
+
+    /// Sets what the endpoint says in its responses about further requests.
+    pub fn set_notice(&self, notice_spec: NoticeSpec) {
+        self.state.notice.send_replace(notice_spec);
+    }
 }
 
 /// Returns the text of an event: a pure function of request body and event number.
@@ -211,7 +245,10 @@
     let target = format!("{} {}", request.method(), request.uri());
     let body = request.bytes_with(None, MAX_REQUEST_BYTES).await?;
     let fault_spec = state.fault.borrow().clone();
-    let has_run = is_addressed_here && fault_spec.fault != RelayedFault::Reject;
+    let notice = state.notice.borrow().notice;
+    let rejects =
+        fault_spec.fault == RelayedFault::Reject || matches!(notice, Some(RelayedNotice::Pause(_)));
+    let has_run = is_addressed_here && !rejects;
     let body_digest = body_digest(&body);
     (state.settings.arrivals)(ArrivedRequest {
         endpoint: state.settings.id.clone(),
@@ -220,12 +257,16 @@
         target,
         headers,
         body_digest,
+        notice: notice.filter(|_| is_addressed_here),
     });
     if !is_addressed_here {
         return Ok(Err(StatusCode::MISDIRECTED_REQUEST.into_response()));
     }
     if !has_run || fault_spec.fault == RelayedFault::FalseReject {
-        let response = response_head(state, &id).header("not-run", "1");
+        let mut response = response_head(state, &id).header("not-run", "1");
+        if let Some(RelayedNotice::Pause(pause_ms)) = state.sent_notice() {
+            response = response.header("pause-ms", pause_ms.to_string());
+        }
         return Ok(Err(with_body(response.status(503), Body::empty())));
     }
     if let Some(prompt_part) = prompt_part {
@@ -246,9 +287,13 @@
 
 fn response_head(state: &RelayedState, id: &str) -> http::response::Builder {
     let running = state.runs().len();
-    http::Response::builder()
+    let head = http::Response::builder()
         .header("request-id", id)
-        .header("endpoint-load", format!("{running},0"))
+        .header("endpoint-load", format!("{running},0"));
+    match state.sent_notice() {
+        Some(RelayedNotice::Leaving) => head.header("endpoint-leaving", "1"),
+        _ => head,
+    }
 }
 
 fn with_body(head: http::response::Builder, body: Body) -> Response {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -57,6 +57,8 @@
 #[test_case(Invariant::ConfigurationDelay)]
 #[test_case(Invariant::Recovery)]
 #[test_case(Invariant::ProcessExit)]
+#[test_case(Invariant::LeavingNotice)]
+#[test_case(Invariant::PauseNotice)]
 fn broken_invariant_found(invariant: Invariant) {
     let report = run_soak(&invariant.to_string(), 1, Some(invariant));
     let mut violations = report.violations.iter();
