Relay: room at an engine that takes no requests is no room

Callers saw (by the overload model): while an engine that had asked for a pause reported room, streams that waited for room were sent to engines that were full, past the queue.

Cause: whether any engine has room counted paused ones, and the choice of the engine did not; a stream for which no engine was found then counts as if no engine reported its state.

Change: both look at engines that take requests.

--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -421,14 +421,14 @@
         stats.has_room(now, size)
     }
 
-    /// Whether any engine of a service reports room for a stream.
+    /// Whether any engine of a service that takes requests reports room for a stream.
     pub(crate) fn any_has_room(
         &self,
         now: MonoTime,
         service: &ServiceName,
         size: StreamSize,
     ) -> bool {
-        self.usable(service).any(|it| {
+        self.open(now, service).any(|it| {
             it.has_room(now, size) == Some(true) && !self.is_suspended(now, &it.entry.key)
         })
     }
--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -12,7 +12,7 @@
 };
 use test_case::test_case;
 
-use model::{LoadPattern, SIZE, Strategy, Tally, replay};
+use model::{ClosedEngines, LoadPattern, SIZE, Strategy, Tally, replay};
 
 /// Twelve engines read 10 streams a second with nothing else to do, and hold their
 /// streams for some 8 s while they read others.
@@ -22,6 +22,10 @@
     burst_s: (8, 16),
     end_s: 34,
     slow_engines: 0,
+    closed: ClosedEngines {
+        engines: 0,
+        span_s: (0, 0),
+    },
 };
 const SLOTS: SlotCount = SlotCount::new(64);
 
@@ -90,6 +94,25 @@
     assert!(waiting.wasted_tokens < at_once.wasted_tokens);
 }
 
+/// A third of the engines take no requests for four seconds of a burst of twice the capacity,
+/// then all the time: once a node knows, it sends them nothing; no fewer streams are in time
+/// than without them; and those that open again get no more than they can hold.
+#[test]
+fn replay_closed_engines() {
+    let closed_for = |span_s| LoadPattern {
+        closed: ClosedEngines { engines: 4, span_s },
+        ..TWICE
+    };
+    let (_, brief) = replay_both(closed_for((8, 12)));
+    let (_, without) = replay_both(closed_for((0, 60)));
+    for tally in [brief, without] {
+        assert_eq!(tally.rejected_late, 0, "{tally:?}");
+    }
+    assert!(brief.in_time >= without.in_time, "{brief:?} {without:?}");
+    // An engine holds eight streams.
+    assert!(brief.arrived_on_reopening <= 8, "{brief:?}");
+}
+
 /// The prompt tokens that are read in vain fall to a third.
 #[test_case(TWICE ; "twice the capacity")]
 #[test_case(THREE_TIMES ; "three times the capacity")]
--- a/crates/decide/tests/overload/model.rs
+++ b/crates/decide/tests/overload/model.rs
@@ -10,12 +10,12 @@
 
 use parsleylatch_decide::relay::{
     Assignment, EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, EngineReport,
-    NodeLocation, PlacementQueue, QueueTicket, QueuedStream, RunProgress, SelectionCriteria,
-    Selector, StreamSize, assign_engines, must_wait,
+    NodeLocation, Notice, PlacementQueue, QueueTicket, QueuedStream, RunProgress,
+    SelectionCriteria, Selector, StreamSize, assign_engines, must_wait,
 };
 use parsleylatch_types::{
-    ByteCount, FailureDomain, Incarnation, Millis, MonoTime, NodeId, Rank, Region, ServiceName,
-    SlotCount, TokenCount,
+    ByteCount, FailureDomain, Incarnation, Micros, Millis, MonoTime, NodeId, Rank, Region,
+    ServiceName, SlotCount, TokenCount,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -31,6 +31,9 @@
 const QUERY_INTERVAL_US: u64 = 150_000;
 const QUERIED_ENGINES: usize = 4;
 const TICK_US: u64 = 5_000;
+/// Time for which a request may be on its way to an engine that has just said that it takes
+/// none.
+const ON_THE_WAY_US: u64 = 500_000;
 const GOAL_MS: Millis = Millis::new(4_500);
 /// Time after a burst from which streams are in time again.
 const RECOVERY_US: u64 = 2_000_000;
@@ -64,6 +67,25 @@
     pub(crate) end_s: u64,
     /// Engines that are four times slower during the burst.
     pub(crate) slow_engines: u16,
+    /// Engines that take no requests for a while, and when.
+    pub(crate) closed: ClosedEngines,
+}
+
+/// Engines that reject every request, with the time after which they take requests again.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ClosedEngines {
+    pub(crate) engines: u16,
+    /// Begin and end, in seconds.
+    pub(crate) span_s: (u64, u64),
+}
+
+impl ClosedEngines {
+    /// Time for which an engine takes no requests; `None` if it takes them.
+    fn closed_for(self, now_us: u64, engine: usize) -> Option<Micros> {
+        let (from_us, until_us) = (self.span_s.0 * 1_000_000, self.span_s.1 * 1_000_000);
+        let is_closed = engine < usize::from(self.engines) && (from_us..until_us).contains(&now_us);
+        is_closed.then(|| Micros::new(until_us - now_us))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +108,13 @@
     busy_until_us: u64,
     wasted_tokens: u64,
     reports: VecDeque<(u64, EngineReport)>,
+    /// When it first rejected a request, by node.
+    rejecting_since_us: HashMap<usize, u64>,
+    /// Requests that it rejected although their node had been told for longer than a request
+    /// may be on its way.
+    rejected_late: usize,
+    /// Streams that it got in the first second after it was closed.
+    arrived_on_reopening: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -111,6 +140,10 @@
     pub(crate) refused: usize,
     /// Prompt tokens that were read again after a preemption.
     pub(crate) wasted_tokens: u64,
+    /// Requests that reached closed engines although their nodes knew.
+    pub(crate) rejected_late: usize,
+    /// Most streams that an engine got in the first second after it was closed.
+    pub(crate) arrived_on_reopening: usize,
 }
 
 impl Tally {
@@ -122,6 +155,8 @@
             arrived_afterwards: self.arrived_afterwards + other.arrived_afterwards,
             refused: self.refused + other.refused,
             wasted_tokens: self.wasted_tokens + other.wasted_tokens,
+            rejected_late: self.rejected_late + other.rejected_late,
+            arrived_on_reopening: self.arrived_on_reopening.max(other.arrived_on_reopening),
         }
     }
 }
@@ -137,6 +172,7 @@
 
 struct Model {
     strategy: Strategy,
+    closed: ClosedEngines,
     engines: Vec<Engine>,
     nodes: Vec<Node>,
     requests: Vec<Request>,
@@ -202,6 +238,7 @@
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut model = Model {
         strategy,
+        closed: pattern.closed,
         engines: (0..ENGINES).map(|_| Engine::default()).collect(),
         nodes: (0..NODES).map(|it| node(it, seed)).collect(),
         requests: Vec::new(),
@@ -245,7 +282,14 @@
             arrived_us: now_us,
             ..Request::default()
         });
+        self.place(now_us, request);
+    }
+
+    /// Sends a stream to an engine, or lets it wait.
+    fn place(&mut self, now_us: u64, request: usize) {
         let now = MonoTime::new(now_us);
+        let node = self.requests[request].node;
+        let deadline = MonoTime::new(self.requests[request].arrived_us) + DEADLINE_MS;
         let service = service();
         let criteria = SelectionCriteria {
             service: &service,
@@ -267,8 +311,8 @@
         }
         let stream = QueuedStream {
             rank: Rank::new(1),
-            goal_at: now + GOAL_MS,
-            deadline: now + DEADLINE_MS,
+            goal_at: MonoTime::new(self.requests[request].arrived_us) + GOAL_MS,
+            deadline,
             size: SIZE,
             body_bytes: ByteCount::new(5_000),
         };
@@ -282,11 +326,23 @@
 
     fn send(&mut self, now_us: u64, request: usize, key: &EndpointKey) {
         let now = MonoTime::new(now_us);
-        let node = &mut self.nodes[self.requests[request].node];
+        let number = self.requests[request].node;
+        let node = &mut self.nodes[number];
+        let engine = self.keys.iter().position(|it| it == key).unwrap();
+        if let Some(closed_for) = self.closed.closed_for(now_us, engine) {
+            let at = &mut self.engines[engine];
+            let since_us = *at.rejecting_since_us.entry(number).or_insert(now_us);
+            at.rejected_late += usize::from(now_us > since_us + ON_THE_WAY_US);
+            let pause = Notice::Pause(closed_for.millis());
+            node.table.record_notice(now, key, pause);
+            return self.place(now_us, request);
+        }
+        let reopened_us = self.closed.span_s.1 * 1_000_000;
+        let is_reopening = (reopened_us..reopened_us + 1_000_000).contains(&now_us);
+        self.engines[engine].arrived_on_reopening += usize::from(is_reopening);
         node.table.record_start(key, SIZE.prompt);
         node.table.record_placement(now, key, SIZE);
         node.sent.insert(request, (key.clone(), now));
-        let engine = self.keys.iter().position(|it| it == key).unwrap();
         self.engines[engine].waiting.push(Run {
             request,
             unread_tokens: u64::from(SIZE.prompt.get()),
@@ -387,6 +443,12 @@
             wasted_tokens: self.engines.iter().map(|it| it.wasted_tokens).sum(),
             ..Tally::default()
         };
+        let reopened = &self.engines[..usize::from(self.closed.engines)];
+        for engine in reopened {
+            tally.rejected_late += engine.rejected_late;
+            let arrived = engine.arrived_on_reopening;
+            tally.arrived_on_reopening = tally.arrived_on_reopening.max(arrived);
+        }
         for request in &self.requests {
             let goal_us = request.arrived_us + GOAL_MS.micros().get();
             let begins_in_time = request.first_event_us.is_some_and(|it| it <= goal_us);
