Relay: a silent engine is left only for one that can read the whole prompt

Callers saw: a stream with a long prompt ended with 504 although its engine was sound and only silent for a second. It had left that engine for another one, which could not read the prompt in the time that was left.

Cause: the check before the move counts half of the prompt as cached, which is right for a stream that has nowhere to run, and wrong for one that has.

Change: before a move the whole prompt counts.

Evidence: silent_endpoint_uncached_prompt_completed failed before (504) and passes. The known red silent_endpoint_long_prompt_completed can now fail this way only within the first second instead of the first 2.5 s; its entry stays.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -44,8 +44,8 @@
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
-    StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless, may_be_full,
-    must_wait, retry_delay,
+    StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless,
+    is_restart_hopeless, may_be_full, must_wait, retry_delay,
 };
 pub use ownership::EndpointOwnership;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -32,7 +32,7 @@
 
 pub use assignment::{Assignment, assign_engines, must_wait};
 pub use engine_load::{EngineLoad, StreamSize};
-pub use hopeless::is_hopeless;
+pub use hopeless::{is_hopeless, is_restart_hopeless};
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
 pub use queue::{PlacementQueue, QueueRejection, QueueTicket, QueuedStream};
 pub use retry_delay::retry_delay;
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -5,7 +5,7 @@
 use parsleylatch_decide::relay::{
     Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueueRejection, QueuedStream,
     RefusalReason, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize, is_hopeless,
-    retry_delay,
+    is_restart_hopeless, retry_delay,
 };
 use parsleylatch_types::{ByteCount, Millis};
 
@@ -38,7 +38,8 @@
     /// Whether another engine could not read the prompt before the deadline.
     pub(super) fn is_restart_hopeless(&self) -> bool {
         let spec = &self.job.spec;
-        self.is_queueable(false) && is_hopeless(self.traffic.now(), spec.deadline, spec.prompt)
+        let now = self.traffic.now();
+        self.is_queueable(false) && is_restart_hopeless(now, spec.deadline, spec.prompt)
     }
 
     /// Refuses a stream that would run from its start and outlast a stopping process.
