HTTP: a response body of a call is bounded

Cause: the client for calls between processes read bodies to their end.

Change: 16 MiB at most; a longer response is a failed call.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client as PooledClient, connect::HttpConnector},
@@ -16,6 +16,8 @@
 
 /// Longest wait for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest response body that [`Client::call`] accepts, many times that of a page of the store.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -115,7 +117,7 @@
         })
     }
 
-    /// Sends a request and reads the full response.
+    /// Sends a request and reads the full response, of at most 16 MiB.
     ///
     /// # Errors
     /// Returns an error with the step that failed.
@@ -129,8 +131,9 @@
         let exchange = async {
             let response = self.open(peer, request, body, timeout).await?;
             let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES);
             let body = body.collect().await.map_err(|error| {
-                let kind = HttpErrorKind::Transport(error_chain(&error));
+                let kind = HttpErrorKind::Transport(error_chain(&*error));
                 HttpError {
                     step: Step::Receive,
                     peer,
