--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -257,7 +257,6 @@
     assert_eq!(exchange.state(), ExchangeState::AwaitingEndpoint);
 }
 
-/// The caller already has all events, so the resumed stream ends without further ones.
 /// Whatever the next endpoint answers as a whole is a failure of a stream that has begun.
 #[test]
 fn resumed_stream_response_is_failure() {
@@ -275,6 +274,7 @@
     );
 }
 
+/// The caller already has all events, so the resumed stream ends without further ones.
 #[test]
 fn resumed_without_events_finishes() {
     let mut exchange = begun(RESUMABLE);
