Relay: request bodies and callers' connections share a bound on memory

Cause: bounds exist for one body and one connection, none for a process. With 2,600 connections and the configured body limit their sum exceeds any machine.

A request whose body finds no room is refused as not run, with Retry-After.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod endpoint_table;
 mod exchange;
 mod life;
+mod memory_plan;
 mod open_trials;
 mod overload;
 mod ownership;
@@ -42,6 +43,7 @@
     ResponseClass, STOPPING_RETRY_AFTER_MS,
 };
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
+pub use memory_plan::MemoryPlan;
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
     StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless,
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -19,7 +19,7 @@
     sync::Arc,
 };
 
-use parsleylatch_decide::relay::{RelayEffect, RelayEvent, RelayLifecycle};
+use parsleylatch_decide::relay::{MemoryPlan, RelayEffect, RelayEvent, RelayLifecycle};
 use parsleylatch_http::{NodelayListener, serve};
 use parsleylatch_peer::{Identity, LinkEvent};
 use parsleylatch_runtime::Clock;
@@ -285,6 +285,8 @@
             log::warn!("settings change the listen addresses; they take effect after a restart");
         }
         self.lifecycle.set_stop_limit(settings.bounds.stop_ms);
+        let plan = MemoryPlan::new(settings.memory);
+        self.shared.body_memory.set_limit(plan.bodies);
         self.shared.settings.store(Arc::new(settings));
         log::info!("settings reloaded");
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod control;
 mod input;
+mod memory;
 mod own_codec;
 mod relay;
 mod shared;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::relay::{
-    EndpointEntry, NodeLocation, PartVerdicts, RelayConfiguration, VersionRule,
+    EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration, VersionRule,
 };
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::telemetry::RelayMetrics;
-use crate::{codec::RelayCodec, input::ControlInput};
+use crate::{codec::RelayCodec, input::ControlInput, memory::MemoryBudget};
 
 /// Wait of a watch, in percent of the shorter propagation bound. A watch on a store
 /// that has dropped its history may not report changes until its wait is over.
@@ -72,6 +72,8 @@
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) phase: watch::Sender<LifecyclePhase>,
     pub(crate) metrics: RelayMetrics,
+    /// Bodies of requests and responses that the process holds.
+    pub(crate) body_memory: Arc<MemoryBudget>,
     pub(crate) control: mpsc::Sender<ControlInput>,
     /// Whether this node reads the store itself.
     pub(crate) reads_store: watch::Sender<bool>,
@@ -93,7 +95,9 @@
         codec: RelayCodec,
         control: mpsc::Sender<ControlInput>,
     ) -> Self {
+        let plan = MemoryPlan::new(settings.memory);
         Self {
+            body_memory: Arc::new(MemoryBudget::new(plan.bodies)),
             settings: ArcSwap::from_pointee(settings),
             codec,
             clock: Clock::start(),
--- a/crates/relay/src/traffic/job.rs
+++ b/crates/relay/src/traffic/job.rs
@@ -7,7 +7,7 @@
 use parsleylatch_decide::relay::{EndpointKey, ExchangeSpec, RelayRoute, RelayWorkspace};
 use parsleylatch_types::Revision;
 
-use crate::codec::RequestMetadata;
+use crate::{codec::RequestMetadata, memory::Reservation};
 
 /// A request to relay, with its route and the exchange's parameters.
 pub(crate) struct Job {
@@ -16,6 +16,8 @@
     pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) _body_memory: Reservation,
     pub(crate) route: Arc<RelayRoute>,
     pub(crate) workspace: Option<Arc<RelayWorkspace>>,
     pub(crate) has_backups: bool,
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 
 use std::{cell::Cell, convert::Infallible, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
+use parsleylatch_decide::relay::MemoryPlan;
 use parsleylatch_http::NodelayListener;
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
@@ -27,8 +28,8 @@
 
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Limit on callers' connections per thread; the remainder of 4,100 file descriptors is
-/// for connections to endpoints.
+/// Maximum number of callers' connections of a process; the remainder of 4,100 file
+/// descriptors is for connections to endpoints.
 const CONNECTION_LIMIT: usize = 2_600;
 
 /// Serves callers until the relay has stopped.
@@ -50,9 +51,10 @@
     let open = Rc::new(Cell::new(0_usize));
     tokio::task::spawn_local(placement_queue::reject_at_stop(Rc::clone(&traffic)));
     loop {
+        let has_room = open.get() < connection_limit(&traffic.shared);
         let accepted = tokio::select! {
-            accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
-            () = time::sleep(ACCEPT_RETRY_DELAY), if open.get() >= CONNECTION_LIMIT => continue,
+            accepted = listener.accept(), if has_room => accepted,
+            () = time::sleep(ACCEPT_RETRY_DELAY), if !has_room => continue,
             () = traffic.shared.wait_for_phase(LifecyclePhase::Closing) => break,
         };
         match accepted {
@@ -75,6 +77,13 @@
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
 }
 
+/// Maximum number of callers' connections of one thread.
+fn connection_limit(shared: &Shared) -> usize {
+    let settings = shared.settings.load();
+    let plan = MemoryPlan::new(settings.memory);
+    CONNECTION_LIMIT.min(plan.connections) / settings.traffic_threads
+}
+
 fn serve(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, stream: TcpStream) {
     open.set(open.get() + 1);
     let (traffic, open) = (Rc::clone(traffic), Rc::clone(open));
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     codec::RequestMetadata,
+    memory::Reservation,
     shared::{LifecyclePhase, Shared, Snapshot},
     telemetry::RelayCounter,
 };
@@ -132,9 +133,10 @@
     let path = parts.uri.path_and_query().cloned();
     let path = path.ok_or_else(|| denied(id, Denial::BadRequest, "missing path"))?;
     let limits = limits(&snapshot);
+    let mut body_memory = Reservation::empty(&shared.body_memory);
     let body = tokio::select! {
         biased;
-        body = read_body(body, &limits) => body,
+        body = read_body(body, &limits, &mut body_memory) => body,
         () = shared.wait_for_response_deadline() => Err(Denial::Stopping),
     };
     let body = body.map_err(|denial| denied(id, denial, "body rejected"))?;
@@ -195,6 +197,7 @@
         path,
         headers: parts.headers,
         body,
+        _body_memory: body_memory,
         route: Arc::clone(route),
         workspace,
         has_backups,
@@ -298,7 +301,11 @@
     Some(name.to_ascii_lowercase())
 }
 
-async fn read_body(mut body: Incoming, limits: &CallerLimits) -> Result<Bytes, Denial> {
+async fn read_body(
+    mut body: Incoming,
+    limits: &CallerLimits,
+    memory: &mut Reservation,
+) -> Result<Bytes, Denial> {
     let limit = limits.body_bytes.get();
     if body.size_hint().lower() > limit {
         return Err(Denial::BodyTooLarge);
@@ -317,6 +324,9 @@
             if received.len() as u64 + chunk.len() as u64 > limit {
                 return Err(Denial::BodyTooLarge);
             }
+            if !memory.try_grow(chunk.len()) {
+                return Err(Denial::MemoryUsedUp);
+            }
             received.extend_from_slice(&chunk);
         }
     }
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -11,6 +11,10 @@
 /// `Retry-After` of a node that lacks recent state.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
+/// `Retry-After` of a node whose memory for bodies is used up. The caller's retry reaches
+/// another node.
+const MEMORY_RETRY_AFTER_MS: Millis = Millis::new(100);
+
 /// Why a request is rejected before an endpoint is selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -27,6 +31,8 @@
     SlowBody,
     /// This node's state is missing or too old to decide.
     Uninformed,
+    /// The process has no memory left for the body.
+    MemoryUsedUp,
     /// This node is stopping, and the response may outlast it.
     Stopping,
 }
@@ -39,7 +45,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Uninformed | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Uninformed | Self::MemoryUsedUp | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 
@@ -47,6 +55,7 @@
     fn retry_after(self) -> Option<Millis> {
         match self {
             Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
+            Self::MemoryUsedUp => Some(MEMORY_RETRY_AFTER_MS),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             _ => None,
         }
@@ -54,7 +63,10 @@
 
     /// Whether the connection must be closed because its framing may be out of sync.
     fn ends_connection(self) -> bool {
-        matches!(self, Self::BadRequest | Self::BodyTooLarge | Self::SlowBody)
+        matches!(
+            self,
+            Self::BadRequest | Self::BodyTooLarge | Self::SlowBody | Self::MemoryUsedUp
+        )
     }
 }
 
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -2,13 +2,18 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use parsleylatch_types::{FailureDomain, Millis, NodeId, Region, RequestCount, Share};
+use parsleylatch_types::{ByteCount, FailureDomain, Millis, NodeId, Region, RequestCount, Share};
 use serde::Deserialize;
 
 use crate::{document::Document, error::SettingsError};
 
 /// Maximum number of traffic threads of one relay.
 const MAX_TRAFFIC_THREADS: usize = 64;
+/// Default of [`RelaySettings::memory`], in MiB.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Least memory with which a relay starts, in MiB.
+const MIN_MEMORY_MB: f64 = 32.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// Default of [`RelayBounds::configuration_ms`].
@@ -80,6 +85,7 @@
     #[serde(default)]
     seeds: Vec<SocketAddr>,
     traffic_threads: Option<usize>,
+    memory_mb: Option<f64>,
     #[serde(default)]
     bounds: RawRelayBounds,
 }
@@ -109,6 +115,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Number of traffic threads.
     pub traffic_threads: usize,
+    /// Memory that the process may take, including bytes that the kernel has received for it.
+    pub memory: ByteCount,
     /// Service-level bounds.
     pub bounds: RelayBounds,
 }
@@ -125,7 +133,13 @@
             let reason = format!("{traffic_threads} is not between 1 and {MAX_TRAFFIC_THREADS}");
             return Err(document.value_error("traffic_threads", reason));
         }
+        let memory_mb = raw.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        if !(memory_mb.is_finite() && memory_mb >= MIN_MEMORY_MB) {
+            let reason = format!("{memory_mb} is below {MIN_MEMORY_MB}");
+            return Err(document.value_error("memory_mb", reason));
+        }
         Ok(Self {
+            memory: ByteCount::new((memory_mb * BYTES_PER_MB) as u64),
             bounds: check_bounds(document, raw.bounds)?,
             node_id: raw.node_id,
             failure_domain: raw.failure_domain,
