Relay: report responses that are taken but not sent when their connection ends

Callers saw an incomplete response, and the log had nothing for it: a request counted as answered as soon as the HTTP library took the body, whose bytes may wait in its write buffer.

A request now stays open until its connection is flushed. The log line `caller connection ended before the response` has `is_buffered` and `blocked_ms`, which tell this from a request that had no response. No timeout changes.

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -15,6 +15,7 @@
 use super::{
     connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
     connection_timer::{ConnectionTimeout, ConnectionTimer},
+    flush_observer::FlushObserver,
     request_handler, responses,
     state::Traffic,
 };
@@ -55,6 +56,7 @@
             Ok::<_, Infallible>(handled.await)
         }
     });
+    let observed = FlushObserver::new(observed, Rc::clone(&activity));
     let connection = builder.serve_connection(TokioIo::new(observed), service);
     let mut connection = std::pin::pin!(connection);
     // A connection accepted while draining still gets one response.
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -21,18 +21,23 @@
 };
 use crate::{shared::Shared, telemetry::RelayCounter};
 
-/// A request whose response is not complete.
+/// A request whose response has not been sent.
 struct OpenRequest {
     id: Option<ExchangeId>,
     arrived_at: MonoTime,
+    /// Whether the HTTP library has taken the whole response. Its bytes may wait in the
+    /// library's write buffer.
+    is_buffered: bool,
 }
 
 /// Activity of one connection. Reports the open request when it is dropped.
 pub(crate) struct ConnectionActivity {
     shared: Arc<Shared>,
     request: RefCell<Option<OpenRequest>>,
-    /// When the connection was accepted, or its last response completed.
+    /// When the connection was accepted, or its last response was taken.
     idle_since: Cell<MonoTime>,
+    /// Since when the caller has taken none of the bytes that wait to be written.
+    blocked_since: Cell<Option<MonoTime>>,
     /// Reason for which the connection ended.
     failure: RefCell<Option<String>>,
 }
@@ -42,6 +47,7 @@
         Self {
             idle_since: Cell::new(shared.now()),
             shared,
+            blocked_since: Cell::default(),
             request: RefCell::default(),
             failure: RefCell::default(),
         }
@@ -52,6 +58,7 @@
         *self.request.borrow_mut() = Some(OpenRequest {
             id: None,
             arrived_at: self.shared.now(),
+            is_buffered: false,
         });
         RequestGuard {
             activity: Rc::clone(self),
@@ -61,10 +68,27 @@
 
     /// When the connection became idle; `None` while a request is in progress.
     pub(crate) fn idle_since(&self) -> Option<MonoTime> {
-        let is_idle = self.request.borrow().is_none();
+        let request = self.request.borrow();
+        let is_idle = request.as_ref().is_none_or(|it| it.is_buffered);
         is_idle.then(|| self.idle_since.get())
     }
 
+    /// Records an attempt to write; `has_progress` is `false` if the caller took nothing.
+    pub(crate) fn record_write(&self, has_progress: bool) {
+        let since = match has_progress {
+            true => None,
+            false => self.blocked_since.get().or_else(|| Some(self.now())),
+        };
+        self.blocked_since.set(since);
+    }
+
+    /// Records that all bytes that were written have left the process.
+    pub(crate) fn record_flush(&self) {
+        self.blocked_since.set(None);
+        let mut request = self.request.borrow_mut();
+        request.take_if(|it| it.is_buffered);
+    }
+
     /// Limits of the configuration in force.
     pub(crate) fn limits(&self) -> CallerLimits {
         request_handler::limits(&self.shared.snapshot.load())
@@ -101,9 +125,12 @@
             .configuration
             .as_ref()
             .map(|it| it.revision());
+        let blocked_for = self.blocked_since.get().map(|it| shared.now().since(it));
         log::info!(
             id:% = request.id.as_ref().map_or("-", ExchangeId::as_str),
             reason = failure.as_deref().unwrap_or("the connection's task ended"),
+            is_buffered = request.is_buffered,
+            blocked_ms = blocked_for.unwrap_or_default().millis().get(),
             age_ms = shared.now().since(request.arrived_at).millis().get(),
             configuration_revision = revision.unwrap_or_default().get();
             "caller connection ended before the response"
@@ -129,10 +156,13 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        if self.is_complete {
-            *self.activity.request.borrow_mut() = None;
-            self.activity.idle_since.set(self.activity.now());
+        if !self.is_complete {
+            return;
+        }
+        if let Some(request) = self.activity.request.borrow_mut().as_mut() {
+            request.is_buffered = true;
         }
+        self.activity.idle_since.set(self.activity.now());
     }
 }
 
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod copy_monitor;
 mod engine;
 mod exchange;
+mod flush_observer;
 mod holder_query;
 mod job;
 mod placement_queue;
