Relay: keep a connection until its response has reached the caller's socket

Callers that read slowly (slow links, small windows) got an incomplete response, one idle timeout after the relay had taken its last bytes; a change that shortened the idle timeout cut responses that were being read.

A response counted as complete when the HTTP library took its body, so the connection counted as idle while the bytes waited in the library's write buffer. The first expiry began a graceful shutdown, which waits for the buffer, and the second, at once after it, dropped the connection.

Idle time now begins when the connection is flushed. A caller that takes no bytes for 15 s is still left, and reported. All timeouts, not only the idle timeout, are judged again after what has arrived in time is read.

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -24,7 +24,7 @@
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: u64 = 8 << 10;
 
-/// Delay after the idle timeout, in which the runtime notices data that has arrived.
+/// Delay after a timeout, in which the runtime notices data that has arrived in time.
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
 /// Time for which a stopping relay waits for the first request of a connection.
@@ -100,24 +100,25 @@
 {
     let mut is_closing = false;
     loop {
-        let timeout = tokio::select! {
+        tokio::select! {
             biased;
             ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
-            timeout = timer.expired() => timeout,
-        };
-        match timeout {
-            ConnectionTimeout::Head => return Err("head not complete in time".to_owned()),
-            ConnectionTimeout::Idle if is_closing => return Ok(()),
-            ConnectionTimeout::Idle => {}
+            () = timer.expired() => {}
         }
         tokio::select! {
             biased;
             ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
             () = time::sleep(LAST_READ_DELAY) => {}
         }
-        if timer.is_expired() {
-            connection.as_mut().graceful_shutdown();
-            is_closing = true;
+        match timer.expired_now() {
+            None => {}
+            Some(ConnectionTimeout::Head) => return Err("head not complete in time".to_owned()),
+            Some(ConnectionTimeout::Write) => return Err("response not read in time".to_owned()),
+            Some(ConnectionTimeout::Idle) if is_closing => return Ok(()),
+            Some(ConnectionTimeout::Idle) => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+            }
         }
     }
 }
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -34,7 +34,7 @@
 pub(crate) struct ConnectionActivity {
     shared: Arc<Shared>,
     request: RefCell<Option<OpenRequest>>,
-    /// When the connection was accepted, or its last response was taken.
+    /// When the connection was accepted, or its last response was sent.
     idle_since: Cell<MonoTime>,
     /// Since when the caller has taken none of the bytes that wait to be written.
     blocked_since: Cell<Option<MonoTime>>,
@@ -68,11 +68,15 @@
 
     /// When the connection became idle; `None` while a request is in progress.
     pub(crate) fn idle_since(&self) -> Option<MonoTime> {
-        let request = self.request.borrow();
-        let is_idle = request.as_ref().is_none_or(|it| it.is_buffered);
+        let is_idle = self.request.borrow().is_none();
         is_idle.then(|| self.idle_since.get())
     }
 
+    /// Since when the caller has taken none of the bytes that wait to be written.
+    pub(crate) fn blocked_since(&self) -> Option<MonoTime> {
+        self.blocked_since.get()
+    }
+
     /// Records an attempt to write; `has_progress` is `false` if the caller took nothing.
     pub(crate) fn record_write(&self, has_progress: bool) {
         let since = match has_progress {
@@ -86,7 +90,9 @@
     pub(crate) fn record_flush(&self) {
         self.blocked_since.set(None);
         let mut request = self.request.borrow_mut();
-        request.take_if(|it| it.is_buffered);
+        if request.take_if(|it| it.is_buffered).is_some() {
+            self.idle_since.set(self.now());
+        }
     }
 
     /// Limits of the configuration in force.
@@ -156,13 +162,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        if !self.is_complete {
-            return;
-        }
         if let Some(request) = self.activity.request.borrow_mut().as_mut() {
-            request.is_buffered = true;
+            request.is_buffered = self.is_complete;
         }
-        self.activity.idle_since.set(self.activity.now());
     }
 }
 
--- a/crates/relay/src/traffic/connection_timer.rs
+++ b/crates/relay/src/traffic/connection_timer.rs
@@ -14,11 +14,14 @@
 };
 
 use parsleylatch_http::HeadInspection;
-use parsleylatch_types::MonoTime;
+use parsleylatch_types::{Millis, MonoTime};
 use tokio::time::{Sleep, sleep};
 
 use super::connection_activity::ConnectionActivity;
 
+/// Maximum time for which a caller may take none of the bytes of a response.
+const WRITE_TIMEOUT_MS: Millis = Millis::new(15_000);
+
 /// What a connection took too long for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionTimeout {
@@ -26,6 +29,8 @@
     Idle,
     /// Completing a head.
     Head,
+    /// Taking any bytes of a response.
+    Write,
 }
 
 /// Timer of one connection.
@@ -49,29 +54,34 @@
 
     /// Waits for a timeout. Notices changes of the connection only when it is polled, so
     /// the task that polls the connection has to poll this afterwards.
-    pub(crate) async fn expired(&mut self) -> ConnectionTimeout {
-        poll_fn(|context| self.poll_expired(context)).await
+    pub(crate) async fn expired(&mut self) {
+        poll_fn(|context| self.poll_expired(context)).await;
     }
 
-    /// Whether a timeout has passed.
-    pub(crate) fn is_expired(&mut self) -> bool {
+    /// The timeout that has passed.
+    pub(crate) fn expired_now(&mut self) -> Option<ConnectionTimeout> {
         let now = self.activity.now();
-        self.next_deadline().is_some_and(|(_, it)| it <= now)
+        let expired = self.next_deadline().filter(|(_, it)| *it <= now);
+        expired.map(|(timeout, _)| timeout)
     }
 
-    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<ConnectionTimeout> {
-        let Some((timeout, deadline)) = self.next_deadline() else {
+    fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some((_, deadline)) = self.next_deadline() else {
             return Poll::Pending;
         };
         let deadline = self.activity.to_instant(deadline);
         if self.sleep.deadline() != deadline {
             self.sleep.as_mut().reset(deadline);
         }
-        self.sleep.as_mut().poll(context).map(|()| timeout)
+        self.sleep.as_mut().poll(context)
     }
 
-    /// The next timeout and its time; `None` while a request is in progress.
+    /// The next timeout and its time; `None` while a request is in progress and its caller
+    /// takes the response.
     fn next_deadline(&mut self) -> Option<(ConnectionTimeout, MonoTime)> {
+        if let Some(blocked_since) = self.activity.blocked_since() {
+            return Some((ConnectionTimeout::Write, blocked_since + WRITE_TIMEOUT_MS));
+        }
         let Some(idle_since) = self.activity.idle_since() else {
             self.head_since = None;
             return None;
