Relay: read the rest of a refused body before closing its connection

Callers whose request was refused before its body was read (too large, too slow, no memory, a stop) got a reset connection instead of the refusal, and lost the end of the response before it.

The connection was closed with unread bytes, so the kernel reset it, and a reset discards what has not reached the caller yet: on slow links, with loss, behind small windows.

After the response, which closes the writing side, the rest of the body is read and discarded for at most a second. Only bytes of that body are read: a next request that crosses the close stays unread.

--- a/crates/http/src/head_inspector.rs
+++ b/crates/http/src/head_inspector.rs
@@ -66,6 +66,14 @@
         matches!(&self.0.borrow().position, Position::Head(head) if !head.is_empty())
     }
 
+    /// Whether a part of a request's body may be missing.
+    pub fn has_partial_body(&self) -> bool {
+        matches!(
+            self.0.borrow().position,
+            Position::Body(_) | Position::Unknown
+        )
+    }
+
     fn record(&self, mut bytes: &[u8]) {
         let mut state = self.0.borrow_mut();
         while !bytes.is_empty() {
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,8 +9,12 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{InspectedHead, error_chain, inspect_heads};
-use tokio::{net::TcpStream, time};
+use parsleylatch_http::{HeadInspection, InspectedHead, error_chain, inspect_heads};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt},
+    net::TcpStream,
+    time,
+};
 
 use super::{
     connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
@@ -30,6 +34,12 @@
 /// Time for which a stopping relay waits for the first request of a connection.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for which the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
 /// Serves one connection until it is closed. `awaited` counts its first request as in
 /// flight, so that a stopping relay does not end between accepting and reading it.
 pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: InFlightGuard) {
@@ -44,6 +54,7 @@
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
     let shared = Arc::clone(&traffic.shared);
+    let received = inspection.clone();
     let awaited = Rc::new(Cell::new(Some(awaited)));
     let first_request = Rc::clone(&awaited);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -57,12 +68,11 @@
         }
     });
     let observed = FlushObserver::new(observed, Rc::clone(&activity));
-    let connection = builder.serve_connection(TokioIo::new(observed), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = builder.serve_connection(TokioIo::new(observed), service);
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
-        ended = run(connection.as_mut(), &mut timer) => Some(ended),
+        ended = run(Pin::new(&mut connection), &mut timer) => Some(ended),
         () = shared.wait_for_phase(LifecyclePhase::Draining) => None,
     };
     let ended = match ended {
@@ -71,15 +81,15 @@
             // A graceful shutdown closes a connection without a request at once, although
             // its first request may be on its way.
             if !is_late && !is_present(&awaited) {
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
             tokio::select! {
-                ended = run(connection.as_mut(), &mut timer) => ended,
+                ended = run(Pin::new(&mut connection), &mut timer) => ended,
                 () = time::sleep(FIRST_REQUEST_WAIT) => {
                     if awaited.take().is_some() {
-                        connection.as_mut().graceful_shutdown();
+                        Pin::new(&mut connection).graceful_shutdown();
                     }
-                    run(connection.as_mut(), &mut timer).await
+                    run(Pin::new(&mut connection), &mut timer).await
                 }
             }
         }
@@ -87,6 +97,34 @@
     if let Err(reason) = ended {
         activity.record_failure(reason);
     }
+    let io = connection.into_parts().io.into_inner();
+    if time::timeout(DISCARD_TIMEOUT, discard_body(io, &received))
+        .await
+        .is_err()
+    {
+        log::debug!("body of a refused request still arriving");
+    }
+}
+
+/// Reads the rest of a refused request's body.
+///
+/// Closing a socket with unread bytes resets it, and a reset discards a response that the
+/// caller has not read.
+async fn discard_body<Io>(mut io: Io, received: &HeadInspection)
+where
+    Io: AsyncRead + Unpin,
+{
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    while received.has_partial_body() {
+        match io.read(&mut buffer).await {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!(error:% = error; "reading the body of a refused request failed");
+                return;
+            }
+        }
+    }
 }
 
 /// Runs a connection until it ends or until one of its timeouts.
