--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,12 +9,17 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{InspectedHead, error_chain, inspect_heads};
-use tokio::{net::TcpStream, time};
+use parsleylatch_http::{HeadInspection, InspectedHead, error_chain, inspect_heads};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt},
+    net::TcpStream,
+    time,
+};
 
 use super::{
     connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
     connection_timer::{ConnectionTimeout, ConnectionTimer},
+    flush_observer::FlushObserver,
     request_handler, responses,
     state::Traffic,
 };
@@ -23,12 +28,18 @@
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: u64 = 8 << 10;
 
-/// Delay after the idle timeout, in which the runtime notices data that has arrived.
+/// Delay after a timeout, in which the runtime notices data that has arrived in time.
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
 /// Time for which a stopping relay waits for the first request of a connection.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for which the rest of the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
 /// Serves one connection until it is closed. `awaited` counts its first request as in
 /// flight, so that a stopping relay does not end between accepting and reading it.
 pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: InFlightGuard) {
@@ -43,6 +54,7 @@
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
     let shared = Arc::clone(&traffic.shared);
+    let received = inspection.clone();
     let awaited = Rc::new(Cell::new(Some(awaited)));
     let first_request = Rc::clone(&awaited);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -55,12 +67,12 @@
             Ok::<_, Infallible>(handled.await)
         }
     });
-    let connection = builder.serve_connection(TokioIo::new(observed), service);
-    let mut connection = std::pin::pin!(connection);
+    let observed = FlushObserver::new(observed, Rc::clone(&activity));
+    let mut connection = builder.serve_connection(TokioIo::new(observed), service);
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
-        ended = run(connection.as_mut(), &mut timer) => Some(ended),
+        ended = run(Pin::new(&mut connection), &mut timer) => Some(ended),
         () = shared.wait_for_phase(LifecyclePhase::Draining) => None,
     };
     let ended = match ended {
@@ -69,15 +81,15 @@
             // A graceful shutdown closes a connection without a request at once, although
             // its first request may be on its way.
             if !is_late && !is_present(&awaited) {
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
             tokio::select! {
-                ended = run(connection.as_mut(), &mut timer) => ended,
+                ended = run(Pin::new(&mut connection), &mut timer) => ended,
                 () = time::sleep(FIRST_REQUEST_WAIT) => {
                     if awaited.take().is_some() {
-                        connection.as_mut().graceful_shutdown();
+                        Pin::new(&mut connection).graceful_shutdown();
                     }
-                    run(connection.as_mut(), &mut timer).await
+                    run(Pin::new(&mut connection), &mut timer).await
                 }
             }
         }
@@ -85,6 +97,34 @@
     if let Err(reason) = ended {
         activity.record_failure(reason);
     }
+    let io = connection.into_parts().io.into_inner();
+    if time::timeout(DISCARD_TIMEOUT, discard_body(io, &received))
+        .await
+        .is_err()
+    {
+        log::debug!("body of a refused request still arriving");
+    }
+}
+
+/// Reads the rest of a refused request's body.
+///
+/// Closing a socket with unread bytes resets it, and a reset discards a response that the
+/// caller has not read.
+async fn discard_body<Io>(mut io: Io, received: &HeadInspection)
+where
+    Io: AsyncRead + Unpin,
+{
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    while received.has_partial_body() {
+        match io.read(&mut buffer).await {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!(error:% = error; "reading the body of a refused request failed");
+                return;
+            }
+        }
+    }
 }
 
 /// Runs a connection until it ends or until one of its timeouts.
@@ -98,24 +138,25 @@
 {
     let mut is_closing = false;
     loop {
-        let timeout = tokio::select! {
+        tokio::select! {
             biased;
             ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
-            timeout = timer.expired() => timeout,
-        };
-        match timeout {
-            ConnectionTimeout::Head => return Err("head not complete in time".to_owned()),
-            ConnectionTimeout::Idle if is_closing => return Ok(()),
-            ConnectionTimeout::Idle => {}
+            () = timer.expired() => {}
         }
         tokio::select! {
             biased;
             ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
             () = time::sleep(LAST_READ_DELAY) => {}
         }
-        if timer.is_expired() {
-            connection.as_mut().graceful_shutdown();
-            is_closing = true;
+        match timer.expired_now() {
+            None => {}
+            Some(ConnectionTimeout::Head) => return Err("head not complete in time".to_owned()),
+            Some(ConnectionTimeout::Write) => return Err("response not read in time".to_owned()),
+            Some(ConnectionTimeout::Idle) if is_closing => return Ok(()),
+            Some(ConnectionTimeout::Idle) => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+            }
         }
     }
 }
