--- a/crates/bench/src/args.rs
+++ b/crates/bench/src/args.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
 
-use crate::{calls, failover, latency, load, replay, report::Report, slopes};
+use crate::{calls, endless, failover, latency, load, replay, report::Report, slopes};
 
 /// Drives load, checks histories and prints measurements.
 #[derive(Clone, Debug, FromArgs)]
@@ -30,6 +30,7 @@
     Resume(failover::ResumeArgs),
     Slopes(slopes::SlopesArgs),
     Calls(calls::CallsArgs),
+    Endless(endless::EndlessArgs),
 }
 
 /// Runs the command. Figures are printed even if an invariant was violated.
@@ -45,6 +46,7 @@
         Command::Resume(args) => failover::run(args, &mut report).await,
         Command::Slopes(args) => slopes::run(args, &mut report).await,
         Command::Calls(args) => calls::run(args, &mut report).await,
+        Command::Endless(args) => endless::run(&args, &mut report).await,
     };
     match &args.json {
         Some(path) => {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,8 @@
 //! Load generation, history checks and measurements of `parsleylatch-bench`.
 //!
 //! Callers record a history of their requests, which [`check`] verifies. The other
-//! commands measure latency, resumption after losses, and cost by system size.
+//! commands measure latency, resumption after losses, cost by system size, and what
+//! endless messages take of a relay.
 
 mod args;
 pub mod caller;
@@ -9,6 +10,7 @@
 pub mod check;
 pub mod control;
 mod direct;
+mod endless;
 pub mod exchange;
 mod failover;
 pub mod fleet;
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -1,15 +1,29 @@
-//! Processor time and memory of processes from `/proc`, and signals to them.
+//! Processor time, memory and unread bytes of processes from `/proc`, and signals to them.
 
 use std::{
-    collections::BTreeMap, fs, ops::AddAssign, path::Path, process::Command, time::Duration,
+    collections::{BTreeMap, BTreeSet},
+    fs, io,
+    net::SocketAddr,
+    ops::AddAssign,
+    path::Path,
+    process::Command,
+    str::FromStr,
+    time::Duration,
 };
 
 use eyre::{Result, WrapErr, ensure, eyre};
 use parsleylatch_types::ByteCount;
+use serde_json::Value;
 use strum::Display;
 
 /// Size of a page of memory.
 const PAGE_BYTES: u64 = 4_096;
+/// Columns of `/proc/net/tcp`.
+const STATE_COLUMN: usize = 3;
+const QUEUES_COLUMN: usize = 4;
+const INODE_COLUMN: usize = 9;
+/// State of a listening socket in `/proc/net/tcp`.
+const LISTEN_STATE: &str = "0A";
 
 /// Signal to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -102,11 +116,72 @@
     Ok(ByteCount::new(pages * PAGE_BYTES))
 }
 
+/// Bytes that the kernel has received for a process and that it has not read: the receive queues
+/// of its IPv4 connections, without the kernel's own overhead and without connections that are
+/// not accepted yet.
+///
+/// # Errors
+/// The file that can't be read.
+pub fn unread_bytes(pid: u32) -> Result<ByteCount> {
+    let sockets = socket_inodes(pid)?;
+    let table = read(Path::new("/proc/net/tcp"))?;
+    let mut total = 0;
+    for row in table.lines().skip(1) {
+        let inode = field(row, INODE_COLUMN)?;
+        let state: String = field(row, STATE_COLUMN)?;
+        // The queue of a listening socket counts connections.
+        if state == LISTEN_STATE || !sockets.contains(&inode) {
+            continue;
+        }
+        let queues: String = field(row, QUEUES_COLUMN)?;
+        let (_, receive_queue) = queues
+            .split_once(':')
+            .ok_or_else(|| eyre!("no receive queue in `{row}`"))?;
+        total += u64::from_str_radix(receive_queue, 16)
+            .wrap_err_with(|| format!("receive queue in `{row}`"))?;
+    }
+    Ok(ByteCount::new(total))
+}
+
+fn socket_inodes(pid: u32) -> Result<BTreeSet<u64>> {
+    let descriptors = format!("/proc/{pid}/fd");
+    let mut inodes = BTreeSet::new();
+    for entry in fs::read_dir(&descriptors).wrap_err_with(|| format!("reading {descriptors}"))? {
+        let link = match fs::read_link(entry?.path()) {
+            Ok(link) => link,
+            // Closed since the directory was read.
+            Err(error) if error.kind() == io::ErrorKind::NotFound => continue,
+            Err(error) => return Err(error).wrap_err_with(|| format!("reading {descriptors}")),
+        };
+        let target = link.to_string_lossy();
+        let inode = target
+            .strip_prefix("socket:[")
+            .and_then(|rest| rest.strip_suffix(']'));
+        if let Some(inode) = inode {
+            inodes.insert(inode.parse()?);
+        }
+    }
+    Ok(inodes)
+}
+
+/// Caller address in a relay's log line, if the line is its `started` event.
+pub fn started_relay_address(line: &str) -> Option<SocketAddr> {
+    if !line.contains("\"started\"") {
+        return None;
+    }
+    let line: Value = serde_json::from_str(line).ok()?;
+    (line["event"] == "started").then_some(())?;
+    line["caller"].as_str()?.parse().ok()
+}
+
 fn read(path: &Path) -> Result<String> {
     fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))
 }
 
-fn field(text: &str, position: usize) -> Result<u64> {
+fn field<Value>(text: &str, position: usize) -> Result<Value>
+where
+    Value: FromStr<Err: std::error::Error + Send + Sync + 'static>,
+{
     let field = text.split_whitespace().nth(position);
     let field = field.ok_or_else(|| eyre!("field {position} missing in `{text}`"))?;
     Ok(field.parse()?)
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -8,6 +8,7 @@
 };
 
 use eyre::{Result, WrapErr, eyre};
+use parsleylatch_bench::process::started_relay_address;
 use parsleylatch_types::Millis;
 use serde_json::{Value, json};
 use tokio::{
@@ -134,7 +135,7 @@
     let mut options = tokio::fs::File::options();
     let mut file = options.create(true).append(true).open(log).await?;
     while let Some(line) = lines.next_line().await? {
-        if let Some(address) = caller_address(&line) {
+        if let Some(address) = started_relay_address(&line) {
             // The control thread may have ended.
             let _ = updates.send(started(address)).await;
         }
@@ -148,16 +149,6 @@
         .wrap_err("waiting for the relay process to exit")
 }
 
-/// Caller address in a log line, if it is the relay's `started` event.
-fn caller_address(line: &str) -> Option<SocketAddr> {
-    if !line.contains("\"started\"") {
-        return None;
-    }
-    let line: Value = serde_json::from_str(line).ok()?;
-    (line["event"] == "started").then_some(())?;
-    line["caller"].as_str()?.parse().ok()
-}
-
 fn settings(relay: usize, store: SocketAddr, revision: u64) -> Value {
     let any_port = "127.0.0.1:0";
     let seconds = |duration: Millis| duration.get() / 1_000;
