Soak: a notice or drain broken on purpose is exercised on a busy machine

Cause: only one endpoint of eight was left out of its drain or notice, and the scheduled replacement ended that 1.3 s after its bound. On a busy machine the soak's traffic thread makes no progress for that long, so no request arrived in the window: the logs of both missed runs have no request at i-0 from 3.1 to 5.2 s. The pause of one endpoint for 2 s, of which 3 arrivals count, has the same weakness.

Change: the plan addresses every endpoint, an endpoint that drains or leaves unannounced on purpose stays, and the unannounced pause takes 6 s. The checks and their bounds are the same.

The failure message of the test has the tally.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -415,21 +415,27 @@
         self.apply_effects(relay, effects)
     }
 
-    /// Marks an endpoint as leaving, and replaces it once no relay may use it any more.
+    /// Marks an endpoint as leaving, and replaces it once no relay may use it any more. It stays
+    /// if the relays are not told on purpose, so that requests arrive at it on a busy machine, too.
     fn drain_endpoint(&mut self, index: usize) {
         let environment = &self.environment;
-        if environment.broken_invariant != Some(Invariant::Drain) {
-            environment.register(index, true);
-        }
         let id = environment.endpoints[index].id.clone();
+        if environment.broken_invariant == Some(Invariant::Drain) {
+            return environment.checker().record_draining(self.clock.now(), id);
+        }
+        environment.register(index, true);
         environment.checker().record_draining(self.clock.now(), id);
         let delay_ms = MAX_DRAIN_DELAY_MS.saturating_add(REPLACEMENT_SLACK_MS);
         self.schedule(delay_ms, move |it| it.environment.replace(index));
     }
 
-    /// Makes an endpoint say that it leaves, until it is replaced, or that it pauses.
+    /// Makes an endpoint say that it leaves, until it is replaced, or that it pauses. One that
+    /// leaves without saying so on purpose stays, as in [`Self::drain_endpoint`].
     fn announce(&mut self, index: usize, notice: RelayedNotice) {
         self.environment.set_notice(index, Some(notice));
+        if self.environment.broken_invariant == Some(Invariant::LeavingNotice) {
+            return;
+        }
         let delay_ms = match notice {
             RelayedNotice::Leaving => MAX_DRAIN_DELAY_MS.saturating_add(REPLACEMENT_SLACK_MS),
             RelayedNotice::Pause(pause_ms) => pause_ms,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,7 +27,7 @@
 const PAUSE_MS: std::ops::RangeInclusive<u64> = 600..=2_500;
 /// Duration of the faults that reveal an invariant violated on purpose.
 const BREAKING_DURATION_MS: Millis = Millis::new(2_000);
-/// Length of a pause that outlasts the request timeout.
+/// Length of a pause, of a relay or asked for by an endpoint, that outlasts the request timeout.
 const BREAKING_PAUSE_MS: Millis = Millis::new(6_000);
 /// Seeds that are multiples of this number have planned operations only, so that time bounds
 /// are checked during the whole run.
@@ -142,14 +142,17 @@
         at: Millis::new(seconds * 1_000),
         fault,
     };
+    let each_endpoint = |fault: &dyn Fn(usize) -> Fault| {
+        let indexes = 0..targets.endpoints;
+        indexes.map(|index| at(1, fault(index))).collect()
+    };
     let on_endpoints = |fault| {
-        let faults = (0..targets.endpoints).map(|index| Fault::Endpoint {
+        each_endpoint(&|index| Fault::Endpoint {
             index,
             fault,
             delay_ms: Millis::ZERO,
             duration_ms: BREAKING_DURATION_MS,
-        });
-        faults.map(|fault| at(1, fault)).collect()
+        })
     };
     match invariant {
         Invariant::ResponseIntegrity | Invariant::EventOrder => on_endpoints(RelayedFault::Garble),
@@ -157,11 +160,13 @@
         Invariant::AtMostOnce | Invariant::AttemptLimit => on_endpoints(RelayedFault::Fail),
         Invariant::ResponseDeadline => vec![at(1, Fault::PauseRelay(0, BREAKING_PAUSE_MS))],
         Invariant::RequestLoss | Invariant::ProcessExit => vec![at(1, Fault::KillRelay(0))],
-        Invariant::Drain => vec![at(1, Fault::DrainEndpoint(0))],
-        Invariant::LeavingNotice => vec![at(1, Fault::Notice(0, RelayedNotice::Leaving))],
+        Invariant::Drain => each_endpoint(&Fault::DrainEndpoint),
+        Invariant::LeavingNotice => {
+            each_endpoint(&|index| Fault::Notice(index, RelayedNotice::Leaving))
+        }
         Invariant::PauseNotice => {
-            let pause = RelayedNotice::Pause(BREAKING_DURATION_MS);
-            vec![at(1, Fault::Notice(0, pause))]
+            let pause = RelayedNotice::Pause(BREAKING_PAUSE_MS);
+            each_endpoint(&|index| Fault::Notice(index, pause))
         }
         Invariant::ConfigurationDelay => vec![at(1, Fault::ChangeConfiguration)],
         Invariant::RequestIntegrity | Invariant::Recovery | Invariant::MemoryLimit => Vec::new(),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -64,8 +64,9 @@
     let mut violations = report.violations.iter();
     assert!(
         violations.any(|it| it.invariant == invariant),
-        "{invariant}: {:?}",
-        report.violations
+        "{invariant}: {:?}, {:?}",
+        report.violations,
+        report.tally
     );
 }
 
