Relay: a planned stop answers a request whose head is arriving

Callers whose head was divided lost their connection when a stopping relay closed its idle ones, although the head had begun to arrive; a request that the runtime had not noticed yet met a reset.

A graceful shutdown closes a connection at once unless a whole head has been read. Only the first request of a connection was waited for.

The connection now waits up to 500 ms for a head that has begun, as for a first request, and reads once more before it counts as idle.

Evidence: stop_answers_request_with_divided_head failed before (connection ended before a response).

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -23,16 +23,17 @@
     request_handler, responses,
     state::Traffic,
 };
-use crate::shared::{InFlightGuard, LifecyclePhase};
+use crate::shared::{InFlightGuard, LifecyclePhase, Shared};
 
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: u64 = 8 << 10;
 
-/// Delay after a timeout, in which the runtime notices data that has arrived in time.
+/// Delay before an idle or slow connection is closed, in which the runtime notices data that has arrived in time.
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
-/// Time for which a stopping relay waits for the first request of a connection.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+/// Time for which a stopping relay waits for the first request of a connection, or for one
+/// whose head has begun to arrive.
+const REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Time for which the rest of the body of a refused request is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,23 +73,25 @@
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
+        biased;
         ended = run(Pin::new(&mut connection), &mut timer) => Some(ended),
-        () = shared.wait_for_phase(LifecyclePhase::Draining) => None,
+        () = wait_until_draining(&shared) => None,
     };
     let ended = match ended {
         Some(ended) => ended,
         None => {
             // A graceful shutdown closes a connection without a request at once, although
-            // its first request may be on its way.
-            if !is_late && !is_present(&awaited) {
+            // one may be on its way.
+            let awaits_request = is_late || is_present(&awaited) || received.has_partial_head();
+            if !awaits_request {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             tokio::select! {
+                biased;
                 ended = run(Pin::new(&mut connection), &mut timer) => ended,
-                () = time::sleep(FIRST_REQUEST_WAIT) => {
-                    if awaited.take().is_some() {
-                        Pin::new(&mut connection).graceful_shutdown();
-                    }
+                () = time::sleep(REQUEST_WAIT) => {
+                    drop(awaited.take());
+                    Pin::new(&mut connection).graceful_shutdown();
                     run(Pin::new(&mut connection), &mut timer).await
                 }
             }
@@ -106,6 +109,13 @@
     }
 }
 
+/// Waits until connections are closed after their current response, and until the runtime
+/// has noticed the requests that arrived before.
+async fn wait_until_draining(shared: &Shared) {
+    shared.wait_for_phase(LifecyclePhase::Draining).await;
+    time::sleep(LAST_READ_DELAY).await;
+}
+
 /// Reads the rest of a refused request's body.
 ///
 /// Closing a socket with unread bytes resets it, and a reset discards a response that the
