Relay: a response of a different node is not taken for that of a peer

Cause: send_query returns the identity of the node that responded, and poll_peer ignored it. When the address of a node passes to a node of another deployment, its state is taken over, and as it reads a store, a node that queries readers never reads its own store. Links between nodes check the identity already.

Change: addresses from entries keep the id of their node; a response of another node counts as none (peer_asks_failed, one log line). Seeds have no id; one that an entry lists is checked like the entry.

--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -12,7 +12,7 @@
     NodeLocation, SourceFacts, StoreSource, receives_full_state, region_readers,
 };
 use parsleylatch_peer::{Identity, send_query};
-use parsleylatch_types::{Millis, MonoTime, Region};
+use parsleylatch_types::{Millis, MonoTime, NodeId, Region};
 use parsleylatch_wire::{
     peer::peer_message::Body,
     platform::{KeyValue, ListReply},
@@ -38,6 +38,14 @@
 /// Timeout of a query for the full state, from a node that many others may query.
 const INITIAL_POLL_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Address of another node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PeerAddress {
+    address: SocketAddr,
+    /// Node that the entry of this address belongs to; `None` for a seed.
+    node_id: Option<NodeId>,
+}
+
 /// Other nodes.
 pub(crate) struct Peers {
     shared: Arc<Shared>,
@@ -45,9 +53,9 @@
     entries: BTreeMap<String, KeyValue>,
     nodes: Arc<[NodeLocation]>,
     /// Other nodes in this node's region.
-    region_peers: Vec<SocketAddr>,
+    region_peers: Vec<PeerAddress>,
     /// Other readers in this node's region, unless every node reads the store.
-    readers: Option<Vec<SocketAddr>>,
+    readers: Option<Vec<PeerAddress>>,
     is_reader: bool,
     source: StoreSource,
     /// When a reader last responded.
@@ -125,7 +133,7 @@
             location.region.as_ref() == Some(&own.region) && location.id != own.node_id
         });
         self.region_peers = region_peers
-            .filter_map(|(_, entry)| entry_address(entry))
+            .filter_map(|(_, entry)| peer_address(entry))
             .collect();
         let mut locations: Vec<NodeLocation> = known().map(|(location, _)| location).collect();
         if !locations.iter().any(|location| location.id == own.node_id) {
@@ -138,7 +146,7 @@
         self.readers = readers.map(|readers| {
             let others = readers.into_iter().filter(|id| **id != own.node_id);
             let entries = others.map(|id| self.entries.get(&format!("{NODES_PREFIX}{id}")));
-            entries.flatten().filter_map(entry_address).collect()
+            entries.flatten().filter_map(peer_address).collect()
         });
         if *self.nodes != locations[..] {
             log::info!(nodes = locations.len(), is_reader = self.is_reader; "nodes changed");
@@ -223,10 +231,10 @@
             false => INITIAL_POLL_TIMEOUT,
         };
         self.pending_polls += targets.len();
-        for address in targets {
+        for peer in targets {
             let shared = Arc::clone(&self.shared);
             let identity = self.identity.clone();
-            let poll = poll_peer(shared, identity, address, query.clone(), timeout);
+            let poll = poll_peer(shared, identity, peer, query.clone(), timeout);
             tokio::task::spawn_local(poll);
         }
     }
@@ -263,7 +271,7 @@
     /// Random nodes to query when no reader responds. On a large deployment these are in
     /// this node's region, because a response may be large, and occasionally in any. A
     /// reader without any state queries any region.
-    fn sample_peers(&self, has_registry: bool) -> Vec<SocketAddr> {
+    fn sample_peers(&self, has_registry: bool) -> Vec<PeerAddress> {
         let crosses_regions =
             self.is_reader && !has_registry || rand::random_ratio(1, CROSS_REGION_POLL_RATIO);
         let stays_in_region = self.readers.is_some() && !crosses_regions;
@@ -272,7 +280,7 @@
             true => self
                 .region_peers
                 .iter()
-                .copied()
+                .cloned()
                 .sample(&mut random, POLLED_PEERS),
             false => self
                 .peer_addresses()
@@ -281,24 +289,32 @@
         }
     }
 
-    fn pick_reader(&self) -> Option<SocketAddr> {
-        let readers = || self.readers.iter().flatten().copied();
-        let responsive = readers().filter(|address| !self.unresponsive.contains_key(address));
+    fn pick_reader(&self) -> Option<PeerAddress> {
+        let readers = || self.readers.iter().flatten().cloned();
+        let responsive = readers().filter(|peer| !self.unresponsive.contains_key(&peer.address));
         let responsive = responsive.choose(&mut rand::rng());
         // A reader that was starting up may respond by now.
         responsive.or_else(|| readers().choose(&mut rand::rng()))
     }
 
     /// Addresses of other nodes, from their entries and from the seeds in the settings.
-    fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let listed = self.entries.values().filter_map(entry_address);
+    fn peer_addresses(&self) -> Vec<PeerAddress> {
+        let listed = || self.entries.values().filter_map(peer_address);
         let settings = self.shared.settings.load();
         let own = settings.peer_address;
-        let mut addresses: Vec<SocketAddr> = listed.chain(settings.seeds.iter().copied()).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != own);
-        addresses
+        let is_listed = |address| listed().any(|peer| peer.address == address);
+        let seeds = settings.seeds.iter().copied();
+        let seeds = seeds
+            .filter(|address| !is_listed(*address))
+            .map(|address| PeerAddress {
+                address,
+                node_id: None,
+            });
+        let mut peers: Vec<PeerAddress> = listed().chain(seeds).collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| peer.address != own);
+        peers
     }
 }
 
@@ -318,6 +334,15 @@
     entry.value.split(' ').next()?.parse().ok()
 }
 
+/// Node and address of an entry; `None` if it names no node or no address.
+fn peer_address(entry: &KeyValue) -> Option<PeerAddress> {
+    let node_id = entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?;
+    Some(PeerAddress {
+        address: entry_address(entry)?,
+        node_id: Some(node_id),
+    })
+}
+
 /// Location of a node; `None` if its entry names no address.
 fn entry_location(entry: &KeyValue) -> Option<NodeLocation> {
     entry_address(entry)?;
@@ -331,21 +356,37 @@
 async fn poll_peer(
     shared: Arc<Shared>,
     identity: Identity,
-    address: SocketAddr,
+    peer: PeerAddress,
     query: RelayQuery,
     timeout: Duration,
 ) {
     let sent_at = shared.now();
+    let address = peer.address;
     shared.metrics.increment(RelayCounter::PeerAsks);
     let response = send_query(&identity, address, Body::RelayQuery(query), timeout).await;
     match response {
+        // An address may have passed to a node of another deployment.
+        Ok((responder, _))
+            if peer
+                .node_id
+                .as_ref()
+                .is_some_and(|it| *it != responder.node_id) =>
+        {
+            shared.metrics.increment(RelayCounter::PeerAsksFailed);
+            log::info!(
+                peer:% = address, expected:? = peer.node_id, responder:% = responder.node_id;
+                "a different node responded"
+            );
+        }
         Ok((_, Body::RelayState(state))) => {
             let input = ControlInput::PeerState(Box::new(state), sent_at);
             // Fails only while the control loop stops.
             let _ = shared.control.send(input).await;
             return;
         }
-        Ok((peer, _)) => log::debug!(peer:% = peer.node_id; "unexpected response from a peer"),
+        Ok((responder, _)) => {
+            log::debug!(peer:% = responder.node_id; "unexpected response from a peer");
+        }
         Err(error) => {
             shared.metrics.increment(RelayCounter::PeerAsksFailed);
             log::debug!(peer:% = address, error:% = error; "peer did not respond");
