Events: linear search for their ends, and a bound on what is between them

Callers saw calls of a sound service delayed by an engine whose stream has blank lines without end, or a long event in small pieces. After each chunk the framer and the reader searched an incomplete event from its start again, and nothing bounded comments and blank lines between events.

Both go on where the last search ended. More than 64 KiB of comments and blank lines since the last event end the stream; a heartbeat of 8 bytes ten times a second passes for ten minutes.

--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -6,6 +6,8 @@
 
 /// Largest event that is accepted.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Most bytes of comments and blank lines between two events.
+const MAX_COMMENT_BYTES: usize = 64 << 10;
 
 /// Parsed event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -39,6 +41,10 @@
 pub struct SseReader {
     buffer: Vec<u8>,
     consumed: usize,
+    /// Number of bytes after those consumed that were searched for the end of an event.
+    searched: usize,
+    /// Bytes of comments and blank lines since the last event.
+    comment_bytes: usize,
 }
 
 impl SseReader {
@@ -57,10 +63,14 @@
     /// Removes and returns the next complete event, if there is one.
     ///
     /// # Errors
-    /// Returns a message if the stream is malformed or an event is too long.
+    /// Returns a message if the stream is malformed, or if an event or what is between two
+    /// events is too long.
     pub fn next_event(&mut self) -> Result<Option<SseEvent>, String> {
         let unread = &self.buffer[self.consumed..];
-        let Some(length) = unread.windows(2).position(|pair| pair == b"\n\n") else {
+        let mut pairs = unread[self.searched..].windows(2);
+        let Some(offset) = pairs.position(|pair| pair == b"\n\n") else {
+            // The first half of the end may have arrived.
+            self.searched = unread.len().saturating_sub(1);
             let too_long = unread.len() > MAX_EVENT_BYTES;
             return if too_long {
                 Err("event exceeds the size limit".to_owned())
@@ -68,9 +78,18 @@
                 Ok(None)
             };
         };
+        let length = self.searched + offset;
         let text = std::str::from_utf8(&unread[..length]).map_err(|error| error.to_string())?;
         let event = parse_event(text)?;
         self.consumed += length + 2;
+        self.searched = 0;
+        self.comment_bytes = match event == SseEvent::default() {
+            true => self.comment_bytes + length + 2,
+            false => 0,
+        };
+        if self.comment_bytes > MAX_COMMENT_BYTES {
+            return Err("comments between events exceed the size limit".to_owned());
+        }
         Ok(Some(event))
     }
 }
@@ -118,6 +137,12 @@
 #[derive(Debug, Default)]
 pub struct EventFramer {
     buffer: BytesMut,
+    /// Start of the last line of the buffer whose end was not found yet.
+    line_start: usize,
+    /// Number of bytes that were searched for the ends of lines.
+    searched: usize,
+    /// Bytes of comments and blank lines since the last event.
+    comment_bytes: usize,
 }
 
 impl EventFramer {
@@ -133,10 +158,15 @@
 
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<RawEvent> {
-        let end = event_end(&self.buffer)?;
+        let end = self.find_event_end()?;
         let bytes = self.buffer.split_to(end).freeze();
+        (self.line_start, self.searched) = (0, 0);
         let id = event_id(&bytes);
         let has_field = has_field(&bytes);
+        self.comment_bytes = match has_field {
+            true => 0,
+            false => self.comment_bytes + bytes.len(),
+        };
         Some(RawEvent {
             bytes,
             id,
@@ -149,25 +179,31 @@
         self.buffer.len()
     }
 
-    /// Whether the incomplete event is already longer than the limit.
+    /// Whether the incomplete event, or what came since the last event, is already longer
+    /// than the limit.
     pub fn is_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.buffer.len() > MAX_EVENT_BYTES || self.comment_bytes > MAX_COMMENT_BYTES
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    while let Some(length) = buffer[line_start..].iter().position(|byte| *byte == b'\n') {
-        let line = &buffer[line_start..line_start + length];
-        let next = line_start + length + 1;
-        let is_blank = line.is_empty() || line == b"\r";
-        if is_blank && line_start > 0 {
-            return Some(next);
+    /// Returns the length of the first event, including the blank line that ends it.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(offset) = find_newline(&self.buffer[self.searched..]) {
+            let end = self.searched + offset;
+            let is_blank = matches!(self.buffer[self.line_start..end], [] | [b'\r']);
+            let is_first = self.line_start == 0;
+            self.line_start = end + 1;
+            self.searched = end + 1;
+            if is_blank && !is_first {
+                return Some(end + 1);
+            }
         }
-        line_start = next;
+        self.searched = self.buffer.len();
+        None
     }
-    None
+}
+
+fn find_newline(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
 }
 
 fn has_field(event: &[u8]) -> bool {
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -314,7 +314,7 @@
         if framer.is_too_long() {
             send_event(
                 events,
-                AttemptEvent::Invalid("stream event too long".to_owned()),
+                AttemptEvent::Invalid("stream event, or comments between events, too long".to_owned()),
             )
             .await;
             return false;
