Relay: connections take turns, and end without progress

Callers of a sound service waited up to two seconds, or got no answer, while 24 others called a service whose endpoint sends the size of a chunk in digits without end, or sent such a request body themselves. The HTTP library reads and parses these byte by byte for as long as they arrive; only the head of a response was limited, and a task read until the runtime's budget of 128 full buffers was used up.

A connection to an endpoint or of a caller now yields after 8 KiB, until the other tasks have run and the runtime has polled the sockets, and after 1 KiB once it has read 8 KiB without progress. 64 KiB without a head or data of a body end it: the attempt is lost, or the request is rejected. A connection that waited for bytes reads at once, so that an idle timeout finds a request that has arrived. Pipelined heads are inspected without copying the rest of the buffer for each of them.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -15,12 +15,9 @@
 use bytes::Bytes;
 use http::{Request, Response, header};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{ResponseHeadCount, error_chain, limit_heads};
+use parsleylatch_http::{ReadProgress, ReceivedBody, error_chain, limit_reads};
 use parsleylatch_types::{EndpointId, ExchangeId, Incarnation, Millis};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -102,7 +99,7 @@
 /// Sending side of a connection.
 struct Link {
     sender: SendRequest<Full<Bytes>>,
-    head_count: ResponseHeadCount,
+    progress: ReadProgress,
     /// Requests that the endpoint refused on this connection. If it writes such a refusal
     /// once more, it can't be told from a refusal of another request with the same id.
     refused: VecDeque<ExchangeId>,
@@ -111,7 +108,7 @@
 /// Response head, with the connection that its body arrives on.
 pub struct OpenResponse {
     /// Response whose body is still being received.
-    pub response: Response<Incoming>,
+    pub response: Response<ReceivedBody>,
     connection: OpenConnection,
 }
 
@@ -143,7 +140,7 @@
 
 impl OpenResponse {
     /// Returns the response, and the connection to release after the end of its body.
-    pub fn into_parts(self) -> (Response<Incoming>, OpenConnection) {
+    pub fn into_parts(self) -> (Response<ReceivedBody>, OpenConnection) {
         (self.response, self.connection)
     }
 }
@@ -173,9 +170,7 @@
             Some(link) => link,
             None => connect(peer, settings.connect_timeout_ms.duration()).await?,
         };
-        link.head_count.expect_head();
         let sent = link.sender.try_send_request(request).await;
-        link.head_count.head_received();
         let response = sent.map_err(|mut failure| {
             let is_unsent = failure.take_message().is_some();
             let reason = error_chain(&failure.into_error());
@@ -184,6 +179,7 @@
                 false => SendError::Lost { peer, reason },
             }
         })?;
+        let response = response.map(|body| ReceivedBody::new(body, Some(link.progress.clone())));
         let usable_for = advertised_idle_timeout(&response).unwrap_or(Duration::MAX);
         Ok(OpenResponse {
             response,
@@ -248,7 +244,7 @@
         .map_err(|_| unreachable("timed out".to_owned()))?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
-    let (stream, head_count) = limit_heads(stream);
+    let (stream, progress) = limit_reads(stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
@@ -260,7 +256,7 @@
     });
     Ok(Link {
         sender,
-        head_count,
+        progress,
         refused: VecDeque::new(),
     })
 }
@@ -277,7 +273,7 @@
 
 /// Time for which a connection may be reused: the `Keep-Alive` timeout of the endpoint,
 /// less a margin so that a request does not meet the endpoint's close.
-fn advertised_idle_timeout(response: &Response<Incoming>) -> Option<Duration> {
+fn advertised_idle_timeout<Body>(response: &Response<Body>) -> Option<Duration> {
     let value = response.headers().get("keep-alive")?.to_str().ok()?;
     let mut parameters = value.split(',').map(str::trim);
     let seconds: u64 = parameters
--- a/crates/http/src/head_inspector.rs
+++ b/crates/http/src/head_inspector.rs
@@ -12,7 +12,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::read_observer::ReadObserver;
+use crate::{limited_reader::LimitedReader, read_progress::ReadProgress};
 
 /// Maximum number of bytes of a head that are inspected.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -92,6 +92,16 @@
             Position::Head(head) if head.is_empty() && matches!(bytes[0], b'\r' | b'\n') => {
                 &bytes[1..]
             }
+            Position::Head(head) if head.is_empty() => match find_head_end(bytes) {
+                Some(end) => {
+                    self.finish_head(&bytes[..end]);
+                    &bytes[end..]
+                }
+                None => {
+                    head.extend_from_slice(bytes);
+                    &[]
+                }
+            },
             Position::Head(head) => {
                 // The end may begin in the bytes that arrived before.
                 let known = head.len();
@@ -158,14 +168,24 @@
     })
 }
 
-/// Wraps a connection whose request heads are inspected; the second value gives access to
-/// the result.
-pub fn inspect_heads<Io>(io: Io) -> (impl AsyncRead + AsyncWrite + Unpin, HeadInspection)
+/// Wraps a connection whose request heads are inspected, and whose bytes without progress
+/// are limited. The second value gives access to the result, and the third tells the
+/// connection about progress.
+pub fn inspect_heads<Io>(
+    io: Io,
+) -> (
+    impl AsyncRead + AsyncWrite + Unpin,
+    HeadInspection,
+    ReadProgress,
+)
 where
     Io: AsyncRead + AsyncWrite + Unpin,
 {
     let inspection = HeadInspection::default();
+    let progress = ReadProgress::of_requests();
     let recorded = inspection.clone();
-    let observer = ReadObserver::new(io, || Ok(()), move |bytes| recorded.record(bytes));
-    (observer, inspection)
+    let limited = LimitedReader::new(io, progress.clone(), move |bytes: &[u8]| {
+        recorded.record(bytes);
+    });
+    (limited, inspection, progress)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,18 +6,18 @@
 mod client;
 mod error;
 mod head_inspector;
-mod head_limiter;
 mod header;
+mod limited_reader;
 mod listener;
-mod read_observer;
+mod read_progress;
 mod signal;
 mod sse;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
 pub use head_inspector::{HeadInspection, InspectedHead, inspect_heads};
-pub use head_limiter::{ResponseHeadCount, limit_heads};
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
+pub use read_progress::{ReadProgress, ReceivedBody, limit_reads};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -5,12 +5,11 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use parsleylatch_decide::relay::Choice;
 use parsleylatch_endpoint::{
     ConnectionKey, ConnectionSettings, OpenConnection, SendError, is_connection_header,
 };
-use parsleylatch_http::{EventFramer, RawEvent, error_chain};
+use parsleylatch_http::{EventFramer, RawEvent, ReceivedBody, error_chain};
 use parsleylatch_types::{ExchangeId, Millis, StreamEventId};
 use tokio::{
     sync::mpsc,
@@ -253,7 +252,7 @@
 async fn read_full_response(
     events: &mpsc::Sender<AttemptEvent>,
     head: ResponseHead,
-    mut body: Incoming,
+    mut body: ReceivedBody,
 ) -> bool {
     let mut received = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -288,7 +287,7 @@
 async fn relay_stream(
     events: &mpsc::Sender<AttemptEvent>,
     head: ResponseHead,
-    mut body: Incoming,
+    mut body: ReceivedBody,
 ) -> bool {
     send_event(events, AttemptEvent::Head(Box::new(head))).await;
     let mut framer = EventFramer::new();
@@ -314,7 +313,9 @@
         if framer.is_too_long() {
             send_event(
                 events,
-                AttemptEvent::Invalid("stream event, or comments between events, too long".to_owned()),
+                AttemptEvent::Invalid(
+                    "stream event, or comments between events, too long".to_owned(),
+                ),
             )
             .await;
             return false;
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,7 +9,7 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{InspectedHead, error_chain, inspect_heads};
+use parsleylatch_http::{InspectedHead, ReceivedBody, error_chain, inspect_heads};
 use tokio::{net::TcpStream, time};
 
 use super::{
@@ -38,7 +38,7 @@
     builder
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
-    let (observed, inspection) = inspect_heads(stream);
+    let (limited, inspection, progress) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
@@ -50,12 +50,13 @@
         let head = inspection.take_head();
         let awaited = first_request.take();
         let guard = connection_activity.begin_request();
+        let request = request.map(|body| ReceivedBody::new(body, Some(progress.clone())));
         async move {
             let handled = handle_request(traffic, request, head, awaited, guard);
             Ok::<_, Infallible>(handled.await)
         }
     });
-    let connection = builder.serve_connection(TokioIo::new(observed), service);
+    let connection = builder.serve_connection(TokioIo::new(limited), service);
     let mut connection = std::pin::pin!(connection);
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
@@ -130,7 +131,7 @@
 
 async fn handle_request(
     traffic: Rc<Traffic>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     head: Option<InspectedHead>,
     awaited: Option<InFlightGuard>,
     guard: RequestGuard,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -5,11 +5,12 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use parsleylatch_decide::relay::{
     Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration, RelayRoute,
     RelayWorkspace, RepeatPolicy, StreamSize,
 };
+use parsleylatch_http::ReceivedBody;
 use parsleylatch_types::{ByteCount, ExchangeId, Millis, MonoTime, ServiceName, TokenCount};
 use tokio::{sync::oneshot, time};
 
@@ -60,7 +61,7 @@
 /// Relays a request and returns the response for its caller.
 pub(crate) async fn relay(
     traffic: Rc<Traffic>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     guard: &RequestGuard,
 ) -> Response<RelayBody> {
     let arrived_at = traffic.now();
@@ -114,7 +115,7 @@
 
 async fn admit(
     traffic: &Rc<Traffic>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     guard: &RequestGuard,
     arrived_at: MonoTime,
 ) -> Result<Job, Denied> {
@@ -302,7 +303,7 @@
 }
 
 async fn read_body(
-    mut body: Incoming,
+    mut body: ReceivedBody,
     limits: &CallerLimits,
     memory: &mut Reservation,
 ) -> Result<Bytes, Denial> {
