Client: a response without progress fails early

A store, an engine or another server that sends the size of a chunk or informational responses without end kept the thread of the client busy until the timeout of the call, again and again. The client's connections are limited like those of the relay to its endpoints: 64 KiB without a head or data of a body, in turns. The connector needs the trait of `tower-service`, which the HTTP library depends on already.

Before, a call with a timeout of 10 s ended after 20 s, as the task that reads kept the thread from its timers; both cases of call_endless_response_fails_early failed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,14 +5,17 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client as PooledClient, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::error::{HttpError, HttpErrorKind, Step, error_chain};
+use crate::{
+    connector::LimitedConnector,
+    error::{HttpError, HttpErrorKind, Step, error_chain},
+    read_progress::{ReadProgress, ReceivedBody},
+};
 
 /// Longest wait for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -22,7 +25,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Body of a response that is still being received.
-pub type Body = Incoming;
+pub type Body = ReceivedBody;
 
 /// Response that was received in full.
 #[derive(Clone, Debug)]
@@ -58,7 +61,7 @@
 /// HTTP client with a connection pool, for use on one runtime.
 #[derive(Clone)]
 pub struct Client {
-    pool: PooledClient<HttpConnector, Full<Bytes>>,
+    pool: PooledClient<LimitedConnector, Full<Bytes>>,
 }
 
 impl Default for Client {
@@ -86,7 +89,7 @@
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(limit_per_peer)
-            .build(connector);
+            .build(LimitedConnector::new(connector));
         Self { pool }
     }
 
@@ -104,7 +107,7 @@
     ) -> Result<http::Response<Body>, HttpError> {
         let request = build_request(peer, request, body)?;
         let sent = with_timeout(Step::Send, peer, timeout, self.pool.request(request)).await?;
-        sent.map_err(|error| {
+        let response = sent.map_err(|error| {
             let kind = match error.is_connect() {
                 true => HttpErrorKind::Connect(error_chain(&error)),
                 false => HttpErrorKind::Transport(error_chain(&error)),
@@ -114,7 +117,13 @@
                 peer,
                 kind,
             }
-        })
+        })?;
+        let (mut head, body) = response.into_parts();
+        let progress = head.extensions.remove::<ReadProgress>();
+        Ok(http::Response::from_parts(
+            head,
+            ReceivedBody::new(body, progress),
+        ))
     }
 
     /// Sends a request and reads the full response, of at most 16 MiB.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! set `TCP_NODELAY`. Errors name the step that failed and the peer.
 
 mod client;
+mod connector;
 mod error;
 mod head_inspector;
 mod header;
--- a/crates/http/src/limited_reader.rs
+++ b/crates/http/src/limited_reader.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    pub(crate) fn get_ref(&self) -> &Io {
+        self.io.get_ref()
+    }
+
+    pub(crate) fn progress(&self) -> &ReadProgress {
+        &self.progress
+    }
+
     fn begin_turn(&mut self) {
         let turn_bytes = match self.progress.bytes_without() < MAX_TURN_BYTES {
             true => MAX_TURN_BYTES,
