Events: comments that arrive together are passed on together

Blank lines of a stream were an event each, of two bytes, which went one by one through the exchange and to the caller. The framer returns comments and blank lines that arrived together as one part; the bytes and their order are the same.

--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -156,13 +156,21 @@
         self.buffer.extend_from_slice(chunk);
     }
 
-    /// Removes and returns the next complete event, if there is one.
+    /// Removes and returns the next complete event, if there is one. Comments and blank lines
+    /// that arrived together are returned together.
     pub fn next_event(&mut self) -> Option<RawEvent> {
-        let end = self.find_event_end()?;
+        let mut end = self.find_event_end(0)?;
+        let has_field = has_field(&self.buffer[..end]);
+        if !has_field {
+            while let Some(next) = self.find_event_end(end)
+                && !self::has_field(&self.buffer[end..next])
+            {
+                end = next;
+            }
+        }
         let bytes = self.buffer.split_to(end).freeze();
         (self.line_start, self.searched) = (0, 0);
         let id = event_id(&bytes);
-        let has_field = has_field(&bytes);
         self.comment_bytes = match has_field {
             true => 0,
             false => self.comment_bytes + bytes.len(),
@@ -185,12 +193,12 @@
         self.buffer.len() > MAX_EVENT_BYTES || self.comment_bytes > MAX_COMMENT_BYTES
     }
 
-    /// Returns the length of the first event, including the blank line that ends it.
-    fn find_event_end(&mut self) -> Option<usize> {
+    /// Returns the end of the event at `start`, including the blank line that ends it.
+    fn find_event_end(&mut self, start: usize) -> Option<usize> {
         while let Some(offset) = find_newline(&self.buffer[self.searched..]) {
             let end = self.searched + offset;
             let is_blank = matches!(self.buffer[self.line_start..end], [] | [b'\r']);
-            let is_first = self.line_start == 0;
+            let is_first = self.line_start == start;
             self.line_start = end + 1;
             self.searched = end + 1;
             if is_blank && !is_first {
