Relay: pipelined requests of a caller take turns with others

The HTTP library handles up to 16 requests of a connection before it yields, and a caller that sends them without reading responses has always more. A request with another one behind it now waits until the other tasks have run.

--- a/crates/http/src/head_inspector.rs
+++ b/crates/http/src/head_inspector.rs
@@ -61,6 +61,11 @@
         self.0.borrow_mut().inspected.pop_front()
     }
 
+    /// Whether the head of another request has arrived as well.
+    pub fn has_next_head(&self) -> bool {
+        !self.0.borrow().inspected.is_empty()
+    }
+
     /// Whether a head has begun to arrive and is not complete.
     pub fn has_partial_head(&self) -> bool {
         matches!(&self.0.borrow().position, Position::Head(head) if !head.is_empty())
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -10,7 +10,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parsleylatch_http::{InspectedHead, ReceivedBody, error_chain, inspect_heads};
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, task::yield_now, time};
 
 use super::{
     connection_activity::{ConnectionActivity, GuardedBody, RequestGuard},
@@ -48,10 +48,15 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         let head = inspection.take_head();
+        let has_next_head = inspection.has_next_head();
         let awaited = first_request.take();
         let guard = connection_activity.begin_request();
         let request = request.map(|body| ReceivedBody::new(body, Some(progress.clone())));
         async move {
+            if has_next_head {
+                // The library passes on requests that have arrived without a pause.
+                yield_now().await;
+            }
             let handled = handle_request(traffic, request, head, awaited, guard);
             Ok::<_, Infallible>(handled.await)
         }
