--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,10 +9,11 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{HeadInspection, InspectedHead, error_chain, inspect_heads};
+use parsleylatch_http::{HeadInspection, InspectedHead, ReceivedBody, error_chain, inspect_heads};
 use tokio::{
     io::{AsyncRead, AsyncReadExt},
     net::TcpStream,
+    task::yield_now,
     time,
 };
 
@@ -50,7 +51,7 @@
     builder
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
-    let (observed, inspection) = inspect_heads(stream);
+    let (limited, inspection, progress) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
@@ -61,14 +62,20 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         let head = inspection.take_head();
+        let has_next_head = inspection.has_next_head();
         let awaited = first_request.take();
         let guard = connection_activity.begin_request();
+        let request = request.map(|body| ReceivedBody::new(body, Some(progress.clone())));
         async move {
+            if has_next_head {
+                // The library passes on requests that have arrived without a pause.
+                yield_now().await;
+            }
             let handled = handle_request(traffic, request, head, awaited, guard);
             Ok::<_, Infallible>(handled.await)
         }
     });
-    let observed = FlushObserver::new(observed, Rc::clone(&activity));
+    let observed = FlushObserver::new(limited, Rc::clone(&activity));
     let mut connection = builder.serve_connection(TokioIo::new(observed), service);
     // A connection accepted while draining still gets one response.
     let is_late = shared.phase() >= LifecyclePhase::Draining;
@@ -181,7 +188,7 @@
 
 async fn handle_request(
     traffic: Rc<Traffic>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     head: Option<InspectedHead>,
     awaited: Option<InFlightGuard>,
     guard: RequestGuard,
