Exchange: a state for a large response that is passed on

A response could only be forwarded once it was complete, so each call in flight could take 8 MiB. The state `forwarding` passes the body of one on: the class of the response is decided from its head, a large error that may be repeated is left without reading on (and can't be forwarded later), and the deadline, the process's end, the caller's leaving and the loss of the endpoint end it as they end a stream. Nothing is repeated from it.

Tests: large_response_*, large_error_* in crates/decide/tests/exchange.rs; they don't compile without the input AnswerBegun.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -2,7 +2,10 @@
 
 use parsleylatch_types::{Millis, MonoTime};
 
-use super::message::{ExchangeEffect, ExchangeSpec, RefusalReason};
+use super::{
+    ExchangeEvent,
+    message::{ExchangeEffect, ExchangeSpec, RefusalReason, ResponseClass},
+};
 use crate::relay::{
     configuration::RepeatPolicy,
     copy::{CopySource, MemoryCopy},
@@ -70,8 +73,10 @@
     /// Copy of the memory of the previous attempt, for the next one to resume from.
     pub(super) copy: Option<MemoryCopy>,
     pub(super) has_begun: bool,
-    /// Whether the last attempt returned an error response.
+    /// Whether the last attempt returned a complete error response.
     pub(super) has_error_response: bool,
+    /// Whether the last response has a body that is still being read.
+    pub(super) is_incomplete: bool,
     /// Whether the running attempt has delivered an event.
     pub(super) attempt_began: bool,
     pub(super) may_retry: bool,
@@ -182,6 +187,22 @@
         self.failed.retain(|failed| !silent.contains(failed));
     }
 
+    /// Records a response and returns its event. An incomplete response is gone once the
+    /// request is sent again.
+    pub(super) fn record_response(
+        &mut self,
+        class: ResponseClass,
+        may_retry: bool,
+    ) -> ExchangeEvent {
+        self.may_retry = may_retry;
+        self.has_error_response = class == ResponseClass::Failure && !self.is_incomplete;
+        match class {
+            ResponseClass::Final => ExchangeEvent::Answered,
+            ResponseClass::Failure => ExchangeEvent::Errored,
+            ResponseClass::NotRun => ExchangeEvent::Rejected,
+        }
+    }
+
     pub(super) fn request_placement(&mut self) {
         self.unplaced_since.get_or_insert(self.now);
         let copy = self.copy.take();
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -7,7 +7,7 @@
     configuration::RepeatPolicy, copy::MemoryCopy, endpoint_table::EndpointKey, selector::Choice,
 };
 
-/// Class of a complete response.
+/// Class of a response, which its head tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseClass {
     /// Success, or an error that would be the same at any endpoint.
@@ -63,6 +63,13 @@
         /// Whether the retry budget allows another attempt.
         may_retry: bool,
     },
+    /// The head of a large response arrived, with the beginning of its body.
+    AnswerBegun {
+        /// Class of the response.
+        class: ResponseClass,
+        /// Whether the retry budget allows another attempt.
+        may_retry: bool,
+    },
     /// Nothing was sent to the endpoint.
     Unsent {
         /// Whether the retry budget allows another attempt.
@@ -75,7 +82,7 @@
     },
     /// An event arrived.
     Event,
-    /// The stream is complete.
+    /// The stream, or the body of a large response, is complete.
     Finished,
     /// The probe was answered, and the endpoint has the request.
     ProbeAnswered,
@@ -132,13 +139,13 @@
     Open(Box<Choice>),
     /// Ask the endpoint whether it still has the request.
     Probe,
-    /// Forward the last response to the caller.
+    /// Forward the last response to the caller; the rest of an incomplete one as it is read.
     ForwardResponse,
     /// Begin the caller's stream.
     BeginStream,
-    /// End the caller's stream normally.
+    /// End the caller's stream or response normally.
     Finish,
-    /// Abort the caller's stream, so that it can't be mistaken for a complete one.
+    /// Abort the caller's stream or response, so that it can't be mistaken for a complete one.
     BreakOff {
         /// Why the stream can't be continued.
         reason: RefusalReason,
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -45,6 +45,8 @@
         Streaming,
         /// As `Streaming`, with a probe in flight.
         StreamProbing,
+        /// The body of a large response is passed on to the caller.
+        Forwarding,
         /// An endpoint's response was forwarded to the caller.
         Answered,
         /// The stream was forwarded completely.
@@ -71,9 +73,9 @@
         AssignmentFailed,
         /// The request can't be served before its deadline.
         Hopeless,
-        /// A complete response arrived.
+        /// A response arrived.
         Answered,
-        /// A complete error response arrived.
+        /// An error response arrived.
         Errored,
         /// The endpoint answered that it did not run the request.
         Rejected,
@@ -85,7 +87,7 @@
         Began,
         /// Another event arrived.
         Progressed,
-        /// The stream is complete.
+        /// The stream, or the body of a large response, is complete.
         Finished,
         /// The probe was answered, and the endpoint has the request.
         ProbeAnswered,
@@ -116,6 +118,7 @@
             .guard("has_error_response", |it| {
                 it.has_error_response && !it.has_begun
             })
+            .guard("is_incomplete", |it| it.is_incomplete)
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
             .guard("is_request_lost", |it| {
                 it.is_request_lost && it.is_repeatable()
@@ -221,6 +224,7 @@
             copy: None,
             has_begun: false,
             has_error_response: false,
+            is_incomplete: false,
             attempt_began: false,
             may_retry: false,
             is_request_lost: false,
@@ -270,7 +274,7 @@
         now.since(self.context.started_at)
     }
 
-    /// Class of a complete response in the current state: it can't continue a stream that
+    /// Class of a response in the current state: it can't continue a stream that
     /// has begun.
     pub fn classify(&self, class: ResponseClass) -> ResponseClass {
         match class {
@@ -283,7 +287,10 @@
     ///
     /// The front end takes a retry from the budget only if so.
     pub fn allows_retry(&self, may_have_run: bool) -> bool {
-        if may_have_run {
+        if self.state() == ExchangeState::Forwarding {
+            // The caller has received a part of the response.
+            false
+        } else if may_have_run {
             self.context.is_repeatable()
         } else {
             self.context.is_resendable()
@@ -360,13 +367,12 @@
                 ExchangeEvent::Hopeless
             }
             ExchangeInput::Answered { class, may_retry } => {
-                context.may_retry = may_retry;
-                context.has_error_response = class == ResponseClass::Failure;
-                match class {
-                    ResponseClass::Final => ExchangeEvent::Answered,
-                    ResponseClass::Failure => ExchangeEvent::Errored,
-                    ResponseClass::NotRun => ExchangeEvent::Rejected,
-                }
+                context.is_incomplete = false;
+                context.record_response(class, may_retry)
+            }
+            ExchangeInput::AnswerBegun { class, may_retry } => {
+                context.is_incomplete = true;
+                context.record_response(class, may_retry)
             }
             ExchangeInput::Unsent { may_retry } => {
                 context.may_retry = may_retry;
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -706,3 +706,99 @@
     assert!(effects.is_empty(), "{effects:?}");
     assert_eq!(exchange.state(), ExchangeState::AwaitingResponse);
 }
+
+fn answer_begun(class: ResponseClass, may_retry: bool) -> ExchangeInput {
+    ExchangeInput::AnswerBegun { class, may_retry }
+}
+
+/// Exchange that passes on the body of a large response.
+fn forwarding(repeat: RepeatPolicy, class: ResponseClass) -> Exchange {
+    let mut exchange = sent(repeat);
+    let effects = exchange.handle(at(50), answer_begun(class, false));
+    assert!(matches!(effects[..], [ExchangeEffect::ForwardResponse]));
+    assert_eq!(exchange.state(), ExchangeState::Forwarding);
+    exchange
+}
+
+fn abort_reason(effects: &[ExchangeEffect]) -> Option<RefusalReason> {
+    match effects {
+        [ExchangeEffect::BreakOff { reason }] => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test_case(RepeatPolicy::OnceOnly, ResponseClass::Final ; "once only")]
+#[test_case(RepeatPolicy::Idempotent, ResponseClass::Final ; "idempotent")]
+#[test_case(RepeatPolicy::OnceOnly, ResponseClass::Failure ; "error of once only")]
+#[test_case(RESUMABLE, ResponseClass::Failure ; "error of a stream")]
+fn large_response_completed(repeat: RepeatPolicy, class: ResponseClass) {
+    let mut exchange = forwarding(repeat, class);
+    assert!(!exchange.is_over());
+    let effects = exchange.handle(at(5_000), ExchangeInput::Finished);
+    assert!(matches!(effects[..], [ExchangeEffect::Finish]));
+    assert_eq!(exchange.state(), ExchangeState::Answered);
+}
+
+/// Nothing is repeated, and no timeout but the deadline ends the response, once its caller has
+/// received a part of it.
+#[test_case(RepeatPolicy::OnceOnly ; "once only")]
+#[test_case(RepeatPolicy::Idempotent ; "idempotent")]
+#[test_case(RESUMABLE ; "stream")]
+fn large_response_lost_aborted(repeat: RepeatPolicy) {
+    let mut exchange = forwarding(repeat, ResponseClass::Final);
+    assert!(!exchange.allows_retry(true) && !exchange.allows_retry(false));
+    assert_eq!(exchange.next_deadline(), at(10_000));
+    let effects = exchange.handle(at(900), ExchangeInput::Lost { may_retry: true });
+    assert_eq!(abort_reason(&effects), Some(RefusalReason::AnswerLost));
+    assert_eq!(exchange.state(), ExchangeState::BrokenOff);
+}
+
+#[test]
+fn large_response_deadline_aborted() {
+    let mut exchange = forwarding(RepeatPolicy::Idempotent, ResponseClass::Final);
+    let effects = exchange.expire(at(10_000), false, true);
+    assert_eq!(abort_reason(&effects), Some(RefusalReason::DeadlinePassed));
+}
+
+/// A planned stop aborts what it can't complete, at the time by which all have a response.
+#[test]
+fn large_response_process_ending_aborted() {
+    let mut exchange = forwarding(RepeatPolicy::OnceOnly, ResponseClass::Final);
+    exchange.set_response_deadline(at(3_000));
+    assert_eq!(exchange.next_deadline(), at(3_000));
+    let effects = exchange.expire(at(3_000), false, false);
+    assert_eq!(abort_reason(&effects), Some(RefusalReason::Stopping));
+}
+
+#[test]
+fn large_response_caller_gone_cancelled() {
+    let mut exchange = forwarding(RepeatPolicy::OnceOnly, ResponseClass::Final);
+    let effects = exchange.handle(at(60), ExchangeInput::CallerGone);
+    assert!(effects.is_empty());
+    assert_eq!(exchange.state(), ExchangeState::Cancelled);
+}
+
+/// The rest of a large error was not read, so that it can't be forwarded later.
+#[test]
+fn large_error_repeated_not_forwarded() {
+    let mut exchange = sent(RepeatPolicy::Idempotent);
+    let effects = exchange.handle(at(50), answer_begun(ResponseClass::Failure, true));
+    assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
+    exchange.handle(at(50), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(400), false, false);
+    assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
+    let effects = exchange.handle(at(400), ExchangeInput::PlacementFailed);
+    assert_eq!(refusal(&effects), Some((RefusalReason::NoEndpoint, false)));
+}
+
+/// A stream that has begun gets nothing of a large response.
+#[test_case(ResponseClass::Final ; "success")]
+#[test_case(ResponseClass::Failure ; "error")]
+fn large_response_of_begun_stream_aborted(class: ResponseClass) {
+    let mut exchange = begun(RESUMABLE);
+    exchange.handle(at(200), ExchangeInput::Lost { may_retry: true });
+    exchange.handle(at(200), placed(2));
+    let class = exchange.classify(class);
+    let effects = exchange.handle(at(300), answer_begun(class, false));
+    assert_eq!(abort_reason(&effects), Some(RefusalReason::Errored));
+}
