Endpoint connections: bounded receive buffers

What an endpoint has sent and the relay doesn't read waits in the kernel's receive buffer, which grew to megabytes, and in the HTTP library's read buffer of up to about 400 KiB. The kernel is asked for 32 KiB, set before connecting, and takes up to twice as much; the read buffer ends at 72 KiB, so that heads of 64 KiB still fit (large_head_forwarded, which passes before and after).

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -24,7 +24,10 @@
 use parsleylatch_types::{EndpointId, ExchangeId, Incarnation, Millis};
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
 
 /// Time that sent data may stay unacknowledged before the connection is closed
 /// (`TCP_USER_TIMEOUT`).
@@ -35,6 +38,10 @@
 const IDLE_TIMEOUT_USED_PERCENT: u64 = 60;
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Receive buffer that is asked of the kernel, which takes up to twice as much.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Bound on the read buffer of a connection, which holds a response head of up to 64 KiB.
+pub const READ_BUFFER_BYTES: usize = 72 << 10;
 /// Refused requests that a connection remembers; the oldest is forgotten first.
 const MAX_REFUSED: usize = 64;
 
@@ -243,13 +250,16 @@
 
 async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Link, SendError> {
     let unreachable = |reason: String| SendError::Unreachable { peer, reason };
-    let connected = time::timeout(timeout, TcpStream::connect(peer)).await;
+    let socket = open_socket(peer).map_err(|error| unreachable(error.to_string()))?;
+    let connected = time::timeout(timeout, socket.connect(peer)).await;
     let stream = connected
         .map_err(|_| unreachable("timed out".to_owned()))?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
     let (stream, head_count) = limit_heads(stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
     tokio::spawn(async move {
@@ -265,6 +275,17 @@
     })
 }
 
+/// Opens a socket whose receive buffer is bounded; the window of the connection follows from
+/// it, so it is set before connecting.
+fn open_socket(peer: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+    Ok(socket)
+}
+
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -5,8 +5,8 @@
 mod service;
 
 pub use connections::{
-    ConnectionKey, ConnectionPool, ConnectionSettings, OpenConnection, OpenResponse, SendError,
-    is_connection_header,
+    ConnectionKey, ConnectionPool, ConnectionSettings, OpenConnection, OpenResponse,
+    READ_BUFFER_BYTES, RECEIVE_BUFFER_BYTES, SendError, is_connection_header,
 };
 pub use engine::{EngineClient, EngineError, EngineErrorKind, EngineStep, EngineStream};
 pub use service::{ServiceClient, ServiceResponse};
