Relay: responses are passed on, and what waits of them is bounded by bytes

Cause: a response of a call was collected up to 8 MiB, and nothing bounded the sum; the events of a stream waited in queues bounded by number (64 batches and 256 parts), each event of up to 1 MiB. The buffers grew by doubling, which left holes in the heap.

A response is held up to 64 KiB; beyond that its body is passed on as it is read. At most 64 KiB, or one event, wait for a caller. Up to 4 MiB are read ahead while all such bytes take under 15% of the memory for bodies, so that a caller that reads late still gets what its endpoint has long sent (slow_caller_served, stop_completes_slowly_read_response), and an idempotent call with a response of unknown length, which may have no end, is held within the same share (flood_cut_off). Whatever is held counts in `body_memory` until the connection has written it; while an attempt waits for its caller, so do the buffers that it leaves unread (208 KiB). Large claims end at 75% of the budget. An attempt that finds no memory is left like one that fails, without blame for its endpoint. A wait for the caller is no silence of the endpoint.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -10,10 +10,11 @@
 use serde_json::{Map, Value};
 
 /// Events that can decide the outcome of a request or of one of its attempts.
-const DECIDING_EVENTS: [&str; 7] = [
+const DECIDING_EVENTS: [&str; 8] = [
     "request denied",
     "request refused",
     "stream aborted",
+    "response aborted",
     "attempt failed",
     "prompt part in quarantine",
     "retry budget used up",
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -5,8 +5,31 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use bytes::Bytes;
 use parsleylatch_types::ByteCount;
 
+/// What bytes are taken for. Those who hold much already leave room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// A body or an event of ordinary size.
+    Small,
+    /// Part of a response that is passed on as it is read, or of a large event.
+    Large,
+    /// What is read ahead of a caller, and could also wait at the endpoint.
+    Optional,
+}
+
+impl Claim {
+    /// Share of the budget up to which bytes are granted, in percent.
+    fn budget_percent(self) -> usize {
+        match self {
+            Self::Small => 100,
+            Self::Large => 75,
+            Self::Optional => 15,
+        }
+    }
+}
+
 /// Bytes held by all threads, and their limit.
 #[derive(Debug)]
 pub(crate) struct MemoryBudget {
@@ -30,8 +53,8 @@
         self.limit.store(limit, Ordering::Relaxed);
     }
 
-    fn try_take(&self, bytes: usize) -> bool {
-        let limit = self.limit.load(Ordering::Relaxed);
+    fn try_take(&self, claim: Claim, bytes: usize) -> bool {
+        let limit = self.limit.load(Ordering::Relaxed) / 100 * claim.budget_percent();
         let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= limit);
         self.held
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
@@ -58,13 +81,37 @@
     /// Takes more bytes; returns `false`, and takes none, if the budget lacks them.
     #[must_use]
     pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
-        let is_taken = self.budget.try_take(bytes);
+        self.try_grow_as(Claim::Small, bytes)
+    }
+
+    /// As [`Reservation::try_grow`], for a purpose.
+    #[must_use]
+    pub(crate) fn try_grow_as(&mut self, claim: Claim, bytes: usize) -> bool {
+        let is_taken = self.budget.try_take(claim, bytes);
         if is_taken {
             self.bytes += bytes;
         }
         is_taken
     }
 
+    /// Takes or returns bytes until it holds `bytes`; returns `false`, and changes nothing,
+    /// if the budget lacks them.
+    #[must_use]
+    pub(crate) fn try_resize_as(&mut self, claim: Claim, bytes: usize) -> bool {
+        match bytes.checked_sub(self.bytes) {
+            Some(missing) => self.try_grow_as(claim, missing),
+            None => {
+                self.shrink(self.bytes - bytes);
+                true
+            }
+        }
+    }
+
+    /// Attaches the reservation to `bytes`: it is returned when their last copy is dropped.
+    pub(crate) fn attach(self, bytes: Bytes) -> Bytes {
+        hold_with(bytes, self)
+    }
+
     /// Returns some of the bytes to the budget.
     pub(crate) fn shrink(&mut self, bytes: usize) {
         let returned = bytes.min(self.bytes);
@@ -78,3 +125,22 @@
         self.shrink(self.bytes);
     }
 }
+
+/// Returns `bytes`; `held` is dropped with their last copy.
+pub(crate) fn hold_with<Held>(bytes: Bytes, held: Held) -> Bytes
+where
+    Held: Send + 'static,
+{
+    Bytes::from_owner(HeldBytes { bytes, _held: held })
+}
+
+struct HeldBytes<Held> {
+    bytes: Bytes,
+    _held: Held,
+}
+
+impl<Held> AsRef<[u8]> for HeldBytes<Held> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -33,6 +33,10 @@
     Refusals,
     /// Responses of endpoints forwarded to callers, other than streams.
     Answers,
+    /// Large responses aborted before their end.
+    AnswersBrokenOff,
+    /// Attempts left because the process had no memory for their response.
+    ResponsesOutOfMemory,
     /// Streams that had to wait for an engine with room.
     StreamsQueued,
     /// Streams rejected because too many waited already.
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -2,15 +2,14 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use parsleylatch_decide::relay::Choice;
 use parsleylatch_endpoint::{
     ConnectionKey, ConnectionSettings, OpenConnection, SendError, is_connection_header,
 };
-use parsleylatch_http::{EventFramer, RawEvent, error_chain};
+use parsleylatch_http::RawEvent;
 use parsleylatch_types::{ExchangeId, Millis, StreamEventId};
 use tokio::{
     sync::mpsc,
@@ -18,7 +17,9 @@
 };
 
 use super::{
+    byte_window::ByteWindow,
     job::Job,
+    response_reader::{BodyRest, ResponseReader},
     state::{Traffic, connection_key},
 };
 use crate::codec::{ForwardMetadata, ResponseMetadata};
@@ -30,20 +31,19 @@
 /// Maximum idle time of a connection that is reused for a request that must not run
 /// twice: endpoints close idle connections, and a request lost on one may have run.
 const NON_REPEATABLE_IDLE_LIMIT_MS: Millis = Millis::new(200);
-/// Maximum size of a response that is not a stream.
-const RESPONSE_LIMIT_BYTES: usize = 8 << 20;
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Capacity of the queue of events for the exchange.
-const EVENT_QUEUE_CAPACITY: usize = 64;
 
-/// Complete response of an endpoint.
+/// Response of an endpoint, other than a stream.
 #[derive(Debug)]
-pub(crate) struct FullResponse {
+pub(crate) struct EndpointResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
     pub(crate) metadata: ResponseMetadata,
+    /// What was read of the body.
+    pub(crate) body: Vec<Bytes>,
+    /// What follows of a large body; `None` if the body is complete.
+    pub(crate) rest: Option<BodyRest>,
 }
 
 /// Event of an attempt.
@@ -57,8 +57,14 @@
     Lost(String),
     /// The response is invalid or may belong to another request.
     Invalid(String),
-    /// A complete response.
-    Response(Box<FullResponse>),
+    /// The process has no memory left for the response.
+    MemoryUsedUp,
+    /// A response, complete unless it is large.
+    Response(Box<EndpointResponse>),
+    /// Another part of the body of a large response.
+    BodyPart(Bytes),
+    /// The body of a large response is complete.
+    BodyEnd,
     /// Head of a stream.
     Head(Box<ResponseHead>),
     /// Stream events that arrived together.
@@ -77,7 +83,8 @@
 
 /// A running attempt; dropping it closes its connection.
 pub(crate) struct Attempt {
-    events: mpsc::Receiver<AttemptEvent>,
+    events: mpsc::UnboundedReceiver<AttemptEvent>,
+    window: Rc<ByteWindow>,
     task: AbortHandle,
 }
 
@@ -88,17 +95,26 @@
         job: &Rc<Job>,
         choice: &Choice,
         last_event: Option<StreamEventId>,
+        window: &Rc<ByteWindow>,
     ) -> Self {
-        let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+        // What waits in the queue is bounded by the window.
+        let (sender, events) = mpsc::unbounded_channel();
         let runner = Runner {
             traffic: Rc::clone(traffic),
             job: Rc::clone(job),
             key: connection_key(&choice.endpoint),
             request: build_request(traffic, job, choice, last_event),
-            events: sender,
+            reader: ResponseReader {
+                events: sender,
+                window: Rc::clone(window),
+            },
         };
         let task = spawn_local(runner.run()).abort_handle();
-        Self { events, task }
+        Self {
+            events,
+            window: Rc::clone(window),
+            task,
+        }
     }
 
     /// Waits for the next event; returns `Lost` if the task has ended without one.
@@ -111,6 +127,7 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.task.abort();
+        self.window.forget_wait();
     }
 }
 
@@ -161,7 +178,7 @@
     job: Rc<Job>,
     key: ConnectionKey,
     request: Request<Full<Bytes>>,
-    events: mpsc::Sender<AttemptEvent>,
+    reader: ResponseReader,
 }
 
 impl Runner {
@@ -171,7 +188,7 @@
             job,
             key,
             request,
-            events,
+            reader,
         } = self;
         let repeat = job.spec.repeat;
         let max_idle_ms = match repeat.may_run_again() {
@@ -186,14 +203,14 @@
         let sent = traffic.connections.send(&key, rules, Some(id), request);
         let opened = match sent.await {
             Ok(opened) => opened,
-            Err(error) => return send_event(&events, send_failure(error)).await,
+            Err(error) => return reader.report(send_failure(error)),
         };
         let (response, mut connection) = opened.into_parts();
         let (parts, body) = response.into_parts();
         let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
         if is_foreign(&metadata, id, &connection) {
             let reason = "response may belong to another request".to_owned();
-            return send_event(&events, AttemptEvent::Invalid(reason)).await;
+            return reader.report(AttemptEvent::Invalid(reason));
         }
         if metadata.is_not_run || metadata.is_misdirected {
             connection.record_refusal(id.clone());
@@ -206,9 +223,10 @@
             metadata,
         };
         let is_reusable = if is_stream {
-            relay_stream(&events, head, body).await
+            reader.read_stream(head, body).await
         } else {
-            read_full_response(&events, head, body).await
+            let is_repeatable = repeat.may_run_again();
+            reader.read_response(head, body, is_repeatable).await
         };
         if is_reusable {
             traffic
@@ -235,11 +253,6 @@
     }
 }
 
-async fn send_event(events: &mpsc::Sender<AttemptEvent>, event: AttemptEvent) {
-    // Fails only if the exchange has ended.
-    let _ = events.send(event).await;
-}
-
 fn send_failure(error: SendError) -> AttemptEvent {
     let reason = error.to_string();
     match error {
@@ -248,86 +261,3 @@
         SendError::Lost { .. } => AttemptEvent::Lost(reason),
     }
 }
-
-/// Reads a complete response; returns whether its connection can be reused.
-async fn read_full_response(
-    events: &mpsc::Sender<AttemptEvent>,
-    head: ResponseHead,
-    mut body: Incoming,
-) -> bool {
-    let mut received = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => {
-                if let Ok(chunk) = frame.into_data() {
-                    received.extend_from_slice(&chunk);
-                }
-            }
-            Err(error) => {
-                send_event(events, AttemptEvent::Lost(error_chain(&error))).await;
-                return false;
-            }
-        }
-        if received.len() > RESPONSE_LIMIT_BYTES {
-            let reason = "response body too large".to_owned();
-            send_event(events, AttemptEvent::Invalid(reason)).await;
-            return false;
-        }
-    }
-    let response = FullResponse {
-        status: head.status,
-        headers: head.headers,
-        body: received.freeze(),
-        metadata: head.metadata,
-    };
-    send_event(events, AttemptEvent::Response(Box::new(response))).await;
-    true
-}
-
-/// Forwards complete events; returns whether the connection can be reused.
-async fn relay_stream(
-    events: &mpsc::Sender<AttemptEvent>,
-    head: ResponseHead,
-    mut body: Incoming,
-) -> bool {
-    send_event(events, AttemptEvent::Head(Box::new(head))).await;
-    let mut framer = EventFramer::new();
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(error) => {
-                send_event(events, AttemptEvent::Lost(error_chain(&error))).await;
-                return false;
-            }
-        };
-        let Ok(chunk) = frame.into_data() else {
-            continue;
-        };
-        framer.push(&chunk);
-        let mut complete = Vec::new();
-        while let Some(event) = framer.next_event() {
-            complete.push(event);
-        }
-        if !complete.is_empty() && events.send(AttemptEvent::Events(complete)).await.is_err() {
-            return false;
-        }
-        if framer.is_too_long() {
-            send_event(
-                events,
-                AttemptEvent::Invalid("stream event too long".to_owned()),
-            )
-            .await;
-            return false;
-        }
-    }
-    if framer.incomplete_bytes() > 0 {
-        send_event(
-            events,
-            AttemptEvent::Lost("stream ended within an event".to_owned()),
-        )
-        .await;
-        return false;
-    }
-    send_event(events, AttemptEvent::Finished).await;
-    true
-}
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -160,7 +160,8 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) {
+        // A body of known length is not polled after its last byte.
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
             self.guard.is_complete = true;
         }
         polled
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use http::Response;
+use http::{Response, StatusCode};
 use parsleylatch_decide::relay::{
     Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, Outcome, RefusalReason,
     SelectionCriteria, VersionLimit, return_delay,
@@ -164,6 +164,7 @@
             &self.job,
             &choice,
             self.last_event,
+            &self.window,
         ));
         self.sent = Some(SentAttempt {
             key,
@@ -190,89 +191,101 @@
         let Some(response) = self.response.take() else {
             return;
         };
-        self.log_outcome("answered", Some(response.status.as_u16()));
-        self.traffic.shared.metrics.increment(RelayCounter::Answers);
         let kind = match self.job.spec.repeat.may_run_again() {
             true => RelayLatency::IdempotentCall,
             false => RelayLatency::OnceOnlyCall,
         };
         self.observe(kind);
-        // An endpoint that did not run the request says so, and is not forwarded.
-        let reply = match responses::promises_not_run(response.status) {
-            true => responses::refused(RefusalReason::AnswerLost, false, None),
-            false => {
-                let body = RelayBody::whole(response.body);
-                responses::relayed(response.status, &response.headers, body)
-            }
+        let (status, headers) = (response.status, &response.headers);
+        let Some(rest) = response.rest else {
+            self.record_answer(status);
+            // An endpoint that did not run the request says so, and is not forwarded.
+            let reply = match responses::promises_not_run(status) {
+                true => responses::refused(RefusalReason::AnswerLost, false, None),
+                false => responses::relayed(status, headers, RelayBody::whole(response.body)),
+            };
+            return self.reply(reply);
         };
-        self.reply(reply);
+        let (sender, body) = RelayBody::relayed(rest.length);
+        self.reply(responses::relayed(status, headers, body));
+        self.caller = CallerState::Receiving(sender);
+        for part in response.body {
+            self.deliver(StreamPart::Data(part));
+        }
     }
 
-    pub(super) async fn begin_stream(&mut self) {
+    fn record_answer(&self, status: StatusCode) {
+        self.log_outcome("answered", Some(status.as_u16()));
+        self.traffic.shared.metrics.increment(RelayCounter::Answers);
+    }
+
+    pub(super) fn begin_stream(&mut self) {
         let Some(head) = self.stream_head.take() else {
             return;
         };
         self.observe(RelayLatency::FirstEvent);
-        let (sender, body) = RelayBody::stream();
+        let (sender, body) = RelayBody::relayed(None);
         self.reply(responses::relayed(head.status, &head.headers, body));
-        self.caller = CallerState::Streaming(sender);
-        self.flush_events().await;
+        self.caller = CallerState::Receiving(sender);
+        self.flush_events();
     }
 
-    pub(super) async fn finish_stream(&mut self) {
-        self.flush_events().await;
-        self.deliver(StreamPart::End).await;
-        if self.has_caller_stalled {
-            return;
+    /// Ends the caller's stream or large response.
+    pub(super) fn finish(&mut self) {
+        self.flush_events();
+        self.deliver(StreamPart::End);
+        if let Some(forwarded) = &self.forwarded {
+            self.record_answer(forwarded.status);
+        } else {
+            self.log_outcome("finished", None);
+            self.traffic
+                .shared
+                .metrics
+                .increment(RelayCounter::StreamsFinished);
         }
-        self.log_outcome("finished", None);
-        self.traffic
-            .shared
-            .metrics
-            .increment(RelayCounter::StreamsFinished);
         self.caller = CallerState::Done;
     }
 
-    pub(super) fn abort_stream(&mut self, reason: RefusalReason) {
+    /// Aborts the caller's stream or large response.
+    pub(super) fn break_off(&mut self, reason: RefusalReason) {
         let now = self.traffic.now();
-        let silence = self.last_event_at.map(|last| now.since(last));
-        log::info!(
-            id:% = self.job.metadata.id,
-            route:% = self.job.route.name,
-            reason:% = reason,
-            silence_ms = silence.unwrap_or_default().millis().get(),
-            remaining_ms = self.job.spec.deadline.since(now).millis().get(),
-            configuration_revision = self.job.configuration_revision.get();
-            "stream aborted"
-        );
+        let remaining_ms = self.job.spec.deadline.since(now).millis().get();
+        let counter = if let Some(forwarded) = &self.forwarded {
+            log::info!(
+                id:% = self.job.metadata.id,
+                route:% = self.job.route.name,
+                reason:% = reason,
+                status = forwarded.status.as_u16(),
+                after_ms = now.since(forwarded.arrived_at).millis().get(),
+                remaining_ms = remaining_ms,
+                configuration_revision = self.job.configuration_revision.get();
+                "response aborted"
+            );
+            RelayCounter::AnswersBrokenOff
+        } else {
+            let silence = self.last_event_at.map(|last| now.since(last));
+            log::info!(
+                id:% = self.job.metadata.id,
+                route:% = self.job.route.name,
+                reason:% = reason,
+                silence_ms = silence.unwrap_or_default().millis().get(),
+                remaining_ms = remaining_ms,
+                configuration_revision = self.job.configuration_revision.get();
+                "stream aborted"
+            );
+            RelayCounter::StreamsBrokenOff
+        };
         self.log_outcome("broken_off", None);
-        self.traffic
-            .shared
-            .metrics
-            .increment(RelayCounter::StreamsBrokenOff);
+        self.traffic.shared.metrics.increment(counter);
         self.caller = CallerState::Done;
     }
 
-    /// Passes a part of the stream to the caller's connection. A caller that reads too
-    /// slowly to take it before the deadline loses its stream.
-    pub(super) async fn deliver(&mut self, part: StreamPart) {
-        let CallerState::Streaming(sender) = &self.caller else {
-            return;
-        };
-        let clock = self.traffic.shared.clock;
-        let is_taken = tokio::select! {
+    /// Passes a part of a body to the caller's connection. What waits there takes room in
+    /// the exchange's window.
+    pub(super) fn deliver(&self, part: StreamPart) {
+        if let CallerState::Receiving(sender) = &self.caller {
             // Fails if the caller has disconnected, which the next wait detects.
-            _ = sender.send(part) => true,
-            () = clock.sleep_until(Some(self.job.spec.deadline)) => false,
-        };
-        if !is_taken {
-            self.log_outcome("caller_stalled", None);
-            self.traffic
-                .shared
-                .metrics
-                .increment(RelayCounter::CallersGone);
-            self.caller = CallerState::Done;
-            self.has_caller_stalled = true;
+            let _ = sender.send(part);
         }
     }
 
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -1,16 +1,19 @@
 //! Passes the events of attempts to their exchange.
 
+use bytes::Bytes;
+use http::StatusCode;
 use parsleylatch_decide::relay::{
-    EngineReport, ExchangeEffect, ExchangeInput, Outcome, ProbeFinding, ResponseClass, RetryKind,
+    EngineReport, ExchangeEffect, ExchangeInput, ExchangeState, Outcome, ProbeFinding,
+    ResponseClass, RetryKind,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{MonoTime, StreamEventId};
 
-use super::{CallerState, ExchangeDriver};
+use super::{CallerState, ExchangeDriver, ForwardedResponse};
 use crate::{
     telemetry::RelayCounter,
     traffic::{
-        attempt::{AttemptEvent, FullResponse, ResponseHead},
+        attempt::{AttemptEvent, EndpointResponse, ResponseHead},
         body::StreamPart,
         responses,
     },
@@ -75,7 +78,7 @@
         self.exchange.handle(now, input)
     }
 
-    pub(super) async fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
+    pub(super) fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
         match event {
             AttemptEvent::Unreachable(reason) => {
                 self.record_failure(Outcome::Unreachable, &reason);
@@ -90,11 +93,17 @@
                 self.handle_lost(&reason)
             }
             AttemptEvent::Invalid(reason) => self.handle_lost(&reason),
+            AttemptEvent::MemoryUsedUp => self.handle_memory_used_up(),
             AttemptEvent::Response(response) => self.handle_response(response),
+            AttemptEvent::BodyPart(part) => {
+                self.deliver(StreamPart::Data(part));
+                Vec::new()
+            }
+            AttemptEvent::BodyEnd => self.handle_body_end(),
             AttemptEvent::Head(head) => self.handle_head(head),
-            AttemptEvent::Events(events) => self.handle_events(events).await,
+            AttemptEvent::Events(events) => self.handle_events(events),
             AttemptEvent::Finished if self.exchange.has_begun() => {
-                self.record_success();
+                self.record_first_response(self.traffic.now());
                 self.record_duration();
                 // A resumed stream may have no further events, which shows nothing.
                 let has_events = self.sent.as_ref().is_some_and(|it| it.began_at.is_some());
@@ -122,7 +131,20 @@
             .handle(self.traffic.now(), ExchangeInput::Lost { may_retry })
     }
 
-    pub(super) fn handle_response(&mut self, response: Box<FullResponse>) -> Vec<ExchangeEffect> {
+    /// Leaves an attempt whose response the process has no memory for. That is no failure of
+    /// its endpoint.
+    fn handle_memory_used_up(&mut self) -> Vec<ExchangeEffect> {
+        let reason = "memory for responses is used up";
+        let metrics = &self.traffic.shared.metrics;
+        metrics.increment(RelayCounter::ResponsesOutOfMemory);
+        self.record_failure(Outcome::Abandoned, reason);
+        let may_retry = self.may_retry(true);
+        self.exchange
+            .handle(self.traffic.now(), ExchangeInput::Lost { may_retry })
+    }
+
+    fn handle_response(&mut self, mut response: Box<EndpointResponse>) -> Vec<ExchangeEffect> {
+        let now = self.traffic.now();
         self.record_load(&response.metadata);
         let status = response.status;
         let is_not_run = response.metadata.is_not_run && !status.is_success()
@@ -137,13 +159,16 @@
             ResponseClass::Final
         };
         let class = self.exchange.classify(class);
+        if responses::promises_not_run(status) {
+            // Its body is not forwarded.
+            response.rest = None;
+            response.body.clear();
+        }
+        let is_complete = response.rest.is_none();
         match class {
-            ResponseClass::Final => {
-                self.record_success();
-                if status.is_success() {
-                    self.report_answer(self.traffic.now(), true);
-                }
-            }
+            ResponseClass::Final if is_complete => self.record_complete_response(status, now),
+            // Whether it succeeds shows at the end of its body.
+            ResponseClass::Final => {}
             ResponseClass::Failure => self.record_failure(Outcome::Errored, status.as_str()),
             ResponseClass::NotRun => {
                 let outcome = match response.metadata.is_misdirected {
@@ -154,14 +179,47 @@
                 self.record_failure(outcome, status.as_str());
             }
         }
-        self.response = Some(response);
         let may_retry = match class {
             ResponseClass::Final => false,
             ResponseClass::Failure => self.may_retry(true),
             ResponseClass::NotRun => self.may_retry(false),
         };
-        let input = ExchangeInput::Answered { class, may_retry };
-        self.exchange.handle(self.traffic.now(), input)
+        self.response = Some(response);
+        let input = match is_complete {
+            true => ExchangeInput::Answered { class, may_retry },
+            false => ExchangeInput::AnswerBegun { class, may_retry },
+        };
+        let effects = self.exchange.handle(now, input);
+        if self.exchange.state() == ExchangeState::Forwarding {
+            self.forwarded = Some(ForwardedResponse {
+                status,
+                class,
+                arrived_at: now,
+            });
+        } else if !is_complete {
+            // Frees what was read of a response that is not forwarded.
+            self.response = None;
+        }
+        effects
+    }
+
+    /// Records a complete response whose head arrived at `arrived_at`.
+    fn record_complete_response(&mut self, status: StatusCode, arrived_at: MonoTime) {
+        self.record_first_response(arrived_at);
+        if status.is_success() {
+            self.report_answer(self.traffic.now(), true);
+        }
+    }
+
+    fn handle_body_end(&mut self) -> Vec<ExchangeEffect> {
+        if let Some(forwarded) = &self.forwarded
+            && forwarded.class == ResponseClass::Final
+        {
+            let (status, arrived_at) = (forwarded.status, forwarded.arrived_at);
+            self.record_complete_response(status, arrived_at);
+        }
+        self.exchange
+            .handle(self.traffic.now(), ExchangeInput::Finished)
     }
 
     pub(super) fn handle_head(&mut self, head: Box<ResponseHead>) -> Vec<ExchangeEffect> {
@@ -176,7 +234,7 @@
     }
 
     /// Forwards the events that the caller does not have yet.
-    pub(super) async fn handle_events(&mut self, events: Vec<RawEvent>) -> Vec<ExchangeEffect> {
+    pub(super) fn handle_events(&mut self, events: Vec<RawEvent>) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
         let mut has_event = false;
         let mut is_foreign = false;
@@ -204,16 +262,16 @@
         }
         if !has_event {
             // Comments are forwarded, but are no progress.
-            self.flush_events().await;
+            self.flush_events();
             return self.leave_foreign(is_foreign);
         }
-        self.record_first_event(now);
+        self.record_first_response(now);
         self.record_gap(now);
         self.record_silence_end();
         self.report_answer(now, false);
         let mut effects = self.exchange.handle(now, ExchangeInput::Event);
-        if self.exchange.has_begun() && matches!(self.caller, CallerState::Streaming(_)) {
-            self.flush_events().await;
+        if self.exchange.has_begun() && matches!(self.caller, CallerState::Receiving(_)) {
+            self.flush_events();
         }
         self.check_copy(now);
         effects.extend(self.leave_foreign(is_foreign));
@@ -236,10 +294,14 @@
 
     /// Keeps a comment until it is forwarded. Before the first event only a few are kept,
     /// so that an engine that sends nothing else takes no memory.
-    fn keep_comment(&mut self, comment: RawEvent) {
-        let is_streaming = matches!(self.caller, CallerState::Streaming(_));
+    fn keep_comment(&mut self, mut comment: RawEvent) {
+        let is_streaming = matches!(self.caller, CallerState::Receiving(_));
         let is_small = comment.bytes.len() <= HELD_COMMENT_BYTES;
-        if is_streaming || is_small && self.pending.len() < HELD_COMMENTS {
+        if is_streaming {
+            self.pending.push(comment);
+        } else if is_small && self.pending.len() < HELD_COMMENTS {
+            // Takes no room in the window, which the first event may need.
+            comment.bytes = Bytes::copy_from_slice(&comment.bytes);
             self.pending.push(comment);
         }
     }
@@ -263,19 +325,16 @@
     }
 
     /// Sends the pending events to the caller's connection.
-    pub(super) async fn flush_events(&mut self) {
-        if !matches!(self.caller, CallerState::Streaming(_)) {
+    pub(super) fn flush_events(&mut self) {
+        if !matches!(self.caller, CallerState::Receiving(_)) {
             return;
         }
         for event in std::mem::take(&mut self.pending) {
-            if !matches!(self.caller, CallerState::Streaming(_)) {
-                return;
-            }
             self.traffic
                 .shared
                 .metrics
                 .increment(RelayCounter::EventsRelayed);
-            self.deliver(StreamPart::Events(event.bytes)).await;
+            self.deliver(StreamPart::Data(event.bytes));
         }
     }
 
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -9,12 +9,12 @@
 
 use std::{collections::VecDeque, pin::pin, rc::Rc, sync::Arc};
 
-use http::Response;
+use http::{Response, StatusCode};
 use parsleylatch_decide::{
     moves::FULL_SHARE,
     relay::{
         Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
-        MemoryCopy, Outcome,
+        MemoryCopy, Outcome, ResponseClass,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -22,8 +22,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    attempt::{Attempt, AttemptEvent, FullResponse, ResponseHead},
+    attempt::{Attempt, AttemptEvent, EndpointResponse, ResponseHead},
     body::{RelayBody, StreamPart},
+    byte_window::ByteWindow,
     copy_monitor::CopyMonitor,
     engine::ProbeResult,
     job::Job,
@@ -45,6 +46,7 @@
     let (exchange, effects) = Exchange::start(now, job.spec.clone());
     let last_event = job.metadata.last_event;
     let mut driver = ExchangeDriver {
+        window: Rc::new(ByteWindow::new(&traffic.shared.body_memory)),
         traffic,
         job: Rc::new(job),
         exchange,
@@ -52,6 +54,7 @@
         attempt: None,
         sent: None,
         response: None,
+        forwarded: None,
         stream_head: None,
         last_event,
         last_event_at: None,
@@ -63,7 +66,6 @@
         probe: None,
         copy_monitor: CopyMonitor::default(),
         is_endpoint_silent: false,
-        has_caller_stalled: false,
         queue_slot: None,
         queued_at: now,
         bypasses_queue: false,
@@ -76,8 +78,8 @@
 enum CallerState {
     /// No response has been sent.
     Waiting(oneshot::Sender<Response<RelayBody>>),
-    /// The stream has begun.
-    Streaming(mpsc::Sender<StreamPart>),
+    /// The stream, or the body of a large response, has begun.
+    Receiving(mpsc::UnboundedSender<StreamPart>),
     /// The response is complete.
     Done,
 }
@@ -87,7 +89,7 @@
     async fn closed(&mut self) {
         match self {
             Self::Waiting(reply) => reply.closed().await,
-            Self::Streaming(events) => events.closed().await,
+            Self::Receiving(parts) => parts.closed().await,
             Self::Done => std::future::pending().await,
         }
     }
@@ -107,14 +109,25 @@
     is_under_way: bool,
 }
 
+/// A large response whose body is passed on.
+struct ForwardedResponse {
+    status: StatusCode,
+    class: ResponseClass,
+    /// When its head and the beginning of its body had arrived.
+    arrived_at: MonoTime,
+}
+
 struct ExchangeDriver {
     traffic: Rc<Traffic>,
+    /// What has been read and not yet been taken by the caller.
+    window: Rc<ByteWindow>,
     job: Rc<Job>,
     exchange: Exchange,
     started_at: MonoTime,
     attempt: Option<Attempt>,
     sent: Option<SentAttempt>,
-    response: Option<Box<FullResponse>>,
+    response: Option<Box<EndpointResponse>>,
+    forwarded: Option<ForwardedResponse>,
     stream_head: Option<Box<ResponseHead>>,
     last_event: Option<StreamEventId>,
     /// When the last event arrived.
@@ -130,8 +143,6 @@
     copy_monitor: CopyMonitor,
     /// Whether the endpoint of the running attempt answers no probe.
     is_endpoint_silent: bool,
-    /// Whether the caller has not read its stream until the deadline.
-    has_caller_stalled: bool,
     /// Place in the queue for an engine with room.
     queue_slot: Option<QueueSlot>,
     queued_at: MonoTime,
@@ -156,20 +167,15 @@
     async fn run(&mut self, effects: Vec<ExchangeEffect>) {
         let shared = Arc::clone(&self.traffic.shared);
         let mut stopping = pin!(shared.wait_for_phase(LifecyclePhase::NotReady));
-        self.apply_effects(effects).await;
+        self.apply_effects(effects);
         while !self.exchange.is_over() {
             let wake = tokio::select! {
                 biased;
                 () = &mut stopping, if !self.is_stopping => Wake::Stopping,
                 wake = self.wait() => wake,
             };
-            let effects = self.handle_wake(wake).await;
-            self.apply_effects(effects).await;
-            if std::mem::take(&mut self.has_caller_stalled) && !self.exchange.is_over() {
-                let now = self.traffic.now();
-                let effects = self.exchange.handle(now, ExchangeInput::CallerGone);
-                self.apply_effects(effects).await;
-            }
+            let effects = self.handle_wake(wake);
+            self.apply_effects(effects);
         }
         self.end_attempt(Outcome::Abandoned);
     }
@@ -189,10 +195,10 @@
         }
     }
 
-    async fn handle_wake(&mut self, wake: Wake) -> Vec<ExchangeEffect> {
+    fn handle_wake(&mut self, wake: Wake) -> Vec<ExchangeEffect> {
         match wake {
             Wake::Attempt(event) => {
-                let effects = self.handle_event(event).await;
+                let effects = self.handle_event(event);
                 if self.exchange.state() == ExchangeState::AwaitingRetry {
                     self.end_attempt(Outcome::Abandoned);
                 }
@@ -215,23 +221,35 @@
                 self.exchange.set_response_deadline(deadline);
                 Vec::new()
             }
-            Wake::CallerGone => {
-                self.log_outcome("caller_gone", None);
-                self.traffic
-                    .shared
-                    .metrics
-                    .increment(RelayCounter::CallersGone);
-                self.exchange
-                    .handle(self.traffic.now(), ExchangeInput::CallerGone)
-            }
+            Wake::CallerGone => self.leave_caller("caller_gone"),
             Wake::Deadline => self.expire(),
         }
     }
 
+    fn leave_caller(&mut self, outcome: &str) -> Vec<ExchangeEffect> {
+        self.log_outcome(outcome, None);
+        self.traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::CallersGone);
+        self.exchange
+            .handle(self.traffic.now(), ExchangeInput::CallerGone)
+    }
+
     fn expire(&mut self) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
+        // The endpoint may have more, and is not read until the caller reads.
+        let awaits_caller = self.window.is_full();
+        if now >= self.job.spec.deadline {
+            if awaits_caller {
+                return self.leave_caller("caller_stalled");
+            }
+            if self.exchange.state() == ExchangeState::Forwarding {
+                self.record_failure(Outcome::Broken, "no end of the response by the deadline");
+            }
+        }
         let lateness = now.since(self.exchange.next_deadline());
-        let was_paused = lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
+        let was_paused = awaits_caller || lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
         let is_unplaced = self.exchange.state() == ExchangeState::AwaitingRetry;
         let allows_retry = !was_paused && self.exchange.allows_retry_at_deadline(now);
         let is_silent = allows_retry && self.is_probing();
@@ -267,7 +285,7 @@
                 .is_some_and(|sent| table.explains_delay(now, &sent.key))
     }
 
-    async fn apply_effects(&mut self, effects: Vec<ExchangeEffect>) {
+    fn apply_effects(&mut self, effects: Vec<ExchangeEffect>) {
         let mut queue = VecDeque::from(effects);
         while let Some(effect) = queue.pop_front() {
             match effect {
@@ -277,9 +295,9 @@
                 ExchangeEffect::Open(choice) => self.start_attempt(choice),
                 ExchangeEffect::Probe => self.start_probe(),
                 ExchangeEffect::ForwardResponse => self.forward_response(),
-                ExchangeEffect::BeginStream => self.begin_stream().await,
-                ExchangeEffect::Finish => self.finish_stream().await,
-                ExchangeEffect::BreakOff { reason } => self.abort_stream(reason),
+                ExchangeEffect::BeginStream => self.begin_stream(),
+                ExchangeEffect::Finish => self.finish(),
+                ExchangeEffect::BreakOff { reason } => self.break_off(reason),
                 ExchangeEffect::Refuse {
                     reason,
                     not_run,
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -25,12 +25,14 @@
         }
     }
 
-    pub(super) fn record_first_event(&mut self, now: MonoTime) {
+    /// Records that the endpoint has responded, at `arrived_at`.
+    pub(super) fn record_first_response(&mut self, arrived_at: MonoTime) {
         if let Some(sent) = self.sent.as_mut().filter(|it| !it.has_responded) {
             sent.has_responded = true;
             let mut table = self.traffic.endpoint_table.borrow_mut();
             table.record_prompt_read(&sent.key, self.job.spec.prompt);
-            let latency = now.since(sent.at);
+            let now = self.traffic.now();
+            let latency = arrived_at.since(sent.at);
             table.record_outcome(now, &sent.key, Outcome::Answered { latency });
             table.record_first_event(now, &sent.key, sent.at);
             drop(table);
@@ -108,11 +110,6 @@
         }
     }
 
-    pub(super) fn record_success(&mut self) {
-        let now = self.traffic.now();
-        self.record_first_event(now);
-    }
-
     /// Records the duration of a stream that one attempt has run completely.
     pub(super) fn record_duration(&self) {
         if let Some(sent) = self.sent.as_ref().filter(|_| self.exchange.runs() == 0) {
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod body;
+mod byte_window;
 mod caller_connection;
 mod connection_activity;
 mod connection_timer;
@@ -13,6 +14,7 @@
 mod placement_queue;
 mod prompts;
 mod request_handler;
+mod response_reader;
 mod responses;
 mod state;
 
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -1,6 +1,5 @@
 //! Responses of the relay itself, and heads of forwarded responses.
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use parsleylatch_decide::relay::{RefusalReason, STOPPING_RETRY_AFTER_MS};
 use parsleylatch_endpoint::is_connection_header;
@@ -134,7 +133,7 @@
 }
 
 fn empty_response(status: StatusCode) -> Response<RelayBody> {
-    let mut response = Response::new(RelayBody::whole(Bytes::new()));
+    let mut response = Response::new(RelayBody::whole(Vec::new()));
     *response.status_mut() = status;
     response
 }
