Auxiliary calls to engines: their responses count in the memory for bodies

The responses of probes, prompt queries and copies had a bound each, 256 KiB, and none for their sum, although a prompt query goes to all engines of a service at once. They count now, an engine whose response finds no memory is passed over, and a line tells why a response can't be read. Not shown by a test of its own.

--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -3,9 +3,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use parsleylatch_decide::relay::{CopySource, EndpointEntry, EngineReport, MemoryCopy};
 use parsleylatch_endpoint::{ConnectionKey, ConnectionSettings};
 use parsleylatch_types::{ExchangeId, Millis, PromptPartId};
@@ -13,8 +14,13 @@
 
 use super::{
     attempt::CONNECT_TIMEOUT_MS,
+    response_reader::next_chunk,
     state::{Traffic, endpoint_key},
 };
+use crate::{
+    memory::{Claim, Reservation},
+    telemetry::RelayCounter,
+};
 
 /// Timeout of a state probe, including the connection: two round trips between regions
 /// and the engine's processing time.
@@ -143,9 +149,41 @@
     let (parts, body) = response.into_parts();
     let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
     traffic.record_notices(&endpoint_key(key), &metadata);
-    let body = Limited::new(body, RESPONSE_LIMIT_BYTES)
-        .collect()
-        .await
-        .ok()?;
-    Some((parts.status, body.to_bytes()))
+    let body = read_body(traffic, key, path, body).await?;
+    Some((parts.status, body))
+}
+
+/// Reads the body of a response; `None` if it is too large, is lost or finds no memory.
+async fn read_body(
+    traffic: &Traffic,
+    key: &ConnectionKey,
+    path: &'static str,
+    mut body: Incoming,
+) -> Option<Bytes> {
+    let mut memory = Reservation::empty(&traffic.shared.body_memory);
+    let mut received = BytesMut::new();
+    let reason = loop {
+        let chunk = match next_chunk(&mut body).await {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => return Some(memory.attach(received.freeze())),
+            Err(reason) => break reason,
+        };
+        if received.len() + chunk.len() > RESPONSE_LIMIT_BYTES {
+            break "response body too large".to_owned();
+        }
+        // The buffer grows by doubling.
+        if !memory.try_grow_as(Claim::Large, 2 * chunk.len()) {
+            let metrics = &traffic.shared.metrics;
+            metrics.increment(RelayCounter::ResponsesOutOfMemory);
+            break "memory for responses is used up".to_owned();
+        }
+        received.extend_from_slice(&chunk);
+    };
+    log::info!(
+        endpoint:% = key.id,
+        path = path,
+        reason = reason.as_str();
+        "engine response can't be read"
+    );
+    None
 }
