--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -182,6 +182,11 @@
         })
     }
 
+    /// Moves the buffered bytes to a buffer that takes no more than they need.
+    pub fn shrink_buffer(&mut self) {
+        self.buffer = BytesMut::from(&self.buffer[..]);
+    }
+
     /// Number of buffered bytes; after the last complete event, those of an incomplete one.
     pub fn incomplete_bytes(&self) -> usize {
         self.buffer.len()
