Relay: the plan of memory counts all buffers of a caller's connection

What callers saw: nothing yet.

Cause: the plan counted 32 KiB a connection whatever the limit on heads, and one of the two buffers of the process. The limit on heads was passed on unchecked.

Change: a connection counts its buffer to read, its buffer to write and what the kernel has received. The limit on heads is lowered to 64 KiB, logged once each configuration, and the number of connections follows from it.

--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -6,8 +6,8 @@
 };
 
 use parsleylatch_decide::relay::{
-    EndpointEntry, NodeLocation, PartVerdicts, Registry, RelayConfiguration, RemovalLog,
-    VersionRule,
+    EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, Registry, RelayConfiguration,
+    RemovalLog, VersionRule,
 };
 use parsleylatch_types::{
     EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName,
@@ -173,6 +173,7 @@
                 self.shared
                     .metrics
                     .increment(RelayCounter::ConfigurationsApplied);
+                report_lowered_head_limit(&configuration);
                 self.configuration = Some(Arc::new(configuration));
                 self.configuration_document = Some(document);
                 self.changed = true;
@@ -430,3 +431,19 @@
         revision: Revision::new(document.revision),
     }
 }
+
+/// Logs a limit on heads that is beyond what a process may hold.
+fn report_lowered_head_limit(configuration: &RelayConfiguration) {
+    let Some(configured) = configuration.limits().map(|it| it.head_bytes) else {
+        return;
+    };
+    let lowered = MemoryPlan::head_limit(configured);
+    if lowered < configured {
+        log::warn!(
+            revision = configuration.revision().get(),
+            configured_bytes = configured.get(),
+            bytes = lowered.get();
+            "limit on heads lowered"
+        );
+    }
+}
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,6 +9,7 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
+use parsleylatch_decide::relay::MemoryPlan;
 use parsleylatch_http::{InspectedHead, error_chain, inspect_heads};
 use tokio::{net::TcpStream, time};
 
@@ -20,9 +21,6 @@
 };
 use crate::shared::{InFlightGuard, LifecyclePhase};
 
-/// Smallest buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: u64 = 8 << 10;
-
 /// Delay after the idle timeout, in which the runtime notices data that has arrived.
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
@@ -37,7 +35,7 @@
     // The connection's own timer replaces the timeout of the library.
     builder
         .header_read_timeout(None)
-        .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
+        .max_buf_size(MemoryPlan::head_limit(limits.head_bytes).get() as usize);
     let (observed, inspection) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -81,7 +81,9 @@
 fn connection_limit(shared: &Shared) -> usize {
     let settings = shared.settings.load();
     let plan = MemoryPlan::new(settings.memory);
-    CONNECTION_LIMIT.min(plan.connections) / settings.traffic_threads
+    let limits = request_handler::limits(&shared.snapshot.load());
+    let limit = CONNECTION_LIMIT.min(plan.connection_limit(limits.head_bytes));
+    (limit / settings.traffic_threads).max(1)
 }
 
 fn serve(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, stream: TcpStream) {
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -123,3 +123,30 @@
     assert!(error.field.starts_with(field), "{error}");
     assert_eq!((error.file.as_str(), error.line), ("relay.jsonc", 7));
 }
+
+fn with_memory(field: &str) -> String {
+    relay_text("{}").replacen("\"bounds\"", &format!("{field}\"bounds\""), 1)
+}
+
+/// Memory without a setting is 256 MiB; a part of a MiB counts.
+#[test_case("", 256 << 20 ; "absent")]
+#[test_case("\"memory_mb\": null, ", 256 << 20 ; "null")]
+#[test_case("\"memory_mb\": 160, ", 160 << 20 ; "whole number")]
+#[test_case("\"memory_mb\": 100.5, ", 105_381_888 ; "fraction")]
+#[test_case("\"memory_mb\": 32, ", 32 << 20 ; "least")]
+fn relay_memory_read(field: &str, bytes: u64) {
+    let document = Document::new("relay.jsonc", &with_memory(field));
+    let read = RelaySettings::read(&document).unwrap();
+    assert_eq!(read.memory.get(), bytes);
+}
+
+#[test_case("\"memory_mb\": 31.9, ", "31.9 is below 32" ; "too small")]
+#[test_case("\"memory_mb\": 0, ", "0 is below 32" ; "zero")]
+#[test_case("\"memory_mb\": -160, ", "-160 is below 32" ; "negative")]
+#[test_case("\"memory_mb\": \"160\", ", "invalid type" ; "not a number")]
+fn relay_memory_rejected(field: &str, reason: &str) {
+    let document = Document::new("relay.jsonc", &with_memory(field));
+    let error = RelaySettings::read(&document).unwrap_err();
+    assert_eq!((error.field.as_str(), error.line), ("memory_mb", 7));
+    assert!(error.to_string().contains(reason), "{error}");
+}
