Relay: large bodies leave memory to small ones, and a body has to end in time

What callers saw: with memory_mb of 160 and bodies of 1 MiB that never end, a sound request of 55 kB was refused with 503 (process_memory_endless_bodies). A caller that sent a byte now and then held its part for as long as it liked. A body that couldn't fit was read first.

Cause: bodies were charged as they arrived, up to the whole budget, and header_timeout_ms limits the time between two parts only.

Change: a body of more than 64 KiB is granted up to three quarters of the budget. What is charged is the buffer, not its content. A length for which there is no room is refused at once. A body has to be complete while its caller waits: X-Deadline-Ms or the route's timeout, 30 s at most; otherwise 408. The remainder of a body that is refused for memory is read and dropped for up to 1 s, so that closing the connection doesn't discard the response. Counter memory_refusals and gauge body_memory_bytes.

--- a/crates/relay/src/control/status_routes.rs
+++ b/crates/relay/src/control/status_routes.rs
@@ -34,7 +34,8 @@
 }
 
 async fn serve_metrics(request: Request) -> Result<Response> {
-    Ok(shared(&request)?.metrics.render().into_response())
+    let shared = shared(&request)?;
+    Ok(shared.metrics.render(&shared.body_memory).into_response())
 }
 
 fn shared(request: &Request) -> Result<Arc<Shared>> {
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -1,4 +1,7 @@
 //! Budget of the bytes that a process holds of requests and responses.
+//!
+//! Large bodies leave a part of the budget to small ones, so that a few callers can't use it
+//! up for all.
 
 use std::sync::{
     Arc,
@@ -7,6 +10,36 @@
 
 use parsleylatch_types::ByteCount;
 
+/// What bytes are taken for. Those who hold much already leave room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// A body or an event of ordinary size.
+    Small,
+    /// Part of a large body.
+    Large,
+}
+
+/// Size from which a body is large.
+const LARGE_BODY_BYTES: usize = 64 << 10;
+
+impl Claim {
+    /// Claim of a body of this size.
+    pub(crate) fn of_body(bytes: usize) -> Self {
+        match bytes > LARGE_BODY_BYTES {
+            true => Self::Large,
+            false => Self::Small,
+        }
+    }
+
+    /// Share of the budget up to which bytes are granted, in percent.
+    fn budget_percent(self) -> usize {
+        match self {
+            Self::Small => 100,
+            Self::Large => 75,
+        }
+    }
+}
+
 /// Bytes held by all threads, and their limit.
 #[derive(Debug)]
 pub(crate) struct MemoryBudget {
@@ -30,8 +63,17 @@
         self.limit.store(limit, Ordering::Relaxed);
     }
 
-    fn try_take(&self, bytes: usize) -> bool {
-        let limit = self.limit.load(Ordering::Relaxed);
+    /// Bytes held.
+    pub(crate) fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    fn limit(&self, claim: Claim) -> usize {
+        self.limit.load(Ordering::Relaxed) / 100 * claim.budget_percent()
+    }
+
+    fn try_take(&self, claim: Claim, bytes: usize) -> bool {
+        let limit = self.limit(claim);
         let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= limit);
         self.held
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
@@ -55,10 +97,17 @@
         }
     }
 
-    /// Takes more bytes; returns `false`, and takes none, if the budget lacks them.
+    /// Whether the budget has these bytes at present.
+    pub(crate) fn has_room(&self, claim: Claim, bytes: usize) -> bool {
+        let sum = self.budget.held().checked_add(bytes);
+        sum.is_some_and(|sum| sum <= self.budget.limit(claim))
+    }
+
+    /// Takes more bytes for a purpose; returns `false`, and takes none, if the budget lacks
+    /// them.
     #[must_use]
-    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
-        let is_taken = self.budget.try_take(bytes);
+    pub(crate) fn try_grow_as(&mut self, claim: Claim, bytes: usize) -> bool {
+        let is_taken = self.budget.try_take(claim, bytes);
         if is_taken {
             self.bytes += bytes;
         }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -12,6 +12,8 @@
 use parsleylatch_types::Micros;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use crate::memory::MemoryBudget;
+
 /// Largest latency that is recorded; larger ones are clamped.
 const LATENCY_LIMIT_US: u64 = 60_000_000;
 /// Significant digits of a latency; two keep a histogram within about 20 KB.
@@ -29,6 +31,8 @@
     Requests,
     /// Requests rejected before an endpoint was selected.
     RequestsDenied,
+    /// Requests rejected because the memory for bodies was used up.
+    MemoryRefusals,
     /// Requests that failed because no endpoint responded.
     Refusals,
     /// Responses of endpoints forwarded to callers, other than streams.
@@ -132,9 +136,13 @@
         histogram.saturating_record(latency.get());
     }
 
-    /// Renders all metrics in the Prometheus text exposition format.
-    pub(crate) fn render(&self) -> String {
+    /// Renders all metrics and the memory that bodies take in the Prometheus text
+    /// exposition format.
+    pub(crate) fn render(&self, body_memory: &MemoryBudget) -> String {
         let mut text = String::new();
+        let held = body_memory.held();
+        let _ = writeln!(text, "# TYPE parsleylatch_body_memory_bytes gauge");
+        let _ = writeln!(text, "parsleylatch_body_memory_bytes {held}");
         for counter in RelayCounter::iter() {
             let name: &str = counter.into();
             let value = self.counters[counter as usize].load(Ordering::Relaxed);
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
@@ -24,7 +24,7 @@
 };
 use crate::{
     codec::RequestMetadata,
-    memory::Reservation,
+    memory::{Claim, Reservation},
     shared::{LifecyclePhase, Shared, Snapshot},
     telemetry::RelayCounter,
 };
@@ -42,6 +42,12 @@
 /// Maximum delay of a stream until a starting node has its initial state; the remainder
 /// of the operators' goal of 4.5 s for the first event is enough for the prefill.
 const STARTUP_STREAM_HOLD_MS: Millis = Millis::new(2_000);
+/// Maximum time for a body whose route and caller allow longer.
+const MAX_BODY_TIME_MS: Millis = Millis::new(30_000);
+/// First buffer of a body that announces at least this length.
+const FIRST_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum time for reading the remainder of a refused body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Rejection of a request.
 struct Denied {
@@ -133,13 +139,24 @@
     let path = parts.uri.path_and_query().cloned();
     let path = path.ok_or_else(|| denied(id, Denial::BadRequest, "missing path"))?;
     let limits = limits(&snapshot);
+    let route = snapshot.configuration.as_ref();
+    let route = route.and_then(|it| it.route(&host, path.path()));
+    let body_timeout = body_timeout(route.map(Arc::as_ref), &metadata);
     let mut body_memory = Reservation::empty(&shared.body_memory);
-    let body = tokio::select! {
+    let mut body = body;
+    let received = tokio::select! {
         biased;
-        body = read_body(body, &limits, &mut body_memory) => body,
+        received = read_body(&mut body, &limits, &mut body_memory) => received,
         () = shared.wait_for_response_deadline() => Err(Denial::Stopping),
+        () = time::sleep(body_timeout.duration()) => Err(Denial::SlowBody),
     };
-    let body = body.map_err(|denial| denied(id, denial, "body rejected"))?;
+    let body = received.map_err(|denial| {
+        if denial == Denial::MemoryUsedUp {
+            shared.metrics.increment(RelayCounter::MemoryRefusals);
+            tokio::task::spawn_local(discard_body(body, limits.body_bytes));
+        }
+        denied(id, denial, "body rejected")
+    })?;
     if snapshot.configuration.is_none() {
         // A starting node gets its initial state shortly, and a rejection would cost the
         // caller one of its retries.
@@ -301,33 +318,69 @@
     Some(name.to_ascii_lowercase())
 }
 
+/// Time within which a body has to be complete: that for which its caller waits.
+fn body_timeout(route: Option<&RelayRoute>, metadata: &RequestMetadata) -> Millis {
+    let route_timeout = route.map_or(MAX_BODY_TIME_MS, |it| it.timeout_ms);
+    let caller_timeout = metadata.timeout_ms.unwrap_or(MAX_BODY_TIME_MS);
+    route_timeout.min(caller_timeout).min(MAX_BODY_TIME_MS)
+}
+
+/// Reads a body into a buffer whose size is taken from the budget.
 async fn read_body(
-    mut body: Incoming,
+    body: &mut Incoming,
     limits: &CallerLimits,
     memory: &mut Reservation,
 ) -> Result<Bytes, Denial> {
     let limit = limits.body_bytes.get();
-    if body.size_hint().lower() > limit {
+    let expected = body.size_hint().lower();
+    if expected > limit {
         return Err(Denial::BodyTooLarge);
     }
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let expected = usize::try_from(expected).unwrap_or(usize::MAX);
+    if !memory.has_room(Claim::of_body(expected), expected) {
+        return Err(Denial::MemoryUsedUp);
+    }
     let frame_timeout: Duration = limits.head_timeout_ms.duration();
-    let mut received = BytesMut::new();
+    let mut received = Vec::new();
     loop {
         let frame = match time::timeout(frame_timeout, body.frame()).await {
             Err(_) => return Err(Denial::SlowBody),
-            Ok(None) => return Ok(received.freeze()),
+            Ok(None) => return Ok(Bytes::from(received)),
             Ok(Some(Err(_))) => return Err(Denial::BadRequest),
             Ok(Some(Ok(frame))) => frame,
         };
         // Trailers are not forwarded.
         if let Ok(chunk) = frame.into_data() {
-            if received.len() as u64 + chunk.len() as u64 > limit {
+            let length = received.len() + chunk.len();
+            if length > limit {
                 return Err(Denial::BodyTooLarge);
             }
-            if !memory.try_grow(chunk.len()) {
-                return Err(Denial::MemoryUsedUp);
+            if length > received.capacity() {
+                let doubled = (2 * received.capacity()).max(expected.min(FIRST_BUFFER_BYTES));
+                let capacity = doubled.min(limit).max(length);
+                if !memory.try_grow_as(Claim::of_body(capacity), capacity - received.capacity()) {
+                    return Err(Denial::MemoryUsedUp);
+                }
+                received.reserve_exact(capacity - received.len());
             }
             received.extend_from_slice(&chunk);
         }
     }
 }
+
+/// Reads the remainder of a refused body, as closing a connection with unread bytes may
+/// discard the response.
+async fn discard_body(mut body: Incoming, limit: ByteCount) {
+    let discarding = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len) as u64;
+            if discarded > limit.get() {
+                return;
+            }
+        }
+    };
+    // The connection is closed in either case.
+    let _ = time::timeout(DISCARD_TIMEOUT, discarding).await;
+}
