Store: a listing ends at 16 MiB, and replies have the limit of their call

What was seen: a store whose pages always have another page after them is listed for ever, and the entries are collected (listing_without_end_fails: no end within 60 s, both cases). Each call read up to 16 MiB, also where a reply holds no value.

Change: a listing fails beyond 16 MiB of keys and values, with 64 B for each page and entry. Replies about leases are read up to 64 KiB, those about one key up to 4 MiB, pages, watches and other calls of the client up to 8 MiB.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -16,8 +16,8 @@
 
 /// Longest wait for a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Largest response body that [`Client::call`] accepts, many times that of a page of the store.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest response body that [`Client::call`] accepts.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -117,7 +117,7 @@
         })
     }
 
-    /// Sends a request and reads the full response, of at most 16 MiB.
+    /// Sends a request and reads the full response, of at most 8 MiB.
     ///
     /// # Errors
     /// Returns an error with the step that failed.
@@ -127,11 +127,27 @@
         request: http::request::Builder,
         body: Bytes,
         timeout: Duration,
+    ) -> Result<Reply, HttpError> {
+        self.call_limited(peer, request, body, timeout, MAX_RESPONSE_BYTES)
+            .await
+    }
+
+    /// Sends a request and reads the full response, whose body may have `limit_bytes`.
+    ///
+    /// # Errors
+    /// Returns an error with the step that failed.
+    pub async fn call_limited(
+        &self,
+        peer: SocketAddr,
+        request: http::request::Builder,
+        body: Bytes,
+        timeout: Duration,
+        limit_bytes: usize,
     ) -> Result<Reply, HttpError> {
         let exchange = async {
             let response = self.open(peer, request, body, timeout).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES);
+            let body = Limited::new(body, limit_bytes);
             let body = body.collect().await.map_err(|error| {
                 let kind = HttpErrorKind::Transport(error_chain(&*error));
                 HttpError {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -16,6 +16,18 @@
 /// Default timeout of calls; a watch has its wait time in addition.
 const CALL_TIMEOUT_MS: Millis = Millis::new(2_000);
 
+/// Largest reply that holds no value.
+const MAX_PLAIN_REPLY_BYTES: usize = 64 << 10;
+/// Largest reply with the values of a few keys, each of up to 1 MiB, Base64-encoded.
+const MAX_ENTRY_REPLY_BYTES: usize = 4 << 20;
+/// Largest page of a listing and largest reply to a watch; a page holds about 1 MB, and a
+/// reply to a watch may hold several versions of a large value.
+const MAX_PAGE_BYTES: usize = 8 << 20;
+/// Largest listing, by the keys and values of all pages.
+const MAX_LISTING_BYTES: usize = 16 << 20;
+/// Size that each page and each entry of a listing counts beside its keys and values.
+const LISTING_OVERHEAD_BYTES: usize = 64;
+
 /// Lease id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LeaseId(pub u64);
@@ -85,12 +97,18 @@
     pub async fn list(&self, prefix: &str) -> Result<ListReply, StoreError> {
         let first = self.list_page(prefix, None).await?;
         let (mut listing, mut next_after) = (first.reply, first.next_after);
+        let mut listed_bytes = page_bytes(&listing);
         while let Some(after) = next_after {
             let page = self.list_page(prefix, Some(&after)).await?;
             if page.next_after.as_ref() == Some(&after) {
                 let reason = format!("a page after key `{after}` ends with it");
                 return Err(self.reply_error(StoreStep::List, ReplyError::Malformed(reason)));
             }
+            listed_bytes += page_bytes(&page.reply);
+            if listed_bytes > MAX_LISTING_BYTES {
+                let reason = format!("a listing of more than {MAX_LISTING_BYTES} bytes");
+                return Err(self.reply_error(StoreStep::List, ReplyError::Malformed(reason)));
+            }
             listing.entries.extend(page.reply.entries);
             next_after = page.next_after;
         }
@@ -240,9 +258,11 @@
             .uri(request.path)
             .header("content-type", "application/json");
         let body = Bytes::from(request.body);
+        let timeout = timeout_ms.duration();
+        let limit_bytes = reply_limit(step);
         let reply = self
             .http
-            .call(self.address, builder, body, timeout_ms.duration())
+            .call_limited(self.address, builder, body, timeout, limit_bytes)
             .await;
         reply.map_err(|source| StoreError { step, source })
     }
@@ -268,3 +288,20 @@
         StoreError { step, source }
     }
 }
+
+/// Largest reply to a kind of call.
+fn reply_limit(step: StoreStep) -> usize {
+    match step {
+        StoreStep::Grant | StoreStep::Renew | StoreStep::Revoke => MAX_PLAIN_REPLY_BYTES,
+        StoreStep::Read | StoreStep::Write => MAX_ENTRY_REPLY_BYTES,
+        StoreStep::List | StoreStep::Watch | StoreStep::ListVms => MAX_PAGE_BYTES,
+    }
+}
+
+fn page_bytes(page: &ListReply) -> usize {
+    let entries = page.entries.iter();
+    let entries: usize = entries
+        .map(|it| it.key.len() + it.value.len() + LISTING_OVERHEAD_BYTES)
+        .sum();
+    entries + LISTING_OVERHEAD_BYTES
+}
