Listeners: bounds on unread bytes, and on connections to the pages of a process

What was seen: the kernel holds 126,416 bytes of a connection that is not read (unread_bytes_bounded, loopback), where the plan counts 16 KiB. A client of the pages for readiness and metrics that sends nothing, or no complete head, keeps its connection for ever, and their number had no limit.

Measured: unread_bytes_bounded and the three cases of idle_connection_closed fail before (open after 15 s) and pass now.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,6 +12,7 @@
 mod read_observer;
 mod signal;
 mod sse;
+mod status;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
@@ -21,3 +22,4 @@
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
+pub use status::{StatusListener, StatusStream, serve_status};
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr};
 
 use hyper_util::{rt::TokioExecutor, server::conn::auto::Builder};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use viz::{Listener, Router};
 
@@ -13,8 +13,11 @@
 /// Kernel send buffer of a connection; bounds the memory that a client takes up by not
 /// reading its response.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
+/// Kernel receive buffer of a connection; the kernel doubles it for its own data and
+/// receives about this much that is not read.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Write buffer of a connection in the process, bounded for the same reason.
-const WRITE_BUFFER_BYTES: usize = 16 << 10;
+pub(crate) const WRITE_BUFFER_BYTES: usize = 16 << 10;
 
 /// Serves a router on a listener, with a bounded buffer for each connection.
 pub fn serve(listener: NodelayListener, router: Router) -> viz::Server<NodelayListener> {
@@ -28,11 +31,14 @@
 pub struct NodelayListener(TcpListener);
 
 impl NodelayListener {
-    /// Registers a socket of [`bind_group`] with the current runtime.
+    /// Registers a socket of [`bind_group`] with the current runtime, and bounds what the
+    /// kernel receives for its connections.
     ///
     /// # Errors
     /// Returns the I/O error of the registration.
     pub fn from_std(listener: std::net::TcpListener) -> io::Result<Self> {
+        // Accepted connections inherit the buffer size of the listener.
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         TcpListener::from_std(listener).map(Self)
     }
 
--- /dev/null
+++ b/crates/http/tests/listener.rs
@@ -0,0 +1,67 @@
+//! Bounds on what a listener's connections hold.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
+
+use parsleylatch_http::{NodelayListener, bind_group, serve_status};
+use test_case::test_case;
+use viz::{Listener, Result, Router};
+
+/// Most bytes that the kernel may hold of a connection that is not read.
+const RECEIVED_LIMIT: usize = 40 << 10;
+/// Time within which the server ends a connection without a complete head.
+const HEAD_LIMIT: Duration = Duration::from_secs(15);
+
+/// A client that writes without end fills a bounded buffer of a connection that is not read.
+#[tokio::test]
+async fn unread_bytes_bounded() {
+    let (address, listeners) = bind_group("127.0.0.1:0".parse().unwrap(), 1).unwrap();
+    let listener = NodelayListener::from_std(listeners.into_iter().next().unwrap()).unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    let accepted = accepted.into_std().unwrap();
+    client.set_nonblocking(true).unwrap();
+    let started_at = Instant::now();
+    while started_at.elapsed() < Duration::from_secs(1) {
+        match client.write(&[b'x'; 1_448]) {
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                thread::sleep(Duration::from_millis(5));
+            }
+            Err(error) => panic!("{error}"),
+        }
+    }
+    let received = accepted.peek(&mut vec![0; 16 << 20]).unwrap();
+    println!("{received} bytes received and not read");
+    assert!(received < RECEIVED_LIMIT, "{received} bytes");
+}
+
+async fn answer(_: viz::Request) -> Result<&'static str> {
+    Ok("ok")
+}
+
+/// A connection that sends no complete head, or nothing at all, is closed.
+#[test_case("" ; "nothing")]
+#[test_case("GET / HTTP/1.1\r\nHost: x\r\nX-Part: " ; "part of a head")]
+#[test_case("GET / HTTP/1.1\r\nHost: x\r\n\r\n" ; "nothing after a response")]
+#[tokio::test]
+async fn idle_connection_closed(text: &'static str) {
+    let (address, listeners) = bind_group("127.0.0.1:0".parse().unwrap(), 1).unwrap();
+    let listener = listeners.into_iter().next().unwrap();
+    let listener = NodelayListener::from_std(listener).unwrap();
+    let router = Router::new().get("/", answer);
+    tokio::spawn(std::future::IntoFuture::into_future(serve_status(
+        listener, router,
+    )));
+    let is_closed = tokio::task::spawn_blocking(move || {
+        let mut client = TcpStream::connect(address).unwrap();
+        client.write_all(text.as_bytes()).unwrap();
+        client.set_read_timeout(Some(HEAD_LIMIT)).unwrap();
+        client.read_to_end(&mut Vec::new()).is_ok()
+    });
+    assert!(is_closed.await.unwrap(), "open after {HEAD_LIMIT:?}");
+}
