Peers: limits on accepted connections, their frames, replies and time

What was seen, by reading: any number of connections was accepted; each could announce a message of 16 MiB before it had said who it is, keep 1,024 replies waiting, each the full state of a relay, and stay silent for ever.

Change: the first message of an accepted connection has at most 4 KiB. A relay accepts 64 connections at a time, each for 10 s, with messages of up to 4 MiB and one reply, as each carries one query. A node of the own interface accepts 1,024, with its messages and queues as before. The relay's pages are served by serve_status.

Measured: large_hello_rejected (2 cases) and silent_connections_closed pass. They were not run on the code before, whose serve takes no limits; there the first message had 2 s and 16 MiB.

--- a/crates/node/src/peering/mod.rs
+++ b/crates/node/src/peering/mod.rs
@@ -12,7 +12,7 @@
 use parsleylatch_decide::journal::{
     JournalKey, JournalRecord, TakeOverRequest, TakenOverGeneration,
 };
-use parsleylatch_peer::{Identity, serve};
+use parsleylatch_peer::{Identity, ServeLimits, serve};
 use parsleylatch_types::NodeId;
 use tokio::sync::{mpsc, oneshot};
 
@@ -73,7 +73,13 @@
         }
     };
     let (events, mut link_events) = mpsc::channel(EVENT_BUFFER);
-    tokio::spawn(serve(listener, shared.identity.clone(), events.clone()));
+    let limits = ServeLimits::default();
+    tokio::spawn(serve(
+        listener,
+        shared.identity.clone(),
+        events.clone(),
+        limits,
+    ));
     let mut peers = shared.peers.subscribe();
     let mut stop_phase = shared.stop_phase.subscribe();
     // The list may have been published before this thread subscribed.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,4 +13,4 @@
 pub use link::{Identity, Link, LinkEvent, Received, ReplySender, connect};
 pub use move_counts::{decode_move_counts, encode_move_counts};
 pub use query::send_query;
-pub use server::serve;
+pub use server::{ServeLimits, serve};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -265,8 +265,3 @@
         error = write_loop => error,
     }
 }
-
-/// Queue of replies on an accepted connection.
-pub(crate) fn reply_queue() -> (mpsc::Sender<PeerMessage>, mpsc::Receiver<PeerMessage>) {
-    mpsc::channel(SEND_BUFFER)
-}
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -2,10 +2,22 @@
 
 use std::time::Duration;
 
-use parsleylatch_peer::{Identity, LinkEvent, connect, serve};
-use parsleylatch_types::Incarnation;
-use parsleylatch_wire::{journal::TakeOverRequest, peer::peer_message::Body};
-use tokio::{net::TcpListener, sync::mpsc, time::timeout};
+use bytes::BytesMut;
+use parsleylatch_peer::{Identity, LinkEvent, ServeLimits, connect, send_query, serve};
+use parsleylatch_types::{ByteCount, Incarnation};
+use parsleylatch_wire::{
+    PeerCodec,
+    journal::TakeOverRequest,
+    peer::{Hello, PeerMessage, peer_message::Body},
+};
+use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::timeout,
+};
+use tokio_util::codec::Encoder;
 
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -50,7 +62,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (server_events, mut server_receiver) = mpsc::channel(16);
-    tokio::spawn(serve(listener, identity("b"), server_events));
+    tokio::spawn(serve(
+        listener,
+        identity("b"),
+        server_events,
+        ServeLimits::default(),
+    ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
     let LinkEvent::Up(peer) = next_event(&mut client_receiver).await else {
@@ -71,7 +88,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (server_events, _at_server) = mpsc::channel(16);
-    tokio::spawn(serve(listener, identity("c"), server_events));
+    tokio::spawn(serve(
+        listener,
+        identity("c"),
+        server_events,
+        ServeLimits::default(),
+    ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let _link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
     let up = timeout(Duration::from_millis(500), client_receiver.recv()).await;
@@ -83,7 +105,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (server_events, server_receiver) = mpsc::channel(16);
-    let server = tokio::spawn(serve(listener, identity("b"), server_events));
+    let server = tokio::spawn(serve(
+        listener,
+        identity("b"),
+        server_events,
+        ServeLimits::default(),
+    ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
     assert!(matches!(
@@ -106,9 +133,87 @@
         LinkEvent::Down(_)
     ));
     let (server_events, _at_server) = mpsc::channel(16);
-    tokio::spawn(serve(listener, identity("b"), server_events));
+    tokio::spawn(serve(
+        listener,
+        identity("b"),
+        server_events,
+        ServeLimits::default(),
+    ));
     assert!(matches!(
         next_event(&mut client_receiver).await,
         LinkEvent::Up(_)
     ));
 }
+
+/// Limits that are reached soon.
+const LOW_LIMITS: ServeLimits = ServeLimits {
+    connections: 2,
+    frame: ByteCount::new(8 << 10),
+    replies: 1,
+    lifetime: Some(Duration::from_secs(1)),
+};
+
+async fn start_limited() -> (std::net::SocketAddr, mpsc::Receiver<LinkEvent>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (events, received) = mpsc::channel(16);
+    tokio::spawn(serve(listener, identity("b"), events, LOW_LIMITS));
+    (address, received)
+}
+
+/// Bytes of a frame's header and of a part of its content.
+fn unfinished_frame(length: u32) -> Vec<u8> {
+    [&length.to_be_bytes()[..], &[0; 16]].concat()
+}
+
+/// A first message beyond its limit ends the connection before it is received.
+#[test_case(1 << 20 ; "below the limit on frames")]
+#[test_case(u32::MAX ; "beyond any limit")]
+#[tokio::test]
+async fn large_hello_rejected(length: u32) {
+    let (address, _events) = start_limited().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(&unfinished_frame(length)).await.unwrap();
+    let read = timeout(Duration::from_millis(1_000), stream.read(&mut [0; 64])).await;
+    assert!(matches!(read, Ok(Ok(0) | Err(_))), "{read:?}");
+}
+
+/// Connections that stay silent don't keep out queries for long.
+#[tokio::test]
+async fn silent_connections_closed() {
+    let (address, mut events) = start_limited().await;
+    let silent = [
+        connect_silently(address).await,
+        connect_silently(address).await,
+    ];
+    let answering = tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let LinkEvent::Received(received) = event {
+                received.reply.send(take_over_request(2));
+            }
+        }
+    });
+    let query = take_over_request(1);
+    let reply = send_query(&identity("a"), address, query, EVENT_TIMEOUT).await;
+    assert!(reply.is_ok(), "{reply:?}");
+    drop(silent);
+    answering.abort();
+}
+
+/// Opens a connection that sends nothing after its first message.
+async fn connect_silently(address: std::net::SocketAddr) -> TcpStream {
+    let hello = PeerMessage {
+        body: Some(Body::Hello(Hello {
+            node_id: "a".to_owned(),
+            incarnation: 1,
+            failure_domain: "domain-1".to_owned(),
+            region: "region-1".to_owned(),
+        })),
+    };
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let mut bytes = BytesMut::new();
+    PeerCodec::default().encode(hello, &mut bytes).unwrap();
+    stream.write_all(&bytes).await.unwrap();
+    assert!(stream.read(&mut [0; 64]).await.unwrap() > 0);
+    stream
+}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -17,14 +17,15 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     sync::Arc,
+    time::Duration,
 };
 
 use parsleylatch_decide::relay::{MemoryPlan, RelayEffect, RelayEvent, RelayLifecycle};
-use parsleylatch_http::{NodelayListener, serve};
-use parsleylatch_peer::{Identity, LinkEvent};
+use parsleylatch_http::{NodelayListener, serve_status};
+use parsleylatch_peer::{Identity, LinkEvent, ServeLimits};
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{Incarnation, MonoTime};
+use parsleylatch_types::{ByteCount, Incarnation, MonoTime};
 use parsleylatch_wire::{peer::peer_message::Body, relay::RelayQuery};
 use tokio::{
     runtime::Runtime,
@@ -44,7 +45,15 @@
 use rollouts::RolloutController;
 
 /// Capacity of the queue of other nodes' queries.
-const LINK_EVENT_QUEUE_CAPACITY: usize = 256;
+const LINK_EVENT_QUEUE_CAPACITY: usize = 64;
+/// Limits on connections from other nodes. Each carries one query, and its reply may be the
+/// full state.
+const PEER_LIMITS: ServeLimits = ServeLimits {
+    connections: 64,
+    frame: ByteCount::new(4 << 20),
+    replies: 1,
+    lifetime: Some(Duration::from_secs(10)),
+};
 
 /// Listening sockets that the control thread serves.
 pub(crate) struct Listeners {
@@ -82,7 +91,7 @@
     start_listeners(&shared, &listeners);
     match tokio::net::TcpListener::from_std(listeners.peer) {
         Ok(listener) => {
-            let serving = parsleylatch_peer::serve(listener, identity.clone(), events);
+            let serving = parsleylatch_peer::serve(listener, identity.clone(), events, PEER_LIMITS);
             tokio::task::spawn_local(serving);
         }
         Err(error) => log::error!(error:% = error; "registering the peer listener failed"),
@@ -135,7 +144,7 @@
 
 fn start_listener(listener: &TcpListener, router: Router) -> std::io::Result<()> {
     let listener = NodelayListener::from_std(listener.try_clone()?)?;
-    tokio::spawn(serve(listener, router).into_future());
+    tokio::spawn(serve_status(listener, router).into_future());
     Ok(())
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -56,14 +56,34 @@
 /// Codec for framed messages between nodes.
 #[derive(Debug)]
 pub struct PeerCodec {
-    frames: LengthDelimitedCodec,
+    sent: LengthDelimitedCodec,
+    received: LengthDelimitedCodec,
 }
 
 impl Default for PeerCodec {
     fn default() -> Self {
-        let mut frames = LengthDelimitedCodec::new();
-        frames.set_max_frame_length(MAX_FRAME_SIZE.get() as usize);
-        Self { frames }
+        Self::with_limit(MAX_FRAME_SIZE)
+    }
+}
+
+impl PeerCodec {
+    /// Creates a codec that sends up to [`MAX_FRAME_SIZE`], and accepts frames and messages
+    /// of up to `limit`.
+    pub fn with_limit(limit: ByteCount) -> Self {
+        let frames = |limit: ByteCount| {
+            let mut frames = LengthDelimitedCodec::new();
+            frames.set_max_frame_length(limit.get() as usize);
+            frames
+        };
+        Self {
+            sent: frames(MAX_FRAME_SIZE),
+            received: frames(limit),
+        }
+    }
+
+    /// Replaces the limit on received frames and messages, from the next frame on.
+    pub fn set_limit(&mut self, limit: ByteCount) {
+        self.received.set_max_frame_length(limit.get() as usize);
     }
 }
 
@@ -72,18 +92,21 @@
     type Error = FrameError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<PeerMessage>, FrameError> {
-        let frame = self.frames.decode(source)?;
-        frame.map(|frame| decode_frame(frame.freeze())).transpose()
+        let frame = self.received.decode(source)?;
+        let limit = self.received.max_frame_length();
+        frame
+            .map(|frame| decode_frame(frame.freeze(), limit))
+            .transpose()
     }
 }
 
-fn decode_frame(mut frame: Bytes) -> Result<PeerMessage, FrameError> {
+fn decode_frame(mut frame: Bytes, limit: usize) -> Result<PeerMessage, FrameError> {
     match frame.try_get_u8() {
         Ok(ENCODING_PLAIN) => Ok(PeerMessage::decode(frame)?),
         Ok(ENCODING_LZ4) => {
             let size = frame.clone().try_get_u32_le();
             let size = size.map_err(|_| FrameError::InvalidSize)?;
-            if u64::from(size) > MAX_FRAME_SIZE.get() {
+            if size as usize > limit {
                 return Err(FrameError::InvalidSize);
             }
             let message = decompress_size_prepended(&frame)?;
@@ -108,6 +131,6 @@
             message.encode(&mut frame).map_err(io::Error::other)?;
             frame
         };
-        Ok(self.frames.encode(Bytes::from(frame), target)?)
+        Ok(self.sent.encode(Bytes::from(frame), target)?)
     }
 }
