Engines: the reason of a refusal is read up to 16 KiB and for 1 s

What was seen: the body of a refusal without end is collected for ever, at any pace (refusal_without_end_bounded: not ended within 8 s, both cases). Own interface only.

Change: what arrives within 16 KiB and 1 s is the reason.

Measured: both cases fail before and pass now.

--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -16,6 +16,9 @@
 /// Timeout for all other calls.
 const CALL_TIMEOUT_MS: Millis = Millis::new(1_000);
 
+/// Longest reason of a refusal that is kept.
+const MAX_REASON_BYTES: usize = 16 << 10;
+
 /// Step of an engine call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -123,12 +126,7 @@
                 reader: SseReader::new(),
             });
         }
-        let reason = body
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes)
-            .unwrap_or_default();
-        let reason = String::from_utf8_lossy(&reason).into_owned();
+        let reason = read_reason(body).await;
         Err(failed(EngineErrorKind::Refused {
             status: head.status,
             reason,
@@ -221,3 +219,21 @@
         }
     }
 }
+
+/// Reads the reason of a refusal as far as it arrives within the limits on its size and time.
+async fn read_reason(mut body: Body) -> String {
+    let mut reason = Vec::new();
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let room = MAX_REASON_BYTES - reason.len();
+            let chunk = frame.data_ref().map_or(&[][..], |chunk| chunk);
+            reason.extend_from_slice(&chunk[..chunk.len().min(room)]);
+            if reason.len() == MAX_REASON_BYTES {
+                return;
+            }
+        }
+    };
+    // A reason that is cut off still tells more than none.
+    let _ = tokio::time::timeout(CALL_TIMEOUT_MS.duration(), reading).await;
+    String::from_utf8_lossy(&reason).into_owned()
+}
