--- a/crates/relay/src/telemetry/event_log.rs
+++ b/crates/relay/src/telemetry/event_log.rs
@@ -27,6 +27,8 @@
 
 /// Capacity of the writer thread's queue.
 const QUEUE_LINES: usize = 4_096;
+/// Length at which a value is cut off, as the queue is bounded by the number of lines.
+const VALUE_CHARS: usize = 2_048;
 /// Limit on lines per event and second; several times the request rate of one node
 /// at the target size.
 const KIND_LINES_PER_SECOND: u32 = 200;
@@ -188,7 +190,11 @@
 
     fn text(&mut self, key: &str, value: &str) {
         self.key(key);
-        self.quoted(value);
+        let cut_at = value.char_indices().nth(VALUE_CHARS);
+        match cut_at {
+            Some((end, _)) => self.quoted(&format!("{}...", &value[..end])),
+            None => self.quoted(value),
+        }
     }
 
     fn plain(&mut self, key: &str, value: impl std::fmt::Display) {
