--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod read_progress;
 mod signal;
 mod sse;
+mod status;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
@@ -22,3 +23,4 @@
 pub use read_progress::{ReadProgress, ReceivedBody, limit_reads};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
+pub use status::{StatusListener, StatusStream, serve_status};
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -9,6 +9,7 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::TokioIo;
+use parsleylatch_decide::relay::MemoryPlan;
 use parsleylatch_http::{HeadInspection, InspectedHead, ReceivedBody, error_chain, inspect_heads};
 use tokio::{
     io::{AsyncRead, AsyncReadExt},
@@ -26,10 +27,8 @@
 };
 use crate::shared::{InFlightGuard, LifecyclePhase, Shared};
 
-/// Smallest buffer size that hyper accepts.
-const MIN_BUFFER_BYTES: u64 = 8 << 10;
-
-/// Delay before an idle or slow connection is closed, in which the runtime notices data that has arrived in time.
+/// Delay before an idle or slow connection is closed, in which the runtime notices data that
+/// has arrived in time.
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
 /// Time for which a stopping relay waits for the first request of a connection, or for one
@@ -50,7 +49,7 @@
     // The connection's own timer replaces the timeout of the library.
     builder
         .header_read_timeout(None)
-        .max_buf_size(limits.head_bytes.get().max(MIN_BUFFER_BYTES) as usize);
+        .max_buf_size(MemoryPlan::head_limit(limits.head_bytes).get() as usize);
     let (limited, inspection, progress) = inspect_heads(stream);
     let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
     let connection_activity = Rc::clone(&activity);
