Relay: a planned stop waits until each listener is closed

Cause: after the last request the relay stops accepting, and it took the connections in the socket's queue as counted after 100 ms (closing_settle). A traffic thread that gets no processor for longer takes them over after the process has stopped, and their callers are cut off.

Change: a traffic thread reports when it has closed its listener and counts those connections as in flight (listeners_closed); only then does the relay end when it is idle. A thread that never reports delays the end to the limit of the stop. The test of the lifecycle now holds for any delay and not for 100 ms.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -13,8 +13,6 @@
 /// Time before the end of the process by which every request has a response, so that the
 /// response can still be written.
 const RESPONSE_MARGIN_MS: Millis = Millis::new(250);
-/// Time after which the connections that were accepted last are counted as in flight.
-const CLOSING_SETTLE_MS: Millis = Millis::new(100);
 /// Time before the end of the process from which it accepts no connections, so that the
 /// requests of those accepted last can be finished.
 const CLOSING_RESERVE_MS: Millis = Millis::new(1_500);
@@ -30,7 +28,7 @@
         NotReady,
         /// Finishes the requests in flight.
         Draining,
-        /// Accepts no more connections, and reads those that were accepted last.
+        /// Accepts no more connections, and takes over those that were accepted last.
         Closing,
         /// Finishes the requests of the connections that were accepted last.
         Finishing,
@@ -46,6 +44,9 @@
         Initialized,
         /// The platform requested a stop.
         StopRequested,
+        /// All traffic threads have closed their listeners, and the connections that were
+        /// accepted last are counted as in flight.
+        ListenersClosed,
         /// No request is in flight.
         Idle,
         /// The timeout of the state expired.
@@ -92,7 +93,6 @@
                 .saturating_sub(KILL_MARGIN_MS)
                 .saturating_sub(CLOSING_RESERVE_MS)
         })
-        .duration("closing_settle", |it| CLOSING_SETTLE_MS.min(it.rest()))
         .duration("finish_timeout", LifecycleContext::rest)
         .action("stop_accepting", |it| {
             it.effects.push(RelayEffect::StopAccepting);
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -589,8 +589,9 @@
     // Requests that are still in flight have until shortly before the kill.
     let closes_at = lifecycle.next_deadline().unwrap();
     assert_eq!(lifecycle.expire(closes_at), [RelayEffect::StopAccepting]);
-    let settled_at = lifecycle.next_deadline().unwrap();
-    assert!(lifecycle.expire(settled_at).is_empty());
+    let closed_at = closes_at + Millis::new(1);
+    let effects = lifecycle.handle(closed_at, RelayEvent::ListenersClosed);
+    assert!(effects.is_empty());
     let end = lifecycle.next_deadline().unwrap();
     assert!(end > at(8_700), "requests are cut at {end}");
     assert!(end < at(9_000), "the platform kills at 9,000 ms");
@@ -613,24 +614,31 @@
     lifecycle.expire(detection_ends_at);
     let effects = lifecycle.handle(detection_ends_at + Micros::new(1), RelayEvent::Idle);
     assert_eq!(effects, [RelayEffect::StopAccepting]);
-    // Connections that were accepted last may still have requests.
-    let settled_at = lifecycle.next_deadline().unwrap();
-    assert!(lifecycle.handle(settled_at, RelayEvent::Idle).is_empty());
-    assert!(lifecycle.expire(settled_at).is_empty());
-    let effects = lifecycle.handle(settled_at, RelayEvent::Idle);
+    // Connections that were accepted last may still have requests, however long a traffic
+    // thread takes to count them.
+    let late = detection_ends_at + Millis::new(3_000);
+    assert!(lifecycle.next_deadline().unwrap() > late);
+    assert!(lifecycle.handle(late, RelayEvent::Idle).is_empty());
+    let effects = lifecycle.handle(late, RelayEvent::ListenersClosed);
+    assert!(effects.is_empty());
+    let effects = lifecycle.handle(late, RelayEvent::Idle);
     assert_eq!(effects, [RelayEffect::Stop]);
 }
 
 /// A relay that becomes idle just before it is killed still exits by itself.
-#[test]
-fn lifecycle_idle_before_kill() {
+#[test_case(true ; "listeners closed")]
+#[test_case(false ; "traffic thread without progress")]
+fn lifecycle_idle_before_kill(closes_listeners: bool) {
     let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
     lifecycle.handle(at(5), RelayEvent::Initialized);
     lifecycle.handle(at(1_000), RelayEvent::StopRequested);
     lifecycle.expire(lifecycle.next_deadline().unwrap());
     let effects = lifecycle.handle(at(8_700), RelayEvent::Idle);
     assert_eq!(effects, [RelayEffect::StopAccepting]);
-    lifecycle.expire(lifecycle.next_deadline().unwrap());
+    if closes_listeners {
+        let effects = lifecycle.handle(at(8_710), RelayEvent::ListenersClosed);
+        assert!(effects.is_empty());
+    }
     let end = lifecycle.next_deadline().unwrap();
     assert!(end < at(9_000), "the platform kills at 9,000 ms");
     assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -246,6 +246,7 @@
             ControlInput::AnswerUnderWay(at, parts) => self.crashes.record_answer(at, &parts),
             ControlInput::PartRefused(part) => self.crashes.record_refusal(&part),
             ControlInput::Settings(settings) => self.apply_settings(*settings),
+            ControlInput::ListenersClosed => self.step_lifecycle(RelayEvent::ListenersClosed),
             ControlInput::Idle => {}
             ControlInput::StopRequested => {
                 log::info!(in_flight = self.shared.in_flight(); "stop requested");
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -41,6 +41,8 @@
     PartRefused(PromptPartId),
     /// The settings file has changed.
     Settings(Box<RelaySettings>),
+    /// The last traffic thread has closed its listener.
+    ListenersClosed,
     /// No request is in flight.
     Idle,
     /// A graceful stop was requested.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -80,6 +80,8 @@
     /// Store revision of the known endpoints and nodes; zero if none are known.
     known_revision: AtomicU64,
     in_flight: AtomicUsize,
+    /// Traffic threads that have not closed their listener.
+    accepting_threads: AtomicUsize,
     started_trials: AtomicU64,
     /// Time by which a stopping process has to respond.
     response_deadline: AtomicU64,
@@ -98,6 +100,7 @@
         let plan = MemoryPlan::new(settings.memory);
         Self {
             body_memory: Arc::new(MemoryBudget::new(plan.bodies)),
+            accepting_threads: AtomicUsize::new(settings.traffic_threads),
             settings: ArcSwap::from_pointee(settings),
             codec,
             clock: Clock::start(),
@@ -164,6 +167,15 @@
         InFlightGuard(Arc::clone(self))
     }
 
+    /// Reports that a traffic thread has closed its listener, and that it counts the connections
+    /// that it accepted last as in flight.
+    pub(crate) async fn report_listener_closed(&self) {
+        if self.accepting_threads.fetch_sub(1, Ordering::Relaxed) == 1 {
+            // Fails only while the control loop stops.
+            let _ = self.control.send(ControlInput::ListenersClosed).await;
+        }
+    }
+
     /// Store revision of the known state; `None` before the first read.
     pub(crate) fn known_revision(&self) -> Option<Revision> {
         let revision = Revision::new(self.known_revision.load(Ordering::Relaxed));
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -40,6 +40,8 @@
             Ok(listener) => listener,
             Err(error) => {
                 log::error!(error:% = error; "registering the caller listener failed");
+                shared.wait_for_phase(LifecyclePhase::Closing).await;
+                shared.report_listener_closed().await;
                 return;
             }
         };
@@ -74,6 +76,7 @@
         }
         Err(error) => log::warn!(error:% = error; "closing the caller listener failed"),
     }
+    traffic.shared.report_listener_closed().await;
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
 }
 
