Streams: a large event is held once, in a buffer of one size

Cause: the framer's buffer grew by doubling in small steps, in turn with others, which leaves holes that the allocator keeps, and each event was copied once more.

Change: from 64 KiB on the buffer has room for the largest event, and large events are not copied on their way to the caller.

--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -6,6 +6,8 @@
 
 /// Largest event that is accepted.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size from which the buffer of an event has room for the largest one.
+const LARGE_EVENT_BYTES: usize = 64 << 10;
 /// Most bytes of comments and blank lines between two events.
 const MAX_COMMENT_BYTES: usize = 64 << 10;
 
@@ -153,6 +155,12 @@
 
     /// Appends a chunk of the stream to the buffer.
     pub fn push(&mut self, chunk: &[u8]) {
+        let length = self.buffer.len() + chunk.len();
+        if length > LARGE_EVENT_BYTES && length > self.buffer.capacity() {
+            // A buffer that grows by doubling leaves holes that the allocator keeps.
+            let missing = (MAX_EVENT_BYTES + LARGE_EVENT_BYTES).saturating_sub(self.buffer.len());
+            self.buffer.reserve(missing.max(chunk.len()));
+        }
         self.buffer.extend_from_slice(chunk);
     }
 
--- a/crates/relay/src/traffic/byte_window.rs
+++ b/crates/relay/src/traffic/byte_window.rs
@@ -59,11 +59,13 @@
         self.is_full.set(false);
     }
 
-    /// Waits for room, and returns a copy of `bytes` that takes it until it is dropped. A
-    /// copy keeps no larger buffer alive.
+    /// Waits for room, and returns bytes that take it until they are dropped. Small ones are
+    /// copied, so that they keep no larger buffer alive.
     pub(crate) async fn admit(&self, bytes: Bytes) -> Result<Bytes, MemoryUsedUp> {
-        let copy = Bytes::copy_from_slice(&bytes);
-        drop(bytes);
+        let copy = match bytes.len() > WINDOW_BYTES {
+            true => bytes,
+            false => Bytes::copy_from_slice(&bytes),
+        };
         let size = copy.len() + PART_OVERHEAD_BYTES;
         if let Some(permit) = take(&self.window, size.min(WINDOW_BYTES)) {
             let memory = self.reserve(size)?;
