Client: a body is read into one buffer

Found by review. A reply was kept as a list of its chunks, so that a store which sends chunks of one byte could take 40 bytes for each.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,9 +2,9 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{Client as PooledClient, connect::HttpConnector},
     rt::TokioExecutor,
@@ -156,19 +156,17 @@
         let exchange = async {
             let response = self.open(peer, request, body, timeout).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, limit_bytes);
-            let body = body.collect().await.map_err(|error| {
-                let kind = HttpErrorKind::Transport(error_chain(&*error));
-                HttpError {
+            let body = read_body(body, limit_bytes)
+                .await
+                .map_err(|reason| HttpError {
                     step: Step::Receive,
                     peer,
-                    kind,
-                }
-            })?;
+                    kind: HttpErrorKind::Transport(reason),
+                })?;
             Ok(Reply {
                 status: head.status,
                 headers: head.headers,
-                body: body.to_bytes(),
+                body,
             })
         };
         with_timeout(Step::Receive, peer, timeout, exchange).await?
@@ -227,6 +225,23 @@
     }
 }
 
+/// Reads a body into one buffer: a list of its chunks takes many times their size if they are
+/// small.
+async fn read_body(mut body: Body, limit_bytes: usize) -> Result<Bytes, String> {
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error_chain(&error))?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if received.len() + chunk.len() > limit_bytes {
+            return Err(format!("body exceeds {limit_bytes} bytes"));
+        }
+        received.extend_from_slice(&chunk);
+    }
+    Ok(received.freeze())
+}
+
 fn check_status(reply: &Reply, peer: SocketAddr) -> Result<&Reply, HttpError> {
     if reply.status.is_success() {
         return Ok(reply);
