Streams: an event keeps no buffer of more than twice its size

Found by review. An event of just over 64 KiB kept a buffer of 1.06 MiB and was counted by its length, and so was the buffer of an incomplete one.

--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -176,7 +176,7 @@
                 end = next;
             }
         }
-        let bytes = self.buffer.split_to(end).freeze();
+        let bytes = self.take_bytes(end);
         (self.line_start, self.searched) = (0, 0);
         let id = event_id(&bytes);
         self.comment_bytes = match has_field {
@@ -190,6 +190,26 @@
         })
     }
 
+    /// Removes the first bytes of the buffer. Those of a large buffer are copied unless they
+    /// need half of it.
+    fn take_bytes(&mut self, end: usize) -> Bytes {
+        let keeps_large_buffer = self.buffer.capacity() > 2 * end.max(LARGE_EVENT_BYTES);
+        let bytes = self.buffer.split_to(end);
+        match keeps_large_buffer {
+            true => Bytes::copy_from_slice(&bytes),
+            false => bytes.freeze(),
+        }
+    }
+
+    /// Size of the buffer once `added` bytes are appended, at most.
+    pub fn buffer_limit(&self, added: usize) -> usize {
+        let length = self.buffer.len() + added;
+        match length > LARGE_EVENT_BYTES {
+            true => length.max(MAX_EVENT_BYTES + LARGE_EVENT_BYTES),
+            false => 2 * length,
+        }
+    }
+
     /// Moves the buffered bytes to a buffer that takes no more than they need.
     pub fn shrink_buffer(&mut self) {
         self.buffer = BytesMut::from(&self.buffer[..]);
--- a/crates/relay/src/traffic/response_reader.rs
+++ b/crates/relay/src/traffic/response_reader.rs
@@ -138,14 +138,14 @@
                 Ok(None) => break,
                 Err(reason) => return self.fail(AttemptEvent::Lost(reason)),
             };
-            if !reserve_buffer(&mut memory, framer.incomplete_bytes() + chunk.len()) {
+            if !reserve_buffer(&mut memory, framer.buffer_limit(chunk.len())) {
                 return self.fail(AttemptEvent::MemoryUsedUp);
             }
             framer.push(&chunk);
             match self.pass_on_events(&mut framer).await {
                 Ok(true) => {
                     framer.shrink_buffer();
-                    if !reserve_buffer(&mut memory, framer.incomplete_bytes()) {
+                    if !reserve_buffer(&mut memory, framer.buffer_limit(0)) {
                         return self.fail(AttemptEvent::MemoryUsedUp);
                     }
                 }
@@ -210,13 +210,13 @@
     Ok(None)
 }
 
-/// Reserves memory for a buffer that grows by doubling.
+/// Reserves memory for the buffer of an event.
 fn reserve_buffer(memory: &mut Reservation, bytes: usize) -> bool {
-    let claim = match bytes <= HOLD_BYTES {
+    let claim = match bytes <= 2 * HOLD_BYTES {
         true => Claim::Small,
         false => Claim::Large,
     };
-    memory.try_resize_as(claim, 2 * bytes)
+    memory.try_resize_as(claim, bytes)
 }
 
 /// The part of a body that is still to be read.
