Relay: what is read ahead has its own part of the memory

Reading ahead ended once 15% of the budget was held for any purpose: with 180 open bodies of 55 kB, the normal case, each caller that reads slowly then took part of the memory for large responses. Its 15% are now its own, while less than half of the budget is held.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -39,16 +39,21 @@
         match self {
             Self::Small => 100,
             Self::Large => 75,
-            Self::Optional => 15,
+            Self::Optional => 50,
         }
     }
 }
 
+/// Share of the budget for what is taken as [`Claim::Optional`], in percent.
+const OPTIONAL_PERCENT: usize = 15;
+
 /// Bytes held by all threads, and their limit.
 #[derive(Debug)]
 pub(crate) struct MemoryBudget {
     limit: AtomicUsize,
     held: AtomicUsize,
+    /// Part of `held` that was taken as [`Claim::Optional`].
+    optional: AtomicUsize,
 }
 
 impl MemoryBudget {
@@ -56,6 +61,7 @@
         let budget = Self {
             limit: AtomicUsize::new(0),
             held: AtomicUsize::new(0),
+            optional: AtomicUsize::new(0),
         };
         budget.set_limit(limit);
         budget
@@ -73,23 +79,41 @@
     }
 
     fn limit(&self, claim: Claim) -> usize {
-        self.limit.load(Ordering::Relaxed) / 100 * claim.budget_percent()
+        self.share(claim.budget_percent())
+    }
+
+    fn share(&self, percent: usize) -> usize {
+        self.limit.load(Ordering::Relaxed) / 100 * percent
     }
 
     fn try_take(&self, claim: Claim, bytes: usize) -> bool {
-        let limit = self.limit(claim);
-        let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= limit);
-        self.held
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
-            .is_ok()
+        let is_optional = claim == Claim::Optional;
+        if is_optional && !try_add(&self.optional, bytes, self.share(OPTIONAL_PERCENT)) {
+            return false;
+        }
+        let is_taken = try_add(&self.held, bytes, self.limit(claim));
+        if is_optional && !is_taken {
+            self.optional.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        is_taken
     }
 }
 
+/// Adds to a counter unless the sum exceeds the limit.
+fn try_add(counter: &AtomicUsize, bytes: usize, limit: usize) -> bool {
+    let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= limit);
+    counter
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
+        .is_ok()
+}
+
 /// Bytes taken from a budget, returned when dropped.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     budget: Arc<MemoryBudget>,
     bytes: usize,
+    /// Part of `bytes` that was taken as [`Claim::Optional`].
+    optional_bytes: usize,
 }
 
 impl Reservation {
@@ -98,6 +122,7 @@
         Self {
             budget: Arc::clone(budget),
             bytes: 0,
+            optional_bytes: 0,
         }
     }
 
@@ -114,6 +139,9 @@
         let is_taken = self.budget.try_take(claim, bytes);
         if is_taken {
             self.bytes += bytes;
+            if claim == Claim::Optional {
+                self.optional_bytes += bytes;
+            }
         }
         is_taken
     }
@@ -141,6 +169,9 @@
         let returned = bytes.min(self.bytes);
         self.bytes -= returned;
         self.budget.held.fetch_sub(returned, Ordering::Relaxed);
+        let optional = self.optional_bytes.saturating_sub(self.bytes);
+        self.optional_bytes -= optional;
+        self.budget.optional.fetch_sub(optional, Ordering::Relaxed);
     }
 }
 
