Relay: a stream that finds no memory is not sent again

Found by review. All attempts of a request share what may wait for its caller, so the next attempt's first event found as little room, and each took a retry and read the prompt anew.

--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -138,7 +138,8 @@
         let metrics = &self.traffic.shared.metrics;
         metrics.increment(RelayCounter::ResponsesOutOfMemory);
         self.record_failure(Outcome::Abandoned, reason);
-        let may_retry = self.may_retry(true);
+        // The events of another attempt would find as little room.
+        let may_retry = !self.exchange.has_begun() && self.may_retry(true);
         self.exchange
             .handle(self.traffic.now(), ExchangeInput::Lost { may_retry })
     }
