Relay: connections that failed to be accepted at a stop leave the others

Found by review. An error of one connection dropped all that had been taken from the queue of a closed listener. By reading; such an error can't be provoked in a test here.

--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -47,26 +47,40 @@
     /// Asks the kernel and not the runtime, which learns of new connections only when it
     /// polls.
     ///
-    /// # Errors
-    /// Returns the I/O error of the runtime or of a connection; the others in the queue
-    /// are closed.
-    pub fn close(self) -> io::Result<Vec<TcpStream>> {
-        let listener = self.0.into_std()?;
+    /// The second value is the last I/O error of a connection, or that which ended the
+    /// search. A connection that fails is closed, and the others are returned.
+    pub fn close(self) -> (Vec<TcpStream>, Option<io::Error>) {
         let mut waiting = Vec::new();
+        let mut failure = None;
+        let listener = match self.0.into_std() {
+            Ok(listener) => listener,
+            Err(error) => return (waiting, Some(error)),
+        };
         loop {
             match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    stream.set_nodelay(true)?;
-                    waiting.push(TcpStream::from_std(stream)?);
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(waiting),
-                Err(error) => return Err(error),
+                Ok((stream, _)) => match register(stream) {
+                    Ok(stream) => waiting.push(stream),
+                    Err(error) => failure = Some(error),
+                },
+                Err(error) => match error.kind() {
+                    io::ErrorKind::WouldBlock => return (waiting, failure),
+                    io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => {
+                        failure = Some(error);
+                    }
+                    _ => return (waiting, Some(error)),
+                },
             }
         }
     }
 }
 
+/// Registers an accepted connection with the current runtime.
+fn register(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    stream.set_nodelay(true)?;
+    TcpStream::from_std(stream)
+}
+
 impl Listener for NodelayListener {
     type Io = TcpStream;
     type Addr = SocketAddr;
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -71,13 +71,12 @@
         }
     }
     // Connections that the kernel has accepted may carry requests already.
-    match listener.close() {
-        Ok(waiting) => {
-            for stream in waiting {
-                serve(&traffic, &open, stream);
-            }
-        }
-        Err(error) => log::warn!(error:% = error; "closing the caller listener failed"),
+    let (waiting, failure) = listener.close();
+    if let Some(error) = failure {
+        log::warn!(error:% = error; "accepting the last caller connections failed");
+    }
+    for stream in waiting {
+        serve(&traffic, &open, stream);
     }
     traffic.shared.report_listener_closed().await;
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
