Relay: the rest of a refused body is read until it falls silent

Found by review. A second isn't enough for a body of 1 MB over a link of 24 ms, and the reset discards the refusal.

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -36,7 +36,10 @@
 const REQUEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Time for which the rest of the body of a refused request is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time without a byte of that body after which the connection is closed.
+const DISCARD_SILENCE: Duration = Duration::from_secs(1);
 
 /// Buffer for bytes that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4 << 10;
@@ -132,7 +135,11 @@
 {
     let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
     while received.has_partial_body() {
-        match io.read(&mut buffer).await {
+        let Ok(read) = time::timeout(DISCARD_SILENCE, io.read(&mut buffer)).await else {
+            log::debug!("body of a refused request not complete");
+            return;
+        };
+        match read {
             Ok(0) => return,
             Ok(_) => {}
             Err(error) => {
