--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -142,17 +142,14 @@
         at: Millis::new(seconds * 1_000),
         fault,
     };
-    let each_endpoint = |fault: &dyn Fn(usize) -> Fault| {
-        let indexes = 0..targets.endpoints;
-        indexes.map(|index| at(1, fault(index))).collect()
-    };
     let on_endpoints = |fault| {
-        each_endpoint(&|index| Fault::Endpoint {
+        let faults = (0..targets.endpoints).map(|index| Fault::Endpoint {
             index,
             fault,
             delay_ms: Millis::ZERO,
             duration_ms: BREAKING_DURATION_MS,
-        })
+        });
+        faults.map(|fault| at(1, fault)).collect()
     };
     match invariant {
         Invariant::ResponseIntegrity | Invariant::EventOrder => on_endpoints(RelayedFault::Garble),
@@ -160,13 +157,11 @@
         Invariant::AtMostOnce | Invariant::AttemptLimit => on_endpoints(RelayedFault::Fail),
         Invariant::ResponseDeadline => vec![at(1, Fault::PauseRelay(0, BREAKING_PAUSE_MS))],
         Invariant::RequestLoss | Invariant::ProcessExit => vec![at(1, Fault::KillRelay(0))],
-        Invariant::Drain => each_endpoint(&Fault::DrainEndpoint),
-        Invariant::LeavingNotice => {
-            each_endpoint(&|index| Fault::Notice(index, RelayedNotice::Leaving))
-        }
+        Invariant::Drain => vec![at(1, Fault::DrainEndpoint(0))],
+        Invariant::LeavingNotice => vec![at(1, Fault::Notice(0, RelayedNotice::Leaving))],
         Invariant::PauseNotice => {
             let pause = RelayedNotice::Pause(BREAKING_PAUSE_MS);
-            each_endpoint(&|index| Fault::Notice(index, pause))
+            vec![at(1, Fault::Notice(0, pause))]
         }
         Invariant::ConfigurationDelay => vec![at(1, Fault::ChangeConfiguration)],
         Invariant::RequestIntegrity | Invariant::Recovery | Invariant::MemoryLimit => Vec::new(),
