--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -161,7 +161,9 @@
         Invariant::LeavingNotice => vec![at(1, Fault::Notice(0, RelayedNotice::Leaving))],
         Invariant::PauseNotice => {
             let pause = RelayedNotice::Pause(BREAKING_PAUSE_MS);
-            vec![at(1, Fault::Notice(0, pause))]
+            // Relays leave a single endpoint that rejects what it gets.
+            let notices = (0..targets.endpoints).map(|index| Fault::Notice(index, pause));
+            notices.map(|fault| at(1, fault)).collect()
         }
         Invariant::ConfigurationDelay => vec![at(1, Fault::ChangeConfiguration)],
         Invariant::RequestIntegrity | Invariant::Recovery | Invariant::MemoryLimit => Vec::new(),
