Settings: without memory_mb a relay takes the memory of its VM as its bound

The default of memory_mb is the VM's memory as the kernel reports it, at most 256 MiB, so that a small machine has its bound without a setting. The line `started` says the bound.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -72,6 +72,7 @@
         // The threads log as soon as they run.
         log::info!(
             version = env!("CARGO_PKG_VERSION"),
+            memory_bytes = settings.memory.get(),
             caller:% = addresses.caller, ready:% = addresses.ready,
             peer:% = addresses.peer, metrics:% = addresses.metrics;
             "started"
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod template;
 mod version_move;
+mod vm_memory;
 
 pub use document::Document;
 pub use error::{SettingsError, SettingsErrorKind};
@@ -22,3 +23,4 @@
     CallKind, MAX_TOKENS_HARD_LIMIT, Operation, ServiceTemplate, Template, Tier, TokenTimeouts,
 };
 pub use version_move::VersionMoveTemplate;
+pub use vm_memory::parse_total_memory;
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,11 +5,11 @@
 use parsleylatch_types::{ByteCount, FailureDomain, Millis, NodeId, Region, RequestCount, Share};
 use serde::Deserialize;
 
-use crate::{document::Document, error::SettingsError};
+use crate::{document::Document, error::SettingsError, vm_memory::vm_memory};
 
 /// Maximum number of traffic threads of one relay.
 const MAX_TRAFFIC_THREADS: usize = 64;
-/// Default of [`RelaySettings::memory`], in MiB.
+/// Default of [`RelaySettings::memory`], in MiB, on a VM that has as much.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Least memory with which a relay starts, in MiB.
 const MIN_MEMORY_MB: f64 = 32.0;
@@ -133,7 +133,7 @@
             let reason = format!("{traffic_threads} is not between 1 and {MAX_TRAFFIC_THREADS}");
             return Err(document.value_error("traffic_threads", reason));
         }
-        let memory_mb = raw.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        let memory_mb = raw.memory_mb.unwrap_or_else(default_memory_mb);
         if !(memory_mb.is_finite() && memory_mb >= MIN_MEMORY_MB) {
             let reason = format!("{memory_mb} is below {MIN_MEMORY_MB}");
             return Err(document.value_error("memory_mb", reason));
@@ -165,6 +165,12 @@
     }
 }
 
+fn default_memory_mb() -> f64 {
+    let vm_memory_mb = vm_memory().map(|it| it.get() as f64 / BYTES_PER_MB);
+    let default = vm_memory_mb.map_or(DEFAULT_MEMORY_MB, |it| it.min(DEFAULT_MEMORY_MB));
+    default.max(MIN_MEMORY_MB)
+}
+
 fn check_bounds(document: &Document, raw: RawRelayBounds) -> Result<RelayBounds, SettingsError> {
     let default_configuration = DEFAULT_CONFIGURATION_MS.get() as f64;
     let default_leaving = DEFAULT_LEAVING_MS.get() as f64;
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,7 +1,9 @@
 //! Reading and validating settings and templates.
 
-use parsleylatch_settings::{CallKind, Document, KeyDigest, NodeSettings, RelaySettings, Template};
-use parsleylatch_types::Millis;
+use parsleylatch_settings::{
+    CallKind, Document, KeyDigest, NodeSettings, RelaySettings, Template, parse_total_memory,
+};
+use parsleylatch_types::{ByteCount, Millis};
 use test_case::test_case;
 
 const NODE: &str = r#"{
@@ -150,3 +152,12 @@
     assert_eq!((error.field.as_str(), error.line), ("memory_mb", 7));
     assert!(error.to_string().contains(reason), "{error}");
 }
+
+#[test_case("MemTotal:         163840 kB\nMemFree: 1 kB\n", Some(160 << 20) ; "small vm")]
+#[test_case("MemFree: 1 kB\nMemTotal: 1 kB", Some(1_024) ; "second line")]
+#[test_case("MemTotal: 163840", None ; "no unit")]
+#[test_case("MemTotal: many kB", None ; "no number")]
+#[test_case("", None ; "empty")]
+fn vm_memory_parsed(text: &str, bytes: Option<u64>) {
+    assert_eq!(parse_total_memory(text).map(ByteCount::get), bytes);
+}
