--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -291,6 +291,13 @@
         })
     }
 
+    /// Whether an incarnation itself has failed so recently that it may reject a request.
+    /// Unknown incarnations count as failed.
+    pub fn has_failed_recently(&self, now: MonoTime, key: &EndpointKey) -> bool {
+        let stats = self.endpoints.get(key);
+        stats.is_none_or(|it| it.suspended_until > now)
+    }
+
     /// Total requests at the endpoints of a service, and their total slots.
     pub fn occupancy(&self, now: MonoTime, service: &ServiceName) -> (u32, u32) {
         let endpoints = self.usable(service);
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -1,15 +1,18 @@
 //! State of an exchange, with the guards and actions of its chart.
 
+use std::sync::Arc;
+
 use parsleylatch_types::{Millis, MonoTime};
 
 use super::{
     ExchangeEvent,
-    message::{ExchangeEffect, ExchangeSpec, RefusalReason, ResponseClass},
+    evidence::ProbeEvidence,
+    message::{ExchangeEffect, ExchangeSpec, LeaveReason, NextStep, RefusalReason, ResponseClass},
 };
 use crate::relay::{
     configuration::RepeatPolicy,
     copy::{CopySource, MemoryCopy},
-    endpoint_table::EndpointKey,
+    endpoint_table::{EndpointEntry, EndpointKey},
     selector::{Choice, PREFILL_TOKENS_PER_MS},
     stall_detector::StallDetector,
 };
@@ -39,9 +42,9 @@
 /// Time without any sign of life after which an endpoint counts as lost to a request that
 /// has no event yet and no retry left. A sound endpoint is silent for about a second.
 const SILENCE_LIMIT_MS: Millis = Millis::new(3_000);
-/// Successive reports without the request that confirm its loss. The last events of a run
-/// that has completed may still be in transit when the first one arrives.
-const LOSS_CONFIRMING_REPORTS: u32 = 2;
+/// Time without any sign of life after which a request leaves its endpoint also for a place
+/// that may not take it at once, such as a queue.
+const LONG_SILENCE_MS: Millis = Millis::new(2_000);
 /// Retry-after of a refused stream that did not run.
 const STREAM_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// Retry-after of a refused call that did not run.
@@ -65,8 +68,14 @@
     pub(super) failed: Vec<EndpointKey>,
     /// Endpoints among the failed ones that were merely silent.
     pub(super) silent: Vec<EndpointKey>,
-    /// Whether the latest input shows only the silence of the endpoint.
-    pub(super) is_silence: bool,
+    /// Whether the request has left an endpoint that was merely silent.
+    pub(super) has_left_silent: bool,
+    /// Endpoint of the running attempt.
+    pub(super) running: Option<Arc<EndpointEntry>>,
+    /// Why the request leaves its endpoint if the current input makes it do so.
+    pub(super) leaving_for: LeaveReason,
+    /// Why the request left its last endpoint.
+    pub(super) left_for: Option<LeaveReason>,
     pub(super) choice: Option<Box<Choice>>,
     /// Copy of the memory of the running attempt.
     pub(super) live_copy: Option<MemoryCopy>,
@@ -80,12 +89,8 @@
     /// Whether the running attempt has delivered an event.
     pub(super) attempt_began: bool,
     pub(super) may_retry: bool,
-    /// Whether the last probe was answered by an endpoint that does not have the request.
-    pub(super) is_request_lost: bool,
-    /// Reports without the request since the last event of the running attempt.
-    pub(super) missing_reports: u32,
-    /// Last sign of life of the running attempt's endpoint.
-    pub(super) last_sign_at: MonoTime,
+    /// What probes show about the running attempt.
+    pub(super) evidence: ProbeEvidence,
     pub(super) last_event_at: MonoTime,
     pub(super) stall_detector: StallDetector,
     pub(super) effects: Vec<ExchangeEffect>,
@@ -141,12 +146,39 @@
     /// Whether the caller should be told to try elsewhere, because its request waits at an
     /// endpoint that gives no sign of life. A stream that has begun is never ended by silence.
     pub(super) fn is_silent_too_long(&self) -> bool {
-        let silence = self.now.since(self.last_sign_at);
+        let silence = self.evidence.silent_for(self.now);
         !self.has_begun && self.is_repeatable() && silence >= SILENCE_LIMIT_MS.micros()
     }
 
+    /// Whether nothing has shown the request at its endpoint for longer than a sound endpoint
+    /// is silent.
+    pub(super) fn is_long_silent_at(&self, now: MonoTime) -> bool {
+        self.evidence.silent_for(now) >= LONG_SILENCE_MS.micros()
+    }
+
+    /// Whether reports confirm that the endpoint does not have the request, which its caller
+    /// may send again elsewhere.
     pub(super) fn is_loss_confirmed(&self) -> bool {
-        self.is_request_lost && self.missing_reports >= LOSS_CONFIRMING_REPORTS
+        self.evidence.is_loss_confirmed() && self.is_repeatable()
+    }
+
+    /// Whether the request leaves its endpoint for a place that takes it.
+    pub(super) fn may_move(&self) -> bool {
+        self.choice.is_some() && self.is_repeatable()
+    }
+
+    /// Whether the request leaves its endpoint for any place, because of a long silence.
+    pub(super) fn may_leave_silent(&self) -> bool {
+        self.may_retry && self.is_repeatable() && self.is_long_silent_at(self.now)
+    }
+
+    /// Records what may follow the current input.
+    pub(super) fn record_next(&mut self, next: NextStep) {
+        self.may_retry = matches!(next, NextStep::Retry);
+        self.choice = match next {
+            NextStep::Move(choice) => Some(choice),
+            NextStep::Stay | NextStep::Retry => None,
+        };
     }
 
     /// Time after the send at which the first event is overdue.
@@ -171,10 +203,13 @@
         waited.is_none_or(|waited| waited < self.placement_wait().micros())
     }
 
-    /// Longest wait for an endpoint.
+    /// Longest wait for an endpoint. A request that has left a silent endpoint may return
+    /// there as long as its caller waits.
     pub(super) fn placement_wait(&self) -> Millis {
         if self.has_begun {
             RESUME_PLACEMENT_WAIT_MS
+        } else if self.has_left_silent {
+            self.spec.deadline.since(self.started_at).millis()
         } else {
             Millis::new(self.spec.goal_ms.get() / PLACEMENT_WAIT_GOAL_DIVISOR)
         }
@@ -196,6 +231,10 @@
     ) -> ExchangeEvent {
         self.may_retry = may_retry;
         self.has_error_response = class == ResponseClass::Failure && !self.is_incomplete;
+        self.leaving_for = match class {
+            ResponseClass::Final | ResponseClass::Failure => LeaveReason::Errored,
+            ResponseClass::NotRun => LeaveReason::Rejected,
+        };
         match class {
             ResponseClass::Final => ExchangeEvent::Answered,
             ResponseClass::Failure => ExchangeEvent::Errored,
@@ -214,11 +253,13 @@
         let Some(choice) = self.choice.take() else {
             return;
         };
+        self.running = Some(Arc::clone(&choice.endpoint));
+        // The choice has it, unless the endpoint can't resume from it.
+        self.copy = None;
         self.sent_at = self.now;
-        self.last_sign_at = self.now;
+        self.evidence = ProbeEvidence::new(self.now);
         self.unplaced_since = None;
         self.attempt_began = false;
-        self.missing_reports = 0;
         self.has_error_response = false;
         self.stall_detector.restart();
         self.live_copy = choice.backup.as_ref().map(|entry| MemoryCopy {
@@ -231,8 +272,7 @@
     pub(super) fn begin_stream(&mut self) {
         self.attempt_began = true;
         self.last_event_at = self.now;
-        self.last_sign_at = self.now;
-        self.missing_reports = 0;
+        self.evidence.record_presence(self.now);
         self.stall_detector.record_event(self.now);
         if !self.has_begun {
             self.has_begun = true;
@@ -246,11 +286,26 @@
         self.runs += 1;
         let copy = self.live_copy.take();
         self.copy = copy.filter(|_| self.attempt_began);
+        self.leave_endpoint();
     }
 
     pub(super) fn record_not_run(&mut self) {
         self.unplaced_since.get_or_insert(self.now);
         self.not_run_attempts += 1;
+        self.leave_endpoint();
+    }
+
+    /// Excludes the endpoint of the attempt from the next placements.
+    fn leave_endpoint(&mut self) {
+        let Some(left) = self.running.take() else {
+            return;
+        };
+        self.left_for = Some(self.leaving_for);
+        if self.leaving_for.is_silence() {
+            self.has_left_silent = true;
+            self.silent.push(left.key.clone());
+        }
+        self.failed.push(left.key.clone());
     }
 
     pub(super) fn refuse_hopeless(&mut self) {
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -86,17 +86,81 @@
     Finished,
     /// The probe was answered, and the endpoint has the request.
     ProbeAnswered,
-    /// The probe was not answered, or the endpoint does not have the request.
+    /// The probe shows no progress of the request.
     ProbeFailed {
-        /// Whether the probe was answered by an endpoint that does not have the request.
-        is_request_lost: bool,
-        /// Whether the retry budget allows another attempt.
-        may_retry: bool,
+        /// What it shows.
+        failure: ProbeFailure,
+        /// What may follow.
+        next: NextStep,
     },
     /// The caller disconnected.
     CallerGone,
 }
 
+/// What a probe without a sign of progress shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ProbeFailure {
+    /// The endpoint did not answer.
+    Silent,
+    /// The endpoint has generated events that did not arrive.
+    Undelivered,
+    /// The endpoint answered, and does not have the request.
+    Missing,
+}
+
+/// What the front end has found for a request that may leave its endpoint.
+///
+/// A request leaves an endpoint that may still answer only for a place that takes it.
+#[derive(Clone, Debug)]
+pub enum NextStep {
+    /// Nothing; the request stays where it is.
+    Stay,
+    /// A retry from the budget, but no place.
+    Retry,
+    /// A retry from the budget, and the endpoint that takes the request.
+    Move(Box<Choice>),
+}
+
+/// Why a request left an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum LeaveReason {
+    /// The endpoint answered no probe.
+    Silent,
+    /// The response or the next event was overdue.
+    Overdue,
+    /// Events that the endpoint has generated did not arrive.
+    Undelivered,
+    /// The endpoint reported that it does not have the request.
+    Missing,
+    /// The connection ended, or its response was unusable.
+    Lost,
+    /// The request could not be sent.
+    Unsent,
+    /// The endpoint did not run the request.
+    Rejected,
+    /// The endpoint answered with an error.
+    Errored,
+}
+
+impl LeaveReason {
+    /// Whether the endpoint may still have answered.
+    pub(super) fn is_silence(self) -> bool {
+        matches!(self, Self::Silent | Self::Overdue | Self::Undelivered)
+    }
+}
+
+impl From<ProbeFailure> for LeaveReason {
+    fn from(failure: ProbeFailure) -> Self {
+        match failure {
+            ProbeFailure::Silent => Self::Silent,
+            ProbeFailure::Undelivered => Self::Undelivered,
+            ProbeFailure::Missing => Self::Missing,
+        }
+    }
+}
+
 /// Why a request was refused, or its stream aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -8,23 +8,22 @@
 //! may have run.
 
 mod context;
+mod evidence;
 mod message;
 
-use std::sync::Arc;
-
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
-use parsleylatch_types::{Micros, MonoTime};
+use parsleylatch_types::{Micros, Millis, MonoTime};
 
-use super::{
-    copy::MemoryCopy,
-    endpoint_table::{EndpointEntry, EndpointKey},
-    stall_detector::StallDetector,
-};
+use super::{copy::MemoryCopy, endpoint_table::EndpointKey, stall_detector::StallDetector};
 use crate::charts::{self, LazyMachine};
 use context::ExchangeContext;
+use evidence::ProbeEvidence;
 
 pub use context::STOPPING_RETRY_AFTER_MS;
-pub use message::{ExchangeEffect, ExchangeInput, ExchangeSpec, RefusalReason, ResponseClass};
+pub use message::{
+    ExchangeEffect, ExchangeInput, ExchangeSpec, LeaveReason, NextStep, ProbeFailure,
+    RefusalReason, ResponseClass,
+};
 
 chart_names! {
     /// States of an exchange.
@@ -120,20 +119,20 @@
             })
             .guard("is_incomplete", |it| it.is_incomplete)
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
+            .guard("may_move", ExchangeContext::may_move)
+            .guard("may_leave_silent", ExchangeContext::may_leave_silent)
             .guard("is_request_lost", |it| {
-                it.is_request_lost && it.is_repeatable()
+                it.evidence.is_missing() && it.is_repeatable()
             })
             .guard("has_begun_and_loss_confirmed", |it| {
-                it.has_begun && it.is_loss_confirmed() && it.is_repeatable()
+                it.has_begun && it.is_loss_confirmed()
             })
             .guard("is_silent_too_long", ExchangeContext::is_silent_too_long)
             .guard("may_resend", |it| it.may_retry && it.is_resendable())
             .guard("may_wait_for_retry", |it| {
-                it.has_begun && it.is_resendable()
-            })
-            .guard("is_overdue", |it| {
-                it.may_retry && it.is_repeatable() && it.is_overdue()
+                (it.has_begun || it.has_left_silent) && it.is_resendable()
             })
+            .guard("may_move_overdue", |it| it.may_move() && it.is_overdue())
             .guard("may_probe", |it| it.spec.repeat.is_stream())
             .action("request_placement", ExchangeContext::request_placement)
             .action("open_attempt", ExchangeContext::open_attempt)
@@ -176,7 +175,6 @@
             .action("refuse_no_progress", |it| {
                 it.refuse(RefusalReason::NoProgress);
             })
-            .action("record_probe_answer", |it| it.last_sign_at = it.now)
             .action("refuse_hopeless", ExchangeContext::refuse_hopeless)
             .action("refuse_answer_lost", |it| {
                 it.refuse(RefusalReason::AnswerLost);
@@ -200,7 +198,6 @@
 pub struct Exchange {
     instance: Instance<ExchangeState>,
     context: ExchangeContext,
-    running: Option<Arc<EndpointEntry>>,
 }
 
 impl Exchange {
@@ -218,7 +215,10 @@
             not_run_attempts: 0,
             failed: Vec::new(),
             silent: Vec::new(),
-            is_silence: false,
+            has_left_silent: false,
+            running: None,
+            leaving_for: LeaveReason::Overdue,
+            left_for: None,
             choice: None,
             live_copy: None,
             copy: None,
@@ -227,21 +227,14 @@
             is_incomplete: false,
             attempt_began: false,
             may_retry: false,
-            is_request_lost: false,
-            missing_reports: 0,
-            last_sign_at: now,
+            evidence: ProbeEvidence::new(now),
             last_event_at: now,
             stall_detector: StallDetector::default(),
             effects: Vec::new(),
         };
         let instance = machine().start(now, &mut context);
         let effects = std::mem::take(&mut context.effects);
-        let exchange = Self {
-            instance,
-            context,
-            running: None,
-        };
-        (exchange, effects)
+        (Self { instance, context }, effects)
     }
 
     /// Current state.
@@ -269,6 +262,22 @@
         &self.context.failed
     }
 
+    /// Why the request left its last endpoint; `None` if it has left none.
+    pub fn left_for(&self) -> Option<LeaveReason> {
+        self.context.left_for
+    }
+
+    /// Time since the running attempt was sent.
+    pub fn answering_for(&self, now: MonoTime) -> Millis {
+        self.context.evidence.answering_for(now).millis()
+    }
+
+    /// Whether the endpoint of the running attempt has given no sign of life for longer than a
+    /// sound one does.
+    pub fn is_long_silent(&self, now: MonoTime) -> bool {
+        self.context.is_long_silent_at(now)
+    }
+
     /// Time since the start.
     pub fn age(&self, now: MonoTime) -> Micros {
         now.since(self.context.started_at)
@@ -346,10 +355,8 @@
     pub fn handle(&mut self, now: MonoTime, input: ExchangeInput) -> Vec<ExchangeEffect> {
         let context = &mut self.context;
         context.now = now;
-        context.is_silence = false;
         let event = match input {
             ExchangeInput::Placed(choice) => {
-                self.running = Some(Arc::clone(&choice.endpoint));
                 context.choice = Some(choice);
                 ExchangeEvent::Placed
             }
@@ -376,33 +383,33 @@
             }
             ExchangeInput::Unsent { may_retry } => {
                 context.may_retry = may_retry;
+                context.leaving_for = LeaveReason::Unsent;
                 ExchangeEvent::Unsent
             }
             ExchangeInput::Lost { may_retry } => {
                 context.may_retry = may_retry;
+                context.leaving_for = LeaveReason::Lost;
                 ExchangeEvent::Lost
             }
             ExchangeInput::Event if context.attempt_began => {
                 context.last_event_at = now;
-                context.last_sign_at = now;
-                context.missing_reports = 0;
+                context.evidence.record_presence(now);
                 context.stall_detector.record_event(now);
                 ExchangeEvent::Progressed
             }
             ExchangeInput::Event => ExchangeEvent::Began,
             ExchangeInput::Finished => ExchangeEvent::Finished,
             ExchangeInput::ProbeAnswered => {
-                context.missing_reports = 0;
+                context.evidence.record_presence(now);
                 ExchangeEvent::ProbeAnswered
             }
-            ExchangeInput::ProbeFailed {
-                is_request_lost,
-                may_retry,
-            } => {
-                context.is_request_lost = is_request_lost;
-                context.missing_reports += u32::from(is_request_lost);
-                context.is_silence = !is_request_lost;
-                context.may_retry = may_retry;
+            ExchangeInput::ProbeFailed { failure, next } => {
+                match failure {
+                    ProbeFailure::Silent | ProbeFailure::Undelivered => {}
+                    ProbeFailure::Missing => context.evidence.record_missing(),
+                }
+                context.leaving_for = failure.into();
+                context.record_next(next);
                 ExchangeEvent::ProbeFailed
             }
             ExchangeInput::CallerGone => ExchangeEvent::CallerGone,
@@ -416,12 +423,19 @@
         &mut self,
         now: MonoTime,
         was_paused: bool,
-        may_retry: bool,
+        next: NextStep,
     ) -> Vec<ExchangeEffect> {
-        self.context.now = now;
-        self.context.may_retry = may_retry;
-        self.context.is_request_lost = false;
-        self.context.is_silence = self.state() != ExchangeState::AwaitingRetry;
+        let is_probing = matches!(
+            self.state(),
+            ExchangeState::Probing | ExchangeState::StreamProbing
+        );
+        let context = &mut self.context;
+        context.now = now;
+        context.record_next(next);
+        context.leaving_for = match is_probing {
+            true => LeaveReason::Silent,
+            false => LeaveReason::Overdue,
+        };
         if now >= self.context.spec.deadline {
             return self.step(now, ExchangeEvent::DeadlinePassed);
         }
@@ -435,6 +449,12 @@
         self.take_effects()
     }
 
+    /// Copy of the memory of the running attempt from which the next one can resume.
+    pub fn next_copy(&self) -> Option<&MemoryCopy> {
+        let copy = self.context.live_copy.as_ref();
+        copy.filter(|_| self.context.attempt_began)
+    }
+
     /// Copy of the memory of the running attempt, if it has one.
     pub fn live_copy(&self) -> Option<&MemoryCopy> {
         self.context.live_copy.as_ref()
@@ -450,21 +470,7 @@
         self.take_effects()
     }
 
-    /// Takes the effects of a step, and excludes the endpoint of an abandoned attempt from
-    /// the next placement.
     fn take_effects(&mut self) -> Vec<ExchangeEffect> {
-        let mut effects = std::mem::take(&mut self.context.effects);
-        for effect in &mut effects {
-            if let ExchangeEffect::Place { excluded, .. } = effect
-                && let Some(abandoned) = self.running.take()
-            {
-                if self.context.is_silence {
-                    self.context.silent.push(abandoned.key.clone());
-                }
-                self.context.failed.push(abandoned.key.clone());
-                excluded.push(abandoned.key.clone());
-            }
-        }
-        effects
+        std::mem::take(&mut self.context.effects)
     }
 }
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -39,8 +39,8 @@
 pub use endpoint_notice::{EndpointNotices, Notice, NoticeState, return_delay};
 pub use endpoint_table::{EndpointEntry, EndpointKey, EndpointTable, LoadSample, Outcome};
 pub use exchange::{
-    Exchange, ExchangeEffect, ExchangeInput, ExchangeSpec, ExchangeState, RefusalReason,
-    ResponseClass, STOPPING_RETRY_AFTER_MS,
+    Exchange, ExchangeEffect, ExchangeInput, ExchangeSpec, ExchangeState, LeaveReason, NextStep,
+    ProbeFailure, RefusalReason, ResponseClass, STOPPING_RETRY_AFTER_MS,
 };
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
 pub use memory_plan::MemoryPlan;
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -159,21 +159,6 @@
         })
     }
 
-    /// Whether any endpoint can be selected.
-    pub fn is_any_eligible(
-        &self,
-        now: MonoTime,
-        table: &EndpointTable,
-        criteria: &SelectionCriteria<'_>,
-    ) -> bool {
-        let is_preference = matches!(criteria.version, Some(VersionLimit::Preferred(_)));
-        let mut open = table.open(now, criteria.service);
-        open.any(|it| {
-            let is_allowed = is_preference || criteria.allows(&it.entry);
-            is_allowed && !criteria.excluded.contains(&it.entry.key)
-        })
-    }
-
     /// Chooses an engine that has room for a stream, with a backup if one is asked for;
     /// `None` if the engine can't be used any more.
     pub fn choose(
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -4,7 +4,8 @@
 
 use parsleylatch_decide::relay::{
     Choice, CopySource, EndpointEntry, EndpointKey, Exchange, ExchangeEffect, ExchangeInput,
-    ExchangeSpec, ExchangeState, MemoryCopy, RefusalReason, RepeatPolicy, ResponseClass,
+    ExchangeSpec, ExchangeState, MemoryCopy, NextStep, ProbeFailure, RefusalReason, RepeatPolicy,
+    ResponseClass,
 };
 use parsleylatch_types::{Incarnation, Millis, MonoTime, SlotCount, TokenCount};
 use proptest::prelude::*;
@@ -44,20 +45,26 @@
     })
 }
 
-fn placed(number: u16) -> ExchangeInput {
-    ExchangeInput::Placed(Box::new(Choice {
+fn choice(number: u16) -> Box<Choice> {
+    Box::new(Choice {
         endpoint: entry(number),
         backup: Some(entry(100 + number)),
         copy: None,
         candidates: 9,
-    }))
+    })
 }
 
-fn probe_failed(is_request_lost: bool, may_retry: bool) -> ExchangeInput {
-    ExchangeInput::ProbeFailed {
-        is_request_lost,
-        may_retry,
-    }
+fn placed(number: u16) -> ExchangeInput {
+    ExchangeInput::Placed(choice(number))
+}
+
+/// A move to an endpoint that takes the request.
+fn move_to(number: u16) -> NextStep {
+    NextStep::Move(choice(number))
+}
+
+fn probe_failed(failure: ProbeFailure, next: NextStep) -> ExchangeInput {
+    ExchangeInput::ProbeFailed { failure, next }
 }
 
 fn answered(class: ResponseClass, may_retry: bool) -> ExchangeInput {
@@ -171,7 +178,7 @@
             .is_empty()
     );
     assert_eq!(exchange.state(), ExchangeState::AwaitingEndpoint);
-    let effects = exchange.expire(at(25), false, false);
+    let effects = exchange.expire(at(25), false, NextStep::Stay);
     assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
     // An eighth of the response time goal has passed.
     let effects = exchange.handle(at(126), ExchangeInput::PlacementFailed);
@@ -289,24 +296,24 @@
     let mut exchange = sent(RESUMABLE);
     let silent_at = exchange.next_deadline();
     assert_eq!(silent_at, at(400));
-    let effects = exchange.expire(silent_at, false, false);
+    let effects = exchange.expire(silent_at, false, NextStep::Stay);
     assert!(matches!(effects[..], [ExchangeEffect::Probe]));
     assert!(
         exchange
             .handle(at(420), ExchangeInput::ProbeAnswered)
             .is_empty()
     );
-    let effects = exchange.expire(at(820), false, false);
+    let effects = exchange.expire(at(820), false, NextStep::Stay);
     assert!(matches!(effects[..], [ExchangeEffect::Probe]));
-    let effects = exchange.handle(at(830), probe_failed(false, true));
-    assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
+    let effects = exchange.handle(at(830), probe_failed(ProbeFailure::Silent, move_to(2)));
+    assert!(matches!(effects[..], [ExchangeEffect::Open(_)]));
 }
 
 /// Silence while this process was paused is no sign of a failed endpoint.
 #[test]
 fn paused_process_silence_ignored() {
     let mut exchange = begun(RESUMABLE);
-    let effects = exchange.expire(at(5_000), true, true);
+    let effects = exchange.expire(at(5_000), true, move_to(2));
     assert!(effects.is_empty());
     assert_eq!(exchange.state(), ExchangeState::Streaming);
     assert!(exchange.next_deadline() > at(5_000));
@@ -330,7 +337,7 @@
 #[test]
 fn deadline_refused() {
     let mut exchange = sent(RepeatPolicy::OnceOnly);
-    let effects = exchange.expire(at(10_000), false, false);
+    let effects = exchange.expire(at(10_000), false, NextStep::Stay);
     assert_eq!(
         refusal(&effects),
         Some((RefusalReason::DeadlinePassed, false))
@@ -352,7 +359,7 @@
     }
     exchange.set_response_deadline(at(20));
     assert_eq!(exchange.next_deadline(), at(20));
-    let effects = exchange.expire(at(20), false, false);
+    let effects = exchange.expire(at(20), false, NextStep::Stay);
     assert_eq!(refusal(&effects), Some((RefusalReason::Stopping, not_run)));
 }
 
@@ -361,7 +368,7 @@
     let (mut exchange, _) = Exchange::start(at(0), spec(RESUMABLE));
     exchange.handle(at(0), ExchangeInput::Queued);
     exchange.set_response_deadline(at(20));
-    let effects = exchange.expire(at(20), false, false);
+    let effects = exchange.expire(at(20), false, NextStep::Stay);
     assert_eq!(refusal(&effects), Some((RefusalReason::Stopping, true)));
 }
 
@@ -374,7 +381,7 @@
     assert!(exchange.next_deadline() > at(110));
     exchange.handle(at(105), ExchangeInput::Lost { may_retry: true });
     exchange.handle(at(105), ExchangeInput::PlacementFailed);
-    let effects = exchange.expire(at(110), false, false);
+    let effects = exchange.expire(at(110), false, NextStep::Stay);
     let reason = RefusalReason::Stopping;
     assert!(matches!(&effects[..], [ExchangeEffect::BreakOff { reason: it }] if *it == reason));
 }
@@ -551,17 +558,32 @@
                     if matches!(state, ExchangeState::Probing | ExchangeState::StreamProbing) =>
                 {
                     let is_request_lost = matches!(input, TestInput::RequestLost);
-                    let effects = exchange.handle(now, probe_failed(is_request_lost, may_retry));
-                    if matches!(effects[..], [ExchangeEffect::Place { .. }]) {
+                    let failure = match is_request_lost {
+                        true => ProbeFailure::Missing,
+                        false => ProbeFailure::Silent,
+                    };
+                    number += 1;
+                    let next = match may_retry {
+                        true => move_to(number),
+                        false => NextStep::Stay,
+                    };
+                    let effects = exchange.handle(now, probe_failed(failure, next));
+                    if matches!(effects[..], [ExchangeEffect::Open(_)]) {
                         history.close(true);
                     }
                     effects
                 }
                 TestInput::Deadline => {
                     now = now.max(exchange.next_deadline());
-                    let effects = exchange.expire(now, false, may_retry);
+                    number += 1;
+                    let next = match may_retry {
+                        true if state == ExchangeState::AwaitingRetry => NextStep::Retry,
+                        true => move_to(number),
+                        false => NextStep::Stay,
+                    };
+                    let effects = exchange.expire(now, false, next);
                     let leaves = effects.iter().any(|effect| {
-                        matches!(effect, ExchangeEffect::Place { .. } | ExchangeEffect::Refuse { .. })
+                        matches!(effect, ExchangeEffect::Open(_) | ExchangeEffect::Refuse { .. })
                     });
                     if leaves {
                         history.close(true);
@@ -580,19 +602,19 @@
     }
 }
 
-/// Without a retry budget, a request that its endpoint has lost is refused at once, so that
-/// the caller can resume at another node. At an endpoint that is merely silent it waits.
-#[test_case(true, 550, true ; "request lost")]
-#[test_case(false, 550, false ; "silent")]
-#[test_case(false, 2_999, false ; "silent for long")]
-#[test_case(false, 3_000, true ; "silent too long")]
-fn probe_failed_without_budget_refused(is_request_lost: bool, at_ms: u64, is_refused: bool) {
+/// Without a next place, a request that its endpoint has lost is refused at once, so that the
+/// caller can resume at another node. At an endpoint that is merely silent it waits.
+#[test_case(ProbeFailure::Missing, 550, true ; "request lost")]
+#[test_case(ProbeFailure::Silent, 550, false ; "silent")]
+#[test_case(ProbeFailure::Silent, 2_999, false ; "silent for long")]
+#[test_case(ProbeFailure::Silent, 3_000, true ; "silent too long")]
+fn probe_failed_without_budget_refused(failure: ProbeFailure, at_ms: u64, is_refused: bool) {
     let mut exchange = sent(RESUMABLE);
-    exchange.expire(at(400), false, false);
-    let effects = exchange.handle(at(at_ms), probe_failed(is_request_lost, false));
-    let reason = match is_request_lost {
-        true => RefusalReason::AnswerLost,
-        false => RefusalReason::NoProgress,
+    exchange.expire(at(400), false, NextStep::Stay);
+    let effects = exchange.handle(at(at_ms), probe_failed(failure, NextStep::Stay));
+    let reason = match failure {
+        ProbeFailure::Missing => RefusalReason::AnswerLost,
+        _ => RefusalReason::NoProgress,
     };
     assert_eq!(refusal(&effects), is_refused.then_some((reason, false)));
     assert_eq!(exchange.is_over(), is_refused);
@@ -602,36 +624,44 @@
 #[test]
 fn probe_answered_restarts_silence() {
     let mut exchange = sent(RESUMABLE);
-    exchange.expire(at(400), false, false);
+    exchange.expire(at(400), false, NextStep::Stay);
     exchange.handle(at(2_000), ExchangeInput::ProbeAnswered);
-    exchange.expire(at(2_400), false, false);
-    let effects = exchange.handle(at(3_500), probe_failed(false, false));
+    exchange.expire(at(2_400), false, NextStep::Stay);
+    let failed = probe_failed(ProbeFailure::Silent, NextStep::Stay);
+    let effects = exchange.handle(at(3_500), failed);
     assert!(effects.is_empty(), "{effects:?}");
 }
 
-/// A stream that has begun is aborted if two successive reports show that its endpoint has
-/// lost it; its caller can resume it elsewhere. Silence never aborts it.
-#[test_case(true, 1_150, false, true ; "request lost")]
-#[test_case(true, 1_150, true, false ; "event after the first report")]
-#[test_case(false, 1_150, false, false ; "silent")]
-#[test_case(false, 9_000, false, false ; "silent for long")]
+/// What happens between two reports without the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Between {
+    Nothing,
+    Event,
+}
+
+/// A stream that has begun is aborted if reports 400 ms apart show that its endpoint has lost
+/// it; its caller can resume it elsewhere. Silence never aborts it.
+#[test_case(ProbeFailure::Missing, 1_150, Between::Nothing, true ; "request lost")]
+#[test_case(ProbeFailure::Missing, 1_150, Between::Event, false ; "event after the first report")]
+#[test_case(ProbeFailure::Silent, 1_150, Between::Nothing, false ; "silent")]
+#[test_case(ProbeFailure::Silent, 9_000, Between::Nothing, false ; "silent for long")]
 fn probe_failed_without_budget_begun(
-    is_request_lost: bool,
+    failure: ProbeFailure,
     at_ms: u64,
-    has_event: bool,
+    between: Between,
     is_aborted: bool,
 ) {
     let mut exchange = begun(RESUMABLE);
-    exchange.expire(at(1_000), false, false);
+    exchange.expire(at(1_000), false, NextStep::Stay);
     assert_eq!(exchange.state(), ExchangeState::StreamProbing);
-    let effects = exchange.handle(at(at_ms), probe_failed(is_request_lost, false));
+    let effects = exchange.handle(at(at_ms), probe_failed(failure, NextStep::Stay));
     assert!(effects.is_empty(), "{effects:?}");
-    if has_event {
+    if between == Between::Event {
         exchange.handle(at(at_ms + 10), ExchangeInput::Event);
     }
-    exchange.expire(exchange.next_deadline(), false, false);
+    exchange.expire(exchange.next_deadline(), false, NextStep::Stay);
     assert_eq!(exchange.state(), ExchangeState::StreamProbing);
-    let effects = exchange.handle(at(at_ms + 500), probe_failed(is_request_lost, false));
+    let effects = exchange.handle(at(at_ms + 900), probe_failed(failure, NextStep::Stay));
     let aborts = matches!(
         effects[..],
         [ExchangeEffect::BreakOff {
@@ -643,16 +673,15 @@
 
 /// A stream that was moved off a silent endpoint may return there once every other endpoint
 /// has rejected it; not to one that has lost it.
-#[test_case(false, &[2] ; "silent")]
-#[test_case(true, &[1, 2] ; "request lost")]
-fn silent_endpoint_readmitted(is_request_lost: bool, excluded_numbers: &[u16]) {
+#[test_case(ProbeFailure::Silent, &[2] ; "silent")]
+#[test_case(ProbeFailure::Missing, &[1, 2] ; "request lost")]
+fn silent_endpoint_readmitted(failure: ProbeFailure, excluded_numbers: &[u16]) {
     let mut exchange = begun(RESUMABLE);
-    exchange.expire(at(1_000), false, false);
-    exchange.handle(at(1_150), probe_failed(is_request_lost, true));
-    exchange.handle(at(1_150), placed(2));
+    exchange.expire(at(1_000), false, NextStep::Stay);
+    exchange.handle(at(1_150), probe_failed(failure, move_to(2)));
     exchange.handle(at(1_160), answered(ResponseClass::NotRun, true));
     exchange.handle(at(1_160), ExchangeInput::PlacementFailed);
-    let effects = exchange.expire(at(1_185), false, false);
+    let effects = exchange.expire(at(1_185), false, NextStep::Stay);
     let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
         panic!("{effects:?}");
     };
@@ -668,14 +697,15 @@
 #[test_case(RepeatPolicy::Idempotent, 650 ; "call")]
 fn silent_endpoint_readmitted_before_response(repeat: RepeatPolicy, silent_ms: u64) {
     let mut exchange = sent(repeat);
-    exchange.expire(at(silent_ms), false, true);
     if repeat.is_stream() {
-        exchange.handle(at(550), probe_failed(false, true));
+        exchange.expire(at(silent_ms), false, NextStep::Stay);
+        exchange.handle(at(550), probe_failed(ProbeFailure::Silent, move_to(2)));
+    } else {
+        exchange.expire(at(silent_ms), false, move_to(2));
     }
-    exchange.handle(at(700), placed(2));
     exchange.handle(at(710), answered(ResponseClass::NotRun, true));
     exchange.handle(at(710), ExchangeInput::PlacementFailed);
-    let effects = exchange.expire(at(735), false, false);
+    let effects = exchange.expire(at(735), false, NextStep::Stay);
     let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
         panic!("{effects:?}");
     };
@@ -693,7 +723,11 @@
     exchange.handle(at(200), placed(2));
     let effects = exchange.handle(at(220), answered(ResponseClass::NotRun, false));
     assert!(effects.is_empty(), "{effects:?}");
-    exchange.expire(at(220 + wait_ms), false, may_retry);
+    let next = match may_retry {
+        true => NextStep::Retry,
+        false => NextStep::Stay,
+    };
+    exchange.expire(at(220 + wait_ms), false, next);
     assert_eq!(exchange.state(), state);
 }
 
@@ -701,8 +735,9 @@
 #[test]
 fn probe_failed_not_resumable_waits() {
     let mut exchange = sent(NOT_RESUMABLE);
-    exchange.expire(at(400), false, false);
-    let effects = exchange.handle(at(550), probe_failed(false, false));
+    exchange.expire(at(400), false, NextStep::Stay);
+    let failed = probe_failed(ProbeFailure::Silent, NextStep::Stay);
+    let effects = exchange.handle(at(550), failed);
     assert!(effects.is_empty(), "{effects:?}");
     assert_eq!(exchange.state(), ExchangeState::AwaitingResponse);
 }
@@ -756,7 +791,7 @@
 #[test]
 fn large_response_deadline_aborted() {
     let mut exchange = forwarding(RepeatPolicy::Idempotent, ResponseClass::Final);
-    let effects = exchange.expire(at(10_000), false, true);
+    let effects = exchange.expire(at(10_000), false, move_to(2));
     assert_eq!(abort_reason(&effects), Some(RefusalReason::DeadlinePassed));
 }
 
@@ -766,7 +801,7 @@
     let mut exchange = forwarding(RepeatPolicy::OnceOnly, ResponseClass::Final);
     exchange.set_response_deadline(at(3_000));
     assert_eq!(exchange.next_deadline(), at(3_000));
-    let effects = exchange.expire(at(3_000), false, false);
+    let effects = exchange.expire(at(3_000), false, NextStep::Stay);
     assert_eq!(abort_reason(&effects), Some(RefusalReason::Stopping));
 }
 
@@ -785,7 +820,7 @@
     let effects = exchange.handle(at(50), answer_begun(ResponseClass::Failure, true));
     assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
     exchange.handle(at(50), ExchangeInput::PlacementFailed);
-    let effects = exchange.expire(at(400), false, false);
+    let effects = exchange.expire(at(400), false, NextStep::Stay);
     assert!(matches!(effects[..], [ExchangeEffect::Place { .. }]));
     let effects = exchange.handle(at(400), ExchangeInput::PlacementFailed);
     assert_eq!(refusal(&effects), Some((RefusalReason::NoEndpoint, false)));
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -362,10 +362,10 @@
     let service = service();
     let criteria = criteria(&service, &excluded, 0);
     assert!(selector().select(at(0), &table, &criteria).is_none());
-    assert!(!selector().is_any_eligible(at(0), &table, &criteria));
 }
 
-/// A suspended endpoint is still an alternative, one that is leaving is not.
+/// A suspended endpoint is still an alternative, one that is leaving is not. No request leaves
+/// an attempt for a suspended one by its own decision.
 #[test_case(false, true ; "suspended")]
 #[test_case(true, false ; "leaving")]
 fn alternative_eligible(is_leaving: bool, expected: bool) {
@@ -377,10 +377,11 @@
     let excluded = [entries[0].key.clone()];
     let service = service();
     let criteria = criteria(&service, &excluded, 0);
-    assert_eq!(
-        selector().is_any_eligible(at(0), &table, &criteria),
-        expected
-    );
+    let selected = selector().select(at(0), &table, &criteria);
+    assert_eq!(selected.is_some(), expected);
+    assert!(table.has_failed_recently(at(999), &entries[1].key));
+    assert!(!table.has_failed_recently(at(1_000), &entries[1].key));
+    assert!(!table.has_failed_recently(at(0), &entries[0].key));
 }
 
 /// An endpoint that goes on after a silence is used again at once.
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -57,6 +57,8 @@
     Attempts,
     /// Attempts that failed.
     AttemptsFailed,
+    /// Attempts without progress at which a request stayed for lack of a next place.
+    MovesDeclined,
     /// Endpoints that said that they leave.
     EndpointsLeaving,
     /// Pauses that endpoints asked for.
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -3,15 +3,11 @@
 use std::rc::Rc;
 
 use http::{Response, StatusCode};
-use parsleylatch_decide::relay::{
-    Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, Outcome, RefusalReason,
-    SelectionCriteria, VersionLimit, return_delay,
-};
-use parsleylatch_types::{Millis, MonoTime};
+use parsleylatch_decide::relay::{Choice, LeaveReason, Outcome, RefusalReason};
+use parsleylatch_types::Millis;
 
 use super::{CallerState, ExchangeDriver, SentAttempt};
 use crate::{
-    shared::Snapshot,
     telemetry::{RelayCounter, RelayLatency},
     traffic::{
         attempt::Attempt,
@@ -23,120 +19,9 @@
 };
 
 impl ExchangeDriver {
-    pub(super) fn select_endpoint(
-        &mut self,
-        excluded: &[EndpointKey],
-        copy: Option<&MemoryCopy>,
-    ) -> Vec<ExchangeEffect> {
-        self.end_attempt(Outcome::Abandoned);
-        if let Some(effects) = self.refuse_if_quarantined() {
-            return effects;
-        }
-        if let Some(effects) = self.refuse_if_outlasting(copy.is_some()) {
-            return effects;
-        }
-        let traffic = Rc::clone(&self.traffic);
-        let snapshot = traffic.snapshot();
-        let now = traffic.now();
-        let spec = &self.job.spec;
-        let version = self.version_limit(&snapshot, excluded);
-        let may_copy = self.job.has_backups
-            && spec.repeat.is_stream()
-            && !traffic.are_copies_unaffordable(&spec.service, self.stream_size());
-        let criteria = SelectionCriteria {
-            service: &spec.service,
-            excluded,
-            copy,
-            prompt_holder: self.job.prompt_holder.as_ref(),
-            prompt: spec.prompt,
-            with_backup: may_copy,
-            version: version.as_ref(),
-        };
-        let choice = traffic
-            .selector()
-            .select(now, &traffic.endpoint_table.borrow(), &criteria);
-        let Some(choice) = choice else {
-            return self.handle_no_endpoint(now);
-        };
-        if version.is_none()
-            && let Some(effects) = self.queue_if_full(&choice)
-        {
-            return effects;
-        }
-        log::info!(
-            id:% = self.job.metadata.id,
-            route:% = self.job.route.name,
-            endpoint:% = choice.endpoint.key.id,
-            backup = choice.backup.as_ref().map_or("-", |it| it.key.id.as_str()),
-            has_copy = choice.copy.is_some(),
-            has_prompt = self.job.prompt_holder.as_ref() == Some(&choice.endpoint.key),
-            candidates = choice.candidates,
-            runs = self.exchange.runs(),
-            last_event = self.last_event.unwrap_or_default().get(),
-            configuration_revision = self.job.configuration_revision.get(),
-            registry_revision = snapshot.registry_revision.get(),
-            knowledge_age_ms = traffic.shared.confirmed_age().millis().get();
-            "attempt placed"
-        );
-        self.exchange
-            .handle(now, ExchangeInput::Placed(Box::new(choice)))
-    }
-
-    /// Handles a failed placement: a request whose endpoints are all paused for longer than it
-    /// may wait is refused at once.
-    fn handle_no_endpoint(&mut self, now: MonoTime) -> Vec<ExchangeEffect> {
-        let spec = &self.job.spec;
-        let pause_left = self
-            .traffic
-            .endpoint_table
-            .borrow()
-            .pause_left(now, &spec.service);
-        let input = match pause_left {
-            Some(wait) if !self.exchange.may_wait_for(now, wait) => ExchangeInput::Hopeless {
-                reason: RefusalReason::EndpointsPaused,
-                retry_after_ms: Some(return_delay(wait, spec.deadline.since(now), rand::random())),
-            },
-            _ => ExchangeInput::PlacementFailed,
-        };
-        self.exchange.handle(now, input)
-    }
-
-    /// Whether another endpoint than that of the running attempt can take the request.
-    pub(super) fn has_alternative(&self) -> bool {
-        let Some(sent) = &self.sent else {
-            return false;
-        };
-        let snapshot = self.traffic.snapshot();
-        let mut excluded = self.exchange.excluded_endpoints().to_vec();
-        excluded.push(sent.key.clone());
-        let version = self.version_limit(&snapshot, &excluded);
-        let spec = &self.job.spec;
-        let criteria = SelectionCriteria {
-            service: &spec.service,
-            excluded: &excluded,
-            copy: None,
-            prompt_holder: None,
-            prompt: spec.prompt,
-            with_backup: false,
-            version: version.as_ref(),
-        };
-        let table = self.traffic.endpoint_table.borrow();
-        self.traffic
-            .selector()
-            .is_any_eligible(self.traffic.now(), &table, &criteria)
-    }
-
-    pub(super) fn version_limit(
-        &self,
-        snapshot: &Snapshot,
-        excluded: &[EndpointKey],
-    ) -> Option<VersionLimit> {
-        let rule = snapshot.versions.get(&self.job.spec.service)?;
-        let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
-        Some(rule.limit(self.version_draw, is_retry))
-    }
-
+    /// Sends the request to an endpoint, and closes its previous attempt.
     pub(super) fn start_attempt(&mut self, choice: Box<Choice>) {
+        self.end_attempt(Outcome::Abandoned);
         let now = self.traffic.now();
         let key = choice.endpoint.key.clone();
         self.traffic
@@ -268,6 +153,7 @@
                 id:% = self.job.metadata.id,
                 route:% = self.job.route.name,
                 reason:% = reason,
+                left_for = self.left_for(),
                 silence_ms = silence.unwrap_or_default().millis().get(),
                 remaining_ms = remaining_ms,
                 configuration_revision = self.job.configuration_revision.get();
@@ -280,6 +166,11 @@
         self.caller = CallerState::Done;
     }
 
+    /// Why the request left its last endpoint, for the log.
+    fn left_for(&self) -> &'static str {
+        self.exchange.left_for().map_or("-", LeaveReason::into)
+    }
+
     /// Passes a part of a body to the caller's connection. What waits there takes room in
     /// the exchange's window.
     pub(super) fn deliver(&self, part: StreamPart) {
@@ -306,6 +197,7 @@
             route:% = self.job.route.name,
             reason:% = reason,
             not_run = not_run,
+            left_for = self.left_for(),
             runs = self.exchange.runs(),
             age_ms = self.exchange.age(traffic.now()).millis().get(),
             taken = taken,
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use http::StatusCode;
 use parsleylatch_decide::relay::{
-    EngineReport, ExchangeEffect, ExchangeInput, ExchangeState, Outcome, ProbeFinding,
-    ResponseClass, RetryKind,
+    EngineReport, ExchangeEffect, ExchangeInput, ExchangeState, NextStep, Outcome, ProbeFailure,
+    ProbeFinding, ResponseClass, RetryKind,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{MonoTime, StreamEventId};
 
-use super::{CallerState, ExchangeDriver, ForwardedResponse};
+use super::{CallerState, ExchangeDriver, ForwardedResponse, placement::PlaceRefusal};
 use crate::{
     telemetry::RelayCounter,
     traffic::{
@@ -38,44 +38,41 @@
         if !self.is_probing() {
             return Vec::new();
         }
-        let since_sent = self.sent.as_ref().map(|sent| now.since(sent.at).millis());
+        let answering_for = self.exchange.answering_for(now);
         let finding = report.map(|report| match report {
             Ok(report) => report.find_request(
                 self.job.metadata.id.as_str(),
                 self.last_event,
-                since_sent.unwrap_or_default(),
+                answering_for,
             ),
             // The engine is alive, and its report tells nothing about the request.
             Err(_) => ProbeFinding::Present,
         });
-        if finding == Some(ProbeFinding::Present) {
-            return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
-        }
-        // Undelivered events may still arrive, unless the connection is dead.
-        let is_request_lost = finding == Some(ProbeFinding::Missing);
-        let allows_retry = self.exchange.allows_retry(true);
-        let may_retry = allows_retry
-            && match finding {
-                Some(_) => self.take_retry(),
-                None => self.may_move(),
-            };
-        if allows_retry {
-            let reason = match finding {
-                Some(ProbeFinding::Undelivered) => "no progress; the engine has undelivered events",
-                Some(_) => "no progress; the engine does not run the request",
-                None => "no progress and no response to a probe",
-            };
-            if may_retry || is_request_lost {
-                self.record_failure(Outcome::Broken, reason);
-            } else {
-                self.record_silence();
+        let failure = match finding {
+            Some(ProbeFinding::Present) => {
+                return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
             }
-        }
-        let input = ExchangeInput::ProbeFailed {
-            is_request_lost,
-            may_retry,
+            // Undelivered events may still arrive, unless the connection is dead.
+            Some(ProbeFinding::Undelivered) => ProbeFailure::Undelivered,
+            Some(ProbeFinding::Missing) => ProbeFailure::Missing,
+            None => ProbeFailure::Silent,
+        };
+        let planned = match self.exchange.allows_retry(true) {
+            true => self.plan_move(failure),
+            false => Err(PlaceRefusal::AttemptsUsedUp),
         };
-        self.exchange.handle(now, input)
+        match &planned {
+            Ok(_) => self.record_failure(Outcome::Broken, failure_text(failure)),
+            Err(refusal) => self.record_stay(failure, refusal),
+        }
+        let next = planned.unwrap_or(NextStep::Stay);
+        self.log_next(&next);
+        let input = ExchangeInput::ProbeFailed { failure, next };
+        let effects = self.exchange.handle(now, input);
+        if self.exchange.is_over() {
+            self.record_failure(Outcome::Broken, failure_text(failure));
+        }
+        effects
     }
 
     pub(super) fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
@@ -343,12 +340,6 @@
         self.exchange.allows_retry(may_have_run) && self.take_retry()
     }
 
-    /// Whether a request may leave an endpoint that is silent. It stays if no other endpoint
-    /// can take it in time, as a sound endpoint goes on after a while.
-    pub(super) fn may_move(&self) -> bool {
-        self.has_alternative() && !self.is_restart_hopeless() && self.take_retry()
-    }
-
     pub(super) fn take_retry(&self) -> bool {
         if self.check_quarantine().is_some() {
             return false;
@@ -375,3 +366,12 @@
             .is_some_and(|it| it.choice.copy.is_some())
     }
 }
+
+/// What a probe showed of an attempt that is left.
+fn failure_text(failure: ProbeFailure) -> &'static str {
+    match failure {
+        ProbeFailure::Silent => "no progress and no response to a probe",
+        ProbeFailure::Undelivered => "no progress; the engine has undelivered events",
+        ProbeFailure::Missing => "no progress; the engine does not run the request",
+    }
+}
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -3,6 +3,7 @@
 
 mod effects;
 mod inputs;
+mod placement;
 mod prompt_parts;
 mod queueing;
 mod recording;
@@ -14,7 +15,7 @@
     moves::FULL_SHARE,
     relay::{
         Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
-        MemoryCopy, Outcome, ResponseClass,
+        MemoryCopy, NextStep, Outcome, ProbeFailure, ResponseClass,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -250,21 +251,35 @@
         }
         let lateness = now.since(self.exchange.next_deadline());
         let was_paused = awaits_caller || lateness > TIMER_PAUSE_THRESHOLD_MS.micros();
-        let is_unplaced = self.exchange.state() == ExchangeState::AwaitingRetry;
-        let allows_retry = !was_paused && self.exchange.allows_retry_at_deadline(now);
-        let is_silent = allows_retry && self.is_probing();
-        let may_retry = allows_retry
-            && match is_unplaced {
-                true => self.take_retry(),
-                false => !self.is_delay_explained(now) && self.may_move(),
+        if was_paused || !self.exchange.allows_retry_at_deadline(now) {
+            return self.exchange.expire(now, was_paused, NextStep::Stay);
+        }
+        if self.exchange.state() == ExchangeState::AwaitingRetry {
+            let next = match self.take_retry() {
+                true => NextStep::Retry,
+                false => NextStep::Stay,
             };
-        let effects = self.exchange.expire(now, was_paused, may_retry);
-        if may_retry && !is_unplaced {
-            self.record_failure(Outcome::Broken, "silent");
-        } else if is_silent {
-            self.record_silence();
+            return self.exchange.expire(now, was_paused, next);
+        }
+        if self.is_delay_explained(now) {
+            return self.exchange.expire(now, was_paused, NextStep::Stay);
+        }
+        let planned = self.plan_move(ProbeFailure::Silent);
+        match &planned {
+            Ok(_) => self.record_failure(Outcome::Broken, "silent"),
+            Err(refusal) if self.is_probing() => self.record_stay(ProbeFailure::Silent, refusal),
+            Err(_) => {}
+        }
+        let next = planned.unwrap_or(NextStep::Stay);
+        self.log_next(&next);
+        self.exchange.expire(now, was_paused, next)
+    }
+
+    /// Logs the endpoint to which the request moves.
+    fn log_next(&self, next: &NextStep) {
+        if let NextStep::Move(choice) = next {
+            self.log_placed(choice);
         }
-        effects
     }
 
     fn is_probing(&self) -> bool {
--- /dev/null
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -0,0 +1,215 @@
+//! Choice of the endpoint for the next attempt.
+//!
+//! A request whose attempt has ended needs a place, and is queued or refused if there is none.
+//! One that could leave a silent endpoint asks for a place first, by the same rules, and leaves
+//! only once it has one.
+
+use std::rc::Rc;
+
+use parsleylatch_decide::relay::{
+    Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, NextStep, Outcome,
+    ProbeFailure, RefusalReason, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
+};
+use parsleylatch_types::{MonoTime, PromptPartId};
+use strum::Display;
+
+use super::ExchangeDriver;
+use crate::shared::Snapshot;
+
+/// Why a request has no place for its next attempt.
+#[derive(Clone, Debug, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum PlaceRefusal {
+    /// A part of its prompt is in quarantine.
+    Quarantined(PromptPartId),
+    /// The process stops before the attempt could be completed.
+    Stopping,
+    /// No endpoint is eligible.
+    NoEndpoint,
+    /// No engine can read the prompt before the deadline.
+    Hopeless,
+    /// The engines are full.
+    Full(Box<Choice>),
+    /// The endpoint has failed a short time ago.
+    Suspended,
+    /// The request may not run once more.
+    AttemptsUsedUp,
+    /// The retry budget is used up.
+    NoRetry,
+}
+
+impl ExchangeDriver {
+    /// Finds an endpoint that takes the request now.
+    fn find_place(
+        &self,
+        excluded: &[EndpointKey],
+        copy: Option<&MemoryCopy>,
+    ) -> Result<Choice, PlaceRefusal> {
+        if let Some(part) = self.quarantined_part() {
+            return Err(PlaceRefusal::Quarantined(part));
+        }
+        if self.outlasts_process(copy.is_some()) {
+            return Err(PlaceRefusal::Stopping);
+        }
+        let traffic = &self.traffic;
+        let snapshot = traffic.snapshot();
+        let now = traffic.now();
+        let spec = &self.job.spec;
+        let size = self.stream_size();
+        let version = self.version_limit(&snapshot, excluded);
+        let may_copy = self.job.has_backups
+            && spec.repeat.is_stream()
+            && !traffic.are_copies_unaffordable(&spec.service, size);
+        let criteria = SelectionCriteria {
+            service: &spec.service,
+            excluded,
+            copy,
+            prompt_holder: self.job.prompt_holder.as_ref(),
+            prompt: spec.prompt,
+            with_backup: may_copy,
+            version: version.as_ref(),
+        };
+        let choice = traffic
+            .selector()
+            .select(now, &traffic.endpoint_table.borrow(), &criteria);
+        let choice = choice.ok_or(PlaceRefusal::NoEndpoint)?;
+        if version.is_some() || !self.is_queueable(choice.copy.is_some()) {
+            return Ok(choice);
+        }
+        if is_hopeless(now, spec.deadline, spec.prompt) {
+            return Err(PlaceRefusal::Hopeless);
+        }
+        let key = &choice.endpoint.key;
+        if !self.bypasses_queue && traffic.must_wait(&spec.service, key, size) {
+            return Err(PlaceRefusal::Full(Box::new(choice)));
+        }
+        Ok(choice)
+    }
+
+    /// Finds a place for a request without an attempt, or queues or refuses it.
+    pub(super) fn select_endpoint(
+        &mut self,
+        excluded: &[EndpointKey],
+        copy: Option<&MemoryCopy>,
+    ) -> Vec<ExchangeEffect> {
+        self.end_attempt(Outcome::Abandoned);
+        let now = self.traffic.now();
+        match self.find_place(excluded, copy) {
+            Ok(choice) => {
+                self.log_placed(&choice);
+                self.exchange
+                    .handle(now, ExchangeInput::Placed(Box::new(choice)))
+            }
+            Err(PlaceRefusal::Quarantined(part)) => self.refuse_quarantined(&part),
+            Err(PlaceRefusal::Stopping) => self.refuse_stopping(),
+            Err(PlaceRefusal::Hopeless) => self.refuse_hopeless(),
+            Err(PlaceRefusal::Full(_)) => self.enter_queue(),
+            Err(
+                PlaceRefusal::NoEndpoint
+                | PlaceRefusal::Suspended
+                | PlaceRefusal::AttemptsUsedUp
+                | PlaceRefusal::NoRetry,
+            ) => self.handle_no_endpoint(now),
+        }
+    }
+
+    /// Decides whether the request leaves the endpoint of its running attempt, which may still
+    /// answer. It leaves for an endpoint that takes it; after a long silence, also for one that
+    /// may reject it, and for the queue.
+    pub(super) fn plan_move(&self, failure: ProbeFailure) -> Result<NextStep, PlaceRefusal> {
+        let planned = match self.find_next_place() {
+            // The endpoint has the request, and only the connection gives no sign of life.
+            Err(PlaceRefusal::NoEndpoint) if failure == ProbeFailure::Undelivered => {
+                self.find_place_again()
+            }
+            planned => planned,
+        };
+        let is_long_silent = self.exchange.is_long_silent(self.traffic.now());
+        let next = match planned {
+            Ok(choice) => NextStep::Move(Box::new(choice)),
+            Err(PlaceRefusal::Full(_) | PlaceRefusal::Suspended) if is_long_silent => {
+                NextStep::Retry
+            }
+            Err(refusal) => return Err(refusal),
+        };
+        match self.take_retry() {
+            true => Ok(next),
+            false => Err(PlaceRefusal::NoRetry),
+        }
+    }
+
+    /// Finds a place for a request that has an attempt.
+    fn find_next_place(&self) -> Result<Choice, PlaceRefusal> {
+        let Some(sent) = &self.sent else {
+            return Err(PlaceRefusal::NoEndpoint);
+        };
+        let mut excluded = self.exchange.excluded_endpoints().to_vec();
+        excluded.push(sent.key.clone());
+        let choice = self.find_place(&excluded, self.exchange.next_copy())?;
+        if choice.copy.is_none() && self.is_restart_hopeless() {
+            return Err(PlaceRefusal::Hopeless);
+        }
+        let table = self.traffic.endpoint_table.borrow();
+        match table.has_failed_recently(self.traffic.now(), &choice.endpoint.key) {
+            true => Err(PlaceRefusal::Suspended),
+            false => Ok(choice),
+        }
+    }
+
+    /// Finds a place for a request that may run at its endpoint once more.
+    fn find_place_again(&self) -> Result<Choice, PlaceRefusal> {
+        let is_running = |key: &EndpointKey| self.sent.as_ref().is_some_and(|it| it.key == *key);
+        let excluded = self.exchange.excluded_endpoints().iter();
+        let excluded: Vec<_> = excluded.filter(|key| !is_running(key)).cloned().collect();
+        self.find_place(&excluded, None)
+    }
+
+    pub(super) fn version_limit(
+        &self,
+        snapshot: &Snapshot,
+        excluded: &[EndpointKey],
+    ) -> Option<VersionLimit> {
+        let rule = snapshot.versions.get(&self.job.spec.service)?;
+        let is_retry = self.exchange.runs() > 0 || !excluded.is_empty();
+        Some(rule.limit(self.version_draw, is_retry))
+    }
+
+    /// Logs the endpoint of the next attempt.
+    pub(super) fn log_placed(&self, choice: &Choice) {
+        let traffic = Rc::clone(&self.traffic);
+        log::info!(
+            id:% = self.job.metadata.id,
+            route:% = self.job.route.name,
+            endpoint:% = choice.endpoint.key.id,
+            backup = choice.backup.as_ref().map_or("-", |it| it.key.id.as_str()),
+            has_copy = choice.copy.is_some(),
+            has_prompt = self.job.prompt_holder.as_ref() == Some(&choice.endpoint.key),
+            candidates = choice.candidates,
+            runs = self.exchange.runs(),
+            last_event = self.last_event.unwrap_or_default().get(),
+            configuration_revision = self.job.configuration_revision.get(),
+            registry_revision = traffic.snapshot().registry_revision.get(),
+            knowledge_age_ms = traffic.shared.confirmed_age().millis().get();
+            "attempt placed"
+        );
+    }
+
+    /// Handles a failed placement: a request whose endpoints are all paused for longer than it
+    /// may wait is refused at once.
+    fn handle_no_endpoint(&mut self, now: MonoTime) -> Vec<ExchangeEffect> {
+        let spec = &self.job.spec;
+        let pause_left = self
+            .traffic
+            .endpoint_table
+            .borrow()
+            .pause_left(now, &spec.service);
+        let input = match pause_left {
+            Some(wait) if !self.exchange.may_wait_for(now, wait) => ExchangeInput::Hopeless {
+                reason: RefusalReason::EndpointsPaused,
+                retry_after_ms: Some(return_delay(wait, spec.deadline.since(now), rand::random())),
+            },
+            _ => ExchangeInput::PlacementFailed,
+        };
+        self.exchange.handle(now, input)
+    }
+}
--- a/crates/relay/src/traffic/exchange/prompt_parts.rs
+++ b/crates/relay/src/traffic/exchange/prompt_parts.rs
@@ -14,7 +14,7 @@
 
 impl ExchangeDriver {
     /// Part of the prompt that is in quarantine.
-    fn quarantined_part(&self) -> Option<PromptPartId> {
+    pub(super) fn quarantined_part(&self) -> Option<PromptPartId> {
         let snapshot = self.traffic.shared.snapshot.load();
         let quarantined = &snapshot.prompt_parts.quarantined;
         if quarantined.is_empty() {
@@ -28,6 +28,11 @@
     /// logs it.
     pub(super) fn check_quarantine(&self) -> Option<PromptPartId> {
         let part = self.quarantined_part()?;
+        self.record_quarantined(&part);
+        Some(part)
+    }
+
+    fn record_quarantined(&self, part: &PromptPartId) {
         let shared = &self.traffic.shared;
         shared.metrics.increment(RelayCounter::RequestsQuarantined);
         log::info!(
@@ -39,12 +44,11 @@
             "prompt part in quarantine"
         );
         self.report(ControlInput::PartRefused(part.clone()));
-        Some(part)
     }
 
-    /// Refuses the request if its prompt has a part in quarantine.
-    pub(super) fn refuse_if_quarantined(&mut self) -> Option<Vec<ExchangeEffect>> {
-        self.check_quarantine()?;
+    /// Refuses the request because a part of its prompt is in quarantine.
+    pub(super) fn refuse_quarantined(&mut self, part: &PromptPartId) -> Vec<ExchangeEffect> {
+        self.record_quarantined(part);
         let now = self.traffic.now();
         let remaining = self.job.spec.deadline.since(now);
         let wait = MIN_RETRY_AFTER_MS.micros();
@@ -53,7 +57,7 @@
             reason: RefusalReason::Quarantined,
             retry_after_ms: Some(delay),
         };
-        Some(self.exchange.handle(now, input))
+        self.exchange.handle(now, input)
     }
 
     /// Reports that the connection of the running attempt has ended, unless its answer was
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -4,8 +4,8 @@
 
 use parsleylatch_decide::relay::{
     Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueueRejection, QueuedStream,
-    RefusalReason, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize, is_hopeless,
-    is_restart_hopeless, retry_delay,
+    RefusalReason, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize, is_restart_hopeless,
+    retry_delay,
 };
 use parsleylatch_types::{ByteCount, Millis};
 
@@ -28,7 +28,7 @@
 
     /// Whether the next attempt may have to wait for an engine: its prompt has to be read
     /// from the start, and its caller has received no event.
-    fn is_queueable(&self, has_copy: bool) -> bool {
+    pub(super) fn is_queueable(&self, has_copy: bool) -> bool {
         let is_stream = self.job.spec.repeat.is_stream();
         let has_events = self.last_event.is_some_and(|it| it.get() > 0);
         let has_prompt = self.job.prompt_holder.is_some() || has_copy;
@@ -42,34 +42,20 @@
         self.is_queueable(false) && is_restart_hopeless(now, spec.deadline, spec.prompt)
     }
 
-    /// Refuses a stream that would run from its start and outlast a stopping process.
-    pub(super) fn refuse_if_outlasting(&mut self, has_copy: bool) -> Option<Vec<ExchangeEffect>> {
+    /// Whether the stream would run from its start and outlast a stopping process.
+    pub(super) fn outlasts_process(&self, has_copy: bool) -> bool {
         if !self.is_stopping || !self.is_queueable(has_copy) {
-            return None;
+            return false;
         }
         let (service, size) = (&self.job.spec.service, self.stream_size());
-        let outlasts = placement_queue::outlasts_process(&self.traffic, service, size);
-        outlasts.then(|| self.exchange.handle(self.traffic.now(), stopping()))
+        placement_queue::outlasts_process(&self.traffic, service, size)
     }
 
-    /// Decides whether an attempt can be sent now. If not, the stream is queued or
-    /// refused, and the effects are returned.
-    pub(super) fn queue_if_full(&mut self, choice: &Choice) -> Option<Vec<ExchangeEffect>> {
-        if !self.is_queueable(choice.copy.is_some()) {
-            return None;
-        }
+    /// Queues a stream that finds the engines full, or refuses it.
+    pub(super) fn enter_queue(&mut self) -> Vec<ExchangeEffect> {
         let now = self.traffic.now();
         let spec = &self.job.spec;
-        if is_hopeless(now, spec.deadline, spec.prompt) {
-            return Some(self.refuse_hopeless());
-        }
         let size = self.stream_size();
-        let must_wait = self
-            .traffic
-            .must_wait(&spec.service, &choice.endpoint.key, size);
-        if self.bypasses_queue || !must_wait {
-            return None;
-        }
         let rank = self.job.workspace.as_ref().and_then(|it| it.rank);
         let stream = QueuedStream {
             rank: rank.unwrap_or(self.job.route.rank),
@@ -107,7 +93,7 @@
             remaining_ms = spec.deadline.since(now).millis().get();
             "engines are full"
         );
-        Some(self.exchange.handle(now, input))
+        self.exchange.handle(now, input)
     }
 
     pub(super) fn handle_assignment(&mut self, assignment: &Assignment) -> Vec<ExchangeEffect> {
@@ -118,8 +104,8 @@
             .shared
             .metrics
             .observe(RelayLatency::QueueWait, waited);
-        if let Some(effects) = self.refuse_if_quarantined() {
-            return effects;
+        if let Some(part) = self.quarantined_part() {
+            return self.refuse_quarantined(&part);
         }
         let choice = match assignment {
             Assignment::Engine(key) => self.choose_assigned(key),
@@ -170,7 +156,11 @@
         )
     }
 
-    fn refuse_hopeless(&mut self) -> Vec<ExchangeEffect> {
+    pub(super) fn refuse_stopping(&mut self) -> Vec<ExchangeEffect> {
+        self.exchange.handle(self.traffic.now(), stopping())
+    }
+
+    pub(super) fn refuse_hopeless(&mut self) -> Vec<ExchangeEffect> {
         let input = ExchangeInput::Hopeless {
             reason: RefusalReason::Hopeless,
             retry_after_ms: None,
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -1,9 +1,9 @@
 //! Updates of the endpoint table, the metrics and the log by an exchange.
 
-use parsleylatch_decide::relay::{Outcome, VersionTrial};
+use parsleylatch_decide::relay::{Outcome, ProbeFailure, VersionTrial};
 use parsleylatch_types::{Micros, MonoTime};
 
-use super::ExchangeDriver;
+use super::{ExchangeDriver, placement::PlaceRefusal};
 use crate::{
     codec::ResponseMetadata,
     input::ControlInput,
@@ -140,6 +140,7 @@
             endpoint:% = sent.key.id,
             reason = reason,
             after_ms = now.since(sent.at).millis().get(),
+            answering_ms = self.exchange.answering_for(now).get(),
             last_event = self.last_event.unwrap_or_default().get();
             "attempt failed"
         );
@@ -148,8 +149,9 @@
         }
     }
 
-    /// Records that the endpoint gives no sign of life while the request stays there.
-    pub(super) fn record_silence(&mut self) {
+    /// Records that the request stays at an endpoint that shows no progress, because it has no
+    /// next place.
+    pub(super) fn record_stay(&mut self, failure: ProbeFailure, refusal: &PlaceRefusal) {
         let Some(sent) = &self.sent else {
             return;
         };
@@ -159,13 +161,20 @@
         let now = self.traffic.now();
         let mut table = self.traffic.endpoint_table.borrow_mut();
         table.record_outcome(now, &sent.key, Outcome::Broken);
+        self.traffic
+            .shared
+            .metrics
+            .increment(RelayCounter::MovesDeclined);
         log::info!(
             id:% = self.job.metadata.id,
             route:% = self.job.route.name,
             endpoint:% = sent.key.id,
+            reason:% = failure,
+            next_place:% = refusal,
+            answering_ms = self.exchange.answering_for(now).get(),
             after_ms = now.since(sent.at).millis().get(),
             last_event = self.last_event.unwrap_or_default().get();
-            "endpoint is silent; the request stays there"
+            "no progress; the request stays at its endpoint"
         );
     }
 
