Relay: a report is evidence only once the endpoint can have read the request

Callers saw 502 after 0.6 to 1.2 s, and a stream that had begun was aborted, at an endpoint that had been silent for a second and had just gone on.

Cause: such an endpoint answers probes before it reads the requests that wait on other connections, and its reports are some hundred milliseconds old. The relay counted the time since the send, which includes the silence, and took one report, or two within milliseconds, for the loss of the request. The class is an absence that counts as proof.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -159,7 +159,7 @@
     /// Whether reports confirm that the endpoint does not have the request, which its caller
     /// may send again elsewhere.
     pub(super) fn is_loss_confirmed(&self) -> bool {
-        self.evidence.is_loss_confirmed() && self.is_repeatable()
+        self.evidence.is_loss_confirmed(self.now) && self.is_repeatable()
     }
 
     /// Whether the request leaves its endpoint for a place that takes it.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -121,9 +121,7 @@
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
             .guard("may_move", ExchangeContext::may_move)
             .guard("may_leave_silent", ExchangeContext::may_leave_silent)
-            .guard("is_request_lost", |it| {
-                it.evidence.is_missing() && it.is_repeatable()
-            })
+            .guard("is_loss_confirmed", ExchangeContext::is_loss_confirmed)
             .guard("has_begun_and_loss_confirmed", |it| {
                 it.has_begun && it.is_loss_confirmed()
             })
@@ -267,7 +265,8 @@
         self.context.left_for
     }
 
-    /// Time since the running attempt was sent.
+    /// Time for which the endpoint of the running attempt has answered probes, or has been
+    /// presumed to. Its reports before are no evidence that it does not have the request.
     pub fn answering_for(&self, now: MonoTime) -> Millis {
         self.context.evidence.answering_for(now).millis()
     }
@@ -405,8 +404,9 @@
             }
             ExchangeInput::ProbeFailed { failure, next } => {
                 match failure {
-                    ProbeFailure::Silent | ProbeFailure::Undelivered => {}
-                    ProbeFailure::Missing => context.evidence.record_missing(),
+                    ProbeFailure::Silent => context.evidence.record_silence(),
+                    ProbeFailure::Undelivered => context.evidence.record_answer(now),
+                    ProbeFailure::Missing => context.evidence.record_missing(now),
                 }
                 context.leaving_for = failure.into();
                 context.record_next(next);
@@ -445,6 +445,9 @@
         if was_paused {
             return self.step(now, ExchangeEvent::ProcessPaused);
         }
+        if is_probing {
+            self.context.evidence.record_silence();
+        }
         machine().expire(&mut self.instance, now, &mut self.context);
         self.take_effects()
     }
