Relay: a stream that a planned stop cuts is aborted and logged

Callers whose streams were still running when a stopping process ended lost their connection without a word, and the log had neither 'stream aborted' nor 'request ended': the chart of the exchange ignored process_ending while a stream runs. A cut by a stop looked like one by a fault.

Such a stream is now aborted with the reason 'stopping' 150 ms before the process ends, 100 ms after the other requests have to have a response.

--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -18,6 +18,7 @@
 use super::{
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey},
+    life,
     stall_detector::StallDetector,
 };
 use crate::charts::{self, LazyMachine};
@@ -322,7 +323,7 @@
     }
 
     /// Sets the time by which a stopping process has to respond. A stream whose events
-    /// arrive may go on until the process ends.
+    /// arrive may go on until shortly before the process ends.
     pub fn set_response_deadline(&mut self, at: MonoTime) {
         self.context.response_deadline = at;
     }
@@ -337,7 +338,9 @@
     /// Time at which the current state ends because the process does.
     fn process_deadline(&self) -> MonoTime {
         match self.state() {
-            ExchangeState::Streaming | ExchangeState::StreamProbing => MonoTime::MAX,
+            ExchangeState::Streaming | ExchangeState::StreamProbing => {
+                life::stream_deadline(self.context.response_deadline)
+            }
             _ => self.context.response_deadline,
         }
     }
--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -13,6 +13,9 @@
 /// Time before the end of the process by which every request has a response, so that the
 /// response can still be written.
 const RESPONSE_MARGIN_MS: Millis = Millis::new(250);
+/// Time before the end of the process by which the streams whose events arrive are aborted, so
+/// that their callers are told.
+const STREAM_MARGIN_MS: Millis = Millis::new(150);
 /// Time before the end of the process from which it accepts no connections, so that the
 /// requests of those accepted last can be finished.
 const CLOSING_RESERVE_MS: Millis = Millis::new(1_500);
@@ -116,6 +119,12 @@
     MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
 }
 
+/// Time until which a stream whose events arrive may go on, if responses are due at
+/// `response_deadline`.
+pub(super) fn stream_deadline(response_deadline: MonoTime) -> MonoTime {
+    response_deadline + RESPONSE_MARGIN_MS.saturating_sub(STREAM_MARGIN_MS)
+}
+
 /// Lifecycle of this relay.
 pub struct RelayLifecycle {
     instance: Instance<RelayState>,
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -365,8 +365,8 @@
     assert_eq!(refusal(&effects), Some((RefusalReason::Stopping, true)));
 }
 
-/// A stream whose events arrive goes on until the process ends; one that waits for its next
-/// attempt is aborted.
+/// A stream whose events arrive goes on until shortly before the process ends; one that waits
+/// for its next attempt is aborted.
 #[test]
 fn process_ending_begun() {
     let mut exchange = begun(RESUMABLE);
@@ -379,6 +379,32 @@
     assert!(matches!(&effects[..], [ExchangeEffect::BreakOff { reason: it }] if *it == reason));
 }
 
+/// A stream that the end of the process cuts is aborted before, so that its caller and the log
+/// know.
+#[test_case(false ; "events arrive")]
+#[test_case(true ; "probe in flight")]
+fn process_ending_streaming_aborted(is_probing: bool) {
+    let mut exchange = begun(RESUMABLE);
+    let mut now = at(110);
+    if is_probing {
+        now = exchange.next_deadline();
+        exchange.expire(now, false, false);
+        assert_eq!(exchange.state(), ExchangeState::StreamProbing);
+    }
+    exchange.set_response_deadline(now);
+    assert!(
+        exchange.next_deadline() > now,
+        "aborted when responses are due"
+    );
+    for _ in 0..20 {
+        now = exchange.next_deadline();
+        if abort_reason(&exchange.expire(now, true, true)) == Some(RefusalReason::Stopping) {
+            break;
+        }
+    }
+    assert_eq!(exchange.state(), ExchangeState::BrokenOff, "at {now}");
+}
+
 #[derive(Clone, Copy, Debug)]
 enum TestInput {
     Placed,
