Relay: a stopping process accepts no stream that it may have to cut

Streams lost their connection at the end of a planned stop, 7.75 s after the signal, while their endpoints were at work; two of them had been sent 2.96 and 3.01 s after it. New streams were accepted until the process stopped waiting for the balancer, 3.2 s after it had noticed the signal, and on the assumption that endpoints are as fast as they were for the last streams. An endpoint that is sound may fall silent for 1.5 s.

A stopping process accepts streams for 2.5 s now, which leaves half a second to notice the signal late, and only those that end in time although their endpoint falls silent for 1.5 s. Others get the 503 with a short Retry-After, not run, as before, so that their callers go elsewhere. Streams that are waiting or that start anew during the stop are judged as before.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -19,6 +19,9 @@
 /// Time before the end of the process from which it accepts no connections, so that the
 /// requests of those accepted last can be finished.
 const CLOSING_RESERVE_MS: Millis = Millis::new(1_500);
+/// Time after the start of a stop until which streams are accepted. Those that are sent in the
+/// first 3 s may still run when the process ends; a busy process notices the stop late.
+const STREAM_ACCEPTANCE_MS: Millis = Millis::new(2_500);
 
 chart_names! {
     /// States of a relay.
@@ -77,6 +80,8 @@
     now: MonoTime,
     /// Latest end of the process.
     stops_at: MonoTime,
+    /// Time until which streams are accepted.
+    accepts_streams_until: MonoTime,
     effects: Vec<RelayEffect>,
 }
 
@@ -138,6 +143,7 @@
             stop_ms,
             now,
             stops_at: MonoTime::MAX,
+            accepts_streams_until: MonoTime::MAX,
             effects: Vec::new(),
         };
         let instance = machine().start(now, &mut context);
@@ -167,6 +173,11 @@
             .then(|| MonoTime::new(stops_at.get().saturating_sub(margin.get())))
     }
 
+    /// Time until which streams are accepted; the maximum before a stop.
+    pub fn accepts_streams_until(&self) -> MonoTime {
+        self.context.accepts_streams_until
+    }
+
     /// Time at which [`RelayLifecycle::expire`] has to be called.
     pub fn next_deadline(&self) -> Option<MonoTime> {
         self.instance.next_deadline()
@@ -178,6 +189,7 @@
         let is_running = matches!(self.state(), RelayState::Starting | RelayState::Serving);
         if event == RelayEvent::StopRequested && is_running {
             self.context.stops_at = self.stop_deadline(now);
+            self.context.accepts_streams_until = now + STREAM_ACCEPTANCE_MS;
         }
         machine().step(&mut self.instance, now, event, &mut self.context);
         std::mem::take(&mut self.context.effects)
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -38,6 +38,9 @@
 /// Time for which engines that did not report their state are not asked for it.
 const UNREPORTED_MEMORY_MS: Millis = Millis::new(10_000);
 
+/// Time for which a sound endpoint may fall silent during a stream.
+const SILENCE_ALLOWANCE_MS: Millis = Millis::new(1_500);
+
 /// Identifies a stream in a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueTicket(u64);
@@ -109,6 +112,8 @@
     durations: StreamDurations,
     /// Time by which a stopping process has to respond.
     response_deadline: MonoTime,
+    /// Time until which streams are accepted.
+    accepts_until: MonoTime,
 }
 
 impl Default for PlacementQueue {
@@ -123,6 +128,7 @@
             unreported_at: None,
             durations: StreamDurations::default(),
             response_deadline: MonoTime::MAX,
+            accepts_until: MonoTime::MAX,
         }
     }
 }
@@ -219,6 +225,17 @@
         self.response_deadline = at;
     }
 
+    /// Sets the time until which new streams are accepted.
+    pub fn set_acceptance_end(&mut self, at: MonoTime) {
+        self.accepts_until = at;
+    }
+
+    /// Whether a new stream is accepted `now`. A stopping process refuses one that would outlast
+    /// it if its endpoint fell silent, as its caller can still be served elsewhere.
+    pub fn accepts(&self, now: MonoTime, size: StreamSize) -> bool {
+        now < self.accepts_until && !self.outlasts_process(now + SILENCE_ALLOWANCE_MS, size)
+    }
+
     /// Records that one attempt has run a whole stream in `duration`.
     pub fn record_finished(&mut self, size: StreamSize, duration: Micros) {
         self.durations.record(size, duration);
--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -407,6 +407,24 @@
     assert!(queue.is_empty());
 }
 
+/// A stopping process accepts a new stream only if it can complete it although its endpoint falls
+/// silent, and none after a certain time.
+#[test_case(0, true ; "in time")]
+#[test_case(1_100, true ; "just in time")]
+#[test_case(1_200, false ; "not in time after a silence")]
+#[test_case(2_700, false ; "not in time")]
+fn stream_accepted_at_stop(now_ms: u64, is_accepted: bool) {
+    let mut queue = PlacementQueue::default();
+    assert!(queue.accepts(at(now_ms), SIZE));
+    // A stream of this size takes up to 4.9 s.
+    queue.set_response_deadline(at(7_500));
+    assert_eq!(queue.accepts(at(now_ms), SIZE), is_accepted);
+    queue.set_acceptance_end(at(now_ms + 1));
+    assert_eq!(queue.accepts(at(now_ms), SIZE), is_accepted);
+    queue.set_acceptance_end(at(now_ms));
+    assert!(!queue.accepts(at(now_ms), SIZE));
+}
+
 /// Streams that take longer under load, or some of which do, are expected to do so in a stop
 /// as well.
 #[test_case(&[50], 100, 100 ; "shorter than the maximum")]
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -595,6 +595,9 @@
     let end = lifecycle.next_deadline().unwrap();
     assert!(end > at(8_700), "requests are cut at {end}");
     assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    // Streams that are sent in the first 3 s of a stop may be cut at its end.
+    let accepts_until = lifecycle.accepts_streams_until();
+    assert!(accepts_until > at(3_000) && accepts_until <= at(3_700));
     // All responses are due early enough to be written.
     let respond_by = lifecycle.response_deadline().unwrap();
     assert!(
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -385,6 +385,8 @@
                     if let Some(deadline) = self.lifecycle.response_deadline() {
                         self.shared.set_response_deadline(deadline);
                     }
+                    self.shared
+                        .set_accepts_streams_until(self.lifecycle.accepts_streams_until());
                     self.shared.phase.send_replace(LifecyclePhase::NotReady);
                 }
                 RelayEffect::CloseIdle => {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -85,6 +85,8 @@
     started_trials: AtomicU64,
     /// Time by which a stopping process has to respond.
     response_deadline: AtomicU64,
+    /// Time until which streams are accepted.
+    accepts_streams_until: AtomicU64,
     /// When the store, or a node that reads it, last confirmed the known state.
     confirmed_at: AtomicU64,
     /// Whether the last call to the store failed.
@@ -113,6 +115,7 @@
             in_flight: AtomicUsize::new(0),
             started_trials: AtomicU64::new(0),
             response_deadline: AtomicU64::new(u64::MAX),
+            accepts_streams_until: AtomicU64::new(u64::MAX),
             confirmed_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
         }
@@ -146,6 +149,16 @@
         self.response_deadline.store(at.get(), Ordering::Relaxed);
     }
 
+    /// Time until which streams are accepted; the maximum before a stop.
+    pub(crate) fn accepts_streams_until(&self) -> MonoTime {
+        MonoTime::new(self.accepts_streams_until.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_accepts_streams_until(&self, at: MonoTime) {
+        self.accepts_streams_until
+            .store(at.get(), Ordering::Relaxed);
+    }
+
     /// Waits until a stopping process has to respond.
     pub(crate) async fn wait_for_response_deadline(&self) {
         self.wait_for_phase(LifecyclePhase::NotReady).await;
--- a/crates/relay/src/traffic/placement_queue.rs
+++ b/crates/relay/src/traffic/placement_queue.rs
@@ -40,10 +40,12 @@
         &self.queue
     }
 
-    /// Applies the time by which a stopping process has to respond.
+    /// Applies the times of a planned stop.
     fn follow_stop(&mut self, traffic: &Traffic) {
+        let shared = &traffic.shared;
+        self.queue.set_response_deadline(shared.response_deadline());
         self.queue
-            .set_response_deadline(traffic.shared.response_deadline());
+            .set_acceptance_end(shared.accepts_streams_until());
     }
 
     /// Rejects the streams that can't be served any more.
@@ -134,6 +136,15 @@
     queue.queue.outlasts_process(now, size)
 }
 
+/// Whether a new stream is accepted now.
+pub(crate) fn accepts(traffic: &Traffic, service: &ServiceName, size: StreamSize) -> bool {
+    let now = traffic.now();
+    let mut queues = traffic.placement_queues.borrow_mut();
+    let queue = queues.entry(service.clone()).or_default();
+    queue.follow_stop(traffic);
+    queue.queue.accepts(now, size)
+}
+
 /// Records that one attempt has run a whole stream.
 pub(crate) fn record_finished(
     traffic: &Traffic,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -239,7 +239,7 @@
                 output: metadata.max_output_tokens,
             };
             shared.phase() >= LifecyclePhase::Draining
-                || placement_queue::outlasts_process(traffic, service, size)
+                || !placement_queue::accepts(traffic, service, size)
         }
         RepeatPolicy::Idempotent | RepeatPolicy::OnceOnly => deadline > shared.response_deadline(),
     }
