HTTP listener: connections that are established while it is closed are returned

Between the last look into the queue of a listening socket and its end the kernel goes on establishing connections, and resets them with the socket. The window is as long as the process stands still there, a tenth of a second on a part of a core.

--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{ErrorKind, Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -68,3 +68,40 @@
     });
     assert!(is_closed.await.unwrap(), "open after {HEAD_LIMIT:?}");
 }
+
+/// Clients that connect while the listener is closed, and rounds of that.
+const CLOSING_CLIENTS: usize = 4;
+const CLOSING_ROUNDS: usize = 150;
+/// Connections of each client; together they don't fill the queue of the listener.
+const CLIENT_CONNECTIONS: usize = 200;
+
+/// A connection that a client sees established is among those that the listener returns.
+#[tokio::test]
+async fn closing_keeps_established_connections() {
+    let mut established = 0;
+    let mut returned = 0;
+    for _ in 0..CLOSING_ROUNDS {
+        let (address, listeners) = bind_group("127.0.0.1:0".parse().unwrap(), 1).unwrap();
+        let listener = listeners.into_iter().next().unwrap();
+        let listener = NodelayListener::from_std(listener).unwrap();
+        let clients: Vec<_> = (0..CLOSING_CLIENTS)
+            .map(|_| thread::spawn(move || connect_until_refused(address)))
+            .collect();
+        thread::sleep(Duration::from_millis(1));
+        let (waiting, failure) = listener.close().await;
+        assert!(failure.is_none(), "{failure:?}");
+        returned += waiting.len();
+        let connections = clients.into_iter().map(|it| it.join().unwrap().len());
+        established += connections.sum::<usize>();
+    }
+    assert!(returned > CLOSING_ROUNDS, "{returned}");
+    assert_eq!(established, returned, "established, and returned");
+}
+
+/// The connections of a client that connects until the listener no longer answers.
+fn connect_until_refused(address: SocketAddr) -> Vec<TcpStream> {
+    let limit = Duration::from_millis(100);
+    std::iter::from_fn(|| TcpStream::connect_timeout(&address, limit).ok())
+        .take(CLIENT_CONNECTIONS)
+        .collect()
+}
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -71,9 +71,9 @@
         }
     }
     // Connections that the kernel has accepted may carry requests already.
-    let (waiting, failure) = listener.close();
+    let (waiting, failure) = listener.close().await;
     if let Some(error) = failure {
-        log::warn!(error:% = error; "accepting the last caller connections failed");
+        log::warn!(error:% = error; "closing the caller listener failed");
     }
     for stream in waiting {
         serve(&traffic, &open, stream);
