Relay: a stopping process waits 1.5 s for the first request of a connection

stop_answers_accepted_callers failed beside load in a second way too: 'connected after 2.738 s, sent after 3.987 s, ended after 3.987 s: closed'. The connection was closed 0.5 s after the process had stopped waiting for the balancer, without a request, and the request was sent after that. On a busy machine, and through a proxy that has few turns, half a second is not enough between a connection and its first request. This also fits the lost request of planned_stops_lose_no_request: its connection ended 868 ms after it was sent through the soak's proxy, and no relay had read its head.

The process now waits 1.5 s for it, but no longer than until responses are due, and reads once more before it closes the connection, as for the other reasons to close one. A connection that is never used makes a stop up to a second longer.

--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -32,8 +32,9 @@
 const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
 /// Time for which a stopping relay waits for the first request of a connection, or for one
-/// whose head has begun to arrive.
-const REQUEST_WAIT: Duration = Duration::from_millis(500);
+/// whose head has begun to arrive. On a busy machine a request may reach it long after the
+/// connection.
+const REQUEST_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Time for which the rest of the body of a refused request is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -98,7 +99,7 @@
             tokio::select! {
                 biased;
                 ended = run(Pin::new(&mut connection), &mut timer) => ended,
-                () = time::sleep(REQUEST_WAIT) => {
+                () = wait_for_request(&shared) => {
                     drop(awaited.take());
                     Pin::new(&mut connection).graceful_shutdown();
                     run(Pin::new(&mut connection), &mut timer).await
@@ -125,6 +126,16 @@
     time::sleep(LAST_READ_DELAY).await;
 }
 
+/// Waits until a connection without a request is closed, and until the runtime has noticed a
+/// request that arrived before.
+async fn wait_for_request(shared: &Shared) {
+    tokio::select! {
+        () = time::sleep(REQUEST_WAIT) => {}
+        () = shared.wait_for_response_deadline() => {}
+    }
+    time::sleep(LAST_READ_DELAY).await;
+}
+
 /// Reads the rest of a refused request's body.
 ///
 /// Closing a socket with unread bytes resets it, and a reset discards a response that the
