Relay: the last connections are counted before a thread reports that its listener is closed

The thread that reports last told the control thread, without order between what the other threads had counted and their own reports: on arm64 the process could see no request in flight and end, while connections that another thread had just accepted were not read. Found by reading; not seen in a run, and no test shows it.

--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -183,7 +183,8 @@
     /// Reports that a traffic thread has closed its listener, and that it counts the connections
     /// that it accepted last as in flight.
     pub(crate) async fn report_listener_closed(&self) {
-        if self.accepting_threads.fetch_sub(1, Ordering::Relaxed) == 1 {
+        // What the other threads have counted is known to the last one.
+        if self.accepting_threads.fetch_sub(1, Ordering::AcqRel) == 1 {
             // Fails only while the control loop stops.
             let _ = self.control.send(ControlInput::ListenersClosed).await;
         }
