Relay: a planned stop logs the connections that it did not read

A connection that a planned stop closed without having read a request left no line, so that a lost request of which no relay had read the head could not be told from one that never arrived. It now leaves 'caller connection closed without a request' with its age; 'caller listener closed' has the number of connections that waited in the queue, and 'stopped' how many were closed or still open without a request.

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -397,7 +397,12 @@
                 }
                 RelayEffect::Stop => {
                     self.is_stopped = true;
-                    log::info!(in_flight = self.shared.in_flight(); "stopped");
+                    log::info!(
+                        in_flight = self.shared.in_flight(),
+                        closed_unread = self.shared.closed_unread(),
+                        open_unread = self.shared.unread_connections();
+                        "stopped"
+                    );
                     telemetry::flush_log();
                 }
             }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -80,6 +80,10 @@
     /// Store revision of the known endpoints and nodes; zero if none are known.
     known_revision: AtomicU64,
     in_flight: AtomicUsize,
+    /// Open connections of callers of which no request was read.
+    unread_connections: AtomicUsize,
+    /// Connections that a planned stop closed before a request was read.
+    closed_unread: AtomicUsize,
     /// Traffic threads that have not closed their listener.
     accepting_threads: AtomicUsize,
     started_trials: AtomicU64,
@@ -113,6 +117,8 @@
             reads_store: watch::Sender::new(true),
             known_revision: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
+            unread_connections: AtomicUsize::new(0),
+            closed_unread: AtomicUsize::new(0),
             started_trials: AtomicU64::new(0),
             response_deadline: AtomicU64::new(u64::MAX),
             accepts_streams_until: AtomicU64::new(u64::MAX),
@@ -180,6 +186,29 @@
         InFlightGuard(Arc::clone(self))
     }
 
+    /// Counts the first request of a connection as in flight, and the connection as unread.
+    pub(crate) fn await_request(self: &Arc<Self>) -> AwaitedRequest {
+        self.unread_connections.fetch_add(1, Ordering::Relaxed);
+        AwaitedRequest {
+            in_flight: self.track_request(),
+            _unread: UnreadGuard(Arc::clone(self)),
+        }
+    }
+
+    /// Number of open connections of which no request was read.
+    pub(crate) fn unread_connections(&self) -> usize {
+        self.unread_connections.load(Ordering::Relaxed)
+    }
+
+    /// Number of connections that a planned stop closed before a request was read.
+    pub(crate) fn closed_unread(&self) -> usize {
+        self.closed_unread.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn record_closed_unread(&self) {
+        self.closed_unread.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Reports that a traffic thread has closed its listener, and that it counts the connections
     /// that it accepted last as in flight.
     pub(crate) async fn report_listener_closed(&self) {
@@ -270,3 +299,18 @@
         }
     }
 }
+
+/// First request of a connection, until it is read.
+pub(crate) struct AwaitedRequest {
+    pub(crate) in_flight: InFlightGuard,
+    _unread: UnreadGuard,
+}
+
+/// Counts a connection as unread until it is dropped.
+struct UnreadGuard(Arc<Shared>);
+
+impl Drop for UnreadGuard {
+    fn drop(&mut self) {
+        self.0.unread_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -25,7 +25,7 @@
     request_handler, responses,
     state::Traffic,
 };
-use crate::shared::{InFlightGuard, LifecyclePhase, Shared};
+use crate::shared::{AwaitedRequest, InFlightGuard, LifecyclePhase, Shared};
 
 /// Delay before an idle or slow connection is closed, in which the runtime notices data that
 /// has arrived in time.
@@ -47,7 +47,7 @@
 
 /// Serves one connection until it is closed. `awaited` counts its first request as in
 /// flight, so that a stopping relay does not end between accepting and reading it.
-pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: InFlightGuard) {
+pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: AwaitedRequest) {
     let limits = request_handler::limits(&traffic.snapshot());
     let mut builder = http1::Builder::new();
     // The connection's own timer replaces the timeout of the library.
@@ -59,6 +59,7 @@
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
     let shared = Arc::clone(&traffic.shared);
+    let accepted_at = shared.now();
     let received = inspection.clone();
     let awaited = Rc::new(Cell::new(Some(awaited)));
     let first_request = Rc::clone(&awaited);
@@ -66,7 +67,7 @@
         let traffic = Rc::clone(&traffic);
         let head = inspection.take_head();
         let has_next_head = inspection.has_next_head();
-        let awaited = first_request.take();
+        let awaited = first_request.take().map(|it| it.in_flight);
         let guard = connection_activity.begin_request();
         let request = request.map(|body| ReceivedBody::new(body, Some(progress.clone())));
         async move {
@@ -100,7 +101,14 @@
                 biased;
                 ended = run(Pin::new(&mut connection), &mut timer) => ended,
                 () = wait_for_request(&shared) => {
-                    drop(awaited.take());
+                    if awaited.take().is_some() {
+                        shared.record_closed_unread();
+                        log::info!(
+                            has_partial_head = received.has_partial_head(),
+                            age_ms = shared.now().since(accepted_at).millis().get();
+                            "caller connection closed without a request"
+                        );
+                    }
                     Pin::new(&mut connection).graceful_shutdown();
                     run(Pin::new(&mut connection), &mut timer).await
                 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -75,6 +75,7 @@
     if let Some(error) = failure {
         log::warn!(error:% = error; "closing the caller listener failed");
     }
+    log::info!(waiting = waiting.len(); "caller listener closed");
     for stream in waiting {
         serve(&traffic, &open, stream);
     }
@@ -94,7 +95,7 @@
 fn serve(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, stream: TcpStream) {
     open.set(open.get() + 1);
     let (traffic, open) = (Rc::clone(traffic), Rc::clone(open));
-    let awaited = traffic.shared.track_request();
+    let awaited = traffic.shared.await_request();
     tokio::task::spawn_local(async move {
         let shared = Arc::clone(&traffic.shared);
         tokio::select! {
