Relay: a stream leaves a silent endpoint only for one that has just answered

The next endpoint is now asked for its state first, and the stream moves (place_confirmed) once it has answered and has a slot. A retry is taken only then. Calls, whose endpoints have no state to ask for, move as before.

Reports 800 ms apart confirm a loss, which covers a report's age and a late read of the request. silent_endpoint_readmitted draws two such reports for a lost request, as one confirms nothing. exchange_invariants draws all next steps and all failures of probes.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -19,8 +19,8 @@
 
 /// Divisor of the response time goal that gives the maximum wait for an endpoint.
 const PLACEMENT_WAIT_GOAL_DIVISOR: u64 = 8;
-/// Maximum wait for an endpoint that resumes a stream. Callers wait two seconds for
-/// the next event.
+/// Maximum wait for an endpoint that resumes a stream, or takes back a request that has left a
+/// silent one. Callers wait two seconds for the next event.
 const RESUME_PLACEMENT_WAIT_MS: Millis = Millis::new(3_000);
 /// Maximum number of attempts that did not run. Each one costs a round trip to another
 /// endpoint; after a crash, several lost endpoints may still be listed.
@@ -150,12 +150,6 @@
         !self.has_begun && self.is_repeatable() && silence >= SILENCE_LIMIT_MS.micros()
     }
 
-    /// Whether nothing has shown the request at its endpoint for longer than a sound endpoint
-    /// is silent.
-    pub(super) fn is_long_silent_at(&self, now: MonoTime) -> bool {
-        self.evidence.silent_for(now) >= LONG_SILENCE_MS.micros()
-    }
-
     /// Whether reports confirm that the endpoint does not have the request, which its caller
     /// may send again elsewhere.
     pub(super) fn is_loss_confirmed(&self) -> bool {
@@ -167,9 +161,16 @@
         self.choice.is_some() && self.is_repeatable()
     }
 
-    /// Whether the request leaves its endpoint for any place, because of a long silence.
-    pub(super) fn may_leave_silent(&self) -> bool {
-        self.may_retry && self.is_repeatable() && self.is_long_silent_at(self.now)
+    /// Whether the request leaves its endpoint for any place: after a long silence, or once
+    /// reports confirm that the endpoint does not have it.
+    pub(super) fn may_leave_for_any(&self) -> bool {
+        self.may_retry && self.is_repeatable() && self.is_given_up_at(self.now)
+    }
+
+    /// Whether the endpoint is not expected to answer the request any more.
+    pub(super) fn is_given_up_at(&self, now: MonoTime) -> bool {
+        self.evidence.is_loss_confirmed(now)
+            || self.evidence.silent_for(now) >= LONG_SILENCE_MS.micros()
     }
 
     /// Records what may follow the current input.
@@ -203,13 +204,10 @@
         waited.is_none_or(|waited| waited < self.placement_wait().micros())
     }
 
-    /// Longest wait for an endpoint. A request that has left a silent endpoint may return
-    /// there as long as its caller waits.
+    /// Longest wait for an endpoint. One that is silent goes on within that of a resumption.
     pub(super) fn placement_wait(&self) -> Millis {
-        if self.has_begun {
+        if self.has_begun || self.has_left_silent {
             RESUME_PLACEMENT_WAIT_MS
-        } else if self.has_left_silent {
-            self.spec.deadline.since(self.started_at).millis()
         } else {
             Millis::new(self.spec.goal_ms.get() / PLACEMENT_WAIT_GOAL_DIVISOR)
         }
@@ -301,8 +299,12 @@
             return;
         };
         self.left_for = Some(self.leaving_for);
-        if self.leaving_for.is_silence() {
-            self.has_left_silent = true;
+        let may_answer = match self.leaving_for {
+            LeaveReason::Missing => !self.evidence.is_loss_confirmed(self.now),
+            reason => reason.is_silence(),
+        };
+        self.has_left_silent |= may_answer;
+        if may_answer || self.leaving_for == LeaveReason::Unanswered {
             self.silent.push(left.key.clone());
         }
         self.failed.push(left.key.clone());
--- a/crates/decide/src/relay/exchange/evidence.rs
+++ b/crates/decide/src/relay/exchange/evidence.rs
@@ -8,7 +8,7 @@
 use parsleylatch_types::{Micros, Millis, MonoTime};
 
 /// Time between the first and the last of the reports that confirm the loss of a request.
-const LOSS_CONFIRMING_MS: Millis = Millis::new(400);
+const LOSS_CONFIRMING_MS: Millis = Millis::new(800);
 
 /// Signs of life of the endpoint of one attempt.
 #[derive(Debug)]
@@ -40,13 +40,14 @@
 
     /// Records a report without the request.
     pub(super) fn record_missing(&mut self, now: MonoTime) {
-        self.record_answer(now);
+        self.answering_since.get_or_insert(now);
         self.missing_since.get_or_insert(now);
     }
 
     /// Records a report that tells nothing about the request.
     pub(super) fn record_answer(&mut self, now: MonoTime) {
         self.answering_since.get_or_insert(now);
+        self.missing_since = None;
     }
 
     /// Records a probe without an answer.
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -70,6 +70,11 @@
         /// Whether the retry budget allows another attempt.
         may_retry: bool,
     },
+    /// The endpoint did not accept a connection in time, and may do so later.
+    Unanswered {
+        /// Whether the retry budget allows another attempt.
+        may_retry: bool,
+    },
     /// Nothing was sent to the endpoint.
     Unsent {
         /// Whether the retry budget allows another attempt.
@@ -93,6 +98,14 @@
         /// What may follow.
         next: NextStep,
     },
+    /// Another endpoint has shown that it answers, and takes the request, which leaves its
+    /// attempt.
+    PlaceConfirmed {
+        /// Why it leaves.
+        reason: LeaveReason,
+        /// The endpoint that takes it.
+        choice: Box<Choice>,
+    },
     /// The caller disconnected.
     CallerGone,
 }
@@ -136,6 +149,8 @@
     Missing,
     /// The connection ended, or its response was unusable.
     Lost,
+    /// The endpoint did not accept a connection in time.
+    Unanswered,
     /// The request could not be sent.
     Unsent,
     /// The endpoint did not run the request.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -92,6 +92,8 @@
         ProbeAnswered,
         /// The probe was not answered, or the endpoint does not have the request.
         ProbeFailed,
+        /// Another endpoint takes the request.
+        PlaceConfirmed,
         /// The timeout of the state expired.
         TimedOut,
         /// The timeout of the state expired while this process was paused.
@@ -120,7 +122,7 @@
             .guard("is_incomplete", |it| it.is_incomplete)
             .guard("may_repeat", |it| it.may_retry && it.is_repeatable())
             .guard("may_move", ExchangeContext::may_move)
-            .guard("may_leave_silent", ExchangeContext::may_leave_silent)
+            .guard("may_leave_for_any", ExchangeContext::may_leave_for_any)
             .guard("is_loss_confirmed", ExchangeContext::is_loss_confirmed)
             .guard("has_begun_and_loss_confirmed", |it| {
                 it.has_begun && it.is_loss_confirmed()
@@ -271,10 +273,10 @@
         self.context.evidence.answering_for(now).millis()
     }
 
-    /// Whether the endpoint of the running attempt has given no sign of life for longer than a
-    /// sound one does.
-    pub fn is_long_silent(&self, now: MonoTime) -> bool {
-        self.context.is_long_silent_at(now)
+    /// Whether the endpoint of the running attempt is not expected to answer any more: it has
+    /// been silent for longer than a sound one is, or does not have the request.
+    pub fn is_given_up(&self, now: MonoTime) -> bool {
+        self.context.is_given_up_at(now)
     }
 
     /// Time since the start.
@@ -382,6 +384,16 @@
                 context.is_incomplete = true;
                 context.record_response(class, may_retry)
             }
+            ExchangeInput::Unanswered { may_retry } => {
+                context.may_retry = may_retry;
+                context.leaving_for = LeaveReason::Unanswered;
+                ExchangeEvent::Unsent
+            }
+            ExchangeInput::PlaceConfirmed { reason, choice } => {
+                context.leaving_for = reason;
+                context.record_next(NextStep::Move(choice));
+                ExchangeEvent::PlaceConfirmed
+            }
             ExchangeInput::Unsent { may_retry } => {
                 context.may_retry = may_retry;
                 context.leaving_for = LeaveReason::Unsent;
--- a/crates/decide/tests/exchange.rs
+++ b/crates/decide/tests/exchange.rs
@@ -4,8 +4,8 @@
 
 use parsleylatch_decide::relay::{
     Choice, CopySource, EndpointEntry, EndpointKey, Exchange, ExchangeEffect, ExchangeInput,
-    ExchangeSpec, ExchangeState, MemoryCopy, NextStep, ProbeFailure, RefusalReason, RepeatPolicy,
-    ResponseClass,
+    ExchangeSpec, ExchangeState, LeaveReason, MemoryCopy, NextStep, ProbeFailure, RefusalReason,
+    RepeatPolicy, ResponseClass,
 };
 use parsleylatch_types::{Incarnation, Millis, MonoTime, SlotCount, TokenCount};
 use proptest::prelude::*;
@@ -425,15 +425,40 @@
     Finished,
     ProbeFailed,
     RequestLost,
+    Undelivered,
+    PlaceConfirmed,
+    Unanswered,
     Deadline,
     Stop,
     CallerGone,
 }
 
+/// What the front end has found, drawn for each input that may leave an attempt.
+#[derive(Clone, Copy, Debug)]
+enum TestStep {
+    Stay,
+    Retry,
+    Move,
+}
+
+impl TestStep {
+    fn next(self, number: u16) -> NextStep {
+        match self {
+            Self::Stay => NextStep::Stay,
+            Self::Retry => NextStep::Retry,
+            Self::Move => move_to(number),
+        }
+    }
+}
+
+fn test_step() -> impl Strategy<Value = TestStep> {
+    proptest::sample::select(vec![TestStep::Stay, TestStep::Retry, TestStep::Move])
+}
+
 fn test_input() -> impl Strategy<Value = TestInput> {
     use TestInput::{
-        Answered, CallerGone, Deadline, Event, Failed, Finished, Lost, NotRun, Placed,
-        PlacementFailed, ProbeFailed, RequestLost, Stop, Unsent,
+        Answered, CallerGone, Deadline, Event, Failed, Finished, Lost, NotRun, PlaceConfirmed,
+        Placed, PlacementFailed, ProbeFailed, RequestLost, Stop, Unanswered, Undelivered, Unsent,
     };
     proptest::sample::select(vec![
         Placed,
@@ -451,6 +476,9 @@
         Finished,
         ProbeFailed,
         RequestLost,
+        Undelivered,
+        PlaceConfirmed,
+        Unanswered,
         Deadline,
         Deadline,
         Stop,
@@ -520,13 +548,26 @@
     }
 }
 
+/// Whether the attempt is over.
+fn leaves(effects: &[ExchangeEffect]) -> bool {
+    effects.iter().any(|effect| {
+        matches!(
+            effect,
+            ExchangeEffect::Open(_) | ExchangeEffect::Place { .. } | ExchangeEffect::Refuse { .. }
+        )
+    })
+}
+
 proptest! {
     /// For any sequence of inputs: one response, one attempt at a time, no second run of
     /// a request that may run only once, no false "not run", and no response in a stream.
     #[test]
     fn exchange_invariants(
         repeat in repeats(),
-        inputs in proptest::collection::vec((test_input(), any::<bool>(), 0_u64..500), 1..60),
+        inputs in proptest::collection::vec(
+            (test_input(), any::<bool>(), test_step(), 0_u64..500),
+            1..60,
+        ),
     ) {
         let spec = spec(repeat);
         let attempts = spec.attempts;
@@ -535,7 +576,7 @@
         history.record(repeat, attempts, &effects);
         let mut now = at(0);
         let mut number = 1;
-        for (input, may_retry, elapsed_ms) in inputs {
+        for (input, may_retry, step, elapsed_ms) in inputs {
             if exchange.is_over() {
                 break;
             }
@@ -580,38 +621,37 @@
                 TestInput::Finished if state == ExchangeState::Streaming => {
                     exchange.handle(now, ExchangeInput::Finished)
                 }
-                TestInput::ProbeFailed | TestInput::RequestLost
+                TestInput::ProbeFailed | TestInput::RequestLost | TestInput::Undelivered
                     if matches!(state, ExchangeState::Probing | ExchangeState::StreamProbing) =>
                 {
-                    let is_request_lost = matches!(input, TestInput::RequestLost);
-                    let failure = match is_request_lost {
-                        true => ProbeFailure::Missing,
-                        false => ProbeFailure::Silent,
+                    let failure = match input {
+                        TestInput::RequestLost => ProbeFailure::Missing,
+                        TestInput::Undelivered => ProbeFailure::Undelivered,
+                        _ => ProbeFailure::Silent,
                     };
                     number += 1;
-                    let next = match may_retry {
-                        true => move_to(number),
-                        false => NextStep::Stay,
-                    };
-                    let effects = exchange.handle(now, probe_failed(failure, next));
-                    if matches!(effects[..], [ExchangeEffect::Open(_)]) {
+                    let effects = exchange.handle(now, probe_failed(failure, step.next(number)));
+                    if leaves(&effects) {
                         history.close(true);
                     }
                     effects
                 }
+                TestInput::PlaceConfirmed if open && exchange.allows_retry(true) => {
+                    number += 1;
+                    history.close(true);
+                    let reason = LeaveReason::Silent;
+                    let choice = choice(number);
+                    exchange.handle(now, ExchangeInput::PlaceConfirmed { reason, choice })
+                }
+                TestInput::Unanswered if state == ExchangeState::AwaitingResponse => {
+                    history.close(false);
+                    exchange.handle(now, ExchangeInput::Unanswered { may_retry })
+                }
                 TestInput::Deadline => {
                     now = now.max(exchange.next_deadline());
                     number += 1;
-                    let next = match may_retry {
-                        true if state == ExchangeState::AwaitingRetry => NextStep::Retry,
-                        true => move_to(number),
-                        false => NextStep::Stay,
-                    };
-                    let effects = exchange.expire(now, false, next);
-                    let leaves = effects.iter().any(|effect| {
-                        matches!(effect, ExchangeEffect::Open(_) | ExchangeEffect::Refuse { .. })
-                    });
-                    if leaves {
+                    let effects = exchange.expire(now, false, step.next(number));
+                    if leaves(&effects) {
                         history.close(true);
                     }
                     effects
@@ -628,12 +668,12 @@
     }
 }
 
-/// Without a next place, a request is refused once reports 400 ms apart show that its endpoint
+/// Without a next place, a request is refused once reports 800 ms apart show that its endpoint
 /// has lost it, so that the caller can resume at another node. At an endpoint that is merely
 /// silent it waits.
-#[test_case(ProbeFailure::Missing, 1_249, false ; "one observation")]
-#[test_case(ProbeFailure::Missing, 1_250, true ; "request lost")]
-#[test_case(ProbeFailure::Silent, 1_250, false ; "silent")]
+#[test_case(ProbeFailure::Missing, 1_649, false ; "one observation")]
+#[test_case(ProbeFailure::Missing, 1_650, true ; "request lost")]
+#[test_case(ProbeFailure::Silent, 1_650, false ; "silent")]
 #[test_case(ProbeFailure::Silent, 2_999, false ; "silent for long")]
 #[test_case(ProbeFailure::Silent, 3_000, true ; "silent too long")]
 fn probe_failed_without_budget_refused(failure: ProbeFailure, at_ms: u64, is_refused: bool) {
@@ -672,7 +712,7 @@
     Silence,
 }
 
-/// A stream that has begun is aborted if reports 400 ms apart show that its endpoint has lost
+/// A stream that has begun is aborted if reports 800 ms apart show that its endpoint has lost
 /// it; its caller can resume it elsewhere. Silence never aborts it.
 #[test_case(ProbeFailure::Missing, 1_150, Between::Nothing, true ; "request lost")]
 #[test_case(ProbeFailure::Missing, 1_150, Between::Event, false ; "event after the first report")]
@@ -724,16 +764,18 @@
 }
 
 /// A stream that was moved off a silent endpoint may return there once every other endpoint
-/// has rejected it; not to one that has lost it.
+/// has rejected it; not to one that has confirmed its loss.
 #[test_case(ProbeFailure::Silent, &[2] ; "silent")]
 #[test_case(ProbeFailure::Missing, &[1, 2] ; "request lost")]
 fn silent_endpoint_readmitted(failure: ProbeFailure, excluded_numbers: &[u16]) {
     let mut exchange = begun(RESUMABLE);
     exchange.expire(at(1_000), false, NextStep::Stay);
-    exchange.handle(at(1_150), probe_failed(failure, move_to(2)));
-    exchange.handle(at(1_160), answered(ResponseClass::NotRun, true));
-    exchange.handle(at(1_160), ExchangeInput::PlacementFailed);
-    let effects = exchange.expire(at(1_185), false, NextStep::Stay);
+    exchange.handle(at(1_150), probe_failed(failure, NextStep::Stay));
+    exchange.expire(exchange.next_deadline(), false, NextStep::Stay);
+    exchange.handle(at(1_950), probe_failed(failure, move_to(2)));
+    exchange.handle(at(1_960), answered(ResponseClass::NotRun, true));
+    exchange.handle(at(1_960), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(1_985), false, NextStep::Stay);
     let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
         panic!("{effects:?}");
     };
@@ -889,3 +931,92 @@
     let effects = exchange.handle(at(300), answer_begun(class, false));
     assert_eq!(abort_reason(&effects), Some(RefusalReason::Errored));
 }
+
+/// One report without the request confirms no loss, so the endpoint may still answer.
+#[test]
+fn missing_once_rejected_elsewhere_waits() {
+    let mut exchange = sent(RESUMABLE);
+    exchange.expire(at(400), false, NextStep::Stay);
+    exchange.handle(at(850), probe_failed(ProbeFailure::Missing, move_to(2)));
+    let effects = exchange.handle(at(860), answered(ResponseClass::NotRun, false));
+    assert!(effects.is_empty(), "{effects:?}");
+}
+
+/// As before: the endpoint is eligible again once no other one is.
+#[test]
+fn missing_once_readmitted() {
+    let mut exchange = begun(RESUMABLE);
+    exchange.expire(at(1_000), false, NextStep::Stay);
+    exchange.handle(at(1_150), probe_failed(ProbeFailure::Missing, move_to(2)));
+    exchange.handle(at(1_160), answered(ResponseClass::NotRun, true));
+    exchange.handle(at(1_160), ExchangeInput::PlacementFailed);
+    let effects = exchange.expire(at(1_185), false, NextStep::Stay);
+    let [ExchangeEffect::Place { excluded, .. }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(*excluded, [entry(2).key.clone()]);
+}
+
+/// Endpoints that accept no connection for a second are used again once no other one is
+/// eligible.
+#[test]
+fn unreachable_endpoints_readmitted() {
+    let mut exchange = begun(RESUMABLE);
+    exchange.expire(at(1_000), false, NextStep::Stay);
+    exchange.handle(at(1_150), probe_failed(ProbeFailure::Silent, move_to(2)));
+    exchange.handle(at(1_400), ExchangeInput::Unanswered { may_retry: true });
+    exchange.handle(at(1_400), ExchangeInput::PlacementFailed);
+    exchange.expire(at(1_425), false, NextStep::Stay);
+    exchange.handle(at(1_425), placed(1));
+    exchange.handle(at(1_675), ExchangeInput::Unanswered { may_retry: true });
+    let mut now_ms = 1_675;
+    while now_ms < 6_000 && !exchange.is_over() {
+        let effects = exchange.handle(at(now_ms), ExchangeInput::PlacementFailed);
+        if exchange.is_over() {
+            panic!("{now_ms} ms: {effects:?}");
+        }
+        now_ms += 25;
+        let effects = exchange.expire(at(now_ms), false, NextStep::Stay);
+        if let [ExchangeEffect::Place { excluded, .. }] = &effects[..]
+            && excluded.len() < 2
+        {
+            return;
+        }
+    }
+    panic!("no endpoint was eligible again");
+}
+
+/// A report that shows undelivered events of the request is no loss of it.
+#[test]
+fn undelivered_between_reports_no_loss() {
+    let mut exchange = begun(RESUMABLE);
+    let mut now = exchange.next_deadline();
+    let mut effects = Vec::new();
+    for failure in [
+        ProbeFailure::Missing,
+        ProbeFailure::Undelivered,
+        ProbeFailure::Missing,
+    ] {
+        exchange.expire(now, false, NextStep::Stay);
+        assert_eq!(exchange.state(), ExchangeState::StreamProbing);
+        effects = exchange.handle(now, probe_failed(failure, NextStep::Stay));
+        now = exchange.next_deadline();
+    }
+    assert!(effects.is_empty(), "{effects:?}");
+}
+
+/// A request whose endpoints are all gone is refused while its caller can still try elsewhere.
+#[test]
+fn left_silent_unplaced_not_until_deadline() {
+    let mut exchange = sent(RESUMABLE);
+    exchange.expire(at(400), false, NextStep::Stay);
+    exchange.handle(at(550), probe_failed(ProbeFailure::Silent, move_to(2)));
+    exchange.handle(at(600), ExchangeInput::Lost { may_retry: true });
+    let mut now_ms = 600;
+    while !exchange.is_over() {
+        exchange.handle(at(now_ms), ExchangeInput::PlacementFailed);
+        now_ms += 25;
+        exchange.expire(at(now_ms), false, NextStep::Stay);
+    }
+    assert!(now_ms < 5_000, "refused after {now_ms} ms");
+}
--- a/crates/decide/tests/leaving.rs
+++ b/crates/decide/tests/leaving.rs
@@ -258,7 +258,7 @@
         failure: ProbeFailure::Silent,
         next: NextStep::Retry,
     };
-    assert_eq!(exchange.is_long_silent(at(at_ms)), is_left);
+    assert_eq!(exchange.is_given_up(at(at_ms)), is_left);
     let effects = exchange.handle(at(at_ms), input);
     let places = matches!(effects[..], [ExchangeEffect::Place { .. }]);
     assert_eq!(places, is_left, "{effects:?}");
--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -73,6 +73,12 @@
         /// Cause.
         reason: String,
     },
+    /// The endpoint did not accept the connection in time.
+    #[error("connecting to {peer} timed out")]
+    Unanswered {
+        /// Endpoint's address.
+        peer: SocketAddr,
+    },
     /// The connection was closed before any byte of the request was written.
     #[error("connection to {peer} closed before the request was sent: {reason}")]
     Unsent {
@@ -249,7 +255,7 @@
     let socket = open_socket(peer).map_err(|error| unreachable(error.to_string()))?;
     let connected = time::timeout(timeout, socket.connect(peer)).await;
     let stream = connected
-        .map_err(|_| unreachable("timed out".to_owned()))?
+        .map_err(|_| SendError::Unanswered { peer })?
         .map_err(|error| unreachable(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| unreachable(error.to_string()))?;
     let (stream, progress) = limit_reads(stream);
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -51,6 +51,8 @@
 pub(crate) enum AttemptEvent {
     /// No connection could be established.
     Unreachable(String),
+    /// The endpoint did not accept the connection in time.
+    Unanswered(String),
     /// The connection failed before any of the request was written.
     Unsent(String),
     /// The connection was lost.
@@ -257,6 +259,7 @@
     let reason = error.to_string();
     match error {
         SendError::Unreachable { .. } => AttemptEvent::Unreachable(reason),
+        SendError::Unanswered { .. } => AttemptEvent::Unanswered(reason),
         SendError::Unsent { .. } => AttemptEvent::Unsent(reason),
         SendError::Lost { .. } => AttemptEvent::Lost(reason),
     }
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -24,7 +24,7 @@
 
 /// Timeout of a state probe, including the connection: two round trips between regions
 /// and the engine's processing time.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const PROBE_TIMEOUT_MS: Millis = Millis::new(150);
 /// Timeout of a copy; one takes about 10 ms on an idle link, but may queue behind
 /// others.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -52,7 +52,10 @@
 pub(crate) async fn fetch_report(traffic: &Traffic, key: &ConnectionKey) -> ProbeResult {
     let codec = &traffic.shared.codec.responses;
     let pending = call(traffic, key, Method::GET, codec.probe_path, Bytes::new());
-    let response = time::timeout(PROBE_TIMEOUT, pending).await.ok().flatten();
+    let response = time::timeout(PROBE_TIMEOUT_MS.duration(), pending)
+        .await
+        .ok()
+        .flatten();
     let (_, body) = response.filter(|(status, _)| status.is_success())?;
     let read = (codec.read_report)(&body);
     Some(read.inspect_err(|reason| {
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -68,6 +68,7 @@
             self.traffic.shared.metrics.increment(RelayCounter::Probes);
             let key = connection_key(&sent.choice.endpoint);
             let traffic = Rc::clone(&self.traffic);
+            self.probed_at = self.traffic.now();
             self.probe = Some(engine::start_probe(traffic, key));
         }
     }
@@ -220,6 +221,7 @@
     pub(super) fn end_attempt(&mut self, outcome: Outcome) {
         self.attempt = None;
         self.probe = None;
+        self.candidate = None;
         self.copy_monitor = CopyMonitor::default();
         self.is_endpoint_silent = false;
         self.report_trial_abandoned();
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -3,18 +3,22 @@
 use bytes::Bytes;
 use http::StatusCode;
 use parsleylatch_decide::relay::{
-    EngineReport, ExchangeEffect, ExchangeInput, ExchangeState, NextStep, Outcome, ProbeFailure,
-    ProbeFinding, ResponseClass, RetryKind,
+    EngineReport, ExchangeEffect, ExchangeInput, ExchangeState, LeaveReason, NextStep, Outcome,
+    ProbeFailure, ProbeFinding, ResponseClass, RetryKind,
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{MonoTime, StreamEventId};
 
-use super::{CallerState, ExchangeDriver, ForwardedResponse, placement::PlaceRefusal};
+use super::{
+    CallerState, ExchangeDriver, ForwardedResponse, TIMER_PAUSE_THRESHOLD_MS,
+    placement::PlaceRefusal,
+};
 use crate::{
     telemetry::RelayCounter,
     traffic::{
         attempt::{AttemptEvent, EndpointResponse, ResponseHead},
         body::StreamPart,
+        engine::PROBE_TIMEOUT_MS,
         responses,
     },
 };
@@ -50,37 +54,55 @@
         });
         let failure = match finding {
             Some(ProbeFinding::Present) => {
+                self.candidate = None;
                 return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
             }
             // Undelivered events may still arrive, unless the connection is dead.
             Some(ProbeFinding::Undelivered) => ProbeFailure::Undelivered,
             Some(ProbeFinding::Missing) => ProbeFailure::Missing,
+            None if self.was_paused_while_probing(now) => {
+                return self.exchange.expire(now, true, NextStep::Stay);
+            }
             None => ProbeFailure::Silent,
         };
+        let reason = LeaveReason::from(failure);
         let planned = match self.exchange.allows_retry(true) {
-            true => self.plan_move(failure),
+            true => self.plan_move(reason),
             false => Err(PlaceRefusal::AttemptsUsedUp),
         };
         match &planned {
-            Ok(_) => self.record_failure(Outcome::Broken, failure_text(failure)),
-            Err(refusal) => self.record_stay(failure, refusal),
+            Ok(_) => self.record_failure(Outcome::Broken, reason.into()),
+            Err(refusal) => self.record_stay(reason, refusal),
         }
         let next = planned.unwrap_or(NextStep::Stay);
         self.log_next(&next);
         let input = ExchangeInput::ProbeFailed { failure, next };
         let effects = self.exchange.handle(now, input);
         if self.exchange.is_over() {
-            self.record_failure(Outcome::Broken, failure_text(failure));
+            self.record_failure(Outcome::Broken, reason.into());
         }
         effects
     }
 
+    /// Whether the timeout of a probe passed while the process stood still, which is no sign of
+    /// the endpoint's silence.
+    fn was_paused_while_probing(&self, now: MonoTime) -> bool {
+        let limit = PROBE_TIMEOUT_MS.saturating_add(TIMER_PAUSE_THRESHOLD_MS);
+        now.since(self.probed_at) > limit.micros()
+    }
+
     pub(super) fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
         match event {
             AttemptEvent::Unreachable(reason) => {
                 self.record_failure(Outcome::Unreachable, &reason);
                 self.handle_unsent()
             }
+            AttemptEvent::Unanswered(reason) => {
+                self.record_failure(Outcome::Unreachable, &reason);
+                let may_retry = self.may_retry(false);
+                self.exchange
+                    .handle(self.traffic.now(), ExchangeInput::Unanswered { may_retry })
+            }
             AttemptEvent::Unsent(reason) => {
                 self.record_failure(Outcome::Abandoned, &reason);
                 self.handle_unsent()
@@ -263,6 +285,7 @@
             self.flush_events();
             return self.leave_foreign(is_foreign);
         }
+        self.candidate = None;
         self.record_first_response(now);
         self.record_gap(now);
         self.record_silence_end();
@@ -366,12 +389,3 @@
             .is_some_and(|it| it.choice.copy.is_some())
     }
 }
-
-/// What a probe showed of an attempt that is left.
-fn failure_text(failure: ProbeFailure) -> &'static str {
-    match failure {
-        ProbeFailure::Silent => "no progress and no response to a probe",
-        ProbeFailure::Undelivered => "no progress; the engine has undelivered events",
-        ProbeFailure::Missing => "no progress; the engine does not run the request",
-    }
-}
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -15,7 +15,7 @@
     moves::FULL_SHARE,
     relay::{
         Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
-        MemoryCopy, NextStep, Outcome, ProbeFailure, ResponseClass,
+        LeaveReason, MemoryCopy, NextStep, Outcome, ResponseClass,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -65,6 +65,8 @@
         pending: Vec::new(),
         caller: CallerState::Waiting(reply),
         probe: None,
+        probed_at: now,
+        candidate: None,
         copy_monitor: CopyMonitor::default(),
         is_endpoint_silent: false,
         queue_slot: None,
@@ -118,6 +120,14 @@
     arrived_at: MonoTime,
 }
 
+/// Next endpoint of a stream, which has been asked for its state.
+struct Candidate {
+    /// Why the stream would leave its endpoint.
+    reason: LeaveReason,
+    choice: Box<Choice>,
+    probe: oneshot::Receiver<ProbeResult>,
+}
+
 struct ExchangeDriver {
     traffic: Rc<Traffic>,
     /// What has been read and not yet been taken by the caller.
@@ -141,6 +151,9 @@
     pending: Vec<RawEvent>,
     caller: CallerState,
     probe: Option<oneshot::Receiver<ProbeResult>>,
+    probed_at: MonoTime,
+    /// Next endpoint of a stream, which is asked whether it answers before the stream moves.
+    candidate: Option<Candidate>,
     copy_monitor: CopyMonitor,
     /// Whether the endpoint of the running attempt answers no probe.
     is_endpoint_silent: bool,
@@ -157,6 +170,7 @@
 enum Wake {
     Attempt(AttemptEvent),
     Probe(ProbeResult),
+    Candidate(ProbeResult),
     Copy(Option<MemoryCopy>),
     Assigned(Assignment),
     Stopping,
@@ -184,11 +198,13 @@
     async fn wait(&mut self) -> Wake {
         let deadline = self.exchange.next_deadline();
         let (attempt, probe) = (&mut self.attempt, &mut self.probe);
+        let candidate = self.candidate.as_mut().map(|it| &mut it.probe);
         let (copy_monitor, queue_slot) = (&mut self.copy_monitor, &mut self.queue_slot);
         tokio::select! {
             biased;
             event = next_event(attempt) => Wake::Attempt(event),
-            report = next_probe(probe) => Wake::Probe(report),
+            report = next_probe(probe.as_mut()) => Wake::Probe(report),
+            report = next_probe(candidate) => Wake::Candidate(report),
             copy = copy_monitor.next() => Wake::Copy(copy),
             assignment = next_assignment(queue_slot) => Wake::Assigned(assignment),
             () = self.caller.closed() => Wake::CallerGone,
@@ -209,6 +225,7 @@
                 self.probe = None;
                 self.handle_probe(report.as_ref())
             }
+            Wake::Candidate(report) => self.handle_candidate(report),
             Wake::Copy(copy) => {
                 if let Some(copy) = copy {
                     self.exchange.replace_copy(copy);
@@ -264,10 +281,14 @@
         if self.is_delay_explained(now) {
             return self.exchange.expire(now, was_paused, NextStep::Stay);
         }
-        let planned = self.plan_move(ProbeFailure::Silent);
+        let reason = match self.is_probing() {
+            true => LeaveReason::Silent,
+            false => LeaveReason::Overdue,
+        };
+        let planned = self.plan_move(reason);
         match &planned {
             Ok(_) => self.record_failure(Outcome::Broken, "silent"),
-            Err(refusal) if self.is_probing() => self.record_stay(ProbeFailure::Silent, refusal),
+            Err(refusal) if self.is_probing() => self.record_stay(reason, refusal),
             Err(_) => {}
         }
         let next = planned.unwrap_or(NextStep::Stay);
@@ -337,7 +358,7 @@
     }
 }
 
-async fn next_probe(probe: &mut Option<oneshot::Receiver<ProbeResult>>) -> ProbeResult {
+async fn next_probe(probe: Option<&mut oneshot::Receiver<ProbeResult>>) -> ProbeResult {
     match probe {
         Some(probe) => probe.await.unwrap_or_default(),
         None => std::future::pending().await,
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -1,20 +1,27 @@
 //! Choice of the endpoint for the next attempt.
 //!
 //! A request whose attempt has ended needs a place, and is queued or refused if there is none.
-//! One that could leave a silent endpoint asks for a place first, by the same rules, and leaves
-//! only once it has one.
+//! One that could leave a silent endpoint looks for a place first, by the same rules, and leaves
+//! only once it has one that answers.
 
 use std::rc::Rc;
 
 use parsleylatch_decide::relay::{
-    Choice, EndpointKey, ExchangeEffect, ExchangeInput, MemoryCopy, NextStep, Outcome,
-    ProbeFailure, RefusalReason, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
+    Choice, EndpointKey, ExchangeEffect, ExchangeInput, LeaveReason, MemoryCopy, NextStep, Outcome,
+    RefusalReason, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
 };
 use parsleylatch_types::{MonoTime, PromptPartId};
 use strum::Display;
 
-use super::ExchangeDriver;
-use crate::shared::Snapshot;
+use super::{Candidate, ExchangeDriver};
+use crate::{
+    shared::Snapshot,
+    telemetry::RelayCounter,
+    traffic::{
+        engine::{self, ProbeResult},
+        state::connection_key,
+    },
+};
 
 /// Why a request has no place for its next attempt.
 #[derive(Clone, Debug, Display)]
@@ -32,6 +39,8 @@
     Full(Box<Choice>),
     /// The endpoint has failed a short time ago.
     Suspended,
+    /// The endpoint has not shown yet that it answers.
+    Unconfirmed,
     /// The request may not run once more.
     AttemptsUsedUp,
     /// The retry budget is used up.
@@ -107,29 +116,33 @@
             Err(
                 PlaceRefusal::NoEndpoint
                 | PlaceRefusal::Suspended
+                | PlaceRefusal::Unconfirmed
                 | PlaceRefusal::AttemptsUsedUp
                 | PlaceRefusal::NoRetry,
             ) => self.handle_no_endpoint(now),
         }
     }
 
-    /// Decides whether the request leaves the endpoint of its running attempt, which may still
-    /// answer. It leaves for an endpoint that takes it; after a long silence, also for one that
-    /// may reject it, and for the queue.
-    pub(super) fn plan_move(&self, failure: ProbeFailure) -> Result<NextStep, PlaceRefusal> {
-        let planned = match self.find_next_place() {
-            // The endpoint has the request, and only the connection gives no sign of life.
-            Err(PlaceRefusal::NoEndpoint) if failure == ProbeFailure::Undelivered => {
-                self.find_place_again()
+    /// Decides whether the request leaves the endpoint of its running attempt for `reason`.
+    ///
+    /// While the endpoint may still answer, a stream leaves only for one that has just shown
+    /// that it answers; that one is asked first. Once the endpoint is given up, the request
+    /// also leaves for one that may reject it, and for the queue.
+    pub(super) fn plan_move(&mut self, reason: LeaveReason) -> Result<NextStep, PlaceRefusal> {
+        let is_given_up = self.is_probing() && self.exchange.is_given_up(self.traffic.now());
+        let next = match self.find_next_place() {
+            Ok(choice) if is_given_up || !self.job.spec.repeat.is_stream() => {
+                NextStep::Move(Box::new(choice))
             }
-            planned => planned,
-        };
-        let is_long_silent = self.exchange.is_long_silent(self.traffic.now());
-        let next = match planned {
-            Ok(choice) => NextStep::Move(Box::new(choice)),
-            Err(PlaceRefusal::Full(_) | PlaceRefusal::Suspended) if is_long_silent => {
-                NextStep::Retry
+            Ok(choice) => {
+                self.ask_candidate(reason, choice);
+                return Err(PlaceRefusal::Unconfirmed);
             }
+            // The endpoint has the request, and only the connection gives no sign of life.
+            Err(PlaceRefusal::NoEndpoint) if reason == LeaveReason::Undelivered => {
+                NextStep::Move(Box::new(self.find_place_again()?))
+            }
+            Err(PlaceRefusal::Full(_) | PlaceRefusal::Suspended) if is_given_up => NextStep::Retry,
             Err(refusal) => return Err(refusal),
         };
         match self.take_retry() {
@@ -138,6 +151,75 @@
         }
     }
 
+    /// Asks the next endpoint for its state, unless one has been asked already.
+    fn ask_candidate(&mut self, reason: LeaveReason, choice: Choice) {
+        if self.candidate.is_some() {
+            return;
+        }
+        self.traffic.shared.metrics.increment(RelayCounter::Probes);
+        let key = connection_key(&choice.endpoint);
+        self.candidate = Some(Candidate {
+            reason,
+            choice: Box::new(choice),
+            probe: engine::start_probe(Rc::clone(&self.traffic), key),
+        });
+    }
+
+    /// Handles the answer of the next endpoint that was asked for its state.
+    pub(super) fn handle_candidate(&mut self, report: ProbeResult) -> Vec<ExchangeEffect> {
+        let Some(Candidate { reason, choice, .. }) = self.candidate.take() else {
+            return Vec::new();
+        };
+        if let Err(refusal) = self.confirm_candidate(&choice, report) {
+            self.record_stay(reason, &refusal);
+            return Vec::new();
+        }
+        self.record_failure(Outcome::Broken, reason.into());
+        self.log_placed(&choice);
+        let input = ExchangeInput::PlaceConfirmed { reason, choice };
+        self.exchange.handle(self.traffic.now(), input)
+    }
+
+    /// Whether an endpoint that was asked for its state takes the request.
+    fn confirm_candidate(&self, choice: &Choice, report: ProbeResult) -> Result<(), PlaceRefusal> {
+        let now = self.traffic.now();
+        let key = &choice.endpoint.key;
+        let mut table = self.traffic.endpoint_table.borrow_mut();
+        let has_slot = match report {
+            Some(Ok(report)) => {
+                table.record_report(now, key, &report);
+                report.running.saturating_add(report.waiting) < choice.endpoint.slots.get()
+            }
+            // It answers, and its report tells nothing.
+            Some(Err(_)) => true,
+            None => {
+                table.record_outcome(now, key, Outcome::Broken);
+                return Err(PlaceRefusal::Unconfirmed);
+            }
+        };
+        let is_usable = table.is_usable(key);
+        drop(table);
+        if !is_usable {
+            return Err(PlaceRefusal::NoEndpoint);
+        }
+        if !has_slot && choice.copy.is_none() {
+            return Err(PlaceRefusal::Full(Box::new(choice.clone())));
+        }
+        if let Some(part) = self.quarantined_part() {
+            return Err(PlaceRefusal::Quarantined(part));
+        }
+        if self.outlasts_process(choice.copy.is_some()) {
+            return Err(PlaceRefusal::Stopping);
+        }
+        if !self.exchange.allows_retry(true) {
+            return Err(PlaceRefusal::AttemptsUsedUp);
+        }
+        match self.take_retry() {
+            true => Ok(()),
+            false => Err(PlaceRefusal::NoRetry),
+        }
+    }
+
     /// Finds a place for a request that has an attempt.
     fn find_next_place(&self) -> Result<Choice, PlaceRefusal> {
         let Some(sent) = &self.sent else {
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -1,6 +1,6 @@
 //! Updates of the endpoint table, the metrics and the log by an exchange.
 
-use parsleylatch_decide::relay::{Outcome, ProbeFailure, VersionTrial};
+use parsleylatch_decide::relay::{LeaveReason, Outcome, VersionTrial};
 use parsleylatch_types::{Micros, MonoTime};
 
 use super::{ExchangeDriver, placement::PlaceRefusal};
@@ -151,7 +151,11 @@
 
     /// Records that the request stays at an endpoint that shows no progress, because it has no
     /// next place.
-    pub(super) fn record_stay(&mut self, failure: ProbeFailure, refusal: &PlaceRefusal) {
+    pub(super) fn record_stay(&mut self, reason: LeaveReason, refusal: &PlaceRefusal) {
+        // The next endpoint has been asked, and may answer.
+        if self.candidate.is_some() {
+            return;
+        }
         let Some(sent) = &self.sent else {
             return;
         };
@@ -169,7 +173,7 @@
             id:% = self.job.metadata.id,
             route:% = self.job.route.name,
             endpoint:% = sent.key.id,
-            reason:% = failure,
+            reason:% = reason,
             next_place:% = refusal,
             answering_ms = self.exchange.answering_for(now).get(),
             after_ms = now.since(sent.at).millis().get(),
