HTTP listener: a listener that is closed refuses connections at once again

A SYN that the kernel drops is sent again after a second.

The connections that are established between the last look into the queue and the end of the socket are reset again, without having been read. closing_keeps_established_connections is in KNOWN-RED.txt.

--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -1,13 +1,10 @@
 //! Listening sockets with `TCP_NODELAY`, and groups of sockets that share one address.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr};
 
 use hyper_util::{rt::TokioExecutor, server::conn::auto::Builder};
-use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, Type};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time,
-};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
 use viz::{Listener, Router};
 
 /// Length of the queue of connections that are not accepted yet.
@@ -22,23 +19,6 @@
 /// Write buffer of a connection in the process, bounded for the same reason.
 pub(crate) const WRITE_BUFFER_BYTES: usize = 16 << 10;
 
-/// Time for which a listener that is closed waits for the handshakes that have begun: a round
-/// trip between regions.
-const HANDSHAKE_WAIT: Duration = Duration::from_millis(50);
-
-/// Filter program that drops the packets which open a connection (SYN without ACK) and passes the
-/// others.
-const OPENING_DROPPED: [SockFilter; 5] = [
-    // Load the flags of the TCP header.
-    SockFilter::new(0x30, 0, 0, 13),
-    // Keep SYN and ACK.
-    SockFilter::new(0x54, 0, 0, 0x12),
-    // Skip the next instruction unless only SYN is set.
-    SockFilter::new(0x15, 0, 1, 0x02),
-    SockFilter::new(0x06, 0, 0, 0),
-    SockFilter::new(0x06, 0, 0, u32::MAX),
-];
-
 /// Serves a router on a listener, with a bounded buffer for each connection.
 pub fn serve(listener: NodelayListener, router: Router) -> viz::Server<NodelayListener> {
     let mut builder = Builder::new(TokioExecutor::new());
@@ -64,22 +44,14 @@
 
     /// Closes the socket and returns the connections that wait in its queue.
     ///
-    /// A connection that is established between the last look into the queue and the end of the
-    /// socket is reset, so the kernel drops what opens connections before. A client sends that
-    /// again after a second, and is refused.
-    ///
     /// Asks the kernel and not the runtime, which learns of new connections only when it
     /// polls.
     ///
-    /// The second value is the last I/O error of the filter or of a connection, or that which
-    /// ended the search. A connection that fails is closed, and the others are returned.
-    pub async fn close(self) -> (Vec<TcpStream>, Option<io::Error>) {
+    /// The second value is the last I/O error of a connection, or that which ended the
+    /// search. A connection that fails is closed, and the others are returned.
+    pub fn close(self) -> (Vec<TcpStream>, Option<io::Error>) {
         let mut waiting = Vec::new();
         let mut failure = None;
-        match SockRef::from(&self.0).attach_filter(&OPENING_DROPPED) {
-            Ok(()) => time::sleep(HANDSHAKE_WAIT).await,
-            Err(error) => failure = Some(error),
-        }
         let listener = match self.0.into_std() {
             Ok(listener) => listener,
             Err(error) => return (waiting, Some(error)),
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -71,9 +71,9 @@
         }
     }
     // Connections that the kernel has accepted may carry requests already.
-    let (waiting, failure) = listener.close().await;
+    let (waiting, failure) = listener.close();
     if let Some(error) = failure {
-        log::warn!(error:% = error; "closing the caller listener failed");
+        log::warn!(error:% = error; "accepting the last caller connections failed");
     }
     log::info!(waiting = waiting.len(); "caller listener closed");
     for stream in waiting {
