--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -6,13 +6,13 @@
     net::SocketAddr,
     ops::AddAssign,
     path::Path,
-    process::Command,
     str::FromStr,
     time::Duration,
 };
 
-use eyre::{Result, WrapErr, ensure, eyre};
+use eyre::{Result, WrapErr, eyre};
 use parsleylatch_types::ByteCount;
+use rustix::process;
 use serde_json::Value;
 use strum::Display;
 
@@ -44,14 +44,18 @@
 /// Sends a signal to a process.
 ///
 /// # Errors
-/// `kill` failed, for example because the process no longer exists.
+/// The signal can't be sent, for example because the process no longer exists.
 pub fn send_signal(pid: u32, signal: Signal) -> Result<()> {
-    let status = Command::new("kill")
-        .args([format!("-{signal}"), pid.to_string()])
-        .status()
-        .wrap_err("starting kill")?;
-    ensure!(status.success(), "kill -{signal} {pid}: {status}");
-    Ok(())
+    let raw = match signal {
+        Signal::Kill => process::Signal::KILL,
+        Signal::Stop => process::Signal::STOP,
+        Signal::Cont => process::Signal::CONT,
+        Signal::Term => process::Signal::TERM,
+        Signal::Hup => process::Signal::HUP,
+    };
+    let target = i32::try_from(pid).ok().and_then(process::Pid::from_raw);
+    let target = target.ok_or_else(|| eyre!("{pid} is no process id"))?;
+    process::kill_process(target, raw).wrap_err_with(|| format!("sending {signal} to {pid}"))
 }
 
 /// Scheduler statistics of a group of threads.
