Stand-in: endpoints fall silent and go on; the state lists all requests that were read

The state left out calls, and streams before their first event, so that a relay that asked for them was told that the engine does not run them. It now lists each request from the time it was read until its answer, and a report may be up to 300 ms old, as on the users' platform.

A silent endpoint keeps its connections, reads nothing, answers nothing and generates nothing, and goes on where it was; it may answer state requests before it reads the requests that wait.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,7 +20,7 @@
 pub use engine::{Engine, EngineSettings};
 pub use relayed::{
     ArrivalSink, ArrivedRequest, NoticeSpec, RelayedEndpoint, RelayedFault, RelayedNotice,
-    RelayedSettings, body_digest, call_text, event_text,
+    RelayedSettings, Silence, body_digest, call_text, event_text,
 };
 pub use serve::{Addresses, ServerHandle};
 pub use service::{Service, ServiceSettings};
--- a/crates/standin/src/relayed.rs
+++ b/crates/standin/src/relayed.rs
@@ -3,17 +3,21 @@
 //! receives, so that a test or a soak run can compare it with what callers sent.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashSet, VecDeque},
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use futures::stream::unfold;
 use parsleylatch_http::encode_event;
 use parsleylatch_types::{EndpointId, Millis};
-use serde_json::json;
+use serde_json::{Value, json};
 use strum::Display;
 use tokio::sync::{mpsc, watch};
 use viz::{
@@ -30,6 +34,8 @@
 const STREAM_QUEUE_CHUNKS: usize = 4;
 /// Prompt parts that an endpoint reports as cached.
 const MAX_CACHED_PROMPT_PARTS: usize = 20;
+/// Age up to which a report of the state is used again.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(300);
 
 /// Fault of an endpoint behind a relay. Faults of its process or its links are
 /// injected from outside.
@@ -74,6 +80,18 @@
     pub is_sent: bool,
 }
 
+/// How far an endpoint has fallen silent. Its connections stay, and it goes on where it was.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Silence {
+    /// It reads, works and answers.
+    #[default]
+    None,
+    /// It answers state requests only.
+    Work,
+    /// It reads nothing, answers nothing and generates nothing.
+    All,
+}
+
 /// A request as the endpoint received it.
 #[derive(Clone, Debug)]
 pub struct ArrivedRequest {
@@ -111,12 +129,58 @@
     settings: RelayedSettings,
     fault: watch::Sender<FaultSpec<RelayedFault>>,
     notice: watch::Sender<NoticeSpec>,
-    /// Events generated so far, by request id.
-    runs: Mutex<BTreeMap<String, u64>>,
+    silence: watch::Sender<Silence>,
+    /// Requests that have been read and not yet answered, by number of the run.
+    runs: Mutex<BTreeMap<u64, Run>>,
+    next_run: AtomicU64,
+    /// Ids of requests that have run to their end.
+    finished: Mutex<HashSet<String>>,
+    /// Last report of the state, and when it was made.
+    report: Mutex<Option<(Instant, Value)>>,
     /// Last prompt parts of the most recently read prompts.
     prompt_parts: Mutex<VecDeque<String>>,
 }
 
+/// A request at work.
+struct Run {
+    request_id: String,
+    /// Events generated so far.
+    events: u64,
+}
+
+/// Keeps a run in the state until dropped.
+struct RunEntry {
+    state: Arc<RelayedState>,
+    number: u64,
+}
+
+impl RunEntry {
+    fn create(state: &Arc<RelayedState>, request_id: &str) -> Self {
+        let number = state.next_run.fetch_add(1, Ordering::Relaxed);
+        let run = Run {
+            request_id: request_id.to_owned(),
+            events: 0,
+        };
+        state.runs().insert(number, run);
+        Self {
+            state: Arc::clone(state),
+            number,
+        }
+    }
+
+    fn record_event(&self, event: u64) {
+        if let Some(run) = self.state.runs().get_mut(&self.number) {
+            run.events = event;
+        }
+    }
+}
+
+impl Drop for RunEntry {
+    fn drop(&mut self) {
+        self.state.runs().remove(&self.number);
+    }
+}
+
 impl RelayedState {
     fn prompt_parts(&self) -> MutexGuard<'_, VecDeque<String>> {
         self.prompt_parts
@@ -130,9 +194,38 @@
         spec.notice.filter(|_| spec.is_sent)
     }
 
-    fn runs(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
+    fn finished(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.finished.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn runs(&self) -> MutexGuard<'_, BTreeMap<u64, Run>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Waits while the endpoint is silent beyond `limit`.
+    async fn wait_for_silence_end(&self, limit: Silence) {
+        let mut silence = self.silence.subscribe();
+        // The sender is part of the state.
+        let _ = silence.wait_for(|it| *it <= limit).await;
+    }
+
+    /// Report of the state, which may be up to [`MAX_REPORT_AGE`] old.
+    fn report(&self) -> Value {
+        let mut last = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((made_at, report)) = &*last
+            && made_at.elapsed() < MAX_REPORT_AGE
+        {
+            return report.clone();
+        }
+        let runs = self.runs();
+        let entries: Vec<_> = runs
+            .values()
+            .map(|it| json!({"request_id": it.request_id, "events": it.events}))
+            .collect();
+        let report = json!({"running": runs.len(), "waiting": 0, "runs": entries});
+        *last = Some((Instant::now(), report.clone()));
+        report
+    }
 }
 
 /// A running simulated endpoint.
@@ -160,7 +253,11 @@
             settings,
             fault: watch::Sender::new(no_fault),
             notice: watch::Sender::default(),
+            silence: watch::Sender::default(),
             runs: Mutex::default(),
+            next_run: AtomicU64::default(),
+            finished: Mutex::default(),
+            report: Mutex::default(),
             prompt_parts: Mutex::default(),
         });
         let router = Router::new()
@@ -183,6 +280,16 @@
         self.state.fault.send_replace(fault_spec);
     }
 
+    /// Whether a request has run to its end here.
+    pub fn has_finished(&self, request_id: &str) -> bool {
+        self.state.finished().contains(request_id)
+    }
+
+    /// Makes the endpoint fall silent, or go on.
+    pub fn set_silence(&self, silence: Silence) {
+        self.state.silence.send_replace(silence);
+    }
+
     /// Sets what the endpoint says in its responses about further requests.
     pub fn set_notice(&self, notice_spec: NoticeSpec) {
         self.state.notice.send_replace(notice_spec);
@@ -211,11 +318,12 @@
     output_events: u64,
     last_event: u64,
     fault_spec: FaultSpec<RelayedFault>,
+    run: RunEntry,
 }
 
 /// Reads and reports a request; returns the response if it is rejected.
 async fn accept_request(
-    state: &RelayedState,
+    state: &Arc<RelayedState>,
     request: &mut Request,
 ) -> Result<std::result::Result<AcceptedRequest, Response>> {
     let header_text = |name: &str| control::header(request, name);
@@ -244,6 +352,7 @@
         .collect();
     let target = format!("{} {}", request.method(), request.uri());
     let body = request.bytes_with(None, MAX_REQUEST_BYTES).await?;
+    state.wait_for_silence_end(Silence::None).await;
     let fault_spec = state.fault.borrow().clone();
     let notice = state.notice.borrow().notice;
     let rejects =
@@ -277,6 +386,7 @@
         }
     }
     Ok(Ok(AcceptedRequest {
+        run: RunEntry::create(state, &id),
         id,
         body_digest,
         output_events,
@@ -308,6 +418,8 @@
     };
     let delay_ms = accepted.fault_spec.delay_ms.unwrap_or_default();
     tokio::time::sleep(state.settings.pace_ms.saturating_add(delay_ms).duration()).await;
+    state.wait_for_silence_end(Silence::None).await;
+    state.finished().insert(accepted.id.clone());
     let head = response_head(&state, &accepted.id).header("answer-digest", "1");
     let text = call_text(&accepted.id, accepted.body_digest);
     match accepted.fault_spec.fault {
@@ -359,6 +471,7 @@
         let fault_spec = state.fault.borrow().clone();
         let delay_ms = fault_spec.delay_ms.unwrap_or_default();
         tokio::time::sleep(state.settings.pace_ms.saturating_add(delay_ms).duration()).await;
+        state.wait_for_silence_end(Silence::None).await;
         if fault_spec.fault == RelayedFault::Garble && number == midpoint {
             continue;
         }
@@ -373,31 +486,31 @@
             Ok(encode_event(&number.to_string(), "", &text))
         };
         let is_last = chunk.is_err();
-        state.runs().insert(accepted.id.clone(), number);
+        accepted.run.record_event(number);
+        if number == accepted.output_events {
+            state.finished().insert(accepted.id.clone());
+        }
         if chunks.send(chunk).await.is_err() || is_last {
             break;
         }
     }
-    state.runs().remove(&accepted.id);
 }
 
 async fn get_state(request: Request) -> Result<Response> {
     let state = control::state::<RelayedState>(&request)?;
-    let runs = state.runs().clone();
-    let run_entries: Vec<_> = runs
-        .iter()
-        .map(|(id, events)| json!({"request_id": id, "events": events}))
-        .collect();
-    control::json(&json!({"running": runs.len(), "waiting": 0, "runs": run_entries}))
+    state.wait_for_silence_end(Silence::Work).await;
+    control::json(&state.report())
 }
 
 async fn get_prompt_parts(request: Request) -> Result<Response> {
     let state = control::state::<RelayedState>(&request)?;
+    state.wait_for_silence_end(Silence::None).await;
     let prompt_parts = state.prompt_parts().clone();
     control::json(&prompt_parts)
 }
 
 async fn create_copy(request: Request) -> Result<Response> {
     let state = control::state::<RelayedState>(&request)?;
+    state.wait_for_silence_end(Silence::None).await;
     control::json(&json!({"copy": format!("copy-{}", state.runs().len())}))
 }
