Soak: a profile with silent endpoints and relays on a part of a core

Neither is recorded as a disturbance. The plans and requests of existing seeds stay.

New invariant early_failure, in both profiles: a request of an undisturbed relay gets 502 or 504 only in the last tenth of its timeout or in the last sixth of a planned stop of its relay. Broken on purpose in broken_invariant_found.

Two checks are narrower, each after a trace: - lost: a request that was sent by 3 s after the signal of a planned stop, and whose endpoint has begun and not finished it, may be cut in the last sixth of the stop, as the users' rules have it. The endpoints say whether they have finished a request. - lost, early_failure: the thread of links, endpoints and callers may get no turn on a busy machine (load average 27 to 43 on 8 cores: up to 2.4 s; /proc/PID/task/TID/schedstat shows three seconds waiting for each second run). Such time no longer counts as time in which a relay could read a request, and a request with more than half a second of it isn't judged: for it, all endpoints were silent together.

--- a/crates/soak/src/args.rs
+++ b/crates/soak/src/args.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     invariants::Invariant,
+    plan::Profile,
     run::{RunReport, RunSpec, run},
 };
 
@@ -30,6 +31,9 @@
     /// number of seeds, one after the other
     #[argh(option, default = "1")]
     count: u64,
+    /// selection of faults: mixed or silence
+    #[argh(option, default = "Profile::Mixed")]
+    profile: Profile,
     /// duration of the load with faults in each run, in seconds
     #[argh(option, default = "DEFAULT_LOAD_S")]
     load_s: u64,
@@ -58,6 +62,7 @@
     let mut failed_seeds = 0;
     for seed in args.seed..args.seed.saturating_add(args.count) {
         let spec = RunSpec {
+            profile: args.profile,
             seed,
             load_ms: Millis::new(args.load_s * 1_000),
             relays: args.relays,
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -20,12 +20,20 @@
 use tokio::{net::TcpStream, sync::watch, task::JoinHandle};
 
 use crate::{
-    environment::{Environment, HOST, WORKSPACE, WORKSPACE_KEY, version_path},
-    invariants::{Outcome, REQUEST_TIMEOUT_MS, RequestKind, SentRequest},
+    environment::{Environment, HOST, LONG_STREAM_PATH, WORKSPACE, WORKSPACE_KEY, version_path},
+    invariants::{
+        LONG_STREAM_TIMEOUT_MS, Observed, Outcome, REQUEST_TIMEOUT_MS, RequestKind, SentRequest,
+    },
+    plan::Profile,
 };
 
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u64 = 60;
+/// Number of events in a complete long stream, which lasts several seconds.
+const LONG_STREAM_EVENTS: u64 = 120;
+const LONG_STREAM_EVENT_INTERVAL_MS: Millis = Millis::new(25);
+/// Share of streams that are long, in the silence profile.
+const LONG_STREAM_PERCENT: u32 = 60;
 /// Prompt size that callers declare. Endpoints ignore it; the relay looks for an endpoint
 /// that has cached a prompt of this size.
 const PROMPT_TOKENS: u64 = 1_000;
@@ -61,6 +69,7 @@
 #[derive(Clone)]
 pub(crate) struct CallerContext {
     pub(crate) environment: Arc<Environment>,
+    pub(crate) profile: Profile,
     pub(crate) phase: watch::Receiver<Phase>,
     /// Newest configuration version that the store has acknowledged.
     pub(crate) newest_version: watch::Receiver<u64>,
@@ -79,7 +88,9 @@
     kind: RequestKind,
     path: String,
     route_version: u64,
+    output_events: u64,
     last_event: u64,
+    timeout_ms: Millis,
     /// Name of the prompt, drawn from a small set so that prompts repeat.
     prompt_part: String,
     body: String,
@@ -147,12 +158,20 @@
             RequestKind::LookUp
         };
         let uses_newest = self.random.random_range(0..100) < NEWEST_ROUTE_PERCENT;
+        let is_long = kind == RequestKind::Stream
+            && self.context.profile == Profile::Silence
+            && self.random.random_range(0..100) < LONG_STREAM_PERCENT;
         let (path, route_version) = match kind {
             RequestKind::LookUp if uses_newest && newest > 1 => {
                 (format!("{}1", version_path(newest)), newest)
             }
+            _ if is_long => (format!("{LONG_STREAM_PATH}1"), 0),
             kind => (initial_path(kind).to_owned(), 0),
         };
+        let (output_events, timeout_ms) = match is_long {
+            true => (LONG_STREAM_EVENTS, LONG_STREAM_TIMEOUT_MS),
+            false => (STREAM_EVENTS, REQUEST_TIMEOUT_MS),
+        };
         // Streams may resume after events that an earlier request delivered.
         let last_event = match kind {
             RequestKind::Stream => self.random.random_range(0..STREAM_EVENTS / 2),
@@ -162,7 +181,9 @@
             kind,
             path,
             route_version,
+            output_events,
             last_event,
+            timeout_ms,
             prompt_part: format!("part-{}", self.random.random_range(0..PROMPT_COUNT)),
             body: format!("{}:{}", self.name, self.random.random::<u64>()),
         }
@@ -196,9 +217,11 @@
             target: format!("{method} {}", spec.path),
             body_digest: body_digest(spec.body.as_bytes()),
             workspace: WORKSPACE,
-            output_events: STREAM_EVENTS,
+            output_events: spec.output_events,
             last_event: spec.last_event,
             route_version: spec.route_version,
+            timeout_ms: spec.timeout_ms,
+            run_time_us: environment.run_time.elapsed(),
             sent_at: environment.clock.now(),
         });
         let response = connection.send_and_receive(method, &id, spec);
@@ -206,11 +229,16 @@
             Some(limit) => tokio::time::timeout(limit, response)
                 .await
                 .unwrap_or(Outcome::Left),
-            None => wait_for_outcome(response).await,
+            None => wait_for_outcome(response, spec.timeout_ms).await,
+        };
+        let observed = Observed {
+            at: environment.clock.now(),
+            run_time_us: environment.run_time.elapsed(),
+            has_finished: environment.has_finished(&id),
         };
         environment
             .checker()
-            .record_outcome(environment.clock.now(), &id, &outcome);
+            .record_outcome(observed, &id, &outcome);
         outcome
     }
 
@@ -228,7 +256,9 @@
                 kind,
                 path: initial_path(kind).to_owned(),
                 route_version: 0,
+                output_events: STREAM_EVENTS,
                 last_event: 0,
+                timeout_ms: REQUEST_TIMEOUT_MS,
                 prompt_part: "part-probe".to_owned(),
                 body: "probe".to_owned(),
             };
@@ -250,10 +280,8 @@
     }
 }
 
-async fn wait_for_outcome(response: impl Future<Output = Outcome>) -> Outcome {
-    let limit = REQUEST_TIMEOUT_MS
-        .saturating_add(RESPONSE_WAIT_SLACK_MS)
-        .duration();
+async fn wait_for_outcome(response: impl Future<Output = Outcome>, timeout_ms: Millis) -> Outcome {
+    let limit = timeout_ms.saturating_add(RESPONSE_WAIT_SLACK_MS).duration();
     let waited = tokio::time::timeout(limit, response).await;
     waited.unwrap_or(Outcome::Unanswered)
 }
@@ -311,16 +339,22 @@
             .uri(&spec.path)
             .header("host", HOST)
             .header("request-id", id)
-            .header("remaining-ms", REQUEST_TIMEOUT_MS.get())
+            .header("remaining-ms", spec.timeout_ms.get())
             .header("workspace-key", WORKSPACE_KEY);
         let request = match spec.kind {
             RequestKind::Stream => request
                 .header("prompt-tokens", PROMPT_TOKENS)
                 .header("prompt-part", &spec.prompt_part)
-                .header("output-tokens", STREAM_EVENTS)
+                .header("output-tokens", spec.output_events)
                 .header("last-event-id", spec.last_event),
             _ => request,
         };
+        let request = match spec.output_events {
+            LONG_STREAM_EVENTS => {
+                request.header("event-interval-ms", LONG_STREAM_EVENT_INTERVAL_MS.get())
+            }
+            _ => request,
+        };
         let body = Full::new(Bytes::from(spec.body.clone()));
         let Ok(request) = request.body(body) else {
             return Outcome::Closed;
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_bench::process::{Signal, resident_memory, send_signal};
 use parsleylatch_runtime::Clock;
-use parsleylatch_standin::{FaultSpec, RelayedFault, RelayedNotice, StoreFault};
+use parsleylatch_standin::{FaultSpec, RelayedFault, RelayedNotice, Silence, StoreFault};
 use parsleylatch_types::{Millis, MonoTime};
 use tokio::sync::{mpsc, watch};
 
@@ -27,6 +27,9 @@
 const ALL_RUNNING_TIMEOUT_MS: Millis = Millis::new(20_000);
 /// Time beyond [`MAX_DRAIN_DELAY_MS`] after which a draining endpoint is replaced.
 const REPLACEMENT_SLACK_MS: Millis = Millis::new(1_500);
+/// Times for which a relay on a part of a core is stopped and runs, in turn.
+const PART_CORE_STOPPED_MS: Millis = Millis::new(88);
+const PART_CORE_RUNNING_MS: Millis = Millis::new(12);
 const MEMORY_CHECK_INTERVAL_MS: Millis = Millis::new(500);
 
 /// Action that runs later, such as ending a fault.
@@ -258,7 +261,10 @@
                     self.relays[relay].pid = Some(pid);
                     self.environment.checker().record_relay_start(relay);
                 }
-                ProcessEffect::SendStop => self.signal(relay, Signal::Term),
+                ProcessEffect::SendStop => {
+                    self.environment.checker().record_stop(now, relay);
+                    self.signal(relay, Signal::Term);
+                }
                 ProcessEffect::SendKill => {
                     if self.environment.broken_invariant != Some(Invariant::RequestLoss) {
                         self.begin_outage(relay);
@@ -387,6 +393,21 @@
                     );
                 });
             }
+            Fault::Silence {
+                index,
+                duration_ms,
+                answering_ms,
+            } => {
+                environment.set_silence(index, Silence::All);
+                let end_ms = duration_ms.saturating_sub(answering_ms);
+                self.schedule(end_ms, move |it| {
+                    it.environment.set_silence(index, Silence::Work);
+                    it.schedule(answering_ms, move |it| {
+                        it.environment.set_silence(index, Silence::None);
+                    });
+                });
+            }
+            Fault::PartCore(relay, duration_ms) => self.run_on_part_core(relay, now + duration_ms),
             Fault::Store {
                 fault,
                 delay_ms,
@@ -456,6 +477,21 @@
         });
     }
 
+    /// Stops and continues a relay in turn until a time. It is never left stopped: the loop ends
+    /// after the relay has been continued, and a controller that is dropped kills the relays.
+    fn run_on_part_core(&mut self, relay: usize, until: MonoTime) {
+        if self.clock.now() >= until {
+            return;
+        }
+        self.signal(relay, Signal::Stop);
+        self.schedule(PART_CORE_STOPPED_MS, move |it| {
+            it.signal(relay, Signal::Cont);
+            it.schedule(PART_CORE_RUNNING_MS, move |it| {
+                it.run_on_part_core(relay, until);
+            });
+        });
+    }
+
     /// Records a disturbance, injects the fault and schedules its end. The disturbance is
     /// recorded first, as callers on another thread can observe the fault immediately.
     fn inject_for<Inject, Undo>(
@@ -469,16 +505,17 @@
         Undo: FnOnce(&mut Controller) + Send + 'static,
     {
         let now = self.clock.now();
-        let number = self.environment.checker().disturbance_log.begin(now, scope);
+        let is_recorded = self.environment.broken_invariant != Some(Invariant::EarlyFailure);
+        let number =
+            is_recorded.then(|| self.environment.checker().disturbance_log.begin(now, scope));
         inject();
         self.schedule(duration_ms, move |controller| {
             undo(controller);
-            let now = controller.clock.now();
-            controller
-                .environment
-                .checker()
-                .disturbance_log
-                .end(now, scope, number);
+            if let Some(number) = number {
+                let now = controller.clock.now();
+                let checker = &mut controller.environment.checker();
+                checker.disturbance_log.end(now, scope, number);
+            }
         });
     }
 
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -9,15 +9,18 @@
 use parsleylatch_runtime::Clock;
 use parsleylatch_standin::{
     ArrivalSink, FaultSpec, NoticeSpec, RelayedEndpoint, RelayedFault, RelayedNotice,
-    RelayedSettings, Store, StoreSettings,
+    RelayedSettings, Silence, Store, StoreSettings,
 };
 use parsleylatch_types::{EndpointId, Millis, RequestsPerSecond};
 use serde_json::{Value, json};
 
 use crate::{
-    invariants::{Invariant, InvariantChecker, MAX_ATTEMPTS, REQUEST_TIMEOUT_MS},
+    invariants::{
+        Invariant, InvariantChecker, LONG_STREAM_TIMEOUT_MS, MAX_ATTEMPTS, REQUEST_TIMEOUT_MS,
+    },
     link::Link,
     plan::Targets,
+    run_time::RunTime,
 };
 
 /// Key with which callers authenticate for [`WORKSPACE`].
@@ -25,8 +28,14 @@
 pub(crate) const WORKSPACE: &str = "w-1";
 /// `host` header of all requests.
 pub(crate) const HOST: &str = "soak.example";
+/// Path prefix of streams that last several seconds.
+pub(crate) const LONG_STREAM_PATH: &str = "/stream/long/";
 /// Failure domains, all in [`REGION`].
 pub(crate) const FAILURE_DOMAINS: [&str; 2] = ["fd-1", "fd-2"];
+/// Services; endpoints alternate between them.
+pub(crate) const SERVICES: [&str; 2] = ["engines", "desks"];
+/// Attempts of the route of long streams.
+const LONG_STREAM_ATTEMPTS: usize = 2;
 /// Region of all relays and endpoints.
 pub(crate) const REGION: &str = "r-1";
 /// Interval between two events of a stream, and run time of a call.
@@ -51,6 +60,8 @@
 /// Everything in a run except the relays and callers.
 pub(crate) struct Environment {
     pub(crate) clock: Clock,
+    /// Run time of the traffic thread.
+    pub(crate) run_time: RunTime,
     pub(crate) store: Store,
     pub(crate) endpoints: Vec<ManagedEndpoint>,
     pub(crate) caller_links: Vec<Link>,
@@ -88,6 +99,7 @@
         })?;
         let mut environment = Self {
             clock,
+            run_time: RunTime::start(),
             endpoints: Vec::new(),
             caller_links: Vec::new(),
             store_links: Vec::new(),
@@ -147,6 +159,17 @@
         });
     }
 
+    /// Whether an endpoint has run a request to its end.
+    pub(crate) fn has_finished(&self, request_id: &str) -> bool {
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|it| it.endpoint.has_finished(request_id))
+    }
+
+    /// Makes an endpoint silent, or lets it go on.
+    pub(crate) fn set_silence(&self, index: usize, silence: Silence) {
+        self.endpoints[index].endpoint.set_silence(silence);
+    }
+
     /// Sets what an endpoint says about further requests.
     pub(crate) fn set_notice(&self, index: usize, notice: Option<RelayedNotice>) {
         let broken = [Invariant::LeavingNotice, Invariant::PauseNotice];
@@ -168,8 +191,12 @@
     }
 }
 
-/// Starts an endpoint. Endpoints alternate between the services `engines` and `desks`, and
-/// each service has endpoints in both failure domains.
+/// Index of an endpoint's service in [`SERVICES`].
+pub(crate) fn service_index(endpoint: usize) -> usize {
+    endpoint % SERVICES.len()
+}
+
+/// Starts an endpoint. Each service has endpoints in both failure domains.
 async fn start_endpoint(index: usize, arrivals: ArrivalSink) -> io::Result<ManagedEndpoint> {
     let id = format!("i-{index}").parse().map_err(io::Error::other)?;
     let settings = RelayedSettings {
@@ -183,8 +210,8 @@
         link: Link::start(Some(endpoint.address)).await?,
         id,
         endpoint,
-        service: ["engines", "desks"][index % 2],
-        failure_domain: FAILURE_DOMAINS[index / 2 % 2],
+        service: SERVICES[service_index(index)],
+        failure_domain: FAILURE_DOMAINS[index / SERVICES.len() % FAILURE_DOMAINS.len()],
         incarnation: Mutex::new(1),
     })
 }
@@ -216,6 +243,10 @@
         route("/look-up/", "idempotent", "desks"),
         route("/book/", "once_only", "desks"),
     ];
+    let mut long_stream = route(LONG_STREAM_PATH, "resumable_stream", "engines");
+    long_stream["timeout_ms"] = json!(LONG_STREAM_TIMEOUT_MS);
+    long_stream["attempts"] = json!(LONG_STREAM_ATTEMPTS);
+    routes.push(long_stream);
     let oldest = version.saturating_sub(RETAINED_VERSION_ROUTES - 1).max(2);
     routes.extend((oldest..=version).map(|it| route(&version_path(it), "idempotent", "desks")));
     let workspace = match broken_invariant {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,7 +17,10 @@
 mod plan;
 mod process;
 mod run;
+mod run_time;
+mod silence_plan;
 
 pub use args::{SoakArgs, main};
 pub use invariants::{Invariant, Tally, Violation};
+pub use plan::Profile;
 pub use run::{RunReport, RunSpec, run};
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,11 +5,12 @@
 use parsleylatch_types::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use strum::{Display, EnumString};
 
-use crate::{invariants::Invariant, link::LinkMode};
+use crate::{invariants::Invariant, link::LinkMode, silence_plan::plan_silence_profile};
 
 /// Time from the start of the load to the earliest fault.
-const WARM_UP_MS: u64 = 1_500;
+pub(crate) const WARM_UP_MS: u64 = 1_500;
 /// Number of series in a run.
 const SERIES_COUNT: std::ops::RangeInclusive<usize> = 3..=7;
 const FAULTS_PER_SERIES: std::ops::RangeInclusive<u64> = 1..=4;
@@ -33,6 +34,17 @@
 /// are checked during the whole run.
 const PLANNED_ONLY_SEED_INTERVAL: u64 = 4;
 
+/// Selection of the faults that a run draws from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Profile {
+    /// All faults, or planned operations only, depending on the seed.
+    #[default]
+    Mixed,
+    /// Planned operations beside silent endpoints and relays on a part of a core.
+    Silence,
+}
+
 /// A fault or planned operation to inject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -66,6 +78,15 @@
         delay_ms: Millis,
         duration_ms: Millis,
     },
+    /// Makes an endpoint silent, which is no disturbance.
+    Silence {
+        index: usize,
+        duration_ms: Millis,
+        /// Last part of the duration, in which it answers state requests again.
+        answering_ms: Millis,
+    },
+    /// Runs a relay on a part of a core, which is no disturbance.
+    PartCore(usize, Millis),
     /// Makes the store misbehave.
     Store {
         fault: StoreFault,
@@ -89,7 +110,21 @@
 }
 
 /// Draws the faults of a run, in order of time.
-pub(crate) fn plan(seed: u64, load_ms: Millis, targets: Targets) -> Vec<PlannedFault> {
+pub(crate) fn plan(
+    profile: Profile,
+    seed: u64,
+    load_ms: Millis,
+    targets: Targets,
+) -> Vec<PlannedFault> {
+    let mut faults = match profile {
+        Profile::Mixed => plan_mixed_profile(seed, load_ms, targets),
+        Profile::Silence => plan_silence_profile(seed, load_ms, targets),
+    };
+    faults.sort_by_key(|planned| planned.at);
+    faults
+}
+
+fn plan_mixed_profile(seed: u64, load_ms: Millis, targets: Targets) -> Vec<PlannedFault> {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let is_planned_only = seed.is_multiple_of(PLANNED_ONLY_SEED_INTERVAL);
     let mut faults = Vec::new();
@@ -113,7 +148,6 @@
         }
     }
     faults.extend(plan_notices(seed, load_ms, targets));
-    faults.sort_by_key(|planned| planned.at);
     faults
 }
 
@@ -166,6 +200,7 @@
             notices.map(|fault| at(1, fault)).collect()
         }
         Invariant::ConfigurationDelay => vec![at(1, Fault::ChangeConfiguration)],
+        Invariant::EarlyFailure => on_endpoints(RelayedFault::LoseAnswer),
         Invariant::RequestIntegrity | Invariant::Recovery | Invariant::MemoryLimit => Vec::new(),
     }
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -41,12 +41,20 @@
     Exited(ExitStatus),
 }
 
+/// Retry budget in the settings of the relays.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryBudget {
+    pub(crate) ratio: f64,
+    pub(crate) slack: u64,
+}
+
 /// The relay binary and the directory of its files.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayProgram {
     pub(crate) file: PathBuf,
     /// Directory for settings and logs.
     pub(crate) directory: PathBuf,
+    pub(crate) retry_budget: RetryBudget,
 }
 
 impl RelayProgram {
@@ -67,7 +75,7 @@
         let file = self.settings_file(relay);
         // Write to a temporary file and rename it, so that a relay never reads a partial file.
         let temporary = file.with_extension("new");
-        let text = settings(relay, store, revision).to_string();
+        let text = settings(relay, store, self.retry_budget, revision).to_string();
         fs::write(&temporary, text).wrap_err_with(|| format!("writing {}", temporary.display()))?;
         fs::rename(&temporary, &file).wrap_err_with(|| format!("writing {}", file.display()))
     }
@@ -149,7 +157,7 @@
         .wrap_err("waiting for the relay process to exit")
 }
 
-fn settings(relay: usize, store: SocketAddr, revision: u64) -> Value {
+fn settings(relay: usize, store: SocketAddr, retry_budget: RetryBudget, revision: u64) -> Value {
     let any_port = "127.0.0.1:0";
     let seconds = |duration: Millis| duration.get() / 1_000;
     json!({
@@ -162,7 +170,8 @@
         "store_address": store,
         "bounds": {
             "configuration_ms": MAX_CONFIGURATION_DELAY_MS, "leaving_ms": MAX_DRAIN_DELAY_MS,
-            "stop_s": seconds(STOP_TIMEOUT_MS), "retry_ratio": 0.8, "retry_slack": 150 + revision,
+            "stop_s": seconds(STOP_TIMEOUT_MS), "retry_ratio": retry_budget.ratio,
+            "retry_slack": retry_budget.slack + revision,
         },
     })
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,16 +20,29 @@
     controller::Controller,
     environment::Environment,
     invariants::{Invariant, Tally, Violation},
-    plan::{Targets, breaking_faults, plan},
-    process::RelayProgram,
+    plan::{Profile, Targets, breaking_faults, plan},
+    process::{RelayProgram, RetryBudget},
 };
 
 const ENDPOINTS: usize = 8;
 const CALLERS: usize = 24;
+/// Callers of the silence profile, whose long streams keep many of them waiting.
+const SILENCE_CALLERS: usize = 72;
+const RETRY_BUDGET: RetryBudget = RetryBudget {
+    ratio: 0.8,
+    slack: 150,
+};
+/// Retry budget of the odd seeds of the silence profile, which is soon used up.
+const SMALL_RETRY_BUDGET: RetryBudget = RetryBudget {
+    ratio: 0.02,
+    slack: 0,
+};
 
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct RunSpec {
+    /// Selection of faults.
+    pub profile: Profile,
     /// Seed of the faults and of the callers.
     pub seed: u64,
     /// Duration of the load with faults.
@@ -68,7 +81,7 @@
     let (phase, phase_receiver) = watch::channel(Phase::Waiting);
     let (newest_version, version_receiver) = watch::channel(1);
     let (sender, environment) = oneshot::channel();
-    let (seed, broken_invariant) = (spec.seed, spec.broken_invariant);
+    let (seed, profile, broken_invariant) = (spec.seed, spec.profile, spec.broken_invariant);
     let traffic = spawn("soak-traffic", move |runtime| {
         runtime.block_on(async {
             let environment = Environment::start(clock, targets, broken_invariant)
@@ -76,6 +89,7 @@
                 .map(Arc::new);
             let context = environment.as_ref().ok().map(|environment| CallerContext {
                 environment: Arc::clone(environment),
+                profile,
                 phase: phase_receiver,
                 newest_version: version_receiver,
             });
@@ -89,7 +103,7 @@
     let runtime = Builder::new_current_thread().enable_all().build();
     let faults = match broken_invariant {
         Some(invariant) => breaking_faults(invariant, targets),
-        None => plan(seed, spec.load_ms, targets),
+        None => plan(profile, seed, spec.load_ms, targets),
     };
     let report = runtime
         .wrap_err("building the control runtime")?
@@ -99,6 +113,10 @@
             let program = RelayProgram {
                 file: spec.relay_program.clone(),
                 directory: spec.directory.clone(),
+                retry_budget: match profile {
+                    Profile::Silence if !seed.is_multiple_of(2) => SMALL_RETRY_BUDGET,
+                    _ => RETRY_BUDGET,
+                },
             };
             let mut controller =
                 Controller::start(Arc::clone(&environment), program, phase, newest_version)?;
@@ -130,7 +148,11 @@
 /// Runs the callers until the load ends, then probes each relay once.
 async fn run_callers(context: CallerContext, seed: u64) {
     let mut callers = JoinSet::new();
-    for index in 0..CALLERS {
+    let count = match context.profile {
+        Profile::Mixed => CALLERS,
+        Profile::Silence => SILENCE_CALLERS,
+    };
+    for index in 0..count {
         let random = Pcg64Mcg::seed_from_u64(seed.wrapping_add(index as u64 + 1));
         let caller = Caller::new(context.clone(), format!("c{index}"), random);
         callers.spawn(caller.run());
