--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -68,6 +68,16 @@
     assert_eq!(report.violations, [], "seed {seed}");
 }
 
+/// Guards against requests that are lost or given up because a sound endpoint falls silent for a
+/// moment.
+#[test_case(1003 ; "whole load")]
+fn silences_lose_no_request(seed: u64) {
+    let name = format!("silence-{seed}");
+    let report = run_soak(&name, Profile::Silence, seed, LONG_LOAD_MS, None);
+    assert_eq!(report.violations, [], "seed {seed}");
+    assert!(report.tally.served > 0, "{:?}", report.tally);
+}
+
 #[test_case(Invariant::ResponseIntegrity)]
 #[test_case(Invariant::RequestIntegrity)]
 #[test_case(Invariant::AtMostOnce)]
