Soak: an endpoint has finished a stream only once its last event is handed over

- The note that a stream had finished was made before its last event was sent, also for an attempt that the relay had left.
The report names the endpoint and the time since.
- Time between two turns of the traffic thread counts as run time up to 20 ms, and not beyond the age of the request.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -234,11 +234,11 @@
         let observed = Observed {
             at: environment.clock.now(),
             run_time_us: environment.run_time.elapsed(),
-            has_finished: environment.has_finished(&id),
+            finished: environment.find_finished(&id),
         };
         environment
             .checker()
-            .record_outcome(observed, &id, &outcome);
+            .record_outcome(&observed, &id, &outcome);
         outcome
     }
 
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,6 +4,7 @@
 use std::{
     io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use parsleylatch_runtime::Clock;
@@ -159,10 +160,12 @@
         });
     }
 
-    /// Whether an endpoint has run a request to its end.
-    pub(crate) fn has_finished(&self, request_id: &str) -> bool {
-        let mut endpoints = self.endpoints.iter();
-        endpoints.any(|it| it.endpoint.has_finished(request_id))
+    /// Endpoint that has run a request to its end, and the time since then.
+    pub(crate) fn find_finished(&self, request_id: &str) -> Option<(EndpointId, Duration)> {
+        self.endpoints.iter().find_map(|it| {
+            let finished_for = it.endpoint.finished_for(request_id)?;
+            Some((it.id.clone(), finished_for))
+        })
     }
 
     /// Makes an endpoint silent, or lets it go on.
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -1,7 +1,7 @@
 //! Invariants of the relay and their checks, from the requests and outcomes that callers
 //! record and the requests that endpoints receive. Pure state: no I/O and no clock access.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use parsleylatch_standin::{ArrivedRequest, RelayedNotice, call_text, event_text};
 use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime};
@@ -142,12 +142,12 @@
 }
 
 /// Circumstances in which a caller observes an outcome.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Observed {
     pub(crate) at: MonoTime,
     pub(crate) run_time_us: Micros,
-    /// Whether an endpoint has run the request to its end.
-    pub(crate) has_finished: bool,
+    /// Endpoint that has run the request to its end, and the time since then.
+    pub(crate) finished: Option<(EndpointId, Duration)>,
 }
 
 /// Outcome of a request for its caller.
@@ -368,16 +368,19 @@
         }
     }
 
-    pub(crate) fn record_outcome(&mut self, observed: Observed, id: &str, outcome: &Outcome) {
+    pub(crate) fn record_outcome(&mut self, observed: &Observed, id: &str, outcome: &Outcome) {
         let now = observed.at;
         let Some(tracked) = self.requests.get_mut(id) else {
             return;
         };
         tracked.is_refused = is_not_run(outcome);
         let (sent, runs) = (tracked.sent.clone(), tracked.runs);
-        let is_at_work = runs > 0 && !observed.has_finished;
+        let finished = observed.finished.as_ref();
+        let elapsed_us = now.since(sent.sent_at);
         let ran_us = observed.run_time_us.saturating_sub(sent.run_time_us);
-        let held_up_us = now.since(sent.sent_at).saturating_sub(ran_us);
+        // A tick counts as a whole when it ends.
+        let ran_us = ran_us.min(elapsed_us);
+        let held_up_us = elapsed_us.saturating_sub(ran_us);
         let was_held_up = held_up_us > MAX_HELD_UP_MS.micros();
         self.update_tally(&sent, outcome);
         match outcome {
@@ -394,12 +397,12 @@
             Outcome::Streamed { events, is_whole } => {
                 self.check_events(now, &sent, events, *is_whole);
                 if !is_whole && !was_held_up {
-                    self.check_aborted(now, &sent, is_at_work, true);
+                    self.check_aborted(now, &sent, runs, finished, true);
                 }
             }
             Outcome::Closed => {
                 let was_read = !was_held_up && (runs > 0 || ran_us > READ_SLACK_MS.micros());
-                self.check_aborted(now, &sent, is_at_work, was_read);
+                self.check_aborted(now, &sent, runs, finished, was_read);
             }
             Outcome::Unanswered | Outcome::Left => {}
         }
@@ -532,18 +535,24 @@
         &mut self,
         now: MonoTime,
         sent: &SentRequest,
-        is_at_work: bool,
+        runs: usize,
+        finished: Option<&(EndpointId, Duration)>,
         was_read: bool,
     ) {
         let in_time = now < sent.sent_at + sent.timeout_ms;
+        let is_at_work = runs > 0 && finished.is_none();
         let is_excused = is_at_work && self.is_cut_at_stop_end(sent, now);
         if was_read
             && in_time
             && !is_excused
             && self.is_relay_undisturbed(sent.relay, sent.sent_at, now)
         {
+            let stage = match finished {
+                Some((endpoint, time)) => format!("{endpoint} had finished it for {time:?}"),
+                None => format!("{runs} runs"),
+            };
             let reason = format!(
-                "{} lost its connection {} after it was sent",
+                "{} lost its connection {} after it was sent; {stage}",
                 sent.id,
                 elapsed(sent, now)
             );
--- a/crates/soak/src/run_time.rs
+++ b/crates/soak/src/run_time.rs
@@ -14,7 +14,7 @@
 
 const TICK_MS: Millis = Millis::new(5);
 /// Longest time between two ticks that counts as run time.
-const MAX_TICK: Duration = Duration::from_millis(100);
+const MAX_TICK: Duration = Duration::from_millis(20);
 
 /// Clock that stands while the thread is held up.
 #[derive(Clone, Default)]
--- a/crates/standin/src/relayed.rs
+++ b/crates/standin/src/relayed.rs
@@ -3,7 +3,7 @@
 //! receives, so that a test or a soak run can compare it with what callers sent.
 
 use std::{
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     io,
     net::SocketAddr,
     sync::{
@@ -134,8 +134,8 @@
     /// Requests that have been read and not yet answered, by number of the run.
     runs: Mutex<BTreeMap<u64, Run>>,
     next_run: AtomicU64,
-    /// Ids of requests that have run to their end.
-    finished: Mutex<HashSet<String>>,
+    /// When requests have run to their end, by id.
+    finished: Mutex<HashMap<String, Instant>>,
     /// Last report of the state, and when it was made.
     report: Mutex<Option<(Instant, Value)>>,
     /// Last prompt parts of the most recently read prompts.
@@ -195,7 +195,7 @@
         spec.notice.filter(|_| spec.is_sent)
     }
 
-    fn finished(&self) -> MutexGuard<'_, HashSet<String>> {
+    fn finished(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
         self.finished.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -281,9 +281,10 @@
         self.state.fault.send_replace(fault_spec);
     }
 
-    /// Whether a request has run to its end here.
-    pub fn has_finished(&self, request_id: &str) -> bool {
-        self.state.finished().contains(request_id)
+    /// Time since a request has run to its end here, if it has.
+    pub fn finished_for(&self, request_id: &str) -> Option<Duration> {
+        let finished = self.state.finished();
+        finished.get(request_id).map(Instant::elapsed)
     }
 
     /// Makes the endpoint fall silent, or go on.
@@ -426,7 +427,7 @@
     let delay_ms = accepted.fault_spec.delay_ms.unwrap_or_default();
     tokio::time::sleep(state.settings.pace_ms.saturating_add(delay_ms).duration()).await;
     state.wait_for_silence_end(Silence::None).await;
-    state.finished().insert(accepted.id.clone());
+    state.finished().insert(accepted.id.clone(), Instant::now());
     let head = response_head(&state, &accepted.id).header("answer-digest", "1");
     let text = call_text(&accepted.id, accepted.body_digest);
     match accepted.fault_spec.fault {
@@ -500,12 +501,13 @@
         };
         let is_last = chunk.is_err();
         accepted.run.record_event(number);
-        if number == accepted.output_events {
-            state.finished().insert(accepted.id.clone());
-        }
         if chunks.send(chunk).await.is_err() || is_last {
             break;
         }
+        if number == accepted.output_events {
+            let id = accepted.id.clone();
+            state.finished().insert(id, Instant::now());
+        }
     }
 }
 
