Soak: a request whose endpoint finished in the last sixth of a planned stop may be cut

The rule excuses a request that was sent by 3 s after the signal and whose endpoint was still at work in the last sixth; the check excused it only if the endpoint had not finished at all.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -540,8 +540,8 @@
         was_read: bool,
     ) {
         let in_time = now < sent.sent_at + sent.timeout_ms;
-        let is_at_work = runs > 0 && finished.is_none();
-        let is_excused = is_at_work && self.is_cut_at_stop_end(sent, now);
+        let finished_for = finished.map(|(_, time)| Micros::new(time.as_micros() as u64));
+        let is_excused = runs > 0 && self.is_cut_at_stop_end(sent, now, finished_for);
         if was_read
             && in_time
             && !is_excused
@@ -568,11 +568,21 @@
         })
     }
 
-    /// Whether a request that was sent before or early in a planned stop was cut at its end.
-    fn is_cut_at_stop_end(&self, sent: &SentRequest, now: MonoTime) -> bool {
-        let stop = self.stops.get(&sent.relay);
-        stop.is_some_and(|stop| sent.sent_at <= *stop + EARLY_IN_STOP_MS)
+    /// Whether a request that was sent before or early in a planned stop was cut at its end, and
+    /// its endpoint was still at work in the last part.
+    fn is_cut_at_stop_end(
+        &self,
+        sent: &SentRequest,
+        now: MonoTime,
+        finished_for: Option<Micros>,
+    ) -> bool {
+        let Some(stop) = self.stops.get(&sent.relay) else {
+            return false;
+        };
+        let last_part = *stop + time_before_last_part(STOP_TIMEOUT_MS, LAST_PART_OF_STOP);
+        sent.sent_at <= *stop + EARLY_IN_STOP_MS
             && self.is_stop_ending(sent.relay, now)
+            && finished_for.is_none_or(|time| now.since(last_part) >= time)
     }
 
     /// Whether no disturbance affected the relay, the store or the endpoints.
