--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -120,15 +120,18 @@
             };
             let mut controller =
                 Controller::start(Arc::clone(&environment), program, phase, newest_version)?;
+            let complete_run = async {
+                controller.run_plan(&faults, spec.load_ms).await?;
+                controller.run_until_callers_finish().await
+            };
             tokio::select! {
-                result = controller.run_plan(&faults, spec.load_ms) => result?,
+                result = complete_run => result?,
                 // Dropping the controller kills the relay processes.
                 signal = shutdown_signal() => {
                     signal.wrap_err("waiting for signals")?;
                     return Err(eyre!("stopped by a signal"));
                 }
             }
-            controller.run_until_callers_finish().await?;
             let checker = environment.checker();
             Ok(RunReport {
                 violations: checker.violations().to_vec(),
