--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -222,6 +222,7 @@
         self.attempt = None;
         self.probe = None;
         self.candidate = None;
+        self.unconfirmed.clear();
         self.copy_monitor = CopyMonitor::default();
         self.is_endpoint_silent = false;
         self.report_trial_abandoned();
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -67,6 +67,7 @@
         probe: None,
         probed_at: now,
         candidate: None,
+        unconfirmed: Vec::new(),
         copy_monitor: CopyMonitor::default(),
         is_endpoint_silent: false,
         queue_slot: None,
@@ -154,6 +155,8 @@
     probed_at: MonoTime,
     /// Next endpoint of a stream, which is asked whether it answers before the stream moves.
     candidate: Option<Candidate>,
+    /// Endpoints that have not confirmed lately that they take the stream.
+    unconfirmed: Vec<EndpointKey>,
     copy_monitor: CopyMonitor,
     /// Whether the endpoint of the running attempt answers no probe.
     is_endpoint_silent: bool,
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -36,7 +36,7 @@
     /// No engine can read the prompt before the deadline.
     Hopeless,
     /// The engines are full.
-    Full(Box<Choice>),
+    Full,
     /// The endpoint has failed a short time ago.
     Suspended,
     /// The endpoint has not shown yet that it answers.
@@ -90,7 +90,7 @@
         }
         let key = &choice.endpoint.key;
         if !self.bypasses_queue && traffic.must_wait(&spec.service, key, size) {
-            return Err(PlaceRefusal::Full(Box::new(choice)));
+            return Err(PlaceRefusal::Full);
         }
         Ok(choice)
     }
@@ -112,7 +112,7 @@
             Err(PlaceRefusal::Quarantined(part)) => self.refuse_quarantined(&part),
             Err(PlaceRefusal::Stopping) => self.refuse_stopping(),
             Err(PlaceRefusal::Hopeless) => self.refuse_hopeless(),
-            Err(PlaceRefusal::Full(_)) => self.enter_queue(),
+            Err(PlaceRefusal::Full) => self.enter_queue(),
             Err(
                 PlaceRefusal::NoEndpoint
                 | PlaceRefusal::Suspended
@@ -130,7 +130,13 @@
     /// also leaves for one that may reject it, and for the queue.
     pub(super) fn plan_move(&mut self, reason: LeaveReason) -> Result<NextStep, PlaceRefusal> {
         let is_given_up = self.is_probing() && self.exchange.is_given_up(self.traffic.now());
-        let next = match self.find_next_place() {
+        let mut found = self.find_next_place();
+        if matches!(found, Err(PlaceRefusal::NoEndpoint)) && !self.unconfirmed.is_empty() {
+            // All others have been asked, and may answer by now.
+            self.unconfirmed.clear();
+            found = self.find_next_place();
+        }
+        let next = match found {
             Ok(choice) if is_given_up || !self.job.spec.repeat.is_stream() => {
                 NextStep::Move(Box::new(choice))
             }
@@ -142,7 +148,7 @@
             Err(PlaceRefusal::NoEndpoint) if reason == LeaveReason::Undelivered => {
                 NextStep::Move(Box::new(self.find_place_again()?))
             }
-            Err(PlaceRefusal::Full(_) | PlaceRefusal::Suspended) if is_given_up => NextStep::Retry,
+            Err(PlaceRefusal::Full | PlaceRefusal::Suspended) if is_given_up => NextStep::Retry,
             Err(refusal) => return Err(refusal),
         };
         match self.take_retry() {
@@ -171,6 +177,7 @@
             return Vec::new();
         };
         if let Err(refusal) = self.confirm_candidate(&choice, report) {
+            self.unconfirmed.push(choice.endpoint.key.clone());
             self.record_stay(reason, &refusal);
             return Vec::new();
         }
@@ -192,10 +199,7 @@
             }
             // It answers, and its report tells nothing.
             Some(Err(_)) => true,
-            None => {
-                table.record_outcome(now, key, Outcome::Broken);
-                return Err(PlaceRefusal::Unconfirmed);
-            }
+            None => return Err(PlaceRefusal::Unconfirmed),
         };
         let is_usable = table.is_usable(key);
         drop(table);
@@ -203,7 +207,7 @@
             return Err(PlaceRefusal::NoEndpoint);
         }
         if !has_slot && choice.copy.is_none() {
-            return Err(PlaceRefusal::Full(Box::new(choice.clone())));
+            return Err(PlaceRefusal::Full);
         }
         if let Some(part) = self.quarantined_part() {
             return Err(PlaceRefusal::Quarantined(part));
@@ -227,12 +231,16 @@
         };
         let mut excluded = self.exchange.excluded_endpoints().to_vec();
         excluded.push(sent.key.clone());
+        excluded.extend_from_slice(&self.unconfirmed);
         let choice = self.find_place(&excluded, self.exchange.next_copy())?;
         if choice.copy.is_none() && self.is_restart_hopeless() {
             return Err(PlaceRefusal::Hopeless);
         }
+        // A call that is rejected goes on elsewhere at once.
         let table = self.traffic.endpoint_table.borrow();
-        match table.has_failed_recently(self.traffic.now(), &choice.endpoint.key) {
+        let is_suspended = self.job.spec.repeat.is_stream()
+            && table.has_failed_recently(self.traffic.now(), &choice.endpoint.key);
+        match is_suspended {
             true => Err(PlaceRefusal::Suspended),
             false => Ok(choice),
         }
