Relay: an endpoint that answers probes does not keep an overdue stream

It is overdue after 2.3 s, the next endpoint is asked, and the answer of its own endpoint to the probe of the same moment withdrew the question.

A report that is too early to show the request no longer counts as a sign of it either: an endpoint that answers every other probe kept its requests until their deadline (unclear_reports_no_presence). An endpoint is given up after 2.5 s without a sign of the request, as an early report is no such sign. find_request tells TooEarly from Present.

--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -44,7 +44,7 @@
 const SILENCE_LIMIT_MS: Millis = Millis::new(3_000);
 /// Time without any sign of life after which a request leaves its endpoint also for a place
 /// that may not take it at once, such as a queue.
-const LONG_SILENCE_MS: Millis = Millis::new(2_000);
+const LONG_SILENCE_MS: Millis = Millis::new(2_500);
 /// Retry-after of a refused stream that did not run.
 const STREAM_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// Retry-after of a refused call that did not run.
--- a/crates/decide/src/relay/exchange/message.rs
+++ b/crates/decide/src/relay/exchange/message.rs
@@ -91,6 +91,8 @@
     Finished,
     /// The probe was answered, and the endpoint has the request.
     ProbeAnswered,
+    /// The probe was answered too early to show whether the endpoint has the request.
+    ProbeUnclear,
     /// The probe shows no progress of the request.
     ProbeFailed {
         /// What it shows.
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -416,6 +416,10 @@
                 context.evidence.record_presence(now);
                 ExchangeEvent::ProbeAnswered
             }
+            ExchangeInput::ProbeUnclear => {
+                context.evidence.record_answer(now);
+                ExchangeEvent::ProbeAnswered
+            }
             ExchangeInput::ProbeFailed { failure, next } => {
                 match failure {
                     ProbeFailure::Silent => context.evidence.record_silence(),
--- a/crates/decide/src/relay/report.rs
+++ b/crates/decide/src/relay/report.rs
@@ -7,7 +7,7 @@
 
 /// Events that may still be in transit when a report arrives.
 const EVENTS_IN_TRANSIT: u64 = 2;
-/// Time after the send during which a report may be too old to list the request.
+/// Time after an engine could read a request during which a report may be too old to list it.
 const REPORT_LAG_MS: Millis = Millis::new(800);
 
 /// Progress of one run of an engine.
@@ -39,6 +39,8 @@
 pub enum ProbeFinding {
     /// The engine has the request, or may have it.
     Present,
+    /// The report may be older than the time at which the engine read the request.
+    TooEarly,
     /// The engine generated events that did not arrive.
     Undelivered,
     /// The engine does not have the request.
@@ -46,23 +48,25 @@
 }
 
 impl EngineReport {
-    /// Looks up a request that was sent `sent_for` ago.
+    /// Looks up a request that the engine could read for `readable_for`.
     pub fn find_request(
         &self,
         id: &str,
         last_event: Option<StreamEventId>,
-        sent_for: Millis,
+        readable_for: Millis,
     ) -> ProbeFinding {
-        if sent_for < REPORT_LAG_MS {
-            return ProbeFinding::Present;
-        }
+        let is_early = readable_for < REPORT_LAG_MS;
         let received = last_event.unwrap_or_default().get();
         match self.runs.iter().find(|run| &*run.id == id) {
             Some(run) if run.events > received.saturating_add(EVENTS_IN_TRANSIT) => {
-                ProbeFinding::Undelivered
+                match is_early {
+                    true => ProbeFinding::TooEarly,
+                    false => ProbeFinding::Undelivered,
+                }
             }
             Some(_) => ProbeFinding::Present,
             None if self.has_unlisted() => ProbeFinding::Present,
+            None if is_early => ProbeFinding::TooEarly,
             None => ProbeFinding::Missing,
         }
     }
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -54,9 +54,13 @@
         });
         let failure = match finding {
             Some(ProbeFinding::Present) => {
-                self.candidate = None;
+                self.leave_candidate();
                 return self.exchange.handle(now, ExchangeInput::ProbeAnswered);
             }
+            Some(ProbeFinding::TooEarly) => {
+                self.leave_candidate();
+                return self.exchange.handle(now, ExchangeInput::ProbeUnclear);
+            }
             // Undelivered events may still arrive, unless the connection is dead.
             Some(ProbeFinding::Undelivered) => ProbeFailure::Undelivered,
             Some(ProbeFinding::Missing) => ProbeFailure::Missing,
@@ -84,6 +88,13 @@
         effects
     }
 
+    /// Drops the next endpoint because that of the attempt answers probes, unless its response
+    /// is overdue all the same.
+    fn leave_candidate(&mut self) {
+        let candidate = self.candidate.take();
+        self.candidate = candidate.filter(|it| it.reason == LeaveReason::Overdue);
+    }
+
     /// Whether the timeout of a probe passed while the process stood still, which is no sign of
     /// the endpoint's silence.
     fn was_paused_while_probing(&self, now: MonoTime) -> bool {
