Relay: a stream leaves a silent engine while the engines may be full

Cause: while the engines may be full as far as one node can tell, an engine without a recent report counted as full. A stream without an attempt is queued then and its engines are asked, which takes some 10 ms; a stream with an attempt was told that its next place is full, and stayed until its engine was given up.

Change: what is known of an engine's room is free, unknown or taken (`room` replaces `must_wait`). A stream with an attempt asks an engine whose room is unknown, as it asks any other before it leaves, and moves only if the report has room. Streams that wait in the queue still go first.

--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -30,9 +30,20 @@
     Stopping,
 }
 
-/// Whether a stream has to wait although the engine `key` could be used. `queue` is that of
-/// its service, and `threads` the number of traffic threads of all nodes.
-pub fn must_wait(
+/// What is known about the room of an engine for one more stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// The engine has room, by its report or because few streams run.
+    Free,
+    /// The engines may be full, and this one has not reported its state lately.
+    Unknown,
+    /// The engine is full, or other streams wait for room.
+    Taken,
+}
+
+/// What is known about the room of the engine `key`. `queue` is that of its service, and
+/// `threads` the number of traffic threads of all nodes.
+pub fn room(
     now: MonoTime,
     table: &EndpointTable,
     queue: Option<&PlacementQueue>,
@@ -40,13 +51,21 @@
     key: &EndpointKey,
     size: StreamSize,
     threads: usize,
-) -> bool {
+) -> Room {
     if queue.is_some_and(|it| !it.is_reported(now)) {
-        return false;
+        return Room::Free;
+    }
+    if queue.is_some_and(|it| !it.is_empty()) {
+        return Room::Taken;
+    }
+    if !may_be_full(table.own_streams(service), threads, size) {
+        return Room::Free;
+    }
+    match table.has_room(now, key, size) {
+        Some(true) => Room::Free,
+        Some(false) => Room::Taken,
+        None => Room::Unknown,
     }
-    let is_behind_others = queue.is_some_and(|it| !it.is_empty());
-    let may_be_full = may_be_full(table.own_streams(service), threads, size);
-    is_behind_others || may_be_full && table.has_room(now, key, size) != Some(true)
 }
 
 /// Assigns the engines that have room to waiting streams, and takes those out of the queue
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -10,7 +10,7 @@
 //!   memory.
 //! - [`may_be_full`] decides when the engines are asked for their state. Load pattern: a
 //!   burst that is spread over so many nodes that none of them sees it.
-//! - [`must_wait`] and [`assign_engines`] bring these decisions together. Load pattern:
+//! - [`room`] and [`assign_engines`] bring these decisions together. Load pattern:
 //!   a burst on many nodes at once.
 //! - [`PlacementQueue`] decides which waiting stream is placed next and which are
 //!   rejected. Load pattern: a burst whose end leaves a backlog of late streams that
@@ -30,7 +30,7 @@
 mod retry_delay;
 mod stream_duration;
 
-pub use assignment::{Assignment, assign_engines, must_wait};
+pub use assignment::{Assignment, Room, assign_engines, room};
 pub use engine_load::{EngineLoad, StreamSize};
 pub use hopeless::{is_hopeless, is_restart_hopeless};
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
--- a/crates/decide/tests/overload/model.rs
+++ b/crates/decide/tests/overload/model.rs
@@ -10,8 +10,8 @@
 
 use parsleylatch_decide::relay::{
     Assignment, EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, EngineReport,
-    NodeLocation, Notice, PlacementQueue, QueueTicket, QueuedStream, RunProgress,
-    SelectionCriteria, Selector, StreamSize, assign_engines, must_wait,
+    NodeLocation, Notice, PlacementQueue, QueueTicket, QueuedStream, Room, RunProgress,
+    SelectionCriteria, Selector, StreamSize, assign_engines, room,
 };
 use parsleylatch_types::{
     ByteCount, FailureDomain, Incarnation, Micros, Millis, MonoTime, NodeId, Rank, Region,
@@ -304,7 +304,8 @@
         let choice = at.selector.select(now, &at.table, &criteria).unwrap();
         let key = choice.endpoint.key.clone();
         let queue = Some(&at.queue);
-        let waits = must_wait(now, &at.table, queue, &service, &key, SIZE, NODES);
+        let known = room(now, &at.table, queue, &service, &key, SIZE, NODES);
+        let waits = known != Room::Free;
         if self.strategy == Strategy::SendAtOnce || !waits {
             self.send(now_us, request, &key);
             return;
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -142,13 +142,18 @@
         histogram.saturating_record(latency.get());
     }
 
-    /// Renders all metrics and the memory that bodies take in the Prometheus text
-    /// exposition format.
-    pub(crate) fn render(&self, body_memory: &MemoryBudget) -> String {
+    /// Renders all metrics, the memory that bodies take and the number of known endpoints in
+    /// the Prometheus text exposition format.
+    pub(crate) fn render(&self, body_memory: &MemoryBudget, endpoints: usize) -> String {
         let mut text = String::new();
-        let held = body_memory.held();
-        let _ = writeln!(text, "# TYPE parsleylatch_body_memory_bytes gauge");
-        let _ = writeln!(text, "parsleylatch_body_memory_bytes {held}");
+        let gauges = [
+            ("body_memory_bytes", body_memory.held()),
+            ("endpoints", endpoints),
+        ];
+        for (name, value) in gauges {
+            let _ = writeln!(text, "# TYPE parsleylatch_{name} gauge");
+            let _ = writeln!(text, "parsleylatch_{name} {value}");
+        }
         for counter in RelayCounter::iter() {
             let name: &str = counter.into();
             let value = self.counters[counter as usize].load(Ordering::Relaxed);
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -8,7 +8,7 @@
 
 use parsleylatch_decide::relay::{
     Choice, EndpointKey, ExchangeEffect, ExchangeInput, LeaveReason, MemoryCopy, NextStep, Outcome,
-    RefusalReason, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
+    RefusalReason, Room, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
 };
 use parsleylatch_types::{MonoTime, PromptPartId};
 use strum::Display;
@@ -53,6 +53,30 @@
         &self,
         excluded: &[EndpointKey],
         copy: Option<&MemoryCopy>,
+    ) -> Result<Choice, PlaceRefusal> {
+        let choice = self.find_endpoint(excluded, copy)?;
+        match self.room(&choice) {
+            Room::Free => Ok(choice),
+            Room::Unknown | Room::Taken => Err(PlaceRefusal::Full),
+        }
+    }
+
+    /// What is known about the room of an endpoint for this request.
+    fn room(&self, choice: &Choice) -> Room {
+        let service = &self.job.spec.service;
+        let is_rolled_out = self.traffic.snapshot().versions.contains_key(service);
+        if is_rolled_out || self.bypasses_queue || !self.is_queueable(choice.copy.is_some()) {
+            return Room::Free;
+        }
+        self.traffic
+            .room(service, &choice.endpoint.key, self.stream_size())
+    }
+
+    /// Finds an endpoint for the request, which may have to wait for room there.
+    fn find_endpoint(
+        &self,
+        excluded: &[EndpointKey],
+        copy: Option<&MemoryCopy>,
     ) -> Result<Choice, PlaceRefusal> {
         if let Some(part) = self.quarantined_part() {
             return Err(PlaceRefusal::Quarantined(part));
@@ -88,10 +112,6 @@
         if is_hopeless(now, spec.deadline, spec.prompt) {
             return Err(PlaceRefusal::Hopeless);
         }
-        let key = &choice.endpoint.key;
-        if !self.bypasses_queue && traffic.must_wait(&spec.service, key, size) {
-            return Err(PlaceRefusal::Full);
-        }
         Ok(choice)
     }
 
@@ -130,20 +150,19 @@
     /// also leaves for one that may reject it, and for the queue.
     pub(super) fn plan_move(&mut self, reason: LeaveReason) -> Result<NextStep, PlaceRefusal> {
         let is_given_up = self.is_probing() && self.exchange.is_given_up(self.traffic.now());
-        let mut found = self.find_next_place();
+        let may_ask = !is_given_up && self.job.spec.repeat.is_stream();
+        let mut found = self.find_next_place(may_ask);
         if matches!(found, Err(PlaceRefusal::NoEndpoint)) && !self.unconfirmed.is_empty() {
             // All others have been asked, and may answer by now.
             self.unconfirmed.clear();
-            found = self.find_next_place();
+            found = self.find_next_place(may_ask);
         }
         let next = match found {
-            Ok(choice) if is_given_up || !self.job.spec.repeat.is_stream() => {
-                NextStep::Move(Box::new(choice))
-            }
-            Ok(choice) => {
+            Ok(choice) if may_ask => {
                 self.ask_candidate(reason, choice);
                 return Err(PlaceRefusal::Unconfirmed);
             }
+            Ok(choice) => NextStep::Move(Box::new(choice)),
             // The endpoint has the request, and only the connection gives no sign of life.
             Err(PlaceRefusal::NoEndpoint) if reason == LeaveReason::Undelivered => {
                 NextStep::Move(Box::new(self.find_place_again()?))
@@ -206,7 +225,8 @@
         if !is_usable {
             return Err(PlaceRefusal::NoEndpoint);
         }
-        if !has_slot && choice.copy.is_none() {
+        let has_room = has_slot && self.room(choice) == Room::Free;
+        if !has_room && choice.copy.is_none() {
             return Err(PlaceRefusal::Full);
         }
         if let Some(part) = self.quarantined_part() {
@@ -224,15 +244,21 @@
         }
     }
 
-    /// Finds a place for a request that has an attempt.
-    fn find_next_place(&self) -> Result<Choice, PlaceRefusal> {
+    /// Finds a place for a request that has an attempt; with `may_ask` also one whose room is
+    /// not known, because its endpoint is asked before the request leaves.
+    fn find_next_place(&self, may_ask: bool) -> Result<Choice, PlaceRefusal> {
         let Some(sent) = &self.sent else {
             return Err(PlaceRefusal::NoEndpoint);
         };
         let mut excluded = self.exchange.excluded_endpoints().to_vec();
         excluded.push(sent.key.clone());
         excluded.extend_from_slice(&self.unconfirmed);
-        let choice = self.find_place(&excluded, self.exchange.next_copy())?;
+        let choice = self.find_endpoint(&excluded, self.exchange.next_copy())?;
+        match self.room(&choice) {
+            Room::Free => {}
+            Room::Unknown if may_ask => {}
+            Room::Unknown | Room::Taken => return Err(PlaceRefusal::Full),
+        }
         if choice.copy.is_none() && self.is_restart_hopeless() {
             return Err(PlaceRefusal::Hopeless);
         }
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -9,7 +9,7 @@
 
 use parsleylatch_decide::relay::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
-    Selector, ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
+    Room, Selector, ServiceRules, StreamSize, is_copy_unaffordable, room,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
@@ -84,18 +84,13 @@
         self.selector.borrow_mut()
     }
 
-    /// Whether a stream has to wait for an engine, although `key` could be used.
-    pub(crate) fn must_wait(
-        &self,
-        service: &ServiceName,
-        key: &EndpointKey,
-        size: StreamSize,
-    ) -> bool {
+    /// What is known about the room of the engine `key` for one more stream.
+    pub(crate) fn room(&self, service: &ServiceName, key: &EndpointKey, size: StreamSize) -> Room {
         let queues = self.placement_queues.borrow();
         let queue = queues.get(service).map(ServiceQueue::queue);
         let table = self.endpoint_table.borrow();
         let threads = self.cluster_traffic_threads();
-        must_wait(self.now(), &table, queue, service, key, size, threads)
+        room(self.now(), &table, queue, service, key, size, threads)
     }
 
     /// Whether copies of the memory of runs would take memory from other runs.
