Measure how late a traffic thread and its connections are

Cause: nothing looked at the process itself. Change: a periodic turn of each traffic thread measures its lateness (histogram turn_lateness), and the fastest of several connections of more than one service tells about the node's link. The chart traffic_load decides from both, without I/O, what share of new requests is admitted.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -42,6 +42,7 @@
 pub(crate) const RELAY_LIFE: ChartSource = chart_source!("relay_life");
 pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
 pub(crate) const STORE_SOURCE: ChartSource = chart_source!("store_source");
+pub(crate) const TRAFFIC_LOAD: ChartSource = chart_source!("traffic_load");
 pub(crate) const VERSION_MOVE: ChartSource = chart_source!("version_move");
 pub(crate) const PEER: ChartSource = chart_source!("peer");
 pub(crate) const PROMPT_PART: ChartSource = chart_source!("prompt_part");
@@ -65,6 +66,7 @@
     RELAY_LIFE,
     STORE_SESSION,
     STORE_SOURCE,
+    TRAFFIC_LOAD,
     VERSION_MOVE,
     JOURNAL,
     JOURNAL_ENTRY,
--- a/crates/decide/src/relay/configuration.rs
+++ b/crates/decide/src/relay/configuration.rs
@@ -147,6 +147,7 @@
     services: HashMap<ServiceName, Arc<ServiceRules>>,
     /// Services that are configured or answer the requests of a route.
     named_services: HashSet<ServiceName>,
+    shortest_goal_ms: Option<Millis>,
     limits: Option<CallerLimits>,
     workspaces: Option<HashMap<KeyDigest, Arc<RelayWorkspace>>>,
 }
@@ -163,6 +164,7 @@
         let mut routes: HashMap<Box<str>, Vec<Arc<RelayRoute>>> = HashMap::new();
         let configured = parts.services.iter().map(|it| it.name.clone());
         let mut named_services: HashSet<ServiceName> = configured.collect();
+        let shortest_goal_ms = parts.routes.iter().map(|it| it.goal_ms).min();
         for route in parts.routes {
             check_route(&route)?;
             named_services.extend(route.backends.iter().map(|it| it.service.clone()));
@@ -180,6 +182,7 @@
             routes,
             services,
             named_services,
+            shortest_goal_ms,
             limits: parts.limits,
             workspaces: parts.workspaces.map(index_keys),
         })
@@ -211,6 +214,11 @@
         self.named_services.contains(name)
     }
 
+    /// Shortest target for a response time; `None` without a route.
+    pub fn shortest_goal_ms(&self) -> Option<Millis> {
+        self.shortest_goal_ms
+    }
+
     /// Limits of callers.
     pub fn limits(&self) -> Option<&CallerLimits> {
         self.limits.as_ref()
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -46,8 +46,8 @@
 pub use memory_plan::MemoryPlan;
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
-    StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless,
-    is_restart_hopeless, may_be_full, must_wait, retry_delay,
+    StreamDurations, StreamSize, TrafficLoad, TrafficLoadState, assign_engines,
+    is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, must_wait, retry_delay,
 };
 pub use ownership::EndpointOwnership;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
@@ -67,5 +67,6 @@
     endpoint_notice::verify_chart()?;
     exchange::verify_chart()?;
     life::verify_chart()?;
+    overload::verify_chart()?;
     source::verify_chart()
 }
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -21,6 +21,8 @@
 //!   pattern: a planned stop of a node while the engines are full.
 //! - [`retry_delay`] spreads the callers that are rejected over the time at which they
 //!   can be served. Load pattern: callers that return all at once.
+//! - [`TrafficLoad`] refuses new requests while the thread that relays them can't keep up.
+//!   Load pattern: few nodes are left and get the traffic of all.
 
 mod assignment;
 mod engine_load;
@@ -29,6 +31,7 @@
 mod queue;
 mod retry_delay;
 mod stream_duration;
+mod traffic_load;
 
 pub use assignment::{Assignment, assign_engines, must_wait};
 pub use engine_load::{EngineLoad, StreamSize};
@@ -37,3 +40,5 @@
 pub use queue::{PlacementQueue, QueueRejection, QueueTicket, QueuedStream};
 pub use retry_delay::retry_delay;
 pub use stream_duration::StreamDurations;
+pub(crate) use traffic_load::verify_chart;
+pub use traffic_load::{TrafficLoad, TrafficLoadState};
--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -158,31 +158,32 @@
     }
 }
 
-impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new() -> Self {
-        Self::default()
+/// Open connection that carries no request.
+pub struct ReadyConnection {
+    key: ConnectionKey,
+    link: Link,
+    is_reused: bool,
+    usable_for: Duration,
+}
+
+impl ReadyConnection {
+    /// Whether the connection carried another request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
     }
 
-    /// Sends a request, whose URI is only a path, and waits for the response head. `id` is
-    /// that of a caller's request.
+    /// Sends a request, whose URI is only a path, and waits for the response head.
     ///
     /// # Errors
     /// The variant of the error tells whether the endpoint can have received the request.
-    pub async fn send(
-        &self,
-        key: &ConnectionKey,
-        settings: ConnectionSettings,
-        id: Option<&ExchangeId>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<OpenResponse, SendError> {
+    pub async fn send(self, request: Request<Full<Bytes>>) -> Result<OpenResponse, SendError> {
+        let Self {
+            key,
+            mut link,
+            is_reused,
+            usable_for: _,
+        } = self;
         let peer = key.address;
-        let pooled = self.take_idle(key, settings.max_idle_ms.duration(), id);
-        let is_reused = pooled.is_some();
-        let mut link = match pooled {
-            Some(link) => link,
-            None => connect(peer, settings.connect_timeout_ms.duration()).await?,
-        };
         let sent = link.sender.try_send_request(request).await;
         let response = sent.map_err(|mut failure| {
             let is_unsent = failure.take_message().is_some();
@@ -197,13 +198,74 @@
         Ok(OpenResponse {
             response,
             connection: OpenConnection {
-                key: key.clone(),
+                key,
                 link,
                 is_reused,
                 usable_for,
             },
         })
     }
+}
+
+impl ConnectionPool {
+    /// Creates an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request, whose URI is only a path, and waits for the response head. `id` is
+    /// that of a caller's request.
+    ///
+    /// # Errors
+    /// The variant of the error tells whether the endpoint can have received the request.
+    pub async fn send(
+        &self,
+        key: &ConnectionKey,
+        settings: ConnectionSettings,
+        id: Option<&ExchangeId>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<OpenResponse, SendError> {
+        let ready = self.open(key, settings, id).await?;
+        ready.send(request).await
+    }
+
+    /// Takes an idle connection or opens one, for a request that is sent afterwards. `id` is
+    /// that of a caller's request.
+    ///
+    /// # Errors
+    /// Fails if no connection could be established; nothing has been sent then.
+    pub async fn open(
+        &self,
+        key: &ConnectionKey,
+        settings: ConnectionSettings,
+        id: Option<&ExchangeId>,
+    ) -> Result<ReadyConnection, SendError> {
+        if let Some(pooled) = self.take_idle(key, settings.max_idle_ms.duration(), id) {
+            return Ok(ReadyConnection {
+                key: key.clone(),
+                link: pooled.link,
+                is_reused: true,
+                usable_for: pooled.usable_for,
+            });
+        }
+        Ok(ReadyConnection {
+            key: key.clone(),
+            link: connect(key.address, settings.connect_timeout_ms.duration()).await?,
+            is_reused: false,
+            usable_for: Duration::MAX,
+        })
+    }
+
+    /// Returns a connection to the pool that was not used after all.
+    pub fn keep(&self, ready: ReadyConnection, max_idle: usize) {
+        let connection = OpenConnection {
+            key: ready.key,
+            link: ready.link,
+            is_reused: ready.is_reused,
+            usable_for: ready.usable_for,
+        };
+        self.release(connection, max_idle);
+    }
 
     /// Returns a connection to the pool after its response was read to the end. At most
     /// `max_idle` connections of the endpoint are kept; the oldest is closed first.
@@ -237,7 +299,7 @@
         key: &ConnectionKey,
         max_idle_time: Duration,
         id: Option<&ExchangeId>,
-    ) -> Option<Link> {
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let pooled = idle.get_mut(key)?;
         pooled.retain(|it| !it.link.sender.is_closed() && it.idle_since.elapsed() < it.usable_for);
@@ -246,7 +308,7 @@
             it.link.sender.is_ready() && it.idle_since.elapsed() < max_idle_time && !has_refused
         };
         let newest = pooled.iter().rposition(is_usable)?;
-        Some(pooled.remove(newest).link)
+        Some(pooled.remove(newest))
     }
 }
 
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -33,6 +33,8 @@
     RequestsDenied,
     /// Requests rejected because the memory for bodies was used up.
     MemoryRefusals,
+    /// Requests rejected because the traffic thread sheds load.
+    OverloadRefusals,
     /// Requests that failed because no endpoint responded.
     Refusals,
     /// Responses of endpoints forwarded to callers, other than streams.
@@ -41,6 +43,8 @@
     AnswersBrokenOff,
     /// Attempts left because the process had no memory for their response.
     ResponsesOutOfMemory,
+    /// Times at which a traffic thread began to refuse new requests.
+    SheddingPeriods,
     /// Streams that had to wait for an engine with room.
     StreamsQueued,
     /// Streams rejected because too many waited already.
@@ -113,6 +117,8 @@
     QueueWait,
     /// Duration of a call to the store.
     StoreCall,
+    /// How late a traffic thread comes to a periodic turn.
+    TurnLateness,
 }
 
 /// Counters and histograms of one relay.
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod response_reader;
 mod responses;
 mod state;
+mod turns;
 
 use std::{cell::Cell, convert::Infallible, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
@@ -55,6 +56,7 @@
 async fn accept(traffic: Rc<Traffic>, listener: NodelayListener) {
     let open = Rc::new(Cell::new(0_usize));
     tokio::task::spawn_local(placement_queue::reject_at_stop(Rc::clone(&traffic)));
+    tokio::task::spawn_local(turns::measure(Rc::clone(&traffic)));
     loop {
         let has_room = open.get() < connection_limit(&traffic.shared);
         let accepted = tokio::select! {
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -14,7 +14,7 @@
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
-use super::{holder_query::HolderQuery, placement_queue::ServiceQueue};
+use super::{holder_query::HolderQuery, placement_queue::ServiceQueue, turns::Turns};
 use crate::{
     codec::ResponseMetadata,
     shared::{Shared, Snapshot},
@@ -30,6 +30,7 @@
     retry_windows: RefCell<HashMap<ServiceName, RetryWindow>>,
     pub(crate) holder_queries: RefCell<HashMap<ServiceName, Rc<HolderQuery>>>,
     pub(crate) placement_queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
+    pub(crate) turns: Turns,
     seen_sequence: Cell<u64>,
 }
 
@@ -44,6 +45,7 @@
         );
         drop(settings);
         Self {
+            turns: Turns::new(shared.now()),
             shared,
             connections: ConnectionPool::new(),
             endpoint_table: RefCell::default(),
