Count the age of a late request, and look once more before it is sent

Callers saw: a request that expired while the thread had no turn was sent on, and answered 200 or 504 after its deadline; requests reached endpoints after their callers had left (GONE on few relays left). Cause: the age of a request counted from when it was read, and the last look at caller and deadline was before the wait for a connection. Change: a request is as old as the thread was late, at most since the last response on its connection. One that has expired is refused as not run. After the connection is there, a late thread lets the runtime poll the sockets, then looks whether the caller still waits and time is left, and states the time that is left then. A caller that has left goes before a place that has become free. A request that expired before it was sent takes no retry.

--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -6,9 +6,7 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use parsleylatch_decide::relay::Choice;
-use parsleylatch_endpoint::{
-    ConnectionKey, ConnectionSettings, OpenConnection, SendError, is_connection_header,
-};
+use parsleylatch_endpoint::{ConnectionSettings, OpenConnection, SendError, is_connection_header};
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{ExchangeId, Millis, StreamEventId};
 use tokio::{
@@ -104,8 +102,8 @@
         let runner = Runner {
             traffic: Rc::clone(traffic),
             job: Rc::clone(job),
-            key: connection_key(&choice.endpoint),
-            request: build_request(traffic, job, choice, last_event),
+            choice: choice.clone(),
+            last_event,
             reader: ResponseReader {
                 events: sender,
                 window: Rc::clone(window),
@@ -178,8 +176,8 @@
 struct Runner {
     traffic: Rc<Traffic>,
     job: Rc<Job>,
-    key: ConnectionKey,
-    request: Request<Full<Bytes>>,
+    choice: Choice,
+    last_event: Option<StreamEventId>,
     reader: ResponseReader,
 }
 
@@ -188,8 +186,8 @@
         let Self {
             traffic,
             job,
-            key,
-            request,
+            choice,
+            last_event,
             reader,
         } = self;
         let repeat = job.spec.repeat;
@@ -202,8 +200,36 @@
             max_idle_ms,
         };
         let id = &job.metadata.id;
-        let sent = traffic.connections.send(&key, rules, Some(id), request);
-        let opened = match sent.await {
+        let key = connection_key(&choice.endpoint);
+        let began_at = traffic.now();
+        let opened = traffic.connections.open(&key, rules, Some(id)).await;
+        let is_connect = match &opened {
+            Ok(ready) => !ready.is_reused(),
+            Err(error) => matches!(error, SendError::Unanswered { .. }),
+        };
+        if is_connect {
+            let service = &job.spec.service;
+            traffic
+                .turns
+                .record_connect(service, began_at, traffic.now());
+        }
+        let ready = match opened {
+            Ok(ready) => ready,
+            Err(error) => return reader.report(send_failure(error)),
+        };
+        traffic.turns.wait_if_late(traffic.now()).await;
+        if job.caller.is_gone() {
+            // The exchange learns of it in its next turn, and ends the attempt.
+            traffic.connections.keep(ready, job.idle_connection_limit);
+            return std::future::pending().await;
+        }
+        if traffic.now() >= job.spec.deadline {
+            traffic.connections.keep(ready, job.idle_connection_limit);
+            let reason = "the deadline passed before the request was sent".to_owned();
+            return reader.report(AttemptEvent::Unsent(reason));
+        }
+        let request = build_request(&traffic, &job, &choice, last_event);
+        let opened = match ready.send(request).await {
             Ok(opened) => opened,
             Err(error) => return reader.report(send_failure(error)),
         };
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -4,7 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     pin::Pin,
-    rc::Rc,
+    rc::{Rc, Weak},
     sync::Arc,
     task::{Context, Poll},
 };
@@ -36,6 +36,8 @@
     request: RefCell<Option<OpenRequest>>,
     /// When the connection was accepted, or its last response was sent.
     idle_since: Cell<MonoTime>,
+    /// When its last response was sent.
+    responded_at: Cell<Option<MonoTime>>,
     /// Since when the caller has taken none of the bytes that wait to be written.
     blocked_since: Cell<Option<MonoTime>>,
     /// Reason for which the connection ended.
@@ -47,6 +49,7 @@
         Self {
             idle_since: Cell::new(shared.now()),
             shared,
+            responded_at: Cell::default(),
             blocked_since: Cell::default(),
             request: RefCell::default(),
             failure: RefCell::default(),
@@ -62,6 +65,7 @@
         });
         RequestGuard {
             activity: Rc::clone(self),
+            presence: Rc::default(),
             is_complete: false,
         }
     }
@@ -92,6 +96,7 @@
         let mut request = self.request.borrow_mut();
         if request.take_if(|it| it.is_buffered).is_some() {
             self.idle_since.set(self.now());
+            self.responded_at.set(Some(self.now()));
         }
     }
 
@@ -147,11 +152,31 @@
 /// A request in progress; dropped with its response.
 pub(crate) struct RequestGuard {
     activity: Rc<ConnectionActivity>,
+    presence: Rc<()>,
     /// Whether the whole response was passed to the connection.
     is_complete: bool,
 }
 
+/// Whether the caller of a request still waits for its response, as far as the connection has
+/// been polled.
+pub(crate) struct CallerPresence(Weak<()>);
+
+impl CallerPresence {
+    pub(crate) fn is_gone(&self) -> bool {
+        self.0.strong_count() == 0
+    }
+}
+
 impl RequestGuard {
+    pub(crate) fn presence(&self) -> CallerPresence {
+        CallerPresence(Rc::downgrade(&self.presence))
+    }
+
+    /// When the response before this request was sent; `None` for the first request.
+    pub(crate) fn responded_at(&self) -> Option<MonoTime> {
+        self.activity.responded_at.get()
+    }
+
     /// Records the id of the request.
     pub(crate) fn identify(&self, id: &ExchangeId) {
         if let Some(request) = self.activity.request.borrow_mut().as_mut() {
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -149,9 +149,10 @@
     }
 
     pub(super) fn handle_unsent(&mut self) -> Vec<ExchangeEffect> {
-        let may_retry = self.may_retry(false);
+        let now = self.traffic.now();
+        let may_retry = now < self.job.spec.deadline && self.may_retry(false);
         self.exchange
-            .handle(self.traffic.now(), ExchangeInput::Unsent { may_retry })
+            .handle(now, ExchangeInput::Unsent { may_retry })
     }
 
     pub(super) fn handle_lost(&mut self, reason: &str) -> Vec<ExchangeEffect> {
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -209,8 +209,8 @@
             report = next_probe(probe.as_mut()) => Wake::Probe(report),
             report = next_probe(candidate) => Wake::Candidate(report),
             copy = copy_monitor.next() => Wake::Copy(copy),
-            assignment = next_assignment(queue_slot) => Wake::Assigned(assignment),
             () = self.caller.closed() => Wake::CallerGone,
+            assignment = next_assignment(queue_slot) => Wake::Assigned(assignment),
             () = self.traffic.shared.clock.sleep_until(Some(deadline)) => Wake::Deadline,
         }
     }
--- a/crates/relay/src/traffic/job.rs
+++ b/crates/relay/src/traffic/job.rs
@@ -7,6 +7,7 @@
 use parsleylatch_decide::relay::{EndpointKey, ExchangeSpec, RelayRoute, RelayWorkspace};
 use parsleylatch_types::Revision;
 
+use super::connection_activity::CallerPresence;
 use crate::{codec::RequestMetadata, memory::Reservation};
 
 /// A request to relay, with its route and the exchange's parameters.
@@ -16,6 +17,7 @@
     pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) caller: CallerPresence,
     /// Memory that the body takes.
     pub(crate) _body_memory: Reservation,
     pub(crate) route: Arc<RelayRoute>,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -8,10 +8,12 @@
 use hyper::body::Body as _;
 use parsleylatch_decide::relay::{
     Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration, RelayRoute,
-    RelayWorkspace, RepeatPolicy, StreamSize,
+    RelayWorkspace, RepeatPolicy, StreamSize, retry_delay,
 };
 use parsleylatch_http::ReceivedBody;
-use parsleylatch_types::{ByteCount, ExchangeId, Millis, MonoTime, ServiceName, TokenCount};
+use parsleylatch_types::{
+    ByteCount, ExchangeId, Micros, Millis, MonoTime, ServiceName, TokenCount,
+};
 use tokio::{sync::oneshot, time};
 
 use super::{
@@ -45,6 +47,8 @@
 const STARTUP_STREAM_HOLD_MS: Millis = Millis::new(2_000);
 /// Maximum time for a body whose route and caller allow longer.
 const MAX_BODY_TIME_MS: Millis = Millis::new(30_000);
+/// Shortest `Retry-After` of a request that finds the thread late.
+const MIN_RETRY_AFTER_MS: Millis = Millis::new(500);
 /// First buffer of a body that announces at least this length.
 const FIRST_BUFFER_BYTES: usize = 64 << 10;
 
@@ -68,9 +72,20 @@
     request: Request<ReceivedBody>,
     guard: &RequestGuard,
 ) -> Response<RelayBody> {
-    let arrived_at = traffic.now();
+    let arrived_at = traffic.turns.arrival(traffic.now(), guard.responded_at());
     let mut job = match admit(&traffic, request, guard, arrived_at).await {
         Ok(job) => job,
+        Err(Denied {
+            denial: denial @ Denial::Overloaded { .. },
+            ..
+        }) => {
+            // Summed in the log by the thread that refuses.
+            traffic
+                .shared
+                .metrics
+                .increment(RelayCounter::OverloadRefusals);
+            return responses::denied(denial);
+        }
         Err(denied) => {
             let id = denied.id.as_ref();
             return deny(&traffic.shared, id, denied.denial, denied.detail);
@@ -133,6 +148,11 @@
     })?;
     guard.identify(&metadata.id);
     let id = Some(&metadata.id);
+    let latest = arrived_at + metadata.timeout_ms.unwrap_or(MAX_BODY_TIME_MS);
+    let turns = &traffic.turns;
+    if turns.is_hopeless(traffic.now(), latest) {
+        return Err(overloaded(id, latest, traffic.now()));
+    }
     let host = single_host(&parts.headers)
         .ok_or_else(|| denied(id, Denial::BadRequest, "missing or repeated host"))?;
     let path = parts.uri.path_and_query().cloned();
@@ -183,13 +203,11 @@
     let timeout_ms = metadata
         .timeout_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
-    if may_outlast_process(
-        traffic,
-        route.repeat,
-        &service,
-        &metadata,
-        arrived_at + timeout_ms,
-    ) {
+    let deadline = arrived_at + timeout_ms;
+    if traffic.turns.is_hopeless(traffic.now(), deadline) {
+        return Err(overloaded(id, deadline, traffic.now()));
+    }
+    if may_outlast_process(traffic, route.repeat, &service, &metadata, deadline) {
         return Err(denied(
             id,
             Denial::Stopping,
@@ -200,7 +218,7 @@
         repeat: route.repeat,
         service,
         attempts: route.attempts,
-        deadline: arrived_at + timeout_ms,
+        deadline,
         goal_ms: route.goal_ms,
         gap_goal_ms: route.gap_goal_ms,
         prompt: metadata.prompt_tokens,
@@ -211,6 +229,7 @@
         path,
         headers: parts.headers,
         body,
+        caller: guard.presence(),
         _body_memory: body_memory,
         route: Arc::clone(route),
         workspace,
@@ -253,6 +272,14 @@
     }
 }
 
+/// Refusal by a thread that sheds load, whose caller may come back before `deadline`.
+fn overloaded(id: Option<&ExchangeId>, deadline: MonoTime, now: MonoTime) -> Denied {
+    let remaining = deadline.since(now);
+    let delay = retry_delay(remaining, remaining, MIN_RETRY_AFTER_MS, rand::random());
+    let retry_after_ms = (remaining > Micros::ZERO).then_some(delay);
+    denied(id, Denial::Overloaded { retry_after_ms }, "overloaded")
+}
+
 /// Returns `denial` if the configuration it is based on is fresh, and otherwise
 /// [`Denial::Uninformed`].
 fn denial_if_fresh(shared: &Shared, denial: Denial) -> Denial {
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -32,6 +32,12 @@
     Uninformed,
     /// The process has no memory left for the body.
     MemoryUsedUp,
+    /// The thread or the link of this node has more work than it can do, or the deadline has
+    /// passed before the request was read.
+    Overloaded {
+        /// When the caller may come back; `None` if it has no time left.
+        retry_after_ms: Option<Millis>,
+    },
     /// This node is stopping, and the response may outlast it.
     Stopping,
 }
@@ -44,7 +50,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Uninformed | Self::MemoryUsedUp | Self::Stopping => {
+            Self::Uninformed | Self::MemoryUsedUp | Self::Overloaded { .. } | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
@@ -55,6 +61,7 @@
         match self {
             Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
             Self::MemoryUsedUp => Some(MEMORY_RETRY_AFTER_MS),
+            Self::Overloaded { retry_after_ms } => retry_after_ms,
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             _ => None,
         }
