Refuse new requests early while the thread or the link has too much work

Cause: measured on the untouched code, two things bind: on the relays with 0.12 of a core and half of a region each, the turns of the thread (calls took 483 ms in the median, for 30 ms of work); on the relay that got all of a region, its link of 10 Mbit/s: the thread is on time, and no connection to any endpoint is established within 250 ms. Change: TrafficLoad admits a share of new requests, before their body is read and their route is looked up; the others get 503, not run, with a Retry-After that spreads them over a third of the time that they have. Streams that have begun are admitted. What can't be answered in time by a thread that sheds load is refused as well.

--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -148,9 +148,10 @@
     })?;
     guard.identify(&metadata.id);
     let id = Some(&metadata.id);
+    let has_begun = metadata.last_event.is_some_and(|it| it.get() > 0);
     let latest = arrived_at + metadata.timeout_ms.unwrap_or(MAX_BODY_TIME_MS);
     let turns = &traffic.turns;
-    if turns.is_hopeless(traffic.now(), latest) {
+    if turns.is_hopeless(traffic.now(), latest) || !turns.admits(has_begun, rand::random()) {
         return Err(overloaded(id, latest, traffic.now()));
     }
     let host = single_host(&parts.headers)
