Relay: a stop keeps its listeners while callers connect

Seen by callers: connections that the kernel established between the last accept and the close of a listener were reset with their requests. A relay without requests closed its listeners as soon as the balancer's detection was over (3.2 s), however recently somebody had connected, and on a part of a core the close may come long after the last look.

Change: the listeners stay open until nothing is in flight and nobody has connected for 1 s, or until 1 s before stop_s (state `lingering`; what counts as done is decided in the chart and life.rs). Late requests are answered, or refused at once as before (not run, connection closed). Each traffic thread looks into its queue again until a look finds nobody and fails for nobody, until 0.25 s before responses are due at most; then it closes its listener. Accept that failed for lack of descriptors counts as a look that has seen nothing: it closed the listener before. Times of a stop are counted from its end and no longer from the entry of a state.

Tests: closing_keeps_established_connections (known red) demanded that a bare close loses nothing, which the kernel can't do. The lifecycle's tests have their own file.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -16,9 +16,13 @@
 /// Time before the end of the process by which the streams whose events arrive are aborted, so
 /// that their callers are told.
 const STREAM_MARGIN_MS: Millis = Millis::new(150);
-/// Time before the end of the process from which it accepts no connections, so that the
-/// requests of those accepted last can be finished.
-const CLOSING_RESERVE_MS: Millis = Millis::new(1_500);
+/// Time before the end of the process at which the listeners begin to be closed.
+const CLOSING_RESERVE_MS: Millis = Millis::new(750);
+/// Time before responses are due from which no connections are accepted, so that the requests
+/// of those accepted last can arrive and be refused.
+const LAST_REQUEST_MS: Millis = Millis::new(250);
+/// Time without a new connection after which a relay without requests closes its listeners.
+const QUIET_MS: Millis = Millis::new(1_000);
 /// Time after the start of a stop until which streams are accepted. Those that are sent in the
 /// first 3 s may still run when the process ends; a busy process notices the stop late.
 const STREAM_ACCEPTANCE_MS: Millis = Millis::new(2_500);
@@ -32,8 +36,10 @@
         Serving,
         /// Reports that it is not ready, and still accepts requests.
         NotReady,
-        /// Finishes the requests in flight.
+        /// Finishes the requests in flight, and those of connections that still arrive.
         Draining,
+        /// Has no requests in flight, but somebody connected a moment ago.
+        Lingering,
         /// Accepts no more connections, and takes over those that were accepted last.
         Closing,
         /// Finishes the requests of the connections that were accepted last.
@@ -69,15 +75,26 @@
     AnnounceNotReady,
     /// Close idle connections, and the others after their current response.
     CloseIdle,
-    /// Accept the connections that wait in the socket's queue, and no more.
+    /// Accept the connections that wait in the listeners' queues, and close the listeners.
     StopAccepting,
     /// Exit the process.
     Stop,
 }
 
+/// What the traffic threads do, as far as a planned stop depends on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerActivity {
+    /// Requests in flight and, during a stop, open connections.
+    pub in_flight: usize,
+    /// When a caller's connection was last accepted; zero if none was.
+    pub accepted_at: MonoTime,
+}
+
 struct LifecycleContext {
+    /// Maximum duration of a stop that begins.
     stop_ms: Millis,
     now: MonoTime,
+    activity: CallerActivity,
     /// Latest end of the process.
     stops_at: MonoTime,
     /// Time until which streams are accepted.
@@ -86,22 +103,43 @@
 }
 
 impl LifecycleContext {
-    /// Time until the process has to end.
-    fn rest(&self) -> Millis {
-        self.stops_at.since(self.now).millis()
+    /// Time until `due`, rounded up so that `due` has passed after it; zero if it has passed now.
+    fn until(&self, due: MonoTime) -> Millis {
+        Millis::new(due.since(self.now).get().div_ceil(1_000))
+    }
+
+    /// Time at which the listeners begin to be closed.
+    fn closes_at(&self) -> MonoTime {
+        before(self.stops_at, CLOSING_RESERVE_MS)
+    }
+
+    /// Time from which nobody has connected for long enough.
+    fn quiet_at(&self) -> MonoTime {
+        self.activity.accepted_at + QUIET_MS
+    }
+
+    /// Whether the listeners are closed: nobody has a request or is expected, or it is due.
+    fn may_close(&self) -> bool {
+        let is_quiet = self.activity.in_flight == 0 && self.now >= self.quiet_at();
+        is_quiet || self.now >= self.closes_at()
     }
 }
 
+fn before(time: MonoTime, margin: Millis) -> MonoTime {
+    MonoTime::new(time.get().saturating_sub(margin.micros().get()))
+}
+
 static MACHINE: LazyMachine<RelayState, RelayEvent, LifecycleContext> = LazyMachine::new(|| {
     let bindings = Bindings::<LifecycleContext>::new()
-        .duration("balancer_detection", |_| BALANCER_DETECTION_MS)
-        .duration("drain_timeout", |it| {
-            it.stop_ms
-                .saturating_sub(BALANCER_DETECTION_MS)
-                .saturating_sub(KILL_MARGIN_MS)
-                .saturating_sub(CLOSING_RESERVE_MS)
+        .guard("may_close", LifecycleContext::may_close)
+        .duration("balancer_detection", |it| {
+            BALANCER_DETECTION_MS.min(it.until(it.closes_at()))
+        })
+        .duration("closing_due", |it| it.until(it.closes_at()))
+        .duration("quiet_due", |it| {
+            it.until(it.quiet_at().min(it.closes_at()))
         })
-        .duration("finish_timeout", LifecycleContext::rest)
+        .duration("end_due", |it| it.until(it.stops_at))
         .action("stop_accepting", |it| {
             it.effects.push(RelayEffect::StopAccepting);
         })
@@ -130,6 +168,12 @@
     response_deadline + RESPONSE_MARGIN_MS.saturating_sub(STREAM_MARGIN_MS)
 }
 
+/// Whether a traffic thread closes its listener after a look into its queue. As long as callers
+/// connect, or can't be accepted, it looks again, until `accepts_until`.
+pub fn may_close_listener(now: MonoTime, was_empty: bool, accepts_until: MonoTime) -> bool {
+    was_empty || now >= accepts_until
+}
+
 /// Lifecycle of this relay.
 pub struct RelayLifecycle {
     instance: Instance<RelayState>,
@@ -142,6 +186,7 @@
         let mut context = LifecycleContext {
             stop_ms,
             now,
+            activity: CallerActivity::default(),
             stops_at: MonoTime::MAX,
             accepts_streams_until: MonoTime::MAX,
             effects: Vec::new(),
@@ -160,6 +205,11 @@
         self.context.stop_ms = stop_ms;
     }
 
+    /// Sets what the traffic threads do.
+    pub fn set_activity(&mut self, activity: CallerActivity) {
+        self.context.activity = activity;
+    }
+
     /// Latest end of a planned stop that starts at `now`.
     fn stop_deadline(&self, now: MonoTime) -> MonoTime {
         now + self.context.stop_ms.saturating_sub(KILL_MARGIN_MS)
@@ -168,9 +218,13 @@
     /// Time by which all requests have to have a response; `None` before a stop.
     pub fn response_deadline(&self) -> Option<MonoTime> {
         let stops_at = self.context.stops_at;
-        let margin = RESPONSE_MARGIN_MS.micros();
-        (stops_at < MonoTime::MAX)
-            .then(|| MonoTime::new(stops_at.get().saturating_sub(margin.get())))
+        (stops_at < MonoTime::MAX).then(|| before(stops_at, RESPONSE_MARGIN_MS))
+    }
+
+    /// Time until which connections are accepted; `None` before a stop.
+    pub fn accepts_until(&self) -> Option<MonoTime> {
+        let due = self.response_deadline();
+        due.map(|due| before(due, LAST_REQUEST_MS))
     }
 
     /// Time until which streams are accepted; the maximum before a stop.
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -42,7 +42,9 @@
     Exchange, ExchangeEffect, ExchangeInput, ExchangeSpec, ExchangeState, LeaveReason, NextStep,
     ProbeFailure, RefusalReason, ResponseClass, STOPPING_RETRY_AFTER_MS,
 };
-pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
+pub use life::{
+    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, may_close_listener,
+};
 pub use memory_plan::MemoryPlan;
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -1,15 +1,14 @@
 //! Parts of the relay's decisions: routes, endpoint selection, probes, retry budgets,
-//! lifecycle, registry and store source.
+//! registry and store source.
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use parsleylatch_decide::relay::{
     Backend, ConfigurationError, EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable,
     EngineReport, LoadSample, NodeLocation, Outcome, ProbeFinding, Registry, RelayConfiguration,
-    RelayConfigurationParts, RelayEffect, RelayEvent, RelayLifecycle, RelayRoute, RelayState,
-    RelayWorkspace, RemovalLog, RepeatPolicy, RetryKind, RetryWindow, RunProgress,
-    SelectionCriteria, Selector, SourceFacts, SourceState, StallDetector, StoreSource,
-    receives_full_state, region_readers,
+    RelayConfigurationParts, RelayRoute, RelayWorkspace, RemovalLog, RepeatPolicy, RetryKind,
+    RetryWindow, RunProgress, SelectionCriteria, Selector, SourceFacts, SourceState, StallDetector,
+    StoreSource, receives_full_state, region_readers,
 };
 use parsleylatch_settings::KeyDigest;
 use parsleylatch_types::{
@@ -571,104 +570,6 @@
     assert_eq!(registry.entries().count(), 1);
 }
 
-#[test]
-fn lifecycle_planned_stop() {
-    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
-    assert_eq!(
-        lifecycle.handle(at(5), RelayEvent::Initialized),
-        [RelayEffect::AnnounceReady]
-    );
-    let effects = lifecycle.handle(at(1_000), RelayEvent::StopRequested);
-    assert_eq!(effects, [RelayEffect::AnnounceNotReady]);
-    // The balancer may still send requests, so an idle relay must not stop yet.
-    assert!(lifecycle.handle(at(1_100), RelayEvent::Idle).is_empty());
-    let detection_ends_at = lifecycle.next_deadline().unwrap();
-    assert_eq!(
-        lifecycle.expire(detection_ends_at),
-        [RelayEffect::CloseIdle]
-    );
-    // Requests that are still in flight have until shortly before the kill.
-    let closes_at = lifecycle.next_deadline().unwrap();
-    assert_eq!(lifecycle.expire(closes_at), [RelayEffect::StopAccepting]);
-    let closed_at = closes_at + Millis::new(1);
-    let effects = lifecycle.handle(closed_at, RelayEvent::ListenersClosed);
-    assert!(effects.is_empty());
-    let end = lifecycle.next_deadline().unwrap();
-    assert!(end > at(8_700), "requests are cut at {end}");
-    assert!(end < at(9_000), "the platform kills at 9,000 ms");
-    // Streams that are sent in the first 3 s of a stop may be cut at its end.
-    let accepts_until = lifecycle.accepts_streams_until();
-    assert!(accepts_until > at(3_000) && accepts_until <= at(3_700));
-    // All responses are due early enough to be written.
-    let respond_by = lifecycle.response_deadline().unwrap();
-    assert!(
-        end.since(respond_by) >= Millis::new(200).micros(),
-        "{respond_by}"
-    );
-    assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
-    assert_eq!(lifecycle.state(), RelayState::Stopped);
-}
-
-#[test]
-fn lifecycle_stop_when_idle() {
-    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
-    lifecycle.handle(at(5), RelayEvent::Initialized);
-    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
-    let detection_ends_at = lifecycle.next_deadline().unwrap();
-    lifecycle.expire(detection_ends_at);
-    let effects = lifecycle.handle(detection_ends_at + Micros::new(1), RelayEvent::Idle);
-    assert_eq!(effects, [RelayEffect::StopAccepting]);
-    // Connections that were accepted last may still have requests, however long a traffic
-    // thread takes to count them.
-    let late = detection_ends_at + Millis::new(3_000);
-    assert!(lifecycle.next_deadline().unwrap() > late);
-    assert!(lifecycle.handle(late, RelayEvent::Idle).is_empty());
-    let effects = lifecycle.handle(late, RelayEvent::ListenersClosed);
-    assert!(effects.is_empty());
-    let effects = lifecycle.handle(late, RelayEvent::Idle);
-    assert_eq!(effects, [RelayEffect::Stop]);
-}
-
-/// A relay that becomes idle just before it is killed still exits by itself.
-#[test_case(true ; "listeners closed")]
-#[test_case(false ; "traffic thread without progress")]
-fn lifecycle_idle_before_kill(closes_listeners: bool) {
-    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
-    lifecycle.handle(at(5), RelayEvent::Initialized);
-    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
-    lifecycle.expire(lifecycle.next_deadline().unwrap());
-    let effects = lifecycle.handle(at(8_700), RelayEvent::Idle);
-    assert_eq!(effects, [RelayEffect::StopAccepting]);
-    if closes_listeners {
-        let effects = lifecycle.handle(at(8_710), RelayEvent::ListenersClosed);
-        assert!(effects.is_empty());
-    }
-    let end = lifecycle.next_deadline().unwrap();
-    assert!(end < at(9_000), "the platform kills at 9,000 ms");
-    assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
-}
-
-/// A relay that has not started yet may have accepted callers, and ends before the kill.
-#[test]
-fn lifecycle_stop_while_starting() {
-    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
-    let effects = lifecycle.handle(at(1_000), RelayEvent::StopRequested);
-    assert_eq!(effects, [RelayEffect::AnnounceNotReady]);
-    assert!(
-        lifecycle
-            .handle(at(1_100), RelayEvent::Initialized)
-            .is_empty()
-    );
-    let mut effects = Vec::new();
-    let mut ends_at = MonoTime::ZERO;
-    while let Some(deadline) = lifecycle.next_deadline() {
-        ends_at = deadline;
-        effects.extend(lifecycle.expire(deadline));
-    }
-    assert_eq!(effects.last(), Some(&RelayEffect::Stop));
-    assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
-}
-
 fn node_locations(counts: &[(&str, usize)]) -> Vec<NodeLocation> {
     let mut node_locations = Vec::new();
     for (region, count) in counts {
--- /dev/null
+++ b/crates/decide/tests/relay_life.rs
@@ -0,0 +1,176 @@
+//! Lifecycle of a relay: planned stops.
+
+use parsleylatch_decide::relay::{
+    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, may_close_listener,
+};
+use parsleylatch_types::{Micros, Millis, MonoTime};
+use test_case::test_case;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::ZERO + Millis::new(millis)
+}
+
+#[test]
+fn lifecycle_planned_stop() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    assert_eq!(
+        lifecycle.handle(at(5), RelayEvent::Initialized),
+        [RelayEffect::AnnounceReady]
+    );
+    let effects = lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    assert_eq!(effects, [RelayEffect::AnnounceNotReady]);
+    // The balancer may still send requests, so an idle relay must not stop yet.
+    assert!(lifecycle.handle(at(1_100), RelayEvent::Idle).is_empty());
+    let detection_ends_at = lifecycle.next_deadline().unwrap();
+    assert_eq!(
+        lifecycle.expire(detection_ends_at),
+        [RelayEffect::CloseIdle]
+    );
+    // Requests that are still in flight have until shortly before the kill.
+    let closes_at = lifecycle.next_deadline().unwrap();
+    assert_eq!(lifecycle.expire(closes_at), [RelayEffect::StopAccepting]);
+    let closed_at = closes_at + Millis::new(1);
+    let effects = lifecycle.handle(closed_at, RelayEvent::ListenersClosed);
+    assert!(effects.is_empty());
+    let end = lifecycle.next_deadline().unwrap();
+    assert!(end > at(8_700), "requests are cut at {end}");
+    assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    // Streams that are sent in the first 3 s of a stop may be cut at its end.
+    let accepts_until = lifecycle.accepts_streams_until();
+    assert!(accepts_until > at(3_000) && accepts_until <= at(3_700));
+    // All responses are due early enough to be written.
+    let respond_by = lifecycle.response_deadline().unwrap();
+    assert!(
+        end.since(respond_by) >= Millis::new(200).micros(),
+        "{respond_by}"
+    );
+    assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
+    assert_eq!(lifecycle.state(), RelayState::Stopped);
+}
+
+#[test]
+fn lifecycle_stop_when_idle() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    let detection_ends_at = lifecycle.next_deadline().unwrap();
+    lifecycle.expire(detection_ends_at);
+    let effects = lifecycle.handle(detection_ends_at + Micros::new(1), RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::StopAccepting]);
+    // Connections that were accepted last may still have requests, however long a traffic
+    // thread takes to count them.
+    let late = detection_ends_at + Millis::new(3_000);
+    assert!(lifecycle.next_deadline().unwrap() > late);
+    assert!(lifecycle.handle(late, RelayEvent::Idle).is_empty());
+    let effects = lifecycle.handle(late, RelayEvent::ListenersClosed);
+    assert!(effects.is_empty());
+    let effects = lifecycle.handle(late, RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::Stop]);
+}
+
+/// A relay that becomes idle just before it is killed still exits by itself.
+#[test_case(true ; "listeners closed")]
+#[test_case(false ; "traffic thread without progress")]
+fn lifecycle_idle_before_kill(closes_listeners: bool) {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    lifecycle.expire(lifecycle.next_deadline().unwrap());
+    let effects = lifecycle.handle(at(8_700), RelayEvent::Idle);
+    assert_eq!(effects, [RelayEffect::StopAccepting]);
+    if closes_listeners {
+        let effects = lifecycle.handle(at(8_710), RelayEvent::ListenersClosed);
+        assert!(effects.is_empty());
+    }
+    let end = lifecycle.next_deadline().unwrap();
+    assert!(end < at(9_000), "the platform kills at 9,000 ms");
+    assert_eq!(lifecycle.expire(end), [RelayEffect::Stop]);
+}
+
+/// A relay without requests keeps its listeners while callers connect, and for a second after.
+#[test]
+fn lifecycle_stop_while_callers_connect() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    lifecycle.expire(lifecycle.next_deadline().unwrap());
+    for connected_ms in [4_199, 4_900, 5_300] {
+        lifecycle.set_activity(CallerActivity {
+            in_flight: 0,
+            accepted_at: at(connected_ms),
+        });
+        let now = at(connected_ms + 2);
+        let mut effects = lifecycle.expire(now);
+        effects.extend(lifecycle.handle(now, RelayEvent::Idle));
+        assert!(!effects.contains(&RelayEffect::StopAccepting));
+        let looks_at = lifecycle.next_deadline().unwrap();
+        assert!(looks_at <= at(connected_ms + 1_000), "{looks_at}");
+    }
+    let mut effects = Vec::new();
+    while lifecycle.next_deadline().unwrap() < at(6_300) {
+        let now = lifecycle.next_deadline().unwrap();
+        effects.extend(lifecycle.expire(now));
+        effects.extend(lifecycle.handle(now, RelayEvent::Idle));
+    }
+    assert!(
+        !effects.contains(&RelayEffect::StopAccepting),
+        "{effects:?}"
+    );
+    let effects = lifecycle.expire(at(6_300));
+    assert_eq!(effects, [RelayEffect::StopAccepting]);
+}
+
+/// Callers that connect again and again are accepted until shortly before responses are due.
+#[test]
+fn lifecycle_stop_while_callers_connect_until_end() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    let mut closes_at = None;
+    for now in (1_000..9_000).map(at) {
+        lifecycle.set_activity(CallerActivity {
+            in_flight: 0,
+            accepted_at: now,
+        });
+        let mut effects = lifecycle.expire(now);
+        effects.extend(lifecycle.handle(now, RelayEvent::Idle));
+        if effects.contains(&RelayEffect::StopAccepting) {
+            closes_at = Some(now);
+            break;
+        }
+    }
+    let accepts_until = lifecycle.accepts_until().unwrap();
+    let respond_by = lifecycle.response_deadline().unwrap();
+    assert!(closes_at.unwrap() < accepts_until);
+    assert!(closes_at.unwrap() > at(7_900), "{closes_at:?}");
+    // Requests of the connections that are accepted last arrive a little later.
+    assert!(respond_by.since(accepts_until) >= Millis::new(200).micros());
+    assert!(!may_close_listener(
+        closes_at.unwrap(),
+        false,
+        accepts_until
+    ));
+    assert!(may_close_listener(closes_at.unwrap(), true, accepts_until));
+    assert!(may_close_listener(accepts_until, false, accepts_until));
+}
+
+/// A relay that has not started yet may have accepted callers, and ends before the kill.
+#[test]
+fn lifecycle_stop_while_starting() {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    let effects = lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    assert_eq!(effects, [RelayEffect::AnnounceNotReady]);
+    assert!(
+        lifecycle
+            .handle(at(1_100), RelayEvent::Initialized)
+            .is_empty()
+    );
+    let mut effects = Vec::new();
+    let mut ends_at = MonoTime::ZERO;
+    while let Some(deadline) = lifecycle.next_deadline() {
+        ends_at = deadline;
+        effects.extend(lifecycle.expire(deadline));
+    }
+    assert_eq!(effects.last(), Some(&RelayEffect::Stop));
+    assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
+}
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -42,23 +42,20 @@
         TcpListener::from_std(listener).map(Self)
     }
 
-    /// Closes the socket and returns the connections that wait in its queue.
+    /// Accepts the connections that wait in the socket's queue.
     ///
     /// Asks the kernel and not the runtime, which learns of new connections only when it
     /// polls.
     ///
     /// The second value is the last I/O error of a connection, or that which ended the
     /// search. A connection that fails is closed, and the others are returned.
-    pub fn close(self) -> (Vec<TcpStream>, Option<io::Error>) {
+    pub fn accept_waiting(&self) -> (Vec<TcpStream>, Option<io::Error>) {
+        let socket = SockRef::from(&self.0);
         let mut waiting = Vec::new();
         let mut failure = None;
-        let listener = match self.0.into_std() {
-            Ok(listener) => listener,
-            Err(error) => return (waiting, Some(error)),
-        };
         loop {
-            match listener.accept() {
-                Ok((stream, _)) => match register(stream) {
+            match socket.accept() {
+                Ok((stream, _)) => match register(stream.into()) {
                     Ok(stream) => waiting.push(stream),
                     Err(error) => failure = Some(error),
                 },
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -69,39 +69,56 @@
     assert!(is_closed.await.unwrap(), "open after {HEAD_LIMIT:?}");
 }
 
-/// Clients that connect while the listener is closed, and rounds of that.
+/// Clients that connect while the listener is looked at, and rounds of that.
 const CLOSING_CLIENTS: usize = 4;
 const CLOSING_ROUNDS: usize = 150;
 /// Connections of each client; together they don't fill the queue of the listener.
 const CLIENT_CONNECTIONS: usize = 200;
 
-/// A connection that a client sees established is among those that the listener returns.
+/// A connection that a client sees established is among those that the listener returns, until
+/// a look finds nobody after the last client has connected; then the listener is closed.
 #[tokio::test]
-async fn closing_keeps_established_connections() {
+async fn looking_until_quiet_keeps_established_connections() {
     let mut established = 0;
     let mut returned = 0;
+    let mut looks_with_waiting = 0;
     for _ in 0..CLOSING_ROUNDS {
         let (address, listeners) = bind_group("127.0.0.1:0".parse().unwrap(), 1).unwrap();
         let listener = listeners.into_iter().next().unwrap();
         let listener = NodelayListener::from_std(listener).unwrap();
         let clients: Vec<_> = (0..CLOSING_CLIENTS)
-            .map(|_| thread::spawn(move || connect_until_refused(address)))
+            .map(|_| thread::spawn(move || connect_again(address)))
             .collect();
-        thread::sleep(Duration::from_millis(1));
-        let (waiting, failure) = listener.close();
-        assert!(failure.is_none(), "{failure:?}");
-        returned += waiting.len();
+        loop {
+            let have_ended = clients.iter().all(thread::JoinHandle::is_finished);
+            let (waiting, failure) = listener.accept_waiting();
+            assert!(failure.is_none(), "{failure:?}");
+            returned += waiting.len();
+            looks_with_waiting += usize::from(!waiting.is_empty());
+            if have_ended && waiting.is_empty() {
+                break;
+            }
+            thread::sleep(Duration::from_micros(200));
+        }
+        drop(listener);
         let connections = clients.into_iter().map(|it| it.join().unwrap().len());
         established += connections.sum::<usize>();
+        assert!(TcpStream::connect(address).is_err(), "still listening");
     }
-    assert!(returned > CLOSING_ROUNDS, "{returned}");
+    assert_eq!(
+        established,
+        CLOSING_ROUNDS * CLOSING_CLIENTS * CLIENT_CONNECTIONS
+    );
     assert_eq!(established, returned, "established, and returned");
+    assert!(
+        looks_with_waiting > 2 * CLOSING_ROUNDS,
+        "{looks_with_waiting}"
+    );
 }
 
-/// The connections of a client that connects until the listener no longer answers.
-fn connect_until_refused(address: SocketAddr) -> Vec<TcpStream> {
-    let limit = Duration::from_millis(100);
-    std::iter::from_fn(|| TcpStream::connect_timeout(&address, limit).ok())
-        .take(CLIENT_CONNECTIONS)
+/// A client's connections, each of which it sees established before the next.
+fn connect_again(address: SocketAddr) -> Vec<TcpStream> {
+    (0..CLIENT_CONNECTIONS)
+        .map(|_| TcpStream::connect(address).unwrap())
         .collect()
 }
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -342,6 +342,7 @@
 
     fn expire(&mut self) {
         let now = self.shared.now();
+        self.lifecycle.set_activity(self.shared.activity());
         let effects = self.lifecycle.expire(now);
         self.apply_effects(effects);
         self.cluster.expire(now);
@@ -366,6 +367,7 @@
     }
 
     fn step_lifecycle(&mut self, event: RelayEvent) {
+        self.lifecycle.set_activity(self.shared.activity());
         let effects = self.lifecycle.handle(self.shared.now(), event);
         self.apply_effects(effects);
     }
@@ -385,6 +387,9 @@
                     if let Some(deadline) = self.lifecycle.response_deadline() {
                         self.shared.set_response_deadline(deadline);
                     }
+                    if let Some(end) = self.lifecycle.accepts_until() {
+                        self.shared.set_accepts_until(end);
+                    }
                     self.shared
                         .set_accepts_streams_until(self.lifecycle.accepts_streams_until());
                     self.shared.phase.send_replace(LifecyclePhase::NotReady);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,7 +10,8 @@
 
 use arc_swap::ArcSwap;
 use parsleylatch_decide::relay::{
-    EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration, VersionRule,
+    CallerActivity, EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration,
+    VersionRule,
 };
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
@@ -42,7 +43,7 @@
     NotReady,
     /// Connections are closed after their current response.
     Draining,
-    /// No more connections are accepted.
+    /// The listeners are closed, once the connections in their queues are accepted.
     Closing,
     /// The process ends.
     Stopped,
@@ -91,6 +92,10 @@
     response_deadline: AtomicU64,
     /// Time until which streams are accepted.
     accepts_streams_until: AtomicU64,
+    /// Time until which a stopping process accepts connections.
+    accepts_until: AtomicU64,
+    /// When a caller's connection was last accepted.
+    accepted_at: AtomicU64,
     /// When the store, or a node that reads it, last confirmed the known state.
     confirmed_at: AtomicU64,
     /// Whether the last call to the store failed.
@@ -122,6 +127,8 @@
             started_trials: AtomicU64::new(0),
             response_deadline: AtomicU64::new(u64::MAX),
             accepts_streams_until: AtomicU64::new(u64::MAX),
+            accepts_until: AtomicU64::new(u64::MAX),
+            accepted_at: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
         }
@@ -165,6 +172,15 @@
             .store(at.get(), Ordering::Relaxed);
     }
 
+    /// Time until which connections are accepted; the maximum before a stop.
+    pub(crate) fn accepts_until(&self) -> MonoTime {
+        MonoTime::new(self.accepts_until.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_accepts_until(&self, at: MonoTime) {
+        self.accepts_until.store(at.get(), Ordering::Relaxed);
+    }
+
     /// Waits until a stopping process has to respond.
     pub(crate) async fn wait_for_response_deadline(&self) {
         self.wait_for_phase(LifecyclePhase::NotReady).await;
@@ -186,8 +202,19 @@
         InFlightGuard(Arc::clone(self))
     }
 
-    /// Counts the first request of a connection as in flight, and the connection as unread.
+    /// What the traffic threads do, as far as a planned stop depends on it.
+    pub(crate) fn activity(&self) -> CallerActivity {
+        CallerActivity {
+            in_flight: self.in_flight(),
+            accepted_at: MonoTime::new(self.accepted_at.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Counts the first request of a connection that was accepted now as in flight, and the
+    /// connection as unread.
     pub(crate) fn await_request(self: &Arc<Self>) -> AwaitedRequest {
+        self.accepted_at
+            .fetch_max(self.now().get(), Ordering::Relaxed);
         self.unread_connections.fetch_add(1, Ordering::Relaxed);
         AwaitedRequest {
             in_flight: self.track_request(),
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -19,9 +19,11 @@
 mod responses;
 mod state;
 
-use std::{cell::Cell, convert::Infallible, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, io, net::TcpListener, rc::Rc, sync::Arc, time::Duration,
+};
 
-use parsleylatch_decide::relay::MemoryPlan;
+use parsleylatch_decide::relay::{MemoryPlan, may_close_listener};
 use parsleylatch_http::NodelayListener;
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
@@ -31,6 +33,8 @@
 
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time between two looks for connections before a listener is closed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of callers' connections of a process; the remainder of 4,100 file
 /// descriptors is for connections to endpoints.
 const CONNECTION_LIMIT: usize = 2_600;
@@ -70,17 +74,45 @@
             }
         }
     }
-    // Connections that the kernel has accepted may carry requests already.
-    let (waiting, failure) = listener.close();
+    close_listener(&traffic, &open, listener).await;
+    traffic.shared.report_listener_closed().await;
+    traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
+}
+
+/// Closes a listener after a look into its queue that finds nobody, or when no more connections
+/// may be accepted: one that the kernel accepts between the last look and the close is reset.
+async fn close_listener(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, listener: NodelayListener) {
+    let shared = &traffic.shared;
+    let mut last_accepted = 0;
+    loop {
+        let (waiting, failure) = listener.accept_waiting();
+        let was_empty = waiting.is_empty() && failure.is_none();
+        if may_close_listener(shared.now(), was_empty, shared.accepts_until()) {
+            drop(listener);
+            last_accepted += serve_waiting(traffic, open, waiting, failure);
+            log::info!(waiting = last_accepted; "caller listener closed");
+            return;
+        }
+        last_accepted += serve_waiting(traffic, open, waiting, failure);
+        time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Serves connections that waited in a listener's queue; returns their number.
+fn serve_waiting(
+    traffic: &Rc<Traffic>,
+    open: &Rc<Cell<usize>>,
+    waiting: Vec<TcpStream>,
+    failure: Option<io::Error>,
+) -> usize {
     if let Some(error) = failure {
         log::warn!(error:% = error; "accepting the last caller connections failed");
     }
-    log::info!(waiting = waiting.len(); "caller listener closed");
+    let count = waiting.len();
     for stream in waiting {
-        serve(&traffic, &open, stream);
+        serve(traffic, open, stream);
     }
-    traffic.shared.report_listener_closed().await;
-    traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
+    count
 }
 
 /// Maximum number of callers' connections of one thread.
