Relay: a stop sends what is due after a pause of the process

Seen by callers: a process that stood still from before 7.5 s of a stop to after 7.75 s ended as soon as it went on. The control thread found its end due and ended the process before the traffic threads had a turn: calls without a response were cut off instead of told so (502), and streams were cut without a line.

Change: a process that should end with requests in flight gives the traffic threads 0.1 s more (state `ending`), and one that comes late to the close of its listeners gets as much for the rest; both end 0.05 s before the platform's kill at the latest.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -23,6 +23,10 @@
 const LAST_REQUEST_MS: Millis = Millis::new(250);
 /// Time without a new connection after which a relay without requests closes its listeners.
 const QUIET_MS: Millis = Millis::new(1_000);
+/// Time that the traffic threads get to send what is due when the process should end.
+const LAST_TURN_MS: Millis = Millis::new(100);
+/// Time before the platform's kill that the exit of the process takes.
+const EXIT_MS: Millis = Millis::new(50);
 /// Time after the start of a stop until which streams are accepted. Those that are sent in the
 /// first 3 s may still run when the process ends; a busy process notices the stop late.
 const STREAM_ACCEPTANCE_MS: Millis = Millis::new(2_500);
@@ -44,6 +48,8 @@
         Closing,
         /// Finishes the requests of the connections that were accepted last.
         Finishing,
+        /// Sends what is due, after the time at which the process should have ended.
+        Ending,
         /// Has stopped.
         Stopped,
     }
@@ -113,6 +119,11 @@
         before(self.stops_at, CLOSING_RESERVE_MS)
     }
 
+    /// Time from which the platform's kill could come before the process has exited.
+    fn exits_at(&self) -> MonoTime {
+        self.stops_at + KILL_MARGIN_MS.saturating_sub(EXIT_MS)
+    }
+
     /// Time from which nobody has connected for long enough.
     fn quiet_at(&self) -> MonoTime {
         self.activity.accepted_at + QUIET_MS
@@ -123,6 +134,11 @@
         let is_quiet = self.activity.in_flight == 0 && self.now >= self.quiet_at();
         is_quiet || self.now >= self.closes_at()
     }
+
+    /// End of the time in which the traffic threads send what is due.
+    fn last_turn_ends_at(&self) -> MonoTime {
+        self.exits_at().min(self.now + LAST_TURN_MS)
+    }
 }
 
 fn before(time: MonoTime, margin: Millis) -> MonoTime {
@@ -132,6 +148,7 @@
 static MACHINE: LazyMachine<RelayState, RelayEvent, LifecycleContext> = LazyMachine::new(|| {
     let bindings = Bindings::<LifecycleContext>::new()
         .guard("may_close", LifecycleContext::may_close)
+        .guard("has_requests", |it| it.activity.in_flight > 0)
         .duration("balancer_detection", |it| {
             BALANCER_DETECTION_MS.min(it.until(it.closes_at()))
         })
@@ -139,7 +156,11 @@
         .duration("quiet_due", |it| {
             it.until(it.quiet_at().min(it.closes_at()))
         })
-        .duration("end_due", |it| it.until(it.stops_at))
+        .duration("exit_due", |it| it.until(it.exits_at()))
+        .duration("end_due", |it| {
+            it.until(it.stops_at.max(it.last_turn_ends_at()))
+        })
+        .duration("last_turn", |it| it.until(it.last_turn_ends_at()))
         .action("stop_accepting", |it| {
             it.effects.push(RelayEffect::StopAccepting);
         })
--- a/crates/decide/tests/relay_life.rs
+++ b/crates/decide/tests/relay_life.rs
@@ -154,6 +154,44 @@
     assert!(may_close_listener(accepts_until, false, accepts_until));
 }
 
+/// A process that stands still for the last part of a stop ends before the kill, and not before
+/// its traffic threads had time to send what is due.
+#[test_case(1_500 ; "not ready")]
+#[test_case(5_000 ; "draining")]
+#[test_case(8_600 ; "just before its end")]
+fn lifecycle_pause_at_end_of_stop(paused_ms: u64) {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    lifecycle.set_activity(CallerActivity {
+        in_flight: 1,
+        accepted_at: at(1_000),
+    });
+    while lifecycle.next_deadline().unwrap() < at(paused_ms) {
+        let effects = lifecycle.expire(lifecycle.next_deadline().unwrap());
+        if effects.contains(&RelayEffect::StopAccepting) {
+            lifecycle.handle(at(paused_ms), RelayEvent::ListenersClosed);
+        }
+    }
+    let woken_at = at(8_840);
+    let mut effects = Vec::new();
+    while lifecycle.next_deadline().unwrap() <= woken_at {
+        effects.extend(lifecycle.expire(woken_at));
+    }
+    if effects.contains(&RelayEffect::StopAccepting) {
+        lifecycle.handle(woken_at, RelayEvent::ListenersClosed);
+    }
+    assert!(!effects.contains(&RelayEffect::Stop), "{effects:?}");
+    let mut ends_at = woken_at;
+    while let Some(deadline) = lifecycle.next_deadline() {
+        ends_at = deadline;
+        effects.extend(lifecycle.expire(deadline));
+    }
+    assert_eq!(effects.last(), Some(&RelayEffect::Stop));
+    assert!(ends_at.since(woken_at) >= Millis::new(90).micros());
+    assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
+}
+
 /// A relay that has not started yet may have accepted callers, and ends before the kill.
 #[test]
 fn lifecycle_stop_while_starting() {
