Relay: tests of reloads and repeated signals during a stop

Seen by operators: a reload that raised stop_s during a planned stop moved the end of the process beyond the platform's kill, as the time for draining was computed from the settings when that state was entered: with a response that its caller did not read the process went on for 15 s.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -221,7 +221,8 @@
         self.instance.state()
     }
 
-    /// Sets the maximum duration of a planned stop.
+    /// Sets the maximum duration of a planned stop. One that has begun keeps its times, which
+    /// callers and the platform's kill rely on.
     pub fn set_stop_limit(&mut self, stop_ms: Millis) {
         self.context.stop_ms = stop_ms;
     }
--- a/crates/decide/tests/relay_life.rs
+++ b/crates/decide/tests/relay_life.rs
@@ -192,6 +192,36 @@
     assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
 }
 
+/// A stop keeps the times with which it has begun when the settings change, or it is requested
+/// again.
+#[test_case(30_000 ; "longer")]
+#[test_case(4_000 ; "shorter")]
+fn lifecycle_settings_changed_during_stop(stop_ms: u64) {
+    let end_of = |changed: Option<Millis>| {
+        let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+        lifecycle.handle(at(5), RelayEvent::Initialized);
+        lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+        if let Some(changed) = changed {
+            lifecycle.set_stop_limit(changed);
+            lifecycle.handle(at(1_500), RelayEvent::StopRequested);
+        }
+        lifecycle.set_activity(CallerActivity {
+            in_flight: 1,
+            accepted_at: at(1_000),
+        });
+        let mut times = Vec::new();
+        while let Some(deadline) = lifecycle.next_deadline() {
+            let effects = lifecycle.expire(deadline);
+            if effects.contains(&RelayEffect::StopAccepting) {
+                lifecycle.handle(deadline, RelayEvent::ListenersClosed);
+            }
+            times.push((deadline, effects));
+        }
+        (times, lifecycle.response_deadline())
+    };
+    assert_eq!(end_of(Some(Millis::new(stop_ms))), end_of(None));
+}
+
 /// A relay that has not started yet may have accepted callers, and ends before the kill.
 #[test]
 fn lifecycle_stop_while_starting() {
