Relay: a next place whose room is unknown is asked, not taken for full

Seen by callers: while this node's streams might fill the engines (40% of their memory by its own count), a stream at a silent engine stayed there (next_place `full`) although another engine had room: an engine without a report of the last moments counted as full, and nobody asked it. The stream left only when its engine was given up after 2.5 s.

Change: such an engine is asked for its state before the stream leaves, as any other next place (is_room_unknown); whether it has room, and whether others wait for it, is checked with its answer. Engines known to be full, and those for which streams wait, are not asked. A request that has left still goes to the queue.

--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -49,7 +49,7 @@
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
     StreamDurations, StreamSize, assign_engines, is_copy_unaffordable, is_hopeless,
-    is_restart_hopeless, may_be_full, must_wait, retry_delay,
+    is_restart_hopeless, is_room_unknown, may_be_full, must_wait, retry_delay,
 };
 pub use ownership::EndpointOwnership;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -49,6 +49,18 @@
     is_behind_others || may_be_full && table.has_room(now, key, size) != Some(true)
 }
 
+/// Whether nobody in `queue` waits before a stream, and the engine `key` has not reported lately
+/// whether it has room for it.
+pub fn is_room_unknown(
+    now: MonoTime,
+    table: &EndpointTable,
+    queue: Option<&PlacementQueue>,
+    key: &EndpointKey,
+    size: StreamSize,
+) -> bool {
+    queue.is_none_or(PlacementQueue::is_empty) && table.has_room(now, key, size).is_none()
+}
+
 /// Assigns the engines that have room to waiting streams, and takes those out of the queue
 /// that have become hopeless. `has_reports` is false if no engine reports its state.
 pub fn assign_engines(
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -30,7 +30,7 @@
 mod retry_delay;
 mod stream_duration;
 
-pub use assignment::{Assignment, assign_engines, must_wait};
+pub use assignment::{Assignment, assign_engines, is_room_unknown, must_wait};
 pub use engine_load::{EngineLoad, StreamSize};
 pub use hopeless::{is_hopeless, is_restart_hopeless};
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -53,6 +53,19 @@
         &self,
         excluded: &[EndpointKey],
         copy: Option<&MemoryCopy>,
+    ) -> Result<Choice, PlaceRefusal> {
+        let choice = self.find_endpoint(excluded, copy)?;
+        match self.must_wait(&choice) {
+            true => Err(PlaceRefusal::Full),
+            false => Ok(choice),
+        }
+    }
+
+    /// Finds an endpoint that takes the request if it has room.
+    fn find_endpoint(
+        &self,
+        excluded: &[EndpointKey],
+        copy: Option<&MemoryCopy>,
     ) -> Result<Choice, PlaceRefusal> {
         if let Some(part) = self.quarantined_part() {
             return Err(PlaceRefusal::Quarantined(part));
@@ -88,13 +101,20 @@
         if is_hopeless(now, spec.deadline, spec.prompt) {
             return Err(PlaceRefusal::Hopeless);
         }
-        let key = &choice.endpoint.key;
-        if !self.bypasses_queue && traffic.must_wait(&spec.service, key, size) {
-            return Err(PlaceRefusal::Full);
-        }
         Ok(choice)
     }
 
+    /// Whether the request has to wait for room at the endpoint of the choice, or for its turn.
+    fn must_wait(&self, choice: &Choice) -> bool {
+        let traffic = &self.traffic;
+        let service = &self.job.spec.service;
+        let has_rollout = traffic.snapshot().versions.contains_key(service);
+        !has_rollout
+            && !self.bypasses_queue
+            && self.is_queueable(choice.copy.is_some())
+            && traffic.must_wait(service, &choice.endpoint.key, self.stream_size())
+    }
+
     /// Finds a place for a request without an attempt, or queues or refuses it.
     pub(super) fn select_endpoint(
         &mut self,
@@ -130,20 +150,19 @@
     /// also leaves for one that may reject it, and for the queue.
     pub(super) fn plan_move(&mut self, reason: LeaveReason) -> Result<NextStep, PlaceRefusal> {
         let is_given_up = self.is_probing() && self.exchange.is_given_up(self.traffic.now());
-        let mut found = self.find_next_place();
+        let asks_first = !is_given_up && self.job.spec.repeat.is_stream();
+        let mut found = self.find_next_place(asks_first);
         if matches!(found, Err(PlaceRefusal::NoEndpoint)) && !self.unconfirmed.is_empty() {
             // All others have been asked, and may answer by now.
             self.unconfirmed.clear();
-            found = self.find_next_place();
+            found = self.find_next_place(asks_first);
         }
         let next = match found {
-            Ok(choice) if is_given_up || !self.job.spec.repeat.is_stream() => {
-                NextStep::Move(Box::new(choice))
-            }
-            Ok(choice) => {
+            Ok(choice) if asks_first => {
                 self.ask_candidate(reason, choice);
                 return Err(PlaceRefusal::Unconfirmed);
             }
+            Ok(choice) => NextStep::Move(Box::new(choice)),
             // The endpoint has the request, and only the connection gives no sign of life.
             Err(PlaceRefusal::NoEndpoint) if reason == LeaveReason::Undelivered => {
                 NextStep::Move(Box::new(self.find_place_again()?))
@@ -206,7 +225,7 @@
         if !is_usable {
             return Err(PlaceRefusal::NoEndpoint);
         }
-        if !has_slot && choice.copy.is_none() {
+        if !has_slot && choice.copy.is_none() || self.must_wait(choice) {
             return Err(PlaceRefusal::Full);
         }
         if let Some(part) = self.quarantined_part() {
@@ -224,15 +243,20 @@
         }
     }
 
-    /// Finds a place for a request that has an attempt.
-    fn find_next_place(&self) -> Result<Choice, PlaceRefusal> {
+    /// Finds a place for a request that has an attempt. If the place is asked for its state
+    /// before the request leaves, it need not be known to have room.
+    fn find_next_place(&self, asks_first: bool) -> Result<Choice, PlaceRefusal> {
         let Some(sent) = &self.sent else {
             return Err(PlaceRefusal::NoEndpoint);
         };
         let mut excluded = self.exchange.excluded_endpoints().to_vec();
         excluded.push(sent.key.clone());
         excluded.extend_from_slice(&self.unconfirmed);
-        let choice = self.find_place(&excluded, self.exchange.next_copy())?;
+        let choice = self.find_endpoint(&excluded, self.exchange.next_copy())?;
+        let may_have_room = asks_first && self.is_room_unknown(&choice);
+        if !may_have_room && self.must_wait(&choice) {
+            return Err(PlaceRefusal::Full);
+        }
         if choice.copy.is_none() && self.is_restart_hopeless() {
             return Err(PlaceRefusal::Hopeless);
         }
@@ -246,6 +270,12 @@
         }
     }
 
+    fn is_room_unknown(&self, choice: &Choice) -> bool {
+        let service = &self.job.spec.service;
+        self.traffic
+            .is_room_unknown(service, &choice.endpoint.key, self.stream_size())
+    }
+
     /// Finds a place for a request that may run at its endpoint once more.
     fn find_place_again(&self) -> Result<Choice, PlaceRefusal> {
         let is_running = |key: &EndpointKey| self.sent.as_ref().is_some_and(|it| it.key == *key);
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -9,7 +9,7 @@
 
 use parsleylatch_decide::relay::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
-    Selector, ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
+    Selector, ServiceRules, StreamSize, is_copy_unaffordable, is_room_unknown, must_wait,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
@@ -98,6 +98,20 @@
         must_wait(self.now(), &table, queue, service, key, size, threads)
     }
 
+    /// Whether nobody waits for an engine before a stream, and `key` has not reported lately
+    /// whether it has room.
+    pub(crate) fn is_room_unknown(
+        &self,
+        service: &ServiceName,
+        key: &EndpointKey,
+        size: StreamSize,
+    ) -> bool {
+        let queues = self.placement_queues.borrow();
+        let queue = queues.get(service).map(ServiceQueue::queue);
+        let table = self.endpoint_table.borrow();
+        is_room_unknown(self.now(), &table, queue, key, size)
+    }
+
     /// Whether copies of the memory of runs would take memory from other runs.
     pub(crate) fn are_copies_unaffordable(&self, service: &ServiceName, size: StreamSize) -> bool {
         let threads = self.cluster_traffic_threads();
