Relay: one late report doesn't show that engines report nothing

Seen by callers: a stream that finds the engines full is queued. If the engines that the queue asked gave no report in one round (150 ms, as on a busy VM), they counted as engines that report nothing: the stream was sent at once, and for 10 s all streams of the service passed the queue. In a planned stop a stream was not refused although its engine was full (stop_refuses_stream_that_must_wait, known red, seen beside load): an absence taken as proof.

Change: rounds without a report have to last for 1 s before engines count as reporting nothing (PlacementQueue::record_round), and a report ends that. Until then streams wait. Engines known to report nothing are found so again in one round, as before.

Tests of decide: passed, but for the five of the overload model that are listed.

--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -22,7 +22,7 @@
 pub enum Assignment {
     /// An engine that has room.
     Engine(EndpointKey),
-    /// No engine reports its state, so that any of them may be used.
+    /// No engine has reported its state for a while, so that any of them may be used.
     Unrestricted,
     /// The stream can't begin before its deadline.
     Hopeless,
@@ -62,7 +62,7 @@
 }
 
 /// Assigns the engines that have room to waiting streams, and takes those out of the queue
-/// that have become hopeless. `has_reports` is false if no engine reports its state.
+/// that have become hopeless. `has_reports` is false if no engine has reported its state now.
 pub fn assign_engines(
     now: MonoTime,
     table: &mut EndpointTable,
@@ -71,12 +71,11 @@
     queue: &mut PlacementQueue,
     has_reports: bool,
 ) -> Vec<(QueueTicket, Assignment)> {
-    if !has_reports {
-        queue.record_unreported(now);
-    }
+    queue.record_round(now, has_reports);
+    let is_reported = queue.is_reported(now);
     let mut assignments = queue.take_hopeless(now);
     loop {
-        let has_room = |size: StreamSize| !has_reports || table.any_has_room(now, service, size);
+        let has_room = |size: StreamSize| !is_reported || table.any_has_room(now, service, size);
         let Some((ticket, stream)) = queue.take_next(now, has_room) else {
             if !queue.is_empty() {
                 queue.record_full(now);
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -37,6 +37,11 @@
 const OVERLOAD_MEMORY_MS: Millis = Millis::new(2_000);
 /// Time for which engines that did not report their state are not asked for it.
 const UNREPORTED_MEMORY_MS: Millis = Millis::new(10_000);
+/// Time over which rounds of queries without a report show that engines report nothing. Sound
+/// ones may fall silent for a moment, or answer late on a busy VM.
+const UNREPORTED_AFTER_MS: Millis = Millis::new(1_000);
+/// Time between two rounds of queries above which the second one begins anew.
+const ROUND_GAP_MS: Millis = Millis::new(1_000);
 
 /// Time for which a sound endpoint may fall silent during a stream.
 const SILENCE_ALLOWANCE_MS: Millis = Millis::new(1_500);
@@ -108,7 +113,10 @@
     placements: u64,
     recent_placements: VecDeque<MonoTime>,
     last_full_at: Option<MonoTime>,
+    /// When engines were last found to report nothing.
     unreported_at: Option<MonoTime>,
+    /// First and last of the latest rounds of queries without a report.
+    missing_rounds: Option<(MonoTime, MonoTime)>,
     durations: StreamDurations,
     /// Time by which a stopping process has to respond.
     response_deadline: MonoTime,
@@ -126,6 +134,7 @@
             recent_placements: VecDeque::new(),
             last_full_at: None,
             unreported_at: None,
+            missing_rounds: None,
             durations: StreamDurations::default(),
             response_deadline: MonoTime::MAX,
             accepts_until: MonoTime::MAX,
@@ -262,12 +271,24 @@
         self.last_full_at.is_some_and(|at| now.since(at) <= period)
     }
 
-    /// Records that no engine reported its state.
-    pub(super) fn record_unreported(&mut self, now: MonoTime) {
-        self.unreported_at = Some(now);
+    /// Records a round of queries, in which some engine or none reported its state.
+    pub(super) fn record_round(&mut self, now: MonoTime, has_reports: bool) {
+        if has_reports {
+            self.unreported_at = None;
+            self.missing_rounds = None;
+            return;
+        }
+        let previous = self.missing_rounds;
+        let previous = previous.filter(|(_, last)| now.since(*last) <= ROUND_GAP_MS.micros());
+        let first = previous.map_or(now, |(first, _)| first);
+        self.missing_rounds = Some((first, now));
+        let is_lasting = now.since(first) >= UNREPORTED_AFTER_MS.micros();
+        if is_lasting || self.unreported_at.is_some() {
+            self.unreported_at = Some(now);
+        }
     }
 
-    /// Whether the engines reported their state when they were last asked for it.
+    /// Whether the engines report their state, as far as is known.
     pub(super) fn is_reported(&self, now: MonoTime) -> bool {
         let period = UNREPORTED_MEMORY_MS.micros();
         self.unreported_at.is_none_or(|at| now.since(at) > period)
