Relay: listeners that a stop never closed are reported

What a traffic thread without a turn leaves in its queue at the end of a stop was neither taken nor refused nor logged. `stopped` now says how many threads had not closed their listener (open_listeners).

--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -405,7 +405,8 @@
                     log::info!(
                         in_flight = self.shared.in_flight(),
                         closed_unread = self.shared.closed_unread(),
-                        open_unread = self.shared.unread_connections();
+                        open_unread = self.shared.unread_connections(),
+                        open_listeners = self.shared.accepting_threads();
                         "stopped"
                     );
                     telemetry::flush_log();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -236,6 +236,11 @@
         self.closed_unread.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Number of traffic threads that have not closed their listener.
+    pub(crate) fn accepting_threads(&self) -> usize {
+        self.accepting_threads.load(Ordering::Relaxed)
+    }
+
     /// Reports that a traffic thread has closed its listener, and that it counts the connections
     /// that it accepted last as in flight.
     pub(crate) async fn report_listener_closed(&self) {
