Relay: only unanswered requests prolong a stop

Requests whose response is not decided, and streams that have not ended, are counted by themselves now (CallerActivity::unanswered), and only these prolong it.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -92,6 +92,8 @@
 pub struct CallerActivity {
     /// Requests in flight and, during a stop, open connections.
     pub in_flight: usize,
+    /// Requests whose response is not decided, and streams that have not ended.
+    pub unanswered: usize,
     /// When a caller's connection was last accepted; zero if none was.
     pub accepted_at: MonoTime,
 }
@@ -148,7 +150,7 @@
 static MACHINE: LazyMachine<RelayState, RelayEvent, LifecycleContext> = LazyMachine::new(|| {
     let bindings = Bindings::<LifecycleContext>::new()
         .guard("may_close", LifecycleContext::may_close)
-        .guard("has_requests", |it| it.activity.in_flight > 0)
+        .guard("has_unanswered", |it| it.activity.unanswered > 0)
         .duration("balancer_detection", |it| {
             BALANCER_DETECTION_MS.min(it.until(it.closes_at()))
         })
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -81,6 +81,8 @@
     /// Store revision of the known endpoints and nodes; zero if none are known.
     known_revision: AtomicU64,
     in_flight: AtomicUsize,
+    /// Requests whose response is not decided, and streams that have not ended.
+    unanswered: AtomicUsize,
     /// Open connections of callers of which no request was read.
     unread_connections: AtomicUsize,
     /// Connections that a planned stop closed before a request was read.
@@ -122,6 +124,7 @@
             reads_store: watch::Sender::new(true),
             known_revision: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
+            unanswered: AtomicUsize::new(0),
             unread_connections: AtomicUsize::new(0),
             closed_unread: AtomicUsize::new(0),
             started_trials: AtomicU64::new(0),
@@ -206,10 +209,17 @@
     pub(crate) fn activity(&self) -> CallerActivity {
         CallerActivity {
             in_flight: self.in_flight(),
+            unanswered: self.unanswered.load(Ordering::Relaxed),
             accepted_at: MonoTime::new(self.accepted_at.load(Ordering::Relaxed)),
         }
     }
 
+    /// Counts a request as unanswered.
+    pub(crate) fn track_unanswered(self: &Arc<Self>) -> UnansweredGuard {
+        self.unanswered.fetch_add(1, Ordering::Relaxed);
+        UnansweredGuard(Arc::clone(self))
+    }
+
     /// Counts the first request of a connection that was accepted now as in flight, and the
     /// connection as unread.
     pub(crate) fn await_request(self: &Arc<Self>) -> AwaitedRequest {
@@ -332,6 +342,15 @@
     }
 }
 
+/// Counts a request as unanswered until it is dropped.
+pub(crate) struct UnansweredGuard(Arc<Shared>);
+
+impl Drop for UnansweredGuard {
+    fn drop(&mut self) {
+        self.0.unanswered.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// First request of a connection, until it is read.
 pub(crate) struct AwaitedRequest {
     pub(crate) in_flight: InFlightGuard,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -69,6 +69,7 @@
     guard: &RequestGuard,
 ) -> Response<RelayBody> {
     let arrived_at = traffic.now();
+    let _unanswered = traffic.shared.track_unanswered();
     let mut job = match admit(&traffic, request, guard, arrived_at).await {
         Ok(job) => job,
         Err(denied) => {
@@ -80,10 +81,10 @@
     let id = job.metadata.id.clone();
     let (reply, replied) = oneshot::channel();
     let shared = Arc::clone(&traffic.shared);
-    let in_flight = shared.track_request();
+    let guards = (shared.track_request(), shared.track_unanswered());
     tokio::task::spawn_local(async move {
         exchange::run(traffic, job, reply).await;
-        drop(in_flight);
+        drop(guards);
     });
     match replied.await {
         Ok(response) => response,
