Relay: a stop ends after responses that were decided last are written

A response that was decided less than 0.1 s before prolongs the stop as an unanswered request does; one that its caller doesn't read does not.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -94,6 +94,8 @@
     pub in_flight: usize,
     /// Requests whose response is not decided, and streams that have not ended.
     pub unanswered: usize,
+    /// When a response was last decided, or a stream last ended; zero if none was.
+    pub answered_at: MonoTime,
     /// When a caller's connection was last accepted; zero if none was.
     pub accepted_at: MonoTime,
 }
@@ -137,6 +139,14 @@
         is_quiet || self.now >= self.closes_at()
     }
 
+    /// Whether responses may not have been passed to the kernel yet, other than those that their
+    /// callers don't read.
+    fn has_unsent(&self) -> bool {
+        let answered_at = self.activity.answered_at;
+        let is_recent = answered_at > MonoTime::ZERO && self.now < answered_at + LAST_TURN_MS;
+        self.activity.unanswered > 0 || is_recent && self.activity.in_flight > 0
+    }
+
     /// End of the time in which the traffic threads send what is due.
     fn last_turn_ends_at(&self) -> MonoTime {
         self.exits_at().min(self.now + LAST_TURN_MS)
@@ -150,7 +160,7 @@
 static MACHINE: LazyMachine<RelayState, RelayEvent, LifecycleContext> = LazyMachine::new(|| {
     let bindings = Bindings::<LifecycleContext>::new()
         .guard("may_close", LifecycleContext::may_close)
-        .guard("has_unanswered", |it| it.activity.unanswered > 0)
+        .guard("has_unsent", LifecycleContext::has_unsent)
         .duration("balancer_detection", |it| {
             BALANCER_DETECTION_MS.min(it.until(it.closes_at()))
         })
--- a/crates/decide/tests/relay_life.rs
+++ b/crates/decide/tests/relay_life.rs
@@ -167,6 +167,7 @@
         in_flight: 1,
         unanswered: 1,
         accepted_at: at(1_000),
+        ..CallerActivity::default()
     });
     while lifecycle.next_deadline().unwrap() < at(paused_ms) {
         let effects = lifecycle.expire(lifecycle.next_deadline().unwrap());
@@ -193,6 +194,34 @@
     assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
 }
 
+/// A response that was decided just before the end is sent, and one that its caller does not read
+/// doesn't prolong the stop.
+#[test_case(1, 0, true ; "unanswered")]
+#[test_case(0, 8_740, true ; "answered just before")]
+#[test_case(0, 8_600, false ; "not read")]
+fn lifecycle_unsent_response_prolongs_stop(unanswered: usize, answered_ms: u64, prolongs: bool) {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    lifecycle.set_activity(CallerActivity {
+        in_flight: 1,
+        unanswered,
+        accepted_at: at(1_000),
+        answered_at: at(answered_ms),
+    });
+    while lifecycle.state() != RelayState::Closing {
+        lifecycle.expire(lifecycle.next_deadline().unwrap());
+    }
+    lifecycle.handle(at(8_010), RelayEvent::ListenersClosed);
+    let end = lifecycle.next_deadline().unwrap();
+    let is_stopped = lifecycle.expire(end) == [RelayEffect::Stop];
+    assert_eq!(is_stopped, !prolongs);
+    if prolongs {
+        let effects = lifecycle.handle(end + Millis::new(5), RelayEvent::Idle);
+        assert_eq!(effects, [RelayEffect::Stop]);
+    }
+}
+
 /// A stop keeps the times with which it has begun when the settings change, or it is requested
 /// again.
 #[test_case(30_000 ; "longer")]
@@ -210,6 +239,7 @@
             in_flight: 1,
             unanswered: 1,
             accepted_at: at(1_000),
+            ..CallerActivity::default()
         });
         let mut times = Vec::new();
         while let Some(deadline) = lifecycle.next_deadline() {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -83,6 +83,8 @@
     in_flight: AtomicUsize,
     /// Requests whose response is not decided, and streams that have not ended.
     unanswered: AtomicUsize,
+    /// When a response was last decided, or a stream last ended.
+    answered_at: AtomicU64,
     /// Open connections of callers of which no request was read.
     unread_connections: AtomicUsize,
     /// Connections that a planned stop closed before a request was read.
@@ -125,6 +127,7 @@
             known_revision: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             unanswered: AtomicUsize::new(0),
+            answered_at: AtomicU64::new(0),
             unread_connections: AtomicUsize::new(0),
             closed_unread: AtomicUsize::new(0),
             started_trials: AtomicU64::new(0),
@@ -209,7 +212,8 @@
     pub(crate) fn activity(&self) -> CallerActivity {
         CallerActivity {
             in_flight: self.in_flight(),
-            unanswered: self.unanswered.load(Ordering::Relaxed),
+            unanswered: self.unanswered.load(Ordering::Acquire),
+            answered_at: MonoTime::new(self.answered_at.load(Ordering::Relaxed)),
             accepted_at: MonoTime::new(self.accepted_at.load(Ordering::Relaxed)),
         }
     }
@@ -347,7 +351,10 @@
 
 impl Drop for UnansweredGuard {
     fn drop(&mut self) {
-        self.0.unanswered.fetch_sub(1, Ordering::Relaxed);
+        let now = self.0.now().get();
+        self.0.answered_at.fetch_max(now, Ordering::Relaxed);
+        // Whoever sees the count also sees the time.
+        self.0.unanswered.fetch_sub(1, Ordering::Release);
     }
 }
 
