--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -45,8 +45,8 @@
 pub use life::{RelayEffect, RelayEvent, RelayLifecycle, RelayState};
 pub use memory_plan::MemoryPlan;
 pub use overload::{
-    ArrivalKind, Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket,
-    QueuedStream, StreamDurations, StreamSize, TrafficLoad, TrafficLoadState, assign_engines,
+    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
+    StreamDurations, StreamSize, TrafficLoad, TrafficLoadState, assign_engines,
     is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, must_wait, retry_delay,
 };
 pub use ownership::EndpointOwnership;
--- a/crates/decide/src/relay/overload/traffic_load.rs
+++ b/crates/decide/src/relay/overload/traffic_load.rs
@@ -7,10 +7,8 @@
 //! The measure is how late a periodic timer of the thread comes to its turn, which is how long
 //! other work waits. A turn is late if responses would miss the shortest target of a route. Turns that are late throughout an interval show more work than the thread
 //! can do, as in `CoDel`; one late turn does not. The share of new requests that is admitted then
-//! falls with each late turn and rises with each punctual one. A stream takes as much of the thread
-//! and the link as dozens of calls, while the refusal of a call saves little, as its caller comes
-//! back with the same bytes. Calls are therefore refused only once hardly any new stream is
-//! admitted. Requests that were admitted, and streams that have begun elsewhere, are kept.
+//! falls with each late turn and rises with each punctual one. Requests that were admitted, and
+//! streams that have begun elsewhere, are kept.
 //!
 //! A node whose link is congested has a thread that is on time, while no connection to any
 //! endpoint is established in time, and its callers come back with as many bytes. A turn
@@ -37,11 +35,11 @@
 /// Smallest share of admitted requests, which shows whether the thread can do more.
 const MIN_PERMILLE: u32 = 20;
 /// Part of the share that a turn takes off for each multiple of the lateness that makes it late.
-const DECREASE_PERMILLE: u64 = 40;
+const DECREASE_PERMILLE: u64 = 50;
 /// Largest part of the share that one turn takes off.
-const MAX_DECREASE_PERMILLE: u64 = 150;
+const MAX_DECREASE_PERMILLE: u64 = 200;
 /// Part of the share that a punctual turn adds, and a constant, so that a small share grows too.
-const INCREASE_PERMILLE: u32 = 20;
+const INCREASE_PERMILLE: u32 = 30;
 const INCREASE_STEP_PERMILLE: u32 = 5;
 
 chart_names! {
@@ -68,17 +66,6 @@
     }
 }
 
-/// What a new request asks of a traffic thread.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ArrivalKind {
-    /// One response.
-    Call,
-    /// Some hundred events.
-    Stream,
-    /// The rest of a stream that has begun elsewhere; always admitted.
-    BegunStream,
-}
-
 /// Times that connections to endpoints took, since the last ones that were judged.
 #[derive(Debug, Default)]
 struct ConnectTimes {
@@ -115,8 +102,7 @@
     connect_time: Micros,
     /// Lateness from which a turn counts as late.
     late_from: Micros,
-    streams_permille: u32,
-    calls_permille: u32,
+    admitted_permille: u32,
 }
 
 impl LoadContext {
@@ -128,22 +114,14 @@
         let excess = self.lateness.get() / self.late_from.get();
         let excess = excess.max(self.connect_time.get() / LATE_CONNECT_MS.micros().get());
         let decrease = (excess * DECREASE_PERMILLE).min(MAX_DECREASE_PERMILLE) as u32;
-        let share = match self.streams_permille > MIN_PERMILLE {
-            true => &mut self.streams_permille,
-            false => &mut self.calls_permille,
-        };
-        let left = *share * (WHOLE_PERMILLE - decrease) / WHOLE_PERMILLE;
-        *share = left.max(MIN_PERMILLE);
+        let left = self.admitted_permille * (WHOLE_PERMILLE - decrease) / WHOLE_PERMILLE;
+        self.admitted_permille = left.max(MIN_PERMILLE);
     }
 
     fn raise_share(&mut self) {
-        let share = match self.calls_permille < WHOLE_PERMILLE {
-            true => &mut self.calls_permille,
-            false => &mut self.streams_permille,
-        };
-        let increase = *share * INCREASE_PERMILLE / WHOLE_PERMILLE;
-        let raised = *share + increase + INCREASE_STEP_PERMILLE;
-        *share = raised.min(WHOLE_PERMILLE);
+        let increase = self.admitted_permille * INCREASE_PERMILLE / WHOLE_PERMILLE;
+        let raised = self.admitted_permille + increase + INCREASE_STEP_PERMILLE;
+        self.admitted_permille = raised.min(WHOLE_PERMILLE);
     }
 }
 
@@ -151,7 +129,7 @@
     LazyMachine::new(|| {
         let bindings = Bindings::<LoadContext>::new()
             .guard("is_share_whole", |it| {
-                it.streams_permille.min(it.calls_permille) == WHOLE_PERMILLE
+                it.admitted_permille == WHOLE_PERMILLE
             })
             .action("lower_share", LoadContext::lower_share)
             .action("raise_share", LoadContext::raise_share);
@@ -180,8 +158,7 @@
             lateness: Micros::ZERO,
             connect_time: Micros::ZERO,
             late_from: late_from(None),
-            streams_permille: WHOLE_PERMILLE,
-            calls_permille: WHOLE_PERMILLE,
+            admitted_permille: WHOLE_PERMILLE,
         };
         let instance = machine().start(now, &mut context);
         Self {
@@ -228,18 +205,15 @@
         self.context.connect_time
     }
 
-    /// Share of new requests of a kind that is admitted, in thousandths.
-    pub fn admitted_permille(&self, kind: ArrivalKind) -> u32 {
-        match kind {
-            ArrivalKind::Call => self.context.calls_permille,
-            ArrivalKind::Stream => self.context.streams_permille,
-            ArrivalKind::BegunStream => WHOLE_PERMILLE,
-        }
+    /// Share of new requests that is admitted, in thousandths.
+    pub fn admitted_permille(&self) -> u32 {
+        self.context.admitted_permille
     }
 
-    /// Whether a request is admitted; `draw` is a uniform random number in [0, 1).
-    pub fn admits(&self, kind: ArrivalKind, draw: f64) -> bool {
-        draw * f64::from(WHOLE_PERMILLE) < f64::from(self.admitted_permille(kind))
+    /// Whether a request is admitted; `draw` is a uniform random number in [0, 1). A stream that
+    /// has begun always is.
+    pub fn admits(&self, has_begun: bool, draw: f64) -> bool {
+        has_begun || draw * f64::from(WHOLE_PERMILLE) < f64::from(self.context.admitted_permille)
     }
 
     /// Whether a request can't be answered before its deadline: it has passed, or a thread that
@@ -268,8 +242,7 @@
         formatter
             .debug_struct("TrafficLoad")
             .field("state", &self.state())
-            .field("streams_permille", &self.context.streams_permille)
-            .field("calls_permille", &self.context.calls_permille)
+            .field("admitted_permille", &self.admitted_permille())
             .finish_non_exhaustive()
     }
 }
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -7,8 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use parsleylatch_decide::relay::{
-    ArrivalKind, Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration,
-    RelayRoute, RelayWorkspace, RepeatPolicy, StreamSize, retry_delay,
+    Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration, RelayRoute,
+    RelayWorkspace, RepeatPolicy, StreamSize, retry_delay,
 };
 use parsleylatch_http::ReceivedBody;
 use parsleylatch_types::{
@@ -148,14 +148,10 @@
     })?;
     guard.identify(&metadata.id);
     let id = Some(&metadata.id);
-    let kind = match metadata.last_event {
-        Some(last) if last.get() > 0 => ArrivalKind::BegunStream,
-        _ if metadata.prompt_tokens > TokenCount::ZERO => ArrivalKind::Stream,
-        _ => ArrivalKind::Call,
-    };
+    let has_begun = metadata.last_event.is_some_and(|it| it.get() > 0);
     let latest = arrived_at + metadata.timeout_ms.unwrap_or(MAX_BODY_TIME_MS);
     let turns = &traffic.turns;
-    if turns.is_hopeless(traffic.now(), latest) || !turns.admits(kind, rand::random()) {
+    if turns.is_hopeless(traffic.now(), latest) || !turns.admits(has_begun, rand::random()) {
         return Err(overloaded(id, latest, traffic.now()));
     }
     let host = single_host(&parts.headers)
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use parsleylatch_decide::relay::{ArrivalKind, TrafficLoad, TrafficLoadState};
+use parsleylatch_decide::relay::{TrafficLoad, TrafficLoadState};
 use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName};
 use tokio::task::yield_now;
 
@@ -49,8 +49,8 @@
     }
 
     /// Whether a request is admitted; `draw` is a uniform random number in [0, 1).
-    pub(crate) fn admits(&self, kind: ArrivalKind, draw: f64) -> bool {
-        let is_admitted = self.load.borrow().admits(kind, draw);
+    pub(crate) fn admits(&self, has_begun: bool, draw: f64) -> bool {
+        let is_admitted = self.load.borrow().admits(has_begun, draw);
         if !is_admitted {
             self.count_refused();
         }
@@ -141,8 +141,7 @@
         state:% = load.state(),
         lateness_ms = turns.lateness.get().millis().get(),
         connect_ms = load.connect_time().millis().get(),
-        streams_permille = load.admitted_permille(ArrivalKind::Stream),
-        calls_permille = load.admitted_permille(ArrivalKind::Call),
+        admitted_permille = load.admitted_permille(),
         refused = turns.refused.replace(0);
         "traffic thread sheds load"
     );
