Count the delay of a congested link to the age of a request

Cause: the relay's link held back the request and the response for about 0.3 s each; the relay counts from when it has read the request. Change: while every connection of several services is slow, a request is older by the time that the fastest of them took.

--- a/crates/decide/src/relay/overload/traffic_load.rs
+++ b/crates/decide/src/relay/overload/traffic_load.rs
@@ -24,6 +24,8 @@
 /// Fastest of several connections from which the node's own link counts as congested; several
 /// round trips between regions.
 const LATE_CONNECT_MS: Millis = Millis::new(100);
+/// Time after a sign of congestion for which requests count as delayed by the link.
+const CONGESTION_MS: Millis = Millis::new(1_000);
 /// Connections that are opened before the fastest of them tells about the link.
 const JUDGED_CONNECTS: u32 = 4;
 /// Goal while no configuration is known.
@@ -100,6 +102,8 @@
     lateness: Micros,
     /// Time that every connection took lately, if enough were opened.
     connect_time: Micros,
+    /// When the link was last found congested, and how long connections took then.
+    congestion: Option<(MonoTime, Micros)>,
     /// Lateness from which a turn counts as late.
     late_from: Micros,
     admitted_permille: u32,
@@ -157,6 +161,7 @@
         let mut context = LoadContext {
             lateness: Micros::ZERO,
             connect_time: Micros::ZERO,
+            congestion: None,
             late_from: late_from(None),
             admitted_permille: WHOLE_PERMILLE,
         };
@@ -184,6 +189,10 @@
         let earlier = self.instance.state();
         self.context.lateness = lateness;
         self.context.connect_time = self.connects.judge().unwrap_or_default();
+        let connect_time = self.context.connect_time;
+        if connect_time >= LATE_CONNECT_MS.micros() {
+            self.context.congestion = Some((now, connect_time));
+        }
         let event = match self.context.is_late() {
             true => TrafficLoadEvent::TurnLate,
             false => TrafficLoadEvent::TurnOnTime,
@@ -205,6 +214,13 @@
         self.context.connect_time
     }
 
+    /// Time that the link adds at present to the way of a request and of its response.
+    pub fn link_delay(&self, now: MonoTime) -> Micros {
+        let last = self.context.congestion;
+        let last = last.filter(|(at, _)| now.since(*at) < CONGESTION_MS.micros());
+        last.map_or(Micros::ZERO, |(_, delay)| delay)
+    }
+
     /// Share of new requests that is admitted, in thousandths.
     pub fn admitted_permille(&self) -> u32 {
         self.context.admitted_permille
@@ -220,10 +236,7 @@
     /// sheds load takes longer.
     pub fn is_hopeless(&self, now: MonoTime, deadline: MonoTime) -> bool {
         let needed = match self.state() {
-            TrafficLoadState::Shedding => {
-                let turns = self.context.lateness.get() * TURNS_PER_REQUEST;
-                turns + self.context.connect_time.get()
-            }
+            TrafficLoadState::Shedding => self.context.lateness.get() * TURNS_PER_REQUEST,
             TrafficLoadState::OnTime | TrafficLoadState::Late => 0,
         };
         now + Micros::new(needed) >= deadline
--- a/crates/decide/tests/traffic_load.rs
+++ b/crates/decide/tests/traffic_load.rs
@@ -97,6 +97,16 @@
     assert_eq!(load.admits(false, 0.9), is_admitted);
 }
 
+/// A congested link delays requests and their responses for some time after the last sign.
+#[test]
+fn link_delay_congested_link() {
+    let mut load = start();
+    record_connects(&mut load, 4, &["a", "a", "a", "b"], &[250, 250, 250, 180]);
+    let now = MonoTime::ZERO + Millis::new(4 * TURN_MS);
+    assert_eq!(load.link_delay(now), Millis::new(180).micros());
+    assert_eq!(load.link_delay(now + Millis::new(1_000)), Micros::ZERO);
+}
+
 /// What is late follows from the shortest target of a route.
 #[test_case(Some(1_000), 120, true ; "within_long_goal")]
 #[test_case(Some(1_000), 130, false ; "beyond_long_goal")]
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -76,11 +76,13 @@
         load.record_connect(service, Micros::new(took));
     }
 
-    /// When a request that is read now can have arrived, if the response before it was sent at
-    /// `responded_at`.
+    /// When a request that is read now can have been sent, if the response before it was sent at
+    /// `responded_at`. What a congested link adds to the way of the response counts as well, so
+    /// that the response is there in time.
     pub(crate) fn arrival(&self, now: MonoTime, responded_at: Option<MonoTime>) -> MonoTime {
-        let lateness = self.lateness(now);
-        let earliest = MonoTime::new(now.get().saturating_sub(lateness.get()));
+        let waited = self.lateness(now).get();
+        let delay = self.load.borrow().link_delay(now).get();
+        let earliest = MonoTime::new(now.get().saturating_sub(waited.saturating_add(delay)));
         earliest.max(responded_at.unwrap_or_default())
     }
 
