--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! end carries out the effects; nothing here depends on headers or status lines.
 
 mod configuration;
+mod connection_places;
 mod copy;
 mod crash_evidence;
 mod endpoint_notice;
@@ -32,6 +33,10 @@
     Backend, CallerLimits, ConfigurationError, RelayConfiguration, RelayConfigurationParts,
     RelayRoute, RelayWorkspace, RepeatPolicy, ServiceRules,
 };
+pub use connection_places::{
+    Admission, Admitted, ConnectionPlaces, LimitNotice, Occupancy, PlaceBound, PlaceLimits,
+    PlaceState,
+};
 pub use copy::{CopySource, MemoryCopy};
 pub use crash_evidence::{
     CrashEvidence, PartDecision, PartVerdicts, PromptChain, PromptPartState, ReportedCrash,
@@ -63,6 +68,7 @@
 pub use stall_detector::StallDetector;
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    connection_places::verify_chart()?;
     crash_evidence::verify_chart()?;
     endpoint_notice::verify_chart()?;
     exchange::verify_chart()?;
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -145,6 +145,18 @@
     /// Number of requests.
     RequestCount, u64, "req"
 );
+quantity!(
+    /// Number of file descriptors.
+    DescriptorCount, u64, "fd"
+);
+quantity!(
+    /// Number of connections.
+    ConnectionCount, u64, "conn"
+);
+quantity!(
+    /// Number of a connection that a process accepted; increases with each one.
+    ConnectionNumber, u64, ""
+);
 quantity!(
     /// Number of bytes.
     ByteCount, u64, "B"
