Settings and endpoint connections: descriptors that a process may use

The pool counts its open connections and can close the older half of the idle ones. Nothing uses them yet.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -9,6 +9,10 @@
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -101,6 +105,24 @@
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<ConnectionKey, Vec<IdleConnection>>>>,
+    /// Open connections of all pools that share it, idle ones included.
+    open: Arc<AtomicU64>,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard(Arc<AtomicU64>);
+
+impl OpenGuard {
+    fn new(open: &Arc<AtomicU64>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 struct IdleConnection {
@@ -164,6 +186,22 @@
         Self::default()
     }
 
+    /// Creates an empty pool whose open connections are counted.
+    pub fn with_count(open: Arc<AtomicU64>) -> Self {
+        Self {
+            idle: Rc::default(),
+            open,
+        }
+    }
+
+    /// Closes the older half of each endpoint's idle connections, and at least one.
+    pub fn close_older_idle(&self) {
+        self.idle.borrow_mut().retain(|_, pooled| {
+            pooled.drain(..pooled.len().div_ceil(2));
+            !pooled.is_empty()
+        });
+    }
+
     /// Sends a request, whose URI is only a path, and waits for the response head. `id` is
     /// that of a caller's request.
     ///
@@ -181,7 +219,10 @@
         let is_reused = pooled.is_some();
         let mut link = match pooled {
             Some(link) => link,
-            None => connect(peer, settings.connect_timeout_ms.duration()).await?,
+            None => {
+                let guard = OpenGuard::new(&self.open);
+                connect(peer, settings.connect_timeout_ms.duration(), guard).await?
+            }
         };
         let sent = link.sender.try_send_request(request).await;
         let response = sent.map_err(|mut failure| {
@@ -250,7 +291,7 @@
     }
 }
 
-async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Link, SendError> {
+async fn connect(peer: SocketAddr, timeout: Duration, guard: OpenGuard) -> Result<Link, SendError> {
     let unreachable = |reason: String| SendError::Unreachable { peer, reason };
     let socket = open_socket(peer).map_err(|error| unreachable(error.to_string()))?;
     let connected = time::timeout(timeout, socket.connect(peer)).await;
@@ -265,6 +306,7 @@
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
     tokio::spawn(async move {
+        let _guard = guard;
         // The pending request gets the same error, so it is only logged here.
         if let Err(error) = connection.await {
             log::debug!("connection to {peer} failed: {}", error_chain(&error));
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use parsleylatch_types::{ByteCount, FailureDomain, Millis, NodeId, Region, RequestCount, Share};
+use parsleylatch_types::{
+    ByteCount, DescriptorCount, FailureDomain, Millis, NodeId, Region, RequestCount, Share,
+};
 use serde::Deserialize;
 
 use crate::{document::Document, error::SettingsError, vm_memory::vm_memory};
@@ -13,6 +15,8 @@
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Least memory with which a relay starts, in MiB.
 const MIN_MEMORY_MB: f64 = 32.0;
+/// Least number of file descriptors with which a relay starts.
+const MIN_DESCRIPTORS: f64 = 64.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -86,6 +90,7 @@
     seeds: Vec<SocketAddr>,
     traffic_threads: Option<usize>,
     memory_mb: Option<f64>,
+    file_descriptors: Option<f64>,
     #[serde(default)]
     bounds: RawRelayBounds,
 }
@@ -117,6 +122,9 @@
     pub traffic_threads: usize,
     /// Memory that the process may take, including bytes that the kernel has received for it.
     pub memory: ByteCount,
+    /// Descriptors that the operators allow the process, with those that they keep for files;
+    /// `None` leaves it to the kernel.
+    pub file_descriptors: Option<DescriptorCount>,
     /// Service-level bounds.
     pub bounds: RelayBounds,
 }
@@ -139,6 +147,7 @@
             return Err(document.value_error("memory_mb", reason));
         }
         Ok(Self {
+            file_descriptors: check_descriptors(document, raw.file_descriptors)?,
             memory: ByteCount::new((memory_mb * BYTES_PER_MB) as u64),
             bounds: check_bounds(document, raw.bounds)?,
             node_id: raw.node_id,
@@ -165,6 +174,19 @@
     }
 }
 
+fn check_descriptors(
+    document: &Document,
+    file_descriptors: Option<f64>,
+) -> Result<Option<DescriptorCount>, SettingsError> {
+    match file_descriptors {
+        Some(count) if !(count.is_finite() && count >= MIN_DESCRIPTORS) => {
+            let reason = format!("{count} is below {MIN_DESCRIPTORS}");
+            Err(document.value_error("file_descriptors", reason))
+        }
+        checked => Ok(checked.map(|it| DescriptorCount::new(it as u64))),
+    }
+}
+
 fn default_memory_mb() -> f64 {
     let vm_memory_mb = vm_memory().map(|it| it.get() as f64 / BYTES_PER_MB);
     let default = vm_memory_mb.map_or(DEFAULT_MEMORY_MB, |it| it.min(DEFAULT_MEMORY_MB));
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -3,7 +3,7 @@
 use parsleylatch_settings::{
     CallKind, Document, KeyDigest, NodeSettings, RelaySettings, Template, parse_total_memory,
 };
-use parsleylatch_types::{ByteCount, Millis};
+use parsleylatch_types::{ByteCount, DescriptorCount, Millis};
 use test_case::test_case;
 
 const NODE: &str = r#"{
@@ -142,6 +142,26 @@
     assert_eq!(read.memory.get(), bytes);
 }
 
+/// Without a setting, the kernel's limit on descriptors counts.
+#[test_case("", None ; "absent")]
+#[test_case("\"file_descriptors\": null, ", None ; "null")]
+#[test_case("\"file_descriptors\": 4100, ", Some(4_100) ; "whole number")]
+#[test_case("\"file_descriptors\": 64, ", Some(64) ; "least")]
+fn relay_descriptors_read(field: &str, count: Option<u64>) {
+    let document = Document::new("relay.jsonc", &with_memory(field));
+    let read = RelaySettings::read(&document).unwrap();
+    assert_eq!(read.file_descriptors.map(DescriptorCount::get), count);
+}
+
+#[test_case("\"file_descriptors\": 63, ", "63 is below 64" ; "too few")]
+#[test_case("\"file_descriptors\": -1, ", "-1 is below 64" ; "negative")]
+#[test_case("\"file_descriptors\": \"4100\", ", "invalid type" ; "not a number")]
+fn relay_descriptors_rejected(field: &str, reason: &str) {
+    let document = Document::new("relay.jsonc", &with_memory(field));
+    let error = RelaySettings::read(&document).unwrap_err();
+    assert!(error.to_string().contains(reason), "{error}");
+}
+
 #[test_case("\"memory_mb\": 31.9, ", "31.9 is below 32" ; "too small")]
 #[test_case("\"memory_mb\": 0, ", "0 is below 32" ; "zero")]
 #[test_case("\"memory_mb\": -160, ", "-160 is below 32" ; "negative")]
