--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -20,6 +20,10 @@
 const CONNECTION_LIMIT: u64 = 2_600;
 /// Time for which a new connection keeps its place without a request.
 const FIRST_REQUEST_MS: Millis = Millis::new(1_000);
+/// Maximum time for which the next connection waits for those that close.
+const CLOSING_MS: Millis = Millis::new(20);
+/// Maximum time for which it waits for those that are refused, which may send nothing.
+const REFUSAL_MS: Millis = Millis::new(1);
 /// One in so many places is kept back for connections that are refused, and as many for those
 /// that close.
 const RESERVE_RATIO: u64 = 16;
@@ -36,7 +40,7 @@
 const BUSY_DESCRIPTORS: u64 = 2;
 /// Part of the limit below which it is left, in percent.
 const LEFT_PERCENT: u64 = 90;
-/// Minimum time between two notices on the limit.
+/// Minimum time between two notices that the limit is reached.
 const NOTICE_INTERVAL_MS: Millis = Millis::new(1_000);
 
 chart_names! {
@@ -130,6 +134,12 @@
         self.memory.get().saturating_sub(reserved)
     }
 
+    /// Memory for connections that are served or close.
+    fn open_bytes(&self) -> u64 {
+        let reserved = self.reserve().get() * self.connection_size.get();
+        self.memory.get().saturating_sub(reserved)
+    }
+
     /// Descriptors for connections of callers and to endpoints.
     fn usable_descriptors(&self) -> u64 {
         let all = self.descriptors.get();
@@ -224,6 +234,8 @@
     counts: [u64; PlaceState::VARIANTS.len()],
     /// Memory of fresh, busy and resting connections.
     served_bytes: u64,
+    /// Memory of connections that close.
+    closing_bytes: u64,
     next: ConnectionNumber,
     is_at_limit: bool,
     /// Whether the last notice says that the limit is reached.
@@ -241,6 +253,7 @@
             refusing: BTreeSet::new(),
             counts: [0; PlaceState::VARIANTS.len()],
             served_bytes: 0,
+            closing_bytes: 0,
             next: ConnectionNumber::ZERO,
             is_at_limit: false,
             was_noticed: false,
@@ -259,8 +272,10 @@
         let number = self.next;
         self.next = number.next();
         let size = self.limits.connection_size;
-        let mut closed = self.close_until_room(now, 1, endpoint_connections);
-        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections);
+        let reserve = self.limits.reserve().get();
+        let mut closed = self.close_until_room(now, 1, reserve, endpoint_connections);
+        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
+            && self.served_bytes + self.closing_bytes + size.get() <= self.limits.open_bytes();
         let place = Place {
             instance: machine().start(now, &mut ()),
             size,
@@ -318,7 +333,7 @@
         now: MonoTime,
         endpoint_connections: ConnectionCount,
     ) -> Vec<ConnectionNumber> {
-        let closed = self.close_until_room(now, 0, endpoint_connections);
+        let closed = self.close_until_room(now, 0, u64::MAX, endpoint_connections);
         self.is_at_limit |= !closed.is_empty();
         closed
     }
@@ -352,11 +367,16 @@
         !self.has_room(0, self.limits.usable_descriptors(), endpoint_connections)
     }
 
-    /// Whether so many connections are refused or close that others should end first.
-    pub fn is_reserve_used(&self) -> bool {
+    /// Time for which the next connection waits until others have ended, as many are refused or
+    /// close.
+    pub fn accept_delay(&self) -> Millis {
         let reserve = self.limits.reserve().get();
         let ending = self.count(PlaceState::Closing) + self.count(PlaceState::Dropping);
-        ending >= reserve || 2 * self.count(PlaceState::Refusing) >= reserve
+        match 2 * self.count(PlaceState::Refusing) >= reserve {
+            _ if ending >= reserve => CLOSING_MS,
+            true => REFUSAL_MS,
+            false => Millis::ZERO,
+        }
     }
 
     /// Numbers for operators.
@@ -373,8 +393,8 @@
         }
     }
 
-    /// Whether the limit was reached or left since the last notice; there is at most one notice
-    /// in [`NOTICE_INTERVAL_MS`].
+    /// Whether the limit was reached or left since the last notice. It is noticed as reached at
+    /// most once in [`NOTICE_INTERVAL_MS`].
     pub fn take_notice(&mut self, now: MonoTime) -> Option<LimitNotice> {
         let (limit, _) = self.limits.limit();
         let open = self.places.len() as u64;
@@ -382,15 +402,18 @@
             self.is_at_limit = false;
         }
         let is_recent = |at: MonoTime| now.since(at) < NOTICE_INTERVAL_MS.micros();
-        if self.is_at_limit == self.was_noticed || self.noticed_at.is_some_and(is_recent) {
-            return None;
+        match (self.was_noticed, self.is_at_limit) {
+            (false, true) if !self.noticed_at.is_some_and(is_recent) => {
+                self.was_noticed = true;
+                self.noticed_at = Some(now);
+                Some(LimitNotice::Reached)
+            }
+            (true, false) => {
+                self.was_noticed = false;
+                Some(LimitNotice::Left)
+            }
+            _ => None,
         }
-        self.was_noticed = self.is_at_limit;
-        self.noticed_at = Some(now);
-        Some(match self.is_at_limit {
-            true => LimitNotice::Reached,
-            false => LimitNotice::Left,
-        })
     }
 
     fn count(&self, state: PlaceState) -> u64 {
@@ -433,12 +456,13 @@
         &mut self,
         now: MonoTime,
         added: u64,
+        max_closing: u64,
         endpoint_connections: ConnectionCount,
     ) -> Vec<ConnectionNumber> {
         let mut closed = Vec::new();
         let descriptors = self.limits.resting_descriptors();
         while !self.has_room(added, descriptors, endpoint_connections)
-            && self.count(PlaceState::Closing) < self.limits.reserve().get()
+            && self.count(PlaceState::Closing) < max_closing
         {
             let Some(number) = self.longest_closable(now) else {
                 break;
@@ -484,7 +508,8 @@
             PlaceState::Refusing => {
                 self.refusing.insert(number);
             }
-            PlaceState::Closing | PlaceState::Dropping => {}
+            PlaceState::Closing => self.closing_bytes += place.size.get(),
+            PlaceState::Dropping => {}
         }
     }
 
@@ -504,7 +529,8 @@
             PlaceState::Refusing => {
                 self.refusing.remove(&number);
             }
-            PlaceState::Closing | PlaceState::Dropping => {}
+            PlaceState::Closing => self.closing_bytes -= place.size.get(),
+            PlaceState::Dropping => {}
         }
     }
 }
--- /dev/null
+++ b/crates/relay/src/caller_places.rs
@@ -0,0 +1,303 @@
+//! Places for callers' connections, shared by all traffic threads.
+//!
+//! Threads share the callers' address, and the kernel distributes connections unevenly, so places
+//! are counted for the whole process, and a thread may close a connection of another one.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use parsleylatch_decide::relay::{
+    Admission, ConnectionPlaces, LimitNotice, MemoryPlan, Occupancy, PlaceLimits, PlaceState,
+};
+use parsleylatch_types::{ByteCount, ConnectionCount, ConnectionNumber, DescriptorCount, Millis};
+use rustix::process::{Resource, getrlimit};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
+
+use crate::{shared::Shared, telemetry::RelayCounter, traffic::caller_limits};
+
+/// Descriptors that operators keep for files of those that they allow a process.
+const FILE_DESCRIPTORS: DescriptorCount = DescriptorCount::new(200);
+/// Maximum part of the descriptors that is kept for files, as a divisor.
+const SMALL_PROCESS_PART: u64 = 4;
+
+/// Places and the connections that have them.
+pub(crate) struct CallerPlaces {
+    state: Mutex<State>,
+    /// Descriptors that the kernel allows the process.
+    process_descriptors: DescriptorCount,
+    /// Open connections to endpoints.
+    endpoint_connections: Arc<AtomicU64>,
+    /// A connection has ended.
+    released: Notify,
+}
+
+struct State {
+    places: ConnectionPlaces,
+    signals: HashMap<ConnectionNumber, Arc<CloseSignal>>,
+}
+
+/// Tells a connection to close.
+#[derive(Default)]
+struct CloseSignal {
+    is_told: AtomicBool,
+    told: Notify,
+}
+
+/// Limits by the settings and the configuration in force.
+fn limits(shared: &Shared, process_descriptors: DescriptorCount) -> PlaceLimits {
+    let settings = shared.settings.load();
+    let plan = MemoryPlan::new(settings.memory);
+    let head = caller_limits(&shared.snapshot.load()).head_bytes;
+    let configured = settings.file_descriptors.map(without_files);
+    let descriptors = configured.map_or(process_descriptors, |it| it.min(process_descriptors));
+    PlaceLimits::new(&plan, head, descriptors)
+}
+
+/// Descriptors that are left for connections of those that the operators allow.
+fn without_files(allowed: DescriptorCount) -> DescriptorCount {
+    let small_part = DescriptorCount::new(allowed.get() / SMALL_PROCESS_PART);
+    allowed.saturating_sub(FILE_DESCRIPTORS.min(small_part))
+}
+
+/// Maximum number of descriptors that the kernel allows the process.
+fn process_descriptors() -> DescriptorCount {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(DescriptorCount::MAX, DescriptorCount::new)
+}
+
+impl CallerPlaces {
+    /// Places of a process without connections; the limits follow with the first use.
+    pub(crate) fn new() -> Self {
+        let plan = MemoryPlan::new(ByteCount::ZERO);
+        let process_descriptors = process_descriptors();
+        let none = PlaceLimits::new(&plan, ByteCount::ZERO, process_descriptors);
+        Self {
+            state: Mutex::new(State {
+                places: ConnectionPlaces::new(none),
+                signals: HashMap::new(),
+            }),
+            process_descriptors,
+            endpoint_connections: Arc::default(),
+            released: Notify::new(),
+        }
+    }
+
+    /// Counter of the open connections to endpoints.
+    pub(crate) fn endpoint_connections(&self) -> &Arc<AtomicU64> {
+        &self.endpoint_connections
+    }
+
+    /// Numbers for operators.
+    pub(crate) fn occupancy(&self, shared: &Shared) -> Occupancy {
+        self.refresh_limits(shared);
+        self.lock().places.occupancy(self.open_to_endpoints())
+    }
+
+    /// Closes resting connections until the others are within the limits in force.
+    pub(crate) fn close_excess(&self, shared: &Shared) {
+        self.refresh_limits(shared);
+        let endpoints = self.open_to_endpoints();
+        drop(self.update(shared, |places| {
+            places.close_excess(shared.now(), endpoints)
+        }));
+    }
+
+    /// Closes connections that have rested longest, as the process has no descriptors left.
+    pub(crate) fn close_longest(&self, shared: &Shared) {
+        drop(self.update(shared, |places| places.close_longest(shared.now())));
+    }
+
+    /// Whether connections to endpoints and of callers have used up the descriptors for resting
+    /// ones.
+    pub(crate) fn lacks_descriptors(&self) -> bool {
+        let endpoints = self.open_to_endpoints();
+        self.lock().places.lacks_descriptors(endpoints)
+    }
+
+    /// Whether more connections are served than there is room for.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        let endpoints = self.open_to_endpoints();
+        self.lock().places.is_exceeded(endpoints)
+    }
+
+    /// Waits a bounded time until the next connection should be accepted, as many are refused
+    /// or close.
+    pub(crate) async fn wait_for_places(&self) {
+        let started_at = Instant::now();
+        loop {
+            let released = self.released.notified();
+            let delay = self.lock().places.accept_delay();
+            if delay == Millis::ZERO {
+                return;
+            }
+            if time::timeout_at(started_at + delay.duration(), released)
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
+    fn open_to_endpoints(&self) -> ConnectionCount {
+        ConnectionCount::new(self.endpoint_connections.load(Ordering::Relaxed))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn refresh_limits(&self, shared: &Shared) {
+        let limits = limits(shared, self.process_descriptors);
+        self.lock().places.set_limits(limits);
+    }
+
+    /// Applies a change, and tells the connections that it returns to close.
+    fn update(
+        &self,
+        shared: &Shared,
+        change: impl FnOnce(&mut ConnectionPlaces) -> Vec<ConnectionNumber>,
+    ) -> MutexGuard<'_, State> {
+        let mut state = self.lock();
+        let closed = change(&mut state.places);
+        state.tell_to_close(shared, &closed);
+        state.log_notice(shared, self.open_to_endpoints());
+        state
+    }
+}
+
+impl State {
+    fn tell_to_close(&self, shared: &Shared, closed: &[ConnectionNumber]) {
+        for number in closed {
+            let counter = match self.places.state(*number) {
+                Some(PlaceState::Dropping) => RelayCounter::ConnectionsDropped,
+                _ => RelayCounter::ConnectionsClosedForRoom,
+            };
+            shared.metrics.increment(counter);
+            if let Some(signal) = self.signals.get(number) {
+                signal.is_told.store(true, Ordering::Relaxed);
+                signal.told.notify_one();
+            }
+        }
+    }
+
+    fn log_notice(&mut self, shared: &Shared, endpoints: ConnectionCount) {
+        let Some(notice) = self.places.take_notice(shared.now()) else {
+            return;
+        };
+        let occupancy = self.places.occupancy(endpoints);
+        let message = match notice {
+            LimitNotice::Reached => "limit on caller connections reached",
+            LimitNotice::Left => "limit on caller connections left",
+        };
+        log::warn!(
+            open = occupancy.open.get(),
+            resting = occupancy.resting.get(),
+            limit = occupancy.limit.get(),
+            bound:% = occupancy.bound,
+            endpoint_connections = endpoints.get(),
+            descriptors = occupancy.descriptors.get();
+            "{message}"
+        );
+    }
+}
+
+/// Place of one connection, until it is dropped.
+pub(crate) struct CallerPlace {
+    shared: Arc<Shared>,
+    number: ConnectionNumber,
+    admission: Admission,
+    signal: Arc<CloseSignal>,
+}
+
+impl CallerPlace {
+    /// Gives a new connection a place.
+    pub(crate) fn take(shared: &Arc<Shared>) -> Self {
+        let places = &shared.caller_places;
+        places.refresh_limits(shared);
+        let endpoints = places.open_to_endpoints();
+        let signal = Arc::new(CloseSignal::default());
+        let mut admitted = None;
+        let mut state = places.update(shared, |places| {
+            let it = places.admit(shared.now(), endpoints);
+            admitted = Some((it.number, it.admission));
+            it.closed
+        });
+        let (number, admission) = admitted.expect("the change has run");
+        state.signals.insert(number, Arc::clone(&signal));
+        drop(state);
+        if admission == Admission::Refuse {
+            shared.metrics.increment(RelayCounter::ConnectionsRefused);
+        }
+        Self {
+            shared: Arc::clone(shared),
+            number,
+            admission,
+            signal,
+        }
+    }
+
+    /// Whether its connection is served.
+    pub(crate) fn admission(&self) -> Admission {
+        self.admission
+    }
+
+    /// Records that a request or a part of a head has arrived.
+    pub(crate) fn begin(&self) {
+        let places = &self.shared.caller_places;
+        let endpoints = places.open_to_endpoints();
+        let now = self.shared.now();
+        let state = places.update(&self.shared, |it| it.begin(now, self.number, endpoints));
+        // What has arrived is served.
+        self.signal.is_told.store(false, Ordering::Relaxed);
+        drop(state);
+    }
+
+    /// Records that a response was sent.
+    pub(crate) fn rest(&self) {
+        let places = &self.shared.caller_places;
+        let endpoints = places.open_to_endpoints();
+        let now = self.shared.now();
+        drop(places.update(&self.shared, |it| it.rest(now, self.number, endpoints)));
+    }
+
+    /// Whether its connection has to close unless a request has arrived.
+    pub(crate) fn must_close(&self) -> bool {
+        self.signal.is_told.load(Ordering::Relaxed)
+    }
+
+    /// Returns what waits until a connection that is refused is told to close.
+    pub(crate) fn wait_for_drop(&self) -> impl Future<Output = ()> + use<> {
+        let signal = Arc::clone(&self.signal);
+        async move { signal.told.notified().await }
+    }
+
+    /// Waits until a connection that is served is told to close.
+    pub(crate) async fn wait_for_close(&self) {
+        match self.admission {
+            Admission::Serve => self.signal.told.notified().await,
+            Admission::Refuse => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for CallerPlace {
+    fn drop(&mut self) {
+        let places = &self.shared.caller_places;
+        let mut state = places.update(&self.shared, |it| {
+            it.release(self.number);
+            Vec::new()
+        });
+        state.signals.remove(&self.number);
+        drop(state);
+        places.released.notify_waiters();
+    }
+}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -298,6 +298,7 @@
         let plan = MemoryPlan::new(settings.memory);
         self.shared.body_memory.set_limit(plan.bodies);
         self.shared.settings.store(Arc::new(settings));
+        self.shared.caller_places.close_excess(&self.shared);
         log::info!("settings reloaded");
     }
 
--- a/crates/relay/src/control/status_routes.rs
+++ b/crates/relay/src/control/status_routes.rs
@@ -35,7 +35,9 @@
 
 async fn serve_metrics(request: Request) -> Result<Response> {
     let shared = shared(&request)?;
-    Ok(shared.metrics.render(&shared.body_memory).into_response())
+    let occupancy = shared.caller_places.occupancy(&shared);
+    let text = shared.metrics.render(&shared.body_memory, &occupancy);
+    Ok(text.into_response())
 }
 
 fn shared(request: &Request) -> Result<Arc<Shared>> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! supplied from outside as a [`RelayCodec`].
 
 mod args;
+mod caller_places;
 mod codec;
 mod control;
 mod input;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -18,7 +18,9 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::telemetry::RelayMetrics;
-use crate::{codec::RelayCodec, input::ControlInput, memory::MemoryBudget};
+use crate::{
+    caller_places::CallerPlaces, codec::RelayCodec, input::ControlInput, memory::MemoryBudget,
+};
 
 /// Wait of a watch, in percent of the shorter propagation bound. A watch on a store
 /// that has dropped its history may not report changes until its wait is over.
@@ -74,6 +76,8 @@
     pub(crate) metrics: RelayMetrics,
     /// Bodies of requests and responses that the process holds.
     pub(crate) body_memory: Arc<MemoryBudget>,
+    /// Places for callers' connections.
+    pub(crate) caller_places: CallerPlaces,
     pub(crate) control: mpsc::Sender<ControlInput>,
     /// Whether this node reads the store itself.
     pub(crate) reads_store: watch::Sender<bool>,
@@ -113,6 +117,7 @@
             snapshot: ArcSwap::default(),
             phase: watch::Sender::new(LifecyclePhase::Starting),
             metrics: RelayMetrics::new(),
+            caller_places: CallerPlaces::new(),
             control,
             reads_store: watch::Sender::new(true),
             known_revision: AtomicU64::new(0),
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use hdrhistogram::Histogram;
+use parsleylatch_decide::relay::Occupancy;
 use parsleylatch_types::Micros;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
@@ -27,6 +28,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum RelayCounter {
+    /// Connections of callers closed while they rested, as others needed their places.
+    ConnectionsClosedForRoom,
+    /// Connections of callers accepted only to be refused.
+    ConnectionsRefused,
+    /// Such connections closed before their request was answered, as others needed their
+    /// places or as it did not arrive in time.
+    ConnectionsDropped,
+    /// Failed calls to accept a connection of a caller.
+    AcceptFailures,
     /// Requests received.
     Requests,
     /// Requests rejected before an endpoint was selected.
@@ -142,13 +152,22 @@
         histogram.saturating_record(latency.get());
     }
 
-    /// Renders all metrics and the memory that bodies take in the Prometheus text
-    /// exposition format.
-    pub(crate) fn render(&self, body_memory: &MemoryBudget) -> String {
+    /// Renders all metrics, the memory that bodies take and the callers' connections in the
+    /// Prometheus text exposition format.
+    pub(crate) fn render(&self, body_memory: &MemoryBudget, callers: &Occupancy) -> String {
         let mut text = String::new();
-        let held = body_memory.held();
-        let _ = writeln!(text, "# TYPE parsleylatch_body_memory_bytes gauge");
-        let _ = writeln!(text, "parsleylatch_body_memory_bytes {held}");
+        let gauges = [
+            ("body_memory_bytes", body_memory.held() as u64),
+            ("caller_connections", callers.open.get()),
+            ("caller_connections_resting", callers.resting.get()),
+            ("caller_connections_limit", callers.limit.get()),
+            ("endpoint_connections", callers.endpoint_connections.get()),
+            ("descriptors_limit", callers.descriptors.get()),
+        ];
+        for (name, value) in gauges {
+            let _ = writeln!(text, "# TYPE parsleylatch_{name} gauge");
+            let _ = writeln!(text, "parsleylatch_{name} {value}");
+        }
         for counter in RelayCounter::iter() {
             let name: &str = counter.into();
             let value = self.counters[counter as usize].load(Ordering::Relaxed);
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -25,7 +25,11 @@
     request_handler, responses,
     state::Traffic,
 };
-use crate::shared::{AwaitedRequest, InFlightGuard, LifecyclePhase, Shared};
+use crate::{
+    caller_places::CallerPlace,
+    shared::{AwaitedRequest, InFlightGuard, LifecyclePhase, Shared},
+    telemetry::RelayCounter,
+};
 
 /// Delay before an idle or slow connection is closed, in which the runtime notices data that
 /// has arrived in time.
@@ -47,7 +51,14 @@
 
 /// Serves one connection until it is closed. `awaited` counts its first request as in
 /// flight, so that a stopping relay does not end between accepting and reading it.
-pub(crate) async fn serve(traffic: Rc<Traffic>, stream: TcpStream, awaited: AwaitedRequest) {
+///
+/// A connection without a place to be served gets its first request refused.
+pub(crate) async fn serve(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    awaited: AwaitedRequest,
+    place: CallerPlace,
+) {
     let limits = request_handler::limits(&traffic.snapshot());
     let mut builder = http1::Builder::new();
     // The connection's own timer replaces the timeout of the library.
@@ -55,7 +66,7 @@
         .header_read_timeout(None)
         .max_buf_size(MemoryPlan::head_limit(limits.head_bytes).get() as usize);
     let (limited, inspection, progress) = inspect_heads(stream);
-    let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared)));
+    let activity = Rc::new(ConnectionActivity::new(Arc::clone(&traffic.shared), place));
     let connection_activity = Rc::clone(&activity);
     let mut timer = ConnectionTimer::new(Rc::clone(&activity), inspection.clone());
     let shared = Arc::clone(&traffic.shared);
@@ -85,7 +96,7 @@
     let is_late = shared.phase() >= LifecyclePhase::Draining;
     let ended = tokio::select! {
         biased;
-        ended = run(Pin::new(&mut connection), &mut timer) => Some(ended),
+        ended = run(Pin::new(&mut connection), &activity, &mut timer) => Some(ended),
         () = wait_until_draining(&shared) => None,
     };
     let ended = match ended {
@@ -99,7 +110,7 @@
             }
             tokio::select! {
                 biased;
-                ended = run(Pin::new(&mut connection), &mut timer) => ended,
+                ended = run(Pin::new(&mut connection), &activity, &mut timer) => ended,
                 () = wait_for_request(&shared) => {
                     if awaited.take().is_some() {
                         shared.record_closed_unread();
@@ -110,7 +121,7 @@
                         );
                     }
                     Pin::new(&mut connection).graceful_shutdown();
-                    run(Pin::new(&mut connection), &mut timer).await
+                    run(Pin::new(&mut connection), &activity, &mut timer).await
                 }
             }
         }
@@ -172,6 +183,7 @@
 /// Runs a connection until it ends or until one of its timeouts.
 async fn run<Io, Handler>(
     mut connection: Pin<&mut http1::Connection<Io, Handler>>,
+    activity: &ConnectionActivity,
     timer: &mut ConnectionTimer,
 ) -> Result<(), String>
 where
@@ -184,6 +196,7 @@
             biased;
             ended = connection.as_mut() => return ended.map_err(|it| error_chain(&it)),
             () = timer.expired() => {}
+            () = activity.place().wait_for_close() => {}
         }
         tokio::select! {
             biased;
@@ -191,6 +204,8 @@
             () = time::sleep(LAST_READ_DELAY) => {}
         }
         match timer.expired_now() {
+            // A part of a head has arrived, so that the place is not given up.
+            None if timer.has_partial_head() => activity.place().begin(),
             None => {}
             Some(ConnectionTimeout::Head) => return Err("head not complete in time".to_owned()),
             Some(ConnectionTimeout::Write) => return Err("response not read in time".to_owned()),
@@ -222,7 +237,17 @@
     let is_ambiguous = is_chunked && head.is_none_or(|it| it.is_ambiguous);
     let shared = Arc::clone(&traffic.shared);
     let _in_flight = awaited.unwrap_or_else(|| shared.track_request());
-    let mut response = if is_ambiguous {
+    let mut response = if guard.is_refused() {
+        shared.metrics.increment(RelayCounter::Requests);
+        let metadata = (shared.codec.requests.read)(request.headers());
+        let id = metadata.ok().map(|it| it.id);
+        request_handler::deny(
+            &shared,
+            id.as_ref(),
+            responses::Denial::NoPlace,
+            "no place for the connection",
+        )
+    } else if is_ambiguous {
         request_handler::deny(
             &shared,
             None,
@@ -234,7 +259,8 @@
     };
     // Guards against request smuggling: data after a chunked body is never parsed as a
     // request.
-    if is_chunked || shared.phase() > LifecyclePhase::Serving {
+    let must_close = shared.phase() > LifecyclePhase::Serving || shared.caller_places.is_exceeded();
+    if is_chunked || must_close {
         responses::close_after(response.headers_mut());
     }
     response.map(|body| GuardedBody::new(body, guard))
--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use parsleylatch_decide::relay::CallerLimits;
+use parsleylatch_decide::relay::{Admission, CallerLimits};
 use parsleylatch_types::{ExchangeId, MonoTime};
 use tokio::time::Instant;
 
@@ -19,7 +19,7 @@
     body::{RelayBody, StreamAborted},
     request_handler,
 };
-use crate::{shared::Shared, telemetry::RelayCounter};
+use crate::{caller_places::CallerPlace, shared::Shared, telemetry::RelayCounter};
 
 /// A request whose response has not been sent.
 struct OpenRequest {
@@ -33,6 +33,7 @@
 /// Activity of one connection. Reports the open request when it is dropped.
 pub(crate) struct ConnectionActivity {
     shared: Arc<Shared>,
+    place: CallerPlace,
     request: RefCell<Option<OpenRequest>>,
     /// When the connection was accepted, or its last response was sent.
     idle_since: Cell<MonoTime>,
@@ -43,8 +44,9 @@
 }
 
 impl ConnectionActivity {
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+    pub(crate) fn new(shared: Arc<Shared>, place: CallerPlace) -> Self {
         Self {
+            place,
             idle_since: Cell::new(shared.now()),
             shared,
             blocked_since: Cell::default(),
@@ -60,6 +62,7 @@
             arrived_at: self.shared.now(),
             is_buffered: false,
         });
+        self.place.begin();
         RequestGuard {
             activity: Rc::clone(self),
             is_complete: false,
@@ -92,9 +95,15 @@
         let mut request = self.request.borrow_mut();
         if request.take_if(|it| it.is_buffered).is_some() {
             self.idle_since.set(self.now());
+            self.place.rest();
         }
     }
 
+    /// Place of the connection.
+    pub(crate) fn place(&self) -> &CallerPlace {
+        &self.place
+    }
+
     /// Limits of the configuration in force.
     pub(crate) fn limits(&self) -> CallerLimits {
         request_handler::limits(&self.shared.snapshot.load())
@@ -152,6 +161,11 @@
 }
 
 impl RequestGuard {
+    /// Whether the connection has no place to be served.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.activity.place.admission() == Admission::Refuse
+    }
+
     /// Records the id of the request.
     pub(crate) fn identify(&self, id: &ExchangeId) {
         if let Some(request) = self.activity.request.borrow_mut().as_mut() {
--- a/crates/relay/src/traffic/connection_timer.rs
+++ b/crates/relay/src/traffic/connection_timer.rs
@@ -25,7 +25,7 @@
 /// What a connection took too long for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectionTimeout {
-    /// Sending the next request.
+    /// Sending the next request, for as long as no other connection needs the place.
     Idle,
     /// Completing a head.
     Head,
@@ -65,6 +65,11 @@
         expired.map(|(timeout, _)| timeout)
     }
 
+    /// Whether a head has begun to arrive.
+    pub(crate) fn has_partial_head(&self) -> bool {
+        self.inspection.has_partial_head()
+    }
+
     fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Some((_, deadline)) = self.next_deadline() else {
             return Poll::Pending;
@@ -89,7 +94,12 @@
         let limits = self.activity.limits();
         if !self.inspection.has_partial_head() {
             self.head_since = None;
-            return Some((ConnectionTimeout::Idle, idle_since + limits.idle_timeout_ms));
+            let is_needed = self.activity.place().must_close();
+            let idle_until = match is_needed {
+                true => idle_since,
+                false => idle_since + limits.idle_timeout_ms,
+            };
+            return Some((ConnectionTimeout::Idle, idle_until));
         }
         let now = self.activity.now();
         let head_since = *self.head_since.get_or_insert(now);
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -19,21 +19,29 @@
 mod responses;
 mod state;
 
-use std::{cell::Cell, convert::Infallible, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
-use parsleylatch_decide::relay::MemoryPlan;
+use parsleylatch_decide::relay::Admission;
 use parsleylatch_http::NodelayListener;
+use parsleylatch_types::{Millis, MonoTime};
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
 use viz::Listener;
 
-use crate::shared::{LifecyclePhase, Shared};
+pub(crate) use request_handler::limits as caller_limits;
+
+use crate::{
+    caller_places::CallerPlace,
+    shared::{AwaitedRequest, LifecyclePhase, Shared},
+    telemetry::RelayCounter,
+};
 use state::Traffic;
 
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Maximum number of callers' connections of a process; the remainder of 4,100 file
-/// descriptors is for connections to endpoints.
-const CONNECTION_LIMIT: usize = 2_600;
+/// Time for the first request of a connection that is refused, and for its response.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Minimum time between two log lines on failures to accept.
+const FAILURE_LOG_INTERVAL_MS: Millis = Millis::new(1_000);
 
 /// Serves callers until the relay has stopped.
 pub(crate) fn run(runtime: &Runtime, shared: Arc<Shared>, listener: TcpListener, seed: u64) {
@@ -53,19 +61,21 @@
 }
 
 async fn accept(traffic: Rc<Traffic>, listener: NodelayListener) {
-    let open = Rc::new(Cell::new(0_usize));
+    let mut failures = AcceptFailures::default();
     tokio::task::spawn_local(placement_queue::reject_at_stop(Rc::clone(&traffic)));
     loop {
-        let has_room = open.get() < connection_limit(&traffic.shared);
+        traffic.shared.caller_places.wait_for_places().await;
         let accepted = tokio::select! {
-            accepted = listener.accept(), if has_room => accepted,
-            () = time::sleep(ACCEPT_RETRY_DELAY), if !has_room => continue,
+            accepted = listener.accept() => accepted,
             () = traffic.shared.wait_for_phase(LifecyclePhase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&traffic, &open, stream),
+            Ok((stream, _)) => serve(&traffic, stream),
             Err(error) => {
-                log::warn!(error:% = error; "accepting a caller connection failed");
+                failures.record(&traffic.shared, &error);
+                // Descriptors may be used up by what the process can do without.
+                traffic.connections.close_older_idle();
+                traffic.shared.caller_places.close_longest(&traffic.shared);
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -77,35 +87,78 @@
     }
     log::info!(waiting = waiting.len(); "caller listener closed");
     for stream in waiting {
-        serve(&traffic, &open, stream);
+        serve(&traffic, stream);
     }
     traffic.shared.report_listener_closed().await;
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
 }
 
-/// Maximum number of callers' connections of one thread.
-fn connection_limit(shared: &Shared) -> usize {
-    let settings = shared.settings.load();
-    let plan = MemoryPlan::new(settings.memory);
-    let limits = request_handler::limits(&shared.snapshot.load());
-    let limit = CONNECTION_LIMIT.min(plan.connection_limit(limits.head_bytes));
-    (limit / settings.traffic_threads).max(1)
+/// Failures to accept of one thread, for the log.
+#[derive(Default)]
+struct AcceptFailures {
+    logged_at: Option<MonoTime>,
+    /// Failures that no line was written for.
+    unlogged: u64,
+}
+
+impl AcceptFailures {
+    fn record(&mut self, shared: &Shared, error: &io::Error) {
+        shared.metrics.increment(RelayCounter::AcceptFailures);
+        self.unlogged += 1;
+        let now = shared.now();
+        let is_recent = |at: MonoTime| now.since(at) < FAILURE_LOG_INTERVAL_MS.micros();
+        if self.logged_at.is_some_and(is_recent) {
+            return;
+        }
+        log::warn!(
+            error:% = error, failures = self.unlogged;
+            "accepting a caller connection failed"
+        );
+        self.logged_at = Some(now);
+        self.unlogged = 0;
+    }
 }
 
-fn serve(traffic: &Rc<Traffic>, open: &Rc<Cell<usize>>, stream: TcpStream) {
-    open.set(open.get() + 1);
-    let (traffic, open) = (Rc::clone(traffic), Rc::clone(open));
-    let awaited = traffic.shared.await_request();
+fn serve(traffic: &Rc<Traffic>, stream: TcpStream) {
+    let shared = &traffic.shared;
+    if shared.caller_places.lacks_descriptors() {
+        traffic.connections.close_older_idle();
+    }
+    let place = CallerPlace::take(shared);
+    let awaited = shared.await_request();
+    let traffic = Rc::clone(traffic);
     tokio::task::spawn_local(async move {
         let shared = Arc::clone(&traffic.shared);
         tokio::select! {
-            () = caller_connection::serve(traffic, stream, awaited) => {}
+            () = serve_place(traffic, stream, awaited, place) => {}
             never = count_while_stopping(&shared) => match never {},
         }
-        open.set(open.get() - 1);
     });
 }
 
+/// Serves a connection that has a place, and refuses another one in bounded time.
+async fn serve_place(
+    traffic: Rc<Traffic>,
+    stream: TcpStream,
+    awaited: AwaitedRequest,
+    place: CallerPlace,
+) {
+    if place.admission() == Admission::Serve {
+        caller_connection::serve(traffic, stream, awaited, place).await;
+        return;
+    }
+    let shared = Arc::clone(&traffic.shared);
+    let dropped = place.wait_for_drop();
+    tokio::select! {
+        biased;
+        () = caller_connection::serve(traffic, stream, awaited, place) => {}
+        () = dropped => {}
+        () = time::sleep(REFUSAL_TIME) => {
+            shared.metrics.increment(RelayCounter::ConnectionsDropped);
+        }
+    }
+}
+
 /// Counts a connection as in flight while the relay stops, so that the process ends only
 /// after its response has been written.
 async fn count_while_stopping(shared: &Arc<Shared>) -> Infallible {
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -56,7 +56,7 @@
 }
 
 /// Limits on callers in force.
-pub(super) fn limits(snapshot: &Snapshot) -> CallerLimits {
+pub(crate) fn limits(snapshot: &Snapshot) -> CallerLimits {
     let configuration = snapshot.configuration.as_ref();
     let configured = configuration.and_then(|it| it.limits().copied());
     configured.unwrap_or(DEFAULT_LIMITS)
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -10,7 +10,7 @@
 /// `Retry-After` of a node that lacks recent state.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
-/// `Retry-After` of a node whose memory for bodies is used up. The caller's retry reaches
+/// `Retry-After` of a node whose memory for bodies or places for connections are used up. The caller's retry reaches
 /// another node.
 const MEMORY_RETRY_AFTER_MS: Millis = Millis::new(100);
 
@@ -32,6 +32,8 @@
     Uninformed,
     /// The process has no memory left for the body.
     MemoryUsedUp,
+    /// The process has no place for another connection.
+    NoPlace,
     /// This node is stopping, and the response may outlast it.
     Stopping,
 }
@@ -44,7 +46,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Uninformed | Self::MemoryUsedUp | Self::Stopping => {
+            Self::Uninformed | Self::MemoryUsedUp | Self::NoPlace | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
         }
@@ -54,7 +56,7 @@
     fn retry_after(self) -> Option<Millis> {
         match self {
             Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
-            Self::MemoryUsedUp => Some(MEMORY_RETRY_AFTER_MS),
+            Self::MemoryUsedUp | Self::NoPlace => Some(MEMORY_RETRY_AFTER_MS),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             _ => None,
         }
@@ -64,7 +66,11 @@
     fn ends_connection(self) -> bool {
         matches!(
             self,
-            Self::BadRequest | Self::BodyTooLarge | Self::SlowBody | Self::MemoryUsedUp
+            Self::BadRequest
+                | Self::BodyTooLarge
+                | Self::SlowBody
+                | Self::MemoryUsedUp
+                | Self::NoPlace
         )
     }
 }
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -43,9 +43,10 @@
             seed,
         );
         drop(settings);
+        let open = Arc::clone(shared.caller_places.endpoint_connections());
         Self {
             shared,
-            connections: ConnectionPool::new(),
+            connections: ConnectionPool::with_count(open),
             endpoint_table: RefCell::default(),
             selector: RefCell::new(selector),
             retry_windows: RefCell::default(),
