--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -9,6 +9,10 @@
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -101,6 +105,24 @@
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<HashMap<ConnectionKey, Vec<IdleConnection>>>>,
+    /// Open connections of all pools that share it, idle ones included.
+    open: Arc<AtomicU64>,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard(Arc<AtomicU64>);
+
+impl OpenGuard {
+    fn new(open: &Arc<AtomicU64>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 struct IdleConnection {
@@ -213,6 +235,22 @@
         Self::default()
     }
 
+    /// Creates an empty pool whose open connections are counted.
+    pub fn with_count(open: Arc<AtomicU64>) -> Self {
+        Self {
+            idle: Rc::default(),
+            open,
+        }
+    }
+
+    /// Closes the older half of each endpoint's idle connections, and at least one.
+    pub fn close_older_idle(&self) {
+        self.idle.borrow_mut().retain(|_, pooled| {
+            pooled.drain(..pooled.len().div_ceil(2));
+            !pooled.is_empty()
+        });
+    }
+
     /// Sends a request, whose URI is only a path, and waits for the response head. `id` is
     /// that of a caller's request.
     ///
@@ -248,9 +286,11 @@
                 usable_for: pooled.usable_for,
             });
         }
+        let guard = OpenGuard::new(&self.open);
+        let timeout = settings.connect_timeout_ms.duration();
         Ok(ReadyConnection {
             key: key.clone(),
-            link: connect(key.address, settings.connect_timeout_ms.duration()).await?,
+            link: connect(key.address, timeout, guard).await?,
             is_reused: false,
             usable_for: Duration::MAX,
         })
@@ -312,7 +352,7 @@
     }
 }
 
-async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Link, SendError> {
+async fn connect(peer: SocketAddr, timeout: Duration, guard: OpenGuard) -> Result<Link, SendError> {
     let unreachable = |reason: String| SendError::Unreachable { peer, reason };
     let socket = open_socket(peer).map_err(|error| unreachable(error.to_string()))?;
     let connected = time::timeout(timeout, socket.connect(peer)).await;
@@ -327,6 +367,7 @@
         .await
         .map_err(|error| unreachable(error_chain(&error)))?;
     tokio::spawn(async move {
+        let _guard = guard;
         // The pending request gets the same error, so it is only logged here.
         if let Err(error) = connection.await {
             log::debug!("connection to {peer} failed: {}", error_chain(&error));
--- a/crates/relay/src/control/status_routes.rs
+++ b/crates/relay/src/control/status_routes.rs
@@ -35,8 +35,11 @@
 
 async fn serve_metrics(request: Request) -> Result<Response> {
     let shared = shared(&request)?;
+    let occupancy = shared.caller_places.occupancy(&shared);
     let endpoints = shared.snapshot.load().endpoints.len();
-    let text = shared.metrics.render(&shared.body_memory, endpoints);
+    let text = shared
+        .metrics
+        .render(&shared.body_memory, &occupancy, endpoints);
     Ok(text.into_response())
 }
 
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -10,7 +10,7 @@
 /// `Retry-After` of a node that lacks recent state.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
-/// `Retry-After` of a node whose memory for bodies is used up. The caller's retry reaches
+/// `Retry-After` of a node whose memory for bodies or places for connections are used up. The caller's retry reaches
 /// another node.
 const MEMORY_RETRY_AFTER_MS: Millis = Millis::new(100);
 
@@ -38,6 +38,8 @@
         /// When the caller may come back; `None` if it has no time left.
         retry_after_ms: Option<Millis>,
     },
+    /// The process has no place for another connection.
+    NoPlace,
     /// This node is stopping, and the response may outlast it.
     Stopping,
 }
@@ -50,9 +52,11 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Uninformed | Self::MemoryUsedUp | Self::Overloaded { .. } | Self::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Uninformed
+            | Self::MemoryUsedUp
+            | Self::NoPlace
+            | Self::Overloaded { .. }
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -60,7 +64,7 @@
     fn retry_after(self) -> Option<Millis> {
         match self {
             Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
-            Self::MemoryUsedUp => Some(MEMORY_RETRY_AFTER_MS),
+            Self::MemoryUsedUp | Self::NoPlace => Some(MEMORY_RETRY_AFTER_MS),
             Self::Overloaded { retry_after_ms } => retry_after_ms,
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             _ => None,
@@ -71,7 +75,11 @@
     fn ends_connection(self) -> bool {
         matches!(
             self,
-            Self::BadRequest | Self::BodyTooLarge | Self::SlowBody | Self::MemoryUsedUp
+            Self::BadRequest
+                | Self::BodyTooLarge
+                | Self::SlowBody
+                | Self::MemoryUsedUp
+                | Self::NoPlace
         )
     }
 }
