--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -282,9 +282,12 @@
 
     /// Waits until a connection that is served is told to close.
     pub(crate) async fn wait_for_close(&self) {
-        match self.admission {
-            Admission::Serve => self.signal.told.notified().await,
-            Admission::Refuse => std::future::pending().await,
+        if self.admission == Admission::Refuse {
+            std::future::pending::<()>().await;
+        }
+        // A signal from before a request that was served has no effect.
+        while !self.must_close() {
+            self.signal.told.notified().await;
         }
     }
 }
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -130,11 +130,14 @@
         activity.record_failure(reason);
     }
     let io = connection.into_parts().io.into_inner();
-    if time::timeout(DISCARD_TIMEOUT, discard_body(io, &received))
-        .await
-        .is_err()
-    {
-        log::debug!("body of a refused request still arriving");
+    tokio::select! {
+        () = discard_body(io, &received) => {}
+        () = activity.place().wait_for_close() => {
+            log::debug!("body of a refused request cut off; its connection's place is needed");
+        }
+        () = time::sleep(DISCARD_TIMEOUT) => {
+            log::debug!("body of a refused request still arriving");
+        }
     }
 }
 
