--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use parsleylatch_http::{ReadProgress, ReceivedBody, error_chain, limit_reads};
 use parsleylatch_types::{EndpointId, ExchangeId, Incarnation, Millis};
+use rustix::io::Errno;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
@@ -37,6 +38,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// Share of the endpoint's advertised idle timeout for which a connection is reused.
 const IDLE_TIMEOUT_USED_PERCENT: u64 = 60;
+/// Time after which opening a connection is tried again if no descriptor was left.
+const DESCRIPTOR_WAIT: Duration = Duration::from_millis(5);
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Receive buffer that is asked of the kernel, which takes up to twice as much.
@@ -107,6 +110,8 @@
     idle: Rc<RefCell<HashMap<ConnectionKey, Vec<IdleConnection>>>>,
     /// Open connections of all pools that share it, idle ones included.
     open: Arc<AtomicU64>,
+    /// Called when no descriptor is left, to close what the process can do without.
+    make_room: Option<Rc<dyn Fn()>>,
 }
 
 /// Counts a connection as open until it is dropped.
@@ -186,11 +191,13 @@
         Self::default()
     }
 
-    /// Creates an empty pool whose open connections are counted.
-    pub fn with_count(open: Arc<AtomicU64>) -> Self {
+    /// Creates an empty pool whose open connections are counted. `make_room` is called when no
+    /// descriptor is left for a connection, which is tried again until its timeout.
+    pub fn with_count(open: Arc<AtomicU64>, make_room: impl Fn() + 'static) -> Self {
         Self {
             idle: Rc::default(),
             open,
+            make_room: Some(Rc::new(make_room)),
         }
     }
 
@@ -221,7 +228,8 @@
             Some(link) => link,
             None => {
                 let guard = OpenGuard::new(&self.open);
-                connect(peer, settings.connect_timeout_ms.duration(), guard).await?
+                self.connect(peer, settings.connect_timeout_ms.duration(), guard)
+                    .await?
             }
         };
         let sent = link.sender.try_send_request(request).await;
@@ -273,6 +281,35 @@
             .retain(|key, pooled| is_known(key) && !pooled.is_empty());
     }
 
+    /// Opens a connection; as long as no descriptor is left, idle ones are closed and it is
+    /// tried again.
+    async fn connect(
+        &self,
+        peer: SocketAddr,
+        timeout: Duration,
+        guard: OpenGuard,
+    ) -> Result<Link, SendError> {
+        let started_at = Instant::now();
+        let socket = loop {
+            match open_socket(peer) {
+                Ok(socket) => break socket,
+                Err(error) if lacks_descriptors(&error) && started_at.elapsed() < timeout => {
+                    self.close_older_idle();
+                    if let Some(make_room) = &self.make_room {
+                        make_room();
+                    }
+                    time::sleep(DESCRIPTOR_WAIT).await;
+                }
+                Err(error) => {
+                    let reason = error.to_string();
+                    return Err(SendError::Unreachable { peer, reason });
+                }
+            }
+        };
+        let left = timeout.saturating_sub(started_at.elapsed());
+        connect(peer, socket, left, guard).await
+    }
+
     fn take_idle(
         &self,
         key: &ConnectionKey,
@@ -291,9 +328,13 @@
     }
 }
 
-async fn connect(peer: SocketAddr, timeout: Duration, guard: OpenGuard) -> Result<Link, SendError> {
+async fn connect(
+    peer: SocketAddr,
+    socket: TcpSocket,
+    timeout: Duration,
+    guard: OpenGuard,
+) -> Result<Link, SendError> {
     let unreachable = |reason: String| SendError::Unreachable { peer, reason };
-    let socket = open_socket(peer).map_err(|error| unreachable(error.to_string()))?;
     let connected = time::timeout(timeout, socket.connect(peer)).await;
     let stream = connected
         .map_err(|_| SendError::Unanswered { peer })?
@@ -319,6 +360,12 @@
     })
 }
 
+/// Whether the process or the kernel has no descriptor left.
+pub fn lacks_descriptors(error: &std::io::Error) -> bool {
+    let code = error.raw_os_error().map(Errno::from_raw_os_error);
+    matches!(code, Some(Errno::MFILE | Errno::NFILE))
+}
+
 /// Opens a socket whose receive buffer is bounded; the window of the connection follows from
 /// it, so it is set before connecting.
 fn open_socket(peer: SocketAddr) -> std::io::Result<TcpSocket> {
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use connections::{
     ConnectionKey, ConnectionPool, ConnectionSettings, OpenConnection, OpenResponse,
-    READ_BUFFER_BYTES, RECEIVE_BUFFER_BYTES, SendError, is_connection_header,
+    READ_BUFFER_BYTES, RECEIVE_BUFFER_BYTES, SendError, is_connection_header, lacks_descriptors,
 };
 pub use engine::{EngineClient, EngineError, EngineErrorKind, EngineStep, EngineStream};
 pub use service::{ServiceClient, ServiceResponse};
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -35,6 +35,8 @@
     /// Such connections closed before their request was answered, as others needed their
     /// places or as it did not arrive in time.
     ConnectionsDropped,
+    /// Connections to endpoints that found no descriptor at once.
+    DescriptorShortages,
     /// Failed calls to accept a connection of a caller.
     AcceptFailures,
     /// Requests received.
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -22,6 +22,7 @@
 use std::{convert::Infallible, io, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
 
 use parsleylatch_decide::relay::Admission;
+use parsleylatch_endpoint::lacks_descriptors;
 use parsleylatch_http::NodelayListener;
 use parsleylatch_types::{Millis, MonoTime};
 use tokio::{net::TcpStream, runtime::Runtime, task::LocalSet, time};
@@ -73,9 +74,14 @@
             Ok((stream, _)) => serve(&traffic, stream),
             Err(error) => {
                 failures.record(&traffic.shared, &error);
-                // Descriptors may be used up by what the process can do without.
-                traffic.connections.close_older_idle();
-                traffic.shared.caller_places.close_longest(&traffic.shared);
+                if is_of_one_connection(&error) {
+                    continue;
+                }
+                if lacks_descriptors(&error) {
+                    // The process may do without connections that rest.
+                    traffic.connections.close_older_idle();
+                    traffic.shared.caller_places.close_longest(&traffic.shared);
+                }
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -93,6 +99,17 @@
     traffic.shared.wait_for_phase(LifecyclePhase::Stopped).await;
 }
 
+/// Whether a connection failed that its caller has given up, and the next one may be accepted.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::InvalidInput
+            | io::ErrorKind::Interrupted
+    )
+}
+
 /// Failures to accept of one thread, for the log.
 #[derive(Default)]
 struct AcceptFailures {
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -44,9 +44,14 @@
         );
         drop(settings);
         let open = Arc::clone(shared.caller_places.endpoint_connections());
+        let places = Arc::clone(&shared);
+        let make_room = move || {
+            places.metrics.increment(RelayCounter::DescriptorShortages);
+            places.caller_places.close_longest(&places);
+        };
         Self {
             shared,
-            connections: ConnectionPool::with_count(open),
+            connections: ConnectionPool::with_count(open, make_room),
             endpoint_table: RefCell::default(),
             selector: RefCell::new(selector),
             retry_windows: RefCell::default(),
