--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -31,7 +31,7 @@
 const MAX_RESERVE: u64 = 64;
 /// Descriptors of the process itself: listeners, log, store.
 const OWN_DESCRIPTORS: u64 = 64;
-/// Descriptors that resting connections leave for links to other nodes and for the pages for
+/// Descriptors that new connections leave, while others rest, for links to other nodes and for the pages for
 /// readiness and metrics.
 const STATUS_DESCRIPTORS: u64 = 64 + 2 * 64;
 /// Maximum part of the descriptors that is kept for either, as a divisor.
@@ -146,7 +146,7 @@
         all - OWN_DESCRIPTORS.min(all / SMALL_PROCESS_PART)
     }
 
-    /// Descriptors that resting connections may use.
+    /// Descriptors that may be used while connections rest that could make room.
     fn resting_descriptors(&self) -> u64 {
         let all = self.descriptors.get();
         self.usable_descriptors() - STATUS_DESCRIPTORS.min(all / SMALL_PROCESS_PART)
@@ -273,7 +273,8 @@
         self.next = number.next();
         let size = self.limits.connection_size;
         let reserve = self.limits.reserve().get();
-        let mut closed = self.close_until_room(now, 1, reserve, endpoint_connections);
+        let descriptors = self.limits.resting_descriptors();
+        let mut closed = self.close_until_room(now, 1, reserve, descriptors, endpoint_connections);
         let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
             && self.served_bytes + self.closing_bytes + size.get() <= self.limits.open_bytes();
         let place = Place {
@@ -333,7 +334,8 @@
         now: MonoTime,
         endpoint_connections: ConnectionCount,
     ) -> Vec<ConnectionNumber> {
-        let closed = self.close_until_room(now, 0, u64::MAX, endpoint_connections);
+        let descriptors = self.limits.usable_descriptors();
+        let closed = self.close_until_room(now, 0, u64::MAX, descriptors, endpoint_connections);
         self.is_at_limit |= !closed.is_empty();
         closed
     }
@@ -457,10 +459,10 @@
         now: MonoTime,
         added: u64,
         max_closing: u64,
+        descriptors: u64,
         endpoint_connections: ConnectionCount,
     ) -> Vec<ConnectionNumber> {
         let mut closed = Vec::new();
-        let descriptors = self.limits.resting_descriptors();
         while !self.has_room(added, descriptors, endpoint_connections)
             && self.count(PlaceState::Closing) < max_closing
         {
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -158,6 +158,26 @@
     assert!(!places.is_exceeded(NO_CONNECTIONS));
 }
 
+/// Requests on connections that are open use what new connections leave.
+#[test]
+fn begin_others_keep_resting() {
+    let few = limits(
+        ByteCount::new(160 * MIB),
+        USUAL_HEAD,
+        DescriptorCount::new(300),
+    );
+    let mut places = ConnectionPlaces::new(few);
+    let numbers: Vec<ConnectionNumber> = (0..100)
+        .map(|ms| places.admit(at(ms), NO_CONNECTIONS).number)
+        .collect();
+    for (count, number) in (1..).zip(numbers) {
+        let endpoints = ConnectionCount::new(count);
+        assert_eq!(places.begin(at(5_000), number, endpoints), []);
+        assert_eq!(places.rest(at(5_000), number, endpoints), []);
+    }
+    assert!(places.lacks_descriptors(ConnectionCount::new(100)));
+}
+
 /// Streams of a usual VM fit its descriptors, with one more for each at its endpoint.
 #[test]
 fn limit_open_streams_usual_vm() {
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -231,9 +231,7 @@
             reader.read_response(head, body, is_repeatable).await
         };
         if is_reusable {
-            traffic
-                .connections
-                .release(connection, job.idle_connection_limit);
+            traffic.release(connection, job.idle_connection_limit);
         }
     }
 }
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -11,7 +11,7 @@
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
     Selector, ServiceRules, StreamSize, is_copy_unaffordable, must_wait,
 };
-use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
+use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
 use super::{holder_query::HolderQuery, placement_queue::ServiceQueue};
@@ -86,6 +86,16 @@
         snapshot
     }
 
+    /// Keeps a connection to an endpoint for further requests, unless callers need its
+    /// descriptor. At most `limit` connections of the endpoint are kept.
+    pub(crate) fn release(&self, connection: OpenConnection, limit: usize) {
+        if self.shared.caller_places.lacks_descriptors() {
+            self.connections.close_older_idle();
+            return;
+        }
+        self.connections.release(connection, limit);
+    }
+
     pub(crate) fn selector(&self) -> std::cell::RefMut<'_, Selector> {
         self.selector.borrow_mut()
     }
