--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -11,7 +11,7 @@
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
     Room, Selector, ServiceRules, StreamSize, is_copy_unaffordable, room,
 };
-use parsleylatch_endpoint::{ConnectionKey, ConnectionPool};
+use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
 use super::{holder_query::HolderQuery, placement_queue::ServiceQueue, turns::Turns};
@@ -45,10 +45,15 @@
         );
         drop(settings);
         let open = Arc::clone(shared.caller_places.endpoint_connections());
+        let places = Arc::clone(&shared);
+        let make_room = move || {
+            places.metrics.increment(RelayCounter::DescriptorShortages);
+            places.caller_places.close_longest(&places);
+        };
         Self {
             turns: Turns::new(shared.now()),
             shared,
-            connections: ConnectionPool::with_count(open),
+            connections: ConnectionPool::with_count(open, make_room),
             endpoint_table: RefCell::default(),
             selector: RefCell::new(selector),
             retry_windows: RefCell::default(),
@@ -83,6 +88,16 @@
         snapshot
     }
 
+    /// Keeps a connection to an endpoint for further requests, unless callers need its
+    /// descriptor. At most `limit` connections of the endpoint are kept.
+    pub(crate) fn release(&self, connection: OpenConnection, limit: usize) {
+        if self.shared.caller_places.lacks_descriptors() {
+            self.connections.close_older_idle();
+            return;
+        }
+        self.connections.release(connection, limit);
+    }
+
     pub(crate) fn selector(&self) -> std::cell::RefMut<'_, Selector> {
         self.selector.borrow_mut()
     }
