Status pages: resting connections give way, and a check is answered at once

Seen: with 64 clients that rest on the ready address (no byte, part of a head, or nothing after a response), a further readiness check got nothing for up to 10 s, and with clients that ask now and then for as long as they do. Neither a line nor a counter told it; a balancer takes such a node out.

Cause: a permit was taken before accept, so that nobody looked at what arrived beyond the 64 places.

Change: ConnectionPlaces (crates/decide, no I/O) decides: at the limit the connection that has rested longest gives way; if all are in use, the new one is accepted and refused with 503, Retry-After and Connection: close within 2 s. A connection that gives way reads what the kernel holds first, so that a request that has arrived is answered. crates/runtime carries this out for any listener, logs at most one line a second, and reports to an observer; serve_bounded and serve_status of crates/http use it. Failed accepts are logged, counted, and free a resting connection's descriptor.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod charts;
 pub mod configuration;
+pub mod connection_places;
 pub mod deployment;
 pub mod endpoint_health;
 pub mod generation;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,15 +5,16 @@
 
 mod client;
 mod connector;
+mod counted_body;
 mod error;
 mod head_inspector;
 mod header;
 mod limited_reader;
 mod listener;
 mod read_progress;
+mod server;
 mod signal;
 mod sse;
-mod status;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
@@ -21,6 +22,6 @@
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
 pub use read_progress::{ReadProgress, ReceivedBody, limit_reads};
+pub use server::{ServerBounds, serve_bounded, serve_status};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
-pub use status::{StatusListener, StatusStream, serve_status};
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -19,7 +19,8 @@
 /// Write buffer of a connection in the process, bounded for the same reason.
 pub(crate) const WRITE_BUFFER_BYTES: usize = 16 << 10;
 
-/// Serves a router on a listener, with a bounded buffer for each connection.
+/// Serves a router on a listener without a limit on connections, for processes whose clients
+/// are known; with a bounded buffer for each connection.
 pub fn serve(listener: NodelayListener, router: Router) -> viz::Server<NodelayListener> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder.http1().max_buf_size(WRITE_BUFFER_BYTES);
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,206 @@
+//! HTTP server with a bounded number of connections.
+//!
+//! At the limit, the connection that has rested longest is closed for a new one. If all are in
+//! use, the new one is accepted and its request is refused, so that its client learns at once.
+
+use std::{
+    convert::Infallible,
+    future::{Future, pending},
+    io,
+    pin::pin,
+    sync::Arc,
+    time::Duration,
+};
+
+use http_body_util::BodyExt;
+use hyper::{
+    body::{Body as _, Incoming},
+    service::{Service, service_fn},
+};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use parsleylatch_runtime::{ConnectionEvent, Connections};
+use tokio::{net::TcpStream, sync::Semaphore, time};
+use viz::{Body, Listener, Request, Responder, Response, Router, StatusCode, Tree};
+
+use crate::{
+    counted_body::CountedBody,
+    listener::{NodelayListener, WRITE_BUFFER_BYTES},
+};
+
+/// Maximum time for refusing the request of a connection.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connections whose requests are refused at the same time; further ones are closed at once.
+const MAX_REFUSALS: usize = 64;
+/// Bytes of a refused request's body that are read, so that closing doesn't discard the
+/// response.
+const REFUSED_BODY_BYTES: usize = 64 << 10;
+/// Time within which a client of [`serve_status`] has to send the head of its first or next
+/// request.
+const STATUS_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of connections of [`serve_status`].
+const STATUS_CONNECTIONS: usize = 64;
+/// Time for which a stopped server waits for its connections.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bounds of a server, and what it answers at them.
+#[derive(Clone, Debug)]
+pub struct ServerBounds {
+    /// Places for connections.
+    pub connections: Arc<Connections>,
+    /// Response to the requests of connections that get no place.
+    pub refusal: fn() -> Response,
+}
+
+/// Serves a router on a listener until `stopped` is ready, with a bounded buffer for each
+/// connection.
+pub async fn serve_bounded<Stopped>(
+    listener: NodelayListener,
+    router: Router,
+    bounds: ServerBounds,
+    stopped: Stopped,
+) where
+    Stopped: Future + Send,
+{
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().max_buf_size(WRITE_BUFFER_BYTES);
+    run(listener, router, bounds, builder, stopped).await;
+}
+
+/// Serves the pages of a process about itself. Their number of connections is limited, and
+/// those without a request are closed after a while.
+pub async fn serve_status<Observe>(
+    listener: NodelayListener,
+    router: Router,
+    name: &'static str,
+    observe: Observe,
+) where
+    Observe: Fn(ConnectionEvent) + Send + Sync + 'static,
+{
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .max_buf_size(WRITE_BUFFER_BYTES)
+        .timer(TokioTimer::new())
+        .header_read_timeout(STATUS_HEAD_TIMEOUT);
+    let bounds = ServerBounds {
+        connections: Connections::new(name, STATUS_CONNECTIONS, observe),
+        refusal: unavailable,
+    };
+    run(listener, router, bounds, builder, pending::<()>()).await;
+}
+
+/// Response of a server that has no place for a connection.
+fn unavailable() -> Response {
+    let response = http::Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .header(http::header::RETRY_AFTER, "1");
+    response.body(Body::empty()).unwrap_or_default()
+}
+
+async fn run<Stopped>(
+    listener: NodelayListener,
+    router: Router,
+    bounds: ServerBounds,
+    builder: Builder<TokioExecutor>,
+    stopped: Stopped,
+) where
+    Stopped: Future + Send,
+{
+    let tree = Arc::new(Tree::from(router));
+    let graceful = GracefulShutdown::new();
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let mut stopped = pin!(stopped);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = &mut stopped => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) if is_connection_error(&error) => continue,
+            Err(error) => {
+                bounds.connections.recover_accept(error).await;
+                continue;
+            }
+        };
+        let admitted = bounds.connections.admit(stream);
+        if bounds.connections.is_full() {
+            // The connection that gives way closes in its turn.
+            tokio::task::yield_now().await;
+        }
+        match admitted {
+            Ok(stream) => {
+                let handle = stream.handle();
+                let responder = Arc::new(Responder::new(Arc::clone(&tree), None::<()>));
+                let service = service_fn(move |request: Request<Incoming>| {
+                    let in_use = handle.begin_use();
+                    let responder = Arc::clone(&responder);
+                    async move {
+                        let response = responder.call(request).await?;
+                        Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, in_use)))
+                    }
+                });
+                let connection = builder.serve_connection(TokioIo::new(stream), service);
+                let connection = graceful.watch(connection.into_owned());
+                // The only errors are those of a client that has left.
+                tokio::spawn(async move { drop(connection.await) });
+            }
+            Err(stream) => {
+                // Without a permit the connection is closed, which tells the client as well.
+                if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
+                    let refusal = bounds.refusal;
+                    tokio::spawn(async move {
+                        let _permit = permit;
+                        let _ = time::timeout(REFUSAL_TIMEOUT, refuse(stream, refusal)).await;
+                    });
+                }
+            }
+        }
+    }
+    drop(listener);
+    if time::timeout(STOP_TIMEOUT, graceful.shutdown())
+        .await
+        .is_err()
+    {
+        log::warn!("closing connections that are busy {STOP_TIMEOUT:?} after the stop");
+    }
+}
+
+/// Whether a client ended a connection before it was accepted.
+fn is_connection_error(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::ConnectionReset
+    )
+}
+
+/// Responds to the first request of a connection with a refusal, and closes the connection.
+async fn refuse(stream: TcpStream, refusal: fn() -> Response) {
+    let service = service_fn(|request: Request<Incoming>| async move {
+        discard(request.into_body()).await;
+        Ok::<_, Infallible>(refusal())
+    });
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .max_buf_size(WRITE_BUFFER_BYTES)
+        .keep_alive(false);
+    // The only errors are those of a client that has left.
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Reads the start of a body.
+async fn discard(mut body: Incoming) {
+    let mut received = 0;
+    while received < REFUSED_BODY_BYTES && !body.is_end_stream() {
+        match body.frame().await {
+            Some(Ok(frame)) => received += frame.data_ref().map_or(0, bytes::Bytes::len),
+            Some(Err(_)) | None => return,
+        }
+    }
+}
--- a/crates/http/tests/listener.rs
+++ b/crates/http/tests/listener.rs
@@ -57,9 +57,7 @@
     let listener = listeners.into_iter().next().unwrap();
     let listener = NodelayListener::from_std(listener).unwrap();
     let router = Router::new().get("/", answer);
-    tokio::spawn(std::future::IntoFuture::into_future(serve_status(
-        listener, router,
-    )));
+    tokio::spawn(serve_status(listener, router, "status", |_| {}));
     let is_closed = tokio::task::spawn_blocking(move || {
         let mut client = TcpStream::connect(address).unwrap();
         client.write_all(text.as_bytes()).unwrap();
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -13,7 +13,6 @@
 mod store_tasks;
 
 use std::{
-    future::IntoFuture,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     sync::Arc,
@@ -23,7 +22,7 @@
 use parsleylatch_decide::relay::{MemoryPlan, RelayEffect, RelayEvent, RelayLifecycle};
 use parsleylatch_http::{NodelayListener, serve_status};
 use parsleylatch_peer::{Identity, LinkEvent, ServeLimits};
-use parsleylatch_runtime::Clock;
+use parsleylatch_runtime::{Clock, ConnectionEvent};
 use parsleylatch_settings::RelaySettings;
 use parsleylatch_types::{ByteCount, Incarnation, MonoTime};
 use parsleylatch_wire::{peer::peer_message::Body, relay::RelayQuery};
@@ -136,18 +135,32 @@
         ),
     ];
     for (listener, router, name) in routers {
-        if let Err(error) = start_listener(listener, router) {
+        if let Err(error) = start_listener(shared, listener, router, name) {
             log::error!(listener = name, error:% = error; "registering a listener failed");
         }
     }
 }
 
-fn start_listener(listener: &TcpListener, router: Router) -> std::io::Result<()> {
+fn start_listener(
+    shared: &Arc<Shared>,
+    listener: &TcpListener,
+    router: Router,
+    name: &'static str,
+) -> std::io::Result<()> {
     let listener = NodelayListener::from_std(listener.try_clone()?)?;
-    tokio::spawn(serve_status(listener, router).into_future());
+    let observer = connection_observer(shared);
+    tokio::spawn(serve_status(listener, router, name, observer));
     Ok(())
 }
 
+/// Counts what happens to connections at the limit of a listener.
+fn connection_observer(
+    shared: &Arc<Shared>,
+) -> impl Fn(ConnectionEvent) + Send + Sync + use<> + 'static {
+    let shared = Arc::clone(shared);
+    move |event| shared.metrics.increment(event.into())
+}
+
 async fn stop_on_signal(shared: Arc<Shared>) {
     match signal(SignalKind::terminate()) {
         Ok(mut terminate) => {
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use hdrhistogram::Histogram;
+use parsleylatch_runtime::ConnectionEvent;
 use parsleylatch_types::Micros;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
@@ -97,6 +98,23 @@
     PromptPartsQuarantined,
     /// Requests refused because of a prompt part in quarantine.
     RequestsQuarantined,
+    /// Resting connections to the ready, metrics and peer addresses closed for new ones.
+    ListenerConnectionsGaveWay,
+    /// Connections to the ready, metrics and peer addresses refused because all others were
+    /// in use.
+    ListenerConnectionsRefused,
+    /// Failed accepts at the ready, metrics and peer addresses.
+    ListenerAcceptsFailed,
+}
+
+impl From<ConnectionEvent> for RelayCounter {
+    fn from(event: ConnectionEvent) -> Self {
+        match event {
+            ConnectionEvent::GaveWay => Self::ListenerConnectionsGaveWay,
+            ConnectionEvent::Refused => Self::ListenerConnectionsRefused,
+            ConnectionEvent::AcceptFailed => Self::ListenerAcceptsFailed,
+        }
+    }
 }
 
 /// Latency histogram of a relay.
--- /dev/null
+++ b/crates/runtime/src/accepted_stream.rs
@@ -0,0 +1,185 @@
+//! An accepted connection that is closed for another while it rests.
+
+use std::{
+    io,
+    mem::MaybeUninit,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use futures::task::AtomicWaker;
+use parsleylatch_types::ConnectionNumber;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use crate::connections::Connections;
+
+/// What a connection is doing, shared by its stream and the listener.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    connections: Arc<Connections>,
+    number: ConnectionNumber,
+    /// Requests in progress, and one while bytes wait to be written.
+    uses: AtomicUsize,
+    is_closing: AtomicBool,
+    reader: AtomicWaker,
+}
+
+impl Activity {
+    pub(crate) fn new(connections: Arc<Connections>, number: ConnectionNumber) -> Self {
+        Self {
+            connections,
+            number,
+            uses: AtomicUsize::new(0),
+            is_closing: AtomicBool::new(false),
+            reader: AtomicWaker::new(),
+        }
+    }
+
+    /// Ends the input of the connection, unless a request has arrived meanwhile.
+    pub(crate) fn close(&self) {
+        self.is_closing.store(true, Ordering::Release);
+        self.reader.wake();
+    }
+
+    fn begin_use(&self) {
+        if self.uses.fetch_add(1, Ordering::AcqRel) == 0 {
+            self.is_closing.store(false, Ordering::Release);
+            self.connections.use_connection(self.number);
+        }
+    }
+
+    fn end_use(&self) {
+        if self.uses.fetch_sub(1, Ordering::AcqRel) == 1 {
+            self.connections.rest(self.number);
+        }
+    }
+}
+
+/// Marks the connection of a request as in use until it is dropped.
+#[derive(Debug)]
+pub struct ConnectionUse(Arc<Activity>);
+
+impl Drop for ConnectionUse {
+    fn drop(&mut self) {
+        self.0.end_use();
+    }
+}
+
+/// Marks a connection as in use; obtained from its stream.
+#[derive(Clone, Debug)]
+pub struct ConnectionHandle(Arc<Activity>);
+
+impl ConnectionHandle {
+    /// Marks the connection as in use until the returned value is dropped.
+    pub fn begin_use(&self) -> ConnectionUse {
+        self.0.begin_use();
+        ConnectionUse(Arc::clone(&self.0))
+    }
+}
+
+/// Stream of an accepted connection. While it rests, its input may end at any time.
+#[derive(Debug)]
+pub struct AcceptedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    is_writing: bool,
+}
+
+impl AcceptedStream {
+    pub(crate) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
+        Self {
+            stream,
+            activity,
+            is_writing: false,
+        }
+    }
+
+    /// Returns the handle that marks the connection as in use.
+    pub fn handle(&self) -> ConnectionHandle {
+        ConnectionHandle(Arc::clone(&self.activity))
+    }
+
+    /// Whether the kernel holds bytes that were not read. The runtime learns of them only when
+    /// it polls.
+    fn has_unread(&self) -> bool {
+        let received = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        received.is_ok_and(|count| count > 0)
+    }
+
+    fn set_writing(&mut self, is_writing: bool) {
+        if self.is_writing == is_writing {
+            return;
+        }
+        self.is_writing = is_writing;
+        match is_writing {
+            true => self.activity.begin_use(),
+            false => self.activity.end_use(),
+        }
+    }
+}
+
+impl Drop for AcceptedStream {
+    fn drop(&mut self) {
+        self.activity.connections.remove(self.activity.number);
+    }
+}
+
+impl AsyncRead for AcceptedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_ready() {
+            return read;
+        }
+        self.activity.reader.register(context.waker());
+        match self.activity.is_closing.load(Ordering::Acquire) && !self.has_unread() {
+            true => Poll::Ready(Ok(())),
+            false => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncWrite for AcceptedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.set_writing(written.is_pending());
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.set_writing(written.is_pending());
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/connections.rs
@@ -0,0 +1,177 @@
+//! The accepted connections of a listener, up to a limit.
+//!
+//! Carries out the decisions of [`ConnectionPlaces`]. What happens at the limit is reported to
+//! an observer, and logged at most once a second.
+
+use std::{
+    collections::HashMap,
+    fmt, io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use parsleylatch_decide::connection_places::{Admission, ConnectionPlaces};
+use parsleylatch_types::ConnectionNumber;
+use tokio::{net::TcpStream, time};
+
+use crate::accepted_stream::{AcceptedStream, Activity};
+
+/// Minimum time between two log lines of a listener.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay after a failed accept, such as when no file descriptors are left.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// What happened to a connection at the limit of its listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEvent {
+    /// A resting connection is closed for a new one.
+    GaveWay,
+    /// A new connection was refused, as all others are in use.
+    Refused,
+    /// Accepting a connection failed.
+    AcceptFailed,
+}
+
+/// Connections of one listener.
+pub struct Connections {
+    name: &'static str,
+    limit: usize,
+    observe: Box<dyn Fn(ConnectionEvent) + Send + Sync>,
+    state: Mutex<State>,
+}
+
+struct State {
+    places: ConnectionPlaces,
+    activities: HashMap<ConnectionNumber, Arc<Activity>>,
+    unlogged: Unlogged,
+    logged_at: Option<Instant>,
+}
+
+/// Events since the last log line.
+#[derive(Default)]
+struct Unlogged {
+    gave_way: u64,
+    refused: u64,
+    failed: u64,
+    error: Option<io::Error>,
+}
+
+impl fmt::Debug for Connections {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("Connections");
+        debug.field("name", &self.name).field("limit", &self.limit);
+        debug.finish_non_exhaustive()
+    }
+}
+
+impl Connections {
+    /// Creates places for the connections of the listener with a name in the log.
+    pub fn new<Observe>(name: &'static str, limit: usize, observe: Observe) -> Arc<Self>
+    where
+        Observe: Fn(ConnectionEvent) + Send + Sync + 'static,
+    {
+        Arc::new(Self {
+            name,
+            limit,
+            observe: Box::new(observe),
+            state: Mutex::new(State {
+                places: ConnectionPlaces::new(limit),
+                activities: HashMap::new(),
+                unlogged: Unlogged::default(),
+                logged_at: None,
+            }),
+        })
+    }
+
+    /// Takes a place for an accepted connection. At the limit, the connection that has rested
+    /// longest is closed for it.
+    ///
+    /// # Errors
+    /// Returns the connection if all others are in use.
+    pub fn admit(self: &Arc<Self>, stream: TcpStream) -> Result<AcceptedStream, TcpStream> {
+        let mut state = self.state();
+        let number = match state.places.admit() {
+            Admission::Admitted(number) => number,
+            Admission::Replaces { admitted, closed } => {
+                self.close(&mut state, closed);
+                admitted
+            }
+            Admission::Refused => {
+                state.unlogged.refused += 1;
+                self.record(&mut state, ConnectionEvent::Refused);
+                return Err(stream);
+            }
+        };
+        let activity = Arc::new(Activity::new(Arc::clone(self), number));
+        state.activities.insert(number, Arc::clone(&activity));
+        Ok(AcceptedStream::new(stream, activity))
+    }
+
+    /// Whether the limit is reached.
+    pub fn is_full(&self) -> bool {
+        self.state().places.open() >= self.limit
+    }
+
+    /// Reports that accepting failed, closes the connection that has rested longest, as file
+    /// descriptors may be used up, and waits until accepting may be tried again.
+    pub async fn recover_accept(&self, error: io::Error) {
+        {
+            let mut state = self.state();
+            state.unlogged.failed += 1;
+            state.unlogged.error = Some(error);
+            self.record(&mut state, ConnectionEvent::AcceptFailed);
+            if let Some(closed) = state.places.close_longest_resting() {
+                self.close(&mut state, closed);
+            }
+        }
+        time::sleep(ACCEPT_RETRY_DELAY).await;
+    }
+
+    pub(crate) fn use_connection(&self, number: ConnectionNumber) {
+        self.state().places.use_connection(number);
+    }
+
+    pub(crate) fn rest(&self, number: ConnectionNumber) {
+        self.state().places.rest(number);
+    }
+
+    pub(crate) fn remove(&self, number: ConnectionNumber) {
+        let mut state = self.state();
+        state.places.remove(number);
+        state.activities.remove(&number);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn close(&self, state: &mut State, number: ConnectionNumber) {
+        if let Some(activity) = state.activities.get(&number) {
+            activity.close();
+        }
+        state.unlogged.gave_way += 1;
+        self.record(state, ConnectionEvent::GaveWay);
+    }
+
+    fn record(&self, state: &mut State, event: ConnectionEvent) {
+        (self.observe)(event);
+        let is_due = |logged_at: Instant| logged_at.elapsed() >= LOG_INTERVAL;
+        if !state.logged_at.is_none_or(is_due) {
+            return;
+        }
+        state.logged_at = Some(Instant::now());
+        let unlogged = std::mem::take(&mut state.unlogged);
+        let (name, limit, open) = (self.name, self.limit, state.places.open());
+        if let Some(error) = unlogged.error {
+            let failed = unlogged.failed;
+            log::warn!("accepting a {name} connection failed, {failed} times: {error}");
+        }
+        if unlogged.gave_way + unlogged.refused > 0 {
+            let (gave_way, refused) = (unlogged.gave_way, unlogged.refused);
+            log::warn!(
+                "{name} listener with {open} connections, limit {limit}: {gave_way} resting ones \
+                 closed and {refused} new ones refused since the last line"
+            );
+        }
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,10 +1,14 @@
 //! Functionality shared by all daemons: the clock, threads with their own Tokio
-//! runtime, and the exit status for invalid settings.
+//! runtime, the connections of a listener, and the exit status for invalid settings.
 
+mod accepted_stream;
 mod clock;
+mod connections;
 mod thread;
 
+pub use accepted_stream::{AcceptedStream, ConnectionHandle, ConnectionUse};
 pub use clock::Clock;
+pub use connections::{ConnectionEvent, Connections};
 pub use thread::spawn;
 
 /// Process exit status for invalid settings.
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -174,6 +174,10 @@
     /// Number of an attempt that is evidence on a version, within one process.
     TrialNumber, u64, ""
 );
+quantity!(
+    /// Number of a connection that a listener has accepted, starting at 1.
+    ConnectionNumber, u64, ""
+);
 quantity!(
     /// Rank of a request; lower ranks are served first.
     Rank, u8, ""
