Peers: silent connections give way, and a query beyond the limit learns at once

Seen: a node whose 64 (relay) or 1,024 (node) places were held by connections without a message could not be asked by any other node: a query waited in the kernel's queue until its own time was over, for up to 10 s at a relay and without a bound at a node, and nothing was logged.

Cause: a semaphore before accept.

Change: the peer listener uses Connections. The connection whose last message is oldest is closed for a new one; one whose message waits for its reply, or whose reply is not written yet, is in use. If all are in use, the new connection is closed at once, so that its node asks another. Counters and at most one log line a second; failed accepts likewise.

--- a/crates/node/src/peering/mod.rs
+++ b/crates/node/src/peering/mod.rs
@@ -16,7 +16,10 @@
 use parsleylatch_types::NodeId;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{running::TaskMessage, shared::Shared};
+use crate::{
+    running::TaskMessage,
+    shared::{Shared, connection_observer},
+};
 use state::PeeringState;
 
 /// Capacity of the queue of link events.
@@ -74,11 +77,13 @@
     };
     let (events, mut link_events) = mpsc::channel(EVENT_BUFFER);
     let limits = ServeLimits::default();
+    let observe = connection_observer(&shared);
     tokio::spawn(serve(
         listener,
         shared.identity.clone(),
         events.clone(),
         limits,
+        observe,
     ));
     let mut peers = shared.peers.subscribe();
     let mut stop_phase = shared.stop_phase.subscribe();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,7 +15,7 @@
     view::{PeerView, Snapshot},
 };
 use parsleylatch_peer::Identity;
-use parsleylatch_runtime::Clock;
+use parsleylatch_runtime::{Clock, ConnectionEvent};
 use parsleylatch_settings::NodeSettings;
 use parsleylatch_types::{Incarnation, NodeId};
 use tokio::sync::{broadcast, mpsc, watch};
@@ -150,6 +150,14 @@
     }
 }
 
+/// Counts what happens to connections at the limit of a listener.
+pub(crate) fn connection_observer(
+    shared: &Arc<Shared>,
+) -> impl Fn(ConnectionEvent) + Send + Sync + use<> + 'static {
+    let shared = Arc::clone(shared);
+    move |event| shared.counters.increment(event.into())
+}
+
 /// Counts a request as in flight until it is dropped.
 pub(crate) struct InFlightGuard {
     shared: Arc<Shared>,
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -7,6 +7,7 @@
 };
 
 use cadence::{Counted, StatsdClient, UdpMetricSink};
+use parsleylatch_runtime::ConnectionEvent;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 /// A counter; its name in snake case is the metric's name.
@@ -92,6 +93,22 @@
     TemplatesUnreadable,
     /// Templates that came into force.
     TemplatesApplied,
+    /// Resting connections that were closed for new ones.
+    ConnectionsGaveWay,
+    /// Connections that were refused because all others were in use.
+    ConnectionsRefused,
+    /// Failed accepts.
+    AcceptsFailed,
+}
+
+impl From<ConnectionEvent> for Counter {
+    fn from(event: ConnectionEvent) -> Self {
+        match event {
+            ConnectionEvent::GaveWay => Self::ConnectionsGaveWay,
+            ConnectionEvent::Refused => Self::ConnectionsRefused,
+            ConnectionEvent::AcceptFailed => Self::AcceptsFailed,
+        }
+    }
 }
 
 /// The counters of a node.
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,14 +1,21 @@
 //! A connection to another node that is reopened when it fails.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
+use parsleylatch_runtime::{ConnectionHandle, ConnectionUse};
 use parsleylatch_types::{FailureDomain, Incarnation, NodeId, Region};
 use parsleylatch_wire::{
     FrameError, PeerCodec,
     peer::{Hello, PeerMessage, peer_message::Body},
 };
-use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    sync::mpsc,
+    task::JoinHandle,
+    time,
+};
 use tokio_util::codec::Framed;
 
 /// Capacity of a connection's send queue, in messages.
@@ -57,19 +64,56 @@
     }
 }
 
+/// A message that waits to be written.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    message: PeerMessage,
+    /// Keeps an accepted connection from giving way until the message has been written.
+    in_use: Option<ConnectionUse>,
+}
+
+impl Outgoing {
+    fn new(body: Body, handle: Option<&ConnectionHandle>) -> Self {
+        Self {
+            message: PeerMessage { body: Some(body) },
+            in_use: handle.map(ConnectionHandle::begin_use),
+        }
+    }
+}
+
 /// Sends replies on the connection that a message was received on.
 #[derive(Clone, Debug)]
-pub struct ReplySender(mpsc::Sender<PeerMessage>);
+pub struct ReplySender {
+    messages: mpsc::Sender<Outgoing>,
+    handle: Option<ConnectionHandle>,
+}
 
 impl ReplySender {
+    /// Sender of an accepted connection.
+    pub(crate) fn new(messages: mpsc::Sender<Outgoing>, handle: ConnectionHandle) -> Self {
+        Self {
+            messages,
+            handle: Some(handle),
+        }
+    }
+
+    /// Sender of a link that this node opened, on which nothing replies.
+    fn closed() -> Self {
+        Self {
+            messages: mpsc::channel(1).0,
+            handle: None,
+        }
+    }
+
     /// Queues a reply; `false` if the connection is closed or its queue is full.
     pub fn send(&self, body: Body) -> bool {
-        self.0.try_send(PeerMessage { body: Some(body) }).is_ok()
+        let reply = Outgoing::new(body, self.handle.as_ref());
+        self.messages.try_send(reply).is_ok()
     }
 
     /// Whether both belong to the same connection.
     pub fn is_same_link(&self, other: &Self) -> bool {
-        self.0.same_channel(&other.0)
+        self.messages.same_channel(&other.messages)
     }
 }
 
@@ -82,6 +126,8 @@
     pub body: Body,
     /// Sends replies to the sender.
     pub reply: ReplySender,
+    /// Keeps an accepted connection from giving way until the message has been handled.
+    _in_use: Option<Arc<ConnectionUse>>,
 }
 
 /// Events on links.
@@ -98,16 +144,14 @@
 /// A link opened by this node, and reconnected until it is dropped.
 #[derive(Debug)]
 pub struct Link {
-    messages: mpsc::Sender<PeerMessage>,
+    messages: mpsc::Sender<Outgoing>,
     task: JoinHandle<()>,
 }
 
 impl Link {
     /// Queues a message; `false` if the queue is full.
     pub fn send(&self, body: Body) -> bool {
-        self.messages
-            .try_send(PeerMessage { body: Some(body) })
-            .is_ok()
+        self.messages.try_send(Outgoing::new(body, None)).is_ok()
     }
 }
 
@@ -145,7 +189,7 @@
 }
 
 impl Connector {
-    async fn run(self, mut queue: mpsc::Receiver<PeerMessage>) {
+    async fn run(self, mut queue: mpsc::Receiver<Outgoing>) {
         let mut delay = INITIAL_RECONNECT_DELAY;
         loop {
             match time::timeout(CONNECT_TIMEOUT, self.open_connection()).await {
@@ -199,9 +243,12 @@
 }
 
 /// Reads the first message of a connection, which has to be a `Hello`.
-pub(crate) async fn read_hello(
-    framed: &mut Framed<TcpStream, PeerCodec>,
-) -> Result<Identity, FrameError> {
+pub(crate) async fn read_hello<Stream>(
+    framed: &mut Framed<Stream, PeerCodec>,
+) -> Result<Identity, FrameError>
+where
+    Stream: AsyncRead + Unpin,
+{
     let first = framed.next().await.transpose()?;
     let hello = match first.and_then(|message| message.body) {
         Some(Body::Hello(hello)) => Identity::from_hello(&hello),
@@ -211,17 +258,19 @@
 }
 
 /// Transfers messages in both directions until the connection ends; returns the
-/// cause.
-pub(crate) async fn run_connection(
-    framed: Framed<TcpStream, PeerCodec>,
+/// cause. `reply` is the sender of `queue` if this node accepted the connection.
+pub(crate) async fn run_connection<Stream>(
+    framed: Framed<Stream, PeerCodec>,
     peer: Identity,
-    queue: &mut mpsc::Receiver<PeerMessage>,
-    reply_sender: Option<mpsc::Sender<PeerMessage>>,
+    queue: &mut mpsc::Receiver<Outgoing>,
+    reply: Option<ReplySender>,
     events: &mpsc::Sender<LinkEvent>,
-) -> FrameError {
+) -> FrameError
+where
+    Stream: AsyncRead + AsyncWrite + Unpin,
+{
     let (mut sink, mut stream) = framed.split();
-    // Nothing replies on a link that this node opened, so its reply queue is closed.
-    let reply = ReplySender(reply_sender.unwrap_or_else(|| mpsc::channel(1).0));
+    let reply = reply.unwrap_or_else(ReplySender::closed);
     let read_loop = async {
         loop {
             let body = match stream.next().await {
@@ -234,6 +283,7 @@
                 from: peer.clone(),
                 body,
                 reply: reply.clone(),
+                _in_use: reply.handle.as_ref().map(|it| Arc::new(it.begin_use())),
             };
             if events
                 .send(LinkEvent::Received(Box::new(received)))
@@ -250,8 +300,10 @@
             if queue.recv_many(&mut batch, WRITE_BATCH).await == 0 {
                 return io::Error::other("link dropped").into();
             }
-            for message in batch.drain(..) {
-                if let Err(error) = sink.feed(message).await {
+            let mut in_use = Vec::with_capacity(batch.len());
+            for outgoing in batch.drain(..) {
+                in_use.push(outgoing.in_use);
+                if let Err(error) = sink.feed(outgoing.message).await {
                     return error;
                 }
             }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,30 +1,30 @@
 //! Accepts connections from other nodes.
+//!
+//! At the limit, the connection that has been silent longest is closed for a new one. If all
+//! wait for replies, the new one is closed at once, so that its node asks another.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use futures::SinkExt;
+use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
 use parsleylatch_types::ByteCount;
 use parsleylatch_wire::{FrameError, MAX_FRAME_SIZE, PeerCodec};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
-    time,
-};
+use tokio::{net::TcpListener, sync::mpsc, task, time};
 use tokio_util::codec::Framed;
 
-use crate::link::{self, Identity, LinkEvent};
+use crate::link::{self, Identity, LinkEvent, ReplySender};
 
 /// Maximum time from accepting a connection to its first message.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest first message of a connection.
 const MAX_HELLO_SIZE: ByteCount = ByteCount::new(4 << 10);
-/// Delay before accepting again after an error.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Name of the listener in the log.
+const LISTENER_NAME: &str = "peer";
 
 /// Limits on the connections from other nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServeLimits {
-    /// Maximum number of connections; further ones wait in the kernel's queue.
+    /// Maximum number of connections.
     pub connections: usize,
     /// Largest frame and message that is accepted.
     pub frame: ByteCount,
@@ -46,49 +46,53 @@
     }
 }
 
-/// Serves connections from other nodes until the receiver of `events` is dropped.
-pub async fn serve(
+/// Serves connections from other nodes until the receiver of `events` is dropped, and reports
+/// what happens at the limit to `observe`.
+pub async fn serve<Observe>(
     listener: TcpListener,
     own: Identity,
     events: mpsc::Sender<LinkEvent>,
     limits: ServeLimits,
-) {
-    let places = Arc::new(Semaphore::new(limits.connections));
+    observe: Observe,
+) where
+    Observe: Fn(ConnectionEvent) + Send + Sync + 'static,
+{
+    let connections = Connections::new(LISTENER_NAME, limits.connections, observe);
     while !events.is_closed() {
-        // The semaphore is never closed.
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let serving = serve_connection(stream, own.clone(), events.clone(), limits);
-                tokio::spawn(async move {
-                    serving.await;
-                    drop(place);
-                });
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!("failed to accept a peer connection: {error}");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
+                connections.recover_accept(error).await;
+                continue;
             }
+        };
+        // A refused connection is closed, which tells its node.
+        if let Ok(stream) = connections.admit(stream) {
+            let serving = serve_connection(stream, own.clone(), events.clone(), limits);
+            tokio::spawn(serving);
+        }
+        if connections.is_full() {
+            // The connection that gives way closes in its turn.
+            task::yield_now().await;
         }
     }
 }
 
 async fn serve_connection(
-    stream: TcpStream,
+    stream: AcceptedStream,
     own: Identity,
     events: mpsc::Sender<LinkEvent>,
     limits: ServeLimits,
 ) {
+    let handle = stream.handle();
     let result = time::timeout(HELLO_TIMEOUT, handshake(stream, &own)).await;
     match result {
         Ok(Ok((mut framed, identity))) => {
             framed.codec_mut().set_limit(limits.frame);
             let (reply_sender, mut queue) = mpsc::channel(limits.replies);
             let peer_id = identity.node_id.clone();
-            let running =
-                link::run_connection(framed, identity, &mut queue, Some(reply_sender), &events);
+            let reply = Some(ReplySender::new(reply_sender, handle));
+            let running = link::run_connection(framed, identity, &mut queue, reply, &events);
             let lifetime = limits.lifetime.unwrap_or(Duration::MAX);
             match time::timeout(lifetime, running).await {
                 Ok(error) => log::debug!("connection from {peer_id} closed: {error}"),
@@ -101,10 +105,10 @@
 }
 
 async fn handshake(
-    stream: TcpStream,
+    stream: AcceptedStream,
     own: &Identity,
-) -> Result<(Framed<TcpStream, PeerCodec>, Identity), FrameError> {
-    stream.set_nodelay(true)?;
+) -> Result<(Framed<AcceptedStream, PeerCodec>, Identity), FrameError> {
+    stream.set_nodelay()?;
     let mut framed = Framed::new(stream, PeerCodec::with_limit(MAX_HELLO_SIZE));
     let identity = link::read_hello(&mut framed).await?;
     framed.send(own.hello()).await?;
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -1,6 +1,6 @@
 //! Links transfer messages in both directions and reconnect.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use parsleylatch_peer::{Identity, LinkEvent, ServeLimits, connect, send_query, serve};
@@ -13,12 +13,14 @@
 use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
     time::timeout,
 };
 use tokio_util::codec::Encoder;
 
+/// Connections that the kernel keeps until they are accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
 fn identity(name: &str) -> Identity {
@@ -67,6 +69,7 @@
         identity("b"),
         server_events,
         ServeLimits::default(),
+        |_| {},
     ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
@@ -93,6 +96,7 @@
         identity("c"),
         server_events,
         ServeLimits::default(),
+        |_| {},
     ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let _link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
@@ -110,6 +114,7 @@
         identity("b"),
         server_events,
         ServeLimits::default(),
+        |_| {},
     ));
     let (client_events, mut client_receiver) = mpsc::channel(16);
     let link = connect(identity("a"), "b".parse().unwrap(), address, client_events);
@@ -138,6 +143,7 @@
         identity("b"),
         server_events,
         ServeLimits::default(),
+        |_| {},
     ));
     assert!(matches!(
         next_event(&mut client_receiver).await,
@@ -154,10 +160,16 @@
 };
 
 async fn start_limited() -> (std::net::SocketAddr, mpsc::Receiver<LinkEvent>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    start_with(LOW_LIMITS).await
+}
+
+async fn start_with(limits: ServeLimits) -> (std::net::SocketAddr, mpsc::Receiver<LinkEvent>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(ACCEPT_BACKLOG).unwrap();
     let address = listener.local_addr().unwrap();
     let (events, received) = mpsc::channel(16);
-    tokio::spawn(serve(listener, identity("b"), events, LOW_LIMITS));
+    tokio::spawn(serve(listener, identity("b"), events, limits, |_| {}));
     (address, received)
 }
 
@@ -200,6 +212,83 @@
     answering.abort();
 }
 
+/// A node whose connections others kept without a message couldn't be asked by anyone else.
+#[test_case(None ; "kept for ever")]
+#[test_case(Some(Duration::from_secs(10)) ; "closed after a time")]
+#[tokio::test]
+async fn resting_connections_give_way(lifetime: Option<Duration>) {
+    let limits = ServeLimits {
+        lifetime,
+        ..LOW_LIMITS
+    };
+    let (address, mut events) = start_with(limits).await;
+    let mut resting = Vec::new();
+    for _ in 0..limits.connections {
+        resting.push(connect_silently(address).await);
+    }
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let LinkEvent::Received(received) = event {
+                received.reply.send(take_over_request(2));
+            }
+        }
+    });
+    let query = take_over_request(1);
+    let reply = send_query(&identity("c"), address, query, Duration::from_secs(1)).await;
+    assert!(reply.is_ok(), "{reply:?}");
+}
+
+/// A node whose connections all wait for replies let further nodes wait without a word.
+#[tokio::test]
+async fn query_refused_at_limit() {
+    let (address, mut events) = start_with(LOW_LIMITS).await;
+    let mut unanswered = Vec::new();
+    for number in 0..LOW_LIMITS.connections as u64 {
+        let query = take_over_request(number);
+        tokio::spawn(async move {
+            let _ = send_query(&identity("a"), address, query, EVENT_TIMEOUT).await;
+        });
+        unanswered.push(next_event(&mut events).await);
+    }
+    let started_at = Instant::now();
+    let query = take_over_request(9);
+    let reply = send_query(&identity("c"), address, query, EVENT_TIMEOUT).await;
+    assert!(reply.is_err(), "{reply:?}");
+    let waited = started_at.elapsed();
+    assert!(waited < Duration::from_millis(500), "{waited:?}");
+    drop(unanswered);
+}
+
+/// Nodes that ask at the same time, and the places for them.
+const BURST_QUERIES: u64 = 200;
+const BURST_PLACES: usize = 64;
+
+/// Queries that arrive together, more than the places, are answered, or refused at once.
+#[tokio::test]
+async fn burst_of_queries_ends() {
+    let limits = ServeLimits {
+        connections: BURST_PLACES,
+        ..LOW_LIMITS
+    };
+    let (address, mut events) = start_with(limits).await;
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let LinkEvent::Received(received) = event {
+                received.reply.send(take_over_request(2));
+            }
+        }
+    });
+    let asking = (0..BURST_QUERIES).map(|number| {
+        let query = take_over_request(number);
+        async move { send_query(&identity("a"), address, query, EVENT_TIMEOUT).await }
+    });
+    let asking = futures::future::join_all(asking);
+    let replies = timeout(Duration::from_secs(1), asking).await.unwrap();
+    let answered = replies.iter().filter(|it| it.is_ok()).count();
+    println!("{answered} of {BURST_QUERIES} answered");
+    assert!(answered > BURST_PLACES, "{replies:?}");
+}
+
 /// Opens a connection that sends nothing after its first message.
 async fn connect_silently(address: std::net::SocketAddr) -> TcpStream {
     let hello = PeerMessage {
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -90,7 +90,9 @@
     start_listeners(&shared, &listeners);
     match tokio::net::TcpListener::from_std(listeners.peer) {
         Ok(listener) => {
-            let serving = parsleylatch_peer::serve(listener, identity.clone(), events, PEER_LIMITS);
+            let observe = connection_observer(&shared);
+            let own = identity.clone();
+            let serving = parsleylatch_peer::serve(listener, own, events, PEER_LIMITS, observe);
             tokio::task::spawn_local(serving);
         }
         Err(error) => log::error!(error:% = error; "registering the peer listener failed"),
--- a/crates/runtime/src/accepted_stream.rs
+++ b/crates/runtime/src/accepted_stream.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Sends small writes without delay.
+    ///
+    /// # Errors
+    /// Returns the I/O error of the socket.
+    pub fn set_nodelay(&self) -> io::Result<()> {
+        self.stream.set_nodelay(true)
+    }
+
     /// Returns the handle that marks the connection as in use.
     pub fn handle(&self) -> ConnectionHandle {
         ConnectionHandle(Arc::clone(&self.activity))
