Connection places: a new connection waits for one that gives way

Cause: an admission was refused as soon as the reserve for connections that give way was used up, whoever rested.

Change: such a connection waits, for 500 ms at most, until one that gives way is closed or in use, and further resting ones are closed meanwhile. Refusals use the same places, so that silent clients don't hold them. The reserves follow the limit. caller_limit: callers of a node by its descriptors.

--- a/crates/decide/src/connection_places.rs
+++ b/crates/decide/src/connection_places.rs
@@ -6,10 +6,27 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use parsleylatch_types::ConnectionNumber;
+use parsleylatch_types::{ConnectionNumber, DescriptorCount};
 
-/// Connections over the limit that may be open while others give way to them.
+/// Maximum number of connections over the limit that may be open while others give way to
+/// them.
 const GIVING_WAY_LIMIT: usize = 32;
+/// One in so many places may give way at the same time.
+const GIVING_WAY_RATIO: usize = 4;
+/// Descriptors of a node for its other listeners, links to other nodes, the store and files.
+const OTHER_DESCRIPTORS: DescriptorCount = DescriptorCount::new(192);
+/// Descriptors of two callers: for each its connection, one to an endpoint, and half of one
+/// for those that are refused or give way.
+const DESCRIPTORS_OF_TWO: u64 = 5;
+/// Minimum number of callers' connections, whatever the descriptors.
+const MIN_CALLERS: u64 = 8;
+
+/// Maximum number of callers' connections of a node that may open `descriptors`.
+pub fn caller_limit(descriptors: DescriptorCount) -> usize {
+    let remainder = descriptors.saturating_sub(OTHER_DESCRIPTORS).get();
+    let limit = remainder * 2 / DESCRIPTORS_OF_TWO;
+    usize::try_from(limit.max(MIN_CALLERS)).unwrap_or(usize::MAX)
+}
 
 /// What becomes of a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +40,11 @@
         /// The connection to close.
         closed: ConnectionNumber,
     },
+    /// It has to wait until one of those that give way is closed, or in use again.
+    Delayed {
+        /// A further connection to close.
+        closed: Option<ConnectionNumber>,
+    },
     /// All connections are in use.
     Refused,
 }
@@ -77,8 +99,16 @@
         if self.open.len() - self.giving_way < self.limit {
             return Admission::Admitted(self.insert());
         }
-        if self.open.len() >= self.limit + GIVING_WAY_LIMIT {
-            return Admission::Refused;
+        let reserve = (self.limit / GIVING_WAY_RATIO).clamp(1, GIVING_WAY_LIMIT);
+        if self.giving_way >= reserve {
+            return Admission::Delayed { closed: None };
+        }
+        if self.open.len() >= self.limit + reserve {
+            let closed = self.close_longest_resting();
+            return match self.giving_way {
+                0 => Admission::Refused,
+                _ => Admission::Delayed { closed },
+            };
         }
         match self.close_longest_resting() {
             Some(closed) => Admission::Replaces {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -22,6 +22,6 @@
 pub use header::{single_header, u64_header};
 pub use listener::{NodelayListener, bind_field, bind_group, serve};
 pub use read_progress::{ReadProgress, ReceivedBody, limit_reads};
-pub use server::{ServerBounds, serve_bounded, serve_status};
+pub use server::{ServerBounds, serve_bounded, serve_status, unavailable};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -21,8 +21,8 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
 };
-use parsleylatch_runtime::{ConnectionEvent, Connections};
-use tokio::{net::TcpStream, sync::Semaphore, time};
+use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
+use tokio::time;
 use viz::{Body, Listener, Request, Responder, Response, Router, StatusCode, Tree};
 
 use crate::{
@@ -32,7 +32,11 @@
 
 /// Maximum time for refusing the request of a connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Connections whose requests are refused at the same time; further ones are closed at once.
+/// One connection for so many places may be refused at the same time; the one that has sent no
+/// request for longest is closed for a further one.
+const REFUSAL_RATIO: usize = 4;
+/// Minimum and maximum number of connections that are refused at the same time.
+const MIN_REFUSALS: usize = 4;
 const MAX_REFUSALS: usize = 64;
 /// Bytes of a refused request's body that are read, so that closing doesn't discard the
 /// response.
@@ -93,7 +97,7 @@
 }
 
 /// Response of a server that has no place for a connection.
-fn unavailable() -> Response {
+pub fn unavailable() -> Response {
     let response = http::Response::builder()
         .status(StatusCode::SERVICE_UNAVAILABLE)
         .header(http::header::RETRY_AFTER, "1");
@@ -111,7 +115,9 @@
 {
     let tree = Arc::new(Tree::from(router));
     let graceful = GracefulShutdown::new();
-    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let refusals = bounds.connections.limit() / REFUSAL_RATIO;
+    let refusals = refusals.clamp(MIN_REFUSALS, MAX_REFUSALS);
+    let refusals = Connections::for_refusals(refusals);
     let mut stopped = pin!(stopped);
     loop {
         let accepted = tokio::select! {
@@ -126,12 +132,7 @@
                 continue;
             }
         };
-        let admitted = bounds.connections.admit(stream);
-        if bounds.connections.is_full() {
-            // The connection that gives way closes in its turn.
-            tokio::task::yield_now().await;
-        }
-        match admitted {
+        match bounds.connections.admit(stream).await {
             Ok(stream) => {
                 let handle = stream.handle();
                 let responder = Arc::new(Responder::new(Arc::clone(&tree), None::<()>));
@@ -149,13 +150,12 @@
                 tokio::spawn(async move { drop(connection.await) });
             }
             Err(stream) => {
-                // Without a permit the connection is closed, which tells the client as well.
-                if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
-                    let refusal = bounds.refusal;
-                    tokio::spawn(async move {
-                        let _permit = permit;
-                        let _ = time::timeout(REFUSAL_TIMEOUT, refuse(stream, refusal)).await;
-                    });
+                // Without a place the connection is closed, which tells the client as well.
+                if let Ok(stream) = refusals.admit(stream).await {
+                    tokio::spawn(time::timeout(
+                        REFUSAL_TIMEOUT,
+                        refuse(stream, bounds.refusal),
+                    ));
                 }
             }
         }
@@ -178,10 +178,14 @@
 }
 
 /// Responds to the first request of a connection with a refusal, and closes the connection.
-async fn refuse(stream: TcpStream, refusal: fn() -> Response) {
-    let service = service_fn(|request: Request<Incoming>| async move {
-        discard(request.into_body()).await;
-        Ok::<_, Infallible>(refusal())
+async fn refuse(stream: AcceptedStream, refusal: fn() -> Response) {
+    let handle = stream.handle();
+    let service = service_fn(|request: Request<Incoming>| {
+        let in_use = handle.begin_use();
+        async move {
+            discard(request.into_body()).await;
+            Ok::<_, Infallible>(refusal().map(|body| CountedBody::new(body, in_use)))
+        }
     });
     let mut builder = Builder::new(TokioExecutor::new()).http1_only();
     builder
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -9,7 +9,7 @@
 use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
 use parsleylatch_types::ByteCount;
 use parsleylatch_wire::{FrameError, MAX_FRAME_SIZE, PeerCodec};
-use tokio::{net::TcpListener, sync::mpsc, task, time};
+use tokio::{net::TcpListener, sync::mpsc, time};
 use tokio_util::codec::Framed;
 
 use crate::link::{self, Identity, LinkEvent, ReplySender};
@@ -67,14 +67,10 @@
             }
         };
         // A refused connection is closed, which tells its node.
-        if let Ok(stream) = connections.admit(stream) {
+        if let Ok(stream) = connections.admit(stream).await {
             let serving = serve_connection(stream, own.clone(), events.clone(), limits);
             tokio::spawn(serving);
         }
-        if connections.is_full() {
-            // The connection that gives way closes in its turn.
-            task::yield_now().await;
-        }
     }
 }
 
--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -12,7 +12,7 @@
 
 use parsleylatch_decide::connection_places::{Admission, ConnectionPlaces};
 use parsleylatch_types::ConnectionNumber;
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, sync::Notify, time};
 
 use crate::accepted_stream::{AcceptedStream, Activity};
 
@@ -21,6 +21,9 @@
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Maximum time for which a new connection waits for one that gives way.
+const GIVE_WAY_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What happened to a connection at the limit of its listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEvent {
@@ -34,10 +37,20 @@
 
 /// Connections of one listener.
 pub struct Connections {
-    name: &'static str,
+    /// Name in the log; none if events are neither logged nor observed.
+    name: Option<&'static str>,
     limit: usize,
     observe: Box<dyn Fn(ConnectionEvent) + Send + Sync>,
     state: Mutex<State>,
+    /// Notified when a connection is closed or in use again.
+    freed: Notify,
+}
+
+/// Result of an attempt to take a place.
+enum Attempt {
+    Admitted(Arc<Activity>),
+    Delayed,
+    Refused,
 }
 
 struct State {
@@ -70,16 +83,31 @@
     where
         Observe: Fn(ConnectionEvent) + Send + Sync + 'static,
     {
+        Self::with(Some(name), limit, Box::new(observe))
+    }
+
+    /// Creates places for connections that were refused and reported already, and wait for the
+    /// refusal.
+    pub fn for_refusals(limit: usize) -> Arc<Self> {
+        Self::with(None, limit, Box::new(|_| {}))
+    }
+
+    fn with(
+        name: Option<&'static str>,
+        limit: usize,
+        observe: Box<dyn Fn(ConnectionEvent) + Send + Sync>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             name,
             limit,
-            observe: Box::new(observe),
+            observe,
             state: Mutex::new(State {
                 places: ConnectionPlaces::new(limit),
                 activities: HashMap::new(),
                 unlogged: Unlogged::default(),
                 logged_at: None,
             }),
+            freed: Notify::new(),
         })
     }
 
@@ -88,28 +116,51 @@
     ///
     /// # Errors
     /// Returns the connection if all others are in use.
-    pub fn admit(self: &Arc<Self>, stream: TcpStream) -> Result<AcceptedStream, TcpStream> {
+    pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> Result<AcceptedStream, TcpStream> {
+        let deadline = time::Instant::now() + GIVE_WAY_TIMEOUT;
+        loop {
+            let freed = self.freed.notified();
+            let is_last = time::Instant::now() >= deadline;
+            match self.try_admit(is_last) {
+                Attempt::Admitted(activity) => return Ok(AcceptedStream::new(stream, activity)),
+                Attempt::Refused => return Err(stream),
+                // Whether it is notified or not, the places are looked at again.
+                Attempt::Delayed => drop(time::timeout_at(deadline, freed).await),
+            }
+        }
+    }
+
+    /// Takes a place; the last attempt is not delayed but refused.
+    fn try_admit(self: &Arc<Self>, is_last: bool) -> Attempt {
         let mut state = self.state();
-        let number = match state.places.admit() {
+        let admission = state.places.admit();
+        if let Admission::Delayed {
+            closed: Some(closed),
+        } = admission
+        {
+            self.close(&mut state, closed);
+        }
+        let number = match admission {
             Admission::Admitted(number) => number,
             Admission::Replaces { admitted, closed } => {
                 self.close(&mut state, closed);
                 admitted
             }
-            Admission::Refused => {
+            Admission::Delayed { .. } if !is_last => return Attempt::Delayed,
+            Admission::Delayed { .. } | Admission::Refused => {
                 state.unlogged.refused += 1;
                 self.record(&mut state, ConnectionEvent::Refused);
-                return Err(stream);
+                return Attempt::Refused;
             }
         };
         let activity = Arc::new(Activity::new(Arc::clone(self), number));
         state.activities.insert(number, Arc::clone(&activity));
-        Ok(AcceptedStream::new(stream, activity))
+        Attempt::Admitted(activity)
     }
 
-    /// Whether the limit is reached.
-    pub fn is_full(&self) -> bool {
-        self.state().places.open() >= self.limit
+    /// Number of places.
+    pub fn limit(&self) -> usize {
+        self.limit
     }
 
     /// Reports that accepting failed, closes the connection that has rested longest, as file
@@ -129,6 +180,7 @@
 
     pub(crate) fn use_connection(&self, number: ConnectionNumber) {
         self.state().places.use_connection(number);
+        self.freed.notify_one();
     }
 
     pub(crate) fn rest(&self, number: ConnectionNumber) {
@@ -139,6 +191,7 @@
         let mut state = self.state();
         state.places.remove(number);
         state.activities.remove(&number);
+        self.freed.notify_one();
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -155,13 +208,16 @@
 
     fn record(&self, state: &mut State, event: ConnectionEvent) {
         (self.observe)(event);
+        let Some(name) = self.name else {
+            return;
+        };
         let is_due = |logged_at: Instant| logged_at.elapsed() >= LOG_INTERVAL;
         if !state.logged_at.is_none_or(is_due) {
             return;
         }
         state.logged_at = Some(Instant::now());
         let unlogged = std::mem::take(&mut state.unlogged);
-        let (name, limit, open) = (self.name, self.limit, state.places.open());
+        let (limit, open) = (self.limit, state.places.open());
         if let Some(error) = unlogged.error {
             let failed = unlogged.failed;
             log::warn!("accepting a {name} connection failed, {failed} times: {error}");
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,10 +16,10 @@
     NodeId, OperationName, ParseIdError, PromptPartId, Region, RouteName, ServiceName, WorkspaceId,
 };
 pub use quantity::{
-    AttemptNumber, ByteCount, BytesPerSecond, ConnectionNumber, FencingNumber, Incarnation,
-    OwnerEpoch, ParseQuantityError, Percent, Priority, Rank, RequestCount, RequestsPerSecond,
-    Revision, Seed, Share, SlotCount, StreamEventId, TokenCount, TokenId, TokenIndex,
-    TokensPerSecond, TrialNumber, Weight,
+    AttemptNumber, ByteCount, BytesPerSecond, ConnectionCount, ConnectionNumber, DescriptorCount,
+    FencingNumber, Incarnation, OwnerEpoch, ParseQuantityError, Percent, Priority, Rank,
+    RequestCount, RequestsPerSecond, Revision, Seed, Share, SlotCount, StreamEventId, TokenCount,
+    TokenId, TokenIndex, TokensPerSecond, TrialNumber, Weight,
 };
 pub use request_id::{ParseRequestIdError, RequestId};
 pub use time::{Micros, Millis, MonoTime, UnixMillis};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -145,6 +145,18 @@
     /// Number of requests.
     RequestCount, u64, "req"
 );
+quantity!(
+    /// Number of file descriptors.
+    DescriptorCount, u64, "fd"
+);
+quantity!(
+    /// Number of connections.
+    ConnectionCount, u64, "conn"
+);
+quantity!(
+    /// Number of a connection that a process accepted; increases with each one.
+    ConnectionNumber, u64, ""
+);
 quantity!(
     /// Number of bytes.
     ByteCount, u64, "B"
@@ -174,10 +186,6 @@
     /// Number of an attempt that is evidence on a version, within one process.
     TrialNumber, u64, ""
 );
-quantity!(
-    /// Number of a connection that a listener has accepted, starting at 1.
-    ConnectionNumber, u64, ""
-);
 quantity!(
     /// Rank of a request; lower ranks are served first.
     Rank, u8, ""
