Node: connections of callers and operators are bounded, and rest only while there is room

Seen: a node with 256 file descriptors and 300 clients that rest on its caller or admin address (no byte, part of a head, after a response) answered neither a call nor a readiness check within 2 s. 200 callers with generations: 197 were served and 3 got nothing, not even a refusal. Accept errors went nowhere (the HTTP library reports them to tracing, which nobody reads, and pauses a second).

Cause: the front end had no limit on connections and no timeout; at the end of the descriptors accept failed.

The admin address has 64. Resting connections give way; if all are in use, callers get the documented `overloaded` (429, not run, Retry-After), operators 503.

--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,11 +14,12 @@
 mod state;
 mod watchers;
 
-use std::{future::IntoFuture, net::TcpListener, sync::Arc};
+use std::{future::pending, net::TcpListener, sync::Arc};
 
 use parsleylatch_decide::{generation::AttemptReport, node_life::NodeEvent};
-use parsleylatch_http::NodelayListener;
+use parsleylatch_http::{NodelayListener, ServerBounds, serve_bounded, unavailable};
 use parsleylatch_peer::Received;
+use parsleylatch_runtime::Connections;
 use parsleylatch_types::{EndpointId, UnixMillis};
 use parsleylatch_wire::{
     engine::LoadReport,
@@ -26,10 +27,15 @@
 };
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{node::Addresses, shared::Shared};
+use crate::{
+    node::Addresses,
+    shared::{Shared, connection_observer},
+};
 use gossip::Cluster;
 use state::ControlState;
 
+/// Maximum number of operators' connections.
+const ADMIN_CONNECTIONS: usize = 64;
 /// Capacity of the channel of link events.
 const LINK_EVENT_BUFFER: usize = 1_024;
 
@@ -74,10 +80,13 @@
     for listener in listeners.admin {
         match NodelayListener::from_std(listener) {
             Ok(listener) => {
-                tokio::spawn(
-                    parsleylatch_http::serve(listener, admin::router(Arc::clone(&shared)))
-                        .into_future(),
-                );
+                let observe = connection_observer(&shared);
+                let bounds = ServerBounds {
+                    connections: Connections::new("admin", ADMIN_CONNECTIONS, observe),
+                    refusal: unavailable,
+                };
+                let router = admin::router(Arc::clone(&shared));
+                tokio::spawn(serve_bounded(listener, router, bounds, pending::<()>()));
             }
             Err(error) => log::error!("failed to register the admin listener: {error}"),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,15 +3,16 @@
 use std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle};
 
 use eyre::{Result, eyre};
+use parsleylatch_decide::connection_places::caller_limit;
 use parsleylatch_http::{bind_field, shutdown_signal};
-use parsleylatch_runtime::spawn;
+use parsleylatch_runtime::{Connections, descriptor_limit, spawn};
 use parsleylatch_settings::NodeSettings;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     control::{self, ControlInput},
     peering,
-    shared::Shared,
+    shared::{Shared, connection_observer},
     telemetry, traffic,
 };
 
@@ -70,14 +71,18 @@
                 runtime.block_on(control::run(shared, inputs, listeners, ready_sender));
             }
         })?;
+        let limit = caller_limit(descriptor_limit());
+        // The kernel spreads connections unevenly, so the threads share the places.
+        let connections = Connections::new("caller", limit, connection_observer(&shared));
         let mut traffic = Vec::new();
         let mut stop_traffic = Vec::new();
         for (index, listener) in caller_listeners.into_iter().enumerate() {
             let (stop, stopped) = oneshot::channel();
             stop_traffic.push(stop);
             let shared = Arc::clone(&shared);
+            let connections = Arc::clone(&connections);
             traffic.push(spawn(&format!("traffic-{index}"), move |runtime| {
-                runtime.block_on(traffic::run(shared, listener, stopped));
+                runtime.block_on(traffic::run(shared, listener, connections, stopped));
             })?);
         }
         if let Some(listener) = peer_listeners.into_iter().next() {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -15,7 +15,6 @@
 mod settlement;
 
 use std::{
-    future::IntoFuture,
     net::TcpListener,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -26,9 +25,10 @@
     placement::Placer,
 };
 use parsleylatch_endpoint::{EngineClient, ServiceClient};
-use parsleylatch_http::{Client, NodelayListener};
+use parsleylatch_http::{Client, NodelayListener, ServerBounds, serve_bounded};
+use parsleylatch_runtime::Connections;
 use tokio::{sync::oneshot, time};
-use viz::{Router, types::State};
+use viz::{Response, Router, types::State};
 
 use crate::{claims::ClaimStore, shared::Shared};
 use admissions::Admissions;
@@ -90,10 +90,16 @@
     }
 }
 
+/// Response to a caller for whose connection the node has no place.
+fn refuse() -> Response {
+    problem::response_of(&caller::overloaded())
+}
+
 /// Serves callers until the node stops.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     listener: TcpListener,
+    connections: Arc<Connections>,
     stopped: oneshot::Receiver<()>,
 ) {
     let traffic = Arc::new(Traffic::new(shared));
@@ -110,13 +116,15 @@
             // The control thread drops the sender when it ends. What is in flight has been
             // answered then, but the connections may not have written all of it.
             let (closing, is_closing) = oneshot::channel::<()>();
-            let server = parsleylatch_http::serve(listener, router).signal(is_closing);
-            let server = tokio::spawn(server.into_future());
+            let bounds = ServerBounds {
+                connections,
+                refusal: refuse,
+            };
+            let server = tokio::spawn(serve_bounded(listener, router, bounds, is_closing));
             let _ = stopped.await;
             drop(closing);
             match time::timeout(WRITE_TIMEOUT, server).await {
-                Ok(Ok(Ok(()))) => {}
-                Ok(Ok(Err(error))) => log::error!("the caller listener failed: {error}"),
+                Ok(Ok(())) => {}
                 Ok(Err(error)) => log::error!("the caller listener failed: {error}"),
                 Err(_) => log::warn!(
                     "closing callers' connections that are busy {WRITE_TIMEOUT:?} after the stop"
--- a/tests/process/extra_node.rs
+++ b/tests/process/extra_node.rs
@@ -9,16 +9,31 @@
 
 use crate::harness::{RunningFleet, key_digest, signal};
 
+const NODE_PROGRAM: &str = env!("CARGO_BIN_EXE_parsleylatch-node");
+
 /// A running node, which is stopped when dropped.
 pub(crate) struct ExtraNode {
     process: Child,
     settings: PathBuf,
     pub(crate) admin: SocketAddr,
+    pub(crate) caller: SocketAddr,
 }
 
 impl ExtraNode {
     /// Starts a node that has one administration key per role.
     pub(crate) fn start(running: &RunningFleet) -> Self {
+        Self::start_by(running, Command::new(NODE_PROGRAM))
+    }
+
+    /// Starts a node that may open `descriptors` files and sockets.
+    pub(crate) fn start_with_descriptors(running: &RunningFleet, descriptors: u32) -> Self {
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors} && exec {NODE_PROGRAM} \"$@\"");
+        command.arg("-c").arg(script).arg("sh");
+        Self::start_by(running, command)
+    }
+
+    fn start_by(running: &RunningFleet, mut command: Command) -> Self {
         let settings = running.dir.join("extra-node.jsonc");
         let keys = ["read", "edit", "accept"].map(|role| {
             let digest = key_digest(role);
@@ -34,7 +49,7 @@
             keys.join(", ")
         );
         std::fs::write(&settings, text).unwrap();
-        let mut process = Command::new(env!("CARGO_BIN_EXE_parsleylatch-node"))
+        let mut process = command
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
@@ -44,12 +59,15 @@
         let mut ready = String::new();
         let stdout = process.stdout.take().expect("piped");
         BufReader::new(stdout).read_line(&mut ready).unwrap();
-        let admin = ready
-            .split_whitespace()
-            .find_map(|word| word.strip_prefix("admin="))
-            .unwrap_or_else(|| panic!("not ready: {ready}"));
+        let address = |name: &str| {
+            let mut words = ready.split_whitespace();
+            let address = words.find_map(|word| word.strip_prefix(name));
+            let address = address.unwrap_or_else(|| panic!("not ready: {ready}"));
+            address.parse().unwrap()
+        };
         Self {
-            admin: admin.parse().unwrap(),
+            admin: address("admin="),
+            caller: address("caller="),
             process,
             settings,
         }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod calls_random;
 mod configuration;
+mod connection_limits;
 mod extra_node;
 mod generations;
 mod harness;
