Listeners: a client that doesn't read its response loses its place

Seen: clients that take none of a 16 MiB response held all places of a listener without a bound in time; new clients were refused for as long.

Cause: nothing ended a connection whose bytes wait to be written.

Change: a connection that takes no bytes for 10 s although some wait fails.

Evidence: unread_responses_closed failed before (no place after 15 s) and passes; connection_bounds: 6 pass, crates/peer: 10 pass (one run each).

--- a/crates/http/tests/connection_bounds.rs
+++ b/crates/http/tests/connection_bounds.rs
@@ -27,6 +27,11 @@
 /// Clients that connect and send requests at the same time.
 const BURST_CLIENTS: usize = 32;
 
+/// Response that doesn't fit in the buffers of its connection.
+const LARGE_ANSWER_BYTES: usize = 16 << 20;
+/// Time after which a place whose client doesn't read is free.
+const UNREAD_LIMIT: Duration = Duration::from_secs(15);
+
 const REQUEST: &str = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
 async fn answer(_: viz::Request) -> Result<&'static str> {
@@ -38,6 +43,10 @@
     Ok("ok")
 }
 
+async fn answer_large(_: viz::Request) -> Result<Vec<u8>> {
+    Ok(vec![b'x'; LARGE_ANSWER_BYTES])
+}
+
 fn bind() -> (SocketAddr, NodelayListener) {
     let (address, listeners) = bind_group("127.0.0.1:0".parse().unwrap(), 1).unwrap();
     let listener = listeners.into_iter().next().unwrap();
@@ -100,7 +109,10 @@
 /// Starts a server with [`FEW_PLACES`]; returns its address and a count of refusals.
 fn start_small() -> (SocketAddr, Arc<AtomicUsize>) {
     let (address, listener) = bind();
-    let router = Router::new().get("/", answer).get("/slow", answer_slowly);
+    let router = Router::new()
+        .get("/", answer)
+        .get("/slow", answer_slowly)
+        .get("/large", answer_large);
     let refused = Arc::new(AtomicUsize::new(0));
     let connections = Connections::new("small", FEW_PLACES, {
         let refused = Arc::clone(&refused);
@@ -167,3 +179,22 @@
     assert!(count("200") >= FEW_PLACES, "{statuses:?}");
     assert_eq!(count("503"), refused.load(Ordering::Relaxed));
 }
+
+/// Clients that don't read their responses held their places for ever.
+#[tokio::test]
+async fn unread_responses_closed() {
+    let (address, _) = start_small();
+    let is_served = tokio::task::spawn_blocking(move || {
+        let large = REQUEST.replace("/ HTTP", "/large HTTP");
+        let _unread: Vec<_> = (0..FEW_PLACES).map(|_| connect(address, &large)).collect();
+        let started_at = Instant::now();
+        std::iter::repeat_with(|| {
+            std::thread::sleep(Duration::from_millis(200));
+            read_response(&mut connect(address, REQUEST))
+        })
+        .take_while(|_| started_at.elapsed() < UNREAD_LIMIT)
+        .flatten()
+        .any(|response| response.starts_with("HTTP/1.1 200"))
+    });
+    assert!(is_served.await.unwrap(), "no place after {UNREAD_LIMIT:?}");
+}
--- a/crates/runtime/src/accepted_stream.rs
+++ b/crates/runtime/src/accepted_stream.rs
@@ -1,6 +1,7 @@
 //! An accepted connection that is closed for another while it rests.
 
 use std::{
+    future::Future,
     io,
     mem::MaybeUninit,
     pin::Pin,
@@ -9,6 +10,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use futures::task::AtomicWaker;
@@ -17,10 +19,14 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
 use crate::connections::Connections;
 
+/// Time after which a connection fails whose client takes no bytes although some wait.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What a connection is doing, shared by its stream and the listener.
 #[derive(Debug)]
 pub(crate) struct Activity {
@@ -90,7 +96,8 @@
 pub struct AcceptedStream {
     stream: TcpStream,
     activity: Arc<Activity>,
-    is_writing: bool,
+    /// Set while bytes wait to be written.
+    write_timeout: Option<Pin<Box<Sleep>>>,
 }
 
 impl AcceptedStream {
@@ -98,7 +105,7 @@
         Self {
             stream,
             activity,
-            is_writing: false,
+            write_timeout: None,
         }
     }
 
@@ -122,15 +129,26 @@
         received.is_ok_and(|count| count > 0)
     }
 
-    fn set_writing(&mut self, is_writing: bool) {
-        if self.is_writing == is_writing {
-            return;
+    /// Keeps the connection in use while bytes wait, and fails if they wait for too long.
+    fn track_write(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            if self.write_timeout.take().is_some() {
+                self.activity.end_use();
+            }
+            return written;
         }
-        self.is_writing = is_writing;
-        match is_writing {
-            true => self.activity.begin_use(),
-            false => self.activity.end_use(),
+        if self.write_timeout.is_none() {
+            self.activity.begin_use();
         }
+        let timeout = self
+            .write_timeout
+            .get_or_insert_with(|| Box::pin(sleep(WRITE_TIMEOUT)));
+        let timed_out = || Err(io::ErrorKind::TimedOut.into());
+        timeout.as_mut().poll(context).map(|()| timed_out())
     }
 }
 
@@ -165,8 +183,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.set_writing(written.is_pending());
-        written
+        self.track_write(context, written)
     }
 
     fn poll_write_vectored(
@@ -175,8 +192,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.set_writing(written.is_pending());
-        written
+        self.track_write(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
