Node: a request whose body doesn't arrive loses its place

Seen: callers that send a head and not the whole body held their places without a bound in time; with 200 of them a node with 256 descriptors refused every call.

Cause: reading a body had no timeout.

Change: a caller's body has to arrive within 10 s (400, not run), and a template of an operator likewise.

Evidence: unfinished_bodies_refused failed before (no place after 15 s) and passes; connection_limits, admin, refusals and limits of `--test process`: 21 pass (one run).

--- a/crates/node/src/control/admin/templates.rs
+++ b/crates/node/src/control/admin/templates.rs
@@ -1,6 +1,6 @@
 //! Handlers for templates: the accepted ones, drafts and acceptance.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -11,6 +11,7 @@
 use parsleylatch_settings::{Role, Template};
 use parsleylatch_types::{ByteCount, Revision, WorkspaceId};
 use serde_json::json;
+use tokio::time;
 use viz::{Request, RequestExt, Response, Result, StatusCode};
 
 use super::{
@@ -21,6 +22,8 @@
 /// Size limit of a template's text. The store limits a value to a megabyte, and
 /// escaping the text as JSON makes it longer.
 const MAX_TEMPLATE_BYTES: ByteCount = ByteCount::new(400 << 10);
+/// Time within which an operator has to send a whole template.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// `GET /admin/v1/templates`.
 pub(super) async fn list(request: Request) -> Result<Response> {
@@ -198,7 +201,12 @@
 
 async fn read_text(request: Request) -> Result<String, AdminRefusal> {
     let body = Limited::new(request.into_body(), MAX_TEMPLATE_BYTES.get() as usize);
-    let bytes: Bytes = match body.collect().await {
+    let collected = time::timeout(BODY_TIMEOUT, body.collect()).await;
+    let collected = collected.map_err(|_| {
+        let detail = format!("the body was not complete after {BODY_TIMEOUT:?}");
+        AdminRefusal::BadRequest(detail)
+    })?;
+    let bytes: Bytes = match collected {
         Ok(collected) => collected.to_bytes(),
         Err(error) => {
             let detail = format!("a template has at most {MAX_TEMPLATE_BYTES}: {error}");
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -1,5 +1,7 @@
 //! Parsing of callers' requests: key, request id and body.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use parsleylatch_decide::refusal::{Refusal, RefusalKind};
@@ -7,8 +9,12 @@
 use parsleylatch_types::{ByteCount, RequestId};
 use parsleylatch_wire::engine::REQUEST_ID_HEADER;
 use serde::de::DeserializeOwned;
+use tokio::time;
 use viz::{Request, RequestExt};
 
+/// Time within which a caller has to send the whole body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Digest of the key in the `Authorization` header.
 pub(crate) fn caller_key(request: &Request) -> Option<KeyDigest> {
     let header: String = request.header("authorization")?;
@@ -28,7 +34,12 @@
 /// Reads a body of at most `limit` bytes.
 pub(crate) async fn read_body(request: Request, limit: ByteCount) -> Result<Bytes, Refusal> {
     let body = Limited::new(request.into_body(), limit.get() as usize);
-    let collected = body.collect().await.map_err(|error| {
+    let collected = time::timeout(BODY_TIMEOUT, body.collect()).await;
+    let collected = collected.map_err(|_| {
+        let detail = format!("the body was not complete after {BODY_TIMEOUT:?}");
+        Refusal::not_run(RefusalKind::BadRequest, detail)
+    })?;
+    let collected = collected.map_err(|error| {
         if error.downcast_ref::<LengthLimitError>().is_some() {
             let detail = format!("the body is larger than {limit}");
             Refusal::not_run(RefusalKind::BodyTooLarge, detail)
--- a/tests/process/connection_limits.rs
+++ b/tests/process/connection_limits.rs
@@ -154,3 +154,22 @@
         Some("200")
     );
 }
+
+/// Time after which a place whose caller doesn't complete its body is free.
+const UNFINISHED_BODY_LIMIT: Duration = Duration::from_secs(15);
+
+/// Callers that didn't send the bodies of their requests held their places for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_refused() {
+    let running = RunningFleet::start(FLEET).await;
+    let node = start_small(&running).await;
+    let unfinished = generation_request().replace("\r\n\r\n{", "0\r\n\r\n{");
+    let _unfinished: Vec<_> = (0..BUSY_CALLERS)
+        .map(|_| connect(node.caller, &unfinished))
+        .collect();
+    let started_at = Instant::now();
+    while status_of(node.caller, &call_request()).as_deref() != Some("200") {
+        assert!(started_at.elapsed() < UNFINISHED_BODY_LIMIT);
+        sleep(Duration::from_millis(200)).await;
+    }
+}
