Node: streams of events take no places that readiness checks need

Seen in a trial of the new bound: 64 streams of events, as many as a node serves, took all 64 places of the admin address; a readiness check got 503.

Change: 64 places beside those of the streams; the descriptors that callers' connections leave to others grow from 192 to 256 (with 4,100 descriptors 1,537 callers' connections).

Evidence: check_answered_beside_event_streams failed with 64 places (503) and passes; connection_limits of `--test process`: 8 pass, crates/decide/tests/connection_places.rs: 11 pass (one run each).

--- a/crates/decide/src/connection_places.rs
+++ b/crates/decide/src/connection_places.rs
@@ -14,7 +14,7 @@
 /// One in so many places may give way at the same time.
 const GIVING_WAY_RATIO: usize = 4;
 /// Descriptors of a node for its other listeners, links to other nodes, the store and files.
-const OTHER_DESCRIPTORS: DescriptorCount = DescriptorCount::new(192);
+const OTHER_DESCRIPTORS: DescriptorCount = DescriptorCount::new(256);
 /// Descriptors of two callers: for each its connection, one to an endpoint, and half of one
 /// for those that are refused or give way.
 const DESCRIPTORS_OF_TWO: u64 = 5;
--- a/crates/node/src/control/admin/events.rs
+++ b/crates/node/src/control/admin/events.rs
@@ -15,7 +15,7 @@
 use crate::control::events::AdminEvent;
 
 /// Limit of concurrently open event streams.
-const MAX_EVENT_STREAMS: usize = 64;
+pub(crate) const MAX_EVENT_STREAMS: usize = 64;
 /// Time without events after which a keep-alive comment is sent.
 const KEEP_ALIVE_INTERVAL_MS: Millis = Millis::new(10_000);
 /// SSE comment that keeps an idle stream open.
--- a/crates/node/src/control/admin/mod.rs
+++ b/crates/node/src/control/admin/mod.rs
@@ -10,6 +10,8 @@
 
 use std::sync::Arc;
 
+pub(crate) use events::MAX_EVENT_STREAMS;
+
 use parsleylatch_settings::{KeyDigest, Role};
 use parsleylatch_store::StoreClient;
 use serde::Serialize;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -34,8 +34,10 @@
 use gossip::Cluster;
 use state::ControlState;
 
-/// Maximum number of operators' connections.
-const ADMIN_CONNECTIONS: usize = 64;
+/// Connections of operators and of the balancer beside streams of events.
+const SHORT_ADMIN_CONNECTIONS: usize = 64;
+/// Maximum number of connections to the admin address.
+const ADMIN_CONNECTIONS: usize = admin::MAX_EVENT_STREAMS + SHORT_ADMIN_CONNECTIONS;
 /// Capacity of the channel of link events.
 const LINK_EVENT_BUFFER: usize = 1_024;
 
