Listener places: a chart, and a name apart from the relay's places

No change of behaviour: the states of a connection are the chart listener_place; module and type are listener_places and ListenerPlaces.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -37,6 +37,7 @@
 pub(crate) const JOURNAL_ENTRY: ChartSource = chart_source!("journal_entry");
 pub(crate) const IDEMPOTENT_CALL: ChartSource = chart_source!("idempotent_call");
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
+pub(crate) const LISTENER_PLACE: ChartSource = chart_source!("listener_place");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const RELAY_LIFE: ChartSource = chart_source!("relay_life");
@@ -60,6 +61,7 @@
     GENERATION,
     IDEMPOTENT_CALL,
     LEASE_HOLDER,
+    LISTENER_PLACE,
     MEMBER,
     NODE_LIFE,
     RELAY_LIFE,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod call;
 pub mod charts;
 pub mod configuration;
-pub mod connection_places;
+
 pub mod deployment;
 pub mod endpoint_health;
 pub mod generation;
@@ -22,6 +22,7 @@
 pub mod journal;
 pub mod lease_holder;
 pub mod limits;
+pub mod listener_places;
 pub mod membership;
 pub mod moves;
 pub mod node_life;
--- a/crates/decide/src/connection_places.rs
+++ b/crates/decide/src/listener_places.rs
@@ -3,10 +3,14 @@
 //! Each connection is in use or resting. At the limit, the connection that has rested longest
 //! gives way to a new one, and a new one is refused if none rests. A connection that gives way
 //! keeps its place until it is closed, or returns to use if a request has arrived meanwhile.
+//! The chart of a place is `listener_place`.
 
 use std::collections::{BTreeMap, HashMap};
 
-use parsleylatch_types::{ConnectionNumber, DescriptorCount};
+use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
+use parsleylatch_types::{ConnectionNumber, DescriptorCount, MonoTime};
+
+use crate::charts::{self, LazyMachine};
 
 /// Maximum number of connections over the limit that may be open while others give way to
 /// them.
@@ -53,25 +57,59 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RestOrder(u64);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Activity {
-    Resting(RestOrder),
-    InUse,
-    GivingWay,
+chart_names! {
+    /// What a connection is doing.
+    pub(crate) enum PlaceState {
+        /// No request is in progress.
+        Resting,
+        /// A request is in progress, or bytes wait to be written.
+        InUse,
+        /// It closes, unless a request has arrived.
+        GivingWay,
+    }
+}
+
+chart_names! {
+    /// Events of a connection.
+    pub(crate) enum PlaceEvent {
+        /// A request begins.
+        Used,
+        /// Nothing is in progress any more.
+        Rested,
+        /// A new connection needs the place.
+        RoomNeeded,
+    }
+}
+
+static MACHINE: LazyMachine<PlaceState, PlaceEvent, ()> =
+    LazyMachine::new(|| charts::compile(charts::LISTENER_PLACE, &Bindings::<()>::new()));
+
+fn machine() -> &'static Machine<PlaceState, PlaceEvent, ()> {
+    charts::verified(&MACHINE)
+}
+
+pub(crate) fn verify_chart() -> Result<(), ChartError> {
+    MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    instance: Instance<PlaceState>,
+    rests_since: RestOrder,
 }
 
 /// Connections of a listener.
 #[derive(Clone, Debug)]
-pub struct ConnectionPlaces {
+pub struct ListenerPlaces {
     limit: usize,
-    open: HashMap<ConnectionNumber, Activity>,
+    open: HashMap<ConnectionNumber, Place>,
     resting: BTreeMap<RestOrder, ConnectionNumber>,
     giving_way: usize,
     last_number: ConnectionNumber,
     last_rest: RestOrder,
 }
 
-impl ConnectionPlaces {
+impl ListenerPlaces {
     /// Creates places for `limit` connections.
     pub fn new(limit: usize) -> Self {
         Self {
@@ -121,55 +159,77 @@
 
     /// Selects the connection that has rested longest, which has to be closed.
     pub fn close_longest_resting(&mut self) -> Option<ConnectionNumber> {
-        let (_, number) = self.resting.pop_first()?;
-        self.open.insert(number, Activity::GivingWay);
-        self.giving_way += 1;
+        let (_, number) = self.resting.first_key_value()?;
+        let number = *number;
+        self.step(number, PlaceEvent::RoomNeeded);
         Some(number)
     }
 
     /// Records that a connection is in use.
     pub fn use_connection(&mut self, number: ConnectionNumber) {
-        self.set(number, Activity::InUse);
+        self.step(number, PlaceEvent::Used);
     }
 
     /// Records that a connection rests from now on.
     pub fn rest(&mut self, number: ConnectionNumber) {
-        self.last_rest = RestOrder(self.last_rest.0 + 1);
-        self.set(number, Activity::Resting(self.last_rest));
+        self.step(number, PlaceEvent::Rested);
     }
 
     /// Frees the place of a connection that is closed.
     pub fn remove(&mut self, number: ConnectionNumber) {
-        if let Some(activity) = self.open.remove(&number) {
-            self.leave(activity);
+        if let Some(place) = self.open.remove(&number) {
+            self.uncount(&place);
         }
     }
 
     fn insert(&mut self) -> ConnectionNumber {
         self.last_number = self.last_number.next();
-        self.open.insert(self.last_number, Activity::InUse);
-        self.rest(self.last_number);
+        let place = Place {
+            instance: machine().start(MonoTime::ZERO, &mut ()),
+            rests_since: self.last_rest,
+        };
+        self.count(self.last_number, place);
         self.last_number
     }
 
-    fn set(&mut self, number: ConnectionNumber, activity: Activity) {
-        let Some(previous) = self.open.get_mut(&number) else {
+    fn step(&mut self, number: ConnectionNumber, event: PlaceEvent) {
+        let Some(mut place) = self.open.remove(&number) else {
             return;
         };
-        let previous = std::mem::replace(previous, activity);
-        self.leave(previous);
-        if let Activity::Resting(order) = activity {
-            self.resting.insert(order, number);
+        self.uncount(&place);
+        // The chart has no timeouts, so the time doesn't matter.
+        let has_entered = machine().step(&mut place.instance, MonoTime::ZERO, event, &mut ());
+        match has_entered {
+            true => self.count(number, place),
+            false => self.recount(number, place),
+        }
+    }
+
+    /// Adds a place whose state was just entered.
+    fn count(&mut self, number: ConnectionNumber, mut place: Place) {
+        self.last_rest = RestOrder(self.last_rest.0 + 1);
+        place.rests_since = self.last_rest;
+        self.recount(number, place);
+    }
+
+    fn recount(&mut self, number: ConnectionNumber, place: Place) {
+        match place.instance.state() {
+            PlaceState::Resting => {
+                self.resting.insert(place.rests_since, number);
+            }
+            PlaceState::GivingWay => self.giving_way += 1,
+            PlaceState::InUse => {}
         }
+        self.open.insert(number, place);
     }
 
-    fn leave(&mut self, activity: Activity) {
-        match activity {
-            Activity::Resting(order) => {
-                self.resting.remove(&order);
+    fn uncount(&mut self, place: &Place) {
+        match place.instance.state() {
+            PlaceState::Resting => {
+                self.resting.remove(&place.rests_since);
             }
-            Activity::GivingWay => self.giving_way -= 1,
-            Activity::InUse => {}
+            PlaceState::GivingWay => self.giving_way -= 1,
+            PlaceState::InUse => {}
         }
     }
 }
--- a/crates/decide/src/verify.rs
+++ b/crates/decide/src/verify.rs
@@ -3,8 +3,8 @@
 use parsleylatch_chart::ChartError;
 
 use crate::{
-    call, configuration, endpoint_health, generation, journal, lease_holder, limits, membership,
-    moves, node_life, relay, store_session,
+    call, configuration, endpoint_health, generation, journal, lease_holder, limits,
+    listener_places, membership, moves, node_life, relay, store_session,
 };
 
 /// Compiles all charts. Processes call this before anything else.
@@ -19,6 +19,7 @@
     journal::verify_charts()?;
     limits::verify_chart()?;
     lease_holder::verify_chart()?;
+    listener_places::verify_chart()?;
     membership::verify_chart()?;
     moves::verify_chart()?;
     node_life::verify_chart()?;
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/listener_places.rs
@@ -1,6 +1,6 @@
 //! Places of connections: who gives way, and who is refused.
 
-use parsleylatch_decide::connection_places::{Admission, ConnectionPlaces, caller_limit};
+use parsleylatch_decide::listener_places::{Admission, ListenerPlaces, caller_limit};
 use parsleylatch_types::{ConnectionNumber, DescriptorCount};
 use test_case::test_case;
 
@@ -8,8 +8,8 @@
     ConnectionNumber::new(value)
 }
 
-fn full(limit: u64) -> ConnectionPlaces {
-    let mut places = ConnectionPlaces::new(limit as usize);
+fn full(limit: u64) -> ListenerPlaces {
+    let mut places = ListenerPlaces::new(limit as usize);
     for value in 1..=limit {
         assert_eq!(places.admit(), Admission::Admitted(number(value)));
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, thread::JoinHandle};
 
 use eyre::{Result, eyre};
-use parsleylatch_decide::connection_places::caller_limit;
+use parsleylatch_decide::listener_places::caller_limit;
 use parsleylatch_http::{bind_field, shutdown_signal};
 use parsleylatch_runtime::{Connections, descriptor_limit, spawn};
 use parsleylatch_settings::NodeSettings;
--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -1,6 +1,6 @@
 //! The accepted connections of a listener, up to a limit.
 //!
-//! Carries out the decisions of [`ConnectionPlaces`]. What happens at the limit is reported to
+//! Carries out the decisions of [`ListenerPlaces`]. What happens at the limit is reported to
 //! an observer, and logged at most once a second.
 
 use std::{
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use parsleylatch_decide::connection_places::{Admission, ConnectionPlaces};
+use parsleylatch_decide::listener_places::{Admission, ListenerPlaces};
 use parsleylatch_types::ConnectionNumber;
 use tokio::{net::TcpStream, sync::Notify, time};
 
@@ -54,7 +54,7 @@
 }
 
 struct State {
-    places: ConnectionPlaces,
+    places: ListenerPlaces,
     activities: HashMap<ConnectionNumber, Arc<Activity>>,
     unlogged: Unlogged,
     logged_at: Option<Instant>,
@@ -102,7 +102,7 @@
             limit,
             observe,
             state: Mutex::new(State {
-                places: ConnectionPlaces::new(limit),
+                places: ListenerPlaces::new(limit),
                 activities: HashMap::new(),
                 unlogged: Unlogged::default(),
                 logged_at: None,
