--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -82,6 +82,13 @@
     PeerAnswers,
     /// Queries from other regions that were referred to nodes of that region.
     PeerReferrals,
+    /// Resting connections to the ready, metrics and peer addresses closed for new ones.
+    ListenerConnectionsGaveWay,
+    /// Connections to the ready, metrics and peer addresses refused because all others were
+    /// in use.
+    ListenerConnectionsRefused,
+    /// Failed accepts at the ready, metrics and peer addresses.
+    ListenerAcceptsFailed,
     /// Configurations applied.
     ConfigurationsApplied,
     /// Documents in the store that can't be parsed.
@@ -98,23 +105,6 @@
     PromptPartsQuarantined,
     /// Requests refused because of a prompt part in quarantine.
     RequestsQuarantined,
-    /// Resting connections to the ready, metrics and peer addresses closed for new ones.
-    ListenerConnectionsGaveWay,
-    /// Connections to the ready, metrics and peer addresses refused because all others were
-    /// in use.
-    ListenerConnectionsRefused,
-    /// Failed accepts at the ready, metrics and peer addresses.
-    ListenerAcceptsFailed,
-}
-
-impl From<ConnectionEvent> for RelayCounter {
-    fn from(event: ConnectionEvent) -> Self {
-        match event {
-            ConnectionEvent::GaveWay => Self::ListenerConnectionsGaveWay,
-            ConnectionEvent::Refused => Self::ListenerConnectionsRefused,
-            ConnectionEvent::AcceptFailed => Self::ListenerAcceptsFailed,
-        }
-    }
 }
 
 /// Latency histogram of a relay.
@@ -133,6 +123,16 @@
     StoreCall,
 }
 
+impl From<ConnectionEvent> for RelayCounter {
+    fn from(event: ConnectionEvent) -> Self {
+        match event {
+            ConnectionEvent::GaveWay => Self::ListenerConnectionsGaveWay,
+            ConnectionEvent::Refused => Self::ListenerConnectionsRefused,
+            ConnectionEvent::AcceptFailed => Self::ListenerAcceptsFailed,
+        }
+    }
+}
+
 /// Counters and histograms of one relay.
 pub(crate) struct RelayMetrics {
     counters: [AtomicU64; RelayCounter::COUNT],
--- a/tests/process/connection_limits.rs
+++ b/tests/process/connection_limits.rs
@@ -26,6 +26,8 @@
 const FEW_DESCRIPTORS: u32 = 320;
 /// Clients that open a connection and rest.
 const RESTING_CLIENTS: usize = 300;
+/// Places for callers of a node with these descriptors, shared by its traffic threads.
+const CALLER_PLACES: usize = 25;
 /// Callers whose generations run.
 const BUSY_CALLERS: usize = 200;
 /// Time within which a new client is answered.
@@ -151,7 +153,7 @@
     }
     println!("{outcomes:?}");
     assert!(!outcomes.contains_key("unanswered"), "{outcomes:?}");
-    assert!(outcomes.contains_key("200"), "{outcomes:?}");
+    assert!(outcomes["200"] >= CALLER_PLACES, "{outcomes:?}");
     assert!(outcomes.contains_key("429"), "{outcomes:?}");
     assert_eq!(
         status_of(node.admin, READINESS_CHECK).as_deref(),
