Listeners: a failed accept is tried again as soon as a descriptor is free

Seen in a trial: a node with 96 descriptors, fewer than its places, and 300 clients that rest on its admin address: accepting failed, one resting connection gave way every 20 ms, and a readiness check behind them got nothing within 2 s.

Change: accepting is tried again once the connection that gives way is closed, after 20 ms at the latest.

--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -164,8 +164,9 @@
     }
 
     /// Reports that accepting failed, closes the connection that has rested longest, as file
-    /// descriptors may be used up, and waits until accepting may be tried again.
+    /// descriptors may be used up, and waits until it is closed, or for a short time.
     pub async fn recover_accept(&self, error: io::Error) {
+        let freed = self.freed.notified();
         {
             let mut state = self.state();
             state.unlogged.failed += 1;
@@ -175,7 +176,8 @@
                 self.close(&mut state, closed);
             }
         }
-        time::sleep(ACCEPT_RETRY_DELAY).await;
+        // Whether it is notified or not, accepting is tried again.
+        drop(time::timeout(ACCEPT_RETRY_DELAY, freed).await);
     }
 
     pub(crate) fn use_connection(&self, number: ConnectionNumber) {
--- a/tests/process/connection_limits.rs
+++ b/tests/process/connection_limits.rs
@@ -24,6 +24,8 @@
 };
 /// File descriptors of a node that is full soon.
 const FEW_DESCRIPTORS: u32 = 320;
+/// File descriptors that end before the places of the admin address.
+const FEWER_DESCRIPTORS: u32 = 96;
 /// Clients that open a connection and rest.
 const RESTING_CLIENTS: usize = 300;
 /// Places for callers of a node with these descriptors, shared by its traffic threads.
@@ -39,6 +41,8 @@
 const EVENT_STREAMS: usize = 64;
 const EVENTS_REQUEST: &str =
     "GET /admin/v1/events HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer read\r\n\r\n";
+const COUNTERS_REQUEST: &str = "GET /admin/v1/counters HTTP/1.1\r\nHost: x\r\n\
+     Authorization: Bearer read\r\nConnection: close\r\n\r\n";
 const READINESS_CHECK: &str = "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n";
 
 /// Text of a call, which the only service answers.
@@ -93,7 +97,11 @@
 
 /// Starts a node with few descriptors and waits until it serves calls.
 async fn start_small(running: &RunningFleet) -> ExtraNode {
-    let node = ExtraNode::start_with_descriptors(running, FEW_DESCRIPTORS);
+    start_with_descriptors(running, FEW_DESCRIPTORS).await
+}
+
+async fn start_with_descriptors(running: &RunningFleet, descriptors: u32) -> ExtraNode {
+    let node = ExtraNode::start_with_descriptors(running, descriptors);
     let started_at = Instant::now();
     while status_of(node.caller, &call_request()).as_deref() != Some("200") {
         assert!(started_at.elapsed() < CONFIGURATION_LIMIT);
@@ -132,6 +140,23 @@
     assert_eq!((call.as_deref(), check.as_deref()), expected);
 }
 
+/// A node whose descriptors end before its places failed to accept anybody.
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_beyond_descriptors_give_way() {
+    let running = RunningFleet::start(FLEET).await;
+    let node = start_with_descriptors(&running, FEWER_DESCRIPTORS).await;
+    let _resting: Vec<_> = (0..RESTING_CLIENTS)
+        .map(|_| connect(node.admin, ""))
+        .collect();
+    let check = status_of(node.admin, READINESS_CHECK);
+    assert_eq!(check.as_deref(), Some("200"));
+    let mut counters = String::new();
+    let mut reader = connect(node.admin, COUNTERS_REQUEST);
+    reader.read_to_string(&mut counters).unwrap();
+    assert!(counters.contains("accepts_failed"), "{counters}");
+    assert!(!counters.contains("\"accepts_failed\":0"), "{counters}");
+}
+
 /// Callers that came to a node whose connections were all in use waited without a word, and
 /// the requests that it had accepted found no descriptors.
 #[tokio::test(flavor = "multi_thread")]
