--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -10,6 +10,7 @@
 
 use hdrhistogram::Histogram;
 use parsleylatch_decide::relay::Occupancy;
+use parsleylatch_runtime::ConnectionEvent;
 use parsleylatch_types::Micros;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
@@ -97,6 +98,13 @@
     PeerAnswers,
     /// Queries from other regions that were referred to nodes of that region.
     PeerReferrals,
+    /// Resting connections to the ready, metrics and peer addresses closed for new ones.
+    ListenerConnectionsGaveWay,
+    /// Connections to the ready, metrics and peer addresses refused because all others were
+    /// in use.
+    ListenerConnectionsRefused,
+    /// Failed accepts at the ready, metrics and peer addresses.
+    ListenerAcceptsFailed,
     /// Configurations applied.
     ConfigurationsApplied,
     /// Documents in the store that can't be parsed.
@@ -133,6 +141,16 @@
     TurnLateness,
 }
 
+impl From<ConnectionEvent> for RelayCounter {
+    fn from(event: ConnectionEvent) -> Self {
+        match event {
+            ConnectionEvent::GaveWay => Self::ListenerConnectionsGaveWay,
+            ConnectionEvent::Refused => Self::ListenerConnectionsRefused,
+            ConnectionEvent::AcceptFailed => Self::ListenerAcceptsFailed,
+        }
+    }
+}
+
 /// Counters and histograms of one relay.
 pub(crate) struct RelayMetrics {
     counters: [AtomicU64; RelayCounter::COUNT],
