--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -21,9 +21,8 @@
 
 use crate::{
     environment::{Environment, HOST, LONG_STREAM_PATH, WORKSPACE, WORKSPACE_KEY, version_path},
-    invariants::{
-        LONG_STREAM_TIMEOUT_MS, Observed, Outcome, REQUEST_TIMEOUT_MS, RequestKind, SentRequest,
-    },
+    invariants::{LONG_STREAM_TIMEOUT_MS, REQUEST_TIMEOUT_MS},
+    observations::{Observed, Outcome, RequestKind, SentRequest},
     plan::Profile,
 };
 
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -16,9 +16,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    invariants::{
-        Invariant, InvariantChecker, LONG_STREAM_TIMEOUT_MS, MAX_ATTEMPTS, REQUEST_TIMEOUT_MS,
-    },
+    checker::InvariantChecker,
+    invariants::{Invariant, LONG_STREAM_TIMEOUT_MS, MAX_ATTEMPTS, REQUEST_TIMEOUT_MS},
     link::Link,
     plan::Targets,
     run_time::RunTime,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod args;
 mod callers;
+mod checker;
 mod controller;
 mod disturbances;
 mod environment;
 mod invariants;
 mod lifecycle;
 mod link;
+mod observations;
 mod plan;
 mod process;
 mod run;
@@ -21,6 +23,7 @@
 mod silence_plan;
 
 pub use args::{SoakArgs, main};
-pub use invariants::{Invariant, Tally, Violation};
+pub use invariants::{Invariant, Violation};
+pub use observations::Tally;
 pub use plan::Profile;
 pub use run::{RunReport, RunSpec, run};
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,7 +19,8 @@
     callers::{Caller, CallerContext, Phase},
     controller::Controller,
     environment::Environment,
-    invariants::{Invariant, Tally, Violation},
+    invariants::{Invariant, Violation},
+    observations::Tally,
     plan::{Profile, Targets, breaking_faults, plan},
     process::{RelayProgram, RetryBudget},
 };
