--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -120,6 +120,16 @@
     Ok(ByteCount::new(pages * PAGE_BYTES))
 }
 
+/// Number of descriptors that a process has open.
+///
+/// # Errors
+/// The directory that can't be read.
+pub fn open_descriptors(pid: u32) -> Result<usize> {
+    let descriptors = format!("/proc/{pid}/fd");
+    let entries = fs::read_dir(&descriptors).wrap_err_with(|| format!("reading {descriptors}"))?;
+    Ok(entries.count())
+}
+
 /// Bytes that the kernel has received for a process and that it has not read: the receive queues
 /// of its IPv4 connections, without the kernel's own overhead and without connections that are
 /// not accepted yet.
--- a/crates/soak/src/args.rs
+++ b/crates/soak/src/args.rs
@@ -1,13 +1,16 @@
 //! Command line of the soak.
 
-use std::path::PathBuf;
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr, ensure};
 use parsleylatch_types::Millis;
 
 use crate::{
-    invariants::Invariant,
+    invariants::{Invariant, Violation},
     plan::Profile,
     run::{RunReport, RunSpec, run},
 };
@@ -19,6 +22,8 @@
 const MAX_RELAYS: usize = 200;
 /// Maximum number of violations printed for each seed.
 const MAX_PRINTED_VIOLATIONS: usize = 20;
+/// File with the timelines of all violations of a seed, in its directory.
+const TIMELINES_FILE: &str = "timelines.txt";
 /// Default duration of the load with faults.
 const DEFAULT_LOAD_S: u64 = 15;
 
@@ -31,7 +36,7 @@
     /// number of seeds, one after the other
     #[argh(option, default = "1")]
     count: u64,
-    /// selection of faults: mixed or silence
+    /// selection of faults: mixed, silence or limits
     #[argh(option, default = "Profile::Mixed")]
     profile: Profile,
     /// duration of the load with faults in each run, in seconds
@@ -73,9 +78,10 @@
         let report = run(&spec).wrap_err_with(|| format!("seed {seed}"))?;
         print(seed, &report);
         if report.violations.is_empty() {
-            let removed = std::fs::remove_dir_all(&spec.directory);
+            let removed = fs::remove_dir_all(&spec.directory);
             removed.wrap_err_with(|| format!("removing {}", spec.directory.display()))?;
         } else {
+            write_timelines(&spec.directory, &report)?;
             println!("  logs: {}", spec.directory.display());
             failed_seeds += 1;
         }
@@ -88,6 +94,25 @@
     Ok(())
 }
 
+/// Writes the timelines of all violations next to the logs.
+fn write_timelines(directory: &Path, report: &RunReport) -> Result<()> {
+    let mut text = String::new();
+    for violation in &report.violations {
+        let Violation {
+            invariant,
+            at,
+            reason,
+            ..
+        } = violation;
+        text += &format!("{invariant} at {at}: {reason}\n");
+        for line in &violation.timeline {
+            text += &format!("  {line}\n");
+        }
+    }
+    let file = directory.join(TIMELINES_FILE);
+    fs::write(&file, text).wrap_err_with(|| format!("writing {}", file.display()))
+}
+
 fn print(seed: u64, report: &RunReport) {
     let tally = report.tally;
     println!(
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers of the relays. Each reuses its connection for many requests until the relay or a
 //! fault closes it, and records every request and its outcome.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use parsleylatch_http::SseReader;
 use parsleylatch_standin::body_digest;
-use parsleylatch_types::Millis;
+use parsleylatch_types::{Millis, MonoTime};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use tokio::{net::TcpStream, sync::watch, task::JoinHandle};
@@ -38,9 +38,27 @@
 const PROMPT_TOKENS: u64 = 1_000;
 /// Number of distinct prompts.
 const PROMPT_COUNT: u32 = 200;
-const MAX_REQUESTS_PER_CONNECTION: u32 = 40;
-/// Longest pause between two requests of a caller.
-const MAX_PAUSE_MS: u64 = 60;
+/// Caller that sends one request after the other.
+pub(crate) const STEADY: CallerHabit = CallerHabit {
+    requests_per_connection: 40,
+    pause_ms: 0..=60,
+    start_ms: 0..=0,
+    is_look_up_only: false,
+};
+/// Caller whose connection rests most of the time.
+pub(crate) const RESTING: CallerHabit = CallerHabit {
+    requests_per_connection: 40,
+    pause_ms: 2_000..=12_000,
+    start_ms: 0..=4_000,
+    is_look_up_only: false,
+};
+/// Caller that opens a connection for each look-up.
+pub(crate) const FRESH: CallerHabit = CallerHabit {
+    requests_per_connection: 1,
+    pause_ms: 0..=400,
+    start_ms: 0..=400,
+    is_look_up_only: true,
+};
 /// Time that a caller keeps waiting after the request timeout, to detect late responses.
 const RESPONSE_WAIT_SLACK_MS: Millis = Millis::new(2_500);
 /// Share of requests that the caller cancels.
@@ -64,6 +82,17 @@
     Done,
 }
 
+/// How a caller uses its connections.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerHabit {
+    requests_per_connection: u32,
+    /// Pause between two requests.
+    pause_ms: RangeInclusive<u64>,
+    /// Time from the start of the load to the first request.
+    start_ms: RangeInclusive<u64>,
+    is_look_up_only: bool,
+}
+
 /// State shared by all callers.
 #[derive(Clone)]
 pub(crate) struct CallerContext {
@@ -77,6 +106,7 @@
 /// A caller that sends one request at a time.
 pub(crate) struct Caller {
     context: CallerContext,
+    habit: CallerHabit,
     name: String,
     random: Pcg64Mcg,
     count: u64,
@@ -96,9 +126,15 @@
 }
 
 impl Caller {
-    pub(crate) fn new(context: CallerContext, name: String, random: Pcg64Mcg) -> Self {
+    pub(crate) fn new(
+        context: CallerContext,
+        habit: CallerHabit,
+        name: String,
+        random: Pcg64Mcg,
+    ) -> Self {
         Self {
             context,
+            habit,
             name,
             random,
             count: 0,
@@ -116,6 +152,11 @@
         {
             return;
         }
+        // A habit without a range draws nothing, so that the choices of its seeds stay as they are.
+        if *self.habit.start_ms.end() > 0 {
+            let start_ms = self.random.random_range(self.habit.start_ms.clone());
+            self.wait_ms(start_ms).await;
+        }
         while *self.context.phase.borrow() == Phase::Load {
             let relay = self
                 .random
@@ -126,14 +167,21 @@
         }
     }
 
+    /// Waits until the next request, or the end of the load.
     async fn pause(&mut self) {
-        let pause_ms = self.random.random_range(0..=MAX_PAUSE_MS);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let pause_ms = self.random.random_range(self.habit.pause_ms.clone());
+        self.wait_ms(pause_ms).await;
+    }
+
+    async fn wait_ms(&mut self, time_ms: u64) {
+        let done = self.context.phase.wait_for(|it| *it != Phase::Load);
+        // Both the time and the end of the load end the wait.
+        let _ = tokio::time::timeout(Duration::from_millis(time_ms), done).await;
     }
 
     async fn use_connection(&mut self, relay: usize) -> Result<()> {
         let mut connection = Connection::open(&self.context.environment, relay).await?;
-        for _ in 0..MAX_REQUESTS_PER_CONNECTION {
+        for _ in 0..self.habit.requests_per_connection {
             let spec = self.next_spec();
             let cancel_after = self.cancel_after();
             let outcome = self.send(relay, &mut connection, &spec, cancel_after).await;
@@ -142,6 +190,9 @@
                 return Ok(());
             }
             self.pause().await;
+            if *self.context.phase.borrow() != Phase::Load {
+                return Ok(());
+            }
         }
         Ok(())
     }
@@ -149,7 +200,9 @@
     fn next_spec(&mut self) -> RequestSpec {
         let percentile = self.random.random_range(0..100);
         let newest = *self.context.newest_version.borrow();
-        let kind = if percentile < STREAM_PERCENT {
+        let kind = if self.habit.is_look_up_only {
+            RequestKind::LookUp
+        } else if percentile < STREAM_PERCENT {
             RequestKind::Stream
         } else if percentile < STREAM_PERCENT + BOOKING_PERCENT {
             RequestKind::Booking
@@ -220,9 +273,12 @@
             last_event: spec.last_event,
             route_version: spec.route_version,
             timeout_ms: spec.timeout_ms,
+            connection_opened_at: connection.opened_at,
+            requests_before: connection.requests,
             run_time_us: environment.run_time.elapsed(),
             sent_at: environment.clock.now(),
         });
+        connection.requests += 1;
         let response = connection.send_and_receive(method, &id, spec);
         let outcome = match cancel_after {
             Some(limit) => tokio::time::timeout(limit, response)
@@ -308,6 +364,9 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    opened_at: MonoTime,
+    /// Number of requests that it has carried.
+    requests: u32,
 }
 
 impl Drop for Connection {
@@ -329,7 +388,12 @@
             // Connection errors surface in the requests on it.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            opened_at: environment.clock.now(),
+            requests: 0,
+        })
     }
 
     async fn send_and_receive(&mut self, method: &str, id: &str, spec: &RequestSpec) -> Outcome {
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -3,58 +3,40 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use parsleylatch_standin::{ArrivedRequest, RelayedNotice, call_text, event_text};
+use parsleylatch_standin::{ArrivedRequest, call_text, event_text};
 use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime};
 
 use crate::{
     disturbances::{DisturbanceLog, Scope},
     invariants::{
-        Invariant, MAX_ATTEMPTS, MAX_CONFIGURATION_DELAY_MS, MAX_DRAIN_DELAY_MS, Violation,
+        Invariant, LOSS_SLACK_MS, MAX_ATTEMPTS, MAX_CONFIGURATION_DELAY_MS, MAX_DRAIN_DELAY_MS,
+        NEW_CALLER_WAIT_MS, Violation,
     },
     lifecycle::STOP_TIMEOUT_MS,
-    observations::{Observed, Outcome, RequestKind, SentRequest, Tally},
+    loss_judge::{EndedRequest, Loss, LossJudge, is_sent_early_in_stop, last_part_of_stop},
+    notice_checks::NoticeChecks,
+    observations::{Observed, Outcome, RequestKind, SentRequest, Tally, find_alteration},
+    timeline::{EventLog, RequestHistory},
 };
 
 /// Last part of a request's timeout, in which a relay may give it up.
 const LAST_PART_OF_TIMEOUT: u64 = 10;
-/// Last part of a planned stop, in which a relay may end what its endpoints are still at work on.
-const LAST_PART_OF_STOP: u64 = 6;
-/// Time after the signal until which a request counts as sent early in a planned stop.
-const EARLY_IN_STOP_MS: Millis = Millis::new(3_000);
 /// Extra time for a response to reach the caller. Half of it allows for scheduling delays, as
 /// callers and endpoints run on the same machine.
 const RESPONSE_SLACK_MS: Millis = Millis::new(1_000);
 /// Time that a request may be in transit to an endpoint.
-const ARRIVAL_SLACK_MS: Millis = Millis::new(200);
-/// Age from which the relay is assumed to have read a request whose connection closes. Time in
-/// which the traffic thread, which has the links, was held up doesn't count.
-const READ_SLACK_MS: Millis = Millis::new(200);
+pub(crate) const ARRIVAL_SLACK_MS: Millis = Millis::new(200);
 /// Part of a request's time for which the traffic thread may have been held up. Beyond it, all
 /// endpoints were silent together.
 const MAX_HELD_UP_MS: Millis = Millis::new(500);
-/// Time in which requests may be on their way when an endpoint asks for a pause.
-const PAUSE_SLACK_MS: Millis = Millis::new(500);
-/// Requests that an endpoint may get from one relay in the rest of a pause.
-const MAX_ARRIVALS_IN_PAUSE: u32 = 2;
 
 struct TrackedRequest {
     sent: SentRequest,
     runs: usize,
     is_refused: bool,
-}
-
-/// What one endpoint has said to one relay.
-#[derive(Clone, Copy, Debug, Default)]
-struct HeardNotices {
-    leaving_since: Option<MonoTime>,
-    pause: Option<HeardPause>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct HeardPause {
-    asked_at: MonoTime,
-    until: MonoTime,
-    arrivals: u32,
+    arrivals: Vec<(MonoTime, EndpointId)>,
+    /// When it ended, and how.
+    ended: Option<(MonoTime, String)>,
 }
 
 /// Records all requests and checks them against the invariants.
@@ -62,19 +44,35 @@
 pub(crate) struct InvariantChecker {
     requests: HashMap<String, TrackedRequest>,
     pub(crate) disturbance_log: DisturbanceLog,
+    pub(crate) event_log: EventLog,
+    loss_judge: LossJudge,
     draining: HashMap<EndpointId, MonoTime>,
     /// Time of the last planned stop, by index of the relay.
     stops: HashMap<usize, MonoTime>,
-    /// By endpoint and index of the relay.
-    heard_notices: HashMap<(EndpointId, usize), HeardNotices>,
+    notice_checks: NoticeChecks,
     configurations: HashMap<u64, MonoTime>,
     violations: Vec<Violation>,
     tally: Tally,
 }
 
 impl InvariantChecker {
-    pub(crate) fn violations(&self) -> &[Violation] {
-        &self.violations
+    /// Judges what only the whole run shows, and returns all violations with the timelines of
+    /// their requests.
+    pub(crate) fn finish(&mut self) -> Vec<Violation> {
+        let losses = self.loss_judge.finish();
+        self.report_losses(losses);
+        let mut violations = std::mem::take(&mut self.violations);
+        for violation in &mut violations {
+            let request = violation.request.as_ref();
+            if let Some(tracked) = request.and_then(|id| self.requests.get(id)) {
+                violation.timeline = self.event_log.timeline(&RequestHistory {
+                    sent: &tracked.sent,
+                    arrivals: &tracked.arrivals,
+                    ended: tracked.ended.as_ref(),
+                });
+            }
+        }
+        violations
     }
 
     pub(crate) fn tally(&self) -> Tally {
@@ -86,14 +84,32 @@
             invariant,
             at,
             reason,
+            request: None,
+            timeline: Vec::new(),
         });
     }
 
+    /// Reports a violation that one request shows.
+    fn report_request(&mut self, invariant: Invariant, at: MonoTime, id: &str, reason: String) {
+        self.report(invariant, at, reason);
+        if let Some(violation) = self.violations.last_mut() {
+            violation.request = Some(id.to_owned());
+        }
+    }
+
+    fn report_losses(&mut self, losses: Vec<Loss>) {
+        for loss in losses {
+            self.report_request(loss.invariant, loss.at, &loss.id, loss.reason);
+        }
+    }
+
     pub(crate) fn record_sent(&mut self, sent: SentRequest) {
         self.tally.sent += 1;
         let tracked = TrackedRequest {
             runs: 0,
             is_refused: false,
+            arrivals: Vec::new(),
+            ended: None,
             sent,
         };
         self.requests.insert(tracked.sent.id.clone(), tracked);
@@ -107,23 +123,35 @@
     /// Records that an endpoint has been replaced by a new process.
     pub(crate) fn record_replacement(&mut self, endpoint: &EndpointId) {
         self.draining.remove(endpoint);
-        self.heard_notices.retain(|(heard, _), _| heard != endpoint);
+        self.notice_checks.forget_endpoint(endpoint);
     }
 
     /// Records that a planned stop of a relay begins.
     pub(crate) fn record_stop(&mut self, now: MonoTime, relay: usize) {
         self.stops.insert(relay, now);
+        self.loss_judge.record_stop(now, relay);
+    }
+
+    /// Records that a relay is asked to reload its settings.
+    pub(crate) fn record_hang_up(&mut self, now: MonoTime, relay: usize) {
+        self.loss_judge.record_hang_up(now, relay);
     }
 
     /// Records that a relay's process starts, which knows no notices.
-    pub(crate) fn record_relay_start(&mut self, relay: usize) {
-        self.heard_notices
-            .retain(|(_, heard_by), _| *heard_by != relay);
+    pub(crate) fn record_relay_start(&mut self, now: MonoTime, relay: usize) {
+        self.loss_judge.record_start(now, relay);
+        self.notice_checks.forget_relay(relay);
     }
 
     /// Records that the store has acknowledged a configuration version.
-    pub(crate) fn record_configuration(&mut self, now: MonoTime, version: u64) {
-        self.configurations.insert(version, now);
+    pub(crate) fn record_configuration(
+        &mut self,
+        sent_at: MonoTime,
+        confirmed_at: MonoTime,
+        version: u64,
+    ) {
+        self.configurations.insert(version, confirmed_at);
+        self.loss_judge.record_configuration(sent_at, confirmed_at);
     }
 
     pub(crate) fn record_arrival(&mut self, now: MonoTime, arrived: &ArrivedRequest) {
@@ -135,6 +163,7 @@
             return self.report(Invariant::RequestIntegrity, now, reason);
         };
         tracked.runs += usize::from(arrived.has_run);
+        tracked.arrivals.push((now, arrived.endpoint.clone()));
         let (sent, runs) = (tracked.sent.clone(), tracked.runs);
         let is_refused = tracked.is_refused;
         if arrived.has_run {
@@ -155,51 +184,14 @@
             );
             self.report(Invariant::Drain, now, reason);
         }
-        self.check_notices(now, &sent, arrived);
-    }
-
-    /// Checks a request against what its endpoint has said to the relay before, and records
-    /// what the response says.
-    fn check_notices(&mut self, now: MonoTime, sent: &SentRequest, arrived: &ArrivedRequest) {
-        let key = (arrived.endpoint.clone(), sent.relay);
-        let mut heard = self.heard_notices.get(&key).copied().unwrap_or_default();
-        let id = &sent.id;
-        if let Some(since) = heard.leaving_since
-            && sent.sent_at > since + MAX_DRAIN_DELAY_MS
-            && now > since + MAX_DRAIN_DELAY_MS + ARRIVAL_SLACK_MS
-            && self.is_relay_undisturbed(sent.relay, since, now)
-        {
-            let reason = format!("{id} arrived at {}, which has said that it leaves", key.0);
-            self.report(Invariant::LeavingNotice, now, reason);
-        }
-        if let Some(pause) = &mut heard.pause
-            && now > pause.asked_at + PAUSE_SLACK_MS
-            && now < pause.until
-        {
-            pause.arrivals += 1;
-            let (asked_at, arrivals) = (pause.asked_at, pause.arrivals);
-            if arrivals > MAX_ARRIVALS_IN_PAUSE
-                && self.is_relay_undisturbed(sent.relay, asked_at, now)
-            {
-                let reason = format!("{id} arrived at {} within its pause", key.0);
-                self.report(Invariant::PauseNotice, now, reason);
-            }
+        let log = &self.disturbance_log;
+        let is_undisturbed = |since| is_relay_undisturbed(log, sent.relay, since, now);
+        let violations = self
+            .notice_checks
+            .check(now, &sent, arrived, is_undisturbed);
+        for (invariant, reason) in violations {
+            self.report(invariant, now, reason);
         }
-        match arrived.notice {
-            Some(RelayedNotice::Leaving) => {
-                heard.leaving_since.get_or_insert(now);
-            }
-            Some(RelayedNotice::Pause(pause_ms)) => {
-                heard.pause.get_or_insert(HeardPause {
-                    asked_at: now,
-                    until: now + pause_ms,
-                    arrivals: 0,
-                });
-            }
-            None => {}
-        }
-        heard.pause = heard.pause.filter(|pause| now < pause.until);
-        self.heard_notices.insert(key, heard);
     }
 
     fn check_run(&mut self, now: MonoTime, sent: &SentRequest, runs: usize, is_refused: bool) {
@@ -210,7 +202,7 @@
         }
         if is_once_only && is_refused {
             let reason = format!("{} ran after it had been refused as not run", sent.id);
-            self.report(Invariant::NotRunRefusal, now, reason);
+            self.report_request(Invariant::NotRunRefusal, now, &sent.id, reason);
         }
         if runs > MAX_ATTEMPTS {
             let reason = format!("{} ran {runs} times; the limit is {MAX_ATTEMPTS}", sent.id);
@@ -224,6 +216,8 @@
             return;
         };
         tracked.is_refused = is_not_run(outcome);
+        tracked.ended = Some((now, outcome.summary()));
+        let arrivals = tracked.arrivals.clone();
         let (sent, runs) = (tracked.sent.clone(), tracked.runs);
         let finished = observed.finished.as_ref();
         let elapsed_us = now.since(sent.sent_at);
@@ -233,6 +227,10 @@
         let held_up_us = elapsed_us.saturating_sub(ran_us);
         let was_held_up = held_up_us > MAX_HELD_UP_MS.micros();
         self.update_tally(&sent, outcome);
+        if !was_held_up {
+            self.check_new_caller(now, &sent, arrivals.first().map(|(at, _)| *at), outcome);
+            self.judge_loss(now, &sent, arrivals, outcome, (ran_us, finished));
+        }
         match outcome {
             Outcome::Answered {
                 status: 200,
@@ -251,7 +249,7 @@
                 }
             }
             Outcome::Closed => {
-                let was_read = !was_held_up && (runs > 0 || ran_us > READ_SLACK_MS.micros());
+                let was_read = !was_held_up && (runs > 0 || ran_us > LOSS_SLACK_MS.micros());
                 self.check_aborted(now, &sent, runs, finished, was_read);
             }
             Outcome::Unanswered | Outcome::Left => {}
@@ -265,7 +263,60 @@
                 elapsed(&sent, now),
                 sent.timeout_ms
             );
-            self.report(Invariant::ResponseDeadline, now, reason);
+            self.report_request(Invariant::ResponseDeadline, now, &sent.id, reason);
+        }
+    }
+
+    /// Passes a request that its caller saw end to the judge of losses.
+    fn judge_loss(
+        &mut self,
+        now: MonoTime,
+        sent: &SentRequest,
+        passed_on: Vec<(MonoTime, EndpointId)>,
+        outcome: &Outcome,
+        (ran_us, finished): (Micros, Option<&(EndpointId, Duration)>),
+    ) {
+        let Some(end) = outcome.request_end() else {
+            return;
+        };
+        let ended = EndedRequest {
+            id: sent.id.clone(),
+            relay: sent.relay,
+            is_kept: sent.requests_before > 0,
+            may_resume: sent.kind == RequestKind::Stream,
+            sent_at: sent.sent_at,
+            timeout_ms: sent.timeout_ms,
+            passed_on,
+            end,
+            ended_at: now,
+            ran_us,
+            finished_for: finished.map(|(_, time)| Micros::from(*time)),
+        };
+        let losses = self.loss_judge.record_end(&self.disturbance_log, &ended);
+        self.report_losses(losses);
+    }
+
+    /// Checks that a look-up on a new connection was passed on, answered or refused in time.
+    fn check_new_caller(
+        &mut self,
+        now: MonoTime,
+        sent: &SentRequest,
+        arrived_at: Option<MonoTime>,
+        outcome: &Outcome,
+    ) {
+        let taken_at = arrived_at.map_or(now, |at| at.min(now));
+        if sent.kind == RequestKind::LookUp
+            && sent.requests_before == 0
+            && *outcome != Outcome::Left
+            && taken_at > sent.sent_at + NEW_CALLER_WAIT_MS
+            && self.is_relay_undisturbed(sent.relay, sent.sent_at, now)
+        {
+            let reason = format!(
+                "{} on a new connection was neither passed on, answered nor refused for {}",
+                sent.id,
+                elapsed(sent, taken_at)
+            );
+            self.report_request(Invariant::NewCallerSilence, now, &sent.id, reason);
         }
     }
 
@@ -328,7 +379,7 @@
                 elapsed(sent, now),
                 sent.timeout_ms
             );
-            self.report(Invariant::EarlyFailure, now, reason);
+            self.report_request(Invariant::EarlyFailure, now, &sent.id, reason);
         }
         let was_not_run = NOT_RUN_STATUSES.contains(&status);
         if was_not_run && sent.kind == RequestKind::Booking && runs > 0 {
@@ -336,7 +387,7 @@
                 "{} was refused as not run with status {status}, but ran",
                 sent.id
             );
-            self.report(Invariant::NotRunRefusal, now, reason);
+            self.report_request(Invariant::NotRunRefusal, now, &sent.id, reason);
         }
         let in_force_at = self.configurations.get(&sent.route_version);
         let due = in_force_at.map_or(MonoTime::ZERO, |at| *at + MAX_CONFIGURATION_DELAY_MS);
@@ -347,7 +398,7 @@
                 "{} was denied with status {status} although the configuration allows it",
                 sent.id
             );
-            self.report(Invariant::ConfigurationDelay, now, reason);
+            self.report_request(Invariant::ConfigurationDelay, now, &sent.id, reason);
         }
     }
 
@@ -406,15 +457,14 @@
                 sent.id,
                 elapsed(sent, now)
             );
-            self.report(Invariant::RequestLoss, now, reason);
+            self.report_request(Invariant::RequestLoss, now, &sent.id, reason);
         }
     }
 
     /// Whether a planned stop of the relay is in its last part, or has just ended.
     fn is_stop_ending(&self, relay: usize, now: MonoTime) -> bool {
         self.stops.get(&relay).is_some_and(|stop| {
-            let last_part = *stop + time_before_last_part(STOP_TIMEOUT_MS, LAST_PART_OF_STOP);
-            (last_part..=*stop + STOP_TIMEOUT_MS + RESPONSE_SLACK_MS).contains(&now)
+            (last_part_of_stop(*stop)..=*stop + STOP_TIMEOUT_MS + RESPONSE_SLACK_MS).contains(&now)
         })
     }
 
@@ -429,20 +479,25 @@
         let Some(stop) = self.stops.get(&sent.relay) else {
             return false;
         };
-        let last_part = *stop + time_before_last_part(STOP_TIMEOUT_MS, LAST_PART_OF_STOP);
-        sent.sent_at <= *stop + EARLY_IN_STOP_MS
+        let last_part = last_part_of_stop(*stop);
+        is_sent_early_in_stop(sent.sent_at, *stop)
             && self.is_stop_ending(sent.relay, now)
             && finished_for.is_none_or(|time| now.since(last_part) >= time)
     }
 
     /// Whether no disturbance affected the relay, the store or the endpoints.
     fn is_relay_undisturbed(&self, relay: usize, from: MonoTime, to: MonoTime) -> bool {
-        [Scope::Relay(relay), Scope::Shared]
-            .into_iter()
-            .all(|scope| self.disturbance_log.is_undisturbed(scope, from, to))
+        is_relay_undisturbed(&self.disturbance_log, relay, from, to)
     }
 }
 
+fn is_relay_undisturbed(log: &DisturbanceLog, relay: usize, from: MonoTime, to: MonoTime) -> bool {
+    log.is_undisturbed(from, to, |scope| match scope {
+        Scope::Relay(disturbed) => *disturbed == relay,
+        Scope::Store | Scope::Endpoint(_) => true,
+    })
+}
+
 /// Statuses that say that a request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Statuses of requests that may have run and that a relay gives up.
@@ -464,23 +519,3 @@
     let elapsed: Micros = now.since(sent.sent_at);
     elapsed.millis()
 }
-
-/// Describes how a request that arrived differs from the one that was sent, if it does.
-fn find_alteration(sent: &SentRequest, arrived: &ArrivedRequest) -> Option<String> {
-    let header = |name: &str| arrived.headers.get(name).map(String::as_str);
-    let (id, endpoint) = (&sent.id, &arrived.endpoint);
-    if arrived.target != sent.target || arrived.body_digest != sent.body_digest {
-        let target = &arrived.target;
-        return Some(format!(
-            "{endpoint} received {id} with target `{target}`, or with a different body"
-        ));
-    }
-    if header("workspace-key").is_some() {
-        return Some(format!("{endpoint} received the caller's key with {id}"));
-    }
-    if header("workspace") != Some(sent.workspace) {
-        let named = header("workspace");
-        return Some(format!("{endpoint} received {id} for workspace {named:?}"));
-    }
-    None
-}
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -4,9 +4,8 @@
 use std::{fs, sync::Arc};
 
 use eyre::{Result, WrapErr, eyre};
-use parsleylatch_bench::process::{Signal, resident_memory, send_signal};
+use parsleylatch_bench::process::{Signal, open_descriptors, resident_memory, send_signal};
 use parsleylatch_runtime::Clock;
-use parsleylatch_standin::{FaultSpec, RelayedFault, RelayedNotice, Silence, StoreFault};
 use parsleylatch_types::{Millis, MonoTime};
 use tokio::sync::{mpsc, watch};
 
@@ -14,10 +13,9 @@
     callers::Phase,
     disturbances::{SETTLE_MS, Scope},
     environment::Environment,
-    invariants::{Invariant, MAX_DRAIN_DELAY_MS, MEMORY_LIMIT_BYTES},
+    invariants::{Invariant, MEMORY_LIMIT_BYTES},
     lifecycle::{ProcessEffect, ProcessEvent, ProcessLifecycle, ProcessState},
-    link::{Link, LinkMode},
-    plan::{Fault, PlannedFault},
+    plan::PlannedFault,
     process::{ProcessChange, ProcessUpdate, RelayProgram},
 };
 
@@ -25,35 +23,30 @@
 const UPDATE_BUFFER: usize = 256;
 /// Time limit for all relays to run, at the start and after the load.
 const ALL_RUNNING_TIMEOUT_MS: Millis = Millis::new(20_000);
-/// Time beyond [`MAX_DRAIN_DELAY_MS`] after which a draining endpoint is replaced.
-const REPLACEMENT_SLACK_MS: Millis = Millis::new(1_500);
-/// Times for which a relay on a part of a core is stopped and runs, in turn.
-const PART_CORE_STOPPED_MS: Millis = Millis::new(88);
-const PART_CORE_RUNNING_MS: Millis = Millis::new(12);
 const MEMORY_CHECK_INTERVAL_MS: Millis = Millis::new(500);
 
 /// Action that runs later, such as ending a fault.
-type ScheduledAction = Box<dyn FnOnce(&mut Controller) + Send>;
+pub(crate) type ScheduledAction = Box<dyn FnOnce(&mut Controller) + Send>;
 
-struct ManagedRelay {
-    lifecycle: ProcessLifecycle,
+pub(crate) struct ManagedRelay {
+    pub(crate) lifecycle: ProcessLifecycle,
     pid: Option<u32>,
-    revision: u64,
+    pub(crate) revision: u64,
     /// Number of the ongoing unplanned outage in the disturbance log.
     outage: Option<usize>,
 }
 
 /// State of the control thread.
 pub(crate) struct Controller {
-    environment: Arc<Environment>,
-    clock: Clock,
-    program: RelayProgram,
-    relays: Vec<ManagedRelay>,
+    pub(crate) environment: Arc<Environment>,
+    pub(crate) clock: Clock,
+    pub(crate) program: RelayProgram,
+    pub(crate) relays: Vec<ManagedRelay>,
     updates: mpsc::Receiver<ProcessUpdate>,
     update_sender: mpsc::Sender<ProcessUpdate>,
-    scheduled_actions: Vec<(MonoTime, ScheduledAction)>,
+    pub(crate) scheduled_actions: Vec<(MonoTime, ScheduledAction)>,
     phase: watch::Sender<Phase>,
-    newest_version: watch::Sender<u64>,
+    pub(crate) newest_version: watch::Sender<u64>,
     next_memory_check_at: MonoTime,
 }
 
@@ -189,6 +182,7 @@
         if self.next_memory_check_at <= now {
             self.next_memory_check_at = now + MEMORY_CHECK_INTERVAL_MS;
             self.check_memory(now);
+            self.log_open_connections();
         }
         Ok(())
     }
@@ -210,6 +204,17 @@
         }
     }
 
+    /// Adds what each relay holds open to the timelines.
+    fn log_open_connections(&self) {
+        for (relay, pid) in self.pids() {
+            let open = self.environment.caller_links[relay].open_connections();
+            // A process that is exiting has no descriptors left to list.
+            let descriptors = open_descriptors(pid).unwrap_or_default();
+            let what = format!("{open} connections of callers, {descriptors} descriptors in use");
+            self.log_event(Some(relay), what);
+        }
+    }
+
     fn pids(&self) -> Vec<(usize, u32)> {
         let relays = self.relays.iter().enumerate();
         relays
@@ -226,11 +231,13 @@
             ProcessChange::Started(address) => {
                 self.environment.caller_links[relay].set_server_address(address);
                 self.end_outage(relay);
+                self.log_event(Some(relay), format!("accepts callers at {address}"));
                 self.relays[relay]
                     .lifecycle
                     .handle(now, ProcessEvent::Started)
             }
             ProcessChange::Exited(status) => {
+                self.log_event(Some(relay), format!("process exited, {status}"));
                 let managed = &mut self.relays[relay];
                 managed.pid = None;
                 let effects = managed.lifecycle.handle(now, ProcessEvent::Exited);
@@ -246,7 +253,11 @@
         self.apply_effects(relay, effects)
     }
 
-    fn apply_effects(&mut self, relay: usize, effects: Vec<ProcessEffect>) -> Result<()> {
+    pub(crate) fn apply_effects(
+        &mut self,
+        relay: usize,
+        effects: Vec<ProcessEffect>,
+    ) -> Result<()> {
         for effect in effects {
             let now = self.clock.now();
             let report = |reason: &str| {
@@ -259,20 +270,26 @@
                 ProcessEffect::Spawn => {
                     let pid = self.program.spawn(relay, self.update_sender.clone())?;
                     self.relays[relay].pid = Some(pid);
-                    self.environment.checker().record_relay_start(relay);
+                    self.environment.checker().record_relay_start(now, relay);
+                    self.log_event(Some(relay), format!("process {pid} started"));
                 }
                 ProcessEffect::SendStop => {
+                    self.log_event(Some(relay), "SIGTERM sent");
                     self.environment.checker().record_stop(now, relay);
                     self.signal(relay, Signal::Term);
                 }
                 ProcessEffect::SendKill => {
+                    self.log_event(Some(relay), "SIGKILL sent");
                     if self.environment.broken_invariant != Some(Invariant::RequestLoss) {
                         self.begin_outage(relay);
                     }
                     self.signal(relay, Signal::Kill);
                 }
                 ProcessEffect::SendPause => {
-                    if self.environment.broken_invariant != Some(Invariant::ResponseDeadline) {
+                    self.log_event(Some(relay), "paused");
+                    let unrecorded = [Invariant::ResponseDeadline, Invariant::NewCallerSilence];
+                    let broken = self.environment.broken_invariant;
+                    if broken.is_none_or(|it| !unrecorded.contains(&it)) {
                         self.begin_outage(relay);
                     }
                     self.signal(relay, Signal::Stop);
@@ -280,8 +297,13 @@
                 ProcessEffect::SendContinue => {
                     self.signal(relay, Signal::Cont);
                     self.end_outage(relay);
+                    self.log_event(Some(relay), "continued");
+                }
+                ProcessEffect::SendHangUp => {
+                    self.environment.checker().record_hang_up(now, relay);
+                    self.log_event(Some(relay), "SIGHUP sent");
+                    self.signal(relay, Signal::Hup);
                 }
-                ProcessEffect::SendHangUp => self.signal(relay, Signal::Hup),
                 ProcessEffect::ReportUnexpectedExit => report("exited unexpectedly"),
                 ProcessEffect::ReportStartTimeout => report("did not start in time"),
                 ProcessEffect::ReportStopTimeout => report("did not exit within the stop timeout"),
@@ -312,13 +334,20 @@
             self.environment
                 .checker()
                 .disturbance_log
-                .end(now, scope, number);
+                .end(now, &scope, number);
         }
     }
 
+    /// Adds an event to the timelines of requests.
+    pub(crate) fn log_event(&self, relay: Option<usize>, what: impl Into<String>) {
+        let now = self.clock.now();
+        let mut checker = self.environment.checker();
+        checker.event_log.record(now, relay, what.into());
+    }
+
     /// Signals a relay process. A failure is only logged: if the process has just exited, its
     /// exit notification follows.
-    fn signal(&self, relay: usize, signal: Signal) {
+    pub(crate) fn signal(&self, relay: usize, signal: Signal) {
         if let Some(pid) = self.relays[relay].pid
             && let Err(error) = send_signal(pid, signal)
         {
@@ -326,207 +355,6 @@
         }
     }
 
-    fn inject_planned_fault(&mut self, fault: Fault) -> Result<()> {
-        let now = self.clock.now();
-        let environment = Arc::clone(&self.environment);
-        match fault {
-            Fault::StopRelay(relay) => return self.apply_event(relay, ProcessEvent::StopRequested),
-            Fault::KillRelay(relay)
-                if environment.broken_invariant == Some(Invariant::ProcessExit) =>
-            {
-                self.signal(relay, Signal::Kill);
-            }
-            Fault::KillRelay(relay) => return self.apply_event(relay, ProcessEvent::KillRequested),
-            Fault::PauseRelay(relay, pause_ms) => {
-                let effects = self.relays[relay].lifecycle.pause(now, pause_ms);
-                return self.apply_effects(relay, effects);
-            }
-            Fault::ChangeSettings { relay, with_signal } => {
-                let managed = &mut self.relays[relay];
-                managed.revision += 1;
-                let store = environment.store_links[relay].address;
-                self.program
-                    .write_settings(relay, store, managed.revision)?;
-                if with_signal {
-                    return self.apply_event(relay, ProcessEvent::HangUpRequested);
-                }
-            }
-            Fault::ChangeConfiguration => {
-                let version = *self.newest_version.borrow() + 1;
-                if environment.broken_invariant != Some(Invariant::ConfigurationDelay) {
-                    environment.write_configuration(version);
-                }
-                environment.checker().record_configuration(now, version);
-                self.newest_version.send_replace(version);
-            }
-            Fault::DrainEndpoint(index) => self.drain_endpoint(index),
-            Fault::Notice(index, notice) => self.announce(index, notice),
-            Fault::CallerLink(relay, mode, duration_ms) => {
-                let link = environment.caller_links[relay].clone();
-                self.disturb_link(link, mode, duration_ms, Scope::Relay(relay));
-            }
-            Fault::StoreLink(relay, mode, duration_ms) => {
-                let link = environment.store_links[relay].clone();
-                self.disturb_link(link, mode, duration_ms, Scope::Relay(relay));
-            }
-            Fault::EndpointLink(index, mode, duration_ms) => {
-                let link = environment.endpoints[index].link.clone();
-                self.disturb_link(link, mode, duration_ms, Scope::Shared);
-            }
-            Fault::CrashEndpoint(index, duration_ms) => {
-                let link = environment.endpoints[index].link.clone();
-                self.disturb_link(link, LinkMode::Reset, duration_ms, Scope::Shared);
-                self.schedule(duration_ms, move |it| it.environment.replace(index));
-            }
-            Fault::Endpoint {
-                index,
-                fault,
-                delay_ms,
-                duration_ms,
-            } => {
-                let inject = || environment.set_endpoint_fault(index, fault, delay_ms);
-                self.inject_for(duration_ms, Scope::Shared, inject, move |controller| {
-                    controller.environment.set_endpoint_fault(
-                        index,
-                        RelayedFault::None,
-                        Millis::ZERO,
-                    );
-                });
-            }
-            Fault::Silence {
-                index,
-                duration_ms,
-                answering_ms,
-            } => {
-                environment.set_silence(index, Silence::All);
-                let end_ms = duration_ms.saturating_sub(answering_ms);
-                self.schedule(end_ms, move |it| {
-                    it.environment.set_silence(index, Silence::Work);
-                    it.schedule(answering_ms, move |it| {
-                        it.environment.set_silence(index, Silence::None);
-                    });
-                });
-            }
-            Fault::PartCore(relay, duration_ms) => self.run_on_part_core(relay, now + duration_ms),
-            Fault::Store {
-                fault,
-                delay_ms,
-                duration_ms,
-            } => {
-                let fault_spec = move |fault| FaultSpec {
-                    fault,
-                    at_index: None,
-                    delay_ms: Some(delay_ms),
-                };
-                let inject = || environment.store.inject_fault(fault_spec(fault));
-                self.inject_for(duration_ms, Scope::Shared, inject, move |controller| {
-                    controller
-                        .environment
-                        .store
-                        .inject_fault(fault_spec(StoreFault::None));
-                });
-            }
-        }
-        Ok(())
-    }
-
-    fn apply_event(&mut self, relay: usize, event: ProcessEvent) -> Result<()> {
-        let now = self.clock.now();
-        let effects = self.relays[relay].lifecycle.handle(now, event);
-        self.apply_effects(relay, effects)
-    }
-
-    /// Marks an endpoint as leaving, and replaces it once no relay may use it any more. It stays
-    /// if the relays are not told on purpose, so that requests arrive at it on a busy machine, too.
-    fn drain_endpoint(&mut self, index: usize) {
-        let environment = &self.environment;
-        let id = environment.endpoints[index].id.clone();
-        if environment.broken_invariant == Some(Invariant::Drain) {
-            return environment.checker().record_draining(self.clock.now(), id);
-        }
-        environment.register(index, true);
-        environment.checker().record_draining(self.clock.now(), id);
-        let delay_ms = MAX_DRAIN_DELAY_MS.saturating_add(REPLACEMENT_SLACK_MS);
-        self.schedule(delay_ms, move |it| it.environment.replace(index));
-    }
-
-    /// Makes an endpoint say that it leaves, until it is replaced, or that it pauses. One that
-    /// leaves without saying so on purpose stays, as in [`Self::drain_endpoint`].
-    fn announce(&mut self, index: usize, notice: RelayedNotice) {
-        self.environment.set_notice(index, Some(notice));
-        if self.environment.broken_invariant == Some(Invariant::LeavingNotice) {
-            return;
-        }
-        let delay_ms = match notice {
-            RelayedNotice::Leaving => MAX_DRAIN_DELAY_MS.saturating_add(REPLACEMENT_SLACK_MS),
-            RelayedNotice::Pause(pause_ms) => pause_ms,
-        };
-        self.schedule(delay_ms, move |it| {
-            it.environment.set_notice(index, None);
-            if notice == RelayedNotice::Leaving {
-                it.environment.replace(index);
-            }
-        });
-    }
-
-    fn disturb_link(&mut self, link: Link, mode: LinkMode, duration_ms: Millis, scope: Scope) {
-        let target = link.clone();
-        let inject = || target.set_mode(mode);
-        self.inject_for(duration_ms, scope, inject, move |_| {
-            link.set_mode(LinkMode::Pass);
-        });
-    }
-
-    /// Stops and continues a relay in turn until a time. It is never left stopped: the loop ends
-    /// after the relay has been continued, and a controller that is dropped kills the relays.
-    fn run_on_part_core(&mut self, relay: usize, until: MonoTime) {
-        if self.clock.now() >= until {
-            return;
-        }
-        self.signal(relay, Signal::Stop);
-        self.schedule(PART_CORE_STOPPED_MS, move |it| {
-            it.signal(relay, Signal::Cont);
-            it.schedule(PART_CORE_RUNNING_MS, move |it| {
-                it.run_on_part_core(relay, until);
-            });
-        });
-    }
-
-    /// Records a disturbance, injects the fault and schedules its end. The disturbance is
-    /// recorded first, as callers on another thread can observe the fault immediately.
-    fn inject_for<Inject, Undo>(
-        &mut self,
-        duration_ms: Millis,
-        scope: Scope,
-        inject: Inject,
-        undo: Undo,
-    ) where
-        Inject: FnOnce(),
-        Undo: FnOnce(&mut Controller) + Send + 'static,
-    {
-        let now = self.clock.now();
-        let is_recorded = self.environment.broken_invariant != Some(Invariant::EarlyFailure);
-        let number =
-            is_recorded.then(|| self.environment.checker().disturbance_log.begin(now, scope));
-        inject();
-        self.schedule(duration_ms, move |controller| {
-            undo(controller);
-            if let Some(number) = number {
-                let now = controller.clock.now();
-                let checker = &mut controller.environment.checker();
-                checker.disturbance_log.end(now, scope, number);
-            }
-        });
-    }
-
-    fn schedule<Action>(&mut self, after_ms: Millis, action: Action)
-    where
-        Action: FnOnce(&mut Controller) + Send + 'static,
-    {
-        let at = self.clock.now() + after_ms;
-        self.scheduled_actions.push((at, Box::new(action)));
-    }
-
     /// Keeps handling events until all callers have finished.
     pub(crate) async fn run_until_callers_finish(&mut self) -> Result<()> {
         while self.phase.receiver_count() > 0 {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -19,7 +19,7 @@
     checker::InvariantChecker,
     invariants::{Invariant, LONG_STREAM_TIMEOUT_MS, MAX_ATTEMPTS, REQUEST_TIMEOUT_MS},
     link::Link,
-    plan::Targets,
+    plan::{Profile, Targets},
     run_time::RunTime,
 };
 
@@ -47,6 +47,14 @@
 /// Number of newest configuration versions whose added routes remain configured.
 const RETAINED_VERSION_ROUTES: u64 = 3;
 
+/// Limits of the configuration in the limits profile, by version in turn.
+const HEAD_BYTES: [u64; 2] = [64 << 10, 16 << 10];
+const IDLE_TIMEOUTS_MS: [Millis; 3] = [
+    Millis::new(30_000),
+    Millis::new(15_000),
+    Millis::new(60_000),
+];
+
 /// An endpoint with its link and registry data.
 pub(crate) struct ManagedEndpoint {
     pub(crate) id: EndpointId,
@@ -66,6 +74,7 @@
     pub(crate) endpoints: Vec<ManagedEndpoint>,
     pub(crate) caller_links: Vec<Link>,
     pub(crate) store_links: Vec<Link>,
+    profile: Profile,
     /// Invariant that the deployment violates on purpose.
     pub(crate) broken_invariant: Option<Invariant>,
     checker: Arc<Mutex<InvariantChecker>>,
@@ -85,6 +94,7 @@
     pub(crate) async fn start(
         clock: Clock,
         targets: Targets,
+        profile: Profile,
         broken_invariant: Option<Invariant>,
     ) -> io::Result<Self> {
         let checker: Arc<Mutex<InvariantChecker>> = Arc::default();
@@ -103,6 +113,7 @@
             endpoints: Vec::new(),
             caller_links: Vec::new(),
             store_links: Vec::new(),
+            profile,
             broken_invariant,
             checker,
             store,
@@ -182,8 +193,15 @@
 
     /// Writes a configuration version; each version after the first adds a route.
     pub(crate) fn write_configuration(&self, version: u64) {
-        let text = configuration(version, self.broken_invariant).to_string();
-        self.store.put("operator/configuration", &text);
+        let mut document = configuration(version, self.broken_invariant);
+        if self.profile == Profile::Limits {
+            let turn = version as usize;
+            document["limits"]["head_bytes"] = json!(HEAD_BYTES[turn % HEAD_BYTES.len()]);
+            let idle_timeout_ms = IDLE_TIMEOUTS_MS[turn % IDLE_TIMEOUTS_MS.len()];
+            document["limits"]["idle_timeout_ms"] = json!(idle_timeout_ms);
+        }
+        self.store
+            .put("operator/configuration", &document.to_string());
     }
 }
 
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -13,6 +13,11 @@
 pub(crate) const REQUEST_TIMEOUT_MS: Millis = Millis::new(4_000);
 /// Timeout of streams that last several seconds.
 pub(crate) const LONG_STREAM_TIMEOUT_MS: Millis = Millis::new(10_000);
+/// Time after the last byte of a request from which the relay is assumed to have read it. Time in
+/// which the traffic thread, which has the links, was held up doesn't count.
+pub(crate) const LOSS_SLACK_MS: Millis = Millis::new(200);
+/// Time within which a look-up on a new connection is passed on, answered or refused.
+pub(crate) const NEW_CALLER_WAIT_MS: Millis = Millis::new(2_000);
 /// Limit of a relay's resident memory, as specified by the operators.
 pub(crate) const MEMORY_LIMIT_BYTES: u64 = 260 << 20;
 
@@ -44,6 +49,14 @@
     /// Planned stops and changes lose no request.
     #[strum(serialize = "lost")]
     RequestLoss,
+    /// A relay in touch closes at most three kept connections with a request that it has passed
+    /// on to a sound endpoint.
+    KeptConnectionLoss,
+    /// A request that a relay has read gets a complete response around planned work, also beside
+    /// a disturbed store if it can't resume.
+    PlannedWorkLoss,
+    /// A relay takes up or refuses a look-up on a new connection in time.
+    NewCallerSilence,
     /// A request of sound endpoints isn't given up while time is left.
     EarlyFailure,
     /// A draining endpoint receives no new requests.
@@ -74,4 +87,8 @@
     pub at: MonoTime,
     /// Observation that shows the violation.
     pub reason: String,
+    /// Id of the request that shows it, if it is one.
+    pub request: Option<String>,
+    /// What happened to the request and around it.
+    pub timeline: Vec<String>,
 }
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -4,7 +4,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -63,6 +66,7 @@
     pub(crate) address: SocketAddr,
     mode: Arc<watch::Sender<LinkMode>>,
     server_address: Arc<Mutex<Option<SocketAddr>>>,
+    open_connections: Arc<AtomicUsize>,
 }
 
 impl Link {
@@ -77,6 +81,7 @@
             address: socket.local_addr()?,
             mode: Arc::new(watch::Sender::new(LinkMode::Pass)),
             server_address: Arc::new(Mutex::new(server_address)),
+            open_connections: Arc::default(),
         };
         let accepting = link.clone();
         tokio::spawn(async move {
@@ -100,6 +105,11 @@
             .unwrap_or_else(PoisonError::into_inner) = Some(server_address);
     }
 
+    /// Number of connections to the server that the link has open.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     async fn proxy_connection(self, mut client: TcpStream) {
         let server_address = *self
             .server_address
@@ -113,7 +123,9 @@
         let Some(mut server) = server else {
             return reset(&client);
         };
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
         let is_orderly = self.copy_both_ways(&mut client, &mut server).await;
+        self.open_connections.fetch_sub(1, Ordering::Relaxed);
         if !is_orderly {
             reset(&client);
             reset(&server);
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use parsleylatch_standin::ArrivedRequest;
 use parsleylatch_types::{EndpointId, Micros, Millis, MonoTime};
 
+use crate::loss_judge::RequestEnd;
+
 /// Kind of a request, which determines how often it may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestKind {
@@ -34,6 +37,9 @@
     /// Configuration version that added its route; 0 for the routes of the first version.
     pub(crate) route_version: u64,
     pub(crate) timeout_ms: Millis,
+    pub(crate) connection_opened_at: MonoTime,
+    /// Number of requests that its connection has carried before.
+    pub(crate) requests_before: u32,
     /// Run time of the traffic thread when it was sent.
     pub(crate) run_time_us: Micros,
     pub(crate) sent_at: MonoTime,
@@ -84,3 +90,56 @@
     /// Requests whose connection closed before a response.
     pub closed: u64,
 }
+
+impl Outcome {
+    /// How the request ended for its caller; none if the caller stopped waiting.
+    pub(crate) fn request_end(&self) -> Option<RequestEnd> {
+        match self {
+            Self::Answered { is_whole, .. } | Self::Streamed { is_whole, .. } => {
+                Some(match is_whole {
+                    true => RequestEnd::Complete,
+                    false => RequestEnd::Incomplete,
+                })
+            }
+            Self::Closed => Some(RequestEnd::Closed),
+            Self::Unanswered | Self::Left => None,
+        }
+    }
+
+    /// One line about the outcome.
+    pub(crate) fn summary(&self) -> String {
+        let whole = |is_whole: &bool| if *is_whole { "complete" } else { "incomplete" };
+        match self {
+            Self::Answered {
+                status, is_whole, ..
+            } => format!("answered with status {status}, {}", whole(is_whole)),
+            Self::Streamed { events, is_whole } => {
+                let count = events.len();
+                format!("stream ended after {count} events, {}", whole(is_whole))
+            }
+            Self::Closed => "connection closed without a response".to_owned(),
+            Self::Unanswered => "nothing arrived while the caller waited".to_owned(),
+            Self::Left => "the caller left".to_owned(),
+        }
+    }
+}
+
+/// Describes how a request that arrived differs from the one that was sent, if it does.
+pub(crate) fn find_alteration(sent: &SentRequest, arrived: &ArrivedRequest) -> Option<String> {
+    let header = |name: &str| arrived.headers.get(name).map(String::as_str);
+    let (id, endpoint) = (&sent.id, &arrived.endpoint);
+    if arrived.target != sent.target || arrived.body_digest != sent.body_digest {
+        let target = &arrived.target;
+        return Some(format!(
+            "{endpoint} received {id} with target `{target}`, or with a different body"
+        ));
+    }
+    if header("workspace-key").is_some() {
+        return Some(format!("{endpoint} received the caller's key with {id}"));
+    }
+    if header("workspace") != Some(sent.workspace) {
+        let named = header("workspace");
+        return Some(format!("{endpoint} received {id} for workspace {named:?}"));
+    }
+    None
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,10 @@
 use rand_pcg::Pcg64Mcg;
 use strum::{Display, EnumString};
 
-use crate::{invariants::Invariant, link::LinkMode, silence_plan::plan_silence_profile};
+use crate::{
+    invariants::Invariant, limits_plan::plan_limits_profile, link::LinkMode,
+    silence_plan::plan_silence_profile,
+};
 
 /// Time from the start of the load to the earliest fault.
 pub(crate) const WARM_UP_MS: u64 = 1_500;
@@ -28,6 +31,8 @@
 const PAUSE_MS: std::ops::RangeInclusive<u64> = 600..=2_500;
 /// Duration of the faults that reveal an invariant violated on purpose.
 const BREAKING_DURATION_MS: Millis = Millis::new(2_000);
+/// Duration of link faults that lose requests.
+const BREAKING_RESET_MS: Millis = Millis::new(100);
 /// Length of a pause, of a relay or asked for by an endpoint, that outlasts the request timeout.
 const BREAKING_PAUSE_MS: Millis = Millis::new(6_000);
 /// Seeds that are multiples of this number have planned operations only, so that time bounds
@@ -43,6 +48,8 @@
     Mixed,
     /// Planned operations beside silent endpoints and relays on a part of a core.
     Silence,
+    /// Planned operations of relays near their limits on connections and descriptors.
+    Limits,
 }
 
 /// A fault or planned operation to inject.
@@ -95,6 +102,22 @@
     },
 }
 
+impl Fault {
+    /// Index of the relay that it concerns; none for the store and the endpoints.
+    pub(crate) fn relay(self) -> Option<usize> {
+        match self {
+            Self::StopRelay(relay)
+            | Self::ChangeSettings { relay, .. }
+            | Self::KillRelay(relay)
+            | Self::PauseRelay(relay, _)
+            | Self::CallerLink(relay, ..)
+            | Self::StoreLink(relay, ..)
+            | Self::PartCore(relay, _) => Some(relay),
+            _ => None,
+        }
+    }
+}
+
 /// A fault and its time after the start of the load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlannedFault {
@@ -119,6 +142,7 @@
     let mut faults = match profile {
         Profile::Mixed => plan_mixed_profile(seed, load_ms, targets),
         Profile::Silence => plan_silence_profile(seed, load_ms, targets),
+        Profile::Limits => plan_limits_profile(seed, load_ms, targets),
     };
     faults.sort_by_key(|planned| planned.at);
     faults
@@ -190,6 +214,22 @@
         Invariant::NotRunRefusal => on_endpoints(RelayedFault::FalseReject),
         Invariant::AtMostOnce | Invariant::AttemptLimit => on_endpoints(RelayedFault::Fail),
         Invariant::ResponseDeadline => vec![at(1, Fault::PauseRelay(0, BREAKING_PAUSE_MS))],
+        Invariant::NewCallerSilence => {
+            // Callers of the other relays open connections to the silent one.
+            let stops = (1..targets.relays).map(|relay| at(1, Fault::StopRelay(relay)));
+            let pause = at(1, Fault::PauseRelay(0, BREAKING_PAUSE_MS));
+            [pause].into_iter().chain(stops).collect()
+        }
+        Invariant::KeptConnectionLoss => {
+            // Relays are in touch some seconds after their start. Responses wait until the reset.
+            let stall = Fault::CallerLink(0, LinkMode::StallToClient, BREAKING_DURATION_MS);
+            let reset = Fault::CallerLink(0, LinkMode::Reset, BREAKING_RESET_MS);
+            vec![at(6, stall), at(7, reset)]
+        }
+        Invariant::PlannedWorkLoss => {
+            let reset = Fault::CallerLink(0, LinkMode::Reset, BREAKING_RESET_MS);
+            vec![at(1, Fault::StopRelay(0)), at(1, reset)]
+        }
         Invariant::RequestLoss | Invariant::ProcessExit => vec![at(1, Fault::KillRelay(0))],
         Invariant::Drain => vec![at(1, Fault::DrainEndpoint(0))],
         Invariant::LeavingNotice => vec![at(1, Fault::Notice(0, RelayedNotice::Leaving))],
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -48,6 +48,15 @@
     pub(crate) slack: u64,
 }
 
+/// Resources of a relay process.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RelayResources {
+    /// Memory in the settings, by revision in turn; the default of the relay if there is none.
+    pub(crate) memory_mb: Vec<u64>,
+    /// Soft limit on descriptors, if it differs from that of the soak.
+    pub(crate) descriptors: Option<u64>,
+}
+
 /// The relay binary and the directory of its files.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayProgram {
@@ -55,6 +64,8 @@
     /// Directory for settings and logs.
     pub(crate) directory: PathBuf,
     pub(crate) retry_budget: RetryBudget,
+    /// By index of the relay; relays beyond them have the default.
+    pub(crate) resources: Vec<RelayResources>,
 }
 
 impl RelayProgram {
@@ -75,11 +86,31 @@
         let file = self.settings_file(relay);
         // Write to a temporary file and rename it, so that a relay never reads a partial file.
         let temporary = file.with_extension("new");
-        let text = settings(relay, store, self.retry_budget, revision).to_string();
-        fs::write(&temporary, text).wrap_err_with(|| format!("writing {}", temporary.display()))?;
+        let mut document = settings(relay, store, self.retry_budget, revision);
+        let memory_mb = self.resources.get(relay).map(|it| &it.memory_mb);
+        if let Some(memory_mb) = memory_mb.filter(|it| !it.is_empty()) {
+            document["memory_mb"] = json!(memory_mb[revision as usize % memory_mb.len()]);
+        }
+        fs::write(&temporary, document.to_string())
+            .wrap_err_with(|| format!("writing {}", temporary.display()))?;
         fs::rename(&temporary, &file).wrap_err_with(|| format!("writing {}", file.display()))
     }
 
+    /// Command that runs the relay with its limit on descriptors.
+    fn command(&self, relay: usize) -> Command {
+        let descriptors = self.resources.get(relay).and_then(|it| it.descriptors);
+        let Some(descriptors) = descriptors else {
+            return Command::new(&self.file);
+        };
+        let mut command = Command::new("sh");
+        // The shell becomes the relay, so its process id is that of the relay.
+        command
+            .args(["-c", "ulimit -S -n \"$0\" && exec \"$@\""])
+            .arg(descriptors.to_string())
+            .arg(&self.file);
+        command
+    }
+
     /// Starts a relay and returns its process id. Its start and exit are sent to `updates`.
     ///
     /// # Errors
@@ -92,7 +123,8 @@
             .append(true)
             .open(&stderr_file);
         let stderr = stderr.wrap_err_with(|| format!("opening {}", stderr_file.display()))?;
-        let child = Command::new(&self.file)
+        let child = self
+            .command(relay)
             .arg("--settings")
             .arg(self.settings_file(relay))
             .stdin(Stdio::null())
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! Run of one seed. A traffic thread runs the store, endpoints, links and callers; the thread
 //! that calls [`run`] is the control thread.
 
-use std::{path::PathBuf, sync::Arc};
+use std::{iter, path::PathBuf, sync::Arc};
 
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_http::shutdown_signal;
@@ -16,19 +16,25 @@
 };
 
 use crate::{
-    callers::{Caller, CallerContext, Phase},
+    callers::{Caller, CallerContext, FRESH, Phase, RESTING, STEADY},
     controller::Controller,
     environment::Environment,
     invariants::{Invariant, Violation},
+    limits_plan::draw_resources,
     observations::Tally,
     plan::{Profile, Targets, breaking_faults, plan},
     process::{RelayProgram, RetryBudget},
+    silent_caller::run_silent_caller,
 };
 
 const ENDPOINTS: usize = 8;
 const CALLERS: usize = 24;
 /// Callers of the silence profile, whose long streams keep many of them waiting.
 const SILENCE_CALLERS: usize = 72;
+/// Callers of the limits profile, besides [`CALLERS`].
+const RESTING_CALLERS: usize = 750;
+const FRESH_CALLERS: usize = 16;
+const SILENT_CALLERS: usize = 60;
 const RETRY_BUDGET: RetryBudget = RetryBudget {
     ratio: 0.8,
     slack: 150,
@@ -85,7 +91,7 @@
     let (seed, profile, broken_invariant) = (spec.seed, spec.profile, spec.broken_invariant);
     let traffic = spawn("soak-traffic", move |runtime| {
         runtime.block_on(async {
-            let environment = Environment::start(clock, targets, broken_invariant)
+            let environment = Environment::start(clock, targets, profile, broken_invariant)
                 .await
                 .map(Arc::new);
             let context = environment.as_ref().ok().map(|environment| CallerContext {
@@ -118,6 +124,10 @@
                     Profile::Silence if !seed.is_multiple_of(2) => SMALL_RETRY_BUDGET,
                     _ => RETRY_BUDGET,
                 },
+                resources: match profile {
+                    Profile::Limits => draw_resources(seed, spec.relays),
+                    _ => Vec::new(),
+                },
             };
             let mut controller =
                 Controller::start(Arc::clone(&environment), program, phase, newest_version)?;
@@ -133,9 +143,9 @@
                     return Err(eyre!("stopped by a signal"));
                 }
             }
-            let checker = environment.checker();
+            let mut checker = environment.checker();
             Ok(RunReport {
-                violations: checker.violations().to_vec(),
+                violations: checker.finish(),
                 tally: checker.tally(),
                 faults: faults.len(),
             })
@@ -152,18 +162,34 @@
 /// Runs the callers until the load ends, then probes each relay once.
 async fn run_callers(context: CallerContext, seed: u64) {
     let mut callers = JoinSet::new();
-    let count = match context.profile {
-        Profile::Mixed => CALLERS,
-        Profile::Silence => SILENCE_CALLERS,
+    let habits = match context.profile {
+        Profile::Mixed => vec![(STEADY, CALLERS)],
+        Profile::Silence => vec![(STEADY, SILENCE_CALLERS)],
+        Profile::Limits => vec![
+            (STEADY, CALLERS),
+            (RESTING, RESTING_CALLERS),
+            (FRESH, FRESH_CALLERS),
+        ],
     };
-    for index in 0..count {
-        let random = Pcg64Mcg::seed_from_u64(seed.wrapping_add(index as u64 + 1));
-        let caller = Caller::new(context.clone(), format!("c{index}"), random);
+    let habits = habits
+        .into_iter()
+        .flat_map(|(habit, count)| iter::repeat_n(habit, count));
+    let random = |index: usize| Pcg64Mcg::seed_from_u64(seed.wrapping_add(index as u64 + 1));
+    let mut count = 0;
+    for (index, habit) in habits.enumerate() {
+        let caller = Caller::new(context.clone(), habit, format!("c{index}"), random(index));
         callers.spawn(caller.run());
+        count = index + 1;
+    }
+    if context.profile == Profile::Limits {
+        for index in count..count + SILENT_CALLERS {
+            callers.spawn(run_silent_caller(context.clone(), random(index)));
+        }
     }
     while callers.join_next().await.is_some() {}
     let mut prober = Caller::new(
         context.clone(),
+        STEADY,
         "last".to_owned(),
         Pcg64Mcg::seed_from_u64(seed),
     );
--- a/crates/soak/src/silence_plan.rs
+++ b/crates/soak/src/silence_plan.rs
@@ -55,18 +55,7 @@
         let with_signal = random.random();
         faults.push(planned(at_ms, Fault::ChangeSettings { relay, with_signal }));
     }
-    for start_ms in draw_times(random, load_ms, STOP_GAP_MS) {
-        let count = random.random_range(1..=targets.relays);
-        let mut at_ms = start_ms;
-        // In some series all relays stop together.
-        let is_together: bool = random.random();
-        for relay in sample(random, targets.relays, count) {
-            faults.push(planned(at_ms, Fault::StopRelay(relay)));
-            if !is_together {
-                at_ms += random.random_range(STOP_OFFSET_MS);
-            }
-        }
-    }
+    faults.extend(plan_stops(random, load_ms, targets, STOP_GAP_MS));
     for relay in 0..targets.relays {
         if random.random() {
             let duration_ms = random.random_range(PART_CORE_MS);
@@ -82,13 +71,17 @@
     faults
 }
 
-fn planned(at_ms: u64, fault: Fault) -> PlannedFault {
+pub(crate) fn planned(at_ms: u64, fault: Fault) -> PlannedFault {
     let at = Millis::new(at_ms);
     PlannedFault { at, fault }
 }
 
 /// Draws times after the warm-up, with gaps from a range.
-fn draw_times(random: &mut Pcg64Mcg, load_ms: Millis, gap_ms: RangeInclusive<u64>) -> Vec<u64> {
+pub(crate) fn draw_times(
+    random: &mut Pcg64Mcg,
+    load_ms: Millis,
+    gap_ms: RangeInclusive<u64>,
+) -> Vec<u64> {
     let mut times = Vec::new();
     let mut at_ms = WARM_UP_MS + random.random_range(0..=*gap_ms.start());
     while at_ms < load_ms.get() {
@@ -98,8 +91,35 @@
     times
 }
 
+/// Draws series of planned stops that overlap.
+pub(crate) fn plan_stops(
+    random: &mut Pcg64Mcg,
+    load_ms: Millis,
+    targets: Targets,
+    gap_ms: RangeInclusive<u64>,
+) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    for start_ms in draw_times(random, load_ms, gap_ms) {
+        let count = random.random_range(1..=targets.relays);
+        let mut at_ms = start_ms;
+        // In some series all relays stop together.
+        let is_together: bool = random.random();
+        for relay in sample(random, targets.relays, count) {
+            faults.push(planned(at_ms, Fault::StopRelay(relay)));
+            if !is_together {
+                at_ms += random.random_range(STOP_OFFSET_MS);
+            }
+        }
+    }
+    faults
+}
+
 /// Draws silences so that each service has another endpoint at any time that isn't silent.
-fn plan_silences(random: &mut Pcg64Mcg, load_ms: Millis, targets: Targets) -> Vec<PlannedFault> {
+pub(crate) fn plan_silences(
+    random: &mut Pcg64Mcg,
+    load_ms: Millis,
+    targets: Targets,
+) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
     let mut silent: Vec<SilentInterval> = Vec::new();
     for start_ms in draw_times(random, load_ms, SILENCE_GAP_MS) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,6 +20,10 @@
 const LOAD_MS: Millis = Millis::new(6_000);
 /// Load of a run that is started by hand.
 const LONG_LOAD_MS: Millis = Millis::new(15_000);
+/// Load and seed of the limits profile, long enough for connections to reach the limits. All
+/// relays run on whole cores.
+const LIMITS_LOAD_MS: Millis = Millis::new(9_000);
+const LIMITS_SEED: u64 = 2;
 
 fn run_soak(
     name: &str,
@@ -78,6 +82,16 @@
     assert!(report.tally.served > 0, "{:?}", report.tally);
 }
 
+/// Callers got nothing from relays at their limits on connections, as nobody accepted them.
+#[test]
+fn limits_answer_new_callers() {
+    let seed = LIMITS_SEED;
+    let name = format!("limits-{seed}");
+    let report = run_soak(&name, Profile::Limits, seed, LIMITS_LOAD_MS, None);
+    assert_eq!(report.violations, [], "seed {seed}");
+    assert!(report.tally.served > 0, "{:?}", report.tally);
+}
+
 #[test_case(Invariant::ResponseIntegrity)]
 #[test_case(Invariant::RequestIntegrity)]
 #[test_case(Invariant::AtMostOnce)]
@@ -93,9 +107,17 @@
 #[test_case(Invariant::ProcessExit)]
 #[test_case(Invariant::LeavingNotice)]
 #[test_case(Invariant::PauseNotice)]
+#[test_case(Invariant::KeptConnectionLoss)]
+#[test_case(Invariant::PlannedWorkLoss)]
+#[test_case(Invariant::NewCallerSilence)]
 fn broken_invariant_found(invariant: Invariant) {
     let name = invariant.to_string();
-    let report = run_soak(&name, Profile::Mixed, 1, LOAD_MS, Some(invariant));
+    let profile = match invariant {
+        // More callers, so that one relay loses several requests at a time.
+        Invariant::KeptConnectionLoss => Profile::Silence,
+        _ => Profile::Mixed,
+    };
+    let report = run_soak(&name, profile, 1, LOAD_MS, Some(invariant));
     let mut violations = report.violations.iter();
     assert!(
         violations.any(|it| it.invariant == invariant),
@@ -126,6 +148,7 @@
 /// A soak that is stopped by a signal must not leave relay processes running, nor stopped ones.
 #[test_case(Profile::Mixed)]
 #[test_case(Profile::Silence)]
+#[test_case(Profile::Limits)]
 fn stopped_soak_ends_relays(profile: Profile) {
     let name = format!("soak-stopped-{profile}");
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
