--- a/crates/soak/src/args.rs
+++ b/crates/soak/src/args.rs
@@ -24,6 +24,8 @@
 const MAX_PRINTED_VIOLATIONS: usize = 20;
 /// File with the timelines of all violations of a seed, in its directory.
 const TIMELINES_FILE: &str = "timelines.txt";
+/// File with all events of the control thread, in the same directory.
+const EVENTS_FILE: &str = "events.txt";
 /// Default duration of the load with faults.
 const DEFAULT_LOAD_S: u64 = 15;
 
@@ -94,7 +96,7 @@
     Ok(())
 }
 
-/// Writes the timelines of all violations next to the logs.
+/// Writes the timelines of all violations and the events of the run next to the logs.
 fn write_timelines(directory: &Path, report: &RunReport) -> Result<()> {
     let mut text = String::new();
     for violation in &report.violations {
@@ -109,8 +111,14 @@
             text += &format!("  {line}\n");
         }
     }
-    let file = directory.join(TIMELINES_FILE);
-    fs::write(&file, text).wrap_err_with(|| format!("writing {}", file.display()))
+    for (name, text) in [
+        (TIMELINES_FILE, text),
+        (EVENTS_FILE, report.events.join("\n")),
+    ] {
+        let file = directory.join(name);
+        fs::write(&file, text).wrap_err_with(|| format!("writing {}", file.display()))?;
+    }
+    Ok(())
 }
 
 fn print(seed: u64, report: &RunReport) {
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -6,7 +6,7 @@
 use eyre::{Result, WrapErr, eyre};
 use parsleylatch_bench::process::{Signal, open_descriptors, resident_memory, send_signal};
 use parsleylatch_runtime::Clock;
-use parsleylatch_types::{Millis, MonoTime};
+use parsleylatch_types::{Micros, Millis, MonoTime};
 use tokio::sync::{mpsc, watch};
 
 use crate::{
@@ -24,6 +24,8 @@
 /// Time limit for all relays to run, at the start and after the load.
 const ALL_RUNNING_TIMEOUT_MS: Millis = Millis::new(20_000);
 const MEMORY_CHECK_INTERVAL_MS: Millis = Millis::new(500);
+/// Lateness of an action beyond which it belongs to the timelines.
+const MAX_HOLD_UP_MS: Millis = Millis::new(200);
 
 /// Action that runs later, such as ending a fault.
 pub(crate) type ScheduledAction = Box<dyn FnOnce(&mut Controller) + Send>;
@@ -169,6 +171,7 @@
             .into_iter()
             .partition(|(at, _)| *at <= now);
         self.scheduled_actions = pending;
+        self.log_hold_up(now, due.iter().map(|(at, _)| *at).min());
         for (_, action) in due {
             action(self);
         }
@@ -187,6 +190,16 @@
         Ok(())
     }
 
+    /// Adds to the timelines that this thread came late to its next action, such as when other
+    /// work of the machine held it up.
+    fn log_hold_up(&self, now: MonoTime, due_at: Option<MonoTime>) {
+        let late_us = due_at.map_or(Micros::ZERO, |at| now.since(at));
+        if late_us > MAX_HOLD_UP_MS.micros() {
+            let what = format!("control thread was held up for {}", late_us.millis());
+            self.log_event(None, what);
+        }
+    }
+
     fn check_memory(&mut self, now: MonoTime) {
         for (relay, pid) in self.pids() {
             // A process that is exiting may have no memory left to report.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -69,6 +69,8 @@
 pub struct RunReport {
     /// Violations in order of detection.
     pub violations: Vec<Violation>,
+    /// What the control thread did and saw, one line each.
+    pub events: Vec<String>,
     /// Counts of requests by outcome.
     pub tally: Tally,
     /// Number of faults in the plan.
@@ -146,6 +148,7 @@
             let mut checker = environment.checker();
             Ok(RunReport {
                 violations: checker.finish(),
+                events: checker.event_log.lines(),
                 tally: checker.tally(),
                 faults: faults.len(),
             })
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -38,6 +38,16 @@
         self.events.push(LoggedEvent { at, relay, what });
     }
 
+    /// Lines of all events.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        let events = self.events.iter();
+        let relay =
+            |relay: Option<usize>| relay.map_or("all".to_owned(), |it| format!("relay {it}"));
+        events
+            .map(|it| format!("{} {}: {}", it.at, relay(it.relay), it.what))
+            .collect()
+    }
+
     /// Lines of a request's timeline, in order of time.
     pub(crate) fn timeline(&self, history: &RequestHistory) -> Vec<String> {
         let sent = history.sent;
