--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,19 +8,30 @@
 
 mod args;
 mod callers;
+mod checker;
 mod controller;
 mod disturbances;
 mod environment;
+mod fault_injection;
 mod invariants;
 mod lifecycle;
+mod limits_plan;
 mod link;
+mod loss_judge;
+mod notice_checks;
+mod observations;
 mod plan;
 mod process;
 mod run;
 mod run_time;
 mod silence_plan;
+mod silent_caller;
+mod timeline;
 
 pub use args::{SoakArgs, main};
-pub use invariants::{Invariant, Tally, Violation};
+pub use disturbances::{DisturbanceLog, SETTLE_MS, Scope};
+pub use invariants::{Invariant, Violation};
+pub use loss_judge::{EndedRequest, Loss, LossJudge, RequestEnd};
+pub use observations::Tally;
 pub use plan::Profile;
 pub use run::{RunReport, RunSpec, run};
