Bound a request's age by when its caller can have had the last response

By reading: the response before was counted as sent after its flush, which a thread that is stopped between write and flush records only after the pause. Now it counts from when the HTTP library has taken it. The cause is not reproduced.

--- a/crates/relay/src/traffic/connection_activity.rs
+++ b/crates/relay/src/traffic/connection_activity.rs
@@ -36,7 +36,7 @@
     request: RefCell<Option<OpenRequest>>,
     /// When the connection was accepted, or its last response was sent.
     idle_since: Cell<MonoTime>,
-    /// When its last response was sent.
+    /// When the HTTP library had taken its last response, before the caller can have it.
     responded_at: Cell<Option<MonoTime>>,
     /// Since when the caller has taken none of the bytes that wait to be written.
     blocked_since: Cell<Option<MonoTime>>,
@@ -96,7 +96,6 @@
         let mut request = self.request.borrow_mut();
         if request.take_if(|it| it.is_buffered).is_some() {
             self.idle_since.set(self.now());
-            self.responded_at.set(Some(self.now()));
         }
     }
 
@@ -172,7 +171,7 @@
         CallerPresence(Rc::downgrade(&self.presence))
     }
 
-    /// When the response before this request was sent; `None` for the first request.
+    /// Time before which the request can't have been sent; `None` for the first of its connection.
     pub(crate) fn responded_at(&self) -> Option<MonoTime> {
         self.activity.responded_at.get()
     }
@@ -187,6 +186,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.activity.responded_at.set(Some(self.activity.now()));
         if let Some(request) = self.activity.request.borrow_mut().as_mut() {
             request.is_buffered = self.is_complete;
         }
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -76,9 +76,9 @@
         load.record_connect(service, Micros::new(took));
     }
 
-    /// When a request that is read now can have been sent, if the response before it was sent at
-    /// `responded_at`. What a congested link adds to the way of the response counts as well, so
-    /// that the response is there in time.
+    /// When a request that is read now can have been sent, if its caller had the response before it
+    /// at `responded_at` at the earliest. What a congested link adds to the way of the response
+    /// counts as well, so that the response is there in time.
     pub(crate) fn arrival(&self, now: MonoTime, responded_at: Option<MonoTime>) -> MonoTime {
         let waited = self.lateness(now).get();
         let delay = self.load.borrow().link_delay(now).get();
