Look once more before the first request of a connection is sent

Cause: the relay was at its limit of connections and did not call accept; the connection waited in the listener's queue for 7 s with its request and its end. The thread was on time, so that the last look was left out, and the end was noticed only after the request had been sent. Change: the last look also comes before the first request of any connection. That connections wait unaccepted is another fault and not touched here.

--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -217,7 +217,8 @@
             Ok(ready) => ready,
             Err(error) => return reader.report(send_failure(error)),
         };
-        traffic.turns.wait_if_late(traffic.now()).await;
+        let turns = &traffic.turns;
+        turns.look_once_more(traffic.now(), job.is_first).await;
         if job.caller.is_gone() {
             // The exchange learns of it in its next turn, and ends the attempt.
             traffic.connections.keep(ready, job.idle_connection_limit);
--- a/crates/relay/src/traffic/job.rs
+++ b/crates/relay/src/traffic/job.rs
@@ -18,6 +18,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) caller: CallerPresence,
+    /// Whether it is the first request of its connection.
+    pub(crate) is_first: bool,
     /// Memory that the body takes.
     pub(crate) _body_memory: Reservation,
     pub(crate) route: Arc<RelayRoute>,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -231,6 +231,7 @@
         headers: parts.headers,
         body,
         caller: guard.presence(),
+        is_first: guard.responded_at().is_none(),
         _body_memory: body_memory,
         route: Arc::clone(route),
         workspace,
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -87,9 +87,10 @@
     }
 
     /// Waits until the runtime has polled the sockets and the connections have had their turn, if
-    /// the thread is late: callers may have left since.
-    pub(crate) async fn wait_if_late(&self, now: MonoTime) {
-        if self.lateness(now) >= LAST_LOOK_LATENESS_MS.micros() {
+    /// the caller may have left long since: the thread is late, or this is the first request of a
+    /// connection, which may have waited in the listener's queue.
+    pub(crate) async fn look_once_more(&self, now: MonoTime, is_first: bool) {
+        if is_first || self.lateness(now) >= LAST_LOOK_LATENESS_MS.micros() {
             yield_now().await;
         }
     }
