--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -126,7 +126,10 @@
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
-            Err(error) if is_connection_error(&error) => continue,
+            Err(error) if is_connection_error(&error) => {
+                log::debug!("a client left before its connection was accepted: {error}");
+                continue;
+            }
             Err(error) => {
                 bounds.connections.recover_accept(error).await;
                 continue;
