Soak: new callers are judged by requests that can be answered at once

The check was wrong there: a response that waits for an endpoint counts by its own timeout.

Half of the callers that open a connection for each request now ask for a path without a route, which a relay answers at once, and these are held to 2 s whatever the endpoints do; look-ups are, too, unless an endpoint is silent meanwhile. A request without a route that arrives at an endpoint violates unasked.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -52,7 +52,7 @@
     start_ms: 0..=4_000,
     is_look_up_only: false,
 };
-/// Caller that opens a connection for each look-up.
+/// Caller that opens a connection for each look-up or request without a route.
 pub(crate) const FRESH: CallerHabit = CallerHabit {
     requests_per_connection: 1,
     pause_ms: 0..=400,
@@ -68,6 +68,8 @@
 /// Shares of requests that are streams and bookings; the others are look-ups.
 const STREAM_PERCENT: u32 = 35;
 const BOOKING_PERCENT: u32 = 30;
+/// Share of requests without a route, of callers that send look-ups only.
+const UNROUTED_PERCENT: u32 = 50;
 /// Share of look-ups that use the route added by the newest configuration version.
 const NEWEST_ROUTE_PERCENT: u32 = 20;
 
@@ -201,7 +203,10 @@
         let percentile = self.random.random_range(0..100);
         let newest = *self.context.newest_version.borrow();
         let kind = if self.habit.is_look_up_only {
-            RequestKind::LookUp
+            match percentile < UNROUTED_PERCENT {
+                true => RequestKind::Unrouted,
+                false => RequestKind::LookUp,
+            }
         } else if percentile < STREAM_PERCENT {
             RequestKind::Stream
         } else if percentile < STREAM_PERCENT + BOOKING_PERCENT {
@@ -259,7 +264,7 @@
         let id = format!("{}-{}", self.name, self.count);
         let environment = &self.context.environment;
         let method = match spec.kind {
-            RequestKind::LookUp => "GET",
+            RequestKind::LookUp | RequestKind::Unrouted => "GET",
             _ => "POST",
         };
         environment.checker().record_sent(SentRequest {
@@ -326,12 +331,13 @@
     }
 }
 
-/// Path on the route that the first configuration has for this kind.
+/// Path on the route that the first configuration has for this kind, if it has one.
 fn initial_path(kind: RequestKind) -> &'static str {
     match kind {
         RequestKind::LookUp => "/look-up/1",
         RequestKind::Booking => "/book/1",
         RequestKind::Stream => "/stream/1",
+        RequestKind::Unrouted => "/unrouted/1",
     }
 }
 
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -10,10 +10,11 @@
     disturbances::{DisturbanceLog, Scope},
     invariants::{
         Invariant, LOSS_SLACK_MS, MAX_ATTEMPTS, MAX_CONFIGURATION_DELAY_MS, MAX_DRAIN_DELAY_MS,
-        NEW_CALLER_WAIT_MS, Violation,
+        Violation,
     },
     lifecycle::STOP_TIMEOUT_MS,
     loss_judge::{EndedRequest, Loss, LossJudge, is_sent_early_in_stop, last_part_of_stop},
+    new_caller_check::NewCallerCheck,
     notice_checks::NoticeChecks,
     observations::{Observed, Outcome, RequestKind, SentRequest, Tally, find_alteration},
     timeline::{EventLog, RequestHistory},
@@ -50,6 +51,7 @@
     /// Time of the last planned stop, by index of the relay.
     stops: HashMap<usize, MonoTime>,
     notice_checks: NoticeChecks,
+    pub(crate) new_caller_check: NewCallerCheck,
     configurations: HashMap<u64, MonoTime>,
     violations: Vec<Violation>,
     tally: Tally,
@@ -169,6 +171,13 @@
         if arrived.has_run {
             self.check_run(now, &sent, runs, is_refused);
         }
+        if sent.kind == RequestKind::Unrouted {
+            let reason = format!(
+                "{} has no route, but arrived at {}",
+                sent.id, arrived.endpoint
+            );
+            self.report(Invariant::RequestIntegrity, now, reason);
+        }
         if let Some(reason) = find_alteration(&sent, arrived) {
             self.report(Invariant::RequestIntegrity, now, reason);
         }
@@ -296,7 +305,7 @@
         self.report_losses(losses);
     }
 
-    /// Checks that a look-up on a new connection was passed on, answered or refused in time.
+    /// Checks that a request on a new connection was passed on, answered or refused in time.
     fn check_new_caller(
         &mut self,
         now: MonoTime,
@@ -305,17 +314,11 @@
         outcome: &Outcome,
     ) {
         let taken_at = arrived_at.map_or(now, |at| at.min(now));
-        if sent.kind == RequestKind::LookUp
-            && sent.requests_before == 0
+        let late = self.new_caller_check.find(sent, taken_at);
+        if let Some(reason) = late
             && *outcome != Outcome::Left
-            && taken_at > sent.sent_at + NEW_CALLER_WAIT_MS
             && self.is_relay_undisturbed(sent.relay, sent.sent_at, now)
         {
-            let reason = format!(
-                "{} on a new connection was neither passed on, answered nor refused for {}",
-                sent.id,
-                elapsed(sent, taken_at)
-            );
             self.report_request(Invariant::NewCallerSilence, now, &sent.id, reason);
         }
     }
@@ -334,6 +337,9 @@
             } if sent.last_event + events.len() as u64 == sent.output_events => {
                 tally.served += 1;
             }
+            Outcome::Answered { status: 404, .. } if sent.kind == RequestKind::Unrouted => {
+                tally.served += 1;
+            }
             Outcome::Closed => tally.closed += 1,
             Outcome::Left => {}
             _ if is_not_run(outcome) => tally.refused += 1,
@@ -393,7 +399,9 @@
         let due = in_force_at.map_or(MonoTime::ZERO, |at| *at + MAX_CONFIGURATION_DELAY_MS);
         let is_new = sent.route_version > 0;
         let is_excused = is_new && !self.is_relay_undisturbed(sent.relay, due, now);
-        if DENIED_STATUSES.contains(&status) && runs == 0 && sent.sent_at > due && !is_excused {
+        let is_allowed = sent.kind != RequestKind::Unrouted;
+        let is_denied = DENIED_STATUSES.contains(&status) && runs == 0;
+        if is_allowed && is_denied && sent.sent_at > due && !is_excused {
             let reason = format!(
                 "{} was denied with status {status} although the configuration allows it",
                 sent.id
--- a/crates/soak/src/fault_injection.rs
+++ b/crates/soak/src/fault_injection.rs
@@ -18,6 +18,8 @@
 
 /// Time beyond [`MAX_DRAIN_DELAY_MS`] after which a draining endpoint is replaced.
 const REPLACEMENT_SLACK_MS: Millis = Millis::new(1_500);
+/// Time in which requests may still wait for an endpoint that has been silent.
+const SILENCE_SLACK_MS: Millis = Millis::new(100);
 /// Times for which a relay on a part of a core is stopped and runs, in turn.
 const PART_CORE_STOPPED_MS: Millis = Millis::new(88);
 const PART_CORE_RUNNING_MS: Millis = Millis::new(12);
@@ -102,6 +104,10 @@
                 answering_ms,
             } => {
                 environment.set_silence(index, Silence::All);
+                environment
+                    .checker()
+                    .new_caller_check
+                    .record_silence(now, now + duration_ms + SILENCE_SLACK_MS);
                 let end_ms = duration_ms.saturating_sub(answering_ms);
                 self.schedule(end_ms, move |it| {
                     it.environment.set_silence(index, Silence::Work);
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -16,7 +16,7 @@
 /// Time after the last byte of a request from which the relay is assumed to have read it. Time in
 /// which the traffic thread, which has the links, was held up doesn't count.
 pub(crate) const LOSS_SLACK_MS: Millis = Millis::new(200);
-/// Time within which a look-up on a new connection is passed on, answered or refused.
+/// Time within which a request on a new connection is passed on, answered or refused.
 pub(crate) const NEW_CALLER_WAIT_MS: Millis = Millis::new(2_000);
 /// Limit of a relay's resident memory, as specified by the operators.
 pub(crate) const MEMORY_LIMIT_BYTES: u64 = 260 << 20;
@@ -55,7 +55,8 @@
     /// A request that a relay has read gets a complete response around planned work, also beside
     /// a disturbed store if it can't resume.
     PlannedWorkLoss,
-    /// A relay takes up or refuses a look-up on a new connection in time.
+    /// A relay takes up or refuses a request on a new connection in time: one without a route, or
+    /// a look-up beside which no endpoint is silent.
     NewCallerSilence,
     /// A request of sound endpoints isn't given up while time is left.
     EarlyFailure,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits_plan;
 mod link;
 mod loss_judge;
+mod new_caller_check;
 mod notice_checks;
 mod observations;
 mod plan;
--- a/crates/soak/src/observations.rs
+++ b/crates/soak/src/observations.rs
@@ -16,6 +16,8 @@
     Booking,
     /// May run repeatedly, and resume after any event.
     Stream,
+    /// Has no route, so that a relay answers it at once.
+    Unrouted,
 }
 
 /// A request as sent by a caller.
