Soak: settings files are written beside the control thread

In runs of the silence profile three relays "did not exit within the stop timeout", and requests were held until their callers gave up, though the relays' logs say that they stopped in time or were frozen meanwhile. The events of the control thread show it held up for 7, 10, 16 and 26 s, each time directly after a change of a settings file: the write waits for the disk, which other work keeps busy (I/O pressure, "full avg10", 40). It stands still while relays on a part of a core are stopped, and sees no exits.

The file is now written on a thread for blocking calls, which tells the control thread to send SIGHUP afterwards. No check is changed.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -32,7 +32,7 @@
 
 pub(crate) struct ManagedRelay {
     pub(crate) lifecycle: ProcessLifecycle,
-    pid: Option<u32>,
+    pub(crate) pid: Option<u32>,
     pub(crate) revision: u64,
     /// Number of the ongoing unplanned outage in the disturbance log.
     outage: Option<usize>,
@@ -45,7 +45,7 @@
     pub(crate) program: RelayProgram,
     pub(crate) relays: Vec<ManagedRelay>,
     updates: mpsc::Receiver<ProcessUpdate>,
-    update_sender: mpsc::Sender<ProcessUpdate>,
+    pub(crate) update_sender: mpsc::Sender<ProcessUpdate>,
     pub(crate) scheduled_actions: Vec<(MonoTime, ScheduledAction)>,
     phase: watch::Sender<Phase>,
     pub(crate) newest_version: watch::Sender<u64>,
@@ -249,6 +249,18 @@
                     .lifecycle
                     .handle(now, ProcessEvent::Started)
             }
+            ProcessChange::SettingsWritten {
+                result,
+                with_signal,
+            } => {
+                result?;
+                match with_signal {
+                    true => self.relays[relay]
+                        .lifecycle
+                        .handle(now, ProcessEvent::HangUpRequested),
+                    false => Vec::new(),
+                }
+            }
             ProcessChange::Exited(status) => {
                 self.log_event(Some(relay), format!("process exited, {status}"));
                 let managed = &mut self.relays[relay];
--- a/crates/soak/src/fault_injection.rs
+++ b/crates/soak/src/fault_injection.rs
@@ -44,12 +44,18 @@
             Fault::ChangeSettings { relay, with_signal } => {
                 let managed = &mut self.relays[relay];
                 managed.revision += 1;
+                let revision = managed.revision;
                 let store = environment.store_links[relay].address;
-                self.program
-                    .write_settings(relay, store, managed.revision)?;
-                if with_signal {
-                    return self.apply_event(relay, ProcessEvent::HangUpRequested);
-                }
+                // No process has this id; one that starts later reads the file by itself.
+                let pid = managed.pid.unwrap_or_default();
+                let updates = (pid, self.update_sender.clone());
+                self.program.write_settings_in_background(
+                    relay,
+                    store,
+                    revision,
+                    with_signal,
+                    updates,
+                );
             }
             Fault::ChangeConfiguration => {
                 let version = *self.newest_version.borrow() + 1;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -39,6 +39,11 @@
     Started(SocketAddr),
     /// It exited.
     Exited(ExitStatus),
+    /// Its settings file has been written, or not; it may be asked to reload it.
+    SettingsWritten {
+        result: Result<()>,
+        with_signal: bool,
+    },
 }
 
 /// Retry budget in the settings of the relays.
@@ -85,7 +90,7 @@
     ) -> Result<()> {
         let file = self.settings_file(relay);
         // Write to a temporary file and rename it, so that a relay never reads a partial file.
-        let temporary = file.with_extension("new");
+        let temporary = file.with_extension(format!("{revision}.new"));
         let mut document = settings(relay, store, self.retry_budget, revision);
         let memory_mb = self.resources.get(relay).map(|it| &it.memory_mb);
         if let Some(memory_mb) = memory_mb.filter(|it| !it.is_empty()) {
@@ -96,6 +101,28 @@
         fs::rename(&temporary, &file).wrap_err_with(|| format!("writing {}", file.display()))
     }
 
+    /// Writes a relay's settings file on a thread for blocking calls, as a busy disk may take
+    /// seconds, and sends the result to `updates`.
+    pub(crate) fn write_settings_in_background(
+        &self,
+        relay: usize,
+        store: SocketAddr,
+        revision: u64,
+        with_signal: bool,
+        (pid, updates): (u32, mpsc::Sender<ProcessUpdate>),
+    ) {
+        let program = self.clone();
+        tokio::task::spawn_blocking(move || {
+            let result = program.write_settings(relay, store, revision);
+            let change = ProcessChange::SettingsWritten {
+                result,
+                with_signal,
+            };
+            // The control thread may have ended.
+            let _ = updates.blocking_send(ProcessUpdate { relay, pid, change });
+        });
+    }
+
     /// Command that runs the relay with its limit on descriptors.
     fn command(&self, relay: usize) -> Command {
         let descriptors = self.resources.get(relay).and_then(|it| it.descriptors);
