Endpoint connections: one given back unused stays idle since its last response

Callers saw 502 for requests that may not run twice: an attempt of a caller that had left took an idle connection and gave it back, which set its idle time to zero. The limits of 200 ms and of 60 % of the advertised Keep-Alive no longer held, and the next request met the endpoint's close.

ReadyConnection carries the time since which it is idle; idle connections of an endpoint stay in that order, so that the oldest is still closed first.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -190,6 +190,8 @@
     key: ConnectionKey,
     link: Link,
     is_reused: bool,
+    /// When the last response ended; when it was opened, if none was received.
+    idle_since: Instant,
     usable_for: Duration,
 }
 
@@ -208,6 +210,7 @@
             key,
             mut link,
             is_reused,
+            idle_since: _,
             usable_for: _,
         } = self;
         let peer = key.address;
@@ -290,6 +293,7 @@
                 key: key.clone(),
                 link: pooled.link,
                 is_reused: true,
+                idle_since: pooled.idle_since,
                 usable_for: pooled.usable_for,
             });
         }
@@ -299,39 +303,47 @@
             key: key.clone(),
             link: self.connect(key.address, timeout, guard).await?,
             is_reused: false,
+            idle_since: Instant::now(),
             usable_for: Duration::MAX,
         })
     }
 
-    /// Returns a connection to the pool that was not used after all.
+    /// Returns a connection to the pool that was not used after all; it stays idle since its
+    /// last response.
     pub fn keep(&self, ready: ReadyConnection, max_idle: usize) {
-        let connection = OpenConnection {
-            key: ready.key,
+        let connection = IdleConnection {
             link: ready.link,
-            is_reused: ready.is_reused,
+            idle_since: ready.idle_since,
             usable_for: ready.usable_for,
         };
-        self.release(connection, max_idle);
+        self.insert_idle(ready.key, connection, max_idle);
     }
 
     /// Returns a connection to the pool after its response was read to the end. At most
     /// `max_idle` connections of the endpoint are kept; the oldest is closed first.
     pub fn release(&self, connection: OpenConnection, max_idle: usize) {
+        let idle = IdleConnection {
+            link: connection.link,
+            idle_since: Instant::now(),
+            usable_for: connection.usable_for,
+        };
+        self.insert_idle(connection.key, idle, max_idle);
+    }
+
+    /// Adds a connection to the idle ones of its endpoint, which are in order of `idle_since`.
+    fn insert_idle(&self, key: ConnectionKey, connection: IdleConnection, max_idle: usize) {
         let limit = max_idle.min(MAX_IDLE_CONNECTIONS);
         if connection.link.sender.is_closed() || limit == 0 {
             return;
         }
         let mut idle = self.idle.borrow_mut();
-        let pooled = idle.entry(connection.key).or_default();
+        let pooled = idle.entry(key).or_default();
         pooled.retain(|it| !it.link.sender.is_closed());
-        if pooled.len() >= limit {
+        let place = pooled.partition_point(|it| it.idle_since <= connection.idle_since);
+        pooled.insert(place, connection);
+        if pooled.len() > limit {
             pooled.remove(0);
         }
-        pooled.push(IdleConnection {
-            link: connection.link,
-            idle_since: Instant::now(),
-            usable_for: connection.usable_for,
-        });
     }
 
     /// Closes the idle connections of endpoints for which `is_known` returns `false`.
