Store source: a node without a reader reads the store within the bound for changes

A relay of a deployment of 64 nodes went on asking its peers for 12 s after all of them had lost power, and did not see a change of the configuration for 6.5 s. After 1.5 s of silence a node was only drawn: each 0.3 s with a probability of three by the number of nodes of its region, which counts those that are lost. The others that were drawn were lost as well, and the wait had no bound: with 100 nodes in a region it is 10 s on average.

A node that serves callers now steps in after 60 % of the shorter propagation bound, drawn or not; what is left is for the next evaluation and a call. A node without any state is still only drawn, since it would read the full state.

--- a/crates/decide/src/relay/source.rs
+++ b/crates/decide/src/relay/source.rs
@@ -17,6 +17,10 @@
 /// The same before the first response: a reader has to load the full state and send it
 /// to all other nodes of its region.
 const FIRST_RESPONSE_TIMEOUT_MS: Millis = Millis::new(4_000);
+/// Time without a response after which a node that serves callers reads the store whether or
+/// not it is drawn, in percent of the propagation bound. The nodes that were drawn may have
+/// been lost as well; the remainder is left for the next evaluation and a call to the store.
+const STEP_IN_PERCENT: u64 = 60;
 /// Divisor of the number of nodes that step in per evaluation, for nodes without any
 /// state. Each of them reads the full state, which saturates the link of a remote
 /// region for half a second, and evaluations are 0.3 s apart.
@@ -55,6 +59,8 @@
     pub region_nodes: usize,
     /// Time since the last response of a reader.
     pub silence: Micros,
+    /// Bound on the time until a change in the store is known to this node.
+    pub change_bound: Millis,
     /// Uniform random number in [0, 1), drawn for each evaluation.
     pub random: f64,
 }
@@ -72,15 +78,23 @@
         !self.is_initialized && self.nodes <= START_READ_NODE_LIMIT
     }
 
+    /// Whether a change in the store could otherwise become known too late.
+    fn must_step_in(&self) -> bool {
+        let limit = Millis::new(self.change_bound.get() * STEP_IN_PERCENT / 100);
+        self.is_initialized && self.silence > limit.micros()
+    }
+
     /// Selects at random about as many nodes of a region per evaluation as it has
-    /// readers, so that the others find these before all nodes read the store.
+    /// readers, so that the others find these before all nodes read the store; after
+    /// [`STEP_IN_PERCENT`] of the bound, all nodes.
     fn steps_in(&self) -> bool {
         let expected = REGION_READERS as f64
             / match self.is_initialized {
                 true => 1.0,
                 false => INITIAL_STEP_IN_DIVISOR,
             };
-        self.is_without_reader() && self.random * (self.region_nodes as f64) < expected
+        let is_drawn = self.random * (self.region_nodes as f64) < expected;
+        self.is_without_reader() && (is_drawn || self.must_step_in())
     }
 }
 
@@ -116,6 +130,7 @@
             nodes: 1,
             region_nodes: 1,
             silence: Micros::ZERO,
+            change_bound: Millis::ZERO,
             random: 0.0,
         };
         let instance = machine().start(now, &mut facts);
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -677,6 +677,7 @@
         nodes: 300,
         region_nodes: 100,
         silence: Millis::new(silence_ms).micros(),
+        change_bound: Millis::new(4_000),
         random,
     }
 }
@@ -705,6 +706,27 @@
     assert_eq!(source.state(), expected);
 }
 
+/// A node whose peers have all lost power asked them until it was drawn, after 12 s in the end.
+/// It reads the store early enough to see a change within the bound, which leaves a round of
+/// evaluations and a call that times out.
+#[test_case(2_500, 500 ; "short bound")]
+#[test_case(4_000, 1_200 ; "long bound")]
+fn store_source_never_drawn_reads_within_bound(change_bound_ms: u64, reserve_ms: u64) {
+    let mut source = StoreSource::start(at(0));
+    source.update(at(0), facts(false, true, 0, 0.99));
+    assert_eq!(source.state(), SourceState::Asking);
+    let silent_ms = (300..=change_bound_ms - reserve_ms).step_by(300);
+    for silence_ms in silent_ms {
+        let change_bound = Millis::new(change_bound_ms);
+        let facts = SourceFacts {
+            change_bound,
+            ..facts(false, true, silence_ms, 0.99)
+        };
+        source.update(at(silence_ms), facts);
+    }
+    assert_eq!(source.state(), SourceState::SteppedIn);
+}
+
 /// A node that stepped in reads the store until a reader responds, whatever the random
 /// number.
 #[test]
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -248,6 +248,7 @@
             nodes: self.nodes.len(),
             region_nodes,
             silence: now.since(self.last_reader_response_at),
+            change_bound: self.shared.change_bound(),
             random: rand::random(),
         };
         self.source.update(now, facts);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -323,10 +323,14 @@
         self.percent_of_bound(WATCH_PAUSE_PERCENT)
     }
 
-    fn percent_of_bound(&self, percent: u64) -> Millis {
+    /// The shorter propagation bound: by then changes in the store are known.
+    pub(crate) fn change_bound(&self) -> Millis {
         let bounds = self.settings.load().bounds;
-        let bound_ms = bounds.configuration_ms.min(bounds.leaving_ms).get();
-        Millis::new(bound_ms * percent / 100)
+        bounds.configuration_ms.min(bounds.leaving_ms)
+    }
+
+    fn percent_of_bound(&self, percent: u64) -> Millis {
+        Millis::new(self.change_bound().get() * percent / 100)
     }
 
     /// Whether the configuration is recent enough to reject an unknown route or key:
