Relay stop: the last lines of the log are awaited until before the kill

A stop that ends at the last moment (a traffic thread that has not closed its listener, or a process that stood still) ends 50 ms before the kill, and then awaited the last lines for up to 100 ms: beside a log that nobody reads it was killed. EXIT_MS can't cover the 100 ms, as the traffic threads need them for what is due (lifecycle_pause_at_end_of_stop).

The wait ends 20 ms before the kill; it lasts 10 ms at least, so that a log that is read has its last lines, and 100 ms at most as before.

By reading otherwise: no test of a process reaches the path.

--- a/crates/decide/src/relay/life.rs
+++ b/crates/decide/src/relay/life.rs
@@ -27,6 +27,12 @@
 const LAST_TURN_MS: Millis = Millis::new(100);
 /// Time before the platform's kill that the exit of the process takes.
 const EXIT_MS: Millis = Millis::new(50);
+/// Time that the last lines of the log get at most when the process exits.
+const LOG_FLUSH_MS: Millis = Millis::new(100);
+/// The same at least, as a log that is read takes them at once.
+const MIN_LOG_FLUSH_MS: Millis = Millis::new(10);
+/// Time before the platform's kill by which they are written; less than [`EXIT_MS`].
+const LOG_WRITTEN_MS: Millis = Millis::new(20);
 /// Time after the start of a stop until which streams are accepted. Those that are sent in the
 /// first 3 s may still run when the process ends; a busy process notices the stop late.
 const STREAM_ACCEPTANCE_MS: Millis = Millis::new(2_500);
@@ -207,6 +213,14 @@
     was_empty || now >= accepts_until
 }
 
+/// Time that the last lines of the log get when the process exits, so that a log that nobody reads
+/// does not delay it beyond the platform's kill. They are due at `written_by`, which is the maximum
+/// outside a planned stop.
+pub fn log_flush_time(now: MonoTime, written_by: MonoTime) -> Millis {
+    let left = written_by.since(now).millis();
+    left.clamp(MIN_LOG_FLUSH_MS, LOG_FLUSH_MS)
+}
+
 /// Lifecycle of this relay.
 pub struct RelayLifecycle {
     instance: Instance<RelayState>,
@@ -255,6 +269,13 @@
         (stops_at < MonoTime::MAX).then(|| before(stops_at, RESPONSE_MARGIN_MS))
     }
 
+    /// Time by which the last lines of the log are written; `None` before a stop.
+    pub fn log_written_by(&self) -> Option<MonoTime> {
+        let stops_at = self.context.stops_at;
+        let margin = KILL_MARGIN_MS.saturating_sub(LOG_WRITTEN_MS);
+        (stops_at < MonoTime::MAX).then(|| stops_at + margin)
+    }
+
     /// Time until which connections are accepted; `None` before a stop.
     pub fn accepts_until(&self) -> Option<MonoTime> {
         let due = self.response_deadline();
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -48,7 +48,8 @@
     ProbeFailure, RefusalReason, ResponseClass, STOPPING_RETRY_AFTER_MS,
 };
 pub use life::{
-    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, may_close_listener,
+    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, log_flush_time,
+    may_close_listener,
 };
 pub use memory_plan::MemoryPlan;
 pub use overload::{
--- a/crates/decide/tests/relay_life.rs
+++ b/crates/decide/tests/relay_life.rs
@@ -1,7 +1,8 @@
 //! Lifecycle of a relay: planned stops.
 
 use parsleylatch_decide::relay::{
-    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, may_close_listener,
+    CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, log_flush_time,
+    may_close_listener,
 };
 use parsleylatch_types::{Micros, Millis, MonoTime};
 use test_case::test_case;
@@ -194,6 +195,24 @@
     assert!(ends_at < at(9_000), "the platform kills at 9,000 ms");
 }
 
+/// The last lines of a log that nobody reads were awaited beyond the kill, if the process ended at
+/// the last moment.
+#[test_case(1_000, 100 ; "in time")]
+#[test_case(8_750, 100 ; "at the end of the stop")]
+#[test_case(8_950, 10 ; "at the last moment")]
+#[test_case(8_975, 10 ; "after it")]
+fn log_flush_time_before_kill(now_ms: u64, least_ms: u64) {
+    let mut lifecycle = RelayLifecycle::new(at(0), Millis::new(8_000));
+    assert_eq!(lifecycle.log_written_by(), None);
+    lifecycle.handle(at(5), RelayEvent::Initialized);
+    lifecycle.handle(at(1_000), RelayEvent::StopRequested);
+    let written_by = lifecycle.log_written_by().unwrap();
+    let flush_time = log_flush_time(at(now_ms), written_by);
+    assert!(flush_time >= Millis::new(least_ms), "{flush_time}");
+    assert!(at(now_ms) + flush_time < at(9_000), "{flush_time}");
+    assert_eq!(log_flush_time(at(now_ms), MonoTime::MAX), Millis::new(100));
+}
+
 /// A response that was decided just before the end is sent, and one that its caller does not read
 /// doesn't prolong the stop.
 #[test_case(1, 0, true ; "unanswered")]
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -406,6 +406,9 @@
                     if let Some(end) = self.lifecycle.accepts_until() {
                         self.shared.set_accepts_until(end);
                     }
+                    if let Some(due) = self.lifecycle.log_written_by() {
+                        self.shared.set_log_written_by(due);
+                    }
                     self.shared
                         .set_accepts_streams_until(self.lifecycle.accepts_streams_until());
                     self.shared.phase.send_replace(LifecyclePhase::NotReady);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -34,6 +34,7 @@
 
 /// A running relay.
 pub struct Relay {
+    shared: Arc<Shared>,
     addresses: RelayAddresses,
     control_inputs: mpsc::Sender<ControlInput>,
     control: JoinHandle<()>,
@@ -92,6 +93,7 @@
             })?);
         }
         Ok(Self {
+            shared,
             addresses,
             control_inputs,
             control,
@@ -125,7 +127,7 @@
                 .join()
                 .map_err(|_| eyre!("a traffic thread panicked"))?;
         }
-        telemetry::flush_log();
+        telemetry::flush_log(self.shared.log_flush_time());
         Ok(())
     }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use parsleylatch_decide::relay::{
     CallerActivity, EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration,
-    VersionRule,
+    VersionRule, log_flush_time,
 };
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
@@ -102,6 +102,8 @@
     accepts_streams_until: AtomicU64,
     /// Time until which a stopping process accepts connections.
     accepts_until: AtomicU64,
+    /// Time by which a stopping process has written its log.
+    log_written_by: AtomicU64,
     /// When a caller's connection was last accepted.
     accepted_at: AtomicU64,
     /// When the store, or a node that reads it, last confirmed the known state.
@@ -139,6 +141,7 @@
             response_deadline: AtomicU64::new(u64::MAX),
             accepts_streams_until: AtomicU64::new(u64::MAX),
             accepts_until: AtomicU64::new(u64::MAX),
+            log_written_by: AtomicU64::new(u64::MAX),
             accepted_at: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
@@ -192,6 +195,16 @@
         self.accepts_until.store(at.get(), Ordering::Relaxed);
     }
 
+    /// Time that the last lines of the log get.
+    pub(crate) fn log_flush_time(&self) -> Millis {
+        let written_by = MonoTime::new(self.log_written_by.load(Ordering::Relaxed));
+        log_flush_time(self.now(), written_by)
+    }
+
+    pub(crate) fn set_log_written_by(&self, at: MonoTime) {
+        self.log_written_by.store(at.get(), Ordering::Relaxed);
+    }
+
     /// Waits until a stopping process has to respond.
     pub(crate) async fn wait_for_response_deadline(&self) {
         self.wait_for_phase(LifecyclePhase::NotReady).await;
--- a/crates/relay/src/telemetry/event_log.rs
+++ b/crates/relay/src/telemetry/event_log.rs
@@ -24,6 +24,7 @@
     kv::{Key, Value, VisitSource},
 };
 use parsleylatch_runtime::Clock;
+use parsleylatch_types::Millis;
 
 /// Capacity of the writer thread's queue.
 const QUEUE_LINES: usize = 4_096;
@@ -36,9 +37,6 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Target size of a single write.
 const WRITE_BATCH_BYTES: usize = 64 << 10;
-/// Maximum wait for the last lines when the process exits, part of the time that a planned stop
-/// leaves for the exit.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Kind of lines whose event is not a string literal.
 const OTHER_KIND: &str = "other";
 
@@ -111,15 +109,15 @@
         .wrap_err("another logger is already installed")
 }
 
-/// Waits up to [`FLUSH_TIMEOUT`] until queued lines have been written.
-pub(crate) fn flush_log() {
+/// Waits up to `timeout` until queued lines have been written.
+pub(crate) fn flush_log(timeout: Millis) {
     let Some(log) = LOG.get() else {
         return;
     };
     let (done, is_done) = sync_channel(1);
     if log.commands.try_send(WriterCommand::Flush(done)).is_ok() {
         // A stalled reader must not delay the exit of the process.
-        let _ = is_done.recv_timeout(FLUSH_TIMEOUT);
+        let _ = is_done.recv_timeout(timeout.duration());
     }
 }
 
