--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -15,6 +15,11 @@
 /// Time between two turns whose lateness is measured.
 const TURN_INTERVAL_MS: Millis = Millis::new(50);
 
+/// Rounds of the runtime that follow a measured turn: a connection that has waited for the turn is
+/// accepted in the first one, its socket is registered in the second one, and its request is read
+/// in the third one.
+const SETTLING_ROUNDS: u32 = 3;
+
 /// Shortest time between two lines of the log about refused requests.
 const REPORT_INTERVAL_MS: Millis = Millis::new(1_000);
 /// Lateness from which a thread looks once more whether a caller has left.
@@ -26,6 +31,8 @@
     due: Cell<MonoTime>,
     /// Lateness of the last measured turn.
     lateness: Cell<Micros>,
+    /// Whether the work that had waited for that turn has been done since.
+    is_settled: Cell<bool>,
     load: RefCell<TrafficLoad>,
     /// Requests refused since the last line of the log that says so.
     refused: Cell<u64>,
@@ -37,6 +44,7 @@
         Self {
             due: Cell::new(now + TURN_INTERVAL_MS),
             lateness: Cell::new(Micros::ZERO),
+            is_settled: Cell::new(true),
             load: RefCell::new(TrafficLoad::start(now)),
             refused: Cell::new(0),
             reported_at: Cell::new(now),
@@ -80,7 +88,7 @@
     /// at `responded_at` at the earliest. What a congested link adds to the way of the response
     /// counts as well, so that the response is there in time.
     pub(crate) fn arrival(&self, now: MonoTime, responded_at: Option<MonoTime>) -> MonoTime {
-        let waited = self.lateness(now).get();
+        let waited = self.longest_wait(now).get();
         let delay = self.load.borrow().link_delay(now).get();
         let earliest = MonoTime::new(now.get().saturating_sub(waited.saturating_add(delay)));
         earliest.max(responded_at.unwrap_or_default())
@@ -95,6 +103,24 @@
         }
     }
 
+    /// How long a request that is read now can have waited for the thread. What waited for the last
+    /// measured turn has been read once the thread has settled.
+    fn longest_wait(&self, now: MonoTime) -> Micros {
+        match self.is_settled.get() {
+            true => now.since(self.due.get()),
+            false => self.lateness(now),
+        }
+    }
+
+    /// Waits until the runtime has polled the sockets that were ready at the last measured turn, and
+    /// their tasks have run.
+    async fn settle(&self) {
+        for _ in 0..SETTLING_ROUNDS {
+            yield_now().await;
+        }
+        self.is_settled.set(true);
+    }
+
     fn count_refused(&self) {
         self.refused.set(self.refused.get() + 1);
     }
@@ -105,10 +131,16 @@
     loop {
         let turns = &traffic.turns;
         let due = turns.due.get();
-        traffic.shared.clock.sleep_until(Some(due)).await;
+        let clock = &traffic.shared.clock;
+        tokio::select! {
+            biased;
+            () = clock.sleep_until(Some(due)) => {}
+            () = turns.settle() => clock.sleep_until(Some(due)).await,
+        }
         let now = traffic.now();
         let lateness = now.since(due);
         turns.lateness.set(lateness);
+        turns.is_settled.set(false);
         turns.due.set(now + TURN_INTERVAL_MS);
         let metrics = &traffic.shared.metrics;
         metrics.observe(RelayLatency::TurnLateness, lateness);
