--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -41,4 +41,4 @@
 pub use retry_delay::retry_delay;
 pub use stream_duration::StreamDurations;
 pub(crate) use traffic_load::verify_chart;
-pub use traffic_load::{TrafficLoad, TrafficLoadState};
+pub use traffic_load::{TrafficLoad, TrafficLoadState, TrafficTurn};
--- a/crates/decide/src/relay/overload/traffic_load.rs
+++ b/crates/decide/src/relay/overload/traffic_load.rs
@@ -5,10 +5,12 @@
 //! work on them delays the next ones as well. The chart is `traffic_load`.
 //!
 //! The measure is how late a periodic timer of the thread comes to its turn, which is how long
-//! other work waits. A turn is late if responses would miss the shortest target of a route. Turns that are late throughout an interval show more work than the thread
-//! can do, as in `CoDel`; one late turn does not. The share of new requests that is admitted then
-//! falls with each late turn and rises with each punctual one. Requests that were admitted, and
-//! streams that have begun elsewhere, are kept.
+//! other work waits. A turn is late if responses would miss the shortest target of a route, and if
+//! the thread did not get through the work that waited for the turn before: a VM on part of a CPU
+//! makes the turns of a thread late that has hardly any work. Turns that are late throughout an
+//! interval show more work than the thread can do, as in `CoDel`; one late turn does not. The share
+//! of new requests that is admitted then falls with each late turn and rises with each punctual
+//! one. Requests that were admitted, and streams that have begun elsewhere, are kept.
 //!
 //! A node whose link is congested has a thread that is on time, while no connection to any
 //! endpoint is established in time, and its callers come back with as many bytes. A turn
@@ -68,6 +70,15 @@
     }
 }
 
+/// A periodic turn of a traffic thread.
+#[derive(Clone, Copy, Debug)]
+pub struct TrafficTurn {
+    /// How late the thread came to it.
+    pub lateness: Micros,
+    /// Whether the thread got through the work that waited for the turn before.
+    pub was_settled: bool,
+}
+
 /// Times that connections to endpoints took, since the last ones that were judged.
 #[derive(Debug, Default)]
 struct ConnectTimes {
@@ -100,6 +111,8 @@
 
 struct LoadContext {
     lateness: Micros,
+    /// Whether the thread got through the work that waited for the turn before.
+    was_settled: bool,
     /// Time that every connection took lately, if enough were opened.
     connect_time: Micros,
     /// When the link was last found congested, and how long connections took then.
@@ -111,7 +124,8 @@
 
 impl LoadContext {
     fn is_late(&self) -> bool {
-        self.lateness >= self.late_from || self.connect_time >= LATE_CONNECT_MS.micros()
+        let lacks_time = self.lateness >= self.late_from && !self.was_settled;
+        lacks_time || self.connect_time >= LATE_CONNECT_MS.micros()
     }
 
     fn lower_share(&mut self) {
@@ -160,6 +174,7 @@
     pub fn start(now: MonoTime) -> Self {
         let mut context = LoadContext {
             lateness: Micros::ZERO,
+            was_settled: true,
             connect_time: Micros::ZERO,
             congestion: None,
             late_from: late_from(None),
@@ -183,11 +198,11 @@
         self.connects.record(service, took);
     }
 
-    /// Records how late the thread came to a periodic turn; returns the new state if it has
-    /// changed.
-    pub fn record_turn(&mut self, now: MonoTime, lateness: Micros) -> Option<TrafficLoadState> {
+    /// Records a periodic turn; returns the new state if it has changed.
+    pub fn record_turn(&mut self, now: MonoTime, turn: TrafficTurn) -> Option<TrafficLoadState> {
         let earlier = self.instance.state();
-        self.context.lateness = lateness;
+        self.context.lateness = turn.lateness;
+        self.context.was_settled = turn.was_settled;
         self.context.connect_time = self.connects.judge().unwrap_or_default();
         let connect_time = self.context.connect_time;
         if connect_time >= LATE_CONNECT_MS.micros() {
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use parsleylatch_decide::relay::{TrafficLoad, TrafficLoadState};
+use parsleylatch_decide::relay::{TrafficLoad, TrafficLoadState, TrafficTurn};
 use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName};
 use tokio::task::yield_now;
 
@@ -140,7 +140,7 @@
         let now = traffic.now();
         let lateness = now.since(due);
         turns.lateness.set(lateness);
-        turns.is_settled.set(false);
+        let was_settled = turns.is_settled.replace(false);
         turns.due.set(now + TURN_INTERVAL_MS);
         let metrics = &traffic.shared.metrics;
         metrics.observe(RelayLatency::TurnLateness, lateness);
@@ -152,7 +152,11 @@
         let changed = {
             let mut load = turns.load.borrow_mut();
             load.set_goal(goal_ms);
-            load.record_turn(now, lateness)
+            let turn = TrafficTurn {
+                lateness,
+                was_settled,
+            };
+            load.record_turn(now, turn)
         };
         report(&traffic, now, changed);
     }
