--- a/crates/decide/src/relay/overload/traffic_load.rs
+++ b/crates/decide/src/relay/overload/traffic_load.rs
@@ -248,11 +248,13 @@
     }
 
     /// Whether a request can't be answered before its deadline: it has passed, or a thread that
-    /// sheds load takes longer.
-    pub fn is_hopeless(&self, now: MonoTime, deadline: MonoTime) -> bool {
+    /// sheds load takes longer. For a stream that has begun, that is no reason to end it.
+    pub fn is_hopeless(&self, now: MonoTime, deadline: MonoTime, has_begun: bool) -> bool {
         let needed = match self.state() {
-            TrafficLoadState::Shedding => self.context.lateness.get() * TURNS_PER_REQUEST,
-            TrafficLoadState::OnTime | TrafficLoadState::Late => 0,
+            TrafficLoadState::Shedding if !has_begun => {
+                self.context.lateness.get() * TURNS_PER_REQUEST
+            }
+            _ => 0,
         };
         now + Micros::new(needed) >= deadline
     }
--- a/crates/decide/tests/traffic_load.rs
+++ b/crates/decide/tests/traffic_load.rs
@@ -92,8 +92,16 @@
 #[test]
 fn is_hopeless_late_thread() {
     let (load, now) = record_all(&[100; 20]);
-    assert!(load.is_hopeless(now, now + Millis::new(700)));
-    assert!(!load.is_hopeless(now, now + Millis::new(900)));
+    assert!(load.is_hopeless(now, now + Millis::new(700), false));
+    assert!(!load.is_hopeless(now, now + Millis::new(900), false));
+}
+
+/// A stream that has begun elsewhere goes on at a thread that sheds load, until its deadline.
+#[test]
+fn is_hopeless_begun_stream() {
+    let (load, now) = record_all(&[100; 20]);
+    assert!(!load.is_hopeless(now, now + Millis::new(700), true));
+    assert!(load.is_hopeless(now, now, true));
 }
 
 /// Records turns of a punctual thread, and connections that took as long.
@@ -165,11 +173,11 @@
             };
             let late_for = late_since.map_or(Micros::ZERO, |since| now.since(since));
             has_been_late_for = has_been_late_for.max(late_for);
-            prop_assert!(load.is_hopeless(now, now));
+            prop_assert!(load.is_hopeless(now, now, false));
             prop_assert!(load.admits(true, draw));
             if has_been_late_for < Millis::new(SHED_DELAY_MS).micros() {
                 prop_assert!(load.admits(false, draw));
-                prop_assert!(!load.is_hopeless(now, now + Micros::new(1)));
+                prop_assert!(!load.is_hopeless(now, now + Micros::new(1), false));
             }
             // Some requests are always admitted, so that it shows when the thread can do more.
             prop_assert!(load.admits(false, 0.0));
@@ -191,7 +199,7 @@
             now = record_one(&mut load, now, late_ms, true);
             prop_assert_eq!(load.state(), TrafficLoadState::OnTime);
             prop_assert!(load.admits(false, draw));
-            prop_assert!(!load.is_hopeless(now, now + Micros::new(1)));
+            prop_assert!(!load.is_hopeless(now, now + Micros::new(1), false));
         }
     }
 
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -152,7 +152,8 @@
     let has_begun = metadata.last_event.is_some_and(|it| it.get() > 0);
     let latest = arrived_at + metadata.timeout_ms.unwrap_or(MAX_BODY_TIME_MS);
     let turns = &traffic.turns;
-    if turns.is_hopeless(traffic.now(), latest) || !turns.admits(has_begun, rand::random()) {
+    let is_hopeless = turns.is_hopeless(traffic.now(), latest, has_begun);
+    if is_hopeless || !turns.admits(has_begun, rand::random()) {
         return Err(overloaded(id, latest, traffic.now()));
     }
     let host = single_host(&parts.headers)
@@ -206,7 +207,7 @@
         .timeout_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
     let deadline = arrived_at + timeout_ms;
-    if traffic.turns.is_hopeless(traffic.now(), deadline) {
+    if turns.is_hopeless(traffic.now(), deadline, has_begun) {
         return Err(overloaded(id, deadline, traffic.now()));
     }
     if may_outlast_process(traffic, route.repeat, &service, &metadata, deadline) {
--- a/crates/relay/src/traffic/turns.rs
+++ b/crates/relay/src/traffic/turns.rs
@@ -66,8 +66,8 @@
     }
 
     /// Whether a request can't be answered before its deadline.
-    pub(crate) fn is_hopeless(&self, now: MonoTime, deadline: MonoTime) -> bool {
-        let is_hopeless = self.load.borrow().is_hopeless(now, deadline);
+    pub(crate) fn is_hopeless(&self, now: MonoTime, deadline: MonoTime, has_begun: bool) -> bool {
+        let is_hopeless = self.load.borrow().is_hopeless(now, deadline, has_begun);
         if is_hopeless {
             self.count_refused();
         }
