--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -154,7 +154,8 @@
     let turns = &traffic.turns;
     let is_hopeless = turns.is_hopeless(traffic.now(), latest, has_begun);
     if is_hopeless || !turns.admits(has_begun, rand::random()) {
-        return Err(overloaded(id, latest, traffic.now()));
+        let is_body_unread = !body.is_end_stream();
+        return Err(overloaded(id, latest, traffic.now(), is_body_unread));
     }
     let host = single_host(&parts.headers)
         .ok_or_else(|| denied(id, Denial::BadRequest, "missing or repeated host"))?;
@@ -208,7 +209,7 @@
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
     let deadline = arrived_at + timeout_ms;
     if turns.is_hopeless(traffic.now(), deadline, has_begun) {
-        return Err(overloaded(id, deadline, traffic.now()));
+        return Err(overloaded(id, deadline, traffic.now(), false));
     }
     if may_outlast_process(traffic, route.repeat, &service, &metadata, deadline) {
         return Err(denied(
@@ -277,11 +278,20 @@
 }
 
 /// Refusal by a thread that sheds load, whose caller may come back before `deadline`.
-fn overloaded(id: Option<&ExchangeId>, deadline: MonoTime, now: MonoTime) -> Denied {
+fn overloaded(
+    id: Option<&ExchangeId>,
+    deadline: MonoTime,
+    now: MonoTime,
+    is_body_unread: bool,
+) -> Denied {
     let remaining = deadline.since(now);
     let delay = retry_delay(remaining, remaining, MIN_RETRY_AFTER_MS, rand::random());
     let retry_after_ms = (remaining > Micros::ZERO).then_some(delay);
-    denied(id, Denial::Overloaded { retry_after_ms }, "overloaded")
+    let denial = Denial::Overloaded {
+        retry_after_ms,
+        is_body_unread,
+    };
+    denied(id, denial, "overloaded")
 }
 
 /// Returns `denial` if the configuration it is based on is fresh, and otherwise
--- a/crates/relay/src/traffic/responses.rs
+++ b/crates/relay/src/traffic/responses.rs
@@ -10,8 +10,8 @@
 /// `Retry-After` of a node that lacks recent state.
 const UNINFORMED_RETRY_AFTER_MS: Millis = Millis::new(300);
 
-/// `Retry-After` of a node whose memory for bodies or places for connections are used up. The caller's retry reaches
-/// another node.
+/// `Retry-After` of a node whose memory for bodies or places for connections are used up. The
+/// caller's retry reaches another node.
 const MEMORY_RETRY_AFTER_MS: Millis = Millis::new(100);
 
 /// Why a request is rejected before an endpoint is selected.
@@ -37,6 +37,8 @@
     Overloaded {
         /// When the caller may come back; `None` if it has no time left.
         retry_after_ms: Option<Millis>,
+        /// Whether its body is not read.
+        is_body_unread: bool,
     },
     /// The process has no place for another connection.
     NoPlace,
@@ -65,13 +67,14 @@
         match self {
             Self::Uninformed => Some(UNINFORMED_RETRY_AFTER_MS),
             Self::MemoryUsedUp | Self::NoPlace => Some(MEMORY_RETRY_AFTER_MS),
-            Self::Overloaded { retry_after_ms } => retry_after_ms,
+            Self::Overloaded { retry_after_ms, .. } => retry_after_ms,
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             _ => None,
         }
     }
 
-    /// Whether the connection must be closed because its framing may be out of sync.
+    /// Whether the connection must be closed because its framing may be out of sync, or a body is
+    /// still to come.
     fn ends_connection(self) -> bool {
         matches!(
             self,
@@ -80,6 +83,10 @@
                 | Self::SlowBody
                 | Self::MemoryUsedUp
                 | Self::NoPlace
+                | Self::Overloaded {
+                    is_body_unread: true,
+                    ..
+                }
         )
     }
 }
