--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod open_trials;
 mod overload;
 mod ownership;
+mod place_limits;
 mod readers;
 mod registry;
 mod report;
@@ -34,8 +35,7 @@
     RelayRoute, RelayWorkspace, RepeatPolicy, ServiceRules,
 };
 pub use connection_places::{
-    Admission, Admitted, ConnectionPlaces, LimitNotice, Occupancy, PlaceBound, PlaceLimits,
-    PlaceState,
+    Admission, Admitted, ConnectionPlaces, LimitNotice, Occupancy, PlaceState,
 };
 pub use copy::{CopySource, MemoryCopy};
 pub use crash_evidence::{
@@ -57,6 +57,7 @@
     is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, retry_delay, room,
 };
 pub use ownership::EndpointOwnership;
+pub use place_limits::{PlaceBound, PlaceLimits};
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
 pub use registry::{Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
