--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection takes memory, a descriptor, and while it serves a request a second descriptor for
 //! the endpoint. When a new one finds no place, the connection that has rested longest is
-//! closed. Only if none rests is the new one refused. A few places are kept back for those that
+//! closed. While it and others close, the new one waits a bounded time. Only if none rests is the
+//! new one refused. A few places are kept back for those that
 //! are refused, and as many for those that close. The chart of a place is `caller_place`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,8 @@
 const CLOSING_MS: Millis = Millis::new(20);
 /// Maximum time for which it waits for those that are refused, which may send nothing.
 const REFUSAL_MS: Millis = Millis::new(1);
+/// Maximum time for which an accepted connection waits for room while others close.
+const ROOM_WAIT_MS: Millis = Millis::new(500);
 /// Descriptors of a connection that serves a request.
 const BUSY_DESCRIPTORS: u64 = 2;
 /// Part of the limit below which it is left, in percent.
@@ -32,6 +35,8 @@
 chart_names! {
     /// What a place is taken by.
     pub enum PlaceState {
+        /// A connection that waits for room while others close.
+        Waiting,
         /// A connection on which no request has begun to arrive.
         Fresh,
         /// A request, or a part of a head.
@@ -50,6 +55,8 @@
 chart_names! {
     /// Events of a place.
     pub(crate) enum PlaceEvent {
+        /// There is room.
+        Admitted,
         /// A request, or a part of a head, has arrived.
         Began,
         /// The response was sent.
@@ -77,14 +84,16 @@
 pub enum Admission {
     /// Its requests are served.
     Serve,
+    /// It waits until this time at most, as others close, and is looked at again when one has.
+    Wait(MonoTime),
     /// Its first request is refused.
     Refuse,
 }
 
-/// What a connection that was accepted leads to.
+/// What a connection that was accepted, or that waits, leads to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Admitted {
-    /// Number of the new connection.
+    /// Number of the connection.
     pub number: ConnectionNumber,
     /// Whether it is served.
     pub admission: Admission,
@@ -121,6 +130,7 @@
 struct Place {
     instance: Instance<PlaceState>,
     size: ByteCount,
+    accepted_at: MonoTime,
     /// From when on it may be closed for room.
     closable_at: MonoTime,
 }
@@ -173,22 +183,37 @@
     pub fn admit(&mut self, now: MonoTime, endpoint_connections: ConnectionCount) -> Admitted {
         let number = self.next;
         self.next = number.next();
-        let size = self.limits.connection_size;
-        let reserve = self.limits.reserve().get();
-        let descriptors = self.limits.resting_descriptors();
-        let mut closed = self.close_until_room(now, 1, reserve, descriptors, endpoint_connections);
-        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
-            && self.served_bytes + self.closing_bytes + size.get() <= self.limits.open_bytes();
         let place = Place {
             instance: machine().start(now, &mut ()),
-            size,
+            size: self.limits.connection_size,
+            accepted_at: now,
             closable_at: now + FIRST_REQUEST_MS,
         };
         self.places.insert(number, place);
         self.enter(number);
-        let admission = match has_room {
-            true => Admission::Serve,
-            false => {
+        self.look_for_room(now, number, endpoint_connections)
+    }
+
+    /// Looks for room for a connection that waits.
+    pub fn look_for_room(
+        &mut self,
+        now: MonoTime,
+        number: ConnectionNumber,
+        endpoint_connections: ConnectionCount,
+    ) -> Admitted {
+        let reserve = self.limits.reserve().get();
+        let size = self.limits.connection_size.get();
+        let descriptors = self.limits.resting_descriptors();
+        let mut closed = self.close_until_room(now, 1, reserve, descriptors, endpoint_connections);
+        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
+            && self.served_bytes + self.closing_bytes + size <= self.limits.open_bytes();
+        let admission = match self.room_awaited_until(now, number) {
+            _ if has_room => {
+                self.step(now, number, PlaceEvent::Admitted);
+                Admission::Serve
+            }
+            Some(until) => Admission::Wait(until),
+            None => {
                 closed.extend(self.drop_oldest_refused(now));
                 self.step(now, number, PlaceEvent::Refused);
                 Admission::Refuse
@@ -202,6 +227,15 @@
         }
     }
 
+    /// Until when a connection waits for others that close; `None` if that is over, if none
+    /// closes, or if as many wait as may.
+    fn room_awaited_until(&self, now: MonoTime, number: ConnectionNumber) -> Option<MonoTime> {
+        let until = self.places.get(&number)?.accepted_at + ROOM_WAIT_MS;
+        let may_wait = self.count(PlaceState::Closing) > 0
+            && self.count(PlaceState::Waiting) <= self.limits.reserve().get();
+        Some(until).filter(|it| may_wait && now < *it)
+    }
+
     /// Records that a request or a part of a head has arrived; returns connections to close.
     pub fn begin(
         &mut self,
@@ -413,7 +447,7 @@
                 self.refusing.insert(number);
             }
             PlaceState::Closing => self.closing_bytes += place.size.get(),
-            PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping => {}
         }
     }
 
@@ -434,7 +468,7 @@
                 self.refusing.remove(&number);
             }
             PlaceState::Closing => self.closing_bytes -= place.size.get(),
-            PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping => {}
         }
     }
 }
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -109,6 +109,29 @@
     assert_eq!(places.state(numbers[0]), Some(PlaceState::Busy));
 }
 
+/// A connection waits while others close, and is refused when that has taken too long.
+#[test_case(0, true, Some(Admission::Serve) ; "one has ended")]
+#[test_case(499, false, None ; "none has ended")]
+#[test_case(500, false, Some(Admission::Refuse) ; "too late")]
+fn look_for_room_beside_closing(after_ms: u64, has_ended: bool, expected: Option<Admission>) {
+    let (mut places, numbers) = full_of_resting(small());
+    let now = at(60_000);
+    for _ in 0..small().reserve().get() {
+        let admitted = places.admit(now, NO_CONNECTIONS);
+        assert_eq!(admitted.admission, Admission::Serve);
+    }
+    let waiting = places.admit(now, NO_CONNECTIONS);
+    let until = at(60_500);
+    assert_eq!(waiting.admission, Admission::Wait(until));
+    if has_ended {
+        places.release(numbers[0]);
+    }
+    let looked = places.look_for_room(at(60_000 + after_ms), waiting.number, NO_CONNECTIONS);
+    let expected = expected.unwrap_or(Admission::Wait(until));
+    assert_eq!(looked.admission, expected);
+    assert_eq!(looked.closed.len(), usize::from(has_ended));
+}
+
 /// The oldest connection that is refused goes first when their places are taken.
 #[test]
 fn admit_oldest_refused_dropped() {
@@ -234,6 +257,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Accept,
+    Look(usize),
     Begin(usize),
     Rest(usize),
     Release(usize),
@@ -244,6 +268,7 @@
 fn any_step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => Just(Step::Accept),
+        2 => any::<usize>().prop_map(Step::Look),
         3 => any::<usize>().prop_map(Step::Begin),
         2 => any::<usize>().prop_map(Step::Rest),
         2 => any::<usize>().prop_map(Step::Release),
@@ -280,6 +305,10 @@
                     }
                     admitted.closed
                 }
+                Step::Look(it) => pick(it)
+                    .filter(|it| places.state(*it) == Some(PlaceState::Waiting))
+                    .map(|it| places.look_for_room(now, it, NO_CONNECTIONS).closed)
+                    .unwrap_or_default(),
                 Step::Begin(it) => pick(it)
                     .map(|it| places.begin(now, it, NO_CONNECTIONS))
                     .unwrap_or_default(),
@@ -323,6 +352,8 @@
             let served: u64 = served.into_iter().map(in_state).sum();
             let size = small.connection_size.get();
             prop_assert!(served * size <= small.memory.get(), "{served} are served");
+            let waiting = in_state(PlaceState::Waiting);
+            prop_assert!(waiting <= small.reserve().get(), "{waiting} wait");
             let refusing = in_state(PlaceState::Refusing);
             prop_assert!(refusing <= small.reserve().get(), "{refusing} are refused");
             prop_assert_eq!(places.occupancy(NO_CONNECTIONS).open.get(), open.len() as u64);
--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -234,14 +234,52 @@
         let (number, admission) = admitted.expect("the change has run");
         state.signals.insert(number, Arc::clone(&signal));
         drop(state);
-        if admission == Admission::Refuse {
-            shared.metrics.increment(RelayCounter::ConnectionsRefused);
-        }
-        Self {
+        let place = Self {
             shared: Arc::clone(shared),
             number,
             admission,
             signal,
+        };
+        place.count_refusal();
+        place
+    }
+
+    /// Waits a bounded time for room while other connections close.
+    pub(crate) async fn wait_for_room(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        loop {
+            let released = shared.caller_places.released.notified();
+            let Admission::Wait(until) = self.admission else {
+                return;
+            };
+            // A connection that ended since the last look is not notified.
+            self.look_for_room();
+            if matches!(self.admission, Admission::Wait(_)) {
+                let until = shared.clock.to_instant(until);
+                // When the time is over, the next look refuses the connection.
+                let _ = time::timeout_at(until, released).await;
+            }
+        }
+    }
+
+    fn look_for_room(&mut self) {
+        let places = &self.shared.caller_places;
+        let endpoints = places.open_to_endpoints();
+        let now = self.shared.now();
+        let mut admission = self.admission;
+        drop(places.update(&self.shared, |places| {
+            let it = places.look_for_room(now, self.number, endpoints);
+            admission = it.admission;
+            it.closed
+        }));
+        self.admission = admission;
+        self.count_refusal();
+    }
+
+    fn count_refusal(&self) {
+        if self.admission == Admission::Refuse {
+            let metrics = &self.shared.metrics;
+            metrics.increment(RelayCounter::ConnectionsRefused);
         }
     }
 
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -189,8 +189,9 @@
     traffic: Rc<Traffic>,
     stream: TcpStream,
     awaited: AwaitedRequest,
-    place: CallerPlace,
+    mut place: CallerPlace,
 ) {
+    place.wait_for_room().await;
     if place.admission() == Admission::Serve {
         caller_connection::serve(traffic, stream, awaited, place).await;
         return;
