--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -289,10 +289,21 @@
         closed
     }
 
-    /// Whether one more connection would use descriptors that resting ones leave.
-    pub fn lacks_descriptors(&self, endpoint_connections: ConnectionCount) -> bool {
+    /// Whether a connection to an endpoint may stay open without a request.
+    pub fn has_idle_descriptors(&self, endpoint_connections: ConnectionCount) -> bool {
+        let used = self.used_descriptors(0, endpoint_connections);
+        used <= self.limits.resting_descriptors()
+    }
+
+    /// Whether one more connection needs a descriptor of those to endpoints, as no connection of a
+    /// caller can make room.
+    pub fn needs_idle_descriptors(
+        &self,
+        now: MonoTime,
+        endpoint_connections: ConnectionCount,
+    ) -> bool {
         let used = self.used_descriptors(1, endpoint_connections);
-        used > self.limits.resting_descriptors()
+        used > self.limits.resting_descriptors() && self.longest_closable(now).is_none()
     }
 
     /// State of a connection's place.
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -198,7 +198,24 @@
         assert_eq!(places.begin(at(5_000), number, endpoints), []);
         assert_eq!(places.rest(at(5_000), number, endpoints), []);
     }
-    assert!(places.lacks_descriptors(ConnectionCount::new(100)));
+    assert!(!places.has_idle_descriptors(ConnectionCount::new(100)));
+}
+
+/// Connections to endpoints that are idle go only when no caller's connection can.
+#[test_case(true, false ; "callers rest")]
+#[test_case(false, true ; "callers are busy")]
+fn needs_idle_descriptors_at_limit(rests: bool, expected: bool) {
+    let few = limits(SMALL_MEMORY, USUAL_HEAD, DescriptorCount::new(300));
+    let mut places = ConnectionPlaces::new(few);
+    let endpoints = ConnectionCount::new(100);
+    while !places.needs_idle_descriptors(at(0), endpoints) {
+        let number = places.admit(at(0), endpoints).number;
+        places.begin(at(0), number, endpoints);
+    }
+    if rests {
+        places.rest(at(0), ConnectionNumber::ZERO, endpoints);
+    }
+    assert_eq!(places.needs_idle_descriptors(at(0), endpoints), expected);
 }
 
 /// Streams of a usual VM fit its descriptors, with one more for each at its endpoint.
--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -110,16 +110,29 @@
         }));
     }
 
-    /// Closes connections that have rested longest, as the process has no descriptors left.
-    pub(crate) fn close_longest(&self, shared: &Shared) {
-        drop(self.update(shared, |places| places.close_longest(shared.now())));
+    /// Closes connections that have rested longest, as the process has no descriptors left;
+    /// returns whether one rested.
+    pub(crate) fn close_longest(&self, shared: &Shared) -> bool {
+        let mut has_closed = false;
+        drop(self.update(shared, |places| {
+            let closed = places.close_longest(shared.now());
+            has_closed = !closed.is_empty();
+            closed
+        }));
+        has_closed
+    }
+
+    /// Whether a connection to an endpoint may stay open without a request.
+    pub(crate) fn has_idle_descriptors(&self) -> bool {
+        let endpoints = self.open_to_endpoints();
+        self.lock().places.has_idle_descriptors(endpoints)
     }
 
-    /// Whether connections to endpoints and of callers have used up the descriptors for resting
-    /// ones.
-    pub(crate) fn lacks_descriptors(&self) -> bool {
+    /// Whether the next caller needs a descriptor of the idle connections to endpoints.
+    pub(crate) fn needs_idle_descriptors(&self, shared: &Shared) -> bool {
         let endpoints = self.open_to_endpoints();
-        self.lock().places.lacks_descriptors(endpoints)
+        let places = &self.lock().places;
+        places.needs_idle_descriptors(shared.now(), endpoints)
     }
 
     /// Whether more connections are served than there is room for.
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -83,8 +83,10 @@
                 }
                 if lacks_descriptors(&error) {
                     // The process may do without connections that rest.
-                    traffic.connections.close_older_idle();
-                    traffic.shared.caller_places.close_longest(&traffic.shared);
+                    let has_closed = traffic.shared.caller_places.close_longest(&traffic.shared);
+                    if !has_closed {
+                        traffic.connections.close_older_idle();
+                    }
                 }
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -169,7 +171,7 @@
 
 fn serve(traffic: &Rc<Traffic>, stream: TcpStream) {
     let shared = &traffic.shared;
-    if shared.caller_places.lacks_descriptors() {
+    if shared.caller_places.needs_idle_descriptors(shared) {
         traffic.connections.close_older_idle();
     }
     let place = CallerPlace::take(shared);
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -91,7 +91,7 @@
     /// Keeps a connection to an endpoint for further requests, unless callers need its
     /// descriptor. At most `limit` connections of the endpoint are kept.
     pub(crate) fn release(&self, connection: OpenConnection, limit: usize) {
-        if self.shared.caller_places.lacks_descriptors() {
+        if !self.shared.caller_places.has_idle_descriptors() {
             self.connections.close_older_idle();
             return;
         }
