--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -27,8 +27,8 @@
 const ROOM_WAIT_MS: Millis = Millis::new(500);
 /// Descriptors of a connection that serves a request.
 const BUSY_DESCRIPTORS: u64 = 2;
-/// Part of the limit below which it is left, in percent.
-const LEFT_PERCENT: u64 = 90;
+/// The limit is left when there is room for one in so many of the connections that it allows.
+const LEFT_RATIO: u64 = 10;
 /// Minimum time between two notices that the limit is reached.
 const NOTICE_INTERVAL_MS: Millis = Millis::new(1_000);
 
@@ -125,6 +125,8 @@
     pub endpoint_connections: ConnectionCount,
     /// Descriptors of the process.
     pub descriptors: DescriptorCount,
+    /// Descriptors of callers' connections and of those to endpoints.
+    pub used_descriptors: DescriptorCount,
 }
 
 struct Place {
@@ -331,23 +333,30 @@
     /// Numbers for operators.
     pub fn occupancy(&self, endpoint_connections: ConnectionCount) -> Occupancy {
         let (limit, bound) = self.limits.limit();
+        let open = self.places.len() as u64;
         let resting = self.count(PlaceState::Fresh) + self.count(PlaceState::Resting);
         Occupancy {
-            open: ConnectionCount::new(self.places.len() as u64),
+            open: ConnectionCount::new(open),
             resting: ConnectionCount::new(resting),
             limit,
             bound,
             endpoint_connections,
             descriptors: self.limits.descriptors,
+            used_descriptors: DescriptorCount::new(open + endpoint_connections.get()),
         }
     }
 
     /// Whether the limit was reached or left since the last notice. It is noticed as reached at
     /// most once in [`NOTICE_INTERVAL_MS`].
-    pub fn take_notice(&mut self, now: MonoTime) -> Option<LimitNotice> {
+    pub fn take_notice(
+        &mut self,
+        now: MonoTime,
+        endpoint_connections: ConnectionCount,
+    ) -> Option<LimitNotice> {
         let (limit, _) = self.limits.limit();
-        let open = self.places.len() as u64;
-        if self.is_at_limit && open * 100 < limit.get() * LEFT_PERCENT {
+        let margin = limit.get().div_ceil(LEFT_RATIO);
+        let descriptors = self.limits.resting_descriptors();
+        if self.has_room(margin, descriptors, endpoint_connections) {
             self.is_at_limit = false;
         }
         let is_recent = |at: MonoTime| now.since(at) < NOTICE_INTERVAL_MS.micros();
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -247,14 +247,20 @@
 #[test]
 fn take_notice_once() {
     let (mut places, numbers) = full_of_resting(small());
-    assert_eq!(places.take_notice(at(60_000)), None);
+    assert_eq!(places.take_notice(at(60_000), NO_CONNECTIONS), None);
     places.admit(at(60_000), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Reached));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Reached)
+    );
     places.admit(at(60_001), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_001)), None);
+    assert_eq!(places.take_notice(at(60_001), NO_CONNECTIONS), None);
     numbers.into_iter().for_each(|it| places.release(it));
-    assert_eq!(places.take_notice(at(60_002)), Some(LimitNotice::Left));
-    assert_eq!(places.take_notice(at(63_000)), None);
+    assert_eq!(
+        places.take_notice(at(60_002), NO_CONNECTIONS),
+        Some(LimitNotice::Left)
+    );
+    assert_eq!(places.take_notice(at(63_000), NO_CONNECTIONS), None);
 }
 
 /// A limit that is reached again is noticed a second later at the earliest.
@@ -263,11 +269,20 @@
 fn take_notice_reached_again(at_ms: u64, expected: Option<LimitNotice>) {
     let (mut places, numbers) = full_of_resting(small());
     places.admit(at(60_000), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Reached));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Reached)
+    );
     numbers.into_iter().for_each(|it| places.release(it));
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Left));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Left)
+    );
     serve_until_refused(&mut places);
-    assert_eq!(places.take_notice(at(60_000 + at_ms)), expected);
+    assert_eq!(
+        places.take_notice(at(60_000 + at_ms), NO_CONNECTIONS),
+        expected
+    );
 }
 
 /// What happens to one of the connections, chosen by a number.
@@ -377,3 +392,20 @@
         }
     }
 }
+
+/// Busy connections took all descriptors, and nobody was told.
+#[test]
+fn take_notice_busy_on_all_descriptors() {
+    let descriptors = DescriptorCount::new(400);
+    let limits = limits(ByteCount::new(512 * MIB), USUAL_HEAD, descriptors);
+    let mut places = ConnectionPlaces::new(limits);
+    let served = serve_until_refused(&mut places);
+    let endpoints = ConnectionCount::new(served);
+    let notice = places.take_notice(at(60_000), endpoints);
+    assert_eq!(notice, Some(LimitNotice::Reached));
+    (0..served)
+        .map(ConnectionNumber::new)
+        .for_each(|it| places.release(it));
+    let notice = places.take_notice(at(60_000), NO_CONNECTIONS);
+    assert_eq!(notice, Some(LimitNotice::Left));
+}
--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -203,7 +203,7 @@
     }
 
     fn log_notice(&mut self, shared: &Shared, endpoints: ConnectionCount) {
-        let Some(notice) = self.places.take_notice(shared.now()) else {
+        let Some(notice) = self.places.take_notice(shared.now(), endpoints) else {
             return;
         };
         let occupancy = self.places.occupancy(endpoints);
@@ -217,7 +217,8 @@
             limit = occupancy.limit.get(),
             bound:% = occupancy.bound,
             endpoint_connections = endpoints.get(),
-            descriptors = occupancy.descriptors.get();
+            descriptors = occupancy.descriptors.get(),
+            used_descriptors = occupancy.used_descriptors.get();
             "{message}"
         );
     }
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -194,6 +194,7 @@
             ("caller_connections_limit", callers.limit.get()),
             ("endpoint_connections", callers.endpoint_connections.get()),
             ("descriptors_limit", callers.descriptors.get()),
+            ("descriptors_used", callers.used_descriptors.get()),
             ("endpoints", endpoints as u64),
         ];
         for (name, value) in gauges {
