--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection takes memory, a descriptor, and while it serves a request a second descriptor for
 //! the endpoint. When a new one finds no place, the connection that has rested longest is
-//! closed. Only if none rests is the new one refused. A few places are kept back for those that
+//! closed. While it and others close, the new one waits a bounded time. Only if none rests is the
+//! new one refused. A few places are kept back for those that
 //! are refused, and as many for those that close. The chart of a place is `caller_place`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,39 +14,29 @@
 };
 use strum::VariantArray as _;
 
-use super::memory_plan::MemoryPlan;
+use super::place_limits::{CONNECTION_LIMIT, PlaceBound, PlaceLimits};
 use crate::charts::{self, LazyMachine};
 
-/// Maximum number of callers' connections of a process.
-const CONNECTION_LIMIT: u64 = 2_600;
 /// Time for which a new connection keeps its place without a request.
 const FIRST_REQUEST_MS: Millis = Millis::new(1_000);
 /// Maximum time for which the next connection waits for those that close.
 const CLOSING_MS: Millis = Millis::new(20);
 /// Maximum time for which it waits for those that are refused, which may send nothing.
 const REFUSAL_MS: Millis = Millis::new(1);
-/// One in so many places is kept back for connections that are refused, and as many for those
-/// that close.
-const RESERVE_RATIO: u64 = 16;
-/// Maximum of each reserve.
-const MAX_RESERVE: u64 = 64;
-/// Descriptors of the process itself: listeners, log, store.
-const OWN_DESCRIPTORS: u64 = 64;
-/// Descriptors that new connections leave, while others rest, for links to other nodes and for the pages for
-/// readiness and metrics.
-const STATUS_DESCRIPTORS: u64 = 64 + 2 * 64;
-/// Maximum part of the descriptors that is kept for either, as a divisor.
-const SMALL_PROCESS_PART: u64 = 4;
+/// Maximum time for which an accepted connection waits for room while others close.
+const ROOM_WAIT_MS: Millis = Millis::new(500);
 /// Descriptors of a connection that serves a request.
 const BUSY_DESCRIPTORS: u64 = 2;
-/// Part of the limit below which it is left, in percent.
-const LEFT_PERCENT: u64 = 90;
+/// The limit is left when there is room for one in so many of the connections that it allows.
+const LEFT_RATIO: u64 = 10;
 /// Minimum time between two notices that the limit is reached.
 const NOTICE_INTERVAL_MS: Millis = Millis::new(1_000);
 
 chart_names! {
     /// What a place is taken by.
     pub enum PlaceState {
+        /// A connection that waits for room while others close.
+        Waiting,
         /// A connection on which no request has begun to arrive.
         Fresh,
         /// A request, or a part of a head.
@@ -64,6 +55,8 @@
 chart_names! {
     /// Events of a place.
     pub(crate) enum PlaceEvent {
+        /// There is room.
+        Admitted,
         /// A request, or a part of a head, has arrived.
         Began,
         /// The response was sent.
@@ -86,103 +79,21 @@
     MACHINE.as_ref().map(|_| ()).map_err(Clone::clone)
 }
 
-/// Limits in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PlaceLimits {
-    /// Memory for all callers' connections.
-    pub memory: ByteCount,
-    /// Memory of a connection that is accepted now.
-    pub connection_size: ByteCount,
-    /// Descriptors of the process.
-    pub descriptors: DescriptorCount,
-}
-
-/// What bounds the number of connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum PlaceBound {
-    /// The memory of the process.
-    Memory,
-    /// The descriptors of the process.
-    Descriptors,
-    /// The maximum for any process.
-    Maximum,
-}
-
-impl PlaceLimits {
-    /// Limits of a process by its memory, the configured limit on heads and its descriptors.
-    pub fn new(plan: &MemoryPlan, head: ByteCount, descriptors: DescriptorCount) -> Self {
-        Self {
-            memory: plan.connections,
-            connection_size: MemoryPlan::connection_size(head),
-            descriptors,
-        }
-    }
-
-    /// Places that are kept back for refusals, and as many for connections that close.
-    pub fn reserve(&self) -> ConnectionCount {
-        let places = self.memory.get() / self.connection_size.get();
-        let places = places
-            .min(CONNECTION_LIMIT)
-            .min(self.resting_descriptors().max(1));
-        ConnectionCount::new((places / RESERVE_RATIO).clamp(1, MAX_RESERVE))
-    }
-
-    /// Memory for connections that are served.
-    fn served_bytes(&self) -> u64 {
-        let reserved = 2 * self.reserve().get() * self.connection_size.get();
-        self.memory.get().saturating_sub(reserved)
-    }
-
-    /// Memory for connections that are served or close.
-    fn open_bytes(&self) -> u64 {
-        let reserved = self.reserve().get() * self.connection_size.get();
-        self.memory.get().saturating_sub(reserved)
-    }
-
-    /// Descriptors for connections of callers and to endpoints.
-    fn usable_descriptors(&self) -> u64 {
-        let all = self.descriptors.get();
-        all - OWN_DESCRIPTORS.min(all / SMALL_PROCESS_PART)
-    }
-
-    /// Descriptors that may be used while connections rest that could make room.
-    fn resting_descriptors(&self) -> u64 {
-        let all = self.descriptors.get();
-        self.usable_descriptors() - STATUS_DESCRIPTORS.min(all / SMALL_PROCESS_PART)
-    }
-
-    /// Number of connections that may stay open, and what bounds it.
-    pub fn limit(&self) -> (ConnectionCount, PlaceBound) {
-        let bounds = [
-            (
-                self.served_bytes() / self.connection_size.get(),
-                PlaceBound::Memory,
-            ),
-            (self.resting_descriptors(), PlaceBound::Descriptors),
-            (CONNECTION_LIMIT, PlaceBound::Maximum),
-        ];
-        let (count, bound) = bounds
-            .into_iter()
-            .min_by_key(|(count, _)| *count)
-            .unwrap_or((CONNECTION_LIMIT, PlaceBound::Maximum));
-        (ConnectionCount::new(count), bound)
-    }
-}
-
 /// Whether a new connection is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// Its requests are served.
     Serve,
+    /// It waits until this time at most, as others close, and is looked at again when one has.
+    Wait(MonoTime),
     /// Its first request is refused.
     Refuse,
 }
 
-/// What a connection that was accepted leads to.
+/// What a connection that was accepted, or that waits, leads to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Admitted {
-    /// Number of the new connection.
+    /// Number of the connection.
     pub number: ConnectionNumber,
     /// Whether it is served.
     pub admission: Admission,
@@ -214,11 +125,14 @@
     pub endpoint_connections: ConnectionCount,
     /// Descriptors of the process.
     pub descriptors: DescriptorCount,
+    /// Descriptors of callers' connections and of those to endpoints.
+    pub used_descriptors: DescriptorCount,
 }
 
 struct Place {
     instance: Instance<PlaceState>,
     size: ByteCount,
+    accepted_at: MonoTime,
     /// From when on it may be closed for room.
     closable_at: MonoTime,
 }
@@ -271,22 +185,37 @@
     pub fn admit(&mut self, now: MonoTime, endpoint_connections: ConnectionCount) -> Admitted {
         let number = self.next;
         self.next = number.next();
-        let size = self.limits.connection_size;
-        let reserve = self.limits.reserve().get();
-        let descriptors = self.limits.resting_descriptors();
-        let mut closed = self.close_until_room(now, 1, reserve, descriptors, endpoint_connections);
-        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
-            && self.served_bytes + self.closing_bytes + size.get() <= self.limits.open_bytes();
         let place = Place {
             instance: machine().start(now, &mut ()),
-            size,
+            size: self.limits.connection_size,
+            accepted_at: now,
             closable_at: now + FIRST_REQUEST_MS,
         };
         self.places.insert(number, place);
         self.enter(number);
-        let admission = match has_room {
-            true => Admission::Serve,
-            false => {
+        self.look_for_room(now, number, endpoint_connections)
+    }
+
+    /// Looks for room for a connection that waits.
+    pub fn look_for_room(
+        &mut self,
+        now: MonoTime,
+        number: ConnectionNumber,
+        endpoint_connections: ConnectionCount,
+    ) -> Admitted {
+        let reserve = self.limits.reserve().get();
+        let size = self.limits.connection_size.get();
+        let descriptors = self.limits.resting_descriptors();
+        let mut closed = self.close_until_room(now, 1, reserve, descriptors, endpoint_connections);
+        let has_room = self.has_room(1, self.limits.usable_descriptors(), endpoint_connections)
+            && self.served_bytes + self.closing_bytes + size <= self.limits.open_bytes();
+        let admission = match self.room_awaited_until(now, number) {
+            _ if has_room => {
+                self.step(now, number, PlaceEvent::Admitted);
+                Admission::Serve
+            }
+            Some(until) => Admission::Wait(until),
+            None => {
                 closed.extend(self.drop_oldest_refused(now));
                 self.step(now, number, PlaceEvent::Refused);
                 Admission::Refuse
@@ -300,6 +229,15 @@
         }
     }
 
+    /// Until when a connection waits for others that close; `None` if that is over, if none
+    /// closes, or if as many wait as may.
+    fn room_awaited_until(&self, now: MonoTime, number: ConnectionNumber) -> Option<MonoTime> {
+        let until = self.places.get(&number)?.accepted_at + ROOM_WAIT_MS;
+        let may_wait = self.count(PlaceState::Closing) > 0
+            && self.count(PlaceState::Waiting) <= self.limits.reserve().get();
+        Some(until).filter(|it| may_wait && now < *it)
+    }
+
     /// Records that a request or a part of a head has arrived; returns connections to close.
     pub fn begin(
         &mut self,
@@ -353,10 +291,21 @@
         closed
     }
 
-    /// Whether one more connection would use descriptors that resting ones leave.
-    pub fn lacks_descriptors(&self, endpoint_connections: ConnectionCount) -> bool {
+    /// Whether a connection to an endpoint may stay open without a request.
+    pub fn has_idle_descriptors(&self, endpoint_connections: ConnectionCount) -> bool {
+        let used = self.used_descriptors(0, endpoint_connections);
+        used <= self.limits.resting_descriptors()
+    }
+
+    /// Whether one more connection needs a descriptor of those to endpoints, as no connection of a
+    /// caller can make room.
+    pub fn needs_idle_descriptors(
+        &self,
+        now: MonoTime,
+        endpoint_connections: ConnectionCount,
+    ) -> bool {
         let used = self.used_descriptors(1, endpoint_connections);
-        used > self.limits.resting_descriptors()
+        used > self.limits.resting_descriptors() && self.longest_closable(now).is_none()
     }
 
     /// State of a connection's place.
@@ -384,23 +333,30 @@
     /// Numbers for operators.
     pub fn occupancy(&self, endpoint_connections: ConnectionCount) -> Occupancy {
         let (limit, bound) = self.limits.limit();
+        let open = self.places.len() as u64;
         let resting = self.count(PlaceState::Fresh) + self.count(PlaceState::Resting);
         Occupancy {
-            open: ConnectionCount::new(self.places.len() as u64),
+            open: ConnectionCount::new(open),
             resting: ConnectionCount::new(resting),
             limit,
             bound,
             endpoint_connections,
             descriptors: self.limits.descriptors,
+            used_descriptors: DescriptorCount::new(open + endpoint_connections.get()),
         }
     }
 
     /// Whether the limit was reached or left since the last notice. It is noticed as reached at
     /// most once in [`NOTICE_INTERVAL_MS`].
-    pub fn take_notice(&mut self, now: MonoTime) -> Option<LimitNotice> {
+    pub fn take_notice(
+        &mut self,
+        now: MonoTime,
+        endpoint_connections: ConnectionCount,
+    ) -> Option<LimitNotice> {
         let (limit, _) = self.limits.limit();
-        let open = self.places.len() as u64;
-        if self.is_at_limit && open * 100 < limit.get() * LEFT_PERCENT {
+        let margin = limit.get().div_ceil(LEFT_RATIO);
+        let descriptors = self.limits.resting_descriptors();
+        if self.has_room(margin, descriptors, endpoint_connections) {
             self.is_at_limit = false;
         }
         let is_recent = |at: MonoTime| now.since(at) < NOTICE_INTERVAL_MS.micros();
@@ -511,7 +467,7 @@
                 self.refusing.insert(number);
             }
             PlaceState::Closing => self.closing_bytes += place.size.get(),
-            PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping => {}
         }
     }
 
@@ -532,7 +488,7 @@
                 self.refusing.remove(&number);
             }
             PlaceState::Closing => self.closing_bytes -= place.size.get(),
-            PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping => {}
         }
     }
 }
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -109,6 +109,29 @@
     assert_eq!(places.state(numbers[0]), Some(PlaceState::Busy));
 }
 
+/// A connection waits while others close, and is refused when that has taken too long.
+#[test_case(0, true, Some(Admission::Serve) ; "one has ended")]
+#[test_case(499, false, None ; "none has ended")]
+#[test_case(500, false, Some(Admission::Refuse) ; "too late")]
+fn look_for_room_beside_closing(after_ms: u64, has_ended: bool, expected: Option<Admission>) {
+    let (mut places, numbers) = full_of_resting(small());
+    let now = at(60_000);
+    for _ in 0..small().reserve().get() {
+        let admitted = places.admit(now, NO_CONNECTIONS);
+        assert_eq!(admitted.admission, Admission::Serve);
+    }
+    let waiting = places.admit(now, NO_CONNECTIONS);
+    let until = at(60_500);
+    assert_eq!(waiting.admission, Admission::Wait(until));
+    if has_ended {
+        places.release(numbers[0]);
+    }
+    let looked = places.look_for_room(at(60_000 + after_ms), waiting.number, NO_CONNECTIONS);
+    let expected = expected.unwrap_or(Admission::Wait(until));
+    assert_eq!(looked.admission, expected);
+    assert_eq!(looked.closed.len(), usize::from(has_ended));
+}
+
 /// The oldest connection that is refused goes first when their places are taken.
 #[test]
 fn admit_oldest_refused_dropped() {
@@ -175,7 +198,24 @@
         assert_eq!(places.begin(at(5_000), number, endpoints), []);
         assert_eq!(places.rest(at(5_000), number, endpoints), []);
     }
-    assert!(places.lacks_descriptors(ConnectionCount::new(100)));
+    assert!(!places.has_idle_descriptors(ConnectionCount::new(100)));
+}
+
+/// Connections to endpoints that are idle go only when no caller's connection can.
+#[test_case(true, false ; "callers rest")]
+#[test_case(false, true ; "callers are busy")]
+fn needs_idle_descriptors_at_limit(rests: bool, expected: bool) {
+    let few = limits(SMALL_MEMORY, USUAL_HEAD, DescriptorCount::new(300));
+    let mut places = ConnectionPlaces::new(few);
+    let endpoints = ConnectionCount::new(100);
+    while !places.needs_idle_descriptors(at(0), endpoints) {
+        let number = places.admit(at(0), endpoints).number;
+        places.begin(at(0), number, endpoints);
+    }
+    if rests {
+        places.rest(at(0), ConnectionNumber::ZERO, endpoints);
+    }
+    assert_eq!(places.needs_idle_descriptors(at(0), endpoints), expected);
 }
 
 /// Streams of a usual VM fit its descriptors, with one more for each at its endpoint.
@@ -207,14 +247,20 @@
 #[test]
 fn take_notice_once() {
     let (mut places, numbers) = full_of_resting(small());
-    assert_eq!(places.take_notice(at(60_000)), None);
+    assert_eq!(places.take_notice(at(60_000), NO_CONNECTIONS), None);
     places.admit(at(60_000), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Reached));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Reached)
+    );
     places.admit(at(60_001), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_001)), None);
+    assert_eq!(places.take_notice(at(60_001), NO_CONNECTIONS), None);
     numbers.into_iter().for_each(|it| places.release(it));
-    assert_eq!(places.take_notice(at(60_002)), Some(LimitNotice::Left));
-    assert_eq!(places.take_notice(at(63_000)), None);
+    assert_eq!(
+        places.take_notice(at(60_002), NO_CONNECTIONS),
+        Some(LimitNotice::Left)
+    );
+    assert_eq!(places.take_notice(at(63_000), NO_CONNECTIONS), None);
 }
 
 /// A limit that is reached again is noticed a second later at the earliest.
@@ -223,17 +269,27 @@
 fn take_notice_reached_again(at_ms: u64, expected: Option<LimitNotice>) {
     let (mut places, numbers) = full_of_resting(small());
     places.admit(at(60_000), NO_CONNECTIONS);
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Reached));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Reached)
+    );
     numbers.into_iter().for_each(|it| places.release(it));
-    assert_eq!(places.take_notice(at(60_000)), Some(LimitNotice::Left));
+    assert_eq!(
+        places.take_notice(at(60_000), NO_CONNECTIONS),
+        Some(LimitNotice::Left)
+    );
     serve_until_refused(&mut places);
-    assert_eq!(places.take_notice(at(60_000 + at_ms)), expected);
+    assert_eq!(
+        places.take_notice(at(60_000 + at_ms), NO_CONNECTIONS),
+        expected
+    );
 }
 
 /// What happens to one of the connections, chosen by a number.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Accept,
+    Look(usize),
     Begin(usize),
     Rest(usize),
     Release(usize),
@@ -244,6 +300,7 @@
 fn any_step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => Just(Step::Accept),
+        2 => any::<usize>().prop_map(Step::Look),
         3 => any::<usize>().prop_map(Step::Begin),
         2 => any::<usize>().prop_map(Step::Rest),
         2 => any::<usize>().prop_map(Step::Release),
@@ -280,6 +337,10 @@
                     }
                     admitted.closed
                 }
+                Step::Look(it) => pick(it)
+                    .filter(|it| places.state(*it) == Some(PlaceState::Waiting))
+                    .map(|it| places.look_for_room(now, it, NO_CONNECTIONS).closed)
+                    .unwrap_or_default(),
                 Step::Begin(it) => pick(it)
                     .map(|it| places.begin(now, it, NO_CONNECTIONS))
                     .unwrap_or_default(),
@@ -323,9 +384,28 @@
             let served: u64 = served.into_iter().map(in_state).sum();
             let size = small.connection_size.get();
             prop_assert!(served * size <= small.memory.get(), "{served} are served");
+            let waiting = in_state(PlaceState::Waiting);
+            prop_assert!(waiting <= small.reserve().get(), "{waiting} wait");
             let refusing = in_state(PlaceState::Refusing);
             prop_assert!(refusing <= small.reserve().get(), "{refusing} are refused");
             prop_assert_eq!(places.occupancy(NO_CONNECTIONS).open.get(), open.len() as u64);
         }
     }
 }
+
+/// Busy connections took all descriptors, and nobody was told.
+#[test]
+fn take_notice_busy_on_all_descriptors() {
+    let descriptors = DescriptorCount::new(400);
+    let limits = limits(ByteCount::new(512 * MIB), USUAL_HEAD, descriptors);
+    let mut places = ConnectionPlaces::new(limits);
+    let served = serve_until_refused(&mut places);
+    let endpoints = ConnectionCount::new(served);
+    let notice = places.take_notice(at(60_000), endpoints);
+    assert_eq!(notice, Some(LimitNotice::Reached));
+    (0..served)
+        .map(ConnectionNumber::new)
+        .for_each(|it| places.release(it));
+    let notice = places.take_notice(at(60_000), NO_CONNECTIONS);
+    assert_eq!(notice, Some(LimitNotice::Left));
+}
--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -110,16 +110,29 @@
         }));
     }
 
-    /// Closes connections that have rested longest, as the process has no descriptors left.
-    pub(crate) fn close_longest(&self, shared: &Shared) {
-        drop(self.update(shared, |places| places.close_longest(shared.now())));
+    /// Closes connections that have rested longest, as the process has no descriptors left;
+    /// returns whether one rested.
+    pub(crate) fn close_longest(&self, shared: &Shared) -> bool {
+        let mut has_closed = false;
+        drop(self.update(shared, |places| {
+            let closed = places.close_longest(shared.now());
+            has_closed = !closed.is_empty();
+            closed
+        }));
+        has_closed
     }
 
-    /// Whether connections to endpoints and of callers have used up the descriptors for resting
-    /// ones.
-    pub(crate) fn lacks_descriptors(&self) -> bool {
+    /// Whether a connection to an endpoint may stay open without a request.
+    pub(crate) fn has_idle_descriptors(&self) -> bool {
         let endpoints = self.open_to_endpoints();
-        self.lock().places.lacks_descriptors(endpoints)
+        self.lock().places.has_idle_descriptors(endpoints)
+    }
+
+    /// Whether the next caller needs a descriptor of the idle connections to endpoints.
+    pub(crate) fn needs_idle_descriptors(&self, shared: &Shared) -> bool {
+        let endpoints = self.open_to_endpoints();
+        let places = &self.lock().places;
+        places.needs_idle_descriptors(shared.now(), endpoints)
     }
 
     /// Whether more connections are served than there is room for.
@@ -190,7 +203,7 @@
     }
 
     fn log_notice(&mut self, shared: &Shared, endpoints: ConnectionCount) {
-        let Some(notice) = self.places.take_notice(shared.now()) else {
+        let Some(notice) = self.places.take_notice(shared.now(), endpoints) else {
             return;
         };
         let occupancy = self.places.occupancy(endpoints);
@@ -204,7 +217,8 @@
             limit = occupancy.limit.get(),
             bound:% = occupancy.bound,
             endpoint_connections = endpoints.get(),
-            descriptors = occupancy.descriptors.get();
+            descriptors = occupancy.descriptors.get(),
+            used_descriptors = occupancy.used_descriptors.get();
             "{message}"
         );
     }
@@ -234,14 +248,52 @@
         let (number, admission) = admitted.expect("the change has run");
         state.signals.insert(number, Arc::clone(&signal));
         drop(state);
-        if admission == Admission::Refuse {
-            shared.metrics.increment(RelayCounter::ConnectionsRefused);
-        }
-        Self {
+        let place = Self {
             shared: Arc::clone(shared),
             number,
             admission,
             signal,
+        };
+        place.count_refusal();
+        place
+    }
+
+    /// Waits a bounded time for room while other connections close.
+    pub(crate) async fn wait_for_room(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        loop {
+            let released = shared.caller_places.released.notified();
+            let Admission::Wait(until) = self.admission else {
+                return;
+            };
+            // A connection that ended since the last look is not notified.
+            self.look_for_room();
+            if matches!(self.admission, Admission::Wait(_)) {
+                let until = shared.clock.to_instant(until);
+                // When the time is over, the next look refuses the connection.
+                let _ = time::timeout_at(until, released).await;
+            }
+        }
+    }
+
+    fn look_for_room(&mut self) {
+        let places = &self.shared.caller_places;
+        let endpoints = places.open_to_endpoints();
+        let now = self.shared.now();
+        let mut admission = self.admission;
+        drop(places.update(&self.shared, |places| {
+            let it = places.look_for_room(now, self.number, endpoints);
+            admission = it.admission;
+            it.closed
+        }));
+        self.admission = admission;
+        self.count_refusal();
+    }
+
+    fn count_refusal(&self) {
+        if self.admission == Admission::Refuse {
+            let metrics = &self.shared.metrics;
+            metrics.increment(RelayCounter::ConnectionsRefused);
         }
     }
 
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -83,8 +83,10 @@
                 }
                 if lacks_descriptors(&error) {
                     // The process may do without connections that rest.
-                    traffic.connections.close_older_idle();
-                    traffic.shared.caller_places.close_longest(&traffic.shared);
+                    let has_closed = traffic.shared.caller_places.close_longest(&traffic.shared);
+                    if !has_closed {
+                        traffic.connections.close_older_idle();
+                    }
                 }
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
@@ -169,7 +171,7 @@
 
 fn serve(traffic: &Rc<Traffic>, stream: TcpStream) {
     let shared = &traffic.shared;
-    if shared.caller_places.lacks_descriptors() {
+    if shared.caller_places.needs_idle_descriptors(shared) {
         traffic.connections.close_older_idle();
     }
     let place = CallerPlace::take(shared);
@@ -189,8 +191,9 @@
     traffic: Rc<Traffic>,
     stream: TcpStream,
     awaited: AwaitedRequest,
-    place: CallerPlace,
+    mut place: CallerPlace,
 ) {
+    place.wait_for_room().await;
     if place.admission() == Admission::Serve {
         caller_connection::serve(traffic, stream, awaited, place).await;
         return;
