Listeners: a request that begins keeps its connection open

What callers saw: a request was lost. Its connection ended in mid-request although it was in use.

Cause: a connection that begins a request withdrew its order to close before it took the place in use. In between, another thread could choose it once more; the read then returned the end of the input, on which the HTTP library drops the handler.

Change: the place is taken first, the order to close is withdrawn after it.

Evidence: close_request_begins, one thread that uses and one that closes for 1 s (debug build, other builds beside it).

--- a/crates/runtime/src/accepted_stream.rs
+++ b/crates/runtime/src/accepted_stream.rs
@@ -57,8 +57,8 @@
 
     fn begin_use(&self) {
         if self.uses.fetch_add(1, Ordering::AcqRel) == 0 {
-            self.is_closing.store(false, Ordering::Release);
             self.connections.use_connection(self.number);
+            self.is_closing.store(false, Ordering::Release);
         }
     }
 
