Listeners: new connections wait for others to close no longer than 500 ms in all

What callers saw: connections waited in the kernel's queue for minutes, neither answered, refused nor counted.

Cause: the accept loop waits up to 500 ms for one of the connections that give way. When those get no turn to close, each new connection waited anew, one after the other.

Change: the time counts from the first one that waits, and those behind it are refused without a wait until one is admitted without a wait.

Evidence: admit_none_closes, 16 connections to 4 places of which none closes (debug build, other builds beside it).

--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -21,7 +21,8 @@
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Maximum time for which a new connection waits for one that gives way.
+/// Maximum time for which new connections wait in succession for those that give way. The ones
+/// behind them are refused without a wait until one is admitted without one.
 const GIVE_WAY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What happened to a connection at the limit of its listener.
@@ -49,13 +50,15 @@
 /// Result of an attempt to take a place.
 enum Attempt {
     Admitted(Arc<Activity>),
-    Delayed,
+    DelayedUntil(time::Instant),
     Refused,
 }
 
 struct State {
     places: ListenerPlaces,
     open: HashMap<ConnectionNumber, Open>,
+    /// Until when new connections wait; none if the last one was admitted without a wait.
+    wait_deadline: Option<time::Instant>,
     unlogged: Unlogged,
     logged_at: Option<Instant>,
 }
@@ -111,6 +114,7 @@
             state: Mutex::new(State {
                 places: ListenerPlaces::new(limit),
                 open: HashMap::new(),
+                wait_deadline: None,
                 unlogged: Unlogged::default(),
                 logged_at: None,
             }),
@@ -124,21 +128,24 @@
     /// # Errors
     /// Returns the connection if all others are in use.
     pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> Result<AcceptedStream, TcpStream> {
-        let deadline = time::Instant::now() + GIVE_WAY_TIMEOUT;
+        let mut waited_until = None;
         loop {
             let freed = self.freed.notified();
-            let is_last = time::Instant::now() >= deadline;
-            match self.try_admit(is_last) {
+            match self.try_admit(waited_until) {
                 Attempt::Admitted(activity) => return Ok(AcceptedStream::new(stream, activity)),
                 Attempt::Refused => return Err(stream),
-                // Whether it is notified or not, the places are looked at again.
-                Attempt::Delayed => drop(time::timeout_at(deadline, freed).await),
+                Attempt::DelayedUntil(deadline) => {
+                    // Whether it is notified or not, the places are looked at again.
+                    drop(time::timeout_at(deadline, freed).await);
+                    waited_until = Some(deadline);
+                }
             }
         }
     }
 
-    /// Takes a place; the last attempt is not delayed but refused.
-    fn try_admit(self: &Arc<Self>, is_last: bool) -> Attempt {
+    /// Takes a place. `waited_until` is the deadline of a connection that was delayed before;
+    /// after it, the connection is not delayed but refused.
+    fn try_admit(self: &Arc<Self>, waited_until: Option<time::Instant>) -> Attempt {
         let mut state = self.state();
         let admission = state.places.admit();
         if let Admission::Delayed {
@@ -153,13 +160,20 @@
                 self.close(&mut state, closed);
                 admitted
             }
-            Admission::Delayed { .. } if !is_last => return Attempt::Delayed,
-            Admission::Delayed { .. } | Admission::Refused => {
-                state.unlogged.refused += 1;
-                self.record(&mut state, ConnectionEvent::Refused);
-                return Attempt::Refused;
+            Admission::Delayed { .. } => {
+                let now = time::Instant::now();
+                let latest = || *state.wait_deadline.get_or_insert(now + GIVE_WAY_TIMEOUT);
+                let deadline = waited_until.unwrap_or_else(latest);
+                match now < deadline {
+                    true => return Attempt::DelayedUntil(deadline),
+                    false => return self.refuse(&mut state),
+                }
             }
+            Admission::Refused => return self.refuse(&mut state),
         };
+        if waited_until.is_none() {
+            state.wait_deadline = None;
+        }
         let activity = Arc::new(Activity::new(Arc::clone(self), number));
         let open = Open {
             activity: Arc::clone(&activity),
@@ -169,6 +183,12 @@
         Attempt::Admitted(activity)
     }
 
+    fn refuse(&self, state: &mut State) -> Attempt {
+        state.unlogged.refused += 1;
+        self.record(state, ConnectionEvent::Refused);
+        Attempt::Refused
+    }
+
     /// Number of places.
     pub fn limit(&self) -> usize {
         self.limit
--- a/crates/runtime/tests/connections.rs
+++ b/crates/runtime/tests/connections.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll, Waker},
     thread,
@@ -13,7 +13,7 @@
 };
 
 use futures::FutureExt;
-use parsleylatch_runtime::{AcceptedStream, Connections};
+use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
 use test_case::test_case;
 use tokio::{
     io::{AsyncRead, ReadBuf},
@@ -82,3 +82,43 @@
     others.into_iter().for_each(|it| it.join().unwrap());
     assert_eq!(ended, 0, "reads in mid-request that found the end");
 }
+
+/// Places of a listener, and connections that arrive when none of them gets a turn to close.
+const FEW_PLACES: usize = 4;
+const QUEUED_CONNECTIONS: usize = 12;
+/// Time within which all of them are admitted or refused.
+const QUEUE_LIMIT: Duration = Duration::from_secs(2);
+
+/// A listener whose connections got no turn to close waited for one anew for each new one.
+#[tokio::test]
+async fn admit_none_closes() {
+    let refused = Arc::new(AtomicUsize::new(0));
+    let connections = Connections::new("test", FEW_PLACES, {
+        let refused = Arc::clone(&refused);
+        move |event| {
+            if event == ConnectionEvent::Refused {
+                refused.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    });
+    let mut kept = Vec::new();
+    let started_at = Instant::now();
+    for _ in 0..FEW_PLACES + QUEUED_CONNECTIONS {
+        let (client, accepted) = connection().await;
+        kept.push((client, connections.admit(accepted).await));
+    }
+    let waited = started_at.elapsed();
+    let failed = kept.iter().filter(|(_, admitted)| admitted.is_err());
+    let failed = failed.count();
+    assert!(waited < QUEUE_LIMIT, "{waited:?}");
+    assert!(
+        failed >= QUEUED_CONNECTIONS - FEW_PLACES,
+        "{failed} refused"
+    );
+    assert_eq!(failed, refused.load(Ordering::Relaxed));
+
+    // Once one is closed, the next one is admitted again.
+    drop(kept.remove(0));
+    let (_client, accepted) = connection().await;
+    assert!(connections.admit(accepted).await.is_ok());
+}
