HTTP: connections that wait at a stop are refused, not reset

What callers saw: a reset without a response, for requests that reached the node shortly before its listener closed. They were counted nowhere.

Cause: the server dropped its listener without a last look. The kernel resets the connections that it had established and that were not accepted.

Change: the queue is emptied, and the listener is closed after a look that finds nobody, after 0.5 s at the latest. Those that waited get the refusal of the listener, are counted as refused and logged. The server ends when the refusals are written; a connection without a request is closed after 1 s.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 //!
 //! At the limit, the connection that has rested longest is closed for a new one. If all are in
 //! use, the new one is accepted and its request is refused, so that its client learns at once.
+//! At a stop, the connections that wait in the kernel's queue are refused the same way.
 
 use std::{
     convert::Infallible,
@@ -22,7 +23,7 @@
     server::{conn::auto::Builder, graceful::GracefulShutdown},
 };
 use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
-use tokio::time;
+use tokio::{net::TcpStream, task::JoinSet, time};
 use viz::{Body, Listener, Request, Responder, Response, Router, StatusCode, Tree};
 
 use crate::{
@@ -32,6 +33,12 @@
 
 /// Maximum time for refusing the request of a connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time for refusing the request of a connection that waited at the stop.
+const LAST_REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time for which the listener of a stopped server still accepts connections, and the
+/// time between two looks into its queue.
+const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 /// One connection for so many places may be refused at the same time; the one that has sent no
 /// request for longest is closed for a further one.
 const REFUSAL_RATIO: usize = 4;
@@ -117,12 +124,17 @@
     let graceful = GracefulShutdown::new();
     let refusals = bounds.connections.limit() / REFUSAL_RATIO;
     let refusals = refusals.clamp(MIN_REFUSALS, MAX_REFUSALS);
-    let refusals = Connections::for_refusals(refusals);
+    let mut refusals = Refusals {
+        connections: Connections::for_refusals(refusals),
+        response: bounds.refusal,
+        tasks: JoinSet::new(),
+    };
     let mut stopped = pin!(stopped);
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             _ = &mut stopped => break,
+            accepted = listener.accept() => accepted,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -152,26 +164,76 @@
                 // The only errors are those of a client that has left.
                 tokio::spawn(async move { drop(connection.await) });
             }
-            Err(stream) => {
-                // Without a place the connection is closed, which tells the client as well.
-                if let Ok(stream) = refusals.admit(stream).await {
-                    tokio::spawn(time::timeout(
-                        REFUSAL_TIMEOUT,
-                        refuse(stream, bounds.refusal),
-                    ));
-                }
-            }
+            Err(stream) => refusals.refuse(stream, REFUSAL_TIMEOUT).await,
         }
     }
-    drop(listener);
-    if time::timeout(STOP_TIMEOUT, graceful.shutdown())
-        .await
-        .is_err()
-    {
+    close_listener(listener, &bounds.connections, &mut refusals).await;
+    let closing = async {
+        graceful.shutdown().await;
+        while refusals.tasks.join_next().await.is_some() {}
+    };
+    if time::timeout(STOP_TIMEOUT, closing).await.is_err() {
         log::warn!("closing connections that are busy {STOP_TIMEOUT:?} after the stop");
     }
 }
 
+/// Closes a listener after a look into its queue that finds nobody, or when no more connections
+/// may be accepted: one that the kernel accepts between the last look and the close is reset.
+/// Those that are found are refused.
+async fn close_listener(
+    listener: NodelayListener,
+    connections: &Connections,
+    refusals: &mut Refusals,
+) {
+    let deadline = time::Instant::now() + LAST_ACCEPT_TIMEOUT;
+    let mut refused = 0;
+    loop {
+        let (waiting, failure) = listener.accept_waiting();
+        if let Some(error) = &failure {
+            log::warn!("accepting the last connections failed: {error}");
+        }
+        refused += waiting.len();
+        let was_empty = waiting.is_empty() && failure.is_none();
+        if was_empty || time::Instant::now() >= deadline {
+            drop(listener);
+            refusals.refuse_waiting(waiting, connections).await;
+            break;
+        }
+        refusals.refuse_waiting(waiting, connections).await;
+        time::sleep(LOOK_INTERVAL).await;
+    }
+    if refused > 0 {
+        log::info!("{refused} connections that waited at the stop are refused");
+    }
+}
+
+/// Connections whose first request is refused.
+struct Refusals {
+    connections: Arc<Connections>,
+    response: fn() -> Response,
+    tasks: JoinSet<()>,
+}
+
+impl Refusals {
+    /// Refuses the first request of a connection that got no place.
+    async fn refuse(&mut self, stream: TcpStream, timeout: Duration) {
+        while self.tasks.try_join_next().is_some() {}
+        // Without a place the connection is closed, which tells the client as well.
+        if let Ok(stream) = self.connections.admit(stream).await {
+            let refusal = time::timeout(timeout, refuse(stream, self.response));
+            self.tasks.spawn(async move { drop(refusal.await) });
+        }
+    }
+
+    /// Refuses connections that waited in the queue of the listener of `connections`.
+    async fn refuse_waiting(&mut self, waiting: Vec<TcpStream>, connections: &Connections) {
+        for stream in waiting {
+            connections.record_refusal();
+            self.refuse(stream, LAST_REFUSAL_TIMEOUT).await;
+        }
+    }
+}
+
 /// Whether a client ended a connection before it was accepted.
 fn is_connection_error(error: &io::Error) -> bool {
     matches!(
--- a/crates/http/tests/connection_bounds.rs
+++ b/crates/http/tests/connection_bounds.rs
@@ -1,7 +1,7 @@
 //! Clients that rest on their connections don't keep others out.
 
 use std::{
-    future::pending,
+    future::{pending, ready},
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
     sync::{
@@ -113,6 +113,13 @@
         .get("/", answer)
         .get("/slow", answer_slowly)
         .get("/large", answer_large);
+    let (bounds, refused) = small_bounds();
+    tokio::spawn(serve_bounded(listener, router, bounds, pending::<()>()));
+    (address, refused)
+}
+
+/// Bounds of [`FEW_PLACES`], and a count of refusals.
+fn small_bounds() -> (ServerBounds, Arc<AtomicUsize>) {
     let refused = Arc::new(AtomicUsize::new(0));
     let connections = Connections::new("small", FEW_PLACES, {
         let refused = Arc::clone(&refused);
@@ -126,8 +133,7 @@
         connections,
         refusal: refuse,
     };
-    tokio::spawn(serve_bounded(listener, router, bounds, pending::<()>()));
-    (address, refused)
+    (bounds, refused)
 }
 
 /// A client that comes while all others wait for responses is refused at once, and the others
@@ -198,3 +204,21 @@
     });
     assert!(is_served.await.unwrap(), "no place after {UNREAD_LIMIT:?}");
 }
+
+/// Requests whose connections waited in the kernel's queue at a stop were reset and not counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_waiting_requests_refused() {
+    let (address, listener) = bind();
+    let mut clients: Vec<_> = (0..BURST_CLIENTS)
+        .map(|_| connect(address, REQUEST))
+        .collect();
+    let (bounds, refused) = small_bounds();
+    let router = Router::new().get("/", answer);
+    serve_bounded(listener, router, bounds, ready(())).await;
+    let responses: Vec<_> = clients.iter_mut().map(read_response).collect();
+    for response in responses {
+        let response = response.unwrap_or_default();
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    }
+    assert_eq!(refused.load(Ordering::Relaxed), BURST_CLIENTS);
+}
--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -30,7 +30,7 @@
 pub enum ConnectionEvent {
     /// A resting connection is closed for a new one.
     GaveWay,
-    /// A new connection was refused, as all others are in use.
+    /// A new connection was refused, as all others are in use or the listener closes.
     Refused,
     /// Accepting a connection failed.
     AcceptFailed,
@@ -189,6 +189,11 @@
         Attempt::Refused
     }
 
+    /// Reports that a new connection is refused whatever the places, as the listener closes.
+    pub fn record_refusal(&self) {
+        self.refuse(&mut self.state());
+    }
+
     /// Number of places.
     pub fn limit(&self) -> usize {
         self.limit
