Peer listeners: a message that is partly read keeps its connection open

What callers saw: a node lost the message of another one, and with it a lease, a query or a move, when the listener was at its limit.

Cause: a connection counted as in use only from a whole message on. One on which a part of a message had arrived counted as resting and was closed as the one that had rested longest.

Change: the connection is in use from the first byte of a message to its last. It fails if no further byte arrives for 10 s, so that a client that stops can't hold its place.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! sent on a link that went down may be lost, so senders resend what they still
 //! need delivered.
 
+mod codec;
 mod link;
 mod move_counts;
 mod query;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -6,7 +6,7 @@
 use parsleylatch_runtime::{ConnectionHandle, ConnectionUse};
 use parsleylatch_types::{FailureDomain, Incarnation, NodeId, Region};
 use parsleylatch_wire::{
-    FrameError, PeerCodec,
+    FrameError,
     peer::{Hello, PeerMessage, peer_message::Body},
 };
 use tokio::{
@@ -18,6 +18,8 @@
 };
 use tokio_util::codec::Framed;
 
+use crate::codec::LinkCodec;
+
 /// Capacity of a connection's send queue, in messages.
 const SEND_BUFFER: usize = 1_024;
 /// Maximum number of messages written between two flushes.
@@ -228,10 +230,10 @@
     /// Connects and performs the handshake; fails if another node responds.
     async fn open_connection(
         &self,
-    ) -> Result<(Framed<TcpStream, PeerCodec>, Identity), FrameError> {
+    ) -> Result<(Framed<TcpStream, LinkCodec>, Identity), FrameError> {
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
-        let mut framed = Framed::new(stream, PeerCodec::default());
+        let mut framed = Framed::new(stream, LinkCodec::default());
         framed.send(self.own.hello()).await?;
         let identity = read_hello(&mut framed).await?;
         if identity.node_id != self.peer_id {
@@ -244,7 +246,7 @@
 
 /// Reads the first message of a connection, which has to be a `Hello`.
 pub(crate) async fn read_hello<Stream>(
-    framed: &mut Framed<Stream, PeerCodec>,
+    framed: &mut Framed<Stream, LinkCodec>,
 ) -> Result<Identity, FrameError>
 where
     Stream: AsyncRead + Unpin,
@@ -260,7 +262,7 @@
 /// Transfers messages in both directions until the connection ends; returns the
 /// cause. `reply` is the sender of `queue` if this node accepted the connection.
 pub(crate) async fn run_connection<Stream>(
-    framed: Framed<Stream, PeerCodec>,
+    framed: Framed<Stream, LinkCodec>,
     peer: Identity,
     queue: &mut mpsc::Receiver<Outgoing>,
     reply: Option<ReplySender>,
--- a/crates/peer/src/query.rs
+++ b/crates/peer/src/query.rs
@@ -4,13 +4,16 @@
 
 use futures::{SinkExt, StreamExt};
 use parsleylatch_wire::{
-    FrameError, PeerCodec,
+    FrameError,
     peer::{PeerMessage, peer_message::Body},
 };
 use tokio::{net::TcpStream, time};
 use tokio_util::codec::Framed;
 
-use crate::link::{Identity, read_hello};
+use crate::{
+    codec::LinkCodec,
+    link::{Identity, read_hello},
+};
 
 /// Sends a query to the node at an address, whichever node that is, and returns
 /// its identity and its response.
@@ -26,7 +29,7 @@
     let exchange = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let mut framed = Framed::new(stream, PeerCodec::default());
+        let mut framed = Framed::new(stream, LinkCodec::default());
         framed.feed(own.hello()).await?;
         let body = Some(query);
         framed.send(PeerMessage { body }).await?;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,18 +1,21 @@
 //! Accepts connections from other nodes.
 //!
 //! At the limit, the connection that has been silent longest is closed for a new one. If all
-//! wait for replies, the new one is closed at once, so that its node asks another.
+//! wait for replies or have sent a part of a message, the new one is closed at once, so that its node asks another.
 
 use std::time::Duration;
 
 use futures::SinkExt;
 use parsleylatch_runtime::{AcceptedStream, ConnectionEvent, Connections};
 use parsleylatch_types::ByteCount;
-use parsleylatch_wire::{FrameError, MAX_FRAME_SIZE, PeerCodec};
+use parsleylatch_wire::{FrameError, MAX_FRAME_SIZE};
 use tokio::{net::TcpListener, sync::mpsc, time};
 use tokio_util::codec::Framed;
 
-use crate::link::{self, Identity, LinkEvent, ReplySender};
+use crate::{
+    codec::LinkCodec,
+    link::{self, Identity, LinkEvent, ReplySender},
+};
 
 /// Maximum time from accepting a connection to its first message.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -103,9 +106,10 @@
 async fn handshake(
     stream: AcceptedStream,
     own: &Identity,
-) -> Result<(Framed<AcceptedStream, PeerCodec>, Identity), FrameError> {
+) -> Result<(Framed<AcceptedStream, LinkCodec>, Identity), FrameError> {
     stream.set_nodelay()?;
-    let mut framed = Framed::new(stream, PeerCodec::with_limit(MAX_HELLO_SIZE));
+    let codec = LinkCodec::accepted(MAX_HELLO_SIZE, stream.handle());
+    let mut framed = Framed::new(stream, codec);
     let identity = link::read_hello(&mut framed).await?;
     framed.send(own.hello()).await?;
     Ok((framed, identity))
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -238,6 +238,76 @@
     assert!(reply.is_ok(), "{reply:?}");
 }
 
+/// Time in which the node reads what was sent.
+const READ_TIME: Duration = Duration::from_millis(200);
+/// Time after which a message that doesn't go on gives up its connection.
+const UNFINISHED_LIMIT: Duration = Duration::from_secs(15);
+
+fn encoded(body: Body) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    let message = PeerMessage { body: Some(body) };
+    PeerCodec::default().encode(message, &mut bytes).unwrap();
+    bytes
+}
+
+/// A connection on which a part of a message had arrived was closed as one that rests.
+#[test_case(2 ; "in its length")]
+#[test_case(4 ; "after its length")]
+#[test_case(6 ; "in its content")]
+#[tokio::test]
+async fn unfinished_message_received(sent: usize) {
+    let limits = ServeLimits {
+        lifetime: None,
+        ..LOW_LIMITS
+    };
+    let (address, mut events) = start_with(limits).await;
+    let mut sending = connect_silently(address).await;
+    let message = encoded(take_over_request(7));
+    sending.write_all(&message[..sent]).await.unwrap();
+    let mut others = Vec::new();
+    for _ in 0..limits.connections {
+        tokio::time::sleep(READ_TIME).await;
+        others.push(connect_silently(address).await);
+    }
+    tokio::time::sleep(READ_TIME).await;
+    sending.write_all(&message[sent..]).await.unwrap();
+    assert_eq!(correlation_id_of(next_event(&mut events).await), 7);
+}
+
+/// Messages that don't go on don't keep out others for ever.
+#[tokio::test]
+async fn unfinished_messages_closed() {
+    let limits = ServeLimits {
+        lifetime: None,
+        ..LOW_LIMITS
+    };
+    let (address, mut events) = start_with(limits).await;
+    let mut unfinished = Vec::new();
+    for _ in 0..limits.connections {
+        let mut stream = connect_silently(address).await;
+        stream.write_all(&unfinished_frame(64)).await.unwrap();
+        unfinished.push(stream);
+    }
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            if let LinkEvent::Received(received) = event {
+                received.reply.send(take_over_request(2));
+            }
+        }
+    });
+    tokio::time::sleep(READ_TIME).await;
+    let started_at = Instant::now();
+    loop {
+        let query = take_over_request(1);
+        let reply = send_query(&identity("c"), address, query, EVENT_TIMEOUT).await;
+        if reply.is_ok() {
+            return;
+        }
+        assert!(started_at.elapsed() < UNFINISHED_LIMIT, "{reply:?}");
+        tokio::time::sleep(READ_TIME).await;
+    }
+}
+
 /// A node whose connections all wait for replies let further nodes wait without a word.
 #[tokio::test]
 async fn query_refused_at_limit() {
@@ -291,18 +361,14 @@
 
 /// Opens a connection that sends nothing after its first message.
 async fn connect_silently(address: std::net::SocketAddr) -> TcpStream {
-    let hello = PeerMessage {
-        body: Some(Body::Hello(Hello {
-            node_id: "a".to_owned(),
-            incarnation: 1,
-            failure_domain: "domain-1".to_owned(),
-            region: "region-1".to_owned(),
-        })),
-    };
+    let hello = Body::Hello(Hello {
+        node_id: "a".to_owned(),
+        incarnation: 1,
+        failure_domain: "domain-1".to_owned(),
+        region: "region-1".to_owned(),
+    });
     let mut stream = TcpStream::connect(address).await.unwrap();
-    let mut bytes = BytesMut::new();
-    PeerCodec::default().encode(hello, &mut bytes).unwrap();
-    stream.write_all(&bytes).await.unwrap();
+    stream.write_all(&encoded(hello)).await.unwrap();
     assert!(stream.read(&mut [0; 64]).await.unwrap() > 0);
     stream
 }
--- a/crates/runtime/src/accepted_stream.rs
+++ b/crates/runtime/src/accepted_stream.rs
@@ -26,6 +26,8 @@
 
 /// Time after which a connection fails whose client takes no bytes although some wait.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a connection fails whose client sends no bytes of a message that it has begun.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What a connection is doing, shared by its stream and the listener.
 #[derive(Debug)]
@@ -33,6 +35,8 @@
     connections: Arc<Connections>,
     number: ConnectionNumber,
     is_closing: AtomicBool,
+    /// Whether a part of a message has arrived.
+    is_in_message: AtomicBool,
     reader: AtomicWaker,
 }
 
@@ -42,6 +46,7 @@
             connections,
             number,
             is_closing: AtomicBool::new(false),
+            is_in_message: AtomicBool::new(false),
             reader: AtomicWaker::new(),
         }
     }
@@ -86,6 +91,17 @@
         self.0.begin_use();
         ConnectionUse(Arc::clone(&self.0))
     }
+
+    /// Sets whether a part of a message has arrived. Until the rest is here, the connection is in
+    /// use, and it fails if no bytes arrive for too long.
+    pub fn set_in_message(&self, is_in_message: bool) {
+        let was_in_message = self.0.is_in_message.swap(is_in_message, Ordering::AcqRel);
+        match (was_in_message, is_in_message) {
+            (false, true) => self.0.begin_use(),
+            (true, false) => self.0.end_use(),
+            _ => {}
+        }
+    }
 }
 
 /// Stream of an accepted connection. While it rests, its input may end at any time.
@@ -93,6 +109,8 @@
 pub struct AcceptedStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// Set while the rest of a message is awaited.
+    read_timeout: Option<Pin<Box<Sleep>>>,
     /// Set while bytes wait to be written.
     write_timeout: Option<Pin<Box<Sleep>>>,
 }
@@ -102,6 +120,7 @@
         Self {
             stream,
             activity,
+            read_timeout: None,
             write_timeout: None,
         }
     }
@@ -126,6 +145,18 @@
         received.is_ok_and(|count| count > 0)
     }
 
+    /// Fails if the rest of a message is awaited for too long.
+    fn await_message(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.activity.is_in_message.load(Ordering::Acquire) {
+            return Poll::Pending;
+        }
+        let timeout = self
+            .read_timeout
+            .get_or_insert_with(|| Box::pin(sleep(READ_TIMEOUT)));
+        let timed_out = || Err(io::ErrorKind::TimedOut.into());
+        timeout.as_mut().poll(context).map(|()| timed_out())
+    }
+
     /// Keeps the connection in use while bytes wait, and fails if they wait for too long.
     fn track_write(
         &mut self,
@@ -163,12 +194,13 @@
     ) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if read.is_ready() {
+            self.read_timeout = None;
             return read;
         }
         self.activity.reader.register(context.waker());
         match self.activity.is_closing.load(Ordering::Acquire) && !self.has_unread() {
             true => Poll::Ready(Ok(())),
-            false => Poll::Pending,
+            false => self.await_message(context),
         }
     }
 }
