--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -21,7 +21,8 @@
 /// Delay after a failed accept, such as when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Maximum time for which a new connection waits for one that gives way.
+/// Maximum time for which new connections wait in succession for those that give way. The ones
+/// behind them are refused without a wait until one is admitted without one.
 const GIVE_WAY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What happened to a connection at the limit of its listener.
@@ -29,7 +30,7 @@
 pub enum ConnectionEvent {
     /// A resting connection is closed for a new one.
     GaveWay,
-    /// A new connection was refused, as all others are in use.
+    /// A new connection was refused, as all others are in use or the listener closes.
     Refused,
     /// Accepting a connection failed.
     AcceptFailed,
@@ -49,17 +50,26 @@
 /// Result of an attempt to take a place.
 enum Attempt {
     Admitted(Arc<Activity>),
-    Delayed,
+    DelayedUntil(time::Instant),
     Refused,
 }
 
 struct State {
     places: ListenerPlaces,
-    activities: HashMap<ConnectionNumber, Arc<Activity>>,
+    open: HashMap<ConnectionNumber, Open>,
+    /// Until when new connections wait; none if the last one was admitted without a wait.
+    wait_deadline: Option<time::Instant>,
     unlogged: Unlogged,
     logged_at: Option<Instant>,
 }
 
+/// An open connection.
+struct Open {
+    activity: Arc<Activity>,
+    /// Requests in progress, and one while bytes wait to be written.
+    uses: usize,
+}
+
 /// Events since the last log line.
 #[derive(Default)]
 struct Unlogged {
@@ -103,7 +113,8 @@
             observe,
             state: Mutex::new(State {
                 places: ListenerPlaces::new(limit),
-                activities: HashMap::new(),
+                open: HashMap::new(),
+                wait_deadline: None,
                 unlogged: Unlogged::default(),
                 logged_at: None,
             }),
@@ -117,21 +128,24 @@
     /// # Errors
     /// Returns the connection if all others are in use.
     pub async fn admit(self: &Arc<Self>, stream: TcpStream) -> Result<AcceptedStream, TcpStream> {
-        let deadline = time::Instant::now() + GIVE_WAY_TIMEOUT;
+        let mut waited_until = None;
         loop {
             let freed = self.freed.notified();
-            let is_last = time::Instant::now() >= deadline;
-            match self.try_admit(is_last) {
+            match self.try_admit(waited_until) {
                 Attempt::Admitted(activity) => return Ok(AcceptedStream::new(stream, activity)),
                 Attempt::Refused => return Err(stream),
-                // Whether it is notified or not, the places are looked at again.
-                Attempt::Delayed => drop(time::timeout_at(deadline, freed).await),
+                Attempt::DelayedUntil(deadline) => {
+                    // Whether it is notified or not, the places are looked at again.
+                    drop(time::timeout_at(deadline, freed).await);
+                    waited_until = Some(deadline);
+                }
             }
         }
     }
 
-    /// Takes a place; the last attempt is not delayed but refused.
-    fn try_admit(self: &Arc<Self>, is_last: bool) -> Attempt {
+    /// Takes a place. `waited_until` is the deadline of a connection that was delayed before;
+    /// after it, the connection is not delayed but refused.
+    fn try_admit(self: &Arc<Self>, waited_until: Option<time::Instant>) -> Attempt {
         let mut state = self.state();
         let admission = state.places.admit();
         if let Admission::Delayed {
@@ -146,18 +160,40 @@
                 self.close(&mut state, closed);
                 admitted
             }
-            Admission::Delayed { .. } if !is_last => return Attempt::Delayed,
-            Admission::Delayed { .. } | Admission::Refused => {
-                state.unlogged.refused += 1;
-                self.record(&mut state, ConnectionEvent::Refused);
-                return Attempt::Refused;
+            Admission::Delayed { .. } => {
+                let now = time::Instant::now();
+                let latest = || *state.wait_deadline.get_or_insert(now + GIVE_WAY_TIMEOUT);
+                let deadline = waited_until.unwrap_or_else(latest);
+                match now < deadline {
+                    true => return Attempt::DelayedUntil(deadline),
+                    false => return self.refuse(&mut state),
+                }
             }
+            Admission::Refused => return self.refuse(&mut state),
         };
+        if waited_until.is_none() {
+            state.wait_deadline = None;
+        }
         let activity = Arc::new(Activity::new(Arc::clone(self), number));
-        state.activities.insert(number, Arc::clone(&activity));
+        let open = Open {
+            activity: Arc::clone(&activity),
+            uses: 0,
+        };
+        state.open.insert(number, open);
         Attempt::Admitted(activity)
     }
 
+    fn refuse(&self, state: &mut State) -> Attempt {
+        state.unlogged.refused += 1;
+        self.record(state, ConnectionEvent::Refused);
+        Attempt::Refused
+    }
+
+    /// Reports that a new connection is refused whatever the places, as the listener closes.
+    pub fn record_refusal(&self) {
+        self.refuse(&mut self.state());
+    }
+
     /// Number of places.
     pub fn limit(&self) -> usize {
         self.limit
@@ -180,19 +216,36 @@
         drop(time::timeout(ACCEPT_RETRY_DELAY, freed).await);
     }
 
-    pub(crate) fn use_connection(&self, number: ConnectionNumber) {
-        self.state().places.use_connection(number);
-        self.freed.notify_one();
+    /// Counts a use. The first one takes the place in use and withdraws an order to close.
+    pub(crate) fn begin_use(&self, number: ConnectionNumber) {
+        let mut state = self.state();
+        let Some(open) = state.open.get_mut(&number) else {
+            return;
+        };
+        open.uses += 1;
+        if open.uses == 1 {
+            open.activity.keep_open();
+            state.places.use_connection(number);
+            self.freed.notify_one();
+        }
     }
 
-    pub(crate) fn rest(&self, number: ConnectionNumber) {
-        self.state().places.rest(number);
+    /// Ends a use. The connection rests after the last one.
+    pub(crate) fn end_use(&self, number: ConnectionNumber) {
+        let mut state = self.state();
+        let Some(open) = state.open.get_mut(&number) else {
+            return;
+        };
+        open.uses -= 1;
+        if open.uses == 0 {
+            state.places.rest(number);
+        }
     }
 
     pub(crate) fn remove(&self, number: ConnectionNumber) {
         let mut state = self.state();
         state.places.remove(number);
-        state.activities.remove(&number);
+        state.open.remove(&number);
         self.freed.notify_one();
     }
 
@@ -201,8 +254,8 @@
     }
 
     fn close(&self, state: &mut State, number: ConnectionNumber) {
-        if let Some(activity) = state.activities.get(&number) {
-            activity.close();
+        if let Some(open) = state.open.get(&number) {
+            open.activity.close();
         }
         state.unlogged.gave_way += 1;
         self.record(state, ConnectionEvent::GaveWay);
