--- a/crates/decide/tests/overload/main.rs
+++ b/crates/decide/tests/overload/main.rs
@@ -3,9 +3,9 @@
 mod model;
 
 use parsleylatch_decide::relay::{
-    Assignment, EngineLoad, EngineReport, OwnStreams, PlacementQueue, QueueRejection, QueuedStream,
-    RunProgress, StreamDurations, StreamSize, is_copy_unaffordable, is_hopeless, may_be_full,
-    retry_delay,
+    Assignment, EndpointTable, EngineLoad, EngineReport, OwnStreams, PlacementQueue,
+    QueueRejection, QueuedStream, RunProgress, Selector, StreamDurations, StreamSize,
+    assign_engines, is_copy_unaffordable, is_hopeless, may_be_full, retry_delay,
 };
 use parsleylatch_types::{
     ByteCount, Micros, Millis, MonoTime, Rank, RequestCount, SlotCount, TokenCount,
@@ -447,3 +447,37 @@
         "{expected}% of the estimate"
     );
 }
+
+/// Rounds of queries that no engine answers until a stream that enters the queue is assigned, or
+/// ten seconds have passed; returns the wait of the stream in ms.
+fn wait_without_reports(queue: &mut PlacementQueue, entered_ms: u64) -> u64 {
+    let mut table = EndpointTable::new();
+    let regions = [("a".parse().unwrap(), "r".parse().unwrap())].into();
+    let mut selector = Selector::new("a".parse().unwrap(), "r".parse().unwrap(), regions, 1);
+    let service = "s".parse().unwrap();
+    let stream = queued(0, entered_ms);
+    queue.push(at(entered_ms), stream).unwrap();
+    let rounds = (0..=10_000).step_by(150);
+    let assigned = rounds.into_iter().find(|waited_ms| {
+        let now = at(entered_ms + waited_ms);
+        let assigned = assign_engines(now, &mut table, &mut selector, &service, queue, false);
+        assert!(
+            assigned
+                .iter()
+                .all(|(_, it)| *it == Assignment::Unrestricted)
+        );
+        !assigned.is_empty()
+    });
+    assigned.unwrap()
+}
+
+/// Streams of engines that never report wait for a second once, and at the next look for a single
+/// round, however long ago the last one was.
+#[test_case(11_500 ; "after_the_memory_of_it")]
+#[test_case(60_000 ; "long_after")]
+fn assign_engines_never_reported(again_ms: u64) {
+    let mut queue = PlacementQueue::default();
+    assert_eq!(wait_without_reports(&mut queue, 0), 1_050);
+    assert_eq!(wait_without_reports(&mut queue, again_ms), 0);
+    assert_eq!(wait_without_reports(&mut queue, 2 * again_ms), 0);
+}
