--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -45,10 +45,16 @@
         Resting,
         /// A connection that closes.
         Closing,
-        /// A connection whose first request is refused.
+        /// A connection whose first request will be refused.
         Refusing,
-        /// A connection that closes whatever arrives.
+        /// A connection whose first request is refused.
+        Denying,
+        /// A connection that has the refusal, and may still send a body.
+        Denied,
+        /// A connection that closes whatever arrives, without a response.
         Dropping,
+        /// A connection that closes whatever arrives, after its refusal.
+        Leaving,
     }
 }
 
@@ -129,6 +135,14 @@
     pub used_descriptors: DescriptorCount,
 }
 
+/// Which connections that are refused are dropped first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum DropRank {
+    Silent,
+    Answered,
+    Unanswered,
+}
+
 struct Place {
     instance: Instance<PlaceState>,
     size: ByteCount,
@@ -143,8 +157,9 @@
     places: BTreeMap<ConnectionNumber, Place>,
     /// Fresh and resting connections by the time from which on they may be closed.
     closable: BTreeSet<(MonoTime, ConnectionNumber)>,
-    /// Connections that are refused, in the order in which they were accepted.
-    refusing: BTreeSet<ConnectionNumber>,
+    /// Connections that are refused, in the order in which they are dropped: those that have sent
+    /// nothing, then those that have their response, the oldest first.
+    refused: BTreeSet<(DropRank, ConnectionNumber)>,
     counts: [u64; PlaceState::VARIANTS.len()],
     /// Memory of fresh, busy and resting connections.
     served_bytes: u64,
@@ -164,7 +179,7 @@
             limits,
             places: BTreeMap::new(),
             closable: BTreeSet::new(),
-            refusing: BTreeSet::new(),
+            refused: BTreeSet::new(),
             counts: [0; PlaceState::VARIANTS.len()],
             served_bytes: 0,
             closing_bytes: 0,
@@ -260,6 +275,23 @@
         self.close_excess(now, endpoint_connections)
     }
 
+    /// Chooses a connection that is refused if it has not had its response in time.
+    pub fn end_refusal(
+        &mut self,
+        now: MonoTime,
+        number: ConnectionNumber,
+    ) -> Vec<ConnectionNumber> {
+        let is_unanswered = matches!(
+            self.state(number),
+            Some(PlaceState::Refusing | PlaceState::Denying)
+        );
+        if !is_unanswered {
+            return Vec::new();
+        }
+        self.step(now, number, PlaceEvent::RoomNeeded);
+        vec![number]
+    }
+
     /// Records that a connection has ended.
     pub fn release(&mut self, number: ConnectionNumber) {
         self.leave(number);
@@ -322,8 +354,13 @@
     /// close.
     pub fn accept_delay(&self) -> Millis {
         let reserve = self.limits.reserve().get();
-        let ending = self.count(PlaceState::Closing) + self.count(PlaceState::Dropping);
-        match 2 * self.count(PlaceState::Refusing) >= reserve {
+        let states = [
+            PlaceState::Closing,
+            PlaceState::Dropping,
+            PlaceState::Leaving,
+        ];
+        let ending: u64 = states.into_iter().map(|it| self.count(it)).sum();
+        match 2 * self.refused.len() as u64 >= reserve {
             _ if ending >= reserve => CLOSING_MS,
             true => REFUSAL_MS,
             false => Millis::ZERO,
@@ -431,10 +468,10 @@
         closed
     }
 
-    /// Chooses the oldest connection that is refused if their places are taken.
+    /// Chooses the connection that is refused and dropped first if their places are taken.
     fn drop_oldest_refused(&mut self, now: MonoTime) -> Option<ConnectionNumber> {
-        let is_full = self.count(PlaceState::Refusing) >= self.limits.reserve().get();
-        let oldest = self.refusing.first().copied().filter(|_| is_full)?;
+        let is_full = self.refused.len() as u64 >= self.limits.reserve().get();
+        let (_, oldest) = self.refused.first().copied().filter(|_| is_full)?;
         self.step(now, oldest, PlaceEvent::RoomNeeded);
         Some(oldest)
     }
@@ -464,10 +501,16 @@
             }
             PlaceState::Busy => self.served_bytes += place.size.get(),
             PlaceState::Refusing => {
-                self.refusing.insert(number);
+                self.refused.insert((DropRank::Silent, number));
+            }
+            PlaceState::Denying => {
+                self.refused.insert((DropRank::Unanswered, number));
+            }
+            PlaceState::Denied => {
+                self.refused.insert((DropRank::Answered, number));
             }
             PlaceState::Closing => self.closing_bytes += place.size.get(),
-            PlaceState::Waiting | PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping | PlaceState::Leaving => {}
         }
     }
 
@@ -485,10 +528,16 @@
             }
             PlaceState::Busy => self.served_bytes -= place.size.get(),
             PlaceState::Refusing => {
-                self.refusing.remove(&number);
+                self.refused.remove(&(DropRank::Silent, number));
+            }
+            PlaceState::Denying => {
+                self.refused.remove(&(DropRank::Unanswered, number));
+            }
+            PlaceState::Denied => {
+                self.refused.remove(&(DropRank::Answered, number));
             }
             PlaceState::Closing => self.closing_bytes -= place.size.get(),
-            PlaceState::Waiting | PlaceState::Dropping => {}
+            PlaceState::Waiting | PlaceState::Dropping | PlaceState::Leaving => {}
         }
     }
 }
--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -9,6 +9,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use parsleylatch_decide::relay::{
@@ -190,11 +191,15 @@
 impl State {
     fn tell_to_close(&self, shared: &Shared, closed: &[ConnectionNumber]) {
         for number in closed {
-            let counter = match self.places.state(*number) {
-                Some(PlaceState::Dropping) => RelayCounter::ConnectionsDropped,
-                _ => RelayCounter::ConnectionsClosedForRoom,
-            };
-            shared.metrics.increment(counter);
+            match self.places.state(*number) {
+                Some(PlaceState::Leaving) => {}
+                Some(PlaceState::Dropping) => {
+                    shared.metrics.increment(RelayCounter::ConnectionsDropped);
+                }
+                _ => shared
+                    .metrics
+                    .increment(RelayCounter::ConnectionsClosedForRoom),
+            }
             if let Some(signal) = self.signals.get(number) {
                 signal.is_told.store(true, Ordering::Relaxed);
                 signal.told.notify_one();
@@ -326,10 +331,21 @@
         self.signal.is_told.load(Ordering::Relaxed)
     }
 
-    /// Returns what waits until a connection that is refused is told to close.
-    pub(crate) fn wait_for_drop(&self) -> impl Future<Output = ()> + use<> {
+    /// Returns what waits until a connection that is refused is told to close, which it is after
+    /// `time` if it has no response.
+    pub(crate) fn wait_for_drop(&self, time: Duration) -> impl Future<Output = ()> + use<> {
+        let shared = Arc::clone(&self.shared);
         let signal = Arc::clone(&self.signal);
-        async move { signal.told.notified().await }
+        let number = self.number;
+        async move {
+            let told = signal.told.notified();
+            if time::timeout(time, told).await.is_err() {
+                let places = &shared.caller_places;
+                let now = shared.now();
+                drop(places.update(&shared, |it| it.end_refusal(now, number)));
+                signal.told.notified().await;
+            }
+        }
     }
 
     /// Waits until a connection that is served is told to close.
--- a/crates/relay/src/traffic/caller_connection.rs
+++ b/crates/relay/src/traffic/caller_connection.rs
@@ -33,7 +33,7 @@
 
 /// Delay before an idle or slow connection is closed, in which the runtime notices data that
 /// has arrived in time.
-const LAST_READ_DELAY: Duration = Duration::from_millis(1);
+pub(super) const LAST_READ_DELAY: Duration = Duration::from_millis(1);
 
 /// Time for which a stopping relay waits for the first request of a connection, or for one
 /// whose head has begun to arrive. On a busy machine a request may reach it long after the
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -20,7 +20,7 @@
 mod state;
 mod turns;
 
-use std::{convert::Infallible, io, net::TcpListener, rc::Rc, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::TcpListener, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use parsleylatch_decide::relay::{Admission, may_close_listener};
 use parsleylatch_endpoint::lacks_descriptors;
@@ -36,6 +36,7 @@
     shared::{AwaitedRequest, LifecyclePhase, Shared},
     telemetry::RelayCounter,
 };
+use caller_connection::LAST_READ_DELAY;
 use state::Traffic;
 
 /// Delay after a failed accept, such as when no file descriptors are left.
@@ -198,15 +199,18 @@
         caller_connection::serve(traffic, stream, awaited, place).await;
         return;
     }
-    let shared = Arc::clone(&traffic.shared);
-    let dropped = place.wait_for_drop();
+    let dropped = place.wait_for_drop(REFUSAL_TIME);
+    let mut serving = pin!(caller_connection::serve(traffic, stream, awaited, place));
     tokio::select! {
         biased;
-        () = caller_connection::serve(traffic, stream, awaited, place) => {}
+        () = &mut serving => return,
         () = dropped => {}
-        () = time::sleep(REFUSAL_TIME) => {
-            shared.metrics.increment(RelayCounter::ConnectionsDropped);
-        }
+    }
+    // A request that has arrived is answered, and unread bytes would reset the connection.
+    tokio::select! {
+        biased;
+        () = serving => {}
+        () = time::sleep(LAST_READ_DELAY) => {}
     }
 }
 
