Relay: callers leave the descriptors that full listeners for nodes and pages use

Cause: the sum left out the connections that give way and those that are refused: 192 instead of 280 (64 and 16 for nodes; 64, 16, 16 and 4 for each of the two pages).

Change: the sum counts them. The part of a small process stays a quarter: it is less than the sum below 1,120 descriptors only.

Evidence: limit_leaves_descriptors. Before: failed, 256 descriptors are left of 2,000 instead of 344. After: passed with the 18 others of its file.

--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -31,9 +31,14 @@
 const MAX_RESERVE: u64 = 64;
 /// Descriptors of the process itself: listeners, log, store.
 const OWN_DESCRIPTORS: u64 = 64;
-/// Descriptors that new connections leave, while others rest, for links to other nodes and for the pages for
-/// readiness and metrics.
-const STATUS_DESCRIPTORS: u64 = 64 + 2 * 64;
+/// Descriptors of the listener for other nodes: its connections, and those that give way.
+const PEER_DESCRIPTORS: u64 = 64 + 16;
+/// Descriptors of a listener for pages: its connections, those that give way, those that are
+/// refused, and of the latter those that give way.
+const PAGE_DESCRIPTORS: u64 = 64 + 16 + 16 + 4;
+/// Descriptors that new connections leave, while others rest, for links to other nodes and for
+/// the pages for readiness and metrics.
+const STATUS_DESCRIPTORS: u64 = PEER_DESCRIPTORS + 2 * PAGE_DESCRIPTORS;
 /// Maximum part of the descriptors that is kept for either, as a divisor.
 const SMALL_PROCESS_PART: u64 = 4;
 /// Descriptors of a connection that serves a request.
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -230,6 +230,21 @@
     assert_eq!(places.take_notice(at(60_000 + at_ms)), expected);
 }
 
+/// Descriptors of a process that the listeners for nodes and pages may use, with those that
+/// give way or are refused: of one for nodes, of two for pages, and of the process itself.
+const OTHER_DESCRIPTORS: u64 = (64 + 16) + 2 * (64 + 16 + 16 + 4) + 64;
+
+/// Listeners for nodes and pages that were full left callers too few descriptors.
+#[test]
+fn limit_leaves_descriptors() {
+    let descriptors = DescriptorCount::new(2_000);
+    let limits = limits(ByteCount::new(512 * MIB), USUAL_HEAD, descriptors);
+    let (limit, bound) = limits.limit();
+    assert_eq!(bound, PlaceBound::Descriptors);
+    let left = descriptors.get() - limit.get();
+    assert!(left >= OTHER_DESCRIPTORS, "{left} descriptors are left");
+}
+
 /// What happens to one of the connections, chosen by a number.
 #[derive(Clone, Copy, Debug)]
 enum Step {
