HTTP: refusals at a stop wait for places among those that are refused

What callers saw: some of the requests that waited at a stop were still reset.

Cause: when all places for refusals were in use for the moment, the next connection was closed without a response. At a stop many arrive at once.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -196,10 +196,14 @@
         let was_empty = waiting.is_empty() && failure.is_none();
         if was_empty || time::Instant::now() >= deadline {
             drop(listener);
-            refusals.refuse_waiting(waiting, connections).await;
+            refusals
+                .refuse_waiting(waiting, connections, deadline)
+                .await;
             break;
         }
-        refusals.refuse_waiting(waiting, connections).await;
+        refusals
+            .refuse_waiting(waiting, connections, deadline)
+            .await;
         time::sleep(LOOK_INTERVAL).await;
     }
     if refused > 0 {
@@ -225,10 +229,20 @@
         }
     }
 
-    /// Refuses connections that waited in the queue of the listener of `connections`.
-    async fn refuse_waiting(&mut self, waiting: Vec<TcpStream>, connections: &Connections) {
+    /// Refuses connections that waited in the queue of the listener of `connections`. Until the
+    /// deadline, they wait for the places of others that are refused.
+    async fn refuse_waiting(
+        &mut self,
+        waiting: Vec<TcpStream>,
+        connections: &Connections,
+        deadline: time::Instant,
+    ) {
         for stream in waiting {
             connections.record_refusal();
+            if self.tasks.len() >= self.connections.limit() {
+                // Whether one has ended or not, the place is asked for.
+                drop(time::timeout_at(deadline, self.tasks.join_next()).await);
+            }
             self.refuse(stream, LAST_REFUSAL_TIMEOUT).await;
         }
     }
