--- a/crates/decide/src/relay/connection_places.rs
+++ b/crates/decide/src/relay/connection_places.rs
@@ -25,6 +25,9 @@
 const REFUSAL_MS: Millis = Millis::new(1);
 /// Maximum time for which an accepted connection waits for room while others close.
 const ROOM_WAIT_MS: Millis = Millis::new(500);
+/// Time after which a connection that is refused and has sent nothing is dropped before those that
+/// have their response.
+const SILENCE_MS: Millis = Millis::new(100);
 /// Descriptors of a connection that serves a request.
 const BUSY_DESCRIPTORS: u64 = 2;
 /// The limit is left when there is room for one in so many of the connections that it allows.
@@ -135,18 +138,11 @@
     pub used_descriptors: DescriptorCount,
 }
 
-/// Which connections that are refused are dropped first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum DropRank {
-    Silent,
-    Answered,
-    Unanswered,
-}
-
 struct Place {
     instance: Instance<PlaceState>,
     size: ByteCount,
-    accepted_at: MonoTime,
+    /// When it was accepted or refused.
+    since: MonoTime,
     /// From when on it may be closed for room.
     closable_at: MonoTime,
 }
@@ -157,9 +153,8 @@
     places: BTreeMap<ConnectionNumber, Place>,
     /// Fresh and resting connections by the time from which on they may be closed.
     closable: BTreeSet<(MonoTime, ConnectionNumber)>,
-    /// Connections that are refused, in the order in which they are dropped: those that have sent
-    /// nothing, then those that have their response, the oldest first.
-    refused: BTreeSet<(DropRank, ConnectionNumber)>,
+    /// Connections that are refused by the number of their state, in the order of arrival.
+    refused: BTreeSet<(usize, ConnectionNumber)>,
     counts: [u64; PlaceState::VARIANTS.len()],
     /// Memory of fresh, busy and resting connections.
     served_bytes: u64,
@@ -203,7 +198,7 @@
         let place = Place {
             instance: machine().start(now, &mut ()),
             size: self.limits.connection_size,
-            accepted_at: now,
+            since: now,
             closable_at: now + FIRST_REQUEST_MS,
         };
         self.places.insert(number, place);
@@ -247,7 +242,7 @@
     /// Until when a connection waits for others that close; `None` if that is over, if none
     /// closes, or if as many wait as may.
     fn room_awaited_until(&self, now: MonoTime, number: ConnectionNumber) -> Option<MonoTime> {
-        let until = self.places.get(&number)?.accepted_at + ROOM_WAIT_MS;
+        let until = self.places.get(&number)?.since + ROOM_WAIT_MS;
         let may_wait = self.count(PlaceState::Closing) > 0
             && self.count(PlaceState::Waiting) <= self.limits.reserve().get();
         Some(until).filter(|it| may_wait && now < *it)
@@ -360,7 +355,9 @@
             PlaceState::Leaving,
         ];
         let ending: u64 = states.into_iter().map(|it| self.count(it)).sum();
-        match 2 * self.refused.len() as u64 >= reserve {
+        // One that has its response can go at once.
+        let unanswered = self.count(PlaceState::Refusing) + self.count(PlaceState::Denying);
+        match 2 * unanswered >= reserve {
             _ if ending >= reserve => CLOSING_MS,
             true => REFUSAL_MS,
             false => Millis::ZERO,
@@ -470,18 +467,39 @@
 
     /// Chooses the connection that is refused and dropped first if their places are taken.
     fn drop_oldest_refused(&mut self, now: MonoTime) -> Option<ConnectionNumber> {
-        let is_full = self.refused.len() as u64 >= self.limits.reserve().get();
-        let (_, oldest) = self.refused.first().copied().filter(|_| is_full)?;
-        self.step(now, oldest, PlaceEvent::RoomNeeded);
-        Some(oldest)
+        if (self.refused.len() as u64) < self.limits.reserve().get() {
+            return None;
+        }
+        let silent = self.oldest_refused(PlaceState::Refusing);
+        let is_late = |it: &ConnectionNumber| {
+            let place = self.places.get(it);
+            place.is_some_and(|it| it.since + SILENCE_MS <= now)
+        };
+        let dropped = silent
+            .filter(is_late)
+            .or_else(|| self.oldest_refused(PlaceState::Denied))
+            .or(silent)
+            .or_else(|| self.oldest_refused(PlaceState::Denying))?;
+        self.step(now, dropped, PlaceEvent::RoomNeeded);
+        Some(dropped)
+    }
+
+    fn oldest_refused(&self, state: PlaceState) -> Option<ConnectionNumber> {
+        let mut from = self
+            .refused
+            .range((state as usize, ConnectionNumber::ZERO)..);
+        let oldest = from.next().filter(|(found, _)| *found == state as usize);
+        oldest.map(|(_, number)| *number)
     }
 
     fn step(&mut self, now: MonoTime, number: ConnectionNumber, event: PlaceEvent) {
         self.leave(number);
         if let Some(place) = self.places.get_mut(&number) {
             machine().step(&mut place.instance, now, event, &mut ());
-            if event == PlaceEvent::Rested {
-                place.closable_at = now;
+            match event {
+                PlaceEvent::Rested => place.closable_at = now,
+                PlaceEvent::Refused => place.since = now,
+                _ => {}
             }
         }
         self.enter(number);
@@ -500,14 +518,8 @@
                 self.closable.insert((place.closable_at, number));
             }
             PlaceState::Busy => self.served_bytes += place.size.get(),
-            PlaceState::Refusing => {
-                self.refused.insert((DropRank::Silent, number));
-            }
-            PlaceState::Denying => {
-                self.refused.insert((DropRank::Unanswered, number));
-            }
-            PlaceState::Denied => {
-                self.refused.insert((DropRank::Answered, number));
+            PlaceState::Refusing | PlaceState::Denying | PlaceState::Denied => {
+                self.refused.insert((state as usize, number));
             }
             PlaceState::Closing => self.closing_bytes += place.size.get(),
             PlaceState::Waiting | PlaceState::Dropping | PlaceState::Leaving => {}
@@ -527,14 +539,8 @@
                 self.closable.remove(&(place.closable_at, number));
             }
             PlaceState::Busy => self.served_bytes -= place.size.get(),
-            PlaceState::Refusing => {
-                self.refused.remove(&(DropRank::Silent, number));
-            }
-            PlaceState::Denying => {
-                self.refused.remove(&(DropRank::Unanswered, number));
-            }
-            PlaceState::Denied => {
-                self.refused.remove(&(DropRank::Answered, number));
+            PlaceState::Refusing | PlaceState::Denying | PlaceState::Denied => {
+                self.refused.remove(&(state as usize, number));
             }
             PlaceState::Closing => self.closing_bytes -= place.size.get(),
             PlaceState::Waiting | PlaceState::Dropping | PlaceState::Leaving => {}
--- a/crates/decide/tests/connection_places.rs
+++ b/crates/decide/tests/connection_places.rs
@@ -172,6 +172,29 @@
     assert_eq!(places.state(silent.number), Some(PlaceState::Dropping));
 }
 
+/// A refused connection that has just come was dropped beside others that had their response.
+#[test_case(99, false ; "just come")]
+#[test_case(100, true ; "silent for long")]
+fn admit_silent_refused_dropped(after_ms: u64, expected: bool) {
+    let mut places = ConnectionPlaces::new(small());
+    serve_until_refused(&mut places);
+    for _ in 2..small().reserve().get() {
+        let number = places.admit(at(5_000), NO_CONNECTIONS).number;
+        places.begin(at(5_000), number, NO_CONNECTIONS);
+        places.rest(at(5_000), number, NO_CONNECTIONS);
+    }
+    // The one that serve_until_refused leaves makes its request, too.
+    let first = ConnectionNumber::new(small().limit().0.get());
+    places.begin(at(5_000), first, NO_CONNECTIONS);
+    places.rest(at(5_000), first, NO_CONNECTIONS);
+    let silent = places.admit(at(5_000), NO_CONNECTIONS);
+    assert_eq!(silent.closed, []);
+    assert_eq!(places.accept_delay(), Millis::ZERO);
+    let closed = places.admit(at(5_000 + after_ms), NO_CONNECTIONS).closed;
+    assert_eq!(closed == [silent.number], expected);
+    assert_eq!(closed.len(), 1);
+}
+
 /// Larger heads leave connections as they are, and new ones find room.
 #[test]
 fn set_limits_larger_heads_served() {
