--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    env,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -26,14 +27,15 @@
 
 /// Descriptors that operators keep for files of those that they allow a process.
 const FILE_DESCRIPTORS: DescriptorCount = DescriptorCount::new(200);
+/// Variable with the descriptors that the operators allow a process, for settings that name none.
+const DESCRIPTORS_VARIABLE: &str = "RELAY_FILE_DESCRIPTORS";
 /// Maximum part of the descriptors that is kept for files, as a divisor.
 const SMALL_PROCESS_PART: u64 = 4;
 
 /// Places and the connections that have them.
 pub(crate) struct CallerPlaces {
     state: Mutex<State>,
-    /// Descriptors that the kernel allows the process.
-    process_descriptors: DescriptorCount,
+    process_descriptors: ProcessDescriptors,
     /// Open connections to endpoints.
     endpoint_connections: Arc<AtomicU64>,
     /// A connection has ended.
@@ -53,12 +55,12 @@
 }
 
 /// Limits by the settings and the configuration in force.
-fn limits(shared: &Shared, process_descriptors: DescriptorCount) -> PlaceLimits {
+fn limits(shared: &Shared, process: ProcessDescriptors) -> PlaceLimits {
     let settings = shared.settings.load();
     let plan = MemoryPlan::new(settings.memory);
     let head = caller_limits(&shared.snapshot.load()).head_bytes;
-    let configured = settings.file_descriptors.map(without_files);
-    let descriptors = configured.map_or(process_descriptors, |it| it.min(process_descriptors));
+    let allowed = settings.file_descriptors.or(process.allowed);
+    let descriptors = allowed.map_or(process.limit, |it| without_files(it).min(process.limit));
     PlaceLimits::new(&plan, head, descriptors)
 }
 
@@ -68,18 +70,45 @@
     allowed.saturating_sub(FILE_DESCRIPTORS.min(small_part))
 }
 
-/// Maximum number of descriptors that the kernel allows the process.
-fn process_descriptors() -> DescriptorCount {
-    let limit = getrlimit(Resource::Nofile).current;
-    limit.map_or(DescriptorCount::MAX, DescriptorCount::new)
+/// Descriptors of the process, as of its start.
+#[derive(Clone, Copy)]
+struct ProcessDescriptors {
+    /// Maximum that the kernel allows.
+    limit: DescriptorCount,
+    /// What the operators allow a process whose settings don't say; `None` leaves it to the
+    /// kernel.
+    allowed: Option<DescriptorCount>,
+}
+
+impl ProcessDescriptors {
+    fn read() -> Self {
+        let limit = getrlimit(Resource::Nofile).current;
+        Self {
+            limit: limit.map_or(DescriptorCount::MAX, DescriptorCount::new),
+            allowed: allowed_descriptors(),
+        }
+    }
+}
+
+/// Descriptors by [`DESCRIPTORS_VARIABLE`].
+fn allowed_descriptors() -> Option<DescriptorCount> {
+    let text = env::var(DESCRIPTORS_VARIABLE).ok()?;
+    let count = text.parse();
+    if let Err(error) = &count {
+        log::warn!(
+            variable = DESCRIPTORS_VARIABLE, value = text.as_str(), error:% = error;
+            "descriptors in the environment can't be read"
+        );
+    }
+    count.ok()
 }
 
 impl CallerPlaces {
     /// Places of a process without connections; the limits follow with the first use.
     pub(crate) fn new() -> Self {
         let plan = MemoryPlan::new(ByteCount::ZERO);
-        let process_descriptors = process_descriptors();
-        let none = PlaceLimits::new(&plan, ByteCount::ZERO, process_descriptors);
+        let process_descriptors = ProcessDescriptors::read();
+        let none = PlaceLimits::new(&plan, ByteCount::ZERO, process_descriptors.limit);
         Self {
             state: Mutex::new(State {
                 places: ConnectionPlaces::new(none),
