--- a/crates/relay/src/caller_places.rs
+++ b/crates/relay/src/caller_places.rs
@@ -16,8 +16,8 @@
 use parsleylatch_decide::relay::{
     Admission, ConnectionPlaces, LimitNotice, MemoryPlan, Occupancy, PlaceLimits, PlaceState,
 };
+use parsleylatch_runtime::descriptor_limit;
 use parsleylatch_types::{ByteCount, ConnectionCount, ConnectionNumber, DescriptorCount, Millis};
-use rustix::process::{Resource, getrlimit};
 use tokio::{
     sync::Notify,
     time::{self, Instant},
@@ -82,9 +82,8 @@
 
 impl ProcessDescriptors {
     fn read() -> Self {
-        let limit = getrlimit(Resource::Nofile).current;
         Self {
-            limit: limit.map_or(DescriptorCount::MAX, DescriptorCount::new),
+            limit: descriptor_limit(),
             allowed: allowed_descriptors(),
         }
     }
