--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
 pub use error::{SettingsError, SettingsErrorKind};
 pub use key::{KeyDigest, ParseKeyDigestError};
 pub use node::{AdminKey, LogFormat, LogSettings, NodeLimits, NodeSettings, Role};
-pub use relay::{RelayBounds, RelaySettings};
+pub use relay::{RelayBounds, RelayLocality, RelayOverload, RelaySettings};
 pub use template::{
     CallKind, MAX_TOKENS_HARD_LIMIT, Operation, ServiceTemplate, Template, Tier, TokenTimeouts,
 };
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -3,7 +3,8 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use parsleylatch_types::{
-    ByteCount, DescriptorCount, FailureDomain, Millis, NodeId, Region, RequestCount, Share,
+    ByteCount, DescriptorCount, FailureDomain, MicrosPerKilobyte, Millis, NodeId, Region,
+    RequestCount, Share,
 };
 use serde::Deserialize;
 
@@ -74,6 +75,28 @@
     pub exposure_slack: RequestCount,
 }
 
+/// What a relay does about overload. Absent fields are off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RelayOverload {
+    /// Whether streams of lower ranks leave capacity of the engines to those of higher ones.
+    pub rank_reserve: bool,
+    /// Whether calls wait at the node while their service is full.
+    pub calls_queue: bool,
+}
+
+/// When requests leave the failure domain. Absent fields are off, or cost nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RelayLocality {
+    /// Whether the share of requests that leaves is decided by load and cost.
+    pub enabled: bool,
+    /// Cost of bytes that cross to another failure domain of the region.
+    pub domain_crossing_us_per_kb: MicrosPerKilobyte,
+    /// Cost of bytes that cross to another region.
+    pub region_crossing_us_per_kb: MicrosPerKilobyte,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawRelaySettings {
@@ -93,6 +116,10 @@
     file_descriptors: Option<f64>,
     #[serde(default)]
     bounds: RawRelayBounds,
+    #[serde(default)]
+    overload: RelayOverload,
+    #[serde(default)]
+    locality: RelayLocality,
 }
 
 /// Checked settings of a relay.
@@ -127,6 +154,10 @@
     pub file_descriptors: Option<DescriptorCount>,
     /// Service-level bounds.
     pub bounds: RelayBounds,
+    /// What is done about overload.
+    pub overload: RelayOverload,
+    /// When requests leave the failure domain.
+    pub locality: RelayLocality,
 }
 
 impl RelaySettings {
@@ -150,6 +181,8 @@
             file_descriptors: check_descriptors(document, raw.file_descriptors)?,
             memory: ByteCount::new((memory_mb * BYTES_PER_MB) as u64),
             bounds: check_bounds(document, raw.bounds)?,
+            overload: raw.overload,
+            locality: raw.locality,
             node_id: raw.node_id,
             failure_domain: raw.failure_domain,
             region: raw.region,
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -1,9 +1,10 @@
 //! Reading and validating settings and templates.
 
 use parsleylatch_settings::{
-    CallKind, Document, KeyDigest, NodeSettings, RelaySettings, Template, parse_total_memory,
+    CallKind, Document, KeyDigest, NodeSettings, RelayOverload, RelaySettings, Template,
+    parse_total_memory,
 };
-use parsleylatch_types::{ByteCount, DescriptorCount, Millis};
+use parsleylatch_types::{ByteCount, DescriptorCount, MicrosPerKilobyte, Millis};
 use test_case::test_case;
 
 const NODE: &str = r#"{
@@ -116,6 +117,34 @@
     assert_eq!(read.bounds.retry_slack, 50);
 }
 
+/// Settings without the newer sections serve as before.
+#[test]
+fn relay_overload_absent() {
+    let read = RelaySettings::read(&Document::new("relay.jsonc", &relay_text("{}"))).unwrap();
+    assert_eq!(read.overload, RelayOverload::default());
+    assert!(!read.overload.rank_reserve && !read.overload.calls_queue && !read.locality.enabled);
+}
+
+#[test]
+fn relay_overload_read() {
+    let sections = r#""overload": {"rank_reserve": true},
+        "locality": {"enabled": true, "region_crossing_us_per_kb": 270}, "bounds""#;
+    let text = relay_text("{}").replacen("\"bounds\"", sections, 1);
+    let read = RelaySettings::read(&Document::new("relay.jsonc", &text)).unwrap();
+    assert!(read.overload.rank_reserve && !read.overload.calls_queue);
+    let crossing = read.locality.region_crossing_us_per_kb;
+    assert_eq!(crossing, MicrosPerKilobyte::new(270));
+}
+
+/// A misspelt switch would otherwise be off without a word.
+#[test]
+fn relay_overload_rejected() {
+    let section = r#""overload": {"rank_reserv": true}, "bounds""#;
+    let text = relay_text("{}").replacen("\"bounds\"", section, 1);
+    let error = RelaySettings::read(&Document::new("relay.jsonc", &text)).unwrap_err();
+    assert!(error.field.starts_with("overload"), "{error}");
+}
+
 #[test_case("{\"stop_s\": 0}", "bounds.stop_s" ; "zero stop time")]
 #[test_case("{\"retry_ratio\": -1}", "bounds.retry_ratio" ; "negative ratio")]
 #[test_case("{\"stop\": 8}", "bounds" ; "unknown bound")]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,9 +17,9 @@
 };
 pub use quantity::{
     AttemptNumber, ByteCount, BytesPerSecond, ConnectionCount, ConnectionNumber, DescriptorCount,
-    FencingNumber, Incarnation, OwnerEpoch, ParseQuantityError, Percent, Priority, Rank,
-    RequestCount, RequestsPerSecond, Revision, Seed, Share, SlotCount, StreamEventId, TokenCount,
-    TokenId, TokenIndex, TokensPerSecond, TrialNumber, Weight,
+    FencingNumber, Incarnation, MicrosPerKilobyte, OwnerEpoch, PacePercent, ParseQuantityError,
+    Percent, Priority, Rank, RequestCount, RequestsPerSecond, Revision, Seed, Share, SlotCount,
+    StoreEra, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond, TrialNumber, Weight,
 };
 pub use request_id::{ParseRequestIdError, RequestId};
 pub use time::{Micros, Millis, MonoTime, UnixMillis};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -113,6 +113,10 @@
     /// Revision of a document in the store.
     Revision, u64, ""
 );
+quantity!(
+    /// Era of the store; increases by one each time it is restored from a copy.
+    StoreEra, u64, ""
+);
 quantity!(
     /// Fencing number of a lease; each new holder gets a larger one.
     FencingNumber, u64, ""
@@ -137,6 +141,14 @@
     /// Whole percentage.
     Percent, u32, "%"
 );
+quantity!(
+    /// Time that work takes at an endpoint at present, relative to the usual time.
+    PacePercent, u32, "%"
+);
+quantity!(
+    /// Time that the transfer of a kilobyte is worth.
+    MicrosPerKilobyte, u64, "us/kB"
+);
 quantity!(
     /// Fraction in parts per million, such as a share of traffic or a failure rate.
     Share, u32, "ppm"
--- a/crates/types/tests/round_trip.rs
+++ b/crates/types/tests/round_trip.rs
@@ -3,9 +3,9 @@
 use std::{fmt::Display, str::FromStr};
 
 use parsleylatch_types::{
-    ByteCount, BytesPerSecond, EndpointId, FencingNumber, Micros, Millis, MonoTime, NodeId,
-    Percent, RequestId, RequestsPerSecond, Revision, Share, TokenCount, TokenIndex,
-    TokensPerSecond, UnixMillis, WorkspaceId,
+    ByteCount, BytesPerSecond, EndpointId, FencingNumber, Micros, MicrosPerKilobyte, Millis,
+    MonoTime, NodeId, PacePercent, Percent, RequestId, RequestsPerSecond, Revision, Share,
+    StoreEra, TokenCount, TokenIndex, TokensPerSecond, UnixMillis, WorkspaceId,
 };
 use proptest::prelude::*;
 use test_case::test_case;
@@ -31,6 +31,9 @@
         prop_assert!(round_trips(&MonoTime::new(number)));
         prop_assert!(round_trips(&RequestsPerSecond::new(number)));
         prop_assert!(round_trips(&Revision::new(number)));
+        prop_assert!(round_trips(&StoreEra::new(number)));
+        prop_assert!(round_trips(&MicrosPerKilobyte::new(number)));
+        prop_assert!(round_trips(&PacePercent::new(small)));
         prop_assert!(round_trips(&TokensPerSecond::new(number)));
         prop_assert!(round_trips(&UnixMillis::new(number)));
         prop_assert!(round_trips(&Percent::new(small)));
