Relay: read slots and pace of an endpoint's load and use the pace in costs

Cause: the load header of responses has four fields, of which two were read, so a node kept sending to endpoints that had just said that they are slow.

Change: one parser for both codecs (load_header.rs) reads slots and pace and says why a value can't be used. A load with a pace that contradicts the registry's slots is ignored; the first unusable load of an endpoint is logged. Probes, lists of prompt parts and copies record the pace as well. Without the fourth field nothing changes.

--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -8,14 +8,15 @@
 };
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, ServiceName,
-    SlotCount, TokenCount,
+    EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, PacePercent,
+    ServiceName, SlotCount, TokenCount,
 };
 
 use super::{
     endpoint_notice::EndpointNotices,
     overload::{EngineLoad, OwnStreams, StreamSize},
     ownership::EndpointOwnership,
+    pace::is_plausible_pace,
     readers::NodeLocation,
     report::EngineReport,
 };
@@ -71,12 +72,16 @@
 }
 
 /// Load that an endpoint reported with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadSample {
     /// Running requests.
     pub running: u32,
     /// Queued requests.
     pub waiting: u32,
+    /// Requests that it runs concurrently, if reported.
+    pub slots: Option<SlotCount>,
+    /// Time that work takes at present, if reported.
+    pub pace: Option<PacePercent>,
 }
 
 /// Outcome of an attempt at an endpoint.
@@ -114,6 +119,8 @@
     /// Prompt tokens of this thread's requests that have no first event yet.
     pub(crate) unread_tokens: u64,
     load: Option<(LoadSample, MonoTime)>,
+    /// Whether it has reported a load that can't be used.
+    has_unusable_load: bool,
     pub(crate) engine_load: EngineLoad,
     failure_rate: f64,
     failure_rate_updated_at: MonoTime,
@@ -136,6 +143,7 @@
             copies: 0,
             unread_tokens: 0,
             load: None,
+            has_unusable_load: false,
             engine_load: EngineLoad::default(),
             failure_rate: 0.0,
             failure_rate_updated_at: MonoTime::ZERO,
@@ -388,11 +396,35 @@
         }
     }
 
-    /// Records a load reported by an endpoint.
-    pub fn record_load(&mut self, now: MonoTime, key: &EndpointKey, load: LoadSample) {
-        if let Some(stats) = self.endpoints.get_mut(key) {
+    /// Records a load reported by an endpoint; returns whether it is used, as
+    /// [`Self::record_pace`] does.
+    pub fn record_load(&mut self, now: MonoTime, key: &EndpointKey, load: LoadSample) -> bool {
+        let is_used = self.record_pace(now, key, load);
+        if let Some(stats) = self.endpoints.get_mut(key).filter(|_| is_used) {
             stats.load = Some((load, now));
         }
+        is_used
+    }
+
+    /// Records only the pace of a load reported by an endpoint. Returns whether it is used: a
+    /// load with a pace must not contradict the entry's slots.
+    pub fn record_pace(&mut self, now: MonoTime, key: &EndpointKey, load: LoadSample) -> bool {
+        let (Some(stats), Some(pace)) = (self.endpoints.get_mut(key), load.pace) else {
+            return true;
+        };
+        let is_consistent = load.slots.is_none_or(|it| it == stats.entry.slots);
+        let is_used = is_consistent && is_plausible_pace(pace);
+        if is_used {
+            stats.engine_load.record_pace(now, pace);
+        }
+        is_used
+    }
+
+    /// Records that an endpoint reported a load that can't be used; returns whether it is the
+    /// first one of its incarnation.
+    pub fn record_unusable_load(&mut self, key: &EndpointKey) -> bool {
+        let stats = self.endpoints.get_mut(key);
+        stats.is_some_and(|it| !std::mem::replace(&mut it.has_unusable_load, true))
     }
 
     /// Records a state report of an engine.
@@ -401,6 +433,7 @@
             let load = LoadSample {
                 running: report.running,
                 waiting: report.waiting,
+                ..LoadSample::default()
             };
             stats.load = Some((load, now));
             stats.engine_load.record_report(now, report);
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod open_trials;
 mod overload;
 mod ownership;
+mod pace;
 mod place_limits;
 mod readers;
 mod registry;
@@ -58,6 +59,7 @@
     is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, retry_delay, room,
 };
 pub use ownership::EndpointOwnership;
+pub use pace::{ReportedPace, is_plausible_pace};
 pub use place_limits::{PlaceBound, PlaceLimits};
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
 pub use registry::{Registry, RegistryChange};
--- a/crates/decide/src/relay/overload/engine_load.rs
+++ b/crates/decide/src/relay/overload/engine_load.rs
@@ -9,11 +9,12 @@
 //! Load pattern: some engines turn several times slower. While such an engine reads a
 //! prompt, the gaps between the events of its running streams exceed their goal, so it
 //! gets a stream only if it has no other. It is known by the time that it needs for a
-//! prompt.
+//! prompt, and by the pace that it reports. As far as that pace explains a long time for a
+//! prompt, the engine counts as slow only while it says so.
 
-use parsleylatch_types::{Micros, Millis, MonoTime, SlotCount, TokenCount};
+use parsleylatch_types::{Micros, Millis, MonoTime, PacePercent, SlotCount, TokenCount};
 
-use crate::relay::{report::EngineReport, selector::PREFILL_TOKENS_PER_MS};
+use crate::relay::{pace::ReportedPace, report::EngineReport, selector::PREFILL_TOKENS_PER_MS};
 
 /// Age up to which a report is used for placements.
 const REPORT_AGE_LIMIT_MS: Millis = Millis::new(300);
@@ -57,6 +58,7 @@
     reported: Option<(ReportedLoad, MonoTime)>,
     placed: Vec<PlacedStream>,
     slow_until: MonoTime,
+    pace: ReportedPace,
 }
 
 /// A stream that this thread has sent to the engine and that has no event yet, or whose
@@ -73,12 +75,13 @@
 }
 
 impl PlacedStream {
-    /// Time after the placement at which the first event shows that the engine is slow.
-    fn slow_after(&self) -> Option<Micros> {
+    /// Time after the placement at which the first event shows that an engine of this pace is
+    /// slow.
+    fn slow_after(&self, pace: PacePercent) -> Option<Micros> {
         let prompts = u64::from(self.unread_before?) + 1;
         let tokens = prompts.saturating_mul(u64::from(self.size.prompt.get()));
-        let reading =
-            Millis::new(tokens.saturating_mul(100) / SLOW_RATE_PERCENT / PREFILL_TOKENS_PER_MS);
+        let tokens = tokens.saturating_mul(u64::from(pace.get()));
+        let reading = Millis::new(tokens / SLOW_RATE_PERCENT / PREFILL_TOKENS_PER_MS);
         Some(reading.saturating_add(FIRST_EVENT_OVERHEAD_MS).micros())
     }
 }
@@ -121,6 +124,16 @@
         self.reported = Some((load, now));
     }
 
+    /// Records the pace that the endpoint reported.
+    pub fn record_pace(&mut self, now: MonoTime, pace: PacePercent) {
+        self.pace.record(now, pace);
+    }
+
+    /// Pace that the endpoint reported last.
+    pub(crate) fn pace(&self) -> &ReportedPace {
+        &self.pace
+    }
+
     /// Records that a stream is assigned to the engine, and will be sent at once.
     pub fn reserve(&mut self, now: MonoTime, size: StreamSize) {
         self.push(now, size, true);
@@ -153,10 +166,11 @@
 
     /// Records the first event of the stream that was placed at `placed_at`.
     pub fn record_first_event(&mut self, now: MonoTime, placed_at: MonoTime) {
+        let pace = self.pace.assumed(now);
         if let Some(placed) = self.unread_mut(placed_at) {
             placed.is_read = true;
             let is_slow = placed
-                .slow_after()
+                .slow_after(pace)
                 .is_some_and(|limit| now.since(placed_at) > limit);
             self.slow_until = match is_slow {
                 true => now + SLOW_MEMORY_MS,
@@ -193,13 +207,16 @@
         })
     }
 
-    /// Whether the engine has read a prompt slowly a short time ago, or takes long for one.
+    /// Whether the engine has read a prompt slowly a short time ago, takes long for one, or
+    /// reports that it is slow.
     pub fn is_slow(&self, now: MonoTime) -> bool {
+        let pace = self.pace.assumed(now);
         let sent = self.placed.iter().filter(|it| !it.is_reserved);
         let mut unread = sent.filter(|it| !it.is_read);
         now < self.slow_until
+            || u64::from(pace.get()) * SLOW_RATE_PERCENT > 100 * 100
             || unread.any(|it| {
-                it.slow_after()
+                it.slow_after(pace)
                     .is_some_and(|limit| now.since(it.at) > limit)
             })
     }
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -287,7 +287,7 @@
                     (false, _) => self.call_placement_cost(now, table, stats),
                     // An engine that has just answered is alive, even if others in its
                     // failure domain are not, and has read the prompt.
-                    (true, true) => self.stream_base_cost(now, stats),
+                    (true, true) => self.stream_base_cost(now, stats, Micros::ZERO),
                     (true, false) => self.stream_placement_cost(now, table, stats, criteria.prompt),
                 };
                 (cost, Arc::clone(entry))
@@ -315,14 +315,12 @@
         stats: &EndpointStats,
         prompt: TokenCount,
     ) -> u64 {
-        self.stream_base_cost(now, stats)
-            + prefill(prompt).get()
-            + failure_penalty(now, table, stats)
+        self.stream_base_cost(now, stats, prefill(prompt)) + failure_penalty(now, table, stats)
     }
 
-    /// Cost of a stream whose prompt the engine has read.
-    fn stream_base_cost(&mut self, now: MonoTime, stats: &EndpointStats) -> u64 {
-        stream_cost(now, stats)
+    /// Cost of a stream whose prompt takes the engine `reading` to read.
+    fn stream_base_cost(&mut self, now: MonoTime, stats: &EndpointStats, reading: Micros) -> u64 {
+        stream_cost(now, stats, reading)
             + self.random.random_range(0..STREAM_JITTER_US)
             + self.round_trip(&stats.entry.failure_domain).get()
             + failure_rate_cost(now, stats)
@@ -360,9 +358,10 @@
     Millis::new(u64::from(prompt.get()) / PREFILL_TOKENS_PER_MS).micros()
 }
 
-/// Work ahead of a new stream: unread prompts, queued requests, and streams that share
-/// the engine's steps.
-fn stream_cost(now: MonoTime, stats: &EndpointStats) -> u64 {
+/// Work ahead of a new stream, its delay by the engine's pace, and the reading of the stream's
+/// prompt. The work is unread prompts, queued requests, and streams that share the engine's
+/// steps.
+fn stream_cost(now: MonoTime, stats: &EndpointStats, reading: Micros) -> u64 {
     let unread = Millis::new(stats.unread_tokens / PREFILL_TOKENS_PER_MS).micros();
     let streams = u64::from(stats.occupancy(now));
     let waiting = WAITING_COST_US.saturating_mul(u64::from(stats.waiting(now)));
@@ -370,13 +369,21 @@
         true => Micros::ZERO,
         false => NOT_OWNED_COST_US,
     };
-    unread.get() + STREAM_COST_US.saturating_mul(streams).get() + waiting.get() + not_owned.get()
+    let work = unread
+        .saturating_add(STREAM_COST_US.saturating_mul(streams))
+        .saturating_add(waiting)
+        .saturating_add(reading);
+    let delay = stats.engine_load.pace().delay(now, work);
+    work.get() + delay.get() + not_owned.get()
 }
 
-/// Work ahead of a new call: the mean latency times the occupancy per slot.
+/// Work ahead of a new call, which is the mean latency times the occupancy per slot, and the
+/// delay of the call and of that work by the endpoint's pace.
 fn call_cost(now: MonoTime, stats: &EndpointStats) -> u64 {
     let latency = stats.latency.unwrap_or(DEFAULT_CALL_LATENCY_US);
     let slots = u64::from(stats.entry.slots.get().max(1));
     let occupancy = u64::from(stats.occupancy(now));
-    latency.saturating_mul(occupancy).get() / slots
+    let ahead = Micros::new(latency.saturating_mul(occupancy).get() / slots);
+    let work = latency.saturating_add(ahead);
+    ahead.get() + stats.engine_load.pace().delay(now, work).get()
 }
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -442,6 +442,7 @@
     let load = LoadSample {
         running: 3,
         waiting: 2,
+        ..LoadSample::default()
     };
     table.record_load(at(0), &one.key, load);
     assert_eq!(table.occupancy(at(100), &service()), (5, 4));
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -68,8 +68,8 @@
     pub is_not_run: bool,
     /// Whether the response comes from another endpoint than the intended one.
     pub is_misdirected: bool,
-    /// Load of the endpoint.
-    pub load: Option<LoadSample>,
+    /// Load of the endpoint, or why it can't be read.
+    pub load: Option<Result<LoadSample, String>>,
     /// Whether the endpoint states that it leaves.
     pub is_leaving: bool,
     /// Time for which an endpoint that rejects the request wants no others, or why it can't
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod codec;
 mod control;
 mod input;
+mod load_header;
 mod memory;
 mod own_codec;
 mod relay;
@@ -22,4 +23,5 @@
     CopyCodec, DocumentCodec, ForwardMetadata, RelayCodec, RequestCodec, RequestMetadata,
     ResponseCodec, ResponseMetadata, RolloutCodec,
 };
+pub use load_header::read_load;
 pub use relay::{Relay, RelayAddresses};
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -4,9 +4,9 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, CopySource, EndpointEntry, EndpointKey, EngineReport, LoadSample,
-    PromptChain, RelayConfigurationParts, RelayRoute, RelayWorkspace, RepeatPolicy, RolloutOrder,
-    RolloutStatus, RunProgress, ServiceRules,
+    Backend, CallerLimits, CopySource, EndpointEntry, EndpointKey, EngineReport, PromptChain,
+    RelayConfigurationParts, RelayRoute, RelayWorkspace, RepeatPolicy, RolloutOrder, RolloutStatus,
+    RunProgress, ServiceRules,
 };
 use parsleylatch_http::{single_header, u64_header};
 use parsleylatch_settings::KeyDigest;
@@ -22,6 +22,7 @@
     CopyCodec, DocumentCodec, ForwardMetadata, RelayCodec, RequestCodec, RequestMetadata,
     ResponseCodec, ResponseMetadata, RolloutCodec,
 };
+use crate::load_header::read_load;
 
 /// Id that the caller assigned to this attempt; endpoints echo it in their response.
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -54,7 +55,8 @@
 const RESPONSE_DIGEST: HeaderName = HeaderName::from_static("answer-digest");
 /// Present if the endpoint did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
-/// Load of the endpoint, as `RUNNING,WAITING` requests.
+/// Load of the endpoint, as `RUNNING,WAITING[,SLOTS[,PACE]]`: requests, requests that it runs
+/// concurrently, and the time that work takes at present in percent of the usual time.
 const ENDPOINT_LOAD: HeaderName = HeaderName::from_static("endpoint-load");
 /// Present if the endpoint leaves.
 const ENDPOINT_LEAVING: HeaderName = HeaderName::from_static("endpoint-leaving");
@@ -196,13 +198,7 @@
         has_digest: headers.contains_key(RESPONSE_DIGEST),
         is_not_run: headers.contains_key(NOT_RUN),
         is_misdirected: status == StatusCode::MISDIRECTED_REQUEST,
-        load: text(&ENDPOINT_LOAD).and_then(|text| {
-            let (running, waiting) = text.split_once(',')?;
-            Some(LoadSample {
-                running: running.parse().ok()?,
-                waiting: waiting.parse().ok()?,
-            })
-        }),
+        load: headers.get(ENDPOINT_LOAD).map(read_load),
         is_leaving: headers.contains_key(ENDPOINT_LEAVING),
         pause: (status == StatusCode::SERVICE_UNAVAILABLE)
             .then(|| text(&PAUSE_MS))
--- a/crates/relay/src/traffic/engine.rs
+++ b/crates/relay/src/traffic/engine.rs
@@ -152,6 +152,7 @@
     let (parts, body) = response.into_parts();
     let metadata = (traffic.shared.codec.responses.read)(parts.status, &parts.headers);
     traffic.record_notices(&endpoint_key(key), &metadata);
+    traffic.record_pace(&endpoint_key(key), &metadata);
     let body = read_body(traffic, key, path, body).await?;
     Some((parts.status, body))
 }
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -15,13 +15,7 @@
     pub(super) fn record_load(&mut self, metadata: &ResponseMetadata) {
         if let Some(sent) = &self.sent {
             self.traffic.record_notices(&sent.key, metadata);
-        }
-        if let (Some(sent), Some(load)) = (&self.sent, metadata.load) {
-            let now = self.traffic.now();
-            self.traffic
-                .endpoint_table
-                .borrow_mut()
-                .record_load(now, &sent.key, load);
+            self.traffic.record_load(&sent.key, metadata);
         }
     }
 
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -8,8 +8,8 @@
 };
 
 use parsleylatch_decide::relay::{
-    EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
-    Room, Selector, ServiceRules, StreamSize, is_copy_unaffordable, room,
+    EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, LoadSample, Notice, RetryKind,
+    RetryWindow, Room, Selector, ServiceRules, StreamSize, is_copy_unaffordable, room,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
@@ -144,6 +144,47 @@
         }
     }
 
+    /// Records the load of an endpoint that a response to a caller's request reports.
+    pub(crate) fn record_load(&self, key: &EndpointKey, metadata: &ResponseMetadata) {
+        self.record_reported(key, metadata, EndpointTable::record_load);
+    }
+
+    /// Records the pace of an endpoint that the response to an auxiliary call reports.
+    pub(crate) fn record_pace(&self, key: &EndpointKey, metadata: &ResponseMetadata) {
+        self.record_reported(key, metadata, EndpointTable::record_pace);
+    }
+
+    /// Records the reported load of an endpoint with `record`, which returns whether it is used.
+    /// The first one of each endpoint that can't be used is logged.
+    fn record_reported<Record>(
+        &self,
+        key: &EndpointKey,
+        metadata: &ResponseMetadata,
+        record: Record,
+    ) where
+        Record: FnOnce(&mut EndpointTable, MonoTime, &EndpointKey, LoadSample) -> bool,
+    {
+        // Another process listens at the address, and the load is its own.
+        if metadata.is_misdirected {
+            return;
+        }
+        let mut table = self.endpoint_table.borrow_mut();
+        let reason = match &metadata.load {
+            Some(Ok(load)) if !record(&mut table, self.now(), key, *load) => {
+                "the slots differ from those of the registry"
+            }
+            Some(Err(reason)) => reason,
+            _ => return,
+        };
+        if table.record_unusable_load(key) {
+            log::warn!(
+                endpoint:% = key.id,
+                reason = reason;
+                "load of an endpoint can't be used"
+            );
+        }
+    }
+
     fn record_notice(&self, key: &EndpointKey, notice: Notice) {
         let now = self.now();
         let changed = self
--- a/crates/relay/tests/own_codec.rs
+++ b/crates/relay/tests/own_codec.rs
@@ -2,8 +2,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use parsleylatch_decide::relay::{CopySource, LoadSample, RepeatPolicy};
-use parsleylatch_relay::{ForwardMetadata, RelayCodec};
-use parsleylatch_types::{Millis, PromptPartId, StreamEventId, TokenCount};
+use parsleylatch_relay::{ForwardMetadata, RelayCodec, read_load};
+use parsleylatch_types::{Millis, PacePercent, PromptPartId, SlotCount, StreamEventId, TokenCount};
 use test_case::test_case;
 
 fn headers(lines: &[(&'static str, &'static str)]) -> HeaderMap {
@@ -85,19 +85,68 @@
     assert_eq!(written, headers(&expected));
 }
 
-#[test_case("3,1", Some(LoadSample { running: 3, waiting: 1 }) ; "two numbers")]
-#[test_case("3", None ; "one number")]
-#[test_case("3,x", None ; "no number")]
-fn read_response_load(text: &'static str, load: Option<LoadSample>) {
+/// Fields that earlier endpoints don't send stay unknown.
+#[test_case("3,1", None, None ; "two numbers")]
+#[test_case("3,1,4", Some(4), None ; "with slots")]
+#[test_case("3, 1 ,4, 250", Some(4), Some(250) ; "with pace")]
+#[test_case("3,1,4,1", Some(4), Some(1) ; "smallest pace")]
+#[test_case("3,1,4,10000", Some(4), Some(10_000) ; "largest pace")]
+fn read_response_load(text: &'static str, slots: Option<u32>, pace: Option<u32>) {
     let lines = [
         ("request-id", "c-1"),
         ("answer-digest", "d"),
         ("endpoint-load", text),
     ];
     let head = (RelayCodec::own().responses.read)(StatusCode::OK, &headers(&lines));
+    let load = LoadSample {
+        running: 3,
+        waiting: 1,
+        slots: slots.map(SlotCount::new),
+        pace: pace.map(PacePercent::new),
+    };
     assert_eq!(
         (head.load, head.has_digest, head.is_not_run),
-        (load, true, false)
+        (Some(Ok(load)), true, false)
+    );
+}
+
+/// A value that can't be used is reported with its reason, and never taken for a load.
+#[test_case("", "running requests" ; "empty")]
+#[test_case("3", "too few fields" ; "one number")]
+#[test_case("3,x", "waiting requests" ; "no number")]
+#[test_case("3,-1", "waiting requests" ; "negative")]
+#[test_case("4294967296,1", "running requests" ; "too large")]
+#[test_case("3,1,", "slots" ; "empty slots")]
+#[test_case("3,1,four", "slots" ; "slots as text")]
+#[test_case("3,1,4,", "pace" ; "empty pace")]
+#[test_case("3,1,4,0", "a pace of 0% is absurd" ; "pace zero")]
+#[test_case("3,1,4,10001", "a pace of 10001% is absurd" ; "pace too large")]
+#[test_case("3,1,4,-100", "pace" ; "pace negative")]
+#[test_case("3,1,4,1.5", "pace" ; "pace with fraction")]
+#[test_case("3,1,4,slow", "pace" ; "pace as text")]
+#[test_case("3,1,4,100,7", "too many fields" ; "five numbers")]
+fn read_response_unusable_load(text: &'static str, reason: &str) {
+    let head =
+        (RelayCodec::own().responses.read)(StatusCode::OK, &headers(&[("endpoint-load", text)]));
+    let error = head.load.unwrap().unwrap_err();
+    assert!(error.contains(reason), "{error}");
+}
+
+#[test]
+fn read_response_load_absent() {
+    let head = (RelayCodec::own().responses.read)(StatusCode::OK, &HeaderMap::new());
+    assert_eq!(head.load, None);
+}
+
+/// The error message, which is logged, stays short.
+#[test]
+fn read_load_long_value() {
+    let value = HeaderValue::try_from("9".repeat(20_000)).unwrap();
+    assert!(read_load(&value).unwrap_err().len() < 200);
+    let unprintable = HeaderValue::from_bytes(b"1,\xff").unwrap();
+    assert_eq!(
+        read_load(&unprintable),
+        Err("the load is not text".to_owned())
     );
 }
 
