Responses with an invalid status, or ended before their request was sent, are failed attempts

Cause: the HTTP library reads every status of three digits, so 600 and 999 were handed to callers by the relay (idempotent and once-only calls, streams) and by the node, which also recorded them in claims. A once-only call whose response had status 600 and said that it had not run was sent again. A response without a length whose connection ended in order counted as complete although its request, a long upload, had not been sent.

Change: `check_response_status` decides for both HTTP clients, as soon as a head has arrived.

--- a/crates/endpoint/src/connections.rs
+++ b/crates/endpoint/src/connections.rs
@@ -21,7 +21,10 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use parsleylatch_http::{ReadProgress, ReceivedBody, error_chain, limit_reads};
+use parsleylatch_http::{
+    InvalidStatus, ReadProgress, ReceivedBody, check_response_status, error_chain, limit_reads,
+    limit_unsent,
+};
 use parsleylatch_types::{EndpointId, ExchangeId, Incarnation, Millis};
 use rustix::io::Errno;
 use socket2::{SockRef, TcpKeepalive};
@@ -94,6 +97,15 @@
         /// Cause.
         reason: String,
     },
+    /// The response has a status that HTTP does not define; the endpoint may have run the
+    /// request. The connection is closed.
+    #[error("{source} from {peer}")]
+    InvalidStatus {
+        /// Endpoint's address.
+        peer: SocketAddr,
+        /// Cause.
+        source: InvalidStatus,
+    },
     /// The connection was closed after at least a part of the request was written.
     #[error("connection to {peer} closed before the response: {reason}")]
     Lost {
@@ -223,6 +235,8 @@
                 false => SendError::Lost { peer, reason },
             }
         })?;
+        check_response_status(response.status().as_u16())
+            .map_err(|source| SendError::InvalidStatus { peer, source })?;
         let response = response.map(|body| ReceivedBody::new(body, Some(link.progress.clone())));
         let usable_for = advertised_idle_timeout(&response).unwrap_or(Duration::MAX);
         Ok(OpenResponse {
@@ -451,6 +465,7 @@
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    limit_unsent(stream)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -15,6 +15,7 @@
     connector::LimitedConnector,
     error::{HttpError, HttpErrorKind, Step, error_chain},
     read_progress::{ReadProgress, ReceivedBody},
+    status::check_response_status,
 };
 
 /// Longest wait for a TCP connection.
@@ -97,7 +98,8 @@
     /// does not cover the body.
     ///
     /// # Errors
-    /// Returns an error with the step that failed.
+    /// Returns an error with the step that failed; [`HttpErrorKind::InvalidStatus`] if HTTP
+    /// does not define the status.
     pub async fn open(
         &self,
         peer: SocketAddr,
@@ -119,6 +121,11 @@
             }
         })?;
         let (mut head, body) = response.into_parts();
+        check_response_status(head.status.as_u16()).map_err(|error| HttpError {
+            step: Step::Receive,
+            peer,
+            kind: error.into(),
+        })?;
         let progress = head.extensions.remove::<ReadProgress>();
         Ok(http::Response::from_parts(
             head,
--- a/crates/http/src/connector.rs
+++ b/crates/http/src/connector.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
-use crate::{limited_reader::LimitedReader, read_progress::ReadProgress};
+use crate::{limited_reader::LimitedReader, read_progress::ReadProgress, unsent::limit_unsent};
 
 type LimitedStream = LimitedReader<TcpStream, fn(&[u8])>;
 
@@ -45,7 +45,12 @@
 
 fn limit(stream: TokioIo<TcpStream>) -> TokioIo<LimitedStream> {
     let progress = ReadProgress::of_responses();
-    TokioIo::new(LimitedReader::new(stream.into_inner(), progress, |_| ()))
+    let stream = stream.into_inner();
+    // Without the bound, fewer incomplete responses are recognized.
+    if let Err(error) = limit_unsent(&stream) {
+        log::debug!("unsent bytes of a connection can't be limited: {error}");
+    }
+    TokioIo::new(LimitedReader::new(stream, progress, |_| ()))
 }
 
 impl Connection for LimitedStream {
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -6,6 +6,8 @@
 use strum::Display;
 use thiserror::Error;
 
+use crate::status::InvalidStatus;
+
 /// Step of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -44,6 +46,10 @@
     /// The call timed out.
     #[error("no answer in time")]
     TimedOut,
+    /// The response has a status that HTTP does not define; the peer may have processed the
+    /// request.
+    #[error("{0}")]
+    InvalidStatus(#[from] InvalidStatus),
     /// The response has an unexpected status.
     #[error("status {0}")]
     Status(StatusCode),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,8 @@
 mod server;
 mod signal;
 mod sse;
+mod status;
+mod unsent;
 
 pub use client::{Body, Client, Reply};
 pub use error::{HttpError, HttpErrorKind, Step, error_chain};
@@ -25,3 +27,5 @@
 pub use server::{ServerBounds, serve_bounded, serve_status, unavailable};
 pub use signal::shutdown_signal;
 pub use sse::{EventFramer, RawEvent, SseEvent, SseReader, encode_event};
+pub use status::{InvalidStatus, check_response_status};
+pub use unsent::limit_unsent;
--- a/crates/http/src/limited_reader.rs
+++ b/crates/http/src/limited_reader.rs
@@ -3,6 +3,11 @@
 //! A task runs for as long as its socket has bytes, and parsing them may take longer than
 //! reading them. Here a task yields after a number of bytes, and goes on after the other
 //! tasks and after the runtime has polled the sockets.
+//!
+//! A response without a length ends with its connection. If the peer ends it before the
+//! request was sent completely, the peer can't have answered the whole request, so reading
+//! fails in place of reporting the end. A response that is framed by a length or by chunks is
+//! complete before the end is read.
 
 use std::{
     future::Future,
@@ -32,6 +37,8 @@
     io: Take<Io>,
     progress: ReadProgress,
     record: Record,
+    /// Whether bytes are left to write. Unused if the connection receives requests.
+    has_unsent: bool,
 }
 
 impl<Io, Record> LimitedReader<Io, Record>
@@ -44,6 +51,7 @@
             io: io.take(MAX_TURN_BYTES),
             progress,
             record,
+            has_unsent: false,
         }
     }
 
@@ -55,6 +63,15 @@
         &self.progress
     }
 
+    /// Checks the end of what the peer sends.
+    fn check_end(&self) -> io::Result<()> {
+        if self.has_unsent && self.progress.is_of_responses() {
+            let reason = "connection ended before the request was sent completely";
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, reason));
+        }
+        Ok(())
+    }
+
     fn begin_turn(&mut self) {
         let turn_bytes = match self.progress.bytes_without() < MAX_TURN_BYTES {
             true => MAX_TURN_BYTES,
@@ -83,10 +100,14 @@
             }
         }
         let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
         let polled = Pin::new(&mut self.io).poll_read(context, buffer);
         match &polled {
             Poll::Ready(Ok(())) => {
                 let read = &buffer.filled()[before..];
+                if has_room && read.is_empty() {
+                    self.check_end()?;
+                }
                 self.progress.record(read.len());
                 (self.record)(read);
             }
@@ -108,6 +129,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.has_unsent = true;
         Pin::new(self.io.get_mut()).poll_write(context, bytes)
     }
 
@@ -116,6 +138,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.has_unsent = true;
         Pin::new(self.io.get_mut()).poll_write_vectored(context, slices)
     }
 
@@ -124,6 +147,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes the connection once its own buffer is empty.
+        self.has_unsent = false;
         Pin::new(self.io.get_mut()).poll_flush(context)
     }
 
--- a/crates/http/src/read_progress.rs
+++ b/crates/http/src/read_progress.rs
@@ -58,6 +58,11 @@
         self.bytes.store(0, Ordering::Relaxed);
     }
 
+    /// Whether the connection receives responses.
+    pub(crate) fn is_of_responses(&self) -> bool {
+        self.bytes_between_bodies != NOT_COUNTED
+    }
+
     fn end_body(&self) {
         self.bytes
             .store(self.bytes_between_bodies, Ordering::Relaxed);
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -6,6 +6,7 @@
     CallAnswer, CallDigest, Claim, ClaimBucket, ClaimCondition, ClaimNonce, ClaimOutcome,
     StoredClaim,
 };
+use parsleylatch_http::check_response_status;
 use parsleylatch_store::{Condition, StoreClient, StoreError};
 use parsleylatch_types::{Millis, NodeId, RequestId, Revision, UnixMillis, WorkspaceId};
 use parsleylatch_wire::platform::KeyValue;
@@ -73,6 +74,10 @@
             OutcomeDocument::Pending => ClaimOutcome::Pending,
             OutcomeDocument::Unknown => ClaimOutcome::Unknown,
             OutcomeDocument::Released => ClaimOutcome::Released,
+            // An earlier version recorded such answers, which count as failed attempts.
+            OutcomeDocument::Answered { status, .. } if check_response_status(status).is_err() => {
+                ClaimOutcome::Unknown
+            }
             OutcomeDocument::Answered { status, body } => ClaimOutcome::Answered(CallAnswer {
                 status,
                 body: body.into_bytes().into(),
--- a/crates/relay/src/traffic/attempt.rs
+++ b/crates/relay/src/traffic/attempt.rs
@@ -287,5 +287,6 @@
         SendError::Unanswered { .. } => AttemptEvent::Unanswered(reason),
         SendError::Unsent { .. } => AttemptEvent::Unsent(reason),
         SendError::Lost { .. } => AttemptEvent::Lost(reason),
+        SendError::InvalidStatus { .. } => AttemptEvent::Invalid(reason),
     }
 }
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -88,6 +88,8 @@
     FailAfter,
     /// Responds after `delay_ms`.
     Slow,
+    /// Runs the operation, then responds with status 600.
+    InvalidStatus,
 }
 
 /// Fault of the store.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -112,6 +112,9 @@
     if fault_spec.fault == ServiceFault::FailAfter {
         return Ok(aborted_response());
     }
+    if fault_spec.fault == ServiceFault::InvalidStatus {
+        return Ok(invalid_response());
+    }
     if let (ServiceFault::Slow, Some(delay_ms)) = (fault_spec.fault, fault_spec.delay_ms) {
         tokio::time::sleep(delay_ms.duration()).await;
     }
@@ -128,6 +131,13 @@
     http::Response::new(viz::Body::from_stream(chunks))
 }
 
+/// Response with a status that HTTP does not define.
+fn invalid_response() -> Response {
+    let response = http::Response::builder().status(600);
+    let body = http_body_util::Full::from("{}");
+    response.body(body.into()).unwrap_or_default()
+}
+
 async fn inject_fault(mut request: Request) -> Result<Response> {
     let state = control::state::<ServiceState>(&request)?;
     let fault_spec = control::read_json(&mut request).await?;
--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -270,6 +270,7 @@
 
 #[test_case(ServiceFault::FailBefore, 0 ; "before the run")]
 #[test_case(ServiceFault::FailAfter, 1 ; "after the run")]
+#[test_case(ServiceFault::InvalidStatus, 1 ; "invalid status")]
 #[tokio::test]
 async fn call_once_service_broken(fault: ServiceFault, expected_runs: u64) {
     let running = RunningFleet::start(FLEET).await;
@@ -287,6 +288,31 @@
     assert_eq!(run_count(&running, id).await, expected_runs);
 }
 
+/// Guards against handing over an answer that was recorded with an invalid status: the call
+/// may have run, and its answer is not known.
+#[test_case(600 ; "600")]
+#[test_case(0 ; "0")]
+#[tokio::test]
+async fn call_once_recorded_status_invalid(status: u16) {
+    let running = RunningFleet::start(FLEET).await;
+    let id = RequestId::generate();
+    let request_body = json!({ "truck": 7 });
+    let first = call_book(&running, 0, id, &request_body).await;
+    assert!(matches!(first, ObservedOutcome::Answer(_)), "{first:?}");
+    await_claim_outcome(&running, id, "answered").await;
+    let key = format!("claims/{id}");
+    let log = running.get(running.fleet.store.control, "/log").await;
+    let entries = log.as_array().unwrap().iter();
+    let written = entries.filter(|entry| entry["key"] == key && entry["written"] == true);
+    let recorded = written.last().unwrap()["value"].as_str().unwrap();
+    let mut claim: Value = serde_json::from_str(recorded).unwrap();
+    claim["status"] = status.into();
+    put_value(&running, &key, &claim.to_string());
+    let again = call_book(&running, 1, id, &request_body).await;
+    assert!(again.is_unknown(), "{again:?}");
+    assert_eq!(run_count(&running, id).await, 1);
+}
+
 /// A call that cannot have reached a service is sent to another one under the same
 /// claim; without another service the claim is released.
 #[tokio::test]
@@ -545,6 +571,7 @@
 /// Failed idempotent calls are retried at the other endpoint within the retry budget.
 #[test_case(ServiceFault::FailBefore, 0 ; "before the run")]
 #[test_case(ServiceFault::FailAfter, 1 ; "after the run")]
+#[test_case(ServiceFault::InvalidStatus, 1 ; "invalid status")]
 #[tokio::test]
 async fn call_idempotent_retried(fault: ServiceFault, runs_at_broken: u64) {
     let running = RunningFleet::start(FLEET).await;
