Configurations of the relay are checked before they are sent

Cause: `parsleylatchctl check` read settings and templates only. A relay applies a configuration whose routes never match or whose limits contradict each other, and reports only the first invalid route.

Change: pure functions in crates/decide/src/relay/configuration_check/ find errors, entries that never match, contradictory limits and differences from the version in force with their effect on callers.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     api::Api,
-    chart, check,
+    chart,
+    check::{self, ConfigurationForm},
     events::{self, EventsArgs, MovesArgs},
     explain::Explanation,
     show,
@@ -47,13 +48,20 @@
     Explain(ExplainArgs),
 }
 
-/// validate a node settings, relay settings or template file
+/// validate a node settings, relay settings, template or relay configuration file; exits with 1
+/// after warnings and with 2 after errors
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct CheckArgs {
     /// file to validate
     #[argh(positional)]
     file: PathBuf,
+    /// file of the configuration in force, to report the differences
+    #[argh(option)]
+    against: Option<PathBuf>,
+    /// print findings as JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// list the nodes that a node knows
@@ -117,14 +125,14 @@
     id: String,
 }
 
-/// Runs the command.
+/// Runs the command; `forms` are those of configurations that it can check.
 ///
 /// # Errors
 /// The failed step and, for API calls, the address of the node.
-pub async fn run(args: Args) -> Result<()> {
+pub async fn run(args: Args, forms: &[ConfigurationForm]) -> Result<()> {
     let api = || Api::new(args.admin, args.key.clone());
     match args.command {
-        Command::Check(CheckArgs { file }) => check::check_file(&file),
+        Command::Check(command) => run_check(&command, args.json, forms),
         Command::Chart(ChartArgs { name }) => chart::print(name.as_deref()),
         Command::Nodes(_) => show::list(&api()?.get("/admin/v1/nodes").await?, args.json),
         Command::Endpoints(_) => show::list(&api()?.get("/admin/v1/endpoints").await?, args.json),
@@ -146,3 +154,21 @@
         Command::Drain(_) => api()?.post("/admin/v1/drain").await.map(|_| ()),
     }
 }
+
+/// Prints the findings, errors of a text report to the standard error; exits the process unless
+/// the file is clean.
+fn run_check(command: &CheckArgs, as_json: bool, forms: &[ConfigurationForm]) -> Result<()> {
+    let report = check::check_file(&command.file, command.against.as_deref(), forms);
+    let status = report.exit_status();
+    if as_json || command.json {
+        println!("{}", serde_json::to_string_pretty(&report.json())?);
+    } else if status < 2 {
+        print!("{}", report.text());
+    } else {
+        eprint!("{}", report.text());
+    }
+    if status != 0 {
+        std::process::exit(status);
+    }
+    Ok(())
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,4 +10,5 @@
 mod templates;
 
 pub use args::{Args, run};
+pub use check::{CheckReport, ConfigurationForm, check_file};
 pub use explain::Explanation;
--- a/crates/decide/src/relay/configuration.rs
+++ b/crates/decide/src/relay/configuration.rs
@@ -107,7 +107,7 @@
 }
 
 /// Input for [`RelayConfiguration::build`].
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RelayConfigurationParts {
     /// Version that the operator gave it.
     pub version: u64,
@@ -235,7 +235,7 @@
     }
 }
 
-fn check_route(route: &RelayRoute) -> Result<(), ConfigurationError> {
+pub(super) fn check_route(route: &RelayRoute) -> Result<(), ConfigurationError> {
     let prefix = &route.path_prefix;
     if !prefix.starts_with('/') || !prefix.ends_with('/') {
         return Err(ConfigurationError::PathPrefix {
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! end carries out the effects; nothing here depends on headers or status lines.
 
 mod configuration;
+mod configuration_check;
 mod connection_places;
 mod copy;
 mod crash_evidence;
@@ -34,6 +35,10 @@
     Backend, CallerLimits, ConfigurationError, RelayConfiguration, RelayConfigurationParts,
     RelayRoute, RelayWorkspace, RepeatPolicy, ServiceRules,
 };
+pub use configuration_check::{
+    ConfigurationPlace, Finding, FindingKind, LimitField, RouteField, ServiceField, Severity,
+    WorkspaceField, check_configuration, compare_configurations,
+};
 pub use connection_places::{
     Admission, Admitted, ConnectionPlaces, LimitNotice, Occupancy, PlaceState,
 };
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -7,8 +7,8 @@
 
 use http::{HeaderMap, HeaderName, StatusCode};
 use parsleylatch_decide::relay::{
-    CopySource, EndpointEntry, EngineReport, LoadSample, PromptChain, RelayConfigurationParts,
-    RolloutOrder, RolloutStatus,
+    ConfigurationPlace, CopySource, EndpointEntry, EngineReport, LoadSample, PromptChain,
+    RelayConfigurationParts, RolloutOrder, RolloutStatus,
 };
 use parsleylatch_store::StoreCodec;
 use parsleylatch_types::{
@@ -121,6 +121,10 @@
     pub configuration_key: &'static str,
     /// Reads the configuration.
     pub read_configuration: fn(&str) -> Result<RelayConfigurationParts, String>,
+    /// Text that configurations of this platform contain and those of others don't.
+    pub configuration_marker: &'static str,
+    /// Path of a place in the text of a configuration, such as `routes[2].timeout_ms`.
+    pub configuration_path: fn(ConfigurationPlace) -> String,
     /// Prefix of the keys of the endpoints' entries.
     pub registry_prefix: &'static str,
     /// Reads the entry under a key.
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -7,7 +7,7 @@
 
 use parsleylatch_decide::relay::{
     EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, Registry, RelayConfiguration,
-    RemovalLog, VersionRule,
+    RelayConfigurationParts, RemovalLog, VersionRule, check_configuration,
 };
 use parsleylatch_types::{
     EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName,
@@ -25,6 +25,8 @@
 /// Age from which the state counts as stale, so that other nodes are queried; longer than
 /// a slow response of the store takes.
 const STALE_AGE_MS: Millis = Millis::new(1_400);
+/// Findings about a configuration that are logged.
+const MAX_FINDINGS_LOGGED: usize = 20;
 /// Age reported by a node without any state.
 const UNKNOWN_AGE_MS: u64 = u64::MAX;
 
@@ -159,6 +161,7 @@
         }
         let parts = (self.shared.codec.documents.read_configuration)(&document.value);
         let built = parts.and_then(|parts| {
+            self.log_findings(&document, &parts);
             RelayConfiguration::build(document.revision, parts).map_err(|it| it.to_string())
         });
         match built {
@@ -182,6 +185,25 @@
         }
     }
 
+    /// Logs what a check finds in a configuration that was read.
+    fn log_findings(&self, document: &KeyValue, parts: &RelayConfigurationParts) {
+        // A document that is refused is read again with each listing.
+        if self.unreadable.get(&document.key) == Some(&document.revision) {
+            return;
+        }
+        let path = self.shared.codec.documents.configuration_path;
+        for finding in check_configuration(parts).iter().take(MAX_FINDINGS_LOGGED) {
+            log::info!(
+                revision = document.revision.get(),
+                severity:% = finding.severity(),
+                finding:% = finding.kind,
+                place = path(finding.place).as_str(),
+                reason = finding.message.as_str();
+                "configuration checked"
+            );
+        }
+    }
+
     fn apply_registry(&mut self, revision: Revision, source: &str) {
         let now = self.shared.now();
         let entries = self.registered.values();
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -4,9 +4,9 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, CopySource, EndpointEntry, EndpointKey, EngineReport, LoadSample,
-    PromptChain, RelayConfigurationParts, RelayRoute, RelayWorkspace, RepeatPolicy, RolloutOrder,
-    RolloutStatus, RunProgress, ServiceRules,
+    Backend, CallerLimits, ConfigurationPlace, CopySource, EndpointEntry, EndpointKey,
+    EngineReport, LoadSample, PromptChain, RelayConfigurationParts, RelayRoute, RelayWorkspace,
+    RepeatPolicy, RolloutOrder, RolloutStatus, RunProgress, ServiceRules,
 };
 use parsleylatch_http::{single_header, u64_header};
 use parsleylatch_settings::KeyDigest;
@@ -72,6 +72,8 @@
             documents: DocumentCodec {
                 configuration_key: "operator/configuration",
                 read_configuration,
+                configuration_marker: "\"repeat\"",
+                configuration_path,
                 registry_prefix: REGISTRY_PREFIX,
                 read_entry,
             },
@@ -393,6 +395,22 @@
     })
 }
 
+fn configuration_path(place: ConfigurationPlace) -> String {
+    match place {
+        ConfigurationPlace::Document => String::new(),
+        ConfigurationPlace::Version => "version".to_owned(),
+        ConfigurationPlace::Route(index, field) => format!("routes[{index}].{field}"),
+        ConfigurationPlace::Backend { route, backend } => {
+            format!("routes[{route}].backends[{backend}]")
+        }
+        ConfigurationPlace::Service(index, field) => format!("services[{index}].{field}"),
+        ConfigurationPlace::Limits => "limits".to_owned(),
+        ConfigurationPlace::Limit(field) => format!("limits.{field}"),
+        ConfigurationPlace::Workspaces => "workspaces".to_owned(),
+        ConfigurationPlace::Workspace(index, field) => format!("workspaces[{index}].{field}"),
+    }
+}
+
 fn route(file: RouteFile) -> RelayRoute {
     let backends = file.backends.into_iter().map(|it| Backend {
         service: it.service,
--- a/crates/relay/tests/own_codec.rs
+++ b/crates/relay/tests/own_codec.rs
@@ -1,7 +1,10 @@
 //! The codec of the project's own message formats.
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use parsleylatch_decide::relay::{CopySource, LoadSample, RepeatPolicy};
+use parsleylatch_decide::relay::{
+    ConfigurationPlace, CopySource, LimitField, LoadSample, RepeatPolicy, RouteField, ServiceField,
+    WorkspaceField,
+};
 use parsleylatch_relay::{ForwardMetadata, RelayCodec};
 use parsleylatch_types::{Millis, PromptPartId, StreamEventId, TokenCount};
 use test_case::test_case;
@@ -130,6 +133,30 @@
     assert!(error.contains(reason), "{error}");
 }
 
+/// Guards against a path that names nothing in the operator's file.
+#[test_case(ConfigurationPlace::Version, "3" ; "version")]
+#[test_case(ConfigurationPlace::Route(0, RouteField::Repeat), "\"resumable_stream\"" ; "repeat")]
+#[test_case(ConfigurationPlace::Route(0, RouteField::GapGoalMs), "700" ; "gap goal")]
+#[test_case(ConfigurationPlace::Backend { route: 0, backend: 0 }, r#"{"service":"engines","weight":1}"# ; "backend")]
+#[test_case(ConfigurationPlace::Service(0, ServiceField::ConnectionLimit), "9" ; "connections")]
+#[test_case(ConfigurationPlace::Service(0, ServiceField::HasBackups), "true" ; "backups")]
+#[test_case(ConfigurationPlace::Limit(LimitField::HeadTimeoutMs), "500" ; "head timeout")]
+#[test_case(ConfigurationPlace::Workspace(0, WorkspaceField::Keys), "[\"key-1\"]" ; "keys")]
+#[test_case(ConfigurationPlace::Workspace(0, WorkspaceField::Rank), "4" ; "workspace rank")]
+fn configuration_path_of_place(place: ConfigurationPlace, value: &str) {
+    let path = (RelayCodec::own().documents.configuration_path)(place);
+    let pointer = format!("/{}", path.replace(']', "").replace(['.', '['], "/"));
+    let limits = r#"{"version": 3, "limits": {"head_timeout_ms": 500},"#;
+    let text = CONFIGURATION.replacen("{\"version\": 3,", limits, 1);
+    let document: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let found = document.pointer(&pointer);
+    assert_eq!(
+        found.map(ToString::to_string).as_deref(),
+        Some(value),
+        "{path}"
+    );
+}
+
 #[test]
 fn read_entry_whole() {
     let text = r#"{"service": "engines", "address": "127.0.0.1:80", "failure_domain": "fd-1",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod document;
 mod error;
+mod json_lines;
 mod key;
 mod node;
 mod relay;
@@ -16,6 +17,7 @@
 
 pub use document::Document;
 pub use error::{SettingsError, SettingsErrorKind};
+pub use json_lines::json_line;
 pub use key::{KeyDigest, ParseKeyDigestError};
 pub use node::{AdminKey, LogFormat, LogSettings, NodeLimits, NodeSettings, Role};
 pub use relay::{RelayBounds, RelayLocality, RelayOverload, RelaySettings};
--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -303,8 +303,8 @@
     let key = format!("claims/{id}");
     let log = running.get(running.fleet.store.control, "/log").await;
     let entries = log.as_array().unwrap().iter();
-    let written = entries.filter(|entry| entry["key"] == key && entry["written"] == true);
-    let recorded = written.last().unwrap()["value"].as_str().unwrap();
+    let mut written = entries.filter(|entry| entry["key"] == key && entry["written"] == true);
+    let recorded = written.next_back().unwrap()["value"].as_str().unwrap();
     let mut claim: Value = serde_json::from_str(recorded).unwrap();
     claim["status"] = status.into();
     put_value(&running, &key, &claim.to_string());
