--- a/crates/decide/src/relay/pace.rs
+++ b/crates/decide/src/relay/pace.rs
@@ -23,12 +23,12 @@
 /// Largest pace that counts. Endpoints turn two to four times slower; more only keeps requests
 /// away for longer.
 const COUNTED_LIMIT: PacePercent = PacePercent::new(400);
-/// Time in which the excess halves. Slow phases last 600 ms; of those seen at a random time, half
-/// of the remaining time is over after 300 ms.
+/// Time in which the excess halves. Slow phases last 600 ms, so that half of those seen at a
+/// random time are over 300 ms later.
 const HALF_LIFE_MS: Millis = Millis::new(300);
 /// Age from which a reported pace has no effect.
 const LIFETIME_MS: Millis = Millis::new(1_500);
-/// Smallest pace that counts as slow; less is ordinary variation, and may stay for ever.
+/// Smallest pace that counts as slow; less is ordinary variation, and may last.
 const SLOW_PACE: PacePercent = PacePercent::new(125);
 /// Time for which an endpoint that keeps reporting a slow pace is believed: more than three slow
 /// phases of 600 ms in a row, which three in a thousand are if 15 % of the endpoints are slow.
--- a/crates/decide/tests/pace/model.rs
+++ b/crates/decide/tests/pace/model.rs
@@ -72,7 +72,11 @@
 
     /// Pace that an endpoint reports.
     fn reported(self, now_us: u64, endpoint: usize, pace: PacePercent) -> Option<PacePercent> {
-        let lie = PacePercent::new(if endpoint % 2 == 0 { 1 } else { 10_000 });
+        let lie = PacePercent::new(if endpoint.is_multiple_of(2) {
+            1
+        } else {
+            10_000
+        });
         match self {
             Self::WithoutPace => None,
             Self::AlwaysUsual => Some(USUAL_PACE),
