--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -40,6 +40,7 @@
 pub(crate) const LEASE_HOLDER: ChartSource = chart_source!("lease_holder");
 pub(crate) const LISTENER_PLACE: ChartSource = chart_source!("listener_place");
 pub(crate) const MEMBER: ChartSource = chart_source!("member");
+pub(crate) const LOCALITY_SHARE: ChartSource = chart_source!("locality_share");
 pub(crate) const NODE_LIFE: ChartSource = chart_source!("node_life");
 pub(crate) const RELAY_LIFE: ChartSource = chart_source!("relay_life");
 pub(crate) const STORE_SESSION: ChartSource = chart_source!("store_session");
@@ -65,6 +66,7 @@
     IDEMPOTENT_CALL,
     LEASE_HOLDER,
     LISTENER_PLACE,
+    LOCALITY_SHARE,
     MEMBER,
     NODE_LIFE,
     RELAY_LIFE,
--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -40,7 +40,7 @@
 /// Endpoints of a domain that have to fail within the window.
 const DOMAIN_FAILURE_THRESHOLD: usize = 2;
 /// Age from which a reported load is ignored.
-const LOAD_AGE_LIMIT_MS: Millis = Millis::new(1_500);
+pub(super) const LOAD_AGE_LIMIT_MS: Millis = Millis::new(1_500);
 
 /// Identifies one incarnation of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -172,6 +172,12 @@
             .has_room(now, self.entry.slots, self.is_owned, size)
     }
 
+    /// Age of the reported load, if it was reported recently.
+    pub(crate) fn load_age(&self, now: MonoTime) -> Option<Micros> {
+        let age = now.since(self.load?.1);
+        (age < LOAD_AGE_LIMIT_MS.micros()).then_some(age)
+    }
+
     /// Queued requests, if reported recently.
     pub(crate) fn waiting(&self, now: MonoTime) -> u32 {
         let reported = self
@@ -276,6 +282,10 @@
         Some(&stats.entry)
     }
 
+    pub(crate) fn stats(&self, key: &EndpointKey) -> Option<&EndpointStats> {
+        self.endpoints.get(key)
+    }
+
     /// Whether an incarnation may receive new requests.
     pub fn is_usable(&self, key: &EndpointKey) -> bool {
         let stats = self.endpoints.get(key);
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod endpoint_table;
 mod exchange;
 mod life;
+mod locality;
 mod memory_plan;
 mod open_trials;
 mod overload;
@@ -51,6 +52,10 @@
     CallerActivity, RelayEffect, RelayEvent, RelayLifecycle, RelayState, log_flush_time,
     may_close_listener,
 };
+pub use locality::{
+    Binding, Border, BorderShare, CrossingCosts, Distance, DomainLoad, Locality,
+    LocalityShareState, ServiceLocality, ShareChange, ShareReason, SideLoad,
+};
 pub use memory_plan::MemoryPlan;
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
@@ -77,6 +82,7 @@
     endpoint_notice::verify_chart()?;
     exchange::verify_chart()?;
     life::verify_chart()?;
+    locality::verify_chart()?;
     overload::verify_chart()?;
     source::verify_chart()
 }
--- a/crates/decide/src/relay/ownership.rs
+++ b/crates/decide/src/relay/ownership.rs
@@ -20,13 +20,16 @@
 
 impl EndpointOwnership<'_> {
     /// Whether an endpoint is assigned to this node, by rendezvous hashing. Nodes of the
-    /// endpoint's region take precedence, which keeps prompts and responses in the region.
+    /// endpoint's failure domain take precedence, if those of nodes are known, and then nodes
+    /// of its region, which keeps prompts and responses there.
     pub(crate) fn owns(&self, endpoint: &EndpointEntry) -> bool {
         let region = self.regions.get(&endpoint.failure_domain);
         let seed = xxh3_64(endpoint.key.id.as_str().as_bytes());
         let owner = self.nodes.iter().max_by_key(|node| {
+            let is_in_domain = node.failure_domain.as_ref() == Some(&endpoint.failure_domain);
             let is_in_region = region.is_some() && node.region.as_ref() == region;
             (
+                is_in_domain,
                 is_in_region,
                 xxh3_64_with_seed(node.id.as_str().as_bytes(), seed),
             )
--- a/crates/decide/src/relay/readers.rs
+++ b/crates/decide/src/relay/readers.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use parsleylatch_types::{NodeId, Region, Revision};
+use parsleylatch_types::{FailureDomain, NodeId, Region, Revision};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Largest number of nodes at which every node reads the store. Their watches then
@@ -23,13 +23,15 @@
 /// in case all readers of that region are lost.
 const REMOTE_FULL_STATE_DIVISOR: f64 = 30.0;
 
-/// A node and its region, if known.
+/// A node and its place, as far as it is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeLocation {
     /// Node id.
     pub id: NodeId,
     /// Region of the node.
     pub region: Option<Region>,
+    /// Failure domain of the node, where it decides which endpoints are assigned to it.
+    pub failure_domain: Option<FailureDomain>,
 }
 
 /// Readers of a region, chosen by a hash of their ids; `None` if every node reads the
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -18,6 +18,7 @@
 use super::{
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey, EndpointStats, EndpointTable},
+    locality::{Binding, Border, CrossingCosts, Distance, Locality, domain_loads},
     overload::StreamSize,
     rollout::VersionLimit,
 };
@@ -102,6 +103,8 @@
     own_region: Region,
     regions: HashMap<FailureDomain, Region>,
     random: Pcg64Mcg,
+    /// Which requests leave the failure domain; `None` if only round trips decide.
+    locality: Option<Locality>,
 }
 
 impl Selector {
@@ -117,6 +120,43 @@
             own_region,
             regions,
             random: Pcg64Mcg::seed_from_u64(seed),
+            locality: None,
+        }
+    }
+
+    /// Sets whether requests are bound to their failure domain, with the cost of crossings.
+    pub fn set_locality(&mut self, costs: Option<CrossingCosts>) {
+        if self.locality.as_ref().map(Locality::costs) != costs {
+            self.locality = costs.map(Locality::new);
+        }
+    }
+
+    /// Shares of requests that leave the failure domain, if these are decided.
+    pub fn locality(&self) -> Option<&Locality> {
+        self.locality.as_ref()
+    }
+
+    /// As [`Self::locality`], to record requests.
+    pub fn locality_mut(&mut self) -> Option<&mut Locality> {
+        self.locality.as_mut()
+    }
+
+    /// Border that a request crosses on its way to an endpoint in `domain`.
+    pub fn border(&self, domain: &FailureDomain) -> Option<Border> {
+        match self.distance(domain) {
+            Distance::OwnDomain => None,
+            Distance::OwnRegion => Some(Border::Domain),
+            Distance::OtherRegion => Some(Border::Region),
+        }
+    }
+
+    /// Border between two failure domains.
+    pub fn border_between(&self, from: &FailureDomain, to: &FailureDomain) -> Option<Border> {
+        let is_same_region = self.regions.get(from) == self.regions.get(to);
+        match (from == to, is_same_region) {
+            (true, _) => None,
+            (false, true) => Some(Border::Domain),
+            (false, false) => Some(Border::Region),
         }
     }
 
@@ -144,7 +184,10 @@
         costs.sort_by_key(|(cost, _)| *cost);
         let candidates = costs.len();
         let copy = copy.filter(|_| holder.is_some()).cloned();
-        let endpoint = holder.or_else(|| costs.first().map(|(_, entry)| Arc::clone(entry)))?;
+        let endpoint = match holder {
+            Some(holder) => holder,
+            None => self.cheapest(now, table, criteria, &costs)?,
+        };
         let backup = criteria.with_backup.then(|| {
             let mut excluded = criteria.excluded.to_vec();
             excluded.push(endpoint.key.clone());
@@ -269,6 +312,99 @@
         cheapest.map(|(_, entry)| Arc::clone(entry))
     }
 
+    /// Endpoint of the lowest cost, among those that the request is bound to if there are any.
+    fn cheapest(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+        costs: &[(u64, Arc<EndpointEntry>)],
+    ) -> Option<Arc<EndpointEntry>> {
+        let binding = self.draw_binding(now, table, criteria);
+        let distances: &[Distance] = match binding {
+            Binding::Domain => &[Distance::OwnDomain],
+            Binding::Region => &[Distance::OwnRegion, Distance::OtherRegion],
+            Binding::OtherRegion => &[Distance::OtherRegion, Distance::OwnRegion],
+            Binding::Free => &[],
+        };
+        let bound = distances.iter().find_map(|distance| {
+            costs.iter().find(|(_, entry)| {
+                self.distance(&entry.failure_domain) == *distance
+                    && self.is_open_to_bound(now, table, entry, criteria)
+            })
+        });
+        let (_, chosen) = bound.or_else(|| costs.first())?;
+        Some(Arc::clone(chosen))
+    }
+
+    /// Where the request is bound to. One that is repeated, or whose prompt has been read
+    /// somewhere, is free.
+    fn draw_binding(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+    ) -> Binding {
+        if self.locality.is_none() {
+            return Binding::Free;
+        }
+        self.update_shares(now, table, criteria);
+        let is_first = criteria.excluded.is_empty();
+        let has_prompt = criteria.prompt_holder.is_some() || criteria.copy.is_some();
+        let draws = (self.random.random(), self.random.random());
+        match &self.locality {
+            Some(locality) if is_first && !has_prompt => locality.binding(criteria.service, draws),
+            _ => Binding::Free,
+        }
+    }
+
+    fn update_shares(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+    ) {
+        let service = criteria.service;
+        let is_due = |it: &Locality| it.is_due(now, service);
+        if !self.locality.as_ref().is_some_and(is_due) {
+            return;
+        }
+        let is_stream = criteria.prompt > TokenCount::ZERO;
+        let distance_of = |domain: &FailureDomain| self.distance(domain);
+        let own = &self.own_domain;
+        let loads = domain_loads(now, table, service, own, distance_of, is_stream);
+        let round_trips = (REGION_ROUND_TRIP_US, CROSS_REGION_ROUND_TRIP_US);
+        let draw = self.random.random();
+        if let Some(locality) = &mut self.locality {
+            locality.update(now, service, &loads, round_trips, draw);
+        }
+    }
+
+    /// Whether a request may be bound to the failure domain of an endpoint for it.
+    fn is_open_to_bound(
+        &self,
+        now: MonoTime,
+        table: &EndpointTable,
+        entry: &EndpointEntry,
+        criteria: &SelectionCriteria<'_>,
+    ) -> bool {
+        let Some((locality, stats)) = self.locality.as_ref().zip(table.stats(&entry.key)) else {
+            return false;
+        };
+        let is_stream = criteria.prompt > TokenCount::ZERO;
+        let load = load_cost(now, stats, is_stream);
+        let patience = locality.patience(criteria.service);
+        let size = StreamSize {
+            prompt: criteria.prompt,
+            output: TokenCount::ZERO,
+        };
+        let has_room = !is_stream || stats.has_room(now, size) != Some(false);
+        has_room
+            && patience.is_none_or(|it| load <= it)
+            && !table.is_suspended(now, &entry.key)
+            && !locality.avoids(criteria.service, &entry.failure_domain)
+    }
+
     fn costs(
         &mut self,
         now: MonoTime,
@@ -303,7 +439,7 @@
     ) -> u64 {
         call_cost(now, stats)
             + self.random.random_range(0..CALL_JITTER_US)
-            + self.round_trip(&stats.entry.failure_domain).get()
+            + self.way_cost(&stats.entry).get()
             + failure_penalty(now, table, stats)
             + failure_rate_cost(now, stats)
     }
@@ -324,20 +460,31 @@
     fn stream_base_cost(&mut self, now: MonoTime, stats: &EndpointStats) -> u64 {
         stream_cost(now, stats)
             + self.random.random_range(0..STREAM_JITTER_US)
-            + self.round_trip(&stats.entry.failure_domain).get()
+            + self.way_cost(&stats.entry).get()
             + failure_rate_cost(now, stats)
     }
 
+    /// Round trip to an endpoint, and what the bytes cost that cross borders.
+    fn way_cost(&self, entry: &EndpointEntry) -> Micros {
+        let domain = &entry.failure_domain;
+        let border = self.border(domain);
+        let costs = self.locality.as_ref().zip(border);
+        let crossing = costs.map(|(it, border)| it.crossing_cost(&entry.service, border));
+        let round_trip = self.round_trip(domain);
+        round_trip.saturating_add(crossing.unwrap_or_default())
+    }
+
     fn round_trip(&self, domain: &FailureDomain) -> Micros {
-        if *domain == self.own_domain {
-            return Micros::ZERO;
-        }
-        if self.regions.get(domain) == Some(&self.own_region) {
-            REGION_ROUND_TRIP_US
-        } else {
-            CROSS_REGION_ROUND_TRIP_US
+        match self.distance(domain) {
+            Distance::OwnDomain => Micros::ZERO,
+            Distance::OwnRegion => REGION_ROUND_TRIP_US,
+            Distance::OtherRegion => CROSS_REGION_ROUND_TRIP_US,
         }
     }
+
+    fn distance(&self, domain: &FailureDomain) -> Distance {
+        Distance::of(domain, &self.own_domain, &self.own_region, &self.regions)
+    }
 }
 
 /// Cost of recent failures of an endpoint or of its failure domain.
@@ -373,6 +520,17 @@
     unread.get() + STREAM_COST_US.saturating_mul(streams).get() + waiting.get() + not_owned.get()
 }
 
+/// Work ahead of a new request, as other nodes see it too: without what this node alone knows of
+/// its own requests, and without the assignment of endpoints to nodes.
+pub(super) fn load_cost(now: MonoTime, stats: &EndpointStats, is_stream: bool) -> Micros {
+    if !is_stream {
+        return Micros::new(call_cost(now, stats));
+    }
+    let streams = STREAM_COST_US.saturating_mul(u64::from(stats.occupancy(now)));
+    let waiting = WAITING_COST_US.saturating_mul(u64::from(stats.waiting(now)));
+    streams.saturating_add(waiting)
+}
+
 /// Work ahead of a new call: the mean latency times the occupancy per slot.
 fn call_cost(now: MonoTime, stats: &EndpointStats) -> u64 {
     let latency = stats.latency.unwrap_or(DEFAULT_CALL_LATENCY_US);
--- a/crates/decide/tests/overload/model.rs
+++ b/crates/decide/tests/overload/model.rs
@@ -206,6 +206,7 @@
         .map(|it| NodeLocation {
             id: format!("n-{it}").parse().unwrap(),
             region: Some("r".parse().unwrap()),
+            failure_domain: None,
         })
         .collect();
     let nodes = nodes.into();
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -69,6 +69,7 @@
     NodeLocation {
         id: id.parse().unwrap(),
         region: None,
+        failure_domain: None,
     }
 }
 
@@ -576,6 +577,7 @@
         node_locations.extend((0..*count).map(|number| NodeLocation {
             id: format!("{region}-{number}").parse().unwrap(),
             region: Some(region.parse().unwrap()),
+            failure_domain: None,
         }));
     }
     node_locations
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -12,7 +12,8 @@
     NodeLocation, SourceFacts, StoreSource, receives_full_state, region_readers,
 };
 use parsleylatch_peer::{Identity, send_query};
-use parsleylatch_types::{Millis, MonoTime, NodeId, Region};
+use parsleylatch_settings::RelaySettings;
+use parsleylatch_types::{Millis, MonoTime, NodeId};
 use parsleylatch_wire::{
     peer::peer_message::Body,
     platform::{KeyValue, ListReply},
@@ -70,8 +71,8 @@
 impl Peers {
     pub(crate) fn new(shared: Arc<Shared>, identity: Identity, now: MonoTime) -> Self {
         Self {
+            nodes: Arc::new([local_location(&identity, knows_domains(&shared))]),
             shared,
-            nodes: Arc::new([local_location(&identity)]),
             identity,
             entries: BTreeMap::new(),
             region_peers: Vec::new(),
@@ -124,10 +125,11 @@
 
     fn refresh(&mut self) {
         let own = &self.identity;
+        let has_domains = knows_domains(&self.shared);
         let known = || {
             self.entries
                 .values()
-                .filter_map(|it| Some((entry_location(it)?, it)))
+                .filter_map(|it| Some((entry_location(it, has_domains)?, it)))
         };
         let region_peers = known().filter(|(location, _)| {
             location.region.as_ref() == Some(&own.region) && location.id != own.node_id
@@ -137,7 +139,7 @@
             .collect();
         let mut locations: Vec<NodeLocation> = known().map(|(location, _)| location).collect();
         if !locations.iter().any(|location| location.id == own.node_id) {
-            locations.push(local_location(own));
+            locations.push(local_location(own, has_domains));
         }
         let readers = region_readers(&locations, &own.region);
         self.is_reader = readers
@@ -167,7 +169,7 @@
             return Vec::new();
         }
         let region_peers = self.entries.values().filter(|entry| {
-            let location = entry_location(entry);
+            let location = entry_location(entry, knows_domains(&self.shared));
             location.is_some_and(|it| {
                 it.region.as_ref() == Some(&requester.region) && it.id != requester.node_id
             })
@@ -319,15 +321,26 @@
     }
 }
 
-/// Value of a node's entry: its peer address, a space, and its region.
-pub(crate) fn entry_value(address: SocketAddr, region: &Region) -> String {
-    format!("{address} {region}")
+/// Value of a node's entry: its peer address and its region, and its failure domain if endpoints
+/// are assigned by it, separated by spaces.
+pub(crate) fn entry_value(address: SocketAddr, settings: &RelaySettings) -> String {
+    let (region, domain) = (&settings.region, &settings.failure_domain);
+    match settings.locality.enabled {
+        true => format!("{address} {region} {domain}"),
+        false => format!("{address} {region}"),
+    }
+}
+
+/// Whether endpoints are assigned to nodes by failure domain.
+fn knows_domains(shared: &Shared) -> bool {
+    shared.settings.load().locality.enabled
 }
 
-fn local_location(own: &Identity) -> NodeLocation {
+fn local_location(own: &Identity, has_domain: bool) -> NodeLocation {
     NodeLocation {
         id: own.node_id.clone(),
         region: Some(own.region.clone()),
+        failure_domain: has_domain.then(|| own.failure_domain.clone()),
     }
 }
 
@@ -345,12 +358,14 @@
 }
 
 /// Location of a node; `None` if its entry names no address.
-fn entry_location(entry: &KeyValue) -> Option<NodeLocation> {
+fn entry_location(entry: &KeyValue, has_domain: bool) -> Option<NodeLocation> {
     entry_address(entry)?;
     let region = entry.value.split(' ').nth(1);
+    let domain = entry.value.split(' ').nth(2).filter(|_| has_domain);
     Some(NodeLocation {
         id: entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?,
         region: region.and_then(|it| it.parse().ok()),
+        failure_domain: domain.and_then(|it| it.parse().ok()),
     })
 }
 
--- a/crates/relay/src/control/store_tasks.rs
+++ b/crates/relay/src/control/store_tasks.rs
@@ -294,7 +294,7 @@
     let lease = store.handle_result(result).await?;
     let mut condition = Condition::Absent;
     loop {
-        let value = entry_value(peer_address, &store.shared.settings.load().region);
+        let value = entry_value(peer_address, &store.shared.settings.load());
         let result = store
             .client()
             .write(key, value, condition, Some(lease))
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -9,11 +9,12 @@
 };
 
 use hdrhistogram::Histogram;
-use parsleylatch_decide::relay::Occupancy;
+use parsleylatch_decide::relay::{Border, Occupancy};
 use parsleylatch_runtime::ConnectionEvent;
-use parsleylatch_types::Micros;
+use parsleylatch_types::{Micros, ServiceName, Share};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use super::crossings::{CrossingCounter, Crossings};
 use crate::memory::MemoryBudget;
 
 /// Largest latency that is recorded; larger ones are clamped.
@@ -155,6 +156,7 @@
 pub(crate) struct RelayMetrics {
     counters: [AtomicU64; RelayCounter::COUNT],
     latencies: [Mutex<Option<Histogram<u32>>>; RelayLatency::COUNT],
+    crossings: Crossings,
 }
 
 impl RelayMetrics {
@@ -162,6 +164,7 @@
         Self {
             counters: [const { AtomicU64::new(0) }; RelayCounter::COUNT],
             latencies: [const { Mutex::new(None) }; RelayLatency::COUNT],
+            crossings: Crossings::default(),
         }
     }
 
@@ -178,6 +181,22 @@
         histogram.saturating_record(latency.get());
     }
 
+    /// Adds to what requests of a service take over a border.
+    pub(crate) fn add_crossing(
+        &self,
+        service: &ServiceName,
+        border: Border,
+        counter: CrossingCounter,
+        count: u64,
+    ) {
+        self.crossings.add(service, border, counter, count);
+    }
+
+    /// Sets the share of a service's requests that crosses a border.
+    pub(crate) fn set_crossing_share(&self, service: &ServiceName, border: Border, share: Share) {
+        self.crossings.set_share(service, border, share);
+    }
+
     /// Renders all metrics, the memory that bodies take, the callers' connections and the number
     /// of known endpoints in the Prometheus text exposition format.
     pub(crate) fn render(
@@ -210,6 +229,7 @@
         for kind in RelayLatency::iter() {
             self.render_latency(kind, &mut text);
         }
+        self.crossings.render(&mut text);
         text
     }
 
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -4,7 +4,7 @@
 
 use http::{Response, StatusCode};
 use parsleylatch_decide::relay::{Choice, LeaveReason, Outcome, RefusalReason};
-use parsleylatch_types::Millis;
+use parsleylatch_types::{ByteCount, Millis};
 
 use super::{CallerState, ExchangeDriver, SentAttempt};
 use crate::{
@@ -13,7 +13,7 @@
         attempt::Attempt,
         body::{RelayBody, StreamPart},
         copy_monitor::CopyMonitor,
-        engine, responses,
+        engine, locality, responses,
         state::connection_key,
     },
 };
@@ -59,7 +59,10 @@
             trial: None,
             began_at: None,
             is_under_way: false,
+            border: None,
+            transferred: ByteCount::new(self.job.body.len() as u64),
         });
+        self.record_departure();
         self.report_trial_start();
     }
 
@@ -227,6 +230,8 @@
         self.is_endpoint_silent = false;
         self.report_trial_abandoned();
         if let Some(sent) = self.sent.take() {
+            let service = &self.job.spec.service;
+            locality::record_transfer(&self.traffic, service, sent.border, sent.transferred);
             let mut table = self.traffic.endpoint_table.borrow_mut();
             if !sent.has_responded {
                 table.record_prompt_read(&sent.key, self.job.spec.prompt);
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -103,6 +103,7 @@
     }
 
     pub(super) fn handle_event(&mut self, event: AttemptEvent) -> Vec<ExchangeEffect> {
+        self.count_bytes(&event);
         match event {
             AttemptEvent::Unreachable(reason) => {
                 self.record_failure(Outcome::Unreachable, &reason);
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -14,12 +14,12 @@
 use parsleylatch_decide::{
     moves::FULL_SHARE,
     relay::{
-        Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
-        LeaveReason, MemoryCopy, NextStep, Outcome, ResponseClass,
+        Assignment, Border, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput,
+        ExchangeState, LeaveReason, MemoryCopy, NextStep, Outcome, ResponseClass,
     },
 };
 use parsleylatch_http::RawEvent;
-use parsleylatch_types::{Micros, Millis, MonoTime, StreamEventId, TrialNumber};
+use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, StreamEventId, TrialNumber};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
@@ -111,6 +111,10 @@
     began_at: Option<MonoTime>,
     /// Whether the answer has got on since.
     is_under_way: bool,
+    /// Border that the request crossed.
+    border: Option<Border>,
+    /// Bytes of the request and of what has been read of its response.
+    transferred: ByteCount,
 }
 
 /// A large response whose body is passed on.
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -19,6 +19,7 @@
     telemetry::RelayCounter,
     traffic::{
         engine::{self, ProbeResult},
+        locality,
         state::connection_key,
     },
 };
@@ -93,6 +94,10 @@
         let may_copy = self.job.has_backups
             && spec.repeat.is_stream()
             && !traffic.are_copies_unaffordable(&spec.service, size);
+        if excluded.is_empty() {
+            let goal_at = self.started_at + spec.goal_ms;
+            locality::record_demand(traffic, &spec.service, goal_at.since(now));
+        }
         let criteria = SelectionCriteria {
             service: &spec.service,
             excluded,
@@ -105,6 +110,7 @@
         let choice = traffic
             .selector()
             .select(now, &traffic.endpoint_table.borrow(), &criteria);
+        locality::report_changes(traffic);
         let choice = choice.ok_or(PlaceRefusal::NoEndpoint)?;
         if version.is_some() || !self.is_queueable(choice.copy.is_some()) {
             return Ok(choice);
--- a/crates/relay/src/traffic/exchange/recording.rs
+++ b/crates/relay/src/traffic/exchange/recording.rs
@@ -1,14 +1,19 @@
 //! Updates of the endpoint table, the metrics and the log by an exchange.
 
+use bytes::Bytes;
 use parsleylatch_decide::relay::{LeaveReason, Outcome, VersionTrial};
-use parsleylatch_types::{Micros, MonoTime};
+use parsleylatch_types::{ByteCount, Micros, MonoTime};
 
 use super::{ExchangeDriver, placement::PlaceRefusal};
 use crate::{
     codec::ResponseMetadata,
     input::ControlInput,
     telemetry::{RelayCounter, RelayLatency},
-    traffic::placement_queue,
+    traffic::{
+        attempt::AttemptEvent,
+        locality::{self, DepartureCause},
+        placement_queue,
+    },
 };
 
 impl ExchangeDriver {
@@ -25,6 +30,52 @@
         }
     }
 
+    /// Records whether the attempt that was just sent, or the copy that it asks for, crosses a
+    /// border.
+    pub(super) fn record_departure(&mut self) {
+        let Some(sent) = &mut self.sent else {
+            return;
+        };
+        let service = &self.job.spec.service;
+        let choice = &sent.choice;
+        if let Some(backup) = &choice.backup {
+            locality::record_copy(&self.traffic, service, &choice.endpoint, backup);
+        }
+        let has_prompt =
+            choice.copy.is_some() || self.job.prompt_holder.as_ref() == Some(&choice.endpoint.key);
+        let cause = if has_prompt {
+            DepartureCause::Prompt
+        } else if self.exchange.runs() > 0 || !self.exchange.excluded_endpoints().is_empty() {
+            DepartureCause::Repeated
+        } else if self.queued_at > self.started_at {
+            DepartureCause::Queued
+        } else {
+            DepartureCause::Share
+        };
+        sent.border = locality::record_departure(
+            &self.traffic,
+            service,
+            &choice.endpoint,
+            self.job.metadata.id.as_str(),
+            cause,
+        );
+    }
+
+    /// Counts the bytes of a part of the response.
+    pub(super) fn count_bytes(&mut self, event: &AttemptEvent) {
+        let Some(sent) = &mut self.sent else {
+            return;
+        };
+        let bytes = match event {
+            AttemptEvent::Response(response) => response.body.iter().map(Bytes::len).sum(),
+            AttemptEvent::BodyPart(part) => part.len(),
+            AttemptEvent::Events(events) => events.iter().map(|it| it.bytes.len()).sum(),
+            _ => 0,
+        };
+        let bytes = ByteCount::new(bytes as u64);
+        sent.transferred = sent.transferred.saturating_add(bytes);
+    }
+
     /// Records that the endpoint has responded, at `arrived_at`.
     pub(super) fn record_first_response(&mut self, arrived_at: MonoTime) {
         if let Some(sent) = self.sent.as_mut().filter(|it| !it.has_responded) {
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod flush_observer;
 mod holder_query;
 mod job;
+mod locality;
 mod placement_queue;
 mod prompts;
 mod request_handler;
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -14,7 +14,7 @@
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
-use super::{holder_query::HolderQuery, placement_queue::ServiceQueue, turns::Turns};
+use super::{holder_query::HolderQuery, locality, placement_queue::ServiceQueue, turns::Turns};
 use crate::{
     codec::ResponseMetadata,
     shared::{Shared, Snapshot},
@@ -37,12 +37,13 @@
 impl Traffic {
     pub(super) fn new(shared: Arc<Shared>, seed: u64) -> Self {
         let settings = shared.settings.load();
-        let selector = Selector::new(
+        let mut selector = Selector::new(
             settings.failure_domain.clone(),
             settings.region.clone(),
             settings.regions.clone(),
             seed,
         );
+        selector.set_locality(locality::crossing_costs(&settings));
         drop(settings);
         let open = Arc::clone(shared.caller_places.endpoint_connections());
         let places = Arc::clone(&shared);
@@ -79,6 +80,8 @@
                 regions: &settings.regions,
             };
             table.update(self.now(), snapshot.endpoints.iter(), ownership);
+            self.selector()
+                .set_locality(locality::crossing_costs(&settings));
             self.connections.retain_idle(|key| {
                 table
                     .entry(&endpoint_key(key))
