--- a/crates/decide/src/relay/locality/border_share.rs
+++ b/crates/decide/src/relay/locality/border_share.rs
@@ -20,9 +20,11 @@
 /// Steps that one decision may make up for if there was none for a while.
 const MAX_RAISE_STEPS: f64 = 3.0;
 /// Largest growth in one step, of the requests that don't cross the border.
-const MAX_RAISE: f64 = 0.12;
-/// Part of the share that is left after a step of a return, so that a return takes about 3 s.
-const RETURN_FACTOR: f64 = 0.85;
+const MAX_RAISE: f64 = 0.05;
+/// Part of the share that is left after a step of a return, and a part that it takes off, so that
+/// a whole return takes about 4 s. Faster ones made the shares of the tests oscillate.
+const RETURN_FACTOR: f64 = 0.92;
+const RETURN_STEP: f64 = 0.01;
 /// Share below which a return is complete.
 const SMALL_SHARE: f64 = 0.04;
 /// Part of the near side's endpoints that have to be closed for it to count as lost.
@@ -155,7 +157,7 @@
         let Some(near) = self.near.wait else {
             return ShareReason::LoadUnknown;
         };
-        let patience = self.remaining.unwrap_or_default().get() / PATIENCE_DIVISOR;
+        let patience = self.patience().get();
         // Hysteresis: those who have left come back at half of the cost.
         let patience = if was_leaving { patience / 2 } else { patience };
         if near.get() <= patience {
@@ -172,6 +174,11 @@
         }
     }
 
+    /// Wait for which no request crosses the border.
+    fn patience(&self) -> Micros {
+        Micros::new(self.remaining.unwrap_or_default().get() / PATIENCE_DIVISOR)
+    }
+
     /// What a request gains by crossing, in microseconds. A far side that has reported nothing
     /// counts as idle; its first responses show its load.
     fn gain(&self) -> f64 {
@@ -197,14 +204,16 @@
 
     fn raise_share(&mut self) {
         let near = self.costs.near.wait.unwrap_or_default().get().max(1) as f64;
-        let difference = (self.costs.gain() / near).clamp(0.0, 1.0);
+        let excess = near - self.costs.patience().get() as f64;
+        let difference = (self.costs.gain().min(excess) / near).clamp(0.0, 1.0);
         let steps = self.steps.min(MAX_RAISE_STEPS);
         let raise = MAX_RAISE * difference * self.costs.near.confidence * steps * self.spread();
         self.share += (1.0 - self.share) * raise.min(1.0);
     }
 
     fn lower_share(&mut self) {
-        self.share *= RETURN_FACTOR.powf(self.steps * self.spread());
+        let steps = self.steps * self.spread();
+        self.share = (self.share * RETURN_FACTOR.powf(steps) - RETURN_STEP * steps).max(0.0);
     }
 
     fn leave_at_once(&mut self) {
--- a/crates/decide/src/relay/locality/mod.rs
+++ b/crates/decide/src/relay/locality/mod.rs
@@ -29,6 +29,7 @@
 pub use border_share::{BorderShare, LocalityShareState, ShareReason, SideLoad};
 pub(crate) use domain_load::domain_loads;
 pub use domain_load::{Distance, DomainLoad};
+pub(crate) use service_locality::Readiness;
 pub use service_locality::{Binding, Border, ServiceLocality, ShareChange};
 
 use service_locality::Crossing;
--- a/crates/decide/src/relay/locality/service_locality.rs
+++ b/crates/decide/src/relay/locality/service_locality.rs
@@ -44,6 +44,54 @@
     Free,
 }
 
+/// Whether an endpoint takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Readiness {
+    /// It is suspended.
+    Closed,
+    /// It takes the request, which would be late or has to wait for others there.
+    Late,
+    /// It takes the request.
+    Open,
+    /// It belongs to another failure domain, and keeps a reserve for the callers there.
+    Reserve,
+}
+
+impl Binding {
+    /// Where endpoints are looked for, in this order, and what they have to be ready for. Where
+    /// no place is left, the costs decide. A slot that is free elsewhere isn't left empty by a
+    /// request that would be late in its own domain.
+    pub(crate) fn places(self) -> &'static [(Distance, Readiness)] {
+        match self {
+            Self::Domain => &[
+                (Distance::OwnDomain, Readiness::Open),
+                (Distance::OwnRegion, Readiness::Reserve),
+                (Distance::OtherRegion, Readiness::Reserve),
+                (Distance::OwnRegion, Readiness::Open),
+                (Distance::OtherRegion, Readiness::Open),
+                (Distance::OwnDomain, Readiness::Late),
+            ],
+            Self::Region => &[
+                (Distance::OwnRegion, Readiness::Reserve),
+                (Distance::OwnDomain, Readiness::Open),
+                (Distance::OtherRegion, Readiness::Reserve),
+                (Distance::OwnRegion, Readiness::Open),
+                (Distance::OtherRegion, Readiness::Open),
+                (Distance::OwnDomain, Readiness::Late),
+            ],
+            Self::OtherRegion => &[
+                (Distance::OtherRegion, Readiness::Reserve),
+                (Distance::OwnRegion, Readiness::Reserve),
+                (Distance::OwnDomain, Readiness::Open),
+                (Distance::OwnRegion, Readiness::Open),
+                (Distance::OtherRegion, Readiness::Open),
+                (Distance::OwnDomain, Readiness::Late),
+            ],
+            Self::Free => &[],
+        }
+    }
+}
+
 /// A change of a share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShareChange {
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -18,7 +18,7 @@
 use super::{
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey, EndpointStats, EndpointTable},
-    locality::{Binding, Border, CrossingCosts, Distance, Locality, domain_loads},
+    locality::{Binding, Border, CrossingCosts, Distance, Locality, Readiness, domain_loads},
     overload::StreamSize,
     rollout::VersionLimit,
 };
@@ -54,6 +54,10 @@
 /// Upper bound of the random part of a stream's cost.
 const STREAM_JITTER_US: u64 = 100_000;
 
+/// Part of an endpoint's slots that is kept for the callers of its own failure domain as long as
+/// the others have endpoints that serve them in time.
+const RESERVE_DIVISOR: u32 = 4;
+
 /// Input for [`Selector::select`].
 #[derive(Clone, Debug)]
 pub struct SelectionCriteria<'a> {
@@ -321,24 +325,18 @@
         costs: &[(u64, Arc<EndpointEntry>)],
     ) -> Option<Arc<EndpointEntry>> {
         let binding = self.draw_binding(now, table, criteria);
-        let distances: &[Distance] = match binding {
-            Binding::Domain => &[Distance::OwnDomain],
-            Binding::Region => &[Distance::OwnRegion, Distance::OtherRegion],
-            Binding::OtherRegion => &[Distance::OtherRegion, Distance::OwnRegion],
-            Binding::Free => &[],
-        };
-        let bound = distances.iter().find_map(|distance| {
+        let bound = binding.places().iter().find_map(|(distance, needed)| {
             costs.iter().find(|(_, entry)| {
                 self.distance(&entry.failure_domain) == *distance
-                    && self.is_open_to_bound(now, table, entry, criteria)
+                    && self.readiness(now, table, entry, criteria) >= *needed
             })
         });
         let (_, chosen) = bound.or_else(|| costs.first())?;
         Some(Arc::clone(chosen))
     }
 
-    /// Where the request is bound to. One that is repeated, or whose prompt has been read
-    /// somewhere, is free.
+    /// Where the request is bound to. One whose prompt has been read somewhere is free. One whose
+    /// endpoint has failed in this domain leaves it, because others there may be lost too.
     fn draw_binding(
         &mut self,
         now: MonoTime,
@@ -349,12 +347,18 @@
             return Binding::Free;
         }
         self.update_shares(now, table, criteria);
-        let is_first = criteria.excluded.is_empty();
         let has_prompt = criteria.prompt_holder.is_some() || criteria.copy.is_some();
+        let has_failed_here = criteria.excluded.iter().any(|key| {
+            let stats = table.stats(key);
+            let is_own = |it: &EndpointStats| it.entry.failure_domain == self.own_domain;
+            stats.is_some_and(is_own) && table.has_failed_recently(now, key)
+        });
         let draws = (self.random.random(), self.random.random());
         match &self.locality {
-            Some(locality) if is_first && !has_prompt => locality.binding(criteria.service, draws),
-            _ => Binding::Free,
+            Some(_) if has_prompt => Binding::Free,
+            Some(_) if has_failed_here => Binding::Region,
+            Some(locality) => locality.binding(criteria.service, draws),
+            None => Binding::Free,
         }
     }
 
@@ -380,29 +384,43 @@
         }
     }
 
-    /// Whether a request may be bound to the failure domain of an endpoint for it.
-    fn is_open_to_bound(
+    /// Whether an endpoint takes requests, and requests of other failure domains.
+    fn readiness(
         &self,
         now: MonoTime,
         table: &EndpointTable,
         entry: &EndpointEntry,
         criteria: &SelectionCriteria<'_>,
-    ) -> bool {
+    ) -> Readiness {
         let Some((locality, stats)) = self.locality.as_ref().zip(table.stats(&entry.key)) else {
-            return false;
+            return Readiness::Closed;
         };
+        if table.is_suspended(now, &entry.key) {
+            return Readiness::Closed;
+        }
+        let service = criteria.service;
         let is_stream = criteria.prompt > TokenCount::ZERO;
-        let load = load_cost(now, stats, is_stream);
-        let patience = locality.patience(criteria.service);
         let size = StreamSize {
             prompt: criteria.prompt,
             output: TokenCount::ZERO,
         };
         let has_room = !is_stream || stats.has_room(now, size) != Some(false);
-        has_room
-            && patience.is_none_or(|it| load <= it)
-            && !table.is_suspended(now, &entry.key)
-            && !locality.avoids(criteria.service, &entry.failure_domain)
+        let load = load_cost(now, stats, is_stream);
+        if !has_room || locality.patience(service).is_some_and(|it| load > it) {
+            return Readiness::Late;
+        }
+        if entry.failure_domain == self.own_domain {
+            return Readiness::Open;
+        }
+        let slots = stats.entry.slots.get();
+        let taken = stats.occupancy(now);
+        if locality.avoids(service, &entry.failure_domain) || taken >= slots {
+            return Readiness::Late;
+        }
+        match taken < slots - slots / RESERVE_DIVISOR {
+            true => Readiness::Reserve,
+            false => Readiness::Open,
+        }
     }
 
     fn costs(
@@ -520,11 +538,14 @@
     unread.get() + STREAM_COST_US.saturating_mul(streams).get() + waiting.get() + not_owned.get()
 }
 
-/// Work ahead of a new request, as other nodes see it too: without what this node alone knows of
-/// its own requests, and without the assignment of endpoints to nodes.
+/// Wait of a new request for a slot, or the delay by the streams beside it, as other nodes see it
+/// too: without unread prompts and the assignment of endpoints, of which only this node knows.
 pub(super) fn load_cost(now: MonoTime, stats: &EndpointStats, is_stream: bool) -> Micros {
     if !is_stream {
-        return Micros::new(call_cost(now, stats));
+        let latency = stats.latency.unwrap_or(DEFAULT_CALL_LATENCY_US);
+        let slots = stats.entry.slots.get().max(1);
+        let ahead = (stats.occupancy(now) + 1).saturating_sub(slots);
+        return Micros::new(latency.saturating_mul(u64::from(ahead)).get() / u64::from(slots));
     }
     let streams = STREAM_COST_US.saturating_mul(u64::from(stats.occupancy(now)));
     let waiting = WAITING_COST_US.saturating_mul(u64::from(stats.waiting(now)));
