--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -23,6 +23,11 @@
 /// Fields that are not repeated after the heading of a line.
 const HEADING_FIELDS: [&str; 5] = ["time_ms", "level", "node", "event", "id"];
 
+/// Event of a request that is sent beyond the failure domain of its node.
+const DEPARTURE_EVENT: &str = "request leaves the failure domain";
+/// Parts per million in a percent.
+const PPM_PER_PERCENT: f64 = 10_000.0;
+
 /// A parsed log line.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -84,9 +89,23 @@
             }
             text.push('\n');
         }
+        for departure in self.departures() {
+            text.push_str(&departure);
+            text.push('\n');
+        }
         text
     }
 
+    /// Why the request was sent beyond the failure domain of its node, once for each time, with
+    /// the share of requests in force.
+    pub fn departures(&self) -> Vec<String> {
+        let departures = self.entries.iter();
+        departures
+            .filter(|entry| entry.event == DEPARTURE_EVENT)
+            .map(departure)
+            .collect()
+    }
+
     /// Returns the event of the deciding line.
     pub fn deciding_event(&self) -> Option<&str> {
         let entry = &self.entries[self.deciding?];
@@ -106,6 +125,26 @@
     })
 }
 
+fn departure(entry: &Entry) -> String {
+    let text = |name: &str| entry.fields.get(name).and_then(Value::as_str);
+    let share = entry.fields.get("share_ppm").and_then(Value::as_u64);
+    let share = share.unwrap_or_default();
+    let border = match text("border") {
+        Some("region") => "region",
+        _ => "failure domain",
+    };
+    let why = match text("cause") {
+        Some("prompt") => "its prompt or a copy of it was there",
+        Some("repeated") => "it was sent again",
+        Some("queued") => "it waited for an engine with room",
+        _ if share == 0 => "no endpoint nearer would have served it in time",
+        _ => text("reason").unwrap_or("-"),
+    };
+    let (node, state) = (&entry.node, text("state").unwrap_or("-"));
+    let percent = share as f64 / PPM_PER_PERCENT;
+    format!("{node} sent it beyond its {border}: {why}; share in force {percent}% ({state})")
+}
+
 fn matches_id(entry: &Entry, id: &str) -> bool {
     entry.fields.get("id").and_then(Value::as_str) == Some(id)
 }
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -51,6 +51,38 @@
     assert!(!text.contains("other"));
 }
 
+/// A call that left its failure domain by the share in force, and one that was sent again.
+const LEFT: &str = r#"
+{"time_ms":7,"level":"INFO","node":"n1","event":"attempt placed","id":"c1","endpoint":"i-7"}
+{"time_ms":7,"level":"INFO","node":"n1","event":"request leaves the failure domain","id":"c1","service":"s","endpoint":"i-7","border":"domain","cause":"share","share_ppm":250000,"state":"leaving","reason":"near_dearer"}
+{"time_ms":8,"level":"INFO","node":"n1","event":"request leaves the failure domain","id":"c1","service":"s","endpoint":"i-9","border":"region","cause":"repeated","share_ppm":0,"state":"home","reason":"near_in_time"}
+{"time_ms":9,"level":"INFO","node":"n1","event":"request leaves the failure domain","id":"c1","service":"s","endpoint":"i-9","border":"domain","cause":"share","share_ppm":0,"state":"home","reason":"near_in_time"}
+{"time_ms":9,"level":"INFO","node":"n1","event":"request ended","id":"c1","outcome":"answered"}
+"#;
+
+/// An operator sees which share a request left by, and why.
+#[test]
+fn departures_named() {
+    let explanation = Explanation::read(LEFT.as_bytes(), "c1").unwrap();
+    let departures = explanation.departures();
+    let expected = [
+        "n1 sent it beyond its failure domain: near_dearer; share in force 25% (leaving)",
+        "n1 sent it beyond its region: it was sent again; share in force 0% (home)",
+        "n1 sent it beyond its failure domain: no endpoint nearer would have served it in time; \
+         share in force 0% (home)",
+    ];
+    assert_eq!(departures, expected);
+    assert!(explanation.text().ends_with(&format!("{}\n", expected[2])));
+    assert_eq!(explanation.deciding_event(), Some("request ended"));
+}
+
+/// A request that stayed in its failure domain has no such line.
+#[test]
+fn departures_none() {
+    let explanation = Explanation::read(SERVED.as_bytes(), "c1").unwrap();
+    assert!(explanation.departures().is_empty());
+}
+
 #[test]
 fn read_unknown_request() {
     let error = Explanation::read(BOOKING.as_bytes(), "b2").unwrap_err();
