--- a/crates/decide/src/relay/locality/border_share.rs
+++ b/crates/decide/src/relay/locality/border_share.rs
@@ -19,10 +19,11 @@
 pub(super) const STEP_INTERVAL_MS: Millis = Millis::new(200);
 /// Steps that one decision may make up for if there was none for a while.
 const MAX_RAISE_STEPS: f64 = 3.0;
-/// Largest growth in one step, of the requests that don't cross the border.
+/// Largest growth in one step, of the requests that don't cross the border. At 3 % the tests served
+/// fewer calls in time.
 const MAX_RAISE: f64 = 0.05;
-/// Part of the share that is left after a step of a return, and a part that it takes off, so that
-/// a whole return takes about 4 s. Faster ones made the shares of the tests oscillate.
+/// Part of the share that is left after a step of a return, and a part of all requests that it
+/// takes off, so that a whole return takes about 4 s.
 const RETURN_FACTOR: f64 = 0.92;
 const RETURN_STEP: f64 = 0.01;
 /// Share below which a return is complete.
--- a/crates/decide/src/relay/locality/service_locality.rs
+++ b/crates/decide/src/relay/locality/service_locality.rs
@@ -16,7 +16,7 @@
 /// Time without any report of a load after which requests aren't bound any more.
 const UNREPORTED_AFTER_MS: Millis = Millis::new(10_000);
 /// Part of the callers' remaining time that the work of a single endpoint may take.
-const ENDPOINT_PATIENCE_DIVISOR: u64 = 2;
+const ENDPOINT_PATIENCE_DIVISOR: u64 = 4;
 
 /// A border that requests cross.
 #[derive(
--- a/crates/decide/tests/locality/main.rs
+++ b/crates/decide/tests/locality/main.rs
@@ -81,6 +81,25 @@
     assert!(2 * bytes <= most, "{bytes} of {most}");
 }
 
+/// 120 nodes, of which each sees few responses, still decide as one.
+#[test]
+fn replay_many_nodes() {
+    let of = |strategy| {
+        replay(Scenario {
+            strategy,
+            imbalance: 3.0,
+            nodes_per_domain: 30,
+            ..Scenario::default()
+        })
+    };
+    let (least, share) = (of(Strategy::LeastLoaded), of(Strategy::MarginalCost));
+    let (served, best) = (share.goodput(0), least.goodput(0));
+    assert!(served >= 0.95 * best, "{served} of {best}");
+    let (bytes, most) = (share.bytes(), least.bytes());
+    assert!(2 * bytes <= most, "{bytes} of {most}");
+    println!("120 nodes: {served:.3} of {best:.3}, {bytes} of {most} bytes");
+}
+
 /// Calls of the overloaded domain delay those of the other domains by a tenth at most.
 #[test_case(1 ; "seed_1")]
 #[test_case(2 ; "seed_2")]
--- a/crates/decide/tests/locality/model.rs
+++ b/crates/decide/tests/locality/model.rs
@@ -28,7 +28,6 @@
     ("c", "north"),
     ("d", "south"),
 ];
-const NODES_PER_DOMAIN: usize = 6;
 const ENDPOINTS_PER_DOMAIN: usize = 5;
 const SLOTS: usize = 8;
 const QUEUE_LIMIT: usize = 24;
@@ -70,6 +69,7 @@
     pub(crate) report_lag_ms: u64,
     /// Whether endpoints report their load.
     pub(crate) is_reported: bool,
+    pub(crate) nodes_per_domain: usize,
     pub(crate) end_ms: u64,
     pub(crate) seed: u64,
 }
@@ -83,6 +83,7 @@
             loss_ms: (0, 0),
             report_lag_ms: 0,
             is_reported: true,
+            nodes_per_domain: 6,
             end_ms: 20_000,
             seed: 1,
         }
@@ -155,17 +156,12 @@
 
 struct Call {
     node: usize,
+    domain: usize,
     arrived_ms: u64,
     excluded: Vec<EndpointKey>,
     sent_ms: u64,
 }
 
-impl Call {
-    fn domain(&self) -> usize {
-        self.node / NODES_PER_DOMAIN
-    }
-}
-
 #[derive(Default)]
 struct Endpoint {
     running: usize,
@@ -241,11 +237,12 @@
 
 fn node(number: usize, scenario: Scenario) -> Node {
     let own: NodeId = format!("n-{number}").parse().unwrap();
-    let nodes: Vec<_> = (0..DOMAINS.len() * NODES_PER_DOMAIN)
+    let per_domain = scenario.nodes_per_domain;
+    let nodes: Vec<_> = (0..DOMAINS.len() * per_domain)
         .map(|it| NodeLocation {
             id: format!("n-{it}").parse().unwrap(),
-            region: Some(DOMAINS[it / NODES_PER_DOMAIN].1.parse().unwrap()),
-            failure_domain: Some(DOMAINS[it / NODES_PER_DOMAIN].0.parse().unwrap()),
+            region: Some(DOMAINS[it / per_domain].1.parse().unwrap()),
+            failure_domain: Some(DOMAINS[it / per_domain].0.parse().unwrap()),
         })
         .collect();
     let endpoints = 0..DOMAINS.len() * ENDPOINTS_PER_DOMAIN;
@@ -257,7 +254,7 @@
     };
     let mut table = EndpointTable::new();
     table.update(MonoTime::ZERO, entries.iter(), ownership);
-    let (domain, region) = DOMAINS[number / NODES_PER_DOMAIN];
+    let (domain, region) = DOMAINS[number / per_domain];
     let mut selector = Selector::new(
         domain.parse().unwrap(),
         region.parse().unwrap(),
@@ -279,7 +276,7 @@
 
 /// Replays a scenario.
 pub(crate) fn replay(scenario: Scenario) -> Replayed {
-    let nodes = 0..DOMAINS.len() * NODES_PER_DOMAIN;
+    let nodes = 0..DOMAINS.len() * scenario.nodes_per_domain;
     let endpoints = 0..DOMAINS.len() * ENDPOINTS_PER_DOMAIN;
     let mut model = Model {
         scenario,
@@ -305,9 +302,9 @@
             let weight = if domain == 0 { scenario.imbalance } else { 1.0 };
             let per_ms = scenario.calls_per_s * weight / parts / 1_000.0;
             let is_arrival = model.random.random::<f64>() < per_ms;
-            let node = model.random.random_range(0..NODES_PER_DOMAIN);
+            let node = model.random.random_range(0..scenario.nodes_per_domain);
             if now_ms < scenario.end_ms && is_arrival {
-                model.begin_call(domain * NODES_PER_DOMAIN + node);
+                model.begin_call(domain, node);
             }
         }
     }
@@ -319,9 +316,11 @@
         MonoTime::ZERO + Millis::new(self.now_ms)
     }
 
-    fn begin_call(&mut self, node: usize) {
+    fn begin_call(&mut self, domain: usize, number: usize) {
+        let node = domain * self.scenario.nodes_per_domain + number;
         self.calls.push(Call {
             node,
+            domain,
             arrived_ms: self.now_ms,
             excluded: Vec::new(),
             sent_ms: self.now_ms,
@@ -359,7 +358,7 @@
 
     /// One-way latency between the node of a call and an endpoint.
     fn way_ms(&self, call: usize, endpoint: usize) -> u64 {
-        let (own, other) = (self.calls[call].domain(), domain_of(endpoint));
+        let (own, other) = (self.calls[call].domain, domain_of(endpoint));
         match DOMAINS[own].1 == DOMAINS[other].1 {
             true => 1,
             false => 12,
@@ -368,7 +367,7 @@
 
     fn send(&mut self, call: usize) {
         let Some(endpoint) = self.choose(call) else {
-            return self.end(call, self.calls[call].domain(), None);
+            return self.end(call, self.calls[call].domain, None);
         };
         self.calls[call].sent_ms = self.now_ms;
         let at = &mut self.nodes[self.calls[call].node];
@@ -390,7 +389,7 @@
         match self.scenario.strategy {
             Strategy::MarginalCost => self.choose_by_cost(call, &excluded),
             Strategy::OwnDomain => {
-                let own = self.calls[call].domain();
+                let own = self.calls[call].domain;
                 let others = self.keys.iter().enumerate();
                 let others = others.filter(|(endpoint, _)| domain_of(*endpoint) != own);
                 let others = others.map(|(_, key)| key.clone());
@@ -417,7 +416,7 @@
         let choice = node.selector.select(now, &node.table, &criteria)?;
         let changes = node.selector.locality_mut().map(Locality::take_changes);
         let changes = changes.unwrap_or_default().into_iter();
-        if self.calls[call].domain() == 0 {
+        if self.calls[call].domain == 0 {
             let timed = changes.map(|it| (self.now_ms, it));
             self.replayed.changes.extend(timed);
         }
@@ -426,7 +425,7 @@
 
     fn choose_by_load(&mut self, call: usize, excluded: &[EndpointKey]) -> Option<usize> {
         let now = self.now();
-        let own = self.calls[call].domain();
+        let own = self.calls[call].domain;
         let node = &self.nodes[self.calls[call].node];
         let mut loads = Vec::new();
         for (endpoint, key) in self.keys.iter().enumerate() {
@@ -564,7 +563,7 @@
         let ended = &self.calls[call];
         if ended.arrived_ms >= WARM_UP_MS {
             self.replayed.calls.push(EndedCall {
-                domain: ended.domain(),
+                domain: ended.domain,
                 arrived_ms: ended.arrived_ms,
                 served_in,
                 took_ms,
