Locality: the region is left only if the rest of it is no better

Cause: the share at the region's border compared the mean of the whole region, with the overloaded own domain, with other regions, so that requests left a region that had room.

Change: near side of that border is the rest of the region; tests of the share by loads.

--- a/crates/decide/src/relay/locality/service_locality.rs
+++ b/crates/decide/src/relay/locality/service_locality.rs
@@ -191,11 +191,12 @@
         let at = |distance: Distance| loads.iter().filter(move |it| it.distance == distance);
         let own = side(at(Distance::OwnDomain));
         let in_region = side(at(Distance::OwnRegion).filter(accepts));
-        let whole_region = side(
-            loads
-                .iter()
-                .filter(|it| it.distance != Distance::OtherRegion),
-        );
+        // Requests that leave the domain look for room in the rest of the region first.
+        let rest = side(at(Distance::OwnRegion));
+        let region = match rest.open + rest.closed {
+            0 => own,
+            _ => rest,
+        };
         let abroad = side(at(Distance::OtherRegion).filter(accepts));
         // If the region has no other domain, the next one is in another region.
         let (far, domain_crossing) = match in_region.open {
@@ -204,7 +205,7 @@
         };
         let steps = [
             (Border::Domain, own, far, domain_crossing),
-            (Border::Region, whole_region, abroad, crossing.region),
+            (Border::Region, region, abroad, crossing.region),
         ];
         let mut changes = Vec::new();
         for (border, near, far, crossing) in steps {
--- a/crates/decide/tests/locality/main.rs
+++ b/crates/decide/tests/locality/main.rs
@@ -2,6 +2,7 @@
 
 mod model;
 mod placement;
+mod share;
 
 use model::{Replayed, Scenario, Strategy, replay};
 use parsleylatch_decide::relay::{Border, LocalityShareState, ShareReason};
