--- a/crates/decide/src/relay/locality/service_locality.rs
+++ b/crates/decide/src/relay/locality/service_locality.rs
@@ -1,7 +1,7 @@
 //! Shares of one service at both borders.
 
 use parsleylatch_types::{ByteCount, FailureDomain, Micros, Millis, MonoTime, ServiceName, Share};
-use strum::{Display, EnumCount, EnumIter, IntoStaticStr};
+use strum::Display;
 
 use super::{
     border_share::{
@@ -19,9 +19,7 @@
 const ENDPOINT_PATIENCE_DIVISOR: u64 = 4;
 
 /// A border that requests cross.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumCount, EnumIter, IntoStaticStr,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Border {
     /// Of the failure domain, within the region.
--- a/crates/decide/tests/locality/placement.rs
+++ b/crates/decide/tests/locality/placement.rs
@@ -163,6 +163,45 @@
     assert!(chosen.iter().all(|it| it != "a"), "{chosen:?}");
 }
 
+/// Streams leave a domain whose engines run so many that they would be late, and no other.
+#[test_case(1, 0, 0 ; "engines_with_room")]
+#[test_case(14, 2, 30 ; "engines_loaded")]
+fn select_streams_by_load(running: u32, waiting: u32, least: usize) {
+    let nodes = [node("n-0", "a"), node("n-1", "b")];
+    let mut known = known(&["a", "a", "b", "b"], &nodes, "n-0");
+    let service = service();
+    let mut left = 0;
+    for step in 1..=100 {
+        let now = at(step * 200);
+        for entry in &known.entries {
+            let is_own = entry.failure_domain.to_string() == "a";
+            let load = LoadSample {
+                running: if is_own { running } else { 0 },
+                waiting: if is_own { waiting } else { 0 },
+            };
+            known.table.record_load(now, &entry.key, load);
+        }
+        let locality = known.selector.locality_mut().unwrap();
+        locality.record_demand(&service, Millis::new(10_000).micros());
+        let criteria = SelectionCriteria {
+            service: &service,
+            excluded: &[],
+            copy: None,
+            prompt_holder: None,
+            prompt: TokenCount::new(5_000),
+            with_backup: false,
+            version: None,
+        };
+        let choice = known.selector.select(now, &known.table, &criteria);
+        let domain = choice.unwrap().endpoint.failure_domain.clone();
+        left += usize::from(domain.to_string() == "b");
+    }
+    match least {
+        0 => assert_eq!(left, 0),
+        _ => assert!(left >= least, "{left} of 100"),
+    }
+}
+
 /// A stream whose prompt has been read elsewhere isn't bound.
 #[test]
 fn select_prompt_elsewhere() {
