Node: test of a service that answers a long call early, over real sockets

Cause: the rule on responses without a length was tested for the node's client only.

Change: a fleet of processes whose only service answers without reading the call and ends the connection in order.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod calls_random;
 mod configuration;
 mod connection_limits;
+mod early_responses;
 mod extra_node;
 mod generations;
 mod harness;
