Relay: streams of lower ranks leave room at engines to those of higher ranks

Cause: a node orders the streams that wait there by rank, but with 88 nodes most queues hold one stream, so in a burst the first rank waits as long as the others (median 1,166 and 984 ms).

Change: where the configuration has several ranks of streams for a service, a stream of a lower rank is placed only where the engine keeps room for another one; the highest rank may follow one unread prompt and keeps its copies while others wait. Room that is only reserved doesn't count as overload. No messages between nodes. Switched by overload.rank_reserve.

--- a/crates/decide/src/relay/configuration.rs
+++ b/crates/decide/src/relay/configuration.rs
@@ -1,7 +1,7 @@
 //! Immutable configuration: routes, services, caller limits and workspace keys.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -11,6 +11,8 @@
 };
 use thiserror::Error;
 
+use super::overload::RankClass;
+
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RepeatPolicy {
@@ -148,6 +150,8 @@
     /// Services that are configured or answer the requests of a route.
     named_services: HashSet<ServiceName>,
     shortest_goal_ms: Option<Millis>,
+    /// Ranks of the streams of each service.
+    stream_ranks: HashMap<ServiceName, BTreeSet<Rank>>,
     limits: Option<CallerLimits>,
     workspaces: Option<HashMap<KeyDigest, Arc<RelayWorkspace>>>,
 }
@@ -164,6 +168,7 @@
         let mut routes: HashMap<Box<str>, Vec<Arc<RelayRoute>>> = HashMap::new();
         let configured = parts.services.iter().map(|it| it.name.clone());
         let mut named_services: HashSet<ServiceName> = configured.collect();
+        let stream_ranks = stream_ranks(&parts);
         let shortest_goal_ms = parts.routes.iter().map(|it| it.goal_ms).min();
         for route in parts.routes {
             check_route(&route)?;
@@ -183,6 +188,7 @@
             services,
             named_services,
             shortest_goal_ms,
+            stream_ranks,
             limits: parts.limits,
             workspaces: parts.workspaces.map(index_keys),
         })
@@ -214,6 +220,12 @@
         self.named_services.contains(name)
     }
 
+    /// Class of a stream's rank among those of all streams of its service.
+    pub fn rank_class(&self, service: &ServiceName, rank: Rank) -> RankClass {
+        let ranks = self.stream_ranks.get(service).into_iter().flatten();
+        RankClass::among(rank, ranks.copied())
+    }
+
     /// Shortest target for a response time; `None` without a route.
     pub fn shortest_goal_ms(&self) -> Option<Millis> {
         self.shortest_goal_ms
@@ -235,6 +247,22 @@
     }
 }
 
+/// Ranks of the streams of each service: those of the routes, and of the workspaces, whose ranks
+/// override them.
+fn stream_ranks(parts: &RelayConfigurationParts) -> HashMap<ServiceName, BTreeSet<Rank>> {
+    let workspaces = parts.workspaces.iter().flatten();
+    let overriding: BTreeSet<Rank> = workspaces.filter_map(|(it, _)| it.rank).collect();
+    let mut ranks: HashMap<ServiceName, BTreeSet<Rank>> = HashMap::new();
+    for route in parts.routes.iter().filter(|it| it.repeat.is_stream()) {
+        for backend in &route.backends {
+            let listed = ranks.entry(backend.service.clone()).or_default();
+            listed.insert(route.rank);
+            listed.extend(&overriding);
+        }
+    }
+    ranks
+}
+
 fn check_route(route: &RelayRoute) -> Result<(), ConfigurationError> {
     let prefix = &route.path_prefix;
     if !prefix.starts_with('/') || !prefix.ends_with('/') {
--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -14,7 +14,7 @@
 
 use super::{
     endpoint_notice::EndpointNotices,
-    overload::{EngineLoad, OwnStreams, StreamSize},
+    overload::{EngineLoad, OwnStreams, RoomClaim, StreamSize},
     ownership::EndpointOwnership,
     readers::NodeLocation,
     report::EngineReport,
@@ -167,9 +167,9 @@
         self.suspended_until = self.suspended_until.max(now + length);
     }
 
-    pub(crate) fn has_room(&self, now: MonoTime, size: StreamSize) -> Option<bool> {
+    pub(crate) fn has_room(&self, now: MonoTime, claim: RoomClaim) -> Option<bool> {
         self.engine_load
-            .has_room(now, self.entry.slots, self.is_owned, size)
+            .has_room(now, self.entry.slots, self.is_owned, claim)
     }
 
     /// Queued requests, if reported recently.
@@ -423,9 +423,9 @@
 
     /// Whether an engine has room for a stream, as reported; `None` without a recent
     /// report or if the engine can't be used.
-    pub fn has_room(&self, now: MonoTime, key: &EndpointKey, size: StreamSize) -> Option<bool> {
+    pub fn has_room(&self, now: MonoTime, key: &EndpointKey, claim: RoomClaim) -> Option<bool> {
         let stats = self.endpoints.get(key).filter(|_| self.is_usable(key))?;
-        stats.has_room(now, size)
+        stats.has_room(now, claim)
     }
 
     /// Whether any engine of a service that takes requests reports room for a stream.
@@ -433,10 +433,10 @@
         &self,
         now: MonoTime,
         service: &ServiceName,
-        size: StreamSize,
+        claim: RoomClaim,
     ) -> bool {
         self.open(now, service).any(|it| {
-            it.has_room(now, size) == Some(true) && !self.is_suspended(now, &it.entry.key)
+            it.has_room(now, claim) == Some(true) && !self.is_suspended(now, &it.entry.key)
         })
     }
 
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -54,8 +54,9 @@
 pub use memory_plan::MemoryPlan;
 pub use overload::{
     Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
-    Room, StreamDurations, StreamSize, TrafficLoad, TrafficLoadState, TrafficTurn, assign_engines,
-    is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, retry_delay, room,
+    RankClass, Room, RoomClaim, StreamDurations, StreamSize, TrafficLoad, TrafficLoadState,
+    TrafficTurn, assign_engines, is_copy_unaffordable, is_hopeless, is_restart_hopeless,
+    may_be_full, retry_delay, room,
 };
 pub use ownership::EndpointOwnership;
 pub use place_limits::{PlaceBound, PlaceLimits};
--- a/crates/decide/src/relay/overload/assignment.rs
+++ b/crates/decide/src/relay/overload/assignment.rs
@@ -8,9 +8,9 @@
 use parsleylatch_types::{MonoTime, ServiceName};
 
 use super::{
-    engine_load::StreamSize,
     pressure::may_be_full,
     queue::{PlacementQueue, QueueTicket},
+    rank_reserve::RoomClaim,
 };
 use crate::relay::{
     endpoint_table::{EndpointKey, EndpointTable},
@@ -49,7 +49,7 @@
     queue: Option<&PlacementQueue>,
     service: &ServiceName,
     key: &EndpointKey,
-    size: StreamSize,
+    claim: RoomClaim,
     threads: usize,
 ) -> Room {
     if queue.is_some_and(|it| !it.is_reported(now)) {
@@ -58,10 +58,10 @@
     if queue.is_some_and(|it| !it.is_empty()) {
         return Room::Taken;
     }
-    if !may_be_full(table.own_streams(service), threads, size) {
+    if !may_be_full(table.own_streams(service), threads, claim.size) {
         return Room::Free;
     }
-    match table.has_room(now, key, size) {
+    match table.has_room(now, key, claim) {
         Some(true) => Room::Free,
         Some(false) => Room::Taken,
         None => Room::Unknown,
@@ -82,14 +82,16 @@
     let is_reported = queue.is_reported(now);
     let mut assignments = queue.take_hopeless(now);
     loop {
-        let has_room = |size: StreamSize| !is_reported || table.any_has_room(now, service, size);
-        let Some((ticket, stream)) = queue.take_next(now, has_room) else {
-            if !queue.is_empty() {
+        let has_room = |claim: RoomClaim| !is_reported || table.any_has_room(now, service, claim);
+        let Some((ticket, stream, claim)) = queue.take_next(now, has_room) else {
+            // A stream that only leaves room to others finds the engines busy, but not full.
+            let is_full = |claim: RoomClaim| !table.any_has_room(now, service, claim.bare());
+            if queue.has_any(now, is_full) {
                 queue.record_full(now);
             }
             return assignments;
         };
-        let assignment = match selector.engine_with_room(now, table, service, stream.size) {
+        let assignment = match selector.engine_with_room(now, table, service, claim) {
             Some(key) => {
                 table.reserve(now, &key, stream.size);
                 Assignment::Engine(key)
--- a/crates/decide/src/relay/overload/engine_load.rs
+++ b/crates/decide/src/relay/overload/engine_load.rs
@@ -13,6 +13,7 @@
 
 use parsleylatch_types::{Micros, Millis, MonoTime, SlotCount, TokenCount};
 
+use super::rank_reserve::RoomClaim;
 use crate::relay::{report::EngineReport, selector::PREFILL_TOKENS_PER_MS};
 
 /// Age up to which a report is used for placements.
@@ -22,10 +23,6 @@
 const PROBE_AGE_LIMIT_MS: Millis = Millis::new(1_000);
 /// Time until a placement is included in the engine's reports.
 const REPORT_LAG_MS: Millis = Millis::new(450);
-/// Prompts that an engine may have to read before another one is sent to it, if it is
-/// assigned to this node. Other nodes send it one only if it has none, as each of them
-/// sees the same room.
-const UNREAD_PROMPT_LIMIT: u32 = 1;
 /// Memory of an engine that has not reported it, as specified by the operators.
 pub(crate) const DEFAULT_MEMORY_TOKENS: TokenCount = TokenCount::new(55_000);
 
@@ -215,13 +212,19 @@
 
     /// Whether the engine can read the prompt soon and hold the stream to its end;
     /// `None` without a recent report.
-    pub fn has_room(
+    pub fn has_room<Claim>(
         &self,
         now: MonoTime,
         slots: SlotCount,
         is_owned: bool,
-        size: StreamSize,
-    ) -> Option<bool> {
+        claim: Claim,
+    ) -> Option<bool>
+    where
+        Claim: Into<RoomClaim>,
+    {
+        let claim = claim.into();
+        let size = claim.own_room();
+        let reserved_tokens = u64::from(claim.reserved_streams()) * claim.size.total();
         let load = self.recent_report(now)?;
         let unreported = self.unreported(now);
         let requests = load
@@ -241,11 +244,12 @@
             .saturating_add(queued_tokens)
             .saturating_add(growth)
             .saturating_add(unreported.tokens)
-            .saturating_add(size.total());
-        let has_slot = requests < slots.get();
+            .saturating_add(size.total())
+            .saturating_add(reserved_tokens);
+        let has_slot = requests.saturating_add(claim.reserved_streams()) < slots.get();
         let unread = load.unread.saturating_add(unreported.unread);
         let has_memory = needed <= u64::from(load.memory_total.get());
-        let reads_soon = unread <= u32::from(is_owned) * UNREAD_PROMPT_LIMIT;
+        let reads_soon = unread <= claim.unread_limit(is_owned);
         Some(has_slot && has_memory && reads_soon && !self.is_slow(now))
     }
 }
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -15,6 +15,8 @@
 //! - [`PlacementQueue`] decides which waiting stream is placed next and which are
 //!   rejected. Load pattern: a burst whose end leaves a backlog of late streams that
 //!   would make the following ones late as well.
+//! - [`RankClass`] and [`RoomClaim`] make streams of lower ranks leave room to those of higher
+//!   ranks at other nodes. Load pattern: a burst of a kind of low rank.
 //! - [`is_hopeless`] rejects a stream that can't begin before its deadline. Load pattern:
 //!   callers that return with little time left.
 //! - [`StreamDurations`] tells which streams would outlast a stopping process. Load
@@ -29,6 +31,7 @@
 mod hopeless;
 mod pressure;
 mod queue;
+mod rank_reserve;
 mod retry_delay;
 mod stream_duration;
 mod traffic_load;
@@ -38,6 +41,7 @@
 pub use hopeless::{is_hopeless, is_restart_hopeless};
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
 pub use queue::{PlacementQueue, QueueRejection, QueueTicket, QueuedStream};
+pub use rank_reserve::{RankClass, RoomClaim};
 pub use retry_delay::retry_delay;
 pub use stream_duration::StreamDurations;
 pub(crate) use traffic_load::verify_chart;
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -17,7 +17,10 @@
 use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, Rank, RequestCount};
 
 use super::{
-    assignment::Assignment, engine_load::StreamSize, hopeless::is_hopeless,
+    assignment::Assignment,
+    engine_load::StreamSize,
+    hopeless::is_hopeless,
+    rank_reserve::{RankClass, RoomClaim},
     stream_duration::StreamDurations,
 };
 use crate::relay::selector::PREFILL_TOKENS_PER_MS;
@@ -61,6 +64,8 @@
     pub deadline: MonoTime,
     /// Size of the stream.
     pub size: StreamSize,
+    /// Class of its rank.
+    pub rank_class: RankClass,
     /// Size of the request body.
     pub body_bytes: ByteCount,
 }
@@ -80,14 +85,16 @@
         }
     }
 
-    /// Room that an engine needs for the stream.
-    fn required_room(&self, now: MonoTime, is_late_turn: bool) -> StreamSize {
-        if is_late_turn || self.is_in_time(now) {
-            return self.size;
+    /// Room that an engine must have for the stream.
+    fn room_claim(&self, now: MonoTime, is_late_turn: bool) -> RoomClaim {
+        let is_late = !self.is_in_time(now);
+        if is_late && is_late_turn {
+            return RoomClaim::from(self.size);
         }
-        StreamSize {
-            prompt: self.size.prompt.saturating_add(self.size.prompt),
-            output: self.size.output.saturating_add(self.size.output),
+        RoomClaim {
+            size: self.size,
+            rank_class: self.rank_class,
+            is_late,
         }
     }
 }
@@ -181,20 +188,20 @@
         }
     }
 
-    /// Removes and returns the next stream to place, among those for whose size an engine
+    /// Removes and returns the next stream to place, among those for whose claim an engine
     /// `has_room`.
     pub fn take_next<HasRoom>(
         &mut self,
         now: MonoTime,
         has_room: HasRoom,
-    ) -> Option<(QueueTicket, QueuedStream)>
+    ) -> Option<(QueueTicket, QueuedStream, RoomClaim)>
     where
-        HasRoom: Fn(StreamSize) -> bool,
+        HasRoom: Fn(RoomClaim) -> bool,
     {
         let is_late_turn = self.placements % LATE_TURN_INTERVAL == LATE_TURN_INTERVAL - 1;
         let candidates = self.waiting.iter().enumerate();
         let candidates =
-            candidates.filter(|(_, (_, stream))| has_room(stream.required_room(now, is_late_turn)));
+            candidates.filter(|(_, (_, stream))| has_room(stream.room_claim(now, is_late_turn)));
         let next = candidates.min_by_key(|(_, (ticket, stream))| match is_late_turn {
             true => ((false, Rank::ZERO, stream.deadline), *ticket),
             false => (stream.order(now), *ticket),
@@ -203,7 +210,8 @@
         self.placements += 1;
         self.drop_expired(now);
         self.recent_placements.push_back(now);
-        Some(self.take(index))
+        let (ticket, stream) = self.take(index);
+        Some((ticket, stream, stream.room_claim(now, is_late_turn)))
     }
 
     /// Removes and returns the streams that can't begin before their deadline, or would
@@ -260,6 +268,15 @@
         self.waiting.is_empty()
     }
 
+    /// Whether any waiting stream's claim satisfies `condition`.
+    pub(super) fn has_any<Condition>(&self, now: MonoTime, condition: Condition) -> bool
+    where
+        Condition: Fn(RoomClaim) -> bool,
+    {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|(_, stream)| condition(stream.room_claim(now, false)))
+    }
+
     /// Records that streams still wait after all engines with room were assigned.
     pub(super) fn record_full(&mut self, now: MonoTime) {
         self.last_full_at = Some(now);
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -18,7 +18,7 @@
 use super::{
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey, EndpointStats, EndpointTable},
-    overload::StreamSize,
+    overload::RoomClaim,
     rollout::VersionLimit,
 };
 
@@ -213,14 +213,14 @@
         now: MonoTime,
         table: &EndpointTable,
         service: &ServiceName,
-        size: StreamSize,
+        claim: RoomClaim,
     ) -> Option<EndpointKey> {
         let open = table.open(now, service);
         let free = open.filter(|it| {
-            it.has_room(now, size) == Some(true) && !table.is_suspended(now, &it.entry.key)
+            it.has_room(now, claim) == Some(true) && !table.is_suspended(now, &it.entry.key)
         });
         let costs = free.map(|stats| {
-            let cost = self.stream_placement_cost(now, table, stats, size.prompt);
+            let cost = self.stream_placement_cost(now, table, stats, claim.size.prompt);
             (cost, &stats.entry.key)
         });
         let cheapest = costs.min_by_key(|(cost, _)| *cost);
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -69,7 +69,7 @@
             return Room::Free;
         }
         self.traffic
-            .room(service, &choice.endpoint.key, self.stream_size())
+            .room(service, &choice.endpoint.key, self.room_claim())
     }
 
     /// Finds an endpoint for the request, which may have to wait for room there.
@@ -88,11 +88,10 @@
         let snapshot = traffic.snapshot();
         let now = traffic.now();
         let spec = &self.job.spec;
-        let size = self.stream_size();
         let version = self.version_limit(&snapshot, excluded);
         let may_copy = self.job.has_backups
             && spec.repeat.is_stream()
-            && !traffic.are_copies_unaffordable(&spec.service, size);
+            && !traffic.are_copies_unaffordable(&spec.service, self.room_claim());
         let criteria = SelectionCriteria {
             service: &spec.service,
             excluded,
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -4,8 +4,8 @@
 
 use parsleylatch_decide::relay::{
     Assignment, Choice, EndpointKey, ExchangeEffect, ExchangeInput, QueueRejection, QueuedStream,
-    RefusalReason, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize, is_restart_hopeless,
-    retry_delay,
+    RefusalReason, RoomClaim, STOPPING_RETRY_AFTER_MS, SelectionCriteria, StreamSize,
+    is_restart_hopeless, retry_delay,
 };
 use parsleylatch_types::{ByteCount, Millis};
 
@@ -26,6 +26,15 @@
         }
     }
 
+    /// Room that an engine must have for the stream.
+    pub(super) fn room_claim(&self) -> RoomClaim {
+        RoomClaim {
+            size: self.stream_size(),
+            rank_class: self.job.rank_class,
+            is_late: false,
+        }
+    }
+
     /// Whether the next attempt may have to wait for an engine: its prompt has to be read
     /// from the start, and its caller has received no event.
     pub(super) fn is_queueable(&self, has_copy: bool) -> bool {
@@ -62,6 +71,7 @@
             goal_at: self.started_at + spec.goal_ms,
             deadline: spec.deadline,
             size,
+            rank_class: self.job.rank_class,
             body_bytes: ByteCount::new(self.job.body.len() as u64),
         };
         let metrics = &self.traffic.shared.metrics;
@@ -145,7 +155,7 @@
             prompt_holder: None,
             prompt: spec.prompt,
             with_backup: self.job.has_backups
-                && !traffic.are_copies_unaffordable(&spec.service, self.stream_size()),
+                && !traffic.are_copies_unaffordable(&spec.service, self.room_claim()),
             version: version.as_ref(),
         };
         traffic.selector().choose(
--- a/crates/relay/src/traffic/job.rs
+++ b/crates/relay/src/traffic/job.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, uri::PathAndQuery};
-use parsleylatch_decide::relay::{EndpointKey, ExchangeSpec, RelayRoute, RelayWorkspace};
+use parsleylatch_decide::relay::{
+    EndpointKey, ExchangeSpec, RankClass, RelayRoute, RelayWorkspace,
+};
 use parsleylatch_types::Revision;
 
 use super::connection_activity::CallerPresence;
@@ -24,6 +26,8 @@
     pub(crate) _body_memory: Reservation,
     pub(crate) route: Arc<RelayRoute>,
     pub(crate) workspace: Option<Arc<RelayWorkspace>>,
+    /// Class of the rank of a stream.
+    pub(crate) rank_class: RankClass,
     pub(crate) has_backups: bool,
     /// Idle connections that this thread may keep to one endpoint.
     pub(crate) idle_connection_limit: usize,
--- a/crates/relay/src/traffic/request_handler.rs
+++ b/crates/relay/src/traffic/request_handler.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use parsleylatch_decide::relay::{
-    Backend, CallerLimits, ExchangeSpec, RefusalReason, RelayConfiguration, RelayRoute,
+    Backend, CallerLimits, ExchangeSpec, RankClass, RefusalReason, RelayConfiguration, RelayRoute,
     RelayWorkspace, RepeatPolicy, StreamSize, retry_delay,
 };
 use parsleylatch_http::ReceivedBody;
@@ -204,6 +204,12 @@
     let rules = configuration.service(&service);
     let has_backups = rules.is_some_and(|it| it.has_backups);
     let idle_connection_limit = rules.map_or(1, |it| traffic.idle_connection_limit(it));
+    let rank = workspace.as_ref().and_then(|it| it.rank);
+    let rank = rank.unwrap_or(route.rank);
+    let rank_class = match shared.settings.load().overload.rank_reserve {
+        true => configuration.rank_class(&service, rank),
+        false => RankClass::Only,
+    };
     let timeout_ms = metadata
         .timeout_ms
         .map_or(route.timeout_ms, |it| it.min(route.timeout_ms));
@@ -238,6 +244,7 @@
         _body_memory: body_memory,
         route: Arc::clone(route),
         workspace,
+        rank_class,
         has_backups,
         idle_connection_limit,
         spec,
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -9,7 +9,7 @@
 
 use parsleylatch_decide::relay::{
     EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable, Notice, RetryKind, RetryWindow,
-    Room, Selector, ServiceRules, StreamSize, is_copy_unaffordable, room,
+    Room, RoomClaim, Selector, ServiceRules, is_copy_unaffordable, room,
 };
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
@@ -103,19 +103,19 @@
     }
 
     /// What is known about the room of the engine `key` for one more stream.
-    pub(crate) fn room(&self, service: &ServiceName, key: &EndpointKey, size: StreamSize) -> Room {
+    pub(crate) fn room(&self, service: &ServiceName, key: &EndpointKey, claim: RoomClaim) -> Room {
         let queues = self.placement_queues.borrow();
         let queue = queues.get(service).map(ServiceQueue::queue);
         let table = self.endpoint_table.borrow();
         let threads = self.cluster_traffic_threads();
-        room(self.now(), &table, queue, service, key, size, threads)
+        room(self.now(), &table, queue, service, key, claim, threads)
     }
 
     /// Whether copies of the memory of runs would take memory from other runs.
-    pub(crate) fn are_copies_unaffordable(&self, service: &ServiceName, size: StreamSize) -> bool {
+    pub(crate) fn are_copies_unaffordable(&self, service: &ServiceName, claim: RoomClaim) -> bool {
         let threads = self.cluster_traffic_threads();
         let own = self.endpoint_table.borrow().own_streams(service);
-        self.is_overloaded(service) || is_copy_unaffordable(own, threads, size)
+        is_copy_unaffordable(own, threads, claim, self.is_overloaded(service))
     }
 
     /// Whether streams of a service find no engine with room, or found none a short
