--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -19,7 +19,7 @@
     copy::MemoryCopy,
     endpoint_table::{EndpointEntry, EndpointKey, EndpointStats, EndpointTable},
     locality::{Binding, Border, CrossingCosts, Distance, Locality, Readiness, domain_loads},
-    overload::StreamSize,
+    overload::{RoomClaim, StreamSize},
     rollout::VersionLimit,
 };
 
@@ -260,14 +260,14 @@
         now: MonoTime,
         table: &EndpointTable,
         service: &ServiceName,
-        size: StreamSize,
+        claim: RoomClaim,
     ) -> Option<EndpointKey> {
         let open = table.open(now, service);
         let free = open.filter(|it| {
-            it.has_room(now, size) == Some(true) && !table.is_suspended(now, &it.entry.key)
+            it.has_room(now, claim) == Some(true) && !table.is_suspended(now, &it.entry.key)
         });
         let costs = free.map(|stats| {
-            let cost = self.stream_placement_cost(now, table, stats, size.prompt);
+            let cost = self.stream_placement_cost(now, table, stats, claim.size.prompt);
             (cost, &stats.entry.key)
         });
         let cheapest = costs.min_by_key(|(cost, _)| *cost);
@@ -404,7 +404,7 @@
             prompt: criteria.prompt,
             output: TokenCount::ZERO,
         };
-        let has_room = !is_stream || stats.has_room(now, size) != Some(false);
+        let has_room = !is_stream || stats.has_room(now, RoomClaim::from(size)) != Some(false);
         let load = load_cost(now, stats, is_stream);
         if !has_room || locality.patience(service).is_some_and(|it| load > it) {
             return Readiness::Late;
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -70,7 +70,7 @@
             return Room::Free;
         }
         self.traffic
-            .room(service, &choice.endpoint.key, self.stream_size())
+            .room(service, &choice.endpoint.key, self.room_claim())
     }
 
     /// Finds an endpoint for the request, which may have to wait for room there.
@@ -89,11 +89,10 @@
         let snapshot = traffic.snapshot();
         let now = traffic.now();
         let spec = &self.job.spec;
-        let size = self.stream_size();
         let version = self.version_limit(&snapshot, excluded);
         let may_copy = self.job.has_backups
             && spec.repeat.is_stream()
-            && !traffic.are_copies_unaffordable(&spec.service, size);
+            && !traffic.are_copies_unaffordable(&spec.service, self.room_claim());
         if excluded.is_empty() {
             let goal_at = self.started_at + spec.goal_ms;
             locality::record_demand(traffic, &spec.service, goal_at.since(now));
