--- a/crates/decide/tests/locality/model.rs
+++ b/crates/decide/tests/locality/model.rs
@@ -526,6 +526,7 @@
         let load = LoadSample {
             running: at.running as u32,
             waiting: at.waiting.len() as u32,
+            ..LoadSample::default()
         };
         let delay_ms = self.way_ms(call, endpoint) + self.scenario.report_lag_ms;
         self.after(delay_ms, call, endpoint, EventKind::Reported(load));
--- a/crates/decide/tests/locality/placement.rs
+++ b/crates/decide/tests/locality/placement.rs
@@ -71,6 +71,7 @@
         let load = LoadSample {
             running: 0,
             waiting: 0,
+            ..LoadSample::default()
         };
         table.record_load(at(0), &entry.key, load);
     }
@@ -176,7 +177,11 @@
         for entry in &known.entries {
             let is_own = entry.failure_domain.to_string() == "a";
             let load = LoadSample {
-                running: if is_own { running } else { 0 },
+                running: if is_own {
+                    running..LoadSample::default()
+                } else {
+                    0
+                },
                 waiting: if is_own { waiting } else { 0 },
             };
             known.table.record_load(now, &entry.key, load);
--- a/crates/decide/tests/pace/model.rs
+++ b/crates/decide/tests/pace/model.rs
@@ -174,6 +174,7 @@
         .map(|it| NodeLocation {
             id: format!("n-{it}").parse().unwrap(),
             region: Some("r".parse().unwrap()),
+            failure_domain: None,
         })
         .collect();
     let entries: Vec<_> = (0..ENDPOINTS)
