--- a/crates/decide/tests/locality/placement.rs
+++ b/crates/decide/tests/locality/placement.rs
@@ -177,12 +177,9 @@
         for entry in &known.entries {
             let is_own = entry.failure_domain.to_string() == "a";
             let load = LoadSample {
-                running: if is_own {
-                    running..LoadSample::default()
-                } else {
-                    0
-                },
+                running: if is_own { running } else { 0 },
                 waiting: if is_own { waiting } else { 0 },
+                ..LoadSample::default()
             };
             known.table.record_load(now, &entry.key, load);
         }
