Overload: decisions on calls to a crowded service

Cause: calls are sent at once, whatever the load of their service. At several times its capacity the queues of all endpoints are full, so that every call takes as long as its goal allows, and rejections use up the retry budget.

Change: CallAdmission decides whether a call is sent, waits for a moment or is refused at once, and picks the endpoint with the shortest predicted response time. Predictions come from the loads that responses report. CallLimit (chart call_limit) refuses a share of the calls while queues are long; CallQueue orders the calls that every endpoint has just rejected. The exchange tells which endpoints only rejected a request, and the selector what the network and failures add. Nothing uses the decisions yet.

--- a/crates/decide/src/charts.rs
+++ b/crates/decide/src/charts.rs
@@ -26,6 +26,7 @@
 pub(crate) const ADMISSION: ChartSource = chart_source!("admission");
 pub(crate) const ATTEMPT: ChartSource = chart_source!("attempt");
 pub(crate) const CALL: ChartSource = chart_source!("call");
+pub(crate) const CALL_LIMIT: ChartSource = chart_source!("call_limit");
 pub(crate) const CALLER_PLACE: ChartSource = chart_source!("caller_place");
 pub(crate) const CLAIM_SETTLEMENT: ChartSource = chart_source!("claim_settlement");
 pub(crate) const CONFIGURATION: ChartSource = chart_source!("configuration");
@@ -54,6 +55,7 @@
     ADMISSION,
     ATTEMPT,
     CALL,
+    CALL_LIMIT,
     CALLER_PLACE,
     CLAIM_SETTLEMENT,
     CONFIGURATION,
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -68,6 +68,8 @@
     pub(super) failed: Vec<EndpointKey>,
     /// Endpoints among the failed ones that were merely silent.
     pub(super) silent: Vec<EndpointKey>,
+    /// Endpoints among the failed ones that rejected the request.
+    pub(super) rejected: Vec<EndpointKey>,
     /// Whether the request has left an endpoint that was merely silent.
     pub(super) has_left_silent: bool,
     /// Endpoint of the running attempt.
@@ -307,6 +309,10 @@
         if may_answer || self.leaving_for == LeaveReason::Unanswered {
             self.silent.push(left.key.clone());
         }
+        self.rejected.retain(|it| *it != left.key);
+        if self.leaving_for == LeaveReason::Rejected {
+            self.rejected.push(left.key.clone());
+        }
         self.failed.push(left.key.clone());
     }
 
--- a/crates/decide/src/relay/exchange/mod.rs
+++ b/crates/decide/src/relay/exchange/mod.rs
@@ -215,6 +215,7 @@
             not_run_attempts: 0,
             failed: Vec::new(),
             silent: Vec::new(),
+            rejected: Vec::new(),
             has_left_silent: false,
             running: None,
             leaving_for: LeaveReason::Overdue,
@@ -262,6 +263,16 @@
         &self.context.failed
     }
 
+    /// Endpoints among the excluded ones that only rejected the request, and may take it later.
+    pub fn rejected_endpoints(&self) -> &[EndpointKey] {
+        &self.context.rejected
+    }
+
+    /// Whether an endpoint has received the request.
+    pub fn has_been_sent(&self) -> bool {
+        self.context.runs > 0 || self.context.not_run_attempts > 0
+    }
+
     /// Why the request left its last endpoint; `None` if it has left none.
     pub fn left_for(&self) -> Option<LeaveReason> {
         self.context.left_for
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -53,7 +53,8 @@
 };
 pub use memory_plan::MemoryPlan;
 pub use overload::{
-    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
+    Assignment, CallAdmission, CallLimit, CallLimitState, CallPlan, CallQueue, CallTicket,
+    EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedCall, QueuedStream,
     Room, StreamDurations, StreamSize, TrafficLoad, TrafficLoadState, TrafficTurn, assign_engines,
     is_copy_unaffordable, is_hopeless, is_restart_hopeless, may_be_full, retry_delay, room,
 };
@@ -77,6 +78,6 @@
     endpoint_notice::verify_chart()?;
     exchange::verify_chart()?;
     life::verify_chart()?;
-    overload::verify_chart()?;
+    overload::verify_charts()?;
     source::verify_chart()
 }
--- a/crates/decide/src/relay/overload/mod.rs
+++ b/crates/decide/src/relay/overload/mod.rs
@@ -21,10 +21,16 @@
 //!   pattern: a planned stop of a node while the engines are full.
 //! - [`retry_delay`] spreads the callers that are rejected over the time at which they
 //!   can be served. Load pattern: callers that return all at once.
+//! - [`CallAdmission`] decides whether a call is sent, waits or is refused, and which endpoint it
+//!   is sent to. Load pattern: calls of many nodes that fill the queues of a few endpoints.
 //! - [`TrafficLoad`] refuses new requests while the thread that relays them can't keep up.
 //!   Load pattern: few nodes are left and get the traffic of all.
 
 mod assignment;
+mod call_admission;
+mod call_limit;
+mod call_load;
+mod call_queue;
 mod engine_load;
 mod hopeless;
 mod pressure;
@@ -34,11 +40,20 @@
 mod traffic_load;
 
 pub use assignment::{Assignment, Room, assign_engines, room};
+pub use call_admission::{CallAdmission, CallPlan};
+pub use call_limit::{CallLimit, CallLimitState};
+pub use call_queue::{CallQueue, CallTicket, QueuedCall};
 pub use engine_load::{EngineLoad, StreamSize};
 pub use hopeless::{is_hopeless, is_restart_hopeless};
 pub use pressure::{OwnStreams, is_copy_unaffordable, may_be_full};
 pub use queue::{PlacementQueue, QueueRejection, QueueTicket, QueuedStream};
 pub use retry_delay::retry_delay;
 pub use stream_duration::StreamDurations;
-pub(crate) use traffic_load::verify_chart;
 pub use traffic_load::{TrafficLoad, TrafficLoadState, TrafficTurn};
+
+use parsleylatch_chart::ChartError;
+
+pub(crate) fn verify_charts() -> Result<(), ChartError> {
+    call_limit::verify_chart()?;
+    traffic_load::verify_chart()
+}
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -227,6 +227,29 @@
         cheapest.map(|(_, key)| key.clone())
     }
 
+    /// Endpoints that may get a call, each with the delay that the network and its failures are
+    /// expected to add, and a random part of up to `jitter`.
+    pub(crate) fn call_delays(
+        &mut self,
+        now: MonoTime,
+        table: &EndpointTable,
+        criteria: &SelectionCriteria<'_>,
+        jitter: Micros,
+    ) -> Vec<(Micros, EndpointKey)> {
+        let open = table.open(now, criteria.service);
+        let allowed = open
+            .filter(|it| !criteria.excluded.contains(&it.entry.key) && criteria.allows(&it.entry));
+        allowed
+            .map(|stats| {
+                let delay = self.round_trip(&stats.entry.failure_domain).get()
+                    + failure_penalty(now, table, stats)
+                    + failure_rate_cost(now, stats)
+                    + self.random.random_range(0..=jitter.get());
+                (Micros::new(delay), stats.entry.key.clone())
+            })
+            .collect()
+    }
+
     /// Endpoints of a service in this node's region, at most `limit`.
     pub fn in_own_region(
         &self,
