Relay: calls under load by the setting calls_queue

Cause: the decisions on calls to a crowded service were not used.

Change: with "overload": {"calls_queue": true}, calls are planned by CallAdmission, one per service and traffic thread. A call that every endpoint has just rejected waits in the state queued of the exchange, for at most an eighth of its goal; others are refused at once, not run, with a spread Retry-After. A rejection that reports a load is no failure of its endpoint, and an idempotent call stays at an endpoint whose load explains its delay. Counters calls_queued, calls_shed and calls_hopeless, histogram call_queue_wait_ms, lines "limit on calls" and "endpoints are full". Without the setting, during a roll-out of the service and without reports, calls are sent as before.

--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -62,6 +62,12 @@
     StreamsQueued,
     /// Streams rejected because too many waited already.
     StreamsRejected,
+    /// Calls that had to wait because all endpoints of their service were full.
+    CallsQueued,
+    /// Calls refused because no endpoint could answer before their deadline.
+    CallsHopeless,
+    /// Calls refused because their service was crowded.
+    CallsShed,
     /// Streams delivered completely.
     StreamsFinished,
     /// Streams aborted before their end.
@@ -135,6 +141,8 @@
     OnceOnlyCall,
     /// Wait of a stream for an engine with room.
     QueueWait,
+    /// Wait of a call for an endpoint that is not full.
+    CallQueueWait,
     /// Duration of a call to the store.
     StoreCall,
     /// How late a traffic thread comes to a periodic turn.
--- a/crates/relay/src/traffic/exchange/effects.rs
+++ b/crates/relay/src/traffic/exchange/effects.rs
@@ -12,6 +12,7 @@
     traffic::{
         attempt::Attempt,
         body::{RelayBody, StreamPart},
+        call_queue,
         copy_monitor::CopyMonitor,
         engine, responses,
         state::connection_key,
@@ -32,6 +33,7 @@
             .endpoint_table
             .borrow_mut()
             .record_start(&key, self.job.spec.prompt);
+        call_queue::record_sent(&self.traffic, &self.job.spec.service, &key);
         if self.job.spec.repeat.is_stream() {
             let size = self.stream_size();
             let mut table = self.traffic.endpoint_table.borrow_mut();
@@ -206,6 +208,7 @@
             knowledge_age_ms = traffic.shared.confirmed_age().millis().get();
             "request refused"
         );
+        let retry_after_ms = self.spread_retry_after(reason, retry_after_ms);
         self.reply(responses::refused(reason, not_run, retry_after_ms));
     }
 
--- a/crates/relay/src/traffic/exchange/inputs.rs
+++ b/crates/relay/src/traffic/exchange/inputs.rs
@@ -191,6 +191,7 @@
             ResponseClass::Final
         };
         let class = self.exchange.classify(class);
+        self.record_call_response(&response.metadata, class);
         if responses::promises_not_run(status) {
             // Its body is not forwarded.
             response.rest = None;
@@ -206,6 +207,7 @@
                 let outcome = match response.metadata.is_misdirected {
                     true => Outcome::Replaced,
                     false if self.has_copy() => Outcome::Abandoned,
+                    false if self.is_full(&response.metadata) => Outcome::Abandoned,
                     false => Outcome::Rejected,
                 };
                 self.record_failure(outcome, status.as_str());
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Driver of one exchange in a traffic thread: waits for events, passes them to the
 //! decisions and executes their effects.
 
+mod call_limits;
 mod effects;
 mod inputs;
 mod placement;
@@ -14,8 +15,8 @@
 use parsleylatch_decide::{
     moves::FULL_SHARE,
     relay::{
-        Assignment, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput, ExchangeState,
-        LeaveReason, MemoryCopy, NextStep, Outcome, ResponseClass,
+        Assignment, CallPlan, Choice, EndpointKey, Exchange, ExchangeEffect, ExchangeInput,
+        ExchangeState, LeaveReason, MemoryCopy, NextStep, Outcome, ResponseClass,
     },
 };
 use parsleylatch_http::RawEvent;
@@ -26,6 +27,7 @@
     attempt::{Attempt, AttemptEvent, EndpointResponse, ResponseHead},
     body::{RelayBody, StreamPart},
     byte_window::ByteWindow,
+    call_queue::CallSlot,
     copy_monitor::CopyMonitor,
     engine::ProbeResult,
     job::Job,
@@ -73,6 +75,8 @@
         queue_slot: None,
         queued_at: now,
         bypasses_queue: false,
+        call_slot: None,
+        call_waits_since: None,
         is_stopping: false,
     };
     driver.run(effects).await;
@@ -165,6 +169,10 @@
     queued_at: MonoTime,
     /// Whether the next attempt is sent even if all engines are full.
     bypasses_queue: bool,
+    /// Place in the queue for an endpoint that is not full.
+    call_slot: Option<CallSlot>,
+    /// When the call first had to wait.
+    call_waits_since: Option<MonoTime>,
     /// Whether a planned stop of the process has begun.
     is_stopping: bool,
 }
@@ -176,6 +184,7 @@
     Candidate(ProbeResult),
     Copy(Option<MemoryCopy>),
     Assigned(Assignment),
+    Planned(CallPlan),
     Stopping,
     CallerGone,
     Deadline,
@@ -203,6 +212,7 @@
         let (attempt, probe) = (&mut self.attempt, &mut self.probe);
         let candidate = self.candidate.as_mut().map(|it| &mut it.probe);
         let (copy_monitor, queue_slot) = (&mut self.copy_monitor, &mut self.queue_slot);
+        let call_slot = &mut self.call_slot;
         tokio::select! {
             biased;
             event = next_event(attempt) => Wake::Attempt(event),
@@ -211,6 +221,7 @@
             copy = copy_monitor.next() => Wake::Copy(copy),
             () = self.caller.closed() => Wake::CallerGone,
             assignment = next_assignment(queue_slot) => Wake::Assigned(assignment),
+            plan = next_plan(call_slot) => Wake::Planned(plan),
             () = self.traffic.shared.clock.sleep_until(Some(deadline)) => Wake::Deadline,
         }
     }
@@ -235,6 +246,7 @@
                 }
                 Vec::new()
             }
+            Wake::Planned(plan) => self.handle_call_plan(plan),
             Wake::Assigned(assignment) => self.handle_assignment(&assignment),
             Wake::Stopping => {
                 self.is_stopping = true;
@@ -281,7 +293,7 @@
             };
             return self.exchange.expire(now, was_paused, next);
         }
-        if self.is_delay_explained(now) {
+        if self.is_delay_explained(now) || self.is_call_delay_explained(now) {
             return self.exchange.expire(now, was_paused, NextStep::Stay);
         }
         let reason = match self.is_probing() {
@@ -361,6 +373,13 @@
     }
 }
 
+async fn next_plan(call_slot: &mut Option<CallSlot>) -> CallPlan {
+    match call_slot {
+        Some(call_slot) => call_slot.planned().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn next_probe(probe: Option<&mut oneshot::Receiver<ProbeResult>>) -> ProbeResult {
     match probe {
         Some(probe) => probe.await.unwrap_or_default(),
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -10,7 +10,7 @@
     Choice, EndpointKey, ExchangeEffect, ExchangeInput, LeaveReason, MemoryCopy, NextStep, Outcome,
     RefusalReason, Room, SelectionCriteria, VersionLimit, is_hopeless, return_delay,
 };
-use parsleylatch_types::{MonoTime, PromptPartId};
+use parsleylatch_types::{Micros, MonoTime, PromptPartId};
 use strum::Display;
 
 use super::{Candidate, ExchangeDriver};
@@ -37,6 +37,12 @@
     Hopeless,
     /// The engines are full.
     Full,
+    /// Every endpoint has just rejected a call.
+    EndpointsFull,
+    /// The service is crowded; the caller may return after the time.
+    Crowded(Micros),
+    /// No endpoint is predicted to answer the call, which takes the time, before the deadline.
+    Unanswerable(Micros),
     /// The endpoint has failed a short time ago.
     Suspended,
     /// The endpoint has not shown yet that it answers.
@@ -102,6 +108,11 @@
             with_backup: may_copy,
             version: version.as_ref(),
         };
+        if self.is_limited_call()
+            && let Some(choice) = self.plan_call(&criteria)?
+        {
+            return Ok(choice);
+        }
         let choice = traffic
             .selector()
             .select(now, &traffic.endpoint_table.borrow(), &criteria);
@@ -133,6 +144,9 @@
             Err(PlaceRefusal::Stopping) => self.refuse_stopping(),
             Err(PlaceRefusal::Hopeless) => self.refuse_hopeless(),
             Err(PlaceRefusal::Full) => self.enter_queue(),
+            Err(PlaceRefusal::EndpointsFull) => self.enter_call_queue(),
+            Err(PlaceRefusal::Crowded(wait)) => self.refuse_crowded(wait),
+            Err(PlaceRefusal::Unanswerable(wait)) => self.refuse_unanswerable(wait),
             Err(
                 PlaceRefusal::NoEndpoint
                 | PlaceRefusal::Suspended
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -131,7 +131,7 @@
         self.exchange.handle(now, input)
     }
 
-    fn choose_assigned(&self, key: &EndpointKey) -> Option<Choice> {
+    pub(super) fn choose_assigned(&self, key: &EndpointKey) -> Option<Choice> {
         let traffic = Rc::clone(&self.traffic);
         let snapshot = traffic.snapshot();
         let spec = &self.job.spec;
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod body;
 mod byte_window;
+mod call_queue;
 mod caller_connection;
 mod connection_activity;
 mod connection_timer;
--- a/crates/relay/src/traffic/state.rs
+++ b/crates/relay/src/traffic/state.rs
@@ -14,7 +14,10 @@
 use parsleylatch_endpoint::{ConnectionKey, ConnectionPool, OpenConnection};
 use parsleylatch_types::{Millis, MonoTime, ServiceName};
 
-use super::{holder_query::HolderQuery, placement_queue::ServiceQueue, turns::Turns};
+use super::{
+    call_queue::ServiceCalls, holder_query::HolderQuery, placement_queue::ServiceQueue,
+    turns::Turns,
+};
 use crate::{
     codec::ResponseMetadata,
     shared::{Shared, Snapshot},
@@ -30,6 +33,7 @@
     retry_windows: RefCell<HashMap<ServiceName, RetryWindow>>,
     pub(crate) holder_queries: RefCell<HashMap<ServiceName, Rc<HolderQuery>>>,
     pub(crate) placement_queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
+    pub(crate) service_calls: RefCell<HashMap<ServiceName, ServiceCalls>>,
     pub(crate) turns: Turns,
     seen_sequence: Cell<u64>,
 }
@@ -59,6 +63,7 @@
             retry_windows: RefCell::default(),
             holder_queries: RefCell::default(),
             placement_queues: RefCell::default(),
+            service_calls: RefCell::default(),
             seen_sequence: Cell::new(0),
         }
     }
