--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -64,7 +64,8 @@
 };
 pub use memory_plan::MemoryPlan;
 pub use overload::{
-    Assignment, EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedStream,
+    Assignment, CallAdmission, CallLimit, CallLimitState, CallPlan, CallQueue, CallTicket,
+    EngineLoad, OwnStreams, PlacementQueue, QueueRejection, QueueTicket, QueuedCall, QueuedStream,
     RankClass, Room, RoomClaim, StreamDurations, StreamSize, TrafficLoad, TrafficLoadState,
     TrafficTurn, assign_engines, is_copy_unaffordable, is_hopeless, is_restart_hopeless,
     may_be_full, retry_delay, room,
@@ -91,6 +92,6 @@
     exchange::verify_chart()?;
     life::verify_chart()?;
     locality::verify_chart()?;
-    overload::verify_chart()?;
+    overload::verify_charts()?;
     source::verify_chart()
 }
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -77,6 +77,13 @@
     pub pause: Option<Result<Millis, String>>,
 }
 
+impl ResponseMetadata {
+    /// Load of the endpoint, if it is reported and can be read.
+    pub(crate) fn usable_load(&self) -> Option<LoadSample> {
+        self.load.as_ref().and_then(|it| it.as_ref().ok()).copied()
+    }
+}
+
 /// Reads the headers of callers' requests and writes those of forwarded requests.
 #[derive(Clone, Copy)]
 pub struct RequestCodec {
