--- a/crates/bench/src/failover.rs
+++ b/crates/bench/src/failover.rs
@@ -433,7 +433,7 @@
         )
         .await?;
     ensure!(
-        written.written,
+        written.reply.written,
         "store rejected the template: key `templates/bench-fixed` already exists"
     );
     // Nodes apply the template within seconds and refuse callers of the workspace until then.
--- a/crates/bench/src/group_commit.rs
+++ b/crates/bench/src/group_commit.rs
@@ -93,7 +93,7 @@
             retained.pop_front();
         }
         let value = retained.make_contiguous().join("\n");
-        let reply = client.write(&key, value, condition, None).await?;
+        let reply = client.write(&key, value, condition, None).await?.reply;
         ensure!(reply.written, "slot {key} was modified by another writer");
         if let Some(entry) = reply.entry {
             condition = Condition::At(entry.revision);
--- a/crates/decide/src/call/once_only.rs
+++ b/crates/decide/src/call/once_only.rs
@@ -59,6 +59,8 @@
         ClaimFound,
         /// There is no claim.
         ClaimAbsent,
+        /// An earlier claim of the request may be missing from a restored store.
+        ClaimLost,
         /// The claim may or may not have been written.
         ClaimUnclear,
         /// The store did not answer a read, or rejected a write.
@@ -98,6 +100,9 @@
     ClaimFound(StoredClaim),
     /// There is no claim.
     ClaimAbsent,
+    /// The store holds no other claim, but it was restored since the id was made, so an
+    /// earlier claim may be missing. Has the revision of the new claim if it was written.
+    ClaimLost(Option<Revision>),
     /// The claim may or may not have been written.
     ClaimUnclear,
     /// The store did not answer a read, or rejected a write.
@@ -370,6 +375,11 @@
                 self.condition = ClaimCondition::Absent;
                 CallEvent::ClaimAbsent
             }
+            CallInput::ClaimLost(written) => {
+                self.condition = ClaimCondition::Absent;
+                self.confirmed_revision = written;
+                CallEvent::ClaimLost
+            }
             CallInput::ClaimUnclear => CallEvent::ClaimUnclear,
             CallInput::StoreFailed => CallEvent::StoreFailed,
             CallInput::Answered(answer) => {
--- a/crates/decide/src/call/settlement.rs
+++ b/crates/decide/src/call/settlement.rs
@@ -40,6 +40,8 @@
         Found,
         /// The key does not exist.
         Absent,
+        /// The key does not exist, as the store was restored since the claim was made.
+        Lost,
         /// The write may or may not have taken effect.
         Unclear,
         /// The store did not answer a read, or rejected the write.
@@ -58,6 +60,8 @@
     Found(StoredClaim),
     /// The key does not exist.
     Absent,
+    /// The key does not exist, as the store was restored since the claim was made.
+    Lost,
     /// The write may or may not have taken effect.
     Unclear,
     /// The store did not answer a read, or rejected the write.
@@ -200,6 +204,7 @@
                 SettlementEvent::Found
             }
             SettlementInput::Absent => SettlementEvent::Absent,
+            SettlementInput::Lost => SettlementEvent::Lost,
             SettlementInput::Unclear => SettlementEvent::Unclear,
             SettlementInput::Failed => SettlementEvent::Failed,
         };
--- a/crates/decide/src/lease_holder.rs
+++ b/crates/decide/src/lease_holder.rs
@@ -4,13 +4,15 @@
 //! monotonic clock, so it never considers the lease valid for longer than the
 //! store does. It calls [`LeaseHolder::fencing_for_send`] right before each command
 //! and gets a fencing number, or none from well before the lease expires. The
-//! fencing number is the store's revision of the claim, which only increases.
+//! fencing number is the store's position of the claim, which only increases: a restored
+//! store issues revisions again, but in a new era. A holder stops when the era changes,
+//! because the copy may lack its lease and another node may acquire it at once.
 //!
 //! Engines that ignore fencing numbers are protected by time: a new holder sends
 //! nothing until the last command of an earlier holder can no longer be in transit.
 
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
-use parsleylatch_types::{FencingNumber, Millis, MonoTime, Revision};
+use parsleylatch_types::{FencingNumber, Millis, MonoTime, StorePosition};
 
 use crate::charts::{self, LazyMachine};
 
@@ -51,6 +53,8 @@
         LeaseExpired,
         /// The timeout of the state has passed.
         TimedOut,
+        /// The store was restored from a copy, which may lack the lease.
+        StoreRestored,
         /// The node is stopping.
         StopRequested,
     }
@@ -63,8 +67,8 @@
     Claimed {
         /// Time of the request.
         requested_at: MonoTime,
-        /// Revision of the claim.
-        revision: Revision,
+        /// Position of the claim in the store.
+        position: StorePosition,
     },
     /// The store refused the claim, or did not respond.
     Refused,
@@ -75,6 +79,8 @@
     },
     /// The store does not know the lease any more.
     LeaseExpired,
+    /// The store was restored from a copy; the lease has to be acquired anew.
+    StoreRestored,
     /// The node is stopping.
     StopRequested,
 }
@@ -96,6 +102,17 @@
     Release,
 }
 
+/// Bits of a fencing number that hold the revision. At 3,200 writes per second they last for
+/// 87 years, and leave room for a million eras.
+const REVISION_BITS: u32 = 43;
+
+/// Fencing number of a claim; larger for each later position.
+fn fencing_of(position: StorePosition) -> FencingNumber {
+    let limit = (1 << REVISION_BITS) - 1;
+    let revision = position.revision.get().min(limit);
+    FencingNumber::new(position.era.get() << REVISION_BITS | revision)
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     fencing: FencingNumber,
@@ -108,7 +125,7 @@
     now: MonoTime,
     requested_at: MonoTime,
     input_requested_at: MonoTime,
-    input_revision: Revision,
+    input_position: StorePosition,
     lease: Option<Lease>,
     effects: Vec<HolderEffect>,
 }
@@ -141,7 +158,7 @@
 
     fn accept_lease(&mut self) {
         self.lease = Some(Lease {
-            fencing: FencingNumber::new(self.input_revision.get()),
+            fencing: fencing_of(self.input_position),
             valid_until: self.requested_at + LEASE_TTL_MS,
             send_allowed_at: self.now + LEASE_TTL_MS + COMMAND_TIMEOUT_MS,
         });
@@ -224,10 +241,10 @@
         let event = match input {
             HolderInput::Claimed {
                 requested_at,
-                revision,
+                position,
             } => {
                 self.context.input_requested_at = requested_at;
-                self.context.input_revision = revision;
+                self.context.input_position = position;
                 HolderEvent::Claimed
             }
             HolderInput::Renewed { requested_at } => {
@@ -236,6 +253,7 @@
             }
             HolderInput::Refused => HolderEvent::Refused,
             HolderInput::LeaseExpired => HolderEvent::LeaseExpired,
+            HolderInput::StoreRestored => HolderEvent::StoreRestored,
             HolderInput::StopRequested => HolderEvent::StopRequested,
         };
         self.context.now = now;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod refusal;
 pub mod relay;
+pub mod store_eras;
 pub mod store_session;
 pub mod verify;
 pub mod version_choice;
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod readers;
 mod registry;
 mod report;
+mod restored_documents;
 mod retry_window;
 mod rollout;
 mod selector;
@@ -60,8 +61,9 @@
 pub use ownership::EndpointOwnership;
 pub use place_limits::{PlaceBound, PlaceLimits};
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
-pub use registry::{Registry, RegistryChange};
+pub use registry::{ListedEntry, RESTORE_GRACE_MS, Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
+pub use restored_documents::{ConfigurationMark, DocumentMark, OrderFinding, judge_order};
 pub use retry_window::{RetryKind, RetryWindow};
 pub use rollout::{
     RolloutEffect, RolloutOrder, RolloutPhase, RolloutStatus, Rollouts, VersionLimit, VersionRule,
--- a/crates/decide/src/relay/readers.rs
+++ b/crates/decide/src/relay/readers.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use parsleylatch_types::{NodeId, Region, Revision};
+use parsleylatch_types::{NodeId, Region, StorePosition};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Largest number of nodes at which every node reads the store. Their watches then
@@ -66,21 +66,21 @@
 /// Recently removed keys, so that other nodes can catch up by changes only.
 #[derive(Debug, Default)]
 pub struct RemovalLog {
-    removals: VecDeque<(Revision, Box<str>)>,
-    /// The log is complete for removals after this revision.
-    kept_after: Revision,
+    removals: VecDeque<(StorePosition, Box<str>)>,
+    /// The log is complete for removals after this position.
+    kept_after: StorePosition,
 }
 
 impl RemovalLog {
-    /// Clears the log after a full listing at a revision.
-    pub fn restart(&mut self, revision: Revision) {
+    /// Clears the log after a full listing at a position.
+    pub fn restart(&mut self, position: StorePosition) {
         self.removals.clear();
-        self.kept_after = revision;
+        self.kept_after = position;
     }
 
-    /// Records a removed key, with the revision at which the removal was observed.
-    pub fn record(&mut self, revision: Revision, key: &str) {
-        self.removals.push_back((revision, key.into()));
+    /// Records a removed key, with the position at which the removal was observed.
+    pub fn record(&mut self, position: StorePosition, key: &str) {
+        self.removals.push_back((position, key.into()));
         if self.removals.len() > REMOVALS_LIMIT
             && let Some((oldest, _)) = self.removals.pop_front()
         {
@@ -88,9 +88,9 @@
         }
     }
 
-    /// Keys removed after a revision; `None` if the log does not reach back that far.
-    pub fn since(&self, revision: Revision) -> Option<impl Iterator<Item = &str>> {
-        let later = self.removals.iter().filter(move |(at, _)| *at > revision);
-        (revision >= self.kept_after).then(|| later.map(|(_, key)| &**key))
+    /// Keys removed after a position; `None` if the log does not reach back that far.
+    pub fn since(&self, position: StorePosition) -> Option<impl Iterator<Item = &str>> {
+        let later = self.removals.iter().filter(move |(at, _)| *at > position);
+        (position >= self.kept_after).then(|| later.map(|(_, key)| &**key))
     }
 }
--- a/crates/decide/src/relay/rollout.rs
+++ b/crates/decide/src/relay/rollout.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, Micros, Millis, MonoTime, MoveId, ParseIdError, Percent, Revision,
-    RouteName, ServiceName, Share, TrialNumber,
+    EndpointId, EndpointVersion, Micros, Millis, MonoTime, MoveId, ParseIdError, Percent,
+    RouteName, ServiceName, Share, StoreEra, StorePosition, TrialNumber,
 };
 use strum::{Display, EnumString};
 
@@ -133,8 +133,8 @@
 pub enum RolloutEffect {
     /// Write the status, unless the store already has the end of this order.
     Record {
-        /// Store revision of the order.
-        order_revision: Revision,
+        /// Store position of the order.
+        order_position: StorePosition,
         /// Status to write.
         status: RolloutStatus,
     },
@@ -143,9 +143,11 @@
 }
 
 struct OrderedRollout {
-    revision: Revision,
+    position: StorePosition,
     order: RolloutOrder,
     move_id: MoveId,
+    /// Phase that was recorded last.
+    phase: Option<RolloutPhase>,
 }
 
 /// Roll-outs known to a node, one per service.
@@ -165,7 +167,7 @@
         }
     }
 
-    /// Applies an order from a store revision. `phase` is the status of this order in the
+    /// Applies an order from a store position. `phase` is the status of this order in the
     /// store. The order holds whether or not endpoints of any version are listed: they may
     /// have lapsed, and their versions are compared with the target once they are back.
     ///
@@ -174,16 +176,16 @@
     pub fn apply_order(
         &mut self,
         now: MonoTime,
-        revision: Revision,
+        position: StorePosition,
         order: RolloutOrder,
         exposure_limit: ExposureLimit,
         phase: Option<RolloutPhase>,
     ) -> Result<Vec<RolloutEffect>, ParseIdError> {
         let known = self.ordered.get(&order.service);
-        if known.is_some_and(|known| known.revision >= revision) {
+        if known.is_some_and(|known| known.position >= position) {
             return Ok(Vec::new());
         }
-        let plan = plan(revision, &order, exposure_limit)?;
+        let plan = plan(position, &order, exposure_limit)?;
         let move_id = plan.id.clone();
         let mut effects = Vec::new();
         if let Some(end) = phase.and_then(recorded_end) {
@@ -197,9 +199,10 @@
         self.ordered.insert(
             service,
             OrderedRollout {
-                revision,
+                position,
                 order,
                 move_id,
+                phase,
             },
         );
         let template = MoveInput::Template {
@@ -210,6 +213,28 @@
         Ok(self.translate(effects))
     }
 
+    /// Records the position of the order in force in a store that was restored. The roll-out
+    /// goes on as it was.
+    pub fn move_order(&mut self, service: &ServiceName, position: StorePosition) {
+        if let Some(ordered) = self.ordered.get_mut(service) {
+            ordered.position = ordered.position.max(position);
+        }
+    }
+
+    /// Effect that writes the phase of the order in force again, for a store that has lost
+    /// it; `None` if no phase was recorded.
+    pub fn record_again(&self, service: &ServiceName) -> Option<RolloutEffect> {
+        let ordered = self.ordered.get(service)?;
+        Some(ordered.record(ordered.phase?))
+    }
+
+    /// Final status of the order in force, if it has ended.
+    pub fn end_of(&self, service: &ServiceName) -> Option<RolloutStatus> {
+        let ordered = self.ordered.get(service)?;
+        let phase = ordered.phase.filter(|it| *it != RolloutPhase::Running)?;
+        Some(ordered.status(phase))
+    }
+
     /// Applies the stored status of a service's current order.
     pub fn apply_phase(
         &mut self,
@@ -217,9 +242,11 @@
         service: &ServiceName,
         phase: RolloutPhase,
     ) -> Vec<RolloutEffect> {
-        let (Some(ordered), Some(end)) = (self.ordered.get(service), recorded_end(phase)) else {
+        let (Some(ordered), Some(end)) = (self.ordered.get_mut(service), recorded_end(phase))
+        else {
             return Vec::new();
         };
+        ordered.phase = Some(phase);
         let move_id = ordered.move_id.clone();
         let effects = self.table.handle(now, MoveInput::Recorded { move_id, end });
         self.translate(effects)
@@ -281,12 +308,12 @@
         &mut self,
         now: MonoTime,
         service: &ServiceName,
-        order_revision: Revision,
+        order_position: StorePosition,
         elapsed_ms: Millis,
         evidence: &MoveEvidence,
     ) -> Vec<RolloutEffect> {
         let ordered = self.ordered.get(service);
-        let Some(ordered) = ordered.filter(|it| it.revision == order_revision) else {
+        let Some(ordered) = ordered.filter(|it| it.position == order_position) else {
             return Vec::new();
         };
         let move_id = ordered.move_id.clone();
@@ -299,9 +326,12 @@
         self.translate(effects)
     }
 
-    /// Evidence on the open orders: service, store revision of the order, time since
+    /// Evidence on the open orders: service, store position of the order, time since
     /// the order was first seen, evidence.
-    pub fn evidence(&self, now: MonoTime) -> Vec<(&ServiceName, Revision, Millis, &MoveEvidence)> {
+    pub fn evidence(
+        &self,
+        now: MonoTime,
+    ) -> Vec<(&ServiceName, StorePosition, Millis, &MoveEvidence)> {
         let elapsed: BTreeMap<MoveId, Millis> = self
             .table
             .views(now)
@@ -311,7 +341,7 @@
             let mut ordered = self.ordered.iter();
             let (service, ordered) = ordered.find(|(_, it)| it.move_id == *move_id)?;
             let elapsed_ms = elapsed.get(move_id).copied().unwrap_or_default();
-            Some((service, ordered.revision, elapsed_ms, evidence))
+            Some((service, ordered.position, elapsed_ms, evidence))
         });
         open.collect()
     }
@@ -347,7 +377,7 @@
         self.translate(effects)
     }
 
-    fn translate(&self, effects: Vec<MoveEffect>) -> Vec<RolloutEffect> {
+    fn translate(&mut self, effects: Vec<MoveEffect>) -> Vec<RolloutEffect> {
         let translated = effects.into_iter().filter_map(|effect| match effect {
             MoveEffect::RecordOpened(move_id) => self.record(&move_id, RolloutPhase::Running),
             MoveEffect::RecordEnd { move_id, end } => {
@@ -363,29 +393,45 @@
     }
 
     /// Effect that writes a status; `None` if a newer order has replaced this one.
-    fn record(&self, move_id: &MoveId, phase: RolloutPhase) -> Option<RolloutEffect> {
-        let mut ordered = self.ordered.values();
+    fn record(&mut self, move_id: &MoveId, phase: RolloutPhase) -> Option<RolloutEffect> {
+        let mut ordered = self.ordered.values_mut();
         let ordered = ordered.find(|it| it.move_id == *move_id)?;
-        Some(RolloutEffect::Record {
-            order_revision: ordered.revision,
-            status: RolloutStatus {
-                service: ordered.order.service.clone(),
-                target: ordered.order.target.clone(),
-                phase,
-            },
-        })
+        ordered.phase = Some(phase);
+        Some(ordered.record(phase))
+    }
+}
+
+impl OrderedRollout {
+    fn record(&self, phase: RolloutPhase) -> RolloutEffect {
+        RolloutEffect::Record {
+            order_position: self.position,
+            status: self.status(phase),
+        }
+    }
+
+    fn status(&self, phase: RolloutPhase) -> RolloutStatus {
+        RolloutStatus {
+            service: self.order.service.clone(),
+            target: self.order.target.clone(),
+            phase,
+        }
     }
 }
 
 /// Plan of the move for an order.
 fn plan(
-    revision: Revision,
+    position: StorePosition,
     order: &RolloutOrder,
     exposure_limit: ExposureLimit,
 ) -> Result<MovePlan, ParseIdError> {
     let service = order.service.as_str();
+    // The id is the same on nodes that know no era.
+    let name = match position.era {
+        StoreEra::ZERO => position.revision.to_string(),
+        _ => position.to_string(),
+    };
     Ok(MovePlan {
-        id: format!("{service}:{revision}").parse()?,
+        id: format!("{service}:{name}").parse()?,
         workspace: service.parse()?,
         model: service.parse()?,
         from: ReplacedVersions::AllOthers,
--- a/crates/decide/src/store_session.rs
+++ b/crates/decide/src/store_session.rs
@@ -167,6 +167,11 @@
         (at, call)
     }
 
+    /// Makes the next call list all documents, as the store was restored from a copy.
+    pub fn restart(&mut self) {
+        self.after = None;
+    }
+
     /// Records the start of a call.
     pub fn call_started(&mut self, now: MonoTime) {
         self.started_at = now;
--- a/crates/decide/tests/lease_holder.rs
+++ b/crates/decide/tests/lease_holder.rs
@@ -5,9 +5,13 @@
 
 use parsleylatch_decide::{
     deployment::{DeploymentEffect, DeploymentTable},
-    lease_holder::{COMMAND_TIMEOUT_MS, HolderEffect, HolderInput, LEASE_TTL_MS, LeaseHolder},
+    lease_holder::{
+        COMMAND_TIMEOUT_MS, HolderEffect, HolderInput, HolderState, LEASE_TTL_MS, LeaseHolder,
+    },
+};
+use parsleylatch_types::{
+    EndpointId, FencingNumber, Millis, MonoTime, Revision, StoreEra, StorePosition,
 };
-use parsleylatch_types::{EndpointId, FencingNumber, Millis, MonoTime, Revision};
 use proptest::{collection::vec, prelude::*};
 use test_case::test_case;
 
@@ -81,6 +85,9 @@
     claim: Option<Claim>,
     revision: u64,
     checks_fencing: bool,
+    /// Era of the store, which a restore without the claim begins.
+    era: StoreEra,
+    restored_at_ms: Option<u64>,
     fencing: FencingNumber,
     actual: Vec<String>,
     in_transit: Vec<(u64, FencingNumber, Vec<String>)>,
@@ -96,6 +103,8 @@
             candidates: (0..HOLDERS).map(Candidate::new).collect(),
             claim: None,
             revision: 0,
+            era: StoreEra::ZERO,
+            restored_at_ms: None,
             checks_fencing,
             fencing: FencingNumber::ZERO,
             actual: Vec::new(),
@@ -108,6 +117,11 @@
 
     fn run(&mut self, pauses: &[Pause], until_ms: u64) {
         for now_ms in (0..until_ms).step_by(STEP_MS as usize) {
+            if self.restored_at_ms == Some(now_ms) {
+                self.claim = None;
+                self.revision = 0;
+                self.era = self.era.next();
+            }
             if self
                 .claim
                 .is_some_and(|claim| claim.expires_at_ms <= now_ms)
@@ -180,9 +194,10 @@
                     self.revision += 1;
                     self.grant_lease(now_ms, number);
                     let revision = Revision::new(self.revision);
+                    let position = StorePosition::new(self.era, revision);
                     HolderInput::Claimed {
                         requested_at,
-                        revision,
+                        position,
                     }
                 }
                 HolderEffect::Claim { .. } => HolderInput::Refused,
@@ -318,3 +333,51 @@
         .map(|command| command.fencing)
         .collect()
 }
+
+/// After a restore that has lost the lease, a new holder's commands are accepted although the
+/// store issues revisions again, and the holders don't send at the same time.
+#[test]
+fn handle_read_store_restored() {
+    let mut world = World::new(true);
+    world.restored_at_ms = Some(40_000);
+    world.run(&[], 120_000);
+    assert_eq!(world.era, StoreEra::new(1));
+    let numbers = fencing_numbers(&world);
+    assert!(numbers.is_sorted(), "{numbers:?}");
+    assert!(world.received.iter().all(|command| command.accepted));
+    let resumed = world.senders.iter().find(|(at_ms, _)| *at_ms > 55_000);
+    assert!(resumed.is_some(), "no holder sends after the restore");
+    for pair in world.senders.windows(2) {
+        let apart = Millis::new(pair[1].0 - pair[0].0);
+        assert!(pair[0].1 == pair[1].1 || apart >= COMMAND_TIMEOUT_MS);
+    }
+}
+
+/// A holder that learns of a restore sends nothing more under its lease.
+#[test]
+fn fencing_for_send_store_restored() {
+    let mut holder = LeaseHolder::new(at(0));
+    let due = holder.next_deadline().unwrap();
+    let claim = holder.expire(due);
+    let [HolderEffect::Claim { requested_at }] = claim[..] else {
+        panic!("{claim:?}");
+    };
+    let position = StorePosition::new(StoreEra::new(2), Revision::new(9));
+    let claimed = HolderInput::Claimed {
+        requested_at,
+        position,
+    };
+    holder.handle(due, claimed);
+    let mut now = due;
+    while holder.fencing_for_send(now).is_none() {
+        now = holder.next_deadline().unwrap();
+        for effect in holder.expire(now) {
+            if let HolderEffect::Renew { requested_at } = effect {
+                holder.handle(now, HolderInput::Renewed { requested_at });
+            }
+        }
+    }
+    holder.handle(now, HolderInput::StoreRestored);
+    assert_eq!(holder.fencing_for_send(now), None);
+    assert_eq!(holder.state(), HolderState::Waiting);
+}
--- a/crates/decide/tests/relay.rs
+++ b/crates/decide/tests/relay.rs
@@ -5,15 +5,15 @@
 
 use parsleylatch_decide::relay::{
     Backend, ConfigurationError, EndpointEntry, EndpointKey, EndpointOwnership, EndpointTable,
-    EngineReport, LoadSample, NodeLocation, Outcome, ProbeFinding, Registry, RelayConfiguration,
-    RelayConfigurationParts, RelayRoute, RelayWorkspace, RemovalLog, RepeatPolicy, RetryKind,
-    RetryWindow, RunProgress, SelectionCriteria, Selector, SourceFacts, SourceState, StallDetector,
-    StoreSource, receives_full_state, region_readers,
+    EngineReport, ListedEntry, LoadSample, NodeLocation, Outcome, ProbeFinding, Registry,
+    RelayConfiguration, RelayConfigurationParts, RelayRoute, RelayWorkspace, RemovalLog,
+    RepeatPolicy, RetryKind, RetryWindow, RunProgress, SelectionCriteria, Selector, SourceFacts,
+    SourceState, StallDetector, StoreSource, receives_full_state, region_readers,
 };
 use parsleylatch_settings::KeyDigest;
 use parsleylatch_types::{
     FailureDomain, Incarnation, Micros, Millis, MonoTime, NodeId, Rank, Region, Revision,
-    ServiceName, SlotCount, StreamEventId, TokenCount, Weight,
+    ServiceName, SlotCount, StoreEra, StorePosition, StreamEventId, TokenCount, Weight,
 };
 use test_case::test_case;
 
@@ -517,16 +517,29 @@
     assert_eq!(detector.stall_timeout(goal), Millis::new(350));
 }
 
-fn registry_of(numbers: &[u16]) -> Vec<EndpointEntry> {
-    numbers.iter().map(|number| entry(*number, "a")).collect()
+fn registry_of(numbers: &[u16]) -> Vec<ListedEntry> {
+    let listed = numbers.iter().map(|number| listed(entry(*number, "a")));
+    listed.collect()
+}
+
+fn listed(entry: EndpointEntry) -> ListedEntry {
+    ListedEntry {
+        entry,
+        sequence: None,
+        is_rewritten: false,
+    }
+}
+
+fn position(revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::ZERO, Revision::new(revision))
 }
 
 #[test]
 fn registry_missing_removed() {
     let mut registry = Registry::new();
-    registry.apply(at(0), Revision::new(1), registry_of(&[1, 2]));
+    registry.apply(at(0), position(1), registry_of(&[1, 2]));
     let change = registry
-        .apply(at(1_000), Revision::new(2), registry_of(&[2]))
+        .apply(at(1_000), position(2), registry_of(&[2]))
         .unwrap();
     assert_eq!(change.removed, [entry(1, "a").key.id]);
     assert_eq!(registry.entries().count(), 1);
@@ -536,14 +549,14 @@
 #[test]
 fn registry_missing_after_outage() {
     let mut registry = Registry::new();
-    registry.apply(at(0), Revision::new(1), registry_of(&[1, 2]));
+    registry.apply(at(0), position(1), registry_of(&[1, 2]));
     registry.record_failure(at(1_000));
     let change = registry
-        .apply(at(5_000), Revision::new(2), registry_of(&[2]))
+        .apply(at(5_000), position(2), registry_of(&[2]))
         .unwrap();
     assert_eq!((change.held.len(), change.removed.len()), (1, 0));
     let change = registry
-        .apply(at(7_100), Revision::new(2), registry_of(&[2]))
+        .apply(at(7_100), position(2), registry_of(&[2]))
         .unwrap();
     assert_eq!((change.held.len(), change.removed.len()), (0, 1));
 }
@@ -554,19 +567,17 @@
     let mut registry = Registry::new();
     let mut leaving = entry(1, "a");
     leaving.is_leaving = true;
-    registry.apply(at(0), Revision::new(1), vec![leaving]);
+    registry.apply(at(0), position(1), vec![listed(leaving)]);
     registry.record_failure(at(1_000));
-    let change = registry
-        .apply(at(5_000), Revision::new(2), Vec::new())
-        .unwrap();
+    let change = registry.apply(at(5_000), position(2), Vec::new()).unwrap();
     assert_eq!((change.held.len(), change.removed.len()), (0, 1));
 }
 
 #[test]
 fn registry_older_ignored() {
     let mut registry = Registry::new();
-    registry.apply(at(0), Revision::new(5), registry_of(&[1]));
-    assert_eq!(registry.apply(at(10), Revision::new(4), Vec::new()), None);
+    registry.apply(at(0), position(5), registry_of(&[1]));
+    assert_eq!(registry.apply(at(10), position(4), Vec::new()), None);
     assert_eq!(registry.entries().count(), 1);
 }
 
@@ -611,15 +622,11 @@
 #[test]
 fn removal_log_since_revision() {
     let mut log = RemovalLog::default();
-    log.restart(Revision::new(10));
-    log.record(Revision::new(12), "a");
-    log.record(Revision::new(15), "b");
+    log.restart(position(10));
+    log.record(position(12), "a");
+    log.record(position(15), "b");
     let since = |revision| -> Option<Vec<String>> {
-        Some(
-            log.since(Revision::new(revision))?
-                .map(str::to_owned)
-                .collect(),
-        )
+        Some(log.since(position(revision))?.map(str::to_owned).collect())
     };
     assert_eq!(since(9), None);
     assert_eq!(since(10), Some(vec!["a".to_owned(), "b".to_owned()]));
@@ -664,10 +671,10 @@
 fn removal_log_bounded() {
     let mut log = RemovalLog::default();
     for revision in 1..=5_000 {
-        log.record(Revision::new(revision), "a");
+        log.record(position(revision), "a");
     }
-    assert!(log.since(Revision::ZERO).is_none());
-    assert_eq!(log.since(Revision::new(4_999)).unwrap().count(), 1);
+    assert!(log.since(StorePosition::ZERO).is_none());
+    assert_eq!(log.since(position(4_999)).unwrap().count(), 1);
 }
 
 fn facts(is_reader: bool, is_initialized: bool, silence_ms: u64, random: f64) -> SourceFacts {
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -10,7 +10,7 @@
 };
 use parsleylatch_types::{
     EndpointVersion, Incarnation, Micros, Millis, MonoTime, RequestCount, Revision, ServiceName,
-    Share, TrialNumber,
+    Share, StoreEra, StorePosition, TrialNumber,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -34,6 +34,10 @@
     MonoTime::ZERO + Millis::new(millis)
 }
 
+fn position(revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::ZERO, Revision::new(revision))
+}
+
 fn service() -> ServiceName {
     "desk".parse().unwrap()
 }
@@ -58,7 +62,7 @@
 }
 
 fn apply_order(node: &mut Rollouts, phase: Option<RolloutPhase>) -> Vec<RolloutEffect> {
-    node.apply_order(at(0), Revision::new(5), order(), EXPOSURE_LIMIT, phase)
+    node.apply_order(at(0), position(5), order(), EXPOSURE_LIMIT, phase)
         .unwrap()
 }
 
@@ -132,7 +136,7 @@
 fn exchange_evidence(now: MonoTime, nodes: &mut [Rollouts]) -> Vec<RolloutEffect> {
     let mut effects = Vec::new();
     for sender in 0..nodes.len() {
-        let messages: Vec<(ServiceName, Revision, Millis, MoveEvidence)> = nodes[sender]
+        let messages: Vec<(ServiceName, StorePosition, Millis, MoveEvidence)> = nodes[sender]
             .evidence(now)
             .into_iter()
             .map(|(service, revision, elapsed, evidence)| {
@@ -140,9 +144,9 @@
             })
             .collect();
         let receiver = (sender + 1) % NODES;
-        for (service, revision, elapsed_ms, evidence) in messages {
+        for (service, position, elapsed_ms, evidence) in messages {
             let merged = &mut nodes[receiver];
-            effects.extend(merged.merge(now, &service, revision, elapsed_ms, &evidence));
+            effects.extend(merged.merge(now, &service, position, elapsed_ms, &evidence));
         }
     }
     effects
@@ -284,7 +288,7 @@
     };
     let mut nodes: Vec<Rollouts> = (0..NODES).map(node).collect();
     for node in &mut nodes {
-        node.apply_order(at(0), Revision::new(5), order.clone(), EXPOSURE_LIMIT, None)
+        node.apply_order(at(0), position(5), order.clone(), EXPOSURE_LIMIT, None)
             .unwrap();
     }
     let mut rng = Pcg64::seed_from_u64(seed);
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -6,8 +6,10 @@
     CallAnswer, CallDigest, Claim, ClaimBucket, ClaimCondition, ClaimNonce, ClaimOutcome,
     StoredClaim,
 };
-use parsleylatch_store::{Condition, StoreClient, StoreError};
-use parsleylatch_types::{Millis, NodeId, RequestId, Revision, UnixMillis, WorkspaceId};
+use parsleylatch_store::{Condition, Dated, StoreClient, StoreError};
+use parsleylatch_types::{
+    EraReading, Millis, NodeId, RequestId, Revision, UnixMillis, WorkspaceId,
+};
 use parsleylatch_wire::platform::KeyValue;
 use serde::{Deserialize, Serialize};
 
@@ -102,6 +104,9 @@
     Found(StoredClaim),
     /// The key has no claim.
     Absent,
+    /// The key has no other claim, but the store was restored since the id was made, so an
+    /// earlier claim may be missing. Has the revision if this claim was written.
+    Lost(Option<Revision>),
     /// The write may or may not have taken effect.
     Unclear,
     /// A read or watch gave no result, or a write failed without taking effect.
@@ -143,10 +148,11 @@
             .write(&claim_key(id), value, condition, None)
             .await
         {
-            Ok(reply) => match reply.entry {
-                Some(entry) if reply.written => ClaimReply::Written(entry.revision),
-                Some(entry) => ClaimReply::Found(stored_claim(&entry, claim)),
-                None => ClaimReply::Absent,
+            Ok(dated) if self.is_late(&dated.era) => ClaimReply::Unclear,
+            Ok(Dated { reply, .. }) => match reply.entry {
+                Some(entry) if reply.written => self.judge(id, Some(entry.revision)),
+                Some(entry) => self.judge_found(id, stored_claim(&entry, claim), claim),
+                None => self.judge(id, None),
             },
             Err(error) if error.is_outcome_unknown() => {
                 self.record_failure(&error, ClaimReply::Unclear)
@@ -159,12 +165,42 @@
     pub(crate) async fn read(&self, id: RequestId, own_claim: &Claim) -> ClaimReply {
         self.counters().increment(Counter::StoreCalls);
         match self.store.read(&claim_key(id)).await {
-            Ok(Some(entry)) => ClaimReply::Found(stored_claim(&entry, own_claim)),
-            Ok(None) => ClaimReply::Absent,
+            Ok(dated) if self.is_late(&dated.era) => ClaimReply::Failed,
+            Ok(dated) => match dated.reply {
+                Some(entry) => self.judge_found(id, stored_claim(&entry, own_claim), own_claim),
+                None => self.judge(id, None),
+            },
             Err(error) => self.record_failure(&error, ClaimReply::Failed),
         }
     }
 
+    /// Result for a key that holds no claim, or only the one just written.
+    fn judge(&self, id: RequestId, written: Option<Revision>) -> ClaimReply {
+        match (self.shared.may_lack_claim(id), written) {
+            (true, written) => ClaimReply::Lost(written),
+            (false, Some(revision)) => ClaimReply::Written(revision),
+            (false, None) => ClaimReply::Absent,
+        }
+    }
+
+    /// Result for a key that holds a claim. One that was just written shows no more than
+    /// that there was no other.
+    fn judge_found(&self, id: RequestId, found: StoredClaim, own_claim: &Claim) -> ClaimReply {
+        let is_own = found.claim.nonce == own_claim.nonce;
+        match is_own && found.claim.outcome == ClaimOutcome::Pending {
+            true => match self.judge(id, Some(found.revision)) {
+                ClaimReply::Written(_) => ClaimReply::Found(found),
+                lost => lost,
+            },
+            false => ClaimReply::Found(found),
+        }
+    }
+
+    /// Records the era of a response; returns whether it is of an era that has ended.
+    fn is_late(&self, era: &EraReading) -> bool {
+        !self.shared.observe_era(era).is_usable()
+    }
+
     /// Waits until a claim changes after a revision, or until the watch times out.
     pub(crate) async fn watch(
         &self,
@@ -175,9 +211,10 @@
         self.counters().increment(Counter::StoreCalls);
         let key = claim_key(id);
         match self.store.watch(&key, after, CLAIM_WATCH_MS).await {
-            Ok(reply) => match reply.entries.first() {
+            Ok(dated) if self.is_late(&dated.era) => ClaimReply::Failed,
+            Ok(Dated { reply, .. }) => match reply.entries.first() {
                 Some(entry) => ClaimReply::Found(stored_claim(entry, own_claim)),
-                None if reply.deleted.contains(&key) => ClaimReply::Absent,
+                None if reply.deleted.contains(&key) => self.judge(id, None),
                 None => ClaimReply::Failed,
             },
             Err(error) => self.record_failure(&error, ClaimReply::Failed),
@@ -187,8 +224,8 @@
     /// Lists the claims of a bucket.
     pub(crate) async fn list(&self, bucket: ClaimBucket) -> Result<Vec<KeyValue>, StoreError> {
         self.counters().increment(Counter::StoreCalls);
-        let reply = self.store.list(&format!("{CLAIM_PREFIX}{bucket}")).await?;
-        Ok(reply.entries)
+        let dated = self.store.list(&format!("{CLAIM_PREFIX}{bucket}")).await?;
+        Ok(dated.reply.entries)
     }
 
     /// Deletes a claim if it is still at the listed revision.
@@ -201,7 +238,8 @@
     /// Reads the stored entry of a claim without parsing it, for the administration API.
     pub(crate) async fn read_raw(&self, id: RequestId) -> Result<Option<KeyValue>, StoreError> {
         self.counters().increment(Counter::StoreCalls);
-        self.store.read(&claim_key(id)).await
+        let dated = self.store.read(&claim_key(id)).await?;
+        Ok(dated.reply)
     }
 
     fn counters(&self) -> &Counters {
@@ -210,6 +248,9 @@
 
     fn record_failure(&self, error: &StoreError, reply: ClaimReply) -> ClaimReply {
         self.counters().increment(Counter::StoreCallsFailed);
+        if let Some(era) = &error.era {
+            self.shared.observe_era(era);
+        }
         log::debug!("{error}");
         reply
     }
--- a/crates/node/src/control/admin/changes.rs
+++ b/crates/node/src/control/admin/changes.rs
@@ -6,7 +6,7 @@
 //! resolved by reading the key back.
 
 use parsleylatch_settings::{Document, Template};
-use parsleylatch_store::{Condition, StoreClient, StoreError};
+use parsleylatch_store::{Condition, Dated, StoreClient, StoreError};
 use parsleylatch_types::{Millis, Revision, WorkspaceId};
 use parsleylatch_wire::platform::KeyValue;
 use serde::{Deserialize, Serialize};
@@ -119,7 +119,7 @@
 }
 
 async fn read(store: &StoreClient, key: &str) -> Result<Option<KeyValue>, AdminRefusal> {
-    let entry = store.read(key).await;
+    let entry = store.read(key).await.map(|dated| dated.reply);
     entry.map_err(AdminRefusal::StoreUnavailable)
 }
 
@@ -135,7 +135,8 @@
     loop {
         let written = store
             .write(key, value.to_owned(), write_condition(base), None)
-            .await;
+            .await
+            .map(|dated| dated.reply);
         match written {
             Ok(reply) if reply.written => return Ok(revision_of(reply.entry.as_ref())),
             Ok(reply) => {
@@ -148,7 +149,7 @@
             Err(error) => unknown_outcome = Some(error),
         }
         sleep(RESOLVE_DELAY_MS.duration()).await;
-        if let Ok(entry) = store.read(key).await
+        if let Ok(Dated { reply: entry, .. }) = store.read(key).await
             && revision_of(entry.as_ref()) != base
         {
             return resolve_outcome(key, value, base, entry.as_ref(), true);
--- a/crates/node/src/control/move_records.rs
+++ b/crates/node/src/control/move_records.rs
@@ -81,7 +81,7 @@
     record: &MoveRecord,
 ) -> Result<Option<KeyValue>, StoreError> {
     shared.counters.increment(Counter::StoreCalls);
-    let entry = store.read(key).await?;
+    let entry = store.read(key).await?.reply;
     let stored = entry.as_ref().and_then(read_entry);
     let stored = stored.map(|(_, record)| record);
     let is_up_to_date = stored
@@ -102,6 +102,6 @@
     };
     let value = serde_json::to_string(&updated).unwrap_or_default();
     shared.counters.increment(Counter::StoreCalls);
-    let reply = store.write(key, value, condition, None).await?;
+    let reply = store.write(key, value, condition, None).await?.reply;
     Ok(reply.entry.filter(|_| reply.written))
 }
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -12,7 +12,7 @@
 };
 use parsleylatch_peer::{decode_move_counts, encode_move_counts};
 use parsleylatch_runtime::Clock;
-use parsleylatch_types::{EndpointId, MonoTime, MoveId, NodeId, WorkspaceId};
+use parsleylatch_types::{EndpointId, MonoTime, MoveId, NodeId, StoreEra, WorkspaceId};
 use parsleylatch_wire::{moves::MoveCounts, platform::ListReply};
 use prost::Message;
 
@@ -37,6 +37,8 @@
     shared: Arc<Shared>,
     table: MoveTable,
     plans: BTreeMap<MoveId, MovePlan>,
+    /// Moves that have ended, and the era of the store that last showed their end.
+    ends: BTreeMap<MoveId, (MoveEnd, StoreEra)>,
     observer: Observer,
     /// Last published counts of this node, with their version counter.
     published: BTreeMap<MoveId, (u64, Arc<[u8]>)>,
@@ -54,6 +56,7 @@
             shared,
             table: MoveTable::new(observer.clone()),
             plans: BTreeMap::new(),
+            ends: BTreeMap::new(),
             observer,
             published: BTreeMap::new(),
             learned: BTreeMap::new(),
@@ -133,15 +136,33 @@
     /// Applies the move records of the store.
     pub(crate) fn apply_records(&mut self, reply: &ListReply) {
         let unix_now = Clock::unix_now();
+        let era = self.shared.store_era();
         for (move_id, record) in reply.entries.iter().filter_map(move_records::read_entry) {
             self.handle(MoveInput::OpenedBefore {
                 move_id: move_id.clone(),
                 elapsed_ms: unix_now.since(record.opened_at_unix_ms),
             });
             if let Some(end) = record.end {
+                self.ends.insert(move_id.clone(), (end, era));
                 self.handle(MoveInput::Recorded { move_id, end });
             }
         }
+        self.write_lost_ends(era);
+    }
+
+    /// Writes the ends again that the records of a restored store lack. The write has no
+    /// effect if another node was faster.
+    fn write_lost_ends(&mut self, era: StoreEra) {
+        let mut lost = Vec::new();
+        for (move_id, (end, shown_in)) in &mut self.ends {
+            if *shown_in < era {
+                *shown_in = era;
+                lost.push((move_id.clone(), *end));
+            }
+        }
+        for (move_id, end) in lost {
+            self.write_record(move_id, Some(end));
+        }
     }
 
     /// Records an attempt as a trial of its version.
@@ -203,7 +224,11 @@
         for effect in effects {
             match effect {
                 MoveEffect::RecordOpened(move_id) => self.write_record(move_id, None),
-                MoveEffect::RecordEnd { move_id, end } => self.write_record(move_id, Some(end)),
+                MoveEffect::RecordEnd { move_id, end } => {
+                    let era = self.shared.store_era();
+                    self.ends.insert(move_id.clone(), (end, era));
+                    self.write_record(move_id, Some(end));
+                }
                 MoveEffect::Announce(view) => {
                     log::info!(
                         "move {}: {} at share {}",
--- a/crates/node/src/control/watchers.rs
+++ b/crates/node/src/control/watchers.rs
@@ -4,10 +4,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use parsleylatch_decide::store_session::{DocumentCall, DocumentReader, SessionState, WatchMode};
+use parsleylatch_decide::{
+    store_eras::EraFinding,
+    store_session::{DocumentCall, DocumentReader, SessionState, WatchMode},
+};
 use parsleylatch_endpoint::EngineClient;
 use parsleylatch_runtime::Clock;
-use parsleylatch_store::{StoreClient, StoreError, VmListClient};
+use parsleylatch_store::{Dated, StoreClient, StoreError, VmListClient};
 use parsleylatch_types::{EndpointId, Micros, Millis, Seed};
 use parsleylatch_wire::platform::ListReply;
 use tokio::{
@@ -77,6 +80,7 @@
     let store = StoreClient::new(shared.settings.store_address);
     let seed = Seed::new(shared.identity.incarnation.get());
     let mut reader = DocumentReader::new(shared.clock.now(), seed);
+    let mut era = None;
     loop {
         let current = *mode.borrow_and_update();
         let (at, call) = reader.next_call(current);
@@ -94,7 +98,22 @@
             DocumentCall::Changes(after) => store.watch(kind.prefix, after, Millis::ZERO).await,
             DocumentCall::Watch(after) => store.watch(kind.prefix, after, WATCH_WAIT_MS).await,
         };
+        let finding = observe_era(&shared, &reply);
+        let known = shared.store_era();
+        if finding.is_some() && era.replace(known).is_some_and(|earlier| earlier < known) {
+            // Changes since a revision of an earlier era are incomplete.
+            reader.restart();
+            if !matches!(call, DocumentCall::List) {
+                continue;
+            }
+        }
+        let reply = reply.map(|dated| dated.reply);
         record_reply(&shared, kind.prefix, &mut reader, &reply);
+        if finding == Some(EraFinding::Late) {
+            log::debug!("late reply for {} ignored", kind.prefix);
+            reader.call_ended(shared.clock.now(), None);
+            continue;
+        }
         if let Ok(reply) = reply
             && shared.control.send((kind.input)(reply)).await.is_err()
         {
@@ -103,6 +122,18 @@
     }
 }
 
+/// Records the era that a reply or an error response states.
+fn observe_era(
+    shared: &Shared,
+    reply: &Result<Dated<ListReply>, StoreError>,
+) -> Option<EraFinding> {
+    let stated = match reply {
+        Ok(dated) => Some(&dated.era),
+        Err(error) => error.era.as_ref(),
+    };
+    stated.map(|era| shared.observe_era(era))
+}
+
 fn record_reply(
     shared: &Shared,
     prefix: &str,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,12 +12,13 @@
 use parsleylatch_decide::{
     call::{RecentIds, StoreHealth},
     generation::AttemptReport,
+    store_eras::{ClaimEras, EraFinding},
     view::{PeerView, Snapshot},
 };
 use parsleylatch_peer::Identity;
 use parsleylatch_runtime::{Clock, ConnectionEvent};
 use parsleylatch_settings::NodeSettings;
-use parsleylatch_types::{Incarnation, NodeId};
+use parsleylatch_types::{EraReading, Incarnation, NodeId, RequestId, StoreEra};
 use tokio::sync::{broadcast, mpsc, watch};
 
 use crate::{
@@ -49,6 +50,8 @@
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) store_health: ArcSwap<StoreHealth>,
+    /// Eras of the store that its responses have stated.
+    claim_eras: Mutex<ClaimEras>,
     /// Ids of the once-only requests that this node has attempted.
     recent_ids: Mutex<RecentIds>,
     /// Notified after each new snapshot.
@@ -83,6 +86,7 @@
             clock: Clock::start(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
             store_health: ArcSwap::default(),
+            claim_eras: Mutex::default(),
             recent_ids: Mutex::default(),
             snapshot_changed: watch::Sender::new(()),
             counters: Counters::new(),
@@ -98,6 +102,41 @@
         }
     }
 
+    /// Records the era that a response of the store states.
+    pub(crate) fn observe_era(&self, reading: &EraReading) -> EraFinding {
+        let mut eras = self.claim_eras();
+        let finding = eras.observe(Clock::unix_now(), reading);
+        let known = eras.known();
+        drop(eras);
+        match finding {
+            EraFinding::Restored { earlier } => {
+                self.counters.increment(Counter::StoreRestores);
+                log::warn!("the store was restored: era {earlier} is followed by {known}");
+            }
+            EraFinding::Unreadable { is_first: true } => {
+                log::warn!("the era of the store can't be read: {reading:?}");
+            }
+            EraFinding::Current | EraFinding::Late | EraFinding::Unreadable { .. } => {}
+        }
+        finding
+    }
+
+    /// Newest known era of the store.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.claim_eras().known()
+    }
+
+    /// Whether the claim of a request may be missing from a restored store.
+    pub(crate) fn may_lack_claim(&self, id: RequestId) -> bool {
+        self.claim_eras().may_lack_claim(id)
+    }
+
+    fn claim_eras(&self) -> MutexGuard<'_, ClaimEras> {
+        self.claim_eras
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Publishes a snapshot and notifies the threads that wait for one.
     pub(crate) fn publish(&self, snapshot: Snapshot) {
         self.peers.send_if_modified(|peers| {
--- a/crates/node/src/telemetry/counters.rs
+++ b/crates/node/src/telemetry/counters.rs
@@ -67,6 +67,10 @@
     ClaimsMade,
     /// Claims released because their call was never sent; the call may be claimed again.
     ClaimsReleased,
+    /// Claims that a restore of the store may have lost; their calls are not run.
+    ClaimsLost,
+    /// Restores of the store from a copy that this node has seen.
+    StoreRestores,
     /// Expired claims that were deleted.
     ClaimsDeleted,
     /// Answers that were returned from the store's record.
--- a/crates/node/src/traffic/once_only.rs
+++ b/crates/node/src/traffic/once_only.rs
@@ -152,6 +152,10 @@
             CallInput::StoreFailed if state != CallState::Waiting => {
                 self.traffic.shared.record_store_failure();
             }
+            CallInput::ClaimLost(_) => {
+                self.count(Counter::ClaimsLost);
+                self.traffic.shared.record_store_success();
+            }
             CallInput::ClaimWritten(_) => {
                 self.count(Counter::ClaimsMade);
                 self.traffic.shared.record_store_success();
@@ -189,6 +193,7 @@
         ClaimReply::Written(revision) => CallInput::ClaimWritten(revision),
         ClaimReply::Found(found) => CallInput::ClaimFound(found),
         ClaimReply::Absent => CallInput::ClaimAbsent,
+        ClaimReply::Lost(written) => CallInput::ClaimLost(written),
         ClaimReply::Unclear => CallInput::ClaimUnclear,
         ClaimReply::Failed => CallInput::StoreFailed,
     }
--- a/crates/node/src/traffic/settlement.rs
+++ b/crates/node/src/traffic/settlement.rs
@@ -57,7 +57,9 @@
             SettlementEffect::Read => claims.read(id, &own).await,
         };
         match reply {
-            ClaimReply::Written(_) => SettlementInput::Written,
+            // The settlement's own write; whether another claim was lost doesn't matter to it.
+            ClaimReply::Written(_) | ClaimReply::Lost(Some(_)) => SettlementInput::Written,
+            ClaimReply::Lost(None) => SettlementInput::Lost,
             ClaimReply::Found(found) => SettlementInput::Found(found),
             ClaimReply::Absent => SettlementInput::Absent,
             ClaimReply::Unclear => SettlementInput::Unclear,
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -12,8 +12,8 @@
 };
 use parsleylatch_store::StoreCodec;
 use parsleylatch_types::{
-    EndpointId, ExchangeId, Millis, PromptPartId, Rank, ServiceName, StreamEventId, TokenCount,
-    WorkspaceId,
+    EndpointId, EntrySequence, ExchangeId, Millis, PromptPartId, Rank, ServiceName, StreamEventId,
+    TokenCount, WorkspaceId,
 };
 
 /// Metadata of a caller's request, apart from its method, path and body.
@@ -125,6 +125,8 @@
     pub registry_prefix: &'static str,
     /// Reads the entry under a key.
     pub read_entry: fn(key: &str, value: &str) -> Result<EndpointEntry, String>,
+    /// Number of the endpoint's writes, if its entry states it.
+    pub read_sequence: fn(&str) -> Option<EntrySequence>,
 }
 
 /// Reads operators' rollout orders, and reads and writes their status.
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -6,17 +6,19 @@
 };
 
 use parsleylatch_decide::relay::{
-    EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, Registry, RelayConfiguration,
-    RemovalLog, VersionRule,
+    ConfigurationMark, EndpointEntry, ListedEntry, MemoryPlan, NodeLocation, PartVerdicts,
+    Registry, RegistryChange, RelayConfiguration, RemovalLog, VersionRule,
 };
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName,
+    EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName, StoreEra,
+    StorePosition,
 };
 use parsleylatch_wire::{
-    platform::{KeyValue, ListReply},
-    relay::{RelayQuery, RelayState, StoreDocument},
+    platform::KeyValue,
+    relay::{RelayQuery, RelayState},
 };
 
+use super::documents::{DocumentSet, StoredDocument};
 use crate::{
     shared::{Shared, Snapshot},
     telemetry::RelayCounter,
@@ -30,7 +32,7 @@
 
 /// Stored document of an endpoint, and its parsed entry if it is valid.
 struct RegisteredEndpoint {
-    document: KeyValue,
+    document: StoredDocument,
     entry: Option<EndpointEntry>,
 }
 
@@ -38,7 +40,11 @@
 pub(crate) struct ClusterState {
     shared: Arc<Shared>,
     configuration: Option<Arc<RelayConfiguration>>,
-    configuration_document: Option<KeyValue>,
+    configuration_document: Option<StoredDocument>,
+    /// Position of the last configuration that did not replace the one in force.
+    held_configuration: Option<StorePosition>,
+    /// Position of the first documents that were read in the current era of the store.
+    era_start: StorePosition,
     registry: Registry,
     /// Endpoints by key.
     registered: BTreeMap<String, RegisteredEndpoint>,
@@ -55,6 +61,8 @@
             shared,
             configuration: None,
             configuration_document: None,
+            held_configuration: None,
+            era_start: StorePosition::ZERO,
             registry: Registry::new(),
             registered: BTreeMap::new(),
             removals: RemovalLog::default(),
@@ -73,18 +81,32 @@
     pub(crate) fn is_stale(&self, now: MonoTime) -> bool {
         let limit = self.shared.freshness_limit(STALE_AGE_MS);
         let is_outdated = self.shared.confirmed_age() > limit.micros();
-        is_outdated || !self.is_initialized() && now.since(MonoTime::ZERO) > STALE_AGE_MS.micros()
+        is_outdated
+            || self.is_in_earlier_era()
+            || !self.is_initialized() && now.since(MonoTime::ZERO) > STALE_AGE_MS.micros()
+    }
+
+    /// Whether the store was restored since the known documents were read.
+    pub(crate) fn is_in_earlier_era(&self) -> bool {
+        self.registry.is_known() && self.registry.position().era < self.shared.store_era()
+    }
+
+    /// Whether documents are the first of a restored store.
+    pub(crate) fn is_restored_by(&self, read: &DocumentSet) -> bool {
+        self.registry.is_known() && read.position.era > self.registry.position().era
     }
 
     /// Whether documents read from the store are older than what another node has passed on.
     /// They must not replace the newer ones, which this node would pass on under their
     /// revision.
-    pub(crate) fn is_outdated(&self, read: &ListReply) -> bool {
-        let is_outdated = self.registry.is_newer_than(read.revision);
+    pub(crate) fn is_outdated(&self, read: &DocumentSet) -> bool {
+        let is_outdated = self.registry.is_newer_than(read.position);
         if is_outdated {
             log::info!(
-                revision = read.revision.get(),
-                known = self.registry.revision().get();
+                revision = read.position.revision.get(),
+                era = read.position.era.get(),
+                known = self.registry.position().revision.get(),
+                known_era = self.registry.position().era.get();
                 "older documents from the store ignored"
             );
         }
@@ -99,46 +121,50 @@
     }
 
     /// Applies a listing of all documents, read by a call that began at `started_at`.
-    pub(crate) fn apply_listing(&mut self, listing: ListReply, started_at: MonoTime) {
+    pub(crate) fn apply_listing(&mut self, listing: DocumentSet, started_at: MonoTime) {
         self.record_store_success();
         self.replace_entries(listing, "store");
         self.shared.record_confirmation(started_at);
     }
 
     /// Applies changed documents; the state is confirmed as of `known_at`.
-    pub(crate) fn apply_changes(&mut self, changes: ListReply, known_at: MonoTime) {
+    pub(crate) fn apply_changes(&mut self, changes: DocumentSet, known_at: MonoTime) {
         self.record_store_success();
         self.merge_changes(changes, "store");
         self.shared.record_confirmation(known_at);
     }
 
-    fn replace_entries(&mut self, listing: ListReply, source: &str) {
+    fn replace_entries(&mut self, listing: DocumentSet, source: &str) {
         self.registered.clear();
-        self.removals.restart(listing.revision);
+        self.removals.restart(listing.position);
         self.merge_changes(listing, source);
     }
 
-    fn merge_changes(&mut self, changes: ListReply, source: &str) {
+    fn merge_changes(&mut self, changes: DocumentSet, source: &str) {
+        if changes.position.era > self.era_start.era {
+            self.era_start = changes.position;
+        }
         for key in &changes.deleted {
             self.registered.remove(key);
-            self.removals.record(changes.revision, key);
+            self.removals.record(changes.position, key);
         }
         let codec = self.shared.codec.documents;
-        for document in changes.entries {
-            if document.key == codec.configuration_key {
+        for document in changes.documents {
+            if document.entry.key == codec.configuration_key {
                 self.apply_configuration(document, source);
-            } else if document.key.starts_with(codec.registry_prefix) {
+            } else if document.entry.key.starts_with(codec.registry_prefix) {
                 self.upsert_entry(document);
             }
         }
-        self.apply_registry(changes.revision, source);
+        self.apply_registry(changes.position, source);
     }
 
-    fn upsert_entry(&mut self, document: KeyValue) {
-        let read = (self.shared.codec.documents.read_entry)(&document.key, &document.value);
-        let entry = read.map_err(|reason| self.report_unreadable(&document, &reason));
+    fn upsert_entry(&mut self, document: StoredDocument) {
+        let KeyValue { key, value, .. } = &document.entry;
+        let read = (self.shared.codec.documents.read_entry)(key, value);
+        let entry = read.map_err(|reason| self.report_unreadable(&document.entry, &reason));
         let entry = entry.ok();
-        let key = document.key.clone();
+        let key = document.entry.key.clone();
         self.registered
             .insert(key, RegisteredEndpoint { document, entry });
     }
@@ -152,22 +178,37 @@
         }
     }
 
-    fn apply_configuration(&mut self, document: KeyValue, source: &str) {
-        let known = self.configuration_document.as_ref();
-        if known.is_some_and(|known| known.revision >= document.revision) {
+    fn apply_configuration(&mut self, document: StoredDocument, source: &str) {
+        let known = self.configuration_mark();
+        let position = document.position();
+        let is_without_era = [position.era, known.position.era] == [StoreEra::ZERO; 2];
+        let is_read = self.configuration.is_some() && known.position == position;
+        if is_read || is_without_era && known.position >= position {
             return;
         }
-        let parts = (self.shared.codec.documents.read_configuration)(&document.value);
+        let KeyValue {
+            revision, value, ..
+        } = &document.entry;
+        let parts = (self.shared.codec.documents.read_configuration)(value);
         let built = parts.and_then(|parts| {
-            RelayConfiguration::build(document.revision, parts).map_err(|it| it.to_string())
+            RelayConfiguration::build(*revision, parts).map_err(|it| it.to_string())
         });
         match built {
             Ok(configuration) => {
+                let mark = ConfigurationMark {
+                    version: configuration.version(),
+                    position,
+                };
+                if self.configuration.is_some() && !mark.replaces(&known) {
+                    self.hold_configuration(mark, known, source);
+                    return;
+                }
                 log::info!(
-                    revision = document.revision.get(),
+                    revision = revision.get(),
+                    era = position.era.get(),
                     version = configuration.version(),
                     source = source,
-                    earlier = known.map_or(0, |known| known.revision.get());
+                    earlier = known.position.revision.get();
                     "configuration applied"
                 );
                 self.shared
@@ -178,24 +219,55 @@
                 self.configuration_document = Some(document);
                 self.changed = true;
             }
-            Err(reason) => self.report_unreadable(&document, &reason),
+            Err(reason) => self.report_unreadable(&document.entry, &reason),
         }
     }
 
-    fn apply_registry(&mut self, revision: Revision, source: &str) {
+    /// Keeps the known configuration, as the one that was read is older; logs and counts each
+    /// such document once.
+    fn hold_configuration(
+        &mut self,
+        read: ConfigurationMark,
+        known: ConfigurationMark,
+        source: &str,
+    ) {
+        if self.held_configuration.replace(read.position) == Some(read.position) {
+            return;
+        }
+        self.shared.metrics.increment(RelayCounter::DocumentsHeld);
+        log::warn!(
+            version = read.version,
+            revision = read.position.revision.get(),
+            era = read.position.era.get(),
+            known_version = known.version,
+            source = source;
+            "older configuration ignored"
+        );
+    }
+
+    fn apply_registry(&mut self, position: StorePosition, source: &str) {
         let now = self.shared.now();
-        let entries = self.registered.values();
-        let entries = entries.filter_map(|it| it.entry.clone()).collect();
-        let configuration_key = self.shared.codec.documents.configuration_key;
+        let codec = self.shared.codec.documents;
+        let era_start = self.era_start;
+        let entries = self.registered.values().filter_map(|it| {
+            Some(ListedEntry {
+                entry: it.entry.clone()?,
+                sequence: (codec.read_sequence)(&it.document.entry.value),
+                is_rewritten: it.document.position() > era_start,
+            })
+        });
+        let entries = entries.collect();
         self.unreadable
-            .retain(|key, _| self.registered.contains_key(key) || key == configuration_key);
-        self.shared.set_known_revision(revision);
-        let Some(change) = self.registry.apply(now, revision, entries) else {
+            .retain(|key, _| self.registered.contains_key(key) || key == codec.configuration_key);
+        let Some(change) = self.registry.apply(now, position, entries) else {
             return;
         };
+        self.shared.set_known_position(position);
+        self.count_restored(&change);
         if !change.updated.is_empty() || !change.removed.is_empty() {
             log::info!(
-                revision = revision.get(),
+                revision = position.revision.get(),
+                era = position.era.get(),
                 source = source,
                 updated = change.updated.len(),
                 removed = change.removed.len(),
@@ -207,6 +279,26 @@
         }
     }
 
+    fn count_restored(&self, change: &RegistryChange) {
+        let metrics = &self.shared.metrics;
+        let dropped = change.withheld.len();
+        metrics.add(RelayCounter::DocumentsDropped, dropped);
+        let held = match change.is_restored {
+            true => change.held.len(),
+            false => 0,
+        };
+        metrics.add(RelayCounter::DocumentsHeld, held);
+        if change.is_restored || dropped > 0 {
+            log::info!(
+                era = self.registry.position().era.get(),
+                held = held,
+                dropped = dropped,
+                ids:% = ChangedIds([&change.held, &change.withheld]);
+                "registry of a restored store"
+            );
+        }
+    }
+
     /// Logs and counts an unreadable document, once per key.
     fn report_unreadable(&mut self, document: &KeyValue, reason: &str) {
         let previous = self
@@ -239,15 +331,20 @@
     /// Removes entries that expired during an outage once their grace period is over.
     pub(crate) fn expire(&mut self, now: MonoTime) {
         if self.registry.is_hold_expired(now) {
-            self.apply_registry(self.registry.revision(), "store");
+            self.apply_registry(self.registry.position(), "store");
         }
     }
 
     /// Query for the state of another node.
     pub(crate) fn peer_query(&self) -> RelayQuery {
+        let configuration = self.configuration_mark();
+        let registry = self.registry.position();
         RelayQuery {
-            configuration_revision: self.configuration_revision(),
-            registry_revision: self.registry.revision().get(),
+            configuration_revision: configuration.position.revision.get(),
+            configuration_era: configuration.position.era.get(),
+            configuration_version: configuration.version,
+            registry_revision: registry.revision.get(),
+            store_era: registry.era.get(),
             ..RelayQuery::default()
         }
     }
@@ -258,9 +355,13 @@
             self.record_store_success();
         }
         if let Some(document) = &state.configuration {
-            self.apply_configuration(to_key_value(document), "peer");
+            self.apply_configuration(document.into(), "peer");
         }
-        let is_newest = self.configuration_revision() >= state.configuration_revision;
+        let peer = ConfigurationMark {
+            version: state.configuration_version,
+            position: to_position(state.configuration_era, state.configuration_revision),
+        };
+        let is_newest = !peer.replaces(&self.configuration_mark());
         if is_newest && state.age_ms != UNKNOWN_AGE_MS {
             let age = Millis::new(state.age_ms).micros();
             let confirmed_at = sent_at.get().saturating_sub(age.get());
@@ -269,17 +370,20 @@
     }
 
     /// Entries reported by another node, if they are newer than those of this node.
-    pub(crate) fn newer_entries(&self, state: &RelayState) -> Option<ListReply> {
-        let is_newer = state.registry_revision > self.registry.revision().get();
-        is_newer.then(|| ListReply {
-            entries: state.entries.iter().map(to_key_value).collect(),
+    pub(crate) fn newer_entries(&self, state: &RelayState) -> Option<DocumentSet> {
+        let position = to_position(state.store_era, state.registry_revision);
+        let known = self.registry.position();
+        // Changes since a position of another era would be incomplete.
+        let is_applicable = state.is_complete || position.era == known.era;
+        (position > known && is_applicable).then(|| DocumentSet {
+            documents: state.entries.iter().map(StoredDocument::from).collect(),
             deleted: state.removed.clone(),
-            revision: Revision::new(state.registry_revision),
+            position,
         })
     }
 
     /// Applies entries reported by another node: a full listing or the changes.
-    pub(crate) fn apply_peer_entries(&mut self, newer: ListReply, is_complete: bool) {
+    pub(crate) fn apply_peer_entries(&mut self, newer: DocumentSet, is_complete: bool) {
         match is_complete {
             true => self.replace_entries(newer, "peer"),
             false => self.merge_changes(newer, "peer"),
@@ -290,26 +394,31 @@
     /// configuration and the endpoints' entries.
     pub(crate) fn state_for<'a, Others>(&'a self, query: &RelayQuery, others: Others) -> RelayState
     where
-        Others: Iterator<Item = &'a KeyValue>,
+        Others: Iterator<Item = &'a StoredDocument>,
     {
+        let requested = ConfigurationMark {
+            version: query.configuration_version,
+            position: to_position(query.configuration_era, query.configuration_revision),
+        };
+        let own = self.configuration_mark();
         let configuration = self.configuration_document.as_ref();
-        let newer = configuration.filter(|it| it.revision.get() > query.configuration_revision);
-        let registry_revision = self.registry.revision().get();
-        let peer_revision = Revision::new(query.registry_revision);
-        let is_peer_behind = registry_revision > query.registry_revision;
+        let newer = configuration.filter(|_| own.replaces(&requested));
+        let position = self.registry.position();
+        let peer_position = to_position(query.store_era, query.registry_revision);
+        let is_peer_behind = position > peer_position;
         let removals = self
             .removals
-            .since(peer_revision)
+            .since(peer_position)
             .filter(|_| is_peer_behind);
         let is_complete = is_peer_behind && removals.is_none();
-        let known = self
-            .registered
-            .values()
-            .map(|it| &it.document)
-            .chain(others);
+        let used = self.registered.values().filter(|it| {
+            let id = it.entry.as_ref().map(|entry| &entry.key.id);
+            id.is_none_or(|id| !self.registry.withholds(id))
+        });
+        let known = used.map(|it| &it.document).chain(others);
         let missing =
-            known.filter(|it| is_complete || is_peer_behind && it.revision > peer_revision);
-        let entries = missing.map(to_document).collect();
+            known.filter(|it| is_complete || is_peer_behind && it.position() > peer_position);
+        let entries = missing.map(StoredDocument::to_message).collect();
         let removed = removals.into_iter().flatten();
         let age: Micros = self.shared.confirmed_age();
         RelayState {
@@ -317,10 +426,13 @@
                 true => age.millis().get(),
                 false => UNKNOWN_AGE_MS,
             },
-            configuration: newer.map(to_document),
-            configuration_revision: self.configuration_revision(),
+            configuration: newer.map(StoredDocument::to_message),
+            configuration_revision: own.position.revision.get(),
+            configuration_era: own.position.era.get(),
+            configuration_version: own.version,
             entries,
-            registry_revision,
+            registry_revision: position.revision.get(),
+            store_era: position.era.get(),
             removed: removed.map(str::to_owned).collect(),
             is_complete,
             ..RelayState::default()
@@ -328,20 +440,21 @@
     }
 
     /// Response that refers a node of another region to the nodes `near` it.
-    pub(crate) fn referral_to(near: &[&KeyValue]) -> RelayState {
+    pub(crate) fn referral_to(near: &[&StoredDocument]) -> RelayState {
         RelayState {
             age_ms: UNKNOWN_AGE_MS,
-            same_region_nodes: near.iter().map(|entry| to_document(entry)).collect(),
+            same_region_nodes: near.iter().map(|entry| entry.to_message()).collect(),
             ..RelayState::default()
         }
     }
 
     /// Entries of the nodes that another node referred this one to.
-    pub(crate) fn referred_entries(state: &RelayState) -> ListReply {
-        ListReply {
-            entries: state.same_region_nodes.iter().map(to_key_value).collect(),
+    pub(crate) fn referred_entries(state: &RelayState) -> DocumentSet {
+        let entries = state.same_region_nodes.iter();
+        DocumentSet {
+            documents: entries.map(StoredDocument::from).collect(),
             deleted: Vec::new(),
-            revision: Revision::ZERO,
+            position: StorePosition::ZERO,
         }
     }
 
@@ -365,7 +478,7 @@
             sequence,
             configuration: self.configuration.clone(),
             endpoints: self.served_entries(),
-            registry_revision: self.registry.revision(),
+            registry_revision: self.registry.position().revision,
             nodes: Arc::clone(nodes),
             versions: versions.clone(),
             prompt_parts: Arc::clone(prompt_parts),
@@ -390,9 +503,14 @@
         listed.map(|entry| entry.version.clone()).collect()
     }
 
-    fn configuration_revision(&self) -> u64 {
+    /// Version and position of the known configuration.
+    fn configuration_mark(&self) -> ConfigurationMark {
+        let version = self.configuration.as_ref().map(|it| it.version());
         let document = self.configuration_document.as_ref();
-        document.map_or(0, |it| it.revision.get())
+        ConfigurationMark {
+            version: version.unwrap_or_default(),
+            position: document.map_or(StorePosition::ZERO, StoredDocument::position),
+        }
     }
 }
 
@@ -414,22 +532,9 @@
     }
 }
 
-/// Converts a document to the message format between nodes.
-fn to_document(entry: &KeyValue) -> StoreDocument {
-    StoreDocument {
-        key: entry.key.clone(),
-        value: entry.value.clone(),
-        revision: entry.revision.get(),
-    }
-}
-
-/// Converts a document to the format of the store.
-fn to_key_value(document: &StoreDocument) -> KeyValue {
-    KeyValue {
-        key: document.key.clone(),
-        value: document.value.clone(),
-        revision: Revision::new(document.revision),
-    }
+/// Position that another node states.
+fn to_position(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra::new(era), Revision::new(revision))
 }
 
 /// Logs a limit on heads that is beyond what a process may hold.
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod cluster_state;
 mod crash_evidence;
+mod documents;
 mod peers;
 mod rollouts;
 mod settings_file;
@@ -19,13 +20,19 @@
     time::Duration,
 };
 
-use parsleylatch_decide::relay::{MemoryPlan, RelayEffect, RelayEvent, RelayLifecycle};
+use parsleylatch_decide::{
+    relay::{MemoryPlan, RelayEffect, RelayEvent, RelayLifecycle},
+    store_eras::EraFinding,
+};
 use parsleylatch_http::{NodelayListener, serve_status};
 use parsleylatch_peer::{Identity, LinkEvent, ServeLimits};
 use parsleylatch_runtime::{Clock, ConnectionEvent};
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{ByteCount, Incarnation, MonoTime};
-use parsleylatch_wire::{peer::peer_message::Body, relay::RelayQuery};
+use parsleylatch_types::{ByteCount, EraReading, Incarnation, MonoTime};
+use parsleylatch_wire::{
+    peer::peer_message::Body,
+    relay::{RelayQuery, RelayState},
+};
 use tokio::{
     runtime::Runtime,
     signal::unix::{SignalKind, signal},
@@ -41,6 +48,7 @@
 };
 use cluster_state::ClusterState;
 use crash_evidence::CrashController;
+pub(crate) use documents::DocumentSet;
 use rollouts::RolloutController;
 
 /// Capacity of the queue of other nodes' queries.
@@ -216,25 +224,33 @@
     fn handle(&mut self, input: ControlInput) {
         let now = self.shared.now();
         match input {
+            ControlInput::Listing(read, _) | ControlInput::Changes(read, _)
+                if read.position.era < self.shared.store_era() =>
+            {
+                log::info!(
+                    revision = read.position.revision.get(),
+                    era = read.position.era.get();
+                    "documents of an earlier era ignored"
+                );
+            }
             ControlInput::Listing(read, at) | ControlInput::Changes(read, at)
                 if self.cluster.is_outdated(&read) =>
             {
                 self.cluster.record_outdated(at);
             }
             ControlInput::Listing(listing, started_at) => {
-                self.peers.apply_listing(&listing.entries);
-                self.rollouts.record_documents(&listing.entries);
+                self.prepare_listing(now, &listing);
                 self.cluster.apply_listing(listing, started_at);
                 self.rollouts.apply_recorded(&self.cluster);
             }
             ControlInput::Changes(changes, known_at) => {
-                self.peers.apply_changes(&changes);
-                self.rollouts.record_documents(&changes.entries);
+                self.peers.apply_changes(now, &changes);
+                self.rollouts.record_documents(&changes.documents);
                 self.cluster.apply_changes(changes, known_at);
                 self.rollouts.apply_recorded(&self.cluster);
             }
             ControlInput::Nodes(listing, applied) => {
-                self.peers.apply_listing(&listing.entries);
+                self.peers.apply_listing(&listing.documents);
                 self.peers.poll_now(now);
                 self.poll_peers();
                 // The receiver is gone only if the task has ended.
@@ -242,26 +258,7 @@
             }
             ControlInput::PeerUnresponsive(address) => self.peers.record_no_response(now, address),
             ControlInput::StoreFailed => self.cluster.record_store_failure(now),
-            ControlInput::PeerState(state, sent_at) => {
-                self.peers.record_response(now, state.reads_store);
-                if !state.same_region_nodes.is_empty() {
-                    self.peers
-                        .apply_changes(&ClusterState::referred_entries(&state));
-                    self.peers.poll_now(now);
-                }
-                if let Some(newer) = self.cluster.newer_entries(&state) {
-                    match state.is_complete {
-                        true => self.peers.apply_listing(&newer.entries),
-                        false => self.peers.apply_changes(&newer),
-                    }
-                    self.rollouts.record_documents(&newer.entries);
-                    self.cluster.apply_peer_entries(newer, state.is_complete);
-                    self.rollouts.apply_recorded(&self.cluster);
-                }
-                self.rollouts.merge(&state.rollouts);
-                self.crashes.merge_response(&state.crashes);
-                self.cluster.apply_peer_state(&state, sent_at);
-            }
+            ControlInput::PeerState(state, sent_at) => self.apply_peer_state(&state, sent_at),
             ControlInput::Trial(trial) => self.rollouts.record_trial(&trial),
             ControlInput::TrialStarted(number, trial) => self.rollouts.start_trial(number, *trial),
             ControlInput::TrialEnded(number, latency) => self.rollouts.end_trial(number, latency),
@@ -280,6 +277,63 @@
         self.publish();
     }
 
+    /// Applies the nodes, orders and statuses of a full listing.
+    fn prepare_listing(&mut self, now: MonoTime, listing: &DocumentSet) {
+        if self.cluster.is_restored_by(listing) {
+            self.peers.apply_restored(now, &listing.documents);
+            self.rollouts.confirm_statuses();
+        } else {
+            self.peers.apply_listing(&listing.documents);
+        }
+        self.rollouts.record_documents(&listing.documents);
+    }
+
+    fn apply_peer_state(&mut self, state: &RelayState, sent_at: MonoTime) {
+        let now = self.shared.now();
+        // A node without any state states no era.
+        let has_era = state.registry_revision > 0;
+        let is_usable = !has_era || self.observe_peer_era(state.store_era);
+        let reads_store = state.reads_store && is_usable;
+        self.peers.record_response(now, reads_store);
+        if !state.same_region_nodes.is_empty() {
+            let referred = ClusterState::referred_entries(state);
+            self.peers.apply_changes(now, &referred);
+            self.peers.poll_now(now);
+        }
+        // Crashes do not come from the store.
+        self.crashes.merge_response(&state.crashes);
+        if !is_usable {
+            log::info!(
+                era = state.store_era,
+                known = self.shared.store_era().get();
+                "reply of an earlier era ignored"
+            );
+            return;
+        }
+        if let Some(newer) = self.cluster.newer_entries(state) {
+            match state.is_complete {
+                true => self.prepare_listing(now, &newer),
+                false => {
+                    self.peers.apply_changes(now, &newer);
+                    self.rollouts.record_documents(&newer.documents);
+                }
+            }
+            self.cluster.apply_peer_entries(newer, state.is_complete);
+            self.rollouts.apply_recorded(&self.cluster);
+        }
+        self.rollouts.merge(&state.rollouts);
+        self.cluster.apply_peer_state(state, sent_at);
+    }
+
+    /// Records the era that another node states; returns whether its documents may be used.
+    fn observe_peer_era(&self, era: u64) -> bool {
+        let finding = self.shared.observe_era(&EraReading::of_number(era), "peer");
+        match finding {
+            EraFinding::Current | EraFinding::Restored { .. } => true,
+            EraFinding::Late | EraFinding::Unreadable { .. } => false,
+        }
+    }
+
     fn publish(&mut self) {
         self.cluster.publish(
             self.peers.nodes(),
@@ -326,6 +380,14 @@
                 self.rollouts.merge(&query.rollouts);
                 self.crashes.merge(&query.crashes);
                 let has_registry = query.registry_revision > 0;
+                let era = self.shared.store_era();
+                if has_registry
+                    && self.observe_peer_era(query.store_era)
+                    && self.shared.store_era() > era
+                {
+                    let now = self.shared.now();
+                    self.peers.query_informed(now, &received.from.node_id);
+                }
                 let near = match has_registry {
                     true => Vec::new(),
                     false => self.peers.referral(&received.from),
@@ -339,8 +401,9 @@
                     metrics.increment(RelayCounter::PeerReferrals);
                     ClusterState::referral_to(&near)
                 };
-                state.reads_store =
-                    *self.shared.reads_store.borrow() && self.shared.is_store_current();
+                state.reads_store = *self.shared.reads_store.borrow()
+                    && self.shared.is_store_current()
+                    && !self.cluster.is_in_earlier_era();
                 if state.reads_store {
                     // A pending watch would have reported a change.
                     let pause_ms = self.shared.watch_pause().get();
--- a/crates/relay/src/control/peers.rs
+++ b/crates/relay/src/control/peers.rs
@@ -2,24 +2,21 @@
 //! their state.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use parsleylatch_decide::relay::{
-    NodeLocation, SourceFacts, StoreSource, receives_full_state, region_readers,
+    NodeLocation, RESTORE_GRACE_MS, SourceFacts, StoreSource, receives_full_state, region_readers,
 };
 use parsleylatch_peer::{Identity, send_query};
 use parsleylatch_types::{Millis, MonoTime, NodeId, Region};
-use parsleylatch_wire::{
-    peer::peer_message::Body,
-    platform::{KeyValue, ListReply},
-    relay::RelayQuery,
-};
+use parsleylatch_wire::{peer::peer_message::Body, relay::RelayQuery};
 use rand::seq::IteratorRandom;
 
+use super::documents::{DocumentSet, StoredDocument};
 use crate::{input::ControlInput, shared::Shared, telemetry::RelayCounter};
 
 /// Prefix of the keys of the nodes' entries in the store.
@@ -50,7 +47,13 @@
 pub(crate) struct Peers {
     shared: Arc<Shared>,
     identity: Identity,
-    entries: BTreeMap<String, KeyValue>,
+    entries: BTreeMap<String, StoredDocument>,
+    /// Keys that a restored store does not list yet. Their nodes are about to write them
+    /// again; without them, every node of a large deployment would read the store.
+    missing: BTreeSet<String>,
+    missing_until: MonoTime,
+    /// Node that has stated a newer era of the store.
+    informed_node: Option<NodeId>,
     nodes: Arc<[NodeLocation]>,
     /// Other nodes in this node's region.
     region_peers: Vec<PeerAddress>,
@@ -74,6 +77,9 @@
             nodes: Arc::new([local_location(&identity)]),
             identity,
             entries: BTreeMap::new(),
+            missing: BTreeSet::new(),
+            missing_until: MonoTime::ZERO,
+            informed_node: None,
             region_peers: Vec::new(),
             readers: None,
             is_reader: true,
@@ -91,21 +97,56 @@
     }
 
     /// Replaces the entries by those of a full listing.
-    pub(crate) fn apply_listing(&mut self, documents: &[KeyValue]) {
+    pub(crate) fn apply_listing(&mut self, documents: &[StoredDocument]) {
         self.entries.clear();
+        self.missing.clear();
+        self.insert_entries(documents);
+        self.refresh();
+    }
+
+    /// Applies the first listing of a restored store. Entries that are missing are kept for a
+    /// grace period.
+    pub(crate) fn apply_restored(&mut self, now: MonoTime, documents: &[StoredDocument]) {
+        self.missing = self.entries.keys().cloned().collect();
+        self.missing_until = now + RESTORE_GRACE_MS;
         self.insert_entries(documents);
         self.refresh();
     }
 
     /// Applies changed and deleted entries.
-    pub(crate) fn apply_changes(&mut self, changes: &ListReply) {
+    pub(crate) fn apply_changes(&mut self, now: MonoTime, changes: &DocumentSet) {
         for key in &changes.deleted {
-            self.entries.remove(key);
+            // The copy's leases end while the nodes write their entries again.
+            match now < self.missing_until && self.entries.contains_key(key) {
+                true => {
+                    self.missing.insert(key.clone());
+                }
+                false => {
+                    self.entries.remove(key);
+                }
+            }
+        }
+        self.insert_entries(&changes.documents);
+        self.refresh();
+    }
+
+    /// Removes entries that a restored store still lacks after the grace period.
+    fn expire_missing(&mut self, now: MonoTime) {
+        if self.missing.is_empty() || now < self.missing_until {
+            return;
+        }
+        for key in std::mem::take(&mut self.missing) {
+            self.entries.remove(&key);
         }
-        self.insert_entries(&changes.entries);
         self.refresh();
     }
 
+    /// Queries a node that has stated a newer era of the store, at once.
+    pub(crate) fn query_informed(&mut self, now: MonoTime, node_id: &NodeId) {
+        self.informed_node = Some(node_id.clone());
+        self.poll_now(now);
+    }
+
     /// Records that a node responded.
     pub(crate) fn record_response(&mut self, now: MonoTime, reads_store: bool) {
         self.pending_polls = self.pending_polls.saturating_sub(1);
@@ -114,12 +155,15 @@
         }
     }
 
-    fn insert_entries(&mut self, documents: &[KeyValue]) {
+    fn insert_entries(&mut self, documents: &[StoredDocument]) {
         let entries = documents
             .iter()
-            .filter(|it| it.key.starts_with(NODES_PREFIX));
-        let keyed = entries.map(|it| (it.key.clone(), it.clone()));
-        self.entries.extend(keyed);
+            .filter(|it| it.entry.key.starts_with(NODES_PREFIX));
+        for document in entries {
+            let key = document.entry.key.clone();
+            self.missing.remove(&key);
+            self.entries.insert(key, document.clone());
+        }
     }
 
     fn refresh(&mut self) {
@@ -155,13 +199,13 @@
     }
 
     /// Entries of the nodes.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &KeyValue> {
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &StoredDocument> {
         self.entries.values()
     }
 
     /// Nodes that a node of another region should query instead of this one; empty if it
     /// should receive the full state from this node.
-    pub(crate) fn referral(&self, requester: &Identity) -> Vec<&KeyValue> {
+    pub(crate) fn referral(&self, requester: &Identity) -> Vec<&StoredDocument> {
         let location = (&requester.node_id, &requester.region);
         if receives_full_state(&self.nodes, &self.identity.region, location, rand::random()) {
             return Vec::new();
@@ -205,7 +249,8 @@
         }
         self.next_poll_at = now + POLL_INTERVAL_MS;
         self.unresponsive.retain(|_, until| *until > now);
-        let has_registry = self.shared.known_revision().is_some();
+        self.expire_missing(now);
+        let has_registry = self.shared.known_position().is_some();
         self.update_source(now, has_registry);
         let reads_store = self.source.reads_store();
         let is_without_reader = self.source.is_without_reader();
@@ -213,7 +258,10 @@
         let awaits_first_state = !has_registry && self.pending_polls > 0;
         // A reader far from the store gets the full state faster from other nodes.
         let is_uninitialized_reader = self.is_reader && self.readers.is_some() && !has_registry;
-        let targets = match (
+        let informed = self.informed_node.take();
+        let informed = informed.and_then(|id| self.entries.get(&format!("{NODES_PREFIX}{id}")));
+        let informed = informed.and_then(peer_address);
+        let mut targets = match (
             is_needed || is_without_reader || is_uninitialized_reader,
             reads_store,
         ) {
@@ -222,6 +270,8 @@
             (false, false) => self.pick_reader().into_iter().collect(),
             (false, true) => Vec::new(),
         };
+        let is_new = |it: &PeerAddress| !targets.contains(it);
+        targets.extend(informed.filter(is_new));
         if targets.is_empty() {
             return;
         }
@@ -331,13 +381,13 @@
     }
 }
 
-fn entry_address(entry: &KeyValue) -> Option<SocketAddr> {
-    entry.value.split(' ').next()?.parse().ok()
+fn entry_address(entry: &StoredDocument) -> Option<SocketAddr> {
+    entry.entry.value.split(' ').next()?.parse().ok()
 }
 
 /// Node and address of an entry; `None` if it names no node or no address.
-fn peer_address(entry: &KeyValue) -> Option<PeerAddress> {
-    let node_id = entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?;
+fn peer_address(entry: &StoredDocument) -> Option<PeerAddress> {
+    let node_id = entry.entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?;
     Some(PeerAddress {
         address: entry_address(entry)?,
         node_id: Some(node_id),
@@ -345,11 +395,11 @@
 }
 
 /// Location of a node; `None` if its entry names no address.
-fn entry_location(entry: &KeyValue) -> Option<NodeLocation> {
+fn entry_location(entry: &StoredDocument) -> Option<NodeLocation> {
     entry_address(entry)?;
-    let region = entry.value.split(' ').nth(1);
+    let region = entry.entry.value.split(' ').nth(1);
     Some(NodeLocation {
-        id: entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?,
+        id: entry.entry.key.strip_prefix(NODES_PREFIX)?.parse().ok()?,
         region: region.and_then(|it| it.parse().ok()),
     })
 }
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -1,32 +1,42 @@
 //! Rollouts: feeds the rollout decisions with input and executes their effects.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
 use parsleylatch_decide::{
     moves::{ExposureLimit, MoveEvidence, Observer},
-    relay::{RolloutEffect, RolloutPhase, Rollouts, VersionRule, VersionTrial},
+    relay::{
+        DocumentMark, OrderFinding, RolloutEffect, RolloutPhase, Rollouts, VersionRule,
+        VersionTrial, judge_order,
+    },
 };
 use parsleylatch_peer::{Identity, decode_move_counts, encode_move_counts};
 use parsleylatch_types::{
-    Incarnation, Micros, Millis, MonoTime, Revision, ServiceName, TrialNumber,
-};
-use parsleylatch_wire::{
-    platform::KeyValue,
-    relay::{ObserverCounts, RolloutEvidence},
+    Incarnation, Micros, Millis, MonoTime, Revision, ServiceName, StoreEra, StorePosition,
+    TrialNumber,
 };
+use parsleylatch_wire::relay::{ObserverCounts, RolloutEvidence};
 
-use super::{cluster_state::ClusterState, store_tasks};
+use super::{cluster_state::ClusterState, documents::StoredDocument, store_tasks};
 use crate::{shared::Shared, telemetry::RelayCounter};
 
+/// Replaced orders of a service that are remembered, in case a copy of the store shows one.
+const SUPERSEDED_LIMIT: usize = 8;
+
 /// Rollout orders and statuses from the store, and the decisions on them.
 pub(crate) struct RolloutController {
     shared: Arc<Shared>,
     rollouts: Rollouts,
-    orders: BTreeMap<ServiceName, KeyValue>,
-    statuses: BTreeMap<ServiceName, KeyValue>,
+    orders: BTreeMap<ServiceName, StoredDocument>,
+    statuses: BTreeMap<ServiceName, StoredDocument>,
+    /// Orders that later ones have replaced, oldest first.
+    superseded: BTreeMap<ServiceName, VecDeque<(Revision, String)>>,
+    /// Documents that did not replace what is known, by key.
+    held: BTreeMap<String, StorePosition>,
+    /// Services whose status may have to be written again after a restore.
+    unconfirmed: BTreeSet<ServiceName>,
     /// Services with a new order.
     new_orders: BTreeSet<ServiceName>,
     /// Whether any order or status is new.
@@ -48,6 +58,9 @@
             rollouts: Rollouts::new(observer),
             orders: BTreeMap::new(),
             statuses: BTreeMap::new(),
+            superseded: BTreeMap::new(),
+            held: BTreeMap::new(),
+            unconfirmed: BTreeSet::new(),
             new_orders: BTreeSet::new(),
             has_recorded: false,
             rules: BTreeMap::new(),
@@ -67,19 +80,127 @@
     }
 
     /// Orders and statuses as stored.
-    pub(crate) fn documents(&self) -> impl Iterator<Item = &KeyValue> {
+    pub(crate) fn documents(&self) -> impl Iterator<Item = &StoredDocument> {
         self.orders.values().chain(self.statuses.values())
     }
 
     /// Records the orders and statuses among documents read from the store.
-    pub(crate) fn record_documents(&mut self, documents: &[KeyValue]) {
+    pub(crate) fn record_documents(&mut self, documents: &[StoredDocument]) {
         let codec = self.shared.codec.rollouts;
+        // What a status is worth depends on the order.
+        for document in documents {
+            if let Some(service) = service_of(document, codec.order_prefix) {
+                self.record_order(service, document);
+            }
+        }
         for document in documents {
-            self.has_recorded |=
-                insert_newer(&mut self.statuses, codec.status_prefix, document).is_some();
-            let new_order = insert_newer(&mut self.orders, codec.order_prefix, document);
-            self.has_recorded |= new_order.is_some();
-            self.new_orders.extend(new_order);
+            if let Some(service) = service_of(document, codec.status_prefix) {
+                self.record_status(service, document);
+            }
+        }
+    }
+
+    fn record_order(&mut self, service: ServiceName, document: &StoredDocument) {
+        let known = self.orders.get(&service);
+        let superseded = self.superseded.get(&service).into_iter().flatten();
+        let superseded = superseded.map(|(revision, text)| (*revision, text.as_str()));
+        match judge_order(
+            document_mark(document),
+            known.map(document_mark),
+            superseded,
+        ) {
+            OrderFinding::Known => {}
+            OrderFinding::Moved => {
+                self.rollouts.move_order(&service, document.position());
+                self.orders.insert(service.clone(), document.clone());
+                self.unconfirmed.insert(service);
+                self.has_recorded = true;
+            }
+            OrderFinding::Superseded => self.report_held(document),
+            OrderFinding::New => {
+                if let Some(known) = self.orders.insert(service.clone(), document.clone()) {
+                    let replaced = self.superseded.entry(service.clone()).or_default();
+                    replaced.push_back((known.entry.revision, known.entry.value));
+                    if replaced.len() > SUPERSEDED_LIMIT {
+                        replaced.pop_front();
+                    }
+                }
+                self.new_orders.insert(service);
+                self.has_recorded = true;
+            }
+        }
+    }
+
+    fn record_status(&mut self, service: ServiceName, document: &StoredDocument) {
+        let known = self.statuses.get(&service);
+        if known.is_some_and(|known| known.position() >= document.position()) {
+            return;
+        }
+        if self.reverts_end(&service, document) {
+            self.unconfirmed.insert(service);
+            self.report_held(document);
+            return;
+        }
+        self.statuses.insert(service, document.clone());
+        self.has_recorded = true;
+    }
+
+    /// Whether a status read after a restore would take back the end of the order in force.
+    fn reverts_end(&self, service: &ServiceName, document: &StoredDocument) -> bool {
+        if document.era == StoreEra::ZERO || self.new_orders.contains(service) {
+            return false;
+        }
+        let codec = self.shared.codec.rollouts;
+        let status = (codec.read_status)(service, &document.entry.value).ok();
+        let end = self.rollouts.end_of(service);
+        end.is_some_and(|end| status != Some(end))
+    }
+
+    fn report_held(&mut self, document: &StoredDocument) {
+        let (key, position) = (&document.entry.key, document.position());
+        if self.held.insert(key.clone(), position) == Some(position) {
+            return;
+        }
+        self.shared.metrics.increment(RelayCounter::DocumentsHeld);
+        log::warn!(
+            key = key.as_str(),
+            revision = position.revision.get(),
+            era = position.era.get();
+            "older document of a restored store ignored"
+        );
+    }
+
+    /// Checks after a restore which statuses the store has lost.
+    pub(crate) fn confirm_statuses(&mut self) {
+        self.unconfirmed.extend(self.orders.keys().cloned());
+        self.has_recorded = true;
+    }
+
+    /// Writes the statuses that a restored store has lost, as far as it has their orders.
+    /// Each node that reads the store comes to it at a random time, and the first one writes.
+    fn write_lost_statuses(&mut self) {
+        let era = self.shared.store_era();
+        for service in std::mem::take(&mut self.unconfirmed) {
+            let order = self.orders.get(&service);
+            if order.is_none_or(|it| it.era != era) {
+                // The order's own writer has to write it first.
+                continue;
+            }
+            let confirmed = self.statuses.get(&service).filter(|it| it.era == era);
+            let read_status = self.shared.codec.rollouts.read_status;
+            let confirmed = confirmed.and_then(|it| read_status(&service, &it.entry.value).ok());
+            let lost = self.rollouts.record_again(&service);
+            if let Some(RolloutEffect::Record {
+                order_position,
+                status,
+            }) = lost
+                && confirmed.as_ref() != Some(&status)
+                && *self.shared.reads_store.borrow()
+            {
+                let shared = Arc::clone(&self.shared);
+                let writing = store_tasks::record_rollout_again(shared, order_position, status);
+                tokio::task::spawn_local(writing);
+            }
         }
     }
 
@@ -101,14 +222,15 @@
                 self.apply_effects(effects);
             }
         }
+        self.write_lost_statuses();
         self.refresh_rules();
     }
 
-    fn apply_order(&mut self, document: &KeyValue, cluster: &ClusterState) {
-        let order = match (self.shared.codec.rollouts.read_order)(&document.value) {
+    fn apply_order(&mut self, document: &StoredDocument, cluster: &ClusterState) {
+        let order = match (self.shared.codec.rollouts.read_order)(&document.entry.value) {
             Ok(order) => order,
             Err(reason) => {
-                let key = document.key.as_str();
+                let key = document.entry.key.as_str();
                 log::warn!(key = key, reason = reason; "document can't be read");
                 return;
             }
@@ -120,7 +242,8 @@
             service:% = order.service,
             target:% = order.target,
             duration_ms = order.duration_ms.get(),
-            revision = document.revision.get(),
+            revision = document.entry.revision.get(),
+            era = document.era.get(),
             other_versions = other_versions.len();
             "roll-out ordered"
         );
@@ -132,11 +255,11 @@
         };
         let applied =
             self.rollouts
-                .apply_order(now, document.revision, order, exposure_limit, phase);
+                .apply_order(now, document.position(), order, exposure_limit, phase);
         match applied {
             Ok(effects) => self.apply_effects(effects),
             Err(error) => {
-                let key = document.key.as_str();
+                let key = document.entry.key.as_str();
                 log::error!(key = key, error:% = error; "roll-out can't be planned");
             }
         }
@@ -147,9 +270,9 @@
         let codec = self.shared.codec.rollouts;
         let order_document = self.orders.get(service)?;
         let document = self.statuses.get(service)?;
-        let order = (codec.read_order)(&order_document.value).ok()?;
-        let status = (codec.read_status)(service, &document.value).ok()?;
-        let is_current = document.revision > order_document.revision;
+        let order = (codec.read_order)(&order_document.entry.value).ok()?;
+        let status = (codec.read_status)(service, &document.entry.value).ok()?;
+        let is_current = document.position() > order_document.position();
         (is_current && status.target == order.target).then_some(status.phase)
     }
 
@@ -202,9 +325,10 @@
         let messages = known
             .into_iter()
             .map(
-                |(service, order_revision, elapsed_ms, evidence)| RolloutEvidence {
+                |(service, order_position, elapsed_ms, evidence)| RolloutEvidence {
                     service: service.to_string(),
-                    order_revision: order_revision.get(),
+                    order_revision: order_position.revision.get(),
+                    order_era: order_position.era.get(),
                     elapsed_ms: elapsed_ms.get(),
                     observers: observer_counts(evidence),
                 },
@@ -223,7 +347,10 @@
             let effects = self.rollouts.merge(
                 self.shared.now(),
                 &service,
-                Revision::new(message.order_revision),
+                StorePosition::new(
+                    StoreEra::new(message.order_era),
+                    Revision::new(message.order_revision),
+                ),
                 Millis::new(message.elapsed_ms),
                 &evidence,
             );
@@ -239,11 +366,11 @@
         for effect in effects {
             match effect {
                 RolloutEffect::Record {
-                    order_revision,
+                    order_position,
                     status,
                 } => {
                     let shared = Arc::clone(&self.shared);
-                    let writing = store_tasks::record_rollout(shared, order_revision, status);
+                    let writing = store_tasks::record_rollout(shared, order_position, status);
                     tokio::task::spawn_local(writing);
                 }
                 RolloutEffect::Announce(view) => log::info!(
@@ -263,20 +390,16 @@
     }
 }
 
-/// Inserts a document unless a newer one of its service is known; returns the service
-/// if it was inserted.
-fn insert_newer(
-    documents: &mut BTreeMap<ServiceName, KeyValue>,
-    prefix: &str,
-    document: &KeyValue,
-) -> Option<ServiceName> {
-    let service: ServiceName = document.key.strip_prefix(prefix)?.parse().ok()?;
-    let known = documents.get(&service);
-    let is_new = known.is_none_or(|known| known.revision < document.revision);
-    is_new.then(|| {
-        documents.insert(service.clone(), document.clone());
-        service
-    })
+/// Service of a document under a prefix; `None` for other documents.
+fn service_of(document: &StoredDocument, prefix: &str) -> Option<ServiceName> {
+    document.entry.key.strip_prefix(prefix)?.parse().ok()
+}
+
+fn document_mark(document: &StoredDocument) -> DocumentMark<'_> {
+    DocumentMark {
+        position: document.position(),
+        text: &document.entry.value,
+    }
 }
 
 /// Counts of all observers of a rollout.
--- a/crates/relay/src/control/status_routes.rs
+++ b/crates/relay/src/control/status_routes.rs
@@ -37,9 +37,12 @@
     let shared = shared(&request)?;
     let occupancy = shared.caller_places.occupancy(&shared);
     let endpoints = shared.snapshot.load().endpoints.len();
-    let text = shared
-        .metrics
-        .render(&shared.body_memory, &occupancy, endpoints);
+    let text = shared.metrics.render(
+        &shared.body_memory,
+        &occupancy,
+        endpoints,
+        shared.store_era(),
+    );
     Ok(text.into_response())
 }
 
--- a/crates/relay/src/input.rs
+++ b/crates/relay/src/input.rs
@@ -5,19 +5,21 @@
 use parsleylatch_decide::relay::{EndpointKey, PromptChain, VersionTrial};
 use parsleylatch_settings::RelaySettings;
 use parsleylatch_types::{Micros, MonoTime, PromptPartId, TrialNumber};
-use parsleylatch_wire::{platform::ListReply, relay::RelayState};
+use parsleylatch_wire::relay::RelayState;
 use tokio::sync::oneshot;
 
+use crate::control::DocumentSet;
+
 /// Message to the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlInput {
     /// Every document in the store, and when the call that read them started.
-    Listing(ListReply, MonoTime),
+    Listing(DocumentSet, MonoTime),
     /// Documents that have changed, and when the store confirmed them.
-    Changes(ListReply, MonoTime),
+    Changes(DocumentSet, MonoTime),
     /// The entries of the nodes alone; the sender is notified once they have been
     /// applied.
-    Nodes(ListReply, oneshot::Sender<()>),
+    Nodes(DocumentSet, oneshot::Sender<()>),
     /// A call to the store failed.
     StoreFailed,
     /// Another node did not respond.
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -74,6 +74,7 @@
                 read_configuration,
                 registry_prefix: REGISTRY_PREFIX,
                 read_entry,
+                read_sequence: |_| None,
             },
             rollouts: RolloutCodec {
                 order_prefix: "operator/rollouts/",
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,17 +8,21 @@
     },
 };
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use parsleylatch_decide::relay::{
     CallerActivity, EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration,
     VersionRule, log_flush_time,
 };
+use parsleylatch_decide::store_eras::{EraFinding, StoreEras};
 use parsleylatch_runtime::Clock;
 use parsleylatch_settings::RelaySettings;
-use parsleylatch_types::{Micros, Millis, MonoTime, Revision, ServiceName, TrialNumber};
+use parsleylatch_types::{
+    EraReading, Micros, Millis, MonoTime, Revision, ServiceName, StoreEra, StorePosition,
+    TrialNumber,
+};
 use tokio::sync::{mpsc, watch};
 
-use crate::telemetry::RelayMetrics;
+use crate::telemetry::{RelayCounter, RelayMetrics};
 use crate::{
     caller_places::CallerPlaces, codec::RelayCodec, input::ControlInput, memory::MemoryBudget,
 };
@@ -82,8 +86,10 @@
     pub(crate) control: mpsc::Sender<ControlInput>,
     /// Whether this node reads the store itself.
     pub(crate) reads_store: watch::Sender<bool>,
-    /// Store revision of the known endpoints and nodes; zero if none are known.
-    known_revision: AtomicU64,
+    /// Newest era of the store that is known.
+    eras: watch::Sender<StoreEras>,
+    /// Store position of the known endpoints and nodes.
+    known_position: ArcSwapOption<StorePosition>,
     in_flight: AtomicUsize,
     /// Requests whose response is not decided, and streams that have not ended.
     unanswered: AtomicUsize,
@@ -131,7 +137,8 @@
             caller_places: CallerPlaces::new(),
             control,
             reads_store: watch::Sender::new(true),
-            known_revision: AtomicU64::new(0),
+            eras: watch::Sender::default(),
+            known_position: ArcSwapOption::empty(),
             in_flight: AtomicUsize::new(0),
             unanswered: AtomicUsize::new(0),
             answered_at: AtomicU64::new(0),
@@ -283,14 +290,55 @@
         }
     }
 
-    /// Store revision of the known state; `None` before the first read.
-    pub(crate) fn known_revision(&self) -> Option<Revision> {
-        let revision = Revision::new(self.known_revision.load(Ordering::Relaxed));
-        (revision > Revision::ZERO).then_some(revision)
+    /// Store position of the known state; `None` before the first read.
+    pub(crate) fn known_position(&self) -> Option<StorePosition> {
+        self.known_position.load().as_deref().copied()
+    }
+
+    pub(crate) fn set_known_position(&self, position: StorePosition) {
+        let known = (position > StorePosition::ZERO).then(|| Arc::new(position));
+        self.known_position.store(known);
     }
 
-    pub(crate) fn set_known_revision(&self, revision: Revision) {
-        self.known_revision.store(revision.get(), Ordering::Relaxed);
+    /// Newest known era of the store.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.eras.borrow().known()
+    }
+
+    /// Waits until the store is known to have been restored since `era`.
+    pub(crate) async fn wait_for_era_after(&self, era: StoreEra) {
+        let mut eras = self.eras.subscribe();
+        // The sender lives as long as `self`.
+        let passed = eras.wait_for(|it| it.known() > era).await;
+        drop(passed);
+    }
+
+    /// Records the era that the store, or a node that it serves, has stated.
+    pub(crate) fn observe_era(&self, reading: &EraReading, source: &str) -> EraFinding {
+        let mut finding = EraFinding::Current;
+        self.eras.send_if_modified(|eras| {
+            finding = eras.observe(reading);
+            matches!(finding, EraFinding::Restored { .. })
+        });
+        match finding {
+            EraFinding::Restored { earlier } => {
+                self.metrics.increment(RelayCounter::StoreRestores);
+                log::warn!(
+                    era = self.store_era().get(),
+                    earlier = earlier.get(),
+                    source = source;
+                    "store restored"
+                );
+            }
+            EraFinding::Unreadable { is_first: true } => log::warn!(
+                stated:? = reading,
+                known = self.store_era().get(),
+                source = source;
+                "era of the store can't be read"
+            ),
+            EraFinding::Current | EraFinding::Late | EraFinding::Unreadable { .. } => {}
+        }
+        finding
     }
 
     /// Records that the known state was confirmed; an earlier time has no effect.
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -11,7 +11,7 @@
 use hdrhistogram::Histogram;
 use parsleylatch_decide::relay::Occupancy;
 use parsleylatch_runtime::ConnectionEvent;
-use parsleylatch_types::Micros;
+use parsleylatch_types::{Micros, StoreEra};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 use crate::memory::MemoryBudget;
@@ -109,6 +109,15 @@
     ConfigurationsApplied,
     /// Documents in the store that can't be parsed.
     DocumentsUnreadable,
+    /// Restores of the store from a copy that this node has seen.
+    StoreRestores,
+    /// Documents of a restored store that did not replace what is known, and endpoints kept
+    /// although it does not list them.
+    DocumentsHeld,
+    /// Entries that a restored store lists of endpoints that have left.
+    DocumentsDropped,
+    /// Documents written again to a restored store.
+    DocumentsRewritten,
     /// Attempts counted for a version under rollout.
     Trials,
     /// Attempts not counted because the control thread's queue was full.
@@ -169,6 +178,10 @@
         self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn add(&self, counter: RelayCounter, count: usize) {
+        self.counters[counter as usize].fetch_add(count as u64, Ordering::Relaxed);
+    }
+
     pub(crate) fn observe(&self, kind: RelayLatency, latency: Micros) {
         let slot = &self.latencies[kind as usize];
         let mut histogram = slot.lock().unwrap_or_else(PoisonError::into_inner);
@@ -178,13 +191,14 @@
         histogram.saturating_record(latency.get());
     }
 
-    /// Renders all metrics, the memory that bodies take, the callers' connections and the number
-    /// of known endpoints in the Prometheus text exposition format.
+    /// Renders all metrics, the memory that bodies take, the callers' connections, the number of
+    /// known endpoints and the known era of the store in the Prometheus text exposition format.
     pub(crate) fn render(
         &self,
         body_memory: &MemoryBudget,
         callers: &Occupancy,
         endpoints: usize,
+        store_era: StoreEra,
     ) -> String {
         let mut text = String::new();
         let gauges = [
@@ -196,6 +210,7 @@
             ("descriptors_limit", callers.descriptors.get()),
             ("descriptors_used", callers.used_descriptors.get()),
             ("endpoints", endpoints as u64),
+            ("store_era", store_era.get()),
         ];
         for (name, value) in gauges {
             let _ = writeln!(text, "# TYPE parsleylatch_{name} gauge");
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -7,7 +7,7 @@
 use parsleylatch_http::Client;
 use parsleylatch_types::{
     EndpointId, EndpointVersion, FailureDomain, Millis, ModelId, Region, RequestsPerSecond,
-    ServiceName,
+    ServiceName, StoreEra,
 };
 use parsleylatch_wire::platform::{VmEntry, VmRole};
 
@@ -105,6 +105,9 @@
     /// maximum reads per second
     #[argh(option, default = "2000")]
     read_rate: u64,
+    /// era that all responses state; none by default
+    #[argh(option)]
+    era: Option<StoreEra>,
 }
 
 /// runs a simulated VM list
@@ -203,6 +206,7 @@
                 control: args.control,
                 write_rate: RequestsPerSecond::new(args.write_rate),
                 read_rate: RequestsPerSecond::new(args.read_rate),
+                era: args.era,
             };
             serve_until_shutdown(
                 Store::start(&settings)
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use parsleylatch_types::{Millis, Revision};
+use parsleylatch_types::{Millis, Revision, StoreEra};
 use parsleylatch_wire::platform::{KeyValue, ListReply, WriteReply};
 use serde::Serialize;
 
@@ -35,17 +35,28 @@
     pub(crate) guard: Option<(&'a str, Revision)>,
 }
 
+#[derive(Clone)]
 struct StoredValue {
     value: String,
     revision: Revision,
     lease_id: Option<u64>,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     expires_at: Instant,
 }
 
+/// Copy of a store's contents.
+#[derive(Clone)]
+pub(crate) struct StoreSnapshot {
+    keys: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease_id: u64,
+    revision: Revision,
+}
+
 /// Contents of a store.
 #[derive(Default)]
 pub(crate) struct StoreData {
@@ -57,9 +68,50 @@
     log: Vec<StoreLogEntry>,
     /// Changes up to this revision are no longer available to watches.
     compacted_revision: Revision,
+    era: Option<StoreEra>,
 }
 
 impl StoreData {
+    /// Creates an empty store.
+    pub(crate) fn in_era(era: Option<StoreEra>) -> Self {
+        Self {
+            era,
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn era(&self) -> Option<StoreEra> {
+        self.era
+    }
+
+    /// Copies the contents.
+    pub(crate) fn snapshot(&mut self, now: Instant) -> StoreSnapshot {
+        self.expire_leases(now);
+        StoreSnapshot {
+            keys: self.keys.clone(),
+            leases: self.leases.clone(),
+            next_lease_id: self.next_lease_id,
+            revision: self.revision,
+        }
+    }
+
+    /// Goes back to a copy, whose leases begin anew, and returns the era that begins. The
+    /// log of writes is kept.
+    pub(crate) fn restore(&mut self, now: Instant, snapshot: StoreSnapshot) -> StoreEra {
+        let era = self.era.unwrap_or_default().next();
+        self.era = Some(era);
+        self.keys = snapshot.keys;
+        self.leases = snapshot.leases;
+        for lease in self.leases.values_mut() {
+            lease.expires_at = now + lease.ttl;
+        }
+        self.next_lease_id = snapshot.next_lease_id;
+        self.revision = snapshot.revision;
+        // A copy holds no history.
+        self.compact_history();
+        era
+    }
+
     /// Discards the change history up to the current revision.
     pub(crate) fn compact_history(&mut self) {
         self.compacted_revision = self.revision;
@@ -68,7 +120,8 @@
 
     /// Returns whether all changes after a revision are still available.
     pub(crate) fn has_history_after(&self, after: Revision) -> bool {
-        after >= self.compacted_revision
+        let is_issued = self.era.is_none() || after <= self.revision;
+        is_issued && after >= self.compacted_revision
     }
 
     pub(crate) fn log(&self) -> &[StoreLogEntry] {
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -12,12 +12,12 @@
     time::Instant,
 };
 
-use parsleylatch_types::RequestsPerSecond;
+use parsleylatch_types::{RequestsPerSecond, StoreEra};
 use serde::Serialize;
 use tokio::sync::{Notify, watch};
 
 pub use data::StoreLogEntry;
-use data::{StoreData, WriteConditions};
+use data::{StoreData, StoreSnapshot, WriteConditions};
 use rate::RateLimiter;
 
 use crate::{
@@ -36,6 +36,8 @@
     pub write_rate: RequestsPerSecond,
     /// Maximum read rate; a watch counts as one read, however long it waits.
     pub read_rate: RequestsPerSecond,
+    /// Era that responses state; a store without one states none until it is restored.
+    pub era: Option<StoreEra>,
 }
 
 impl StoreSettings {
@@ -47,6 +49,7 @@
             control: any_port,
             write_rate: RequestsPerSecond::new(500),
             read_rate: RequestsPerSecond::new(2_000),
+            era: None,
         }
     }
 }
@@ -66,6 +69,7 @@
 
 pub(crate) struct StoreState {
     data: Mutex<StoreData>,
+    snapshot: Mutex<Option<StoreSnapshot>>,
     reads: Mutex<RateLimiter>,
     writes: Mutex<RateLimiter>,
     counters: Mutex<StoreCounters>,
@@ -75,6 +79,19 @@
 }
 
 impl StoreState {
+    fn take_snapshot(&self) {
+        let snapshot = lock(&self.data).snapshot(Instant::now());
+        *lock(&self.snapshot) = Some(snapshot);
+    }
+
+    /// Goes back to the last snapshot, and returns the era that begins; `None` without one.
+    fn restore(&self) -> Option<StoreEra> {
+        let snapshot = lock(&self.snapshot).clone()?;
+        let era = lock(&self.data).restore(Instant::now(), snapshot);
+        self.changed.notify_waiters();
+        Some(era)
+    }
+
     fn inject_fault(&self, fault_spec: FaultSpec<StoreFault>) {
         if fault_spec.fault == StoreFault::HistoryDropped {
             lock(&self.data).compact_history();
@@ -103,7 +120,8 @@
     pub fn start(settings: &StoreSettings) -> io::Result<Self> {
         let no_fault = FaultSpec::immediate(StoreFault::None);
         let state = Arc::new(StoreState {
-            data: Mutex::default(),
+            data: Mutex::new(StoreData::in_era(settings.era)),
+            snapshot: Mutex::default(),
             reads: Mutex::new(RateLimiter::new(settings.read_rate)),
             writes: Mutex::new(RateLimiter::new(settings.write_rate)),
             counters: Mutex::default(),
@@ -135,6 +153,16 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Copies the contents, replacing an earlier copy.
+    pub fn take_snapshot(&self) {
+        self.state.take_snapshot();
+    }
+
+    /// Goes back to the last copy and returns the era that begins; `None` without a copy.
+    pub fn restore(&self) -> Option<StoreEra> {
+        self.state.restore()
+    }
+
     /// Injects a fault, replacing the current one.
     pub fn inject_fault(&self, fault_spec: FaultSpec<StoreFault>) {
         self.state.inject_fault(fault_spec);
--- a/crates/standin/src/store/routes.rs
+++ b/crates/standin/src/store/routes.rs
@@ -9,23 +9,30 @@
 //! | `GET /v1/list?prefix=P` | lists the keys with a prefix |
 //! | `GET /v1/watch?prefix=P&after=R&wait_ms=W` | waits for a change after `R` |
 //! | `POST /v1/leases`, `PUT` and `DELETE /v1/leases/L` | grants, renews or revokes a lease |
+//!
+//! If the store has an era, the header `Store-Era` of all responses states it, and a watch from
+//! a revision that the store has not issued gets 410. Control: `POST /snapshot` copies the
+//! contents, and `POST /restore` goes back to the copy in the next era.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use parsleylatch_types::{Millis, Revision};
+use http::HeaderValue;
+use parsleylatch_types::{Millis, Revision, StoreEra};
 use parsleylatch_wire::platform::{LeaseReply, LeaseRequest, ListReply, ReadReply};
 use serde::{Deserialize, Serialize};
 use viz::{
-    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
-    types::State,
+    BoxHandler, Handler, IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result,
+    Router, StatusCode, types::State,
 };
 
 use super::{StoreCounters, StoreState, data::WriteConditions, lock, rate::RateLimiter};
 use crate::control::{self, StoreFault};
 
+/// Header that states the era of the store.
+const ERA_HEADER: &str = "store-era";
 /// Maximum size of a value.
 const MAX_VALUE_BYTES: u64 = 1 << 20;
 /// Maximum time that a call waits for the end of an outage before it fails.
@@ -60,6 +67,7 @@
 }
 
 pub(super) fn protocol(state: Arc<StoreState>) -> Router {
+    let stated = Arc::clone(&state);
     Router::new()
         .get("/v1/kv", read)
         .put("/v1/kv", write)
@@ -70,6 +78,29 @@
         .put("/v1/leases/:id", renew)
         .delete("/v1/leases/:id", revoke)
         .with(State::new(state))
+        .map_handler(move |handler| {
+            let state = Arc::clone(&stated);
+            BoxHandler::new(move |request: Request| {
+                let (handler, state) = (handler.clone(), Arc::clone(&state));
+                async move {
+                    let response = handler.call(request).await;
+                    Ok(state_era(
+                        &state,
+                        response.unwrap_or_else(IntoResponse::into_response),
+                    ))
+                }
+            })
+        })
+}
+
+/// Adds the header that states the era, if the store has one, to any response.
+fn state_era(state: &StoreState, mut response: Response) -> Response {
+    if let Some(era) = lock(&state.data).era() {
+        response
+            .headers_mut()
+            .insert(ERA_HEADER, HeaderValue::from(era.get()));
+    }
+    response
 }
 
 pub(super) fn control(state: Arc<StoreState>) -> Router {
@@ -77,6 +108,8 @@
         .post("/fault", inject_fault)
         .get("/log", log_entries)
         .get("/counters", counters)
+        .post("/snapshot", take_snapshot)
+        .post("/restore", restore)
         .with(State::new(state))
 }
 
@@ -231,6 +264,27 @@
     Ok(StatusCode::NO_CONTENT.into_response())
 }
 
+/// Copies the contents, replacing an earlier copy.
+async fn take_snapshot(request: Request) -> Result<Response> {
+    control::state::<StoreState>(&request)?.take_snapshot();
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+/// Goes back to the last copy in the next era; 409 if there is none.
+async fn restore(request: Request) -> Result<Response> {
+    match control::state::<StoreState>(&request)?.restore() {
+        Some(era) => control::json(&RestoreReply { store_era: era }),
+        None => Ok((StatusCode::CONFLICT, "no snapshot was taken").into_response()),
+    }
+}
+
+/// Reply to a restore.
+#[derive(Serialize)]
+struct RestoreReply {
+    /// Era that begins with the restore.
+    store_era: StoreEra,
+}
+
 async fn log_entries(request: Request) -> Result<Response> {
     control::json(&lock(&control::state::<StoreState>(&request)?.data).log())
 }
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -3,8 +3,8 @@
 //! Client, timeouts and errors are the same for every store; a codec only encodes
 //! requests and decodes replies.
 
-use http::{Method, StatusCode};
-use parsleylatch_types::{Millis, Revision};
+use http::{HeaderMap, Method, StatusCode};
+use parsleylatch_types::{EraReading, Millis, Revision};
 use parsleylatch_wire::platform::{
     KeyValue, LeaseReply, LeaseRequest, ListReply, ReadReply, WriteReply,
 };
@@ -79,12 +79,17 @@
     pub next_after: Option<String>,
 }
 
+/// Header of all responses that states the era of the store.
+const ERA_HEADER: &str = "store-era";
+
 /// Decodes one kind of reply.
 pub type ReadReplyFn<Output> = fn(StatusCode, &[u8]) -> Result<Output, ReplyError>;
 
 /// Encoders of requests to a store, and decoders of its replies.
 #[derive(Clone, Copy)]
 pub struct StoreCodec {
+    /// Reads the era of the store from the headers of a response.
+    pub read_era: fn(&HeaderMap) -> EraReading,
     /// Encodes a read of one key.
     pub read_request: fn(key: &str) -> StoreRequest,
     /// Decodes the reply to a read.
@@ -115,6 +120,7 @@
     /// Codec for the project's own store API.
     pub const fn own() -> Self {
         Self {
+            read_era,
             read_request: |key| {
                 StoreRequest::without_body(Method::GET, format!("/v1/kv?key={key}"))
             },
@@ -154,6 +160,19 @@
     }
 }
 
+/// Reads the header `Store-Era`. Several headers that differ are unreadable.
+pub fn read_era(headers: &HeaderMap) -> EraReading {
+    let mut stated = headers.get_all(ERA_HEADER).iter();
+    let Some(first) = stated.next() else {
+        return EraReading::parse(None);
+    };
+    let text = String::from_utf8_lossy(first.as_bytes());
+    match stated.all(|it| it == first) {
+        true => EraReading::parse(Some(&text)),
+        false => EraReading::Unreadable("several headers".into()),
+    }
+}
+
 fn own_write_request(write: &ConditionalWrite<'_>) -> StoreRequest {
     let expected = write.condition.expected();
     let mut path = format!("/v1/kv?key={}&expected={expected}", write.key);
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use parsleylatch_http::{HttpError, HttpErrorKind};
+use parsleylatch_types::EraReading;
 use strum::Display;
 use thiserror::Error;
 
@@ -35,6 +36,8 @@
     pub step: StoreStep,
     /// Error of the HTTP call.
     pub source: HttpError,
+    /// Era that the response states, if there is a response.
+    pub era: Option<EraReading>,
 }
 
 impl StoreError {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,8 +9,8 @@
 mod vm_list;
 
 pub use codec::{
-    ConditionalWrite, Guard, ListPage, ReadReplyFn, ReplyError, StoreCodec, StoreRequest,
+    ConditionalWrite, Guard, ListPage, ReadReplyFn, ReplyError, StoreCodec, StoreRequest, read_era,
 };
 pub use error::{StoreError, StoreStep};
-pub use store::{Condition, LeaseId, StoreClient};
+pub use store::{Condition, Dated, LeaseId, StoreClient};
 pub use vm_list::VmListClient;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use parsleylatch_http::{Client, HttpError, HttpErrorKind, Reply, Step};
-use parsleylatch_types::{Millis, Revision};
+use parsleylatch_types::{EraReading, Millis, Revision};
 use parsleylatch_wire::platform::{KeyValue, ListReply, WriteReply};
 
 use crate::{
@@ -51,6 +51,15 @@
     }
 }
 
+/// Result of a call, with the era of the store that gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dated<Output> {
+    /// Era that the response states.
+    pub era: EraReading,
+    /// Result.
+    pub reply: Output,
+}
+
 /// Client for the store at one address.
 #[derive(Clone)]
 pub struct StoreClient {
@@ -81,12 +90,13 @@
     ///
     /// # Errors
     /// Returns the failed call and the HTTP error.
-    pub async fn read(&self, key: &str) -> Result<Option<KeyValue>, StoreError> {
+    pub async fn read(&self, key: &str) -> Result<Dated<Option<KeyValue>>, StoreError> {
         let step = StoreStep::Read;
         let request = (self.codec.read_request)(key);
         let reply = self.send(step, request, self.call_timeout_ms).await?;
         let decoded = (self.codec.read_reply)(reply.status, &reply.body);
-        Ok(self.map_reply(step, decoded)?.entry)
+        let entry = decoded.map(|it| it.entry);
+        self.dated(step, &reply, entry)
     }
 
     /// Lists the keys with a prefix, page by page. The pages do not form a consistent
@@ -94,33 +104,48 @@
     ///
     /// # Errors
     /// Returns the failed call and the HTTP error.
-    pub async fn list(&self, prefix: &str) -> Result<ListReply, StoreError> {
+    pub async fn list(&self, prefix: &str) -> Result<Dated<ListReply>, StoreError> {
         let first = self.list_page(prefix, None).await?;
-        let (mut listing, mut next_after) = (first.reply, first.next_after);
+        let mut era = first.era;
+        let (mut listing, mut next_after) = (first.reply.reply, first.reply.next_after);
         let mut listed_bytes = page_bytes(&listing);
         while let Some(after) = next_after {
-            let page = self.list_page(prefix, Some(&after)).await?;
+            let dated = self.list_page(prefix, Some(&after)).await?;
+            match (&era, dated.era) {
+                (EraReading::Read(stated), EraReading::Read(other)) if *stated != other => {
+                    let reason = format!("a page after key `{after}` is of another era");
+                    return Err(self.listing_error(reason, EraReading::Read(other)));
+                }
+                (EraReading::Unreadable(_), readable @ EraReading::Read(_)) => era = readable,
+                _ => {}
+            }
+            let page = dated.reply;
             if page.next_after.as_ref() == Some(&after) {
                 let reason = format!("a page after key `{after}` ends with it");
-                return Err(self.reply_error(StoreStep::List, ReplyError::Malformed(reason)));
+                return Err(self.listing_error(reason, era));
             }
             listed_bytes += page_bytes(&page.reply);
             if listed_bytes > MAX_LISTING_BYTES {
                 let reason = format!("a listing of more than {MAX_LISTING_BYTES} bytes");
-                return Err(self.reply_error(StoreStep::List, ReplyError::Malformed(reason)));
+                return Err(self.listing_error(reason, era));
             }
             listing.entries.extend(page.reply.entries);
             next_after = page.next_after;
         }
-        Ok(listing)
+        let reply = listing;
+        Ok(Dated { era, reply })
     }
 
-    async fn list_page(&self, prefix: &str, after: Option<&str>) -> Result<ListPage, StoreError> {
+    async fn list_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<Dated<ListPage>, StoreError> {
         let step = StoreStep::List;
         let request = (self.codec.list_request)(prefix, after);
         let reply = self.send(step, request, self.call_timeout_ms).await?;
         let decoded = (self.codec.list_reply)(reply.status, &reply.body);
-        self.map_reply(step, decoded)
+        self.dated(step, &reply, decoded)
     }
 
     /// Waits for changes of a prefix after a revision; the reply is empty if there were none
@@ -133,13 +158,13 @@
         prefix: &str,
         after: Revision,
         wait_ms: Millis,
-    ) -> Result<ListReply, StoreError> {
+    ) -> Result<Dated<ListReply>, StoreError> {
         let step = StoreStep::Watch;
         let request = (self.codec.watch_request)(prefix, after, wait_ms);
         let timeout_ms = wait_ms.saturating_add(self.call_timeout_ms);
         let reply = self.send(step, request, timeout_ms).await?;
         let decoded = (self.codec.watch_reply)(reply.status, &reply.body);
-        self.map_reply(step, decoded)
+        self.dated(step, &reply, decoded)
     }
 
     /// Writes a key if the condition is met.
@@ -153,7 +178,7 @@
         value: String,
         condition: Condition,
         lease: Option<LeaseId>,
-    ) -> Result<WriteReply, StoreError> {
+    ) -> Result<Dated<WriteReply>, StoreError> {
         let value = Some(value.as_str());
         self.send_write(&ConditionalWrite {
             key,
@@ -175,7 +200,7 @@
         value: &str,
         condition: Condition,
         guard: Guard<'_>,
-    ) -> Result<WriteReply, StoreError> {
+    ) -> Result<Dated<WriteReply>, StoreError> {
         self.send_write(&ConditionalWrite {
             key,
             value: Some(value),
@@ -190,7 +215,11 @@
     ///
     /// # Errors
     /// Same as [`StoreClient::write`].
-    pub async fn delete(&self, key: &str, revision: Revision) -> Result<WriteReply, StoreError> {
+    pub async fn delete(
+        &self,
+        key: &str,
+        revision: Revision,
+    ) -> Result<Dated<WriteReply>, StoreError> {
         self.send_write(&ConditionalWrite {
             key,
             value: None,
@@ -205,27 +234,28 @@
     ///
     /// # Errors
     /// Returns the failed call and the HTTP error.
-    pub async fn grant(&self, ttl_ms: Millis) -> Result<LeaseId, StoreError> {
+    pub async fn grant(&self, ttl_ms: Millis) -> Result<Dated<LeaseId>, StoreError> {
         let step = StoreStep::Grant;
         let request = (self.codec.grant_request)(ttl_ms);
         let reply = self.send(step, request, self.call_timeout_ms).await?;
         let decoded = (self.codec.grant_reply)(reply.status, &reply.body);
-        self.map_reply(step, decoded)
+        self.dated(step, &reply, decoded)
     }
 
     /// Renews a lease; returns `false` if it has expired.
     ///
     /// # Errors
     /// Returns the failed call and the HTTP error.
-    pub async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+    pub async fn renew(&self, lease: LeaseId) -> Result<Dated<bool>, StoreError> {
         let step = StoreStep::Renew;
         let request = (self.codec.renew_request)(lease);
         let reply = self.send(step, request, self.call_timeout_ms).await?;
-        match reply.status {
+        let renewed = match reply.status {
             StatusCode::NOT_FOUND => Ok(false),
             status if status.is_success() => Ok(true),
-            status => Err(self.reply_error(step, ReplyError::Status(status))),
-        }
+            status => Err(ReplyError::Status(status)),
+        };
+        self.dated(step, &reply, renewed)
     }
 
     /// Revokes a lease, which deletes its keys.
@@ -239,12 +269,15 @@
         Ok(())
     }
 
-    async fn send_write(&self, write: &ConditionalWrite<'_>) -> Result<WriteReply, StoreError> {
+    async fn send_write(
+        &self,
+        write: &ConditionalWrite<'_>,
+    ) -> Result<Dated<WriteReply>, StoreError> {
         let step = StoreStep::Write;
         let request = (self.codec.write_request)(write);
         let reply = self.send(step, request, self.call_timeout_ms).await?;
         let decoded = (self.codec.write_reply)(write, reply.status, &reply.body);
-        self.map_reply(step, decoded)
+        self.dated(step, &reply, decoded)
     }
 
     async fn send(
@@ -264,18 +297,37 @@
             .http
             .call_limited(self.address, builder, body, timeout, limit_bytes)
             .await;
-        reply.map_err(|source| StoreError { step, source })
+        reply.map_err(|source| StoreError {
+            step,
+            source,
+            era: None,
+        })
     }
 
-    fn map_reply<Output>(
+    /// Adds the era that a response states to its decoded result.
+    fn dated<Output>(
         &self,
         step: StoreStep,
+        reply: &Reply,
         decoded: Result<Output, ReplyError>,
-    ) -> Result<Output, StoreError> {
-        decoded.map_err(|error| self.reply_error(step, error))
+    ) -> Result<Dated<Output>, StoreError> {
+        let era = (self.codec.read_era)(&reply.headers);
+        match decoded {
+            Ok(reply) => Ok(Dated { era, reply }),
+            Err(error) => Err(self.reply_error(step, error, Some(era))),
+        }
     }
 
-    fn reply_error(&self, step: StoreStep, error: ReplyError) -> StoreError {
+    fn listing_error(&self, reason: String, era: EraReading) -> StoreError {
+        self.reply_error(StoreStep::List, ReplyError::Malformed(reason), Some(era))
+    }
+
+    fn reply_error(
+        &self,
+        step: StoreStep,
+        error: ReplyError,
+        era: Option<EraReading>,
+    ) -> StoreError {
         let (http_step, kind) = match error {
             ReplyError::Status(status) => (Step::Receive, HttpErrorKind::Status(status)),
             ReplyError::Malformed(reason) => (Step::Decode, HttpErrorKind::Malformed(reason)),
@@ -285,7 +337,7 @@
             peer: self.address,
             kind,
         };
-        StoreError { step, source }
+        StoreError { step, source, era }
     }
 }
 
--- a/crates/store/src/vm_list.rs
+++ b/crates/store/src/vm_list.rs
@@ -39,6 +39,7 @@
         reply.map_err(|source| StoreError {
             step: StoreStep::ListVms,
             source,
+            era: None,
         })
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod quantity;
 mod request_id;
+mod store_position;
 mod time;
 
 pub use id::{
@@ -17,9 +18,11 @@
 };
 pub use quantity::{
     AttemptNumber, ByteCount, BytesPerSecond, ConnectionCount, ConnectionNumber, DescriptorCount,
-    FencingNumber, Incarnation, MicrosPerKilobyte, OwnerEpoch, PacePercent, ParseQuantityError,
-    Percent, Priority, Rank, RequestCount, RequestsPerSecond, Revision, Seed, Share, SlotCount,
-    StoreEra, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond, TrialNumber, Weight,
+    EntrySequence, FencingNumber, Incarnation, MicrosPerKilobyte, OwnerEpoch, PacePercent,
+    ParseQuantityError, Percent, Priority, Rank, RequestCount, RequestsPerSecond, Revision, Seed,
+    Share, SlotCount, StoreEra, StreamEventId, TokenCount, TokenId, TokenIndex, TokensPerSecond,
+    TrialNumber, Weight,
 };
 pub use request_id::{ParseRequestIdError, RequestId};
+pub use store_position::{EraReading, ParsePositionError, StorePosition};
 pub use time::{Micros, Millis, MonoTime, UnixMillis};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -117,6 +117,10 @@
     /// Era of the store; increases by one each time it is restored from a copy.
     StoreEra, u64, ""
 );
+quantity!(
+    /// Number of the writes that an endpoint has made to its entry.
+    EntrySequence, u64, ""
+);
 quantity!(
     /// Fencing number of a lease; each new holder gets a larger one.
     FencingNumber, u64, ""
--- a/crates/types/tests/round_trip.rs
+++ b/crates/types/tests/round_trip.rs
@@ -3,9 +3,9 @@
 use std::{fmt::Display, str::FromStr};
 
 use parsleylatch_types::{
-    ByteCount, BytesPerSecond, EndpointId, FencingNumber, Micros, MicrosPerKilobyte, Millis,
-    MonoTime, NodeId, PacePercent, Percent, RequestId, RequestsPerSecond, Revision, Share,
-    StoreEra, TokenCount, TokenIndex, TokensPerSecond, UnixMillis, WorkspaceId,
+    ByteCount, BytesPerSecond, EndpointId, EraReading, FencingNumber, Micros, MicrosPerKilobyte,
+    Millis, MonoTime, NodeId, PacePercent, Percent, RequestId, RequestsPerSecond, Revision, Share,
+    StoreEra, StorePosition, TokenCount, TokenIndex, TokensPerSecond, UnixMillis, WorkspaceId,
 };
 use proptest::prelude::*;
 use test_case::test_case;
@@ -32,6 +32,8 @@
         prop_assert!(round_trips(&RequestsPerSecond::new(number)));
         prop_assert!(round_trips(&Revision::new(number)));
         prop_assert!(round_trips(&StoreEra::new(number)));
+        let era = StoreEra::new(u64::from(small));
+        prop_assert!(round_trips(&StorePosition::new(era, Revision::new(number))));
         prop_assert!(round_trips(&MicrosPerKilobyte::new(number)));
         prop_assert!(round_trips(&PacePercent::new(small)));
         prop_assert!(round_trips(&TokensPerSecond::new(number)));
@@ -81,3 +83,31 @@
 fn parse_request_id_refused(text: &str) {
     assert!(text.parse::<RequestId>().is_err());
 }
+
+/// A revision issued again after a restore must not look older than one of an earlier era.
+#[test]
+fn store_position_era_first() {
+    let position = |era, revision| StorePosition::new(StoreEra::new(era), Revision::new(revision));
+    assert!(position(1, 3) > position(0, 900));
+    assert!(position(1, 4) > position(1, 3));
+}
+
+/// An era that can't be an era must not move a node into a far future.
+#[test_case(None, Some(0) ; "absent")]
+#[test_case(Some("0"), Some(0) ; "zero")]
+#[test_case(Some(" 17 "), Some(17) ; "spaces")]
+#[test_case(Some("9007199254740992"), Some(9_007_199_254_740_992) ; "largest")]
+#[test_case(Some("9007199254740993"), None ; "over the limit")]
+#[test_case(Some("-1"), None ; "negative")]
+#[test_case(Some("+1"), None ; "signed")]
+#[test_case(Some("1.5"), None ; "fraction")]
+#[test_case(Some("one"), None ; "letters")]
+#[test_case(Some(""), None ; "empty")]
+#[test_case(Some("99999999999999999999999"), None ; "beyond the type")]
+fn era_reading_parse(text: Option<&str>, expected: Option<u64>) {
+    let read = match EraReading::parse(text) {
+        EraReading::Read(era) => Some(era.get()),
+        EraReading::Unreadable(_) => None,
+    };
+    assert_eq!(read, expected);
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -18,6 +18,7 @@
         key: format!("endpoints/i-{number}"),
         value: format!("{{\"service\":\"engines\",\"address\":\"10.1.0.{number}:80\"}}"),
         revision: number as u64,
+        era: 0,
     });
     PeerMessage {
         body: Some(Body::RelayState(RelayState {
--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -520,7 +520,7 @@
     let store = StoreClient::new(running.fleet.store.address);
     let deleted = async {
         loop {
-            let listed = store.list("claims/").await.unwrap().entries;
+            let listed = store.list("claims/").await.unwrap().reply.entries;
             let is_listed = |key: &&String| listed.iter().any(|it| it.key == **key);
             if old_keys.iter().filter(is_listed).count() <= old_keys.len() - 2 {
                 return;
--- a/tests/process/configuration.rs
+++ b/tests/process/configuration.rs
@@ -106,12 +106,13 @@
         .read(TEMPLATE_KEY)
         .await
         .unwrap()
+        .reply
         .expect("the template exists");
     let value = set_weight(&entry.value, weight);
     let reply = store
         .write(TEMPLATE_KEY, value, Condition::At(entry.revision), None)
         .await;
-    let reply = reply.expect("the store responds");
+    let reply = reply.expect("the store responds").reply;
     assert!(reply.written);
     reply.entry.expect("written").revision
 }
@@ -235,7 +236,7 @@
     let running = RunningFleet::start(fleet_spec(1)).await;
     let before = template_revision(&running, running.fleet.nodes[0].admin).await;
     let store = StoreClient::new(running.fleet.store.address);
-    let entry = store.read(TEMPLATE_KEY).await.unwrap().unwrap();
+    let entry = store.read(TEMPLATE_KEY).await.unwrap().reply.unwrap();
     let condition = Condition::At(entry.revision);
     let text = "{ \"tier\": 7 }".to_owned();
     store
@@ -251,12 +252,12 @@
 
 async fn replace_unreadable(running: &RunningFleet, good: &str) -> Revision {
     let store = StoreClient::new(running.fleet.store.address);
-    let entry = store.read(TEMPLATE_KEY).await.unwrap().unwrap();
+    let entry = store.read(TEMPLATE_KEY).await.unwrap().reply.unwrap();
     let condition = Condition::At(entry.revision);
     let reply = store
         .write(TEMPLATE_KEY, set_weight(good, 6), condition, None)
         .await;
-    reply.unwrap().entry.unwrap().revision
+    reply.unwrap().reply.entry.unwrap().revision
 }
 
 /// Several operators write the same template at once. Each node's revisions never
@@ -292,13 +293,14 @@
     let mut written = Vec::new();
     for weight in first_weight..first_weight + 5 {
         loop {
-            let entry = store.read(TEMPLATE_KEY).await.unwrap().unwrap();
+            let entry = store.read(TEMPLATE_KEY).await.unwrap().reply.unwrap();
             let value = set_weight(&entry.value, weight);
             let condition = Condition::At(entry.revision);
             let reply = store
                 .write(TEMPLATE_KEY, value, condition, None)
                 .await
-                .unwrap();
+                .unwrap()
+                .reply;
             if reply.written {
                 written.push((reply.entry.unwrap().revision.get(), weight));
                 break;
