--- a/tests/process/calls.rs
+++ b/tests/process/calls.rs
@@ -35,7 +35,7 @@
 }
 
 impl ObservedOutcome {
-    fn is_unknown(&self) -> bool {
+    pub(crate) fn is_unknown(&self) -> bool {
         matches!(self, Self::MayHaveRun(problem_type) if problem_type.ends_with(":outcome-unknown"))
     }
 }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -19,3 +19,4 @@
 mod resume;
 mod services;
 mod settings;
+mod store_restore;
