--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -10,8 +10,8 @@
     Registry, RegistryChange, RelayConfiguration, RemovalLog, VersionRule,
 };
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, Micros, Millis, MonoTime, Revision, ServiceName, StoreEra,
-    StorePosition,
+    EndpointId, EndpointVersion, EntrySequence, Micros, Millis, MonoTime, Revision, ServiceName,
+    StoreEra, StorePosition,
 };
 use parsleylatch_wire::{
     platform::KeyValue,
@@ -34,6 +34,8 @@
 struct RegisteredEndpoint {
     document: StoredDocument,
     entry: Option<EndpointEntry>,
+    /// Number of the endpoint's writes, if the document states it.
+    sequence: Option<EntrySequence>,
 }
 
 /// Configuration and endpoint registry, with the documents they were parsed from.
@@ -161,12 +163,18 @@
 
     fn upsert_entry(&mut self, document: StoredDocument) {
         let KeyValue { key, value, .. } = &document.entry;
-        let read = (self.shared.codec.documents.read_entry)(key, value);
+        let codec = self.shared.codec.documents;
+        let sequence = (codec.read_sequence)(value);
+        let read = (codec.read_entry)(key, value);
         let entry = read.map_err(|reason| self.report_unreadable(&document.entry, &reason));
         let entry = entry.ok();
         let key = document.entry.key.clone();
-        self.registered
-            .insert(key, RegisteredEndpoint { document, entry });
+        let registered = RegisteredEndpoint {
+            document,
+            entry,
+            sequence,
+        };
+        self.registered.insert(key, registered);
     }
 
     fn record_store_success(&mut self) {
@@ -247,18 +255,18 @@
 
     fn apply_registry(&mut self, position: StorePosition, source: &str) {
         let now = self.shared.now();
-        let codec = self.shared.codec.documents;
+        let configuration_key = self.shared.codec.documents.configuration_key;
         let era_start = self.era_start;
         let entries = self.registered.values().filter_map(|it| {
             Some(ListedEntry {
                 entry: it.entry.clone()?,
-                sequence: (codec.read_sequence)(&it.document.entry.value),
+                sequence: it.sequence,
                 is_rewritten: it.document.position() > era_start,
             })
         });
         let entries = entries.collect();
         self.unreadable
-            .retain(|key, _| self.registered.contains_key(key) || key == codec.configuration_key);
+            .retain(|key, _| self.registered.contains_key(key) || key == configuration_key);
         let Some(change) = self.registry.apply(now, position, entries) else {
             return;
         };
