--- a/crates/decide/tests/calls_under_load/decisions.rs
+++ b/crates/decide/tests/calls_under_load/decisions.rs
@@ -158,6 +158,7 @@
     let load = LoadSample {
         running: 6,
         waiting,
+        ..LoadSample::default()
     };
     let slots = SlotCount::new(6);
     let latency = took.map(|it| Millis::new(it).micros());
--- a/crates/decide/tests/calls_under_load/model.rs
+++ b/crates/decide/tests/calls_under_load/model.rs
@@ -143,6 +143,7 @@
         LoadSample {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
+            ..LoadSample::default()
         }
     }
 }
@@ -230,6 +231,7 @@
         .map(|it| NodeLocation {
             id: format!("n-{it}").parse().unwrap(),
             region: Some(region(it)),
+            failure_domain: None,
         })
         .collect();
     let locations = locations.into();
--- a/crates/relay/src/own_codec.rs
+++ b/crates/relay/src/own_codec.rs
@@ -78,6 +78,7 @@
                 configuration_path,
                 registry_prefix: REGISTRY_PREFIX,
                 read_entry,
+                read_sequence: |_| None,
             },
             rollouts: RolloutCodec {
                 order_prefix: "operator/rollouts/",
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -11,7 +11,7 @@
 use hdrhistogram::Histogram;
 use parsleylatch_decide::relay::{Border, Occupancy};
 use parsleylatch_runtime::ConnectionEvent;
-use parsleylatch_types::{Micros, ServiceName, Share};
+use parsleylatch_types::{Micros, ServiceName, Share, StoreEra};
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 use super::crossings::{CrossingCounter, Crossings};
@@ -116,6 +116,15 @@
     ConfigurationsApplied,
     /// Documents in the store that can't be parsed.
     DocumentsUnreadable,
+    /// Restores of the store from a copy that this node has seen.
+    StoreRestores,
+    /// Documents of a restored store that did not replace what is known, and endpoints kept
+    /// although it does not list them.
+    DocumentsHeld,
+    /// Entries that a restored store lists of endpoints that have left.
+    DocumentsDropped,
+    /// Documents written again to a restored store.
+    DocumentsRewritten,
     /// Attempts counted for a version under rollout.
     Trials,
     /// Attempts not counted because the control thread's queue was full.
@@ -180,6 +189,10 @@
         self.counters[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn add(&self, counter: RelayCounter, count: usize) {
+        self.counters[counter as usize].fetch_add(count as u64, Ordering::Relaxed);
+    }
+
     pub(crate) fn observe(&self, kind: RelayLatency, latency: Micros) {
         let slot = &self.latencies[kind as usize];
         let mut histogram = slot.lock().unwrap_or_else(PoisonError::into_inner);
@@ -205,13 +218,14 @@
         self.crossings.set_share(service, border, share);
     }
 
-    /// Renders all metrics, the memory that bodies take, the callers' connections and the number
-    /// of known endpoints in the Prometheus text exposition format.
+    /// Renders all metrics, the memory that bodies take, the callers' connections, the number of
+    /// known endpoints and the known era of the store in the Prometheus text exposition format.
     pub(crate) fn render(
         &self,
         body_memory: &MemoryBudget,
         callers: &Occupancy,
         endpoints: usize,
+        store_era: StoreEra,
     ) -> String {
         let mut text = String::new();
         let gauges = [
@@ -223,6 +237,7 @@
             ("descriptors_limit", callers.descriptors.get()),
             ("descriptors_used", callers.used_descriptors.get()),
             ("endpoints", endpoints as u64),
+            ("store_era", store_era.get()),
         ];
         for (name, value) in gauges {
             let _ = writeln!(text, "# TYPE parsleylatch_{name} gauge");
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -20,3 +20,4 @@
 mod resume;
 mod services;
 mod settings;
+mod store_restore;
