--- a/crates/decide/src/relay/endpoint_table.rs
+++ b/crates/decide/src/relay/endpoint_table.rs
@@ -1,11 +1,7 @@
 //! Endpoints as known to one traffic thread: registry entries and statistics of past
 //! attempts. The statistics belong to one incarnation and are discarded with it.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use parsleylatch_types::{
     EndpointId, EndpointVersion, FailureDomain, Incarnation, Micros, Millis, MonoTime, PacePercent,
@@ -13,6 +9,7 @@
 };
 
 use super::{
+    domain_failures::DomainFailures,
     endpoint_notice::EndpointNotices,
     overload::{EngineLoad, OwnStreams, RoomClaim, StreamSize},
     ownership::EndpointOwnership,
@@ -34,12 +31,6 @@
 const UNREACHABLE_SUSPENSION_MS: Millis = Millis::new(1_000);
 /// Longest suspension of an endpoint.
 const SUSPENSION_LIMIT_MS: Millis = Millis::new(8_000);
-/// Suspension of a failure domain in which several endpoints failed together.
-const DOMAIN_SUSPENSION_MS: Millis = Millis::new(1_200);
-/// Time window in which failures of a domain's endpoints count as one incident.
-const DOMAIN_FAILURE_WINDOW_MS: Millis = Millis::new(400);
-/// Endpoints of a domain that have to fail within the window.
-const DOMAIN_FAILURE_THRESHOLD: usize = 2;
 /// Age from which a reported load is ignored.
 pub(super) const LOAD_AGE_LIMIT_MS: Millis = Millis::new(1_500);
 
@@ -216,14 +207,6 @@
     pub(super) notices: EndpointNotices,
 }
 
-#[derive(Debug, Default)]
-struct DomainFailures {
-    recent: VecDeque<(MonoTime, EndpointKey)>,
-    /// Last time at which several endpoints failed together.
-    failed_at: Option<MonoTime>,
-    suspended_until: MonoTime,
-}
-
 impl EndpointTable {
     /// Creates an empty table.
     pub fn new() -> Self {
@@ -355,7 +338,7 @@
         domain: &FailureDomain,
     ) -> bool {
         let failures = self.domain_failures.get(&(service.clone(), domain.clone()));
-        failures.is_some_and(|it| it.suspended_until > now)
+        failures.is_some_and(|it| it.is_suspended(now))
     }
 
     /// Whether an endpoint has shown no sign of life since several endpoints of its
@@ -365,7 +348,7 @@
         let entry = &stats.entry;
         let domain = (entry.service.clone(), entry.failure_domain.clone());
         let failures = self.domain_failures.get(&domain);
-        let failed_at = failures.and_then(|it| it.failed_at);
+        let failed_at = failures.and_then(DomainFailures::failed_at);
         failed_at.is_some_and(|at| stats.last_alive_at < at)
     }
 
@@ -529,8 +512,7 @@
                 });
                 stats.latency = Some(Micros::new(mean));
             }
-            Outcome::Errored => stats.update_failure_rate(now, true),
-            Outcome::Rejected => stats.update_failure_rate(now, true),
+            Outcome::Errored | Outcome::Rejected => stats.update_failure_rate(now, true),
             Outcome::Broken => {
                 stats.update_failure_rate(now, true);
                 stats.suspend(now, BROKEN_SUSPENSION_MS);
@@ -564,15 +546,9 @@
         };
         let entry = &stats.entry;
         let domain = (entry.service.clone(), entry.failure_domain.clone());
-        let failures = self.domain_failures.entry(domain).or_default();
-        let span = DOMAIN_FAILURE_WINDOW_MS.micros();
-        failures
-            .recent
-            .retain(|(at, other)| now.since(*at) <= span && other != key);
-        failures.recent.push_back((now, key.clone()));
-        if failures.recent.len() >= DOMAIN_FAILURE_THRESHOLD {
-            failures.failed_at = Some(now);
-            failures.suspended_until = now + DOMAIN_SUSPENSION_MS;
-        }
+        self.domain_failures
+            .entry(domain)
+            .or_default()
+            .record(now, key);
     }
 }
--- a/crates/decide/src/relay/exchange/context.rs
+++ b/crates/decide/src/relay/exchange/context.rs
@@ -13,7 +13,8 @@
     configuration::RepeatPolicy,
     copy::{CopySource, MemoryCopy},
     endpoint_table::{EndpointEntry, EndpointKey},
-    selector::{Choice, PREFILL_TOKENS_PER_MS},
+    placement_cost::PREFILL_TOKENS_PER_MS,
+    selector::Choice,
     stall_detector::StallDetector,
 };
 
--- a/crates/decide/src/relay/locality/domain_load.rs
+++ b/crates/decide/src/relay/locality/domain_load.rs
@@ -6,7 +6,7 @@
 
 use crate::relay::{
     endpoint_table::{EndpointStats, EndpointTable, LOAD_AGE_LIMIT_MS},
-    selector::load_cost,
+    placement_cost::load_cost,
 };
 
 /// Distance of a failure domain from a node.
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod connection_places;
 mod copy;
 mod crash_evidence;
+mod domain_failures;
 mod endpoint_notice;
 mod endpoint_table;
 mod exchange;
@@ -22,6 +23,7 @@
 mod ownership;
 mod pace;
 mod place_limits;
+mod placement_cost;
 mod readers;
 mod registry;
 mod report;
@@ -74,6 +76,7 @@
 pub use ownership::EndpointOwnership;
 pub use pace::{ReportedPace, is_plausible_pace};
 pub use place_limits::{PlaceBound, PlaceLimits};
+pub use placement_cost::PREFILL_TOKENS_PER_MS;
 pub use readers::{NodeLocation, RemovalLog, receives_full_state, region_readers};
 pub use registry::{ListedEntry, RESTORE_GRACE_MS, Registry, RegistryChange};
 pub use report::{EngineReport, ProbeFinding, RunProgress};
@@ -83,7 +86,7 @@
     RolloutEffect, RolloutOrder, RolloutPhase, RolloutStatus, Rollouts, VersionLimit, VersionRule,
     VersionTrial,
 };
-pub use selector::{Choice, PREFILL_TOKENS_PER_MS, SelectionCriteria, Selector};
+pub use selector::{Choice, SelectionCriteria, Selector};
 pub use source::{SourceFacts, SourceState, StoreSource};
 pub use stall_detector::StallDetector;
 
--- a/crates/decide/src/relay/overload/call_limit.rs
+++ b/crates/decide/src/relay/overload/call_limit.rs
@@ -16,8 +16,8 @@
 use crate::charts::{self, LazyMachine};
 
 /// Part of the goal that the predicted response time is kept at, in percent. The rest covers the
-/// network, endpoints that are briefly slower and the age of the reports. In the model of
-/// `crates/decide/tests/calls_under_load`, 45 leaves slots empty and 70 makes calls late.
+/// network, endpoints that are briefly slower and the age of the reports: 45 leaves slots empty,
+/// and 70 makes calls late.
 const TARGET_PERCENT: u64 = 55;
 /// Largest relative deviation from the target that counts.
 const MAX_DEVIATION: f64 = 1.0;
--- a/crates/decide/src/relay/overload/engine_load.rs
+++ b/crates/decide/src/relay/overload/engine_load.rs
@@ -15,7 +15,9 @@
 use parsleylatch_types::{Micros, Millis, MonoTime, PacePercent, SlotCount, TokenCount};
 
 use super::rank_reserve::RoomClaim;
-use crate::relay::{pace::ReportedPace, report::EngineReport, selector::PREFILL_TOKENS_PER_MS};
+use crate::relay::{
+    pace::ReportedPace, placement_cost::PREFILL_TOKENS_PER_MS, report::EngineReport,
+};
 
 /// Age up to which a report is used for placements.
 const REPORT_AGE_LIMIT_MS: Millis = Millis::new(300);
--- a/crates/decide/src/relay/overload/hopeless.rs
+++ b/crates/decide/src/relay/overload/hopeless.rs
@@ -5,7 +5,7 @@
 
 use parsleylatch_types::{Millis, MonoTime, TokenCount};
 
-use crate::relay::selector::PREFILL_TOKENS_PER_MS;
+use crate::relay::placement_cost::PREFILL_TOKENS_PER_MS;
 
 /// Part of a prompt that an engine may have in its cache, in percent.
 const CACHED_PROMPT_PERCENT: u64 = 50;
--- a/crates/decide/src/relay/overload/queue.rs
+++ b/crates/decide/src/relay/overload/queue.rs
@@ -23,7 +23,7 @@
     rank_reserve::{RankClass, RoomClaim},
     stream_duration::StreamDurations,
 };
-use crate::relay::selector::PREFILL_TOKENS_PER_MS;
+use crate::relay::placement_cost::PREFILL_TOKENS_PER_MS;
 
 /// Requests that may wait for one service at one traffic thread.
 const QUEUE_LIMIT: RequestCount = RequestCount::new(512);
--- a/crates/decide/src/relay/overload/stream_duration.rs
+++ b/crates/decide/src/relay/overload/stream_duration.rs
@@ -8,7 +8,7 @@
 use parsleylatch_types::{Micros, Millis};
 
 use super::engine_load::StreamSize;
-use crate::relay::selector::PREFILL_TOKENS_PER_MS;
+use crate::relay::placement_cost::PREFILL_TOKENS_PER_MS;
 
 /// Time per generated token on a lightly loaded engine: a step takes 3.4 to 3.6 ms, and
 /// slightly more with other requests in the batch.
--- a/crates/decide/tests/calls_under_load/decisions.rs
+++ b/crates/decide/tests/calls_under_load/decisions.rs
@@ -8,7 +8,6 @@
 };
 use parsleylatch_types::{
     ByteCount, Incarnation, Micros, Millis, MonoTime, Rank, ServiceName, Share, SlotCount,
-    TokenCount,
 };
 use test_case::test_case;
 
@@ -190,27 +189,15 @@
         }
     }
 
-    fn criteria(service: &ServiceName) -> SelectionCriteria<'_> {
-        SelectionCriteria {
-            service,
-            excluded: &[],
-            copy: None,
-            prompt_holder: None,
-            prompt: TokenCount::ZERO,
-            with_backup: false,
-            version: None,
-        }
-    }
-
     fn plan(&mut self, time_ms: u64, call: &QueuedCall) -> CallPlan {
-        let criteria = Self::criteria(&self.service);
+        let criteria = SelectionCriteria::any_call(&self.service);
         let (table, selector) = (&self.table, &mut self.selector);
         self.admission
             .plan(at(time_ms), table, selector, &criteria, call, 0.5)
     }
 
     fn take_planned(&mut self, time_ms: u64) -> Vec<CallPlan> {
-        let criteria = Self::criteria(&self.service);
+        let criteria = SelectionCriteria::any_call(&self.service);
         let (table, selector) = (&self.table, &mut self.selector);
         let planned = self
             .admission
@@ -219,7 +206,7 @@
     }
 
     fn next_turn(&self, time_ms: u64) -> Option<MonoTime> {
-        let criteria = Self::criteria(&self.service);
+        let criteria = SelectionCriteria::any_call(&self.service);
         self.admission
             .next_turn(at(time_ms), &self.table, &criteria)
     }
--- a/crates/decide/tests/calls_under_load/model.rs
+++ b/crates/decide/tests/calls_under_load/model.rs
@@ -514,7 +514,7 @@
     fn schedule_turn(&mut self, now_us: u64, number: usize) {
         let now = MonoTime::new(now_us);
         let node = &self.nodes[number];
-        let criteria = criteria(&self.service);
+        let criteria = SelectionCriteria::any_call(&self.service);
         let turn = node.admission.next_turn(now, &node.table, &criteria);
         if let Some(at) = turn {
             self.schedule(at.get().max(now_us + 1), Event::Turn(number));
@@ -525,7 +525,7 @@
         let now = MonoTime::new(now_us);
         let node = &mut self.nodes[number];
         let service = self.service.clone();
-        let criteria = criteria(&service);
+        let criteria = SelectionCriteria::any_call(&service);
         let planned = node
             .admission
             .take_planned(now, &node.table, &mut node.selector, &criteria);
@@ -773,15 +773,3 @@
         }
     }
 }
-
-fn criteria(service: &ServiceName) -> SelectionCriteria<'_> {
-    SelectionCriteria {
-        service,
-        excluded: &[],
-        copy: None,
-        prompt_holder: None,
-        prompt: TokenCount::ZERO,
-        with_backup: false,
-        version: None,
-    }
-}
--- a/crates/relay/src/control/cluster_state.rs
+++ b/crates/relay/src/control/cluster_state.rs
@@ -6,20 +6,22 @@
 };
 
 use parsleylatch_decide::relay::{
-    ConfigurationMark, EndpointEntry, ListedEntry, MemoryPlan, NodeLocation, PartVerdicts,
-    Registry, RegistryChange, RelayConfiguration, RelayConfigurationParts, RemovalLog, VersionRule,
-    check_configuration,
+    ConfigurationMark, EndpointEntry, ListedEntry, NodeLocation, PartVerdicts, Registry,
+    RegistryChange, RelayConfiguration, RemovalLog, VersionRule,
 };
 use parsleylatch_types::{
-    EndpointId, EndpointVersion, EntrySequence, Micros, Millis, MonoTime, Revision, ServiceName,
-    StoreEra, StorePosition,
+    EndpointVersion, EntrySequence, Micros, Millis, MonoTime, Revision, ServiceName, StoreEra,
+    StorePosition,
 };
 use parsleylatch_wire::{
     platform::KeyValue,
     relay::{RelayQuery, RelayState},
 };
 
-use super::documents::{DocumentSet, StoredDocument};
+use super::{
+    cluster_log::{ChangedIds, report_findings, report_lowered_head_limit},
+    documents::{DocumentSet, StoredDocument},
+};
 use crate::{
     shared::{Shared, Snapshot},
     telemetry::RelayCounter,
@@ -28,8 +30,6 @@
 /// Age from which the state counts as stale, so that other nodes are queried; longer than
 /// a slow response of the store takes.
 const STALE_AGE_MS: Millis = Millis::new(1_400);
-/// Findings about a configuration that are logged.
-const MAX_FINDINGS_LOGGED: usize = 20;
 /// Age reported by a node without any state.
 const UNKNOWN_AGE_MS: u64 = u64::MAX;
 
@@ -198,11 +198,16 @@
             return;
         }
         let KeyValue {
-            revision, value, ..
+            key,
+            revision,
+            value,
         } = &document.entry;
         let parts = (self.shared.codec.documents.read_configuration)(value);
         let built = parts.and_then(|parts| {
-            self.log_findings(&document.entry, &parts);
+            // A document that is refused is read again with each listing.
+            if self.unreadable.get(key) != Some(revision) {
+                report_findings(&self.shared.codec.documents, *revision, &parts);
+            }
             RelayConfiguration::build(*revision, parts).map_err(|it| it.to_string())
         });
         match built {
@@ -235,25 +240,6 @@
         }
     }
 
-    /// Logs what a check finds in a configuration that was read.
-    fn log_findings(&self, document: &KeyValue, parts: &RelayConfigurationParts) {
-        // A document that is refused is read again with each listing.
-        if self.unreadable.get(&document.key) == Some(&document.revision) {
-            return;
-        }
-        let path = self.shared.codec.documents.configuration_path;
-        for finding in check_configuration(parts).iter().take(MAX_FINDINGS_LOGGED) {
-            log::info!(
-                revision = document.revision.get(),
-                severity:% = finding.severity(),
-                finding:% = finding.kind,
-                place = path(finding.place).as_str(),
-                reason = finding.message.as_str();
-                "configuration checked"
-            );
-        }
-    }
-
     /// Keeps the known configuration, as the one that was read is older; logs and counts each
     /// such document once.
     fn hold_configuration(
@@ -545,41 +531,7 @@
     }
 }
 
-/// Ids of changed endpoints for a log line, truncated if there are many.
-struct ChangedIds<'a>([&'a [EndpointId]; 2]);
-
-/// Maximum number of ids in a log line.
-const LOGGED_IDS_LIMIT: usize = 12;
-
-impl std::fmt::Display for ChangedIds<'_> {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let [updated, removed] = self.0;
-        let updated = updated.iter().map(|id| ('+', id));
-        let signed = updated.chain(removed.iter().map(|id| ('-', id)));
-        for (sign, id) in signed.take(LOGGED_IDS_LIMIT) {
-            write!(formatter, "{sign}{id} ")?;
-        }
-        Ok(())
-    }
-}
-
 /// Position that another node states.
 fn to_position(era: u64, revision: u64) -> StorePosition {
     StorePosition::new(StoreEra::new(era), Revision::new(revision))
 }
-
-/// Logs a limit on heads that is beyond what a process may hold.
-fn report_lowered_head_limit(configuration: &RelayConfiguration) {
-    let Some(configured) = configuration.limits().map(|it| it.head_bytes) else {
-        return;
-    };
-    let lowered = MemoryPlan::head_limit(configured);
-    if lowered < configured {
-        log::warn!(
-            revision = configuration.revision().get(),
-            configured_bytes = configured.get(),
-            bytes = lowered.get();
-            "limit on heads lowered"
-        );
-    }
-}
--- a/crates/relay/src/control/mod.rs
+++ b/crates/relay/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! Tasks on the same thread call the store and other nodes and send the results as
 //! [`ControlInput`]; only the loop changes the state.
 
+mod cluster_log;
 mod cluster_state;
 mod crash_evidence;
 mod documents;
--- a/crates/relay/src/traffic/call_queue.rs
+++ b/crates/relay/src/traffic/call_queue.rs
@@ -9,7 +9,7 @@
     CallAdmission, CallLimitState, CallPlan, CallTicket, EndpointEntry, EndpointKey, LoadSample,
     QueuedCall, SelectionCriteria,
 };
-use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName, TokenCount};
+use parsleylatch_types::{Micros, Millis, MonoTime, ServiceName};
 use tokio::{sync::oneshot, task::spawn_local};
 
 use super::state::Traffic;
@@ -179,7 +179,7 @@
     };
     let table = traffic.endpoint_table.borrow();
     let mut selector = traffic.selector();
-    let criteria = unrestricted(service);
+    let criteria = SelectionCriteria::any_call(service);
     let planned = calls
         .admission
         .take_planned(now, &table, &mut selector, &criteria);
@@ -196,21 +196,8 @@
     let mut services = traffic.service_calls.borrow_mut();
     let calls = services.get_mut(service)?;
     let table = traffic.endpoint_table.borrow();
-    let criteria = unrestricted(service);
+    let criteria = SelectionCriteria::any_call(service);
     let turn = calls.admission.next_turn(traffic.now(), &table, &criteria);
     calls.is_served = turn.is_some();
     turn
 }
-
-/// Criteria of a call that may be sent to any endpoint.
-fn unrestricted(service: &ServiceName) -> SelectionCriteria<'_> {
-    SelectionCriteria {
-        service,
-        excluded: &[],
-        copy: None,
-        prompt_holder: None,
-        prompt: TokenCount::ZERO,
-        with_backup: false,
-        version: None,
-    }
-}
