--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Two operators order the same version; the second order comes after the first one is done."""
+"""A part of prompts crashes engines; sound requests share another part with these prompts."""
 
 import asyncio
 import sys
@@ -8,62 +8,56 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
 from fleet import CannotRun, is_troubled, run  # noqa: E402
-from rollout import Deployment  # noqa: E402
+from poison import DEADLY_PART, STABLE_S, PoisonedDeployment  # noqa: E402
 
-VERSION = "v2"
-FIRST_DURATION_S, SECOND_DURATION_S = 16.0, 60.0
-LEAD_S = 5.0
-# Time between the end of the first roll-out and the second order.
-LATER_S = 3.0
-# Time between the confirmation of the second order and the final fault, and its length.
-FAULT_AFTER_S, DOWN_S = 0.3, 1.0
-RECOVER_S = 12.0
-JUDGED_S = 20.0
-SERVED_SHARE = 0.25
+# A sound prompt and a deadly one; the last part is each request's own.
+SOUND_PARTS = "5c1e07a2:200,91bd3f06:400"
+DEADLY_PARTS = f"{DEADLY_PART}:200,91bd3f06:400"
+# Sound requests come in batches.
+BATCH, BATCH_INTERVAL_S = 5, 6.0
+BATCHES_BEFORE = 5
+# Time between the last batch before and the first deadly request.
+PHASE_S = 2.5
+DEADLY_INTERVAL_S = 1.0
+TROUBLE_S = 45.0
+JUDGED_MIN = 20
 
 
-def spoil(worker, request):
-    return 200, 1
+async def send_batches(deployment):
+    while True:
+        for _ in range(BATCH):
+            deployment.keep(deployment.stream(SOUND_PARTS))
+        await asyncio.sleep(BATCH_INTERVAL_S)
 
 
-def served_share(record, deployment, name, start, end):
-    judged = [status for at, status in deployment.answers if start <= at < end]
-    served = sum(status == 200 for status in judged)
-    refused = sum(status == 503 for status in judged)
-    record.say(f"{name}: {len(judged)} requests, {served} served, {refused} refused with 503")
-    return served / max(1, len(judged))
+def begun_share(record, sound, name):
+    begun = sum(has_begun for _, has_begun in sound)
+    record.say(f"{name}: {begun} of {len(sound)} sound requests began")
+    if len(sound) < JUDGED_MIN:
+        raise CannotRun("too few sound requests")
+    return begun / len(sound)
 
 
 async def case(record):
-    deployment = Deployment(record, spoil)
+    deployment = PoisonedDeployment(record)
     try:
         await deployment.start()
-        started_at = time.monotonic()
-        # Calls go on for longer than the case takes.
-        calls = asyncio.create_task(deployment.send_for(200))
-        await asyncio.sleep(LEAD_S)
-        await deployment.order(VERSION, FIRST_DURATION_S)
-        if await deployment.wait_for_end() != "done":
-            raise CannotRun("the first roll-out was taken back")
-        await asyncio.sleep(LATER_S)
-        if is_troubled():
-            await deployment.order(VERSION, SECOND_DURATION_S)
-        await asyncio.sleep(FAULT_AFTER_S)
-        fault_at = time.monotonic()
-        record.say("final fault: all relays are killed")
-        await deployment.fleet.kill_all(DOWN_S)
-        for relay in deployment.fleet.relays:
-            await deployment.fleet.wait_ready(relay)
-        back_at = time.monotonic()
-        await asyncio.sleep(RECOVER_S + JUDGED_S)
-        calls.cancel()
-        before = served_share(record, deployment, "before the fault", started_at, fault_at)
-        judged_from = back_at + RECOVER_S
-        # The last calls may have no answer yet.
-        judged_to = judged_from + JUDGED_S - 2
-        name = f"later than {RECOVER_S:.0f} s after it"
-        after = served_share(record, deployment, name, judged_from, judged_to)
-        return before >= SERVED_SHARE > after
+        deployment.keep(send_batches(deployment))
+        await asyncio.sleep(BATCHES_BEFORE * BATCH_INTERVAL_S + PHASE_S)
+        trouble_at = time.monotonic()
+        while time.monotonic() < trouble_at + TROUBLE_S:
+            if is_troubled():
+                deployment.keep(deployment.stream(DEADLY_PARTS))
+            await asyncio.sleep(DEADLY_INTERVAL_S)
+        ends_at = time.monotonic()
+        await asyncio.sleep(4)
+        crashes = deployment.crashes
+        record.say(f"{len(crashes)} crashes; {len(deployment.reached)} deadly requests at engines")
+        judged_from = (crashes[min(4, len(crashes) - 1)] if crashes else trouble_at) + 2 * STABLE_S
+        before = [it for it in deployment.sound if it[0] < trouble_at]
+        after = [it for it in deployment.sound if judged_from < it[0] < ends_at]
+        usual = begun_share(record, before, "before the trouble")
+        return begun_share(record, after, "in the trouble") < usual / 2
     finally:
         deployment.stop()
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,45 +1,48 @@
-"""A part of prompts crashes engines half a second after they begin to write an answer."""
+"""Two operators race: each orders another version, and the version of the first one is bad."""
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
 from fleet import is_troubled, run  # noqa: E402
-from poison import DEADLY_PART, STABLE_S, PoisonedDeployment  # noqa: E402
+from streams import StreamDeployment  # noqa: E402
 
-SOUND_PARTS = "5c1e07a2:200"
-DEADLY_PARTS = f"5c1e07a2:200,{DEADLY_PART}:400"
-CRASH_AFTER_S = 0.5
-INTERVAL_S = 1.0
-REQUESTS = 25
-LATE_LIMIT = 3
+BAD_VERSION, GOOD_VERSION = "v2", "v3"
+# Share of the answers of the bad version that are failures.
+FAILING_SHARE = 0.4
+DURATION_S = 30.0
+# Time between the two orders.
+RACE_S = 1.0
+LEAD_S = 5.0
 
 
-async def send_sound(deployment):
-    while True:
-        deployment.keep(deployment.stream(SOUND_PARTS))
-        await asyncio.sleep(0.25)
+def spoil(worker, request):
+    is_failing = worker.version == BAD_VERSION and random.random() < FAILING_SHARE
+    return 500 if is_failing else 200, 1
 
 
 async def case(record):
-    deployment = PoisonedDeployment(record, CRASH_AFTER_S)
+    deployment = StreamDeployment(record, spoil)
     try:
         await deployment.start()
-        deployment.keep(send_sound(deployment))
+        streams = asyncio.create_task(deployment.send_for(LEAD_S + DURATION_S + 3))
+        await asyncio.sleep(LEAD_S)
+        ordered_at = await deployment.order(BAD_VERSION, DURATION_S)
+        if is_troubled():
+            await asyncio.sleep(RACE_S)
+            await deployment.order(GOOD_VERSION, DURATION_S)
+        every_worker = list(deployment.workers)
+        await streams
         await asyncio.sleep(3)
-        for _ in range(REQUESTS):
-            if is_troubled():
-                deployment.keep(deployment.stream(DEADLY_PARTS))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.sleep(4)
-        late = deployment.late_arrivals()
-        record.say(
-            f"{len(deployment.crashes)} crashes; {late} deadly requests reached engines later"
-            f" than {STABLE_S:.0f} s after the fifth, {LATE_LIMIT} allowed"
-        )
-        return late > LATE_LIMIT
+        arrivals = [
+            (at, worker.version, request.header("x-request-id"))
+            for worker in every_worker
+            for at, request in worker.arrivals
+        ]
+        return deployment.exposes(arrivals, BAD_VERSION, ordered_at, DURATION_S)
     finally:
         deployment.stop()
 
