--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -5,7 +5,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +12,7 @@
 from pathlib import Path
 
 from http1 import send
+from ports import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
 RELAY = ROOT / "target/release/parsleylatch-relay"
@@ -35,16 +35,6 @@
     """The case can't be run on this machine."""
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
-    return ports
-
-
 class Relay:
     def __init__(self, name, zone, ports):
         self.name, self.zone = name, zone
@@ -60,7 +50,7 @@
             raise CannotRun(f"{RELAY} is missing; build it as the deploy file does")
         self.store = store
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        ports = free_ports(4 * len(zones))
+        ports = [free_port() for _ in range(4 * len(zones))]
         self.relays = [
             Relay(f"edge-{zone}-{number}", zone, ports[4 * number : 4 * number + 4])
             for number, zone in enumerate(zones)
--- a/review/lib-2/http1.py
+++ b/review/lib-2/http1.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from ports import free_port
+
 HEAD_LIMIT = 1 << 17
 
 
@@ -85,11 +87,11 @@
         self.writers = set()
         self.tasks = set()
 
-    async def start(self, port=0):
+    async def start(self, port=None):
+        self.port = port or free_port()
         self.server = await asyncio.start_server(
-            self.serve, "127.0.0.1", port, limit=HEAD_LIMIT, backlog=512
+            self.serve, "127.0.0.1", self.port, limit=HEAD_LIMIT, backlog=512
         )
-        self.port = self.server.sockets[0].getsockname()[1]
 
     @property
     def address(self):
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -22,7 +22,7 @@
         self.arrivals = []
         self.beating = None
 
-    async def start(self, port=0):
+    async def start(self, port=None):
         """Starts an incarnation, which registers itself."""
         self.born = int(time.time() * 1000)
         self.seq = 0
