--- a/review/lib-2/ports.py
+++ b/review/lib-2/ports.py
@@ -1,22 +1,21 @@
 """Free ports that no outgoing connection takes while a process is restarted."""
 
-import random
+import itertools
+import os
 import socket
 
-# Below the ports that Linux gives to outgoing connections by default.
-PORTS = range(20_000, 32_000)
-taken = set()
+# Below the ports that Linux gives to outgoing connections by default. Cases that run at the same
+# time take theirs from blocks of their own.
+FIRST_PORT, BLOCKS, BLOCK_PORTS = 20_000, 60, 200
+ports = itertools.count(FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS)
 
 
 def free_port():
     while True:
-        port = random.choice(PORTS)
-        if port in taken:
-            continue
+        port = next(ports)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        taken.add(port)
         return port
--- a/review/lib-2/rollout.py
+++ b/review/lib-2/rollout.py
@@ -28,6 +28,7 @@
     """Relays, a store and a service with three workers of version v1."""
 
     service = SERVICE
+    drain_after_s = DRAIN_AFTER_S
 
     def __init__(self, record, spoil):
         """`spoil(worker, request)` returns the status of an answer, and how many times longer
@@ -101,7 +102,7 @@
                 self.workers.remove(worker)
                 worker.leave()
             return
-        await asyncio.sleep(DRAIN_AFTER_S)
+        await asyncio.sleep(self.drain_after_s)
         leaving = [it for it in self.workers if it.version == target]
         for worker in leaving:
             worker.state = "draining"
--- a/review/lib-2/streams.py
+++ b/review/lib-2/streams.py
@@ -36,6 +36,7 @@
     """Relays, a store and a service with six engines of version v1."""
 
     service = SERVICE
+    streams_per_s = STREAMS_PER_S
 
     async def start(self):
         await self.store.start()
@@ -72,8 +73,8 @@
 
     async def send_for(self, duration_s):
         started_at = time.monotonic()
-        for number in range(int(duration_s * STREAMS_PER_S)):
-            due = started_at + number / STREAMS_PER_S
+        for number in range(int(duration_s * self.streams_per_s)):
+            due = started_at + number / self.streams_per_s
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             self.keep(self.stream())
 
