Relay: a quarantined prompt part is tested by requests that lack its companions

Cause: all crashed requests had both parts, and of parts with the same crashes the deeper one was blamed, without evidence. A quarantine ends by an answer on the part, which it prevented itself: the log shows nine crashes of three requests, the sound part in quarantine 2.5 s after the first one, and from then on every sound request refused with no run. Another order of tied parts would only move the fault to other callers: what is missing is the outcome of a request that has one of the parts only.

A quarantine now names the companions of the blamed part. A request with all of them is refused; one that lacks a companion is a trial, one at a time on each node, not repeated after a crash. A request with all parts is a trial as well 30 s after the last crash, at one node at a time, then four times as long after each one that crashed. The log says companions and trials.

Ruled out: answers that are reported late (no sound request ran between the first crash and the quarantine).

--- a/crates/decide/src/relay/crash_evidence/blame.rs
+++ b/crates/decide/src/relay/crash_evidence/blame.rs
@@ -4,7 +4,8 @@
 //! different requests that had it. A loss of many endpoints at once is one incident.
 //! Parts are blamed one after the other, the one with the most crashes first and the
 //! deeper one among equals; the crashes that it explains don't count against other parts,
-//! which its requests merely share.
+//! which its requests merely share. Parts that accompanied the blamed one in nearly all of
+//! its requests are its companions: the crashes don't tell them apart.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,9 +25,20 @@
 /// Time after the deciding incident in which requests may still clear a part that
 /// several requests share: an engine reads a long prompt in a second.
 const CONFIRMATION_MS: Millis = Millis::new(1_500);
+/// A companion accompanies the blamed part in this many requests for each one without it,
+/// which may have been lost for another reason.
+const COMPANION_RATIO: usize = 4;
+/// Time after the last crash until a request with all blamed parts is tried again.
+const RETRIAL_MS: Millis = Millis::new(30_000);
+/// Factor by which that time grows with each such trial that has crashed an endpoint.
+const RETRIAL_GROWTH: u64 = 4;
+/// Interval between two crashes from which the second one counts as that of a trial.
+const TRIAL_CRASH_GAP_MS: Millis = Millis::new(25_000);
+/// Maximum number of crashed trials that count.
+const CRASHED_TRIALS_LIMIT: u32 = 6;
 
 /// Evidence on which a part is blamed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Blame {
     /// When the quarantine takes effect.
     pub(super) confirmed_at: MonoTime,
@@ -35,6 +47,10 @@
     pub(super) crashes: usize,
     pub(super) incidents: usize,
     pub(super) requests: usize,
+    /// Parts that explain the crashes as well.
+    pub(super) companions: BTreeSet<PromptPartId>,
+    /// When a request with the part and all companions may be tried again.
+    pub(super) retrial_at: MonoTime,
 }
 
 type Record<'a> = (&'a EndpointKey, &'a CrashRecord);
@@ -63,9 +79,10 @@
             let was_blamed = blamed_before.contains(*part);
             (was_blamed, charge.crashes.len(), charge.depth, *part)
         });
-        let Some((part, charge, blame)) = strongest else {
+        let Some((part, charge, mut blame)) = strongest else {
             return blamed;
         };
+        blame.companions = charge.companions(part);
         let explained: BTreeSet<&EndpointKey> = charge.endpoints().collect();
         blamed.insert(part.clone(), blame);
         remaining.retain(|(endpoint, _)| !explained.contains(endpoint));
@@ -119,6 +136,26 @@
         self.crashes.iter().map(|(record, _)| record.0)
     }
 
+    /// Parts that accompany `part` in nearly all requests, and have not been cleared.
+    fn companions(&self, part: &PromptPartId) -> BTreeSet<PromptPartId> {
+        let mut accompanied: BTreeMap<&PromptPartId, BTreeSet<&PromptChain>> = BTreeMap::new();
+        let mut requests: BTreeSet<&PromptChain> = BTreeSet::new();
+        for ((_, record), hit) in &self.crashes {
+            requests.extend(hit);
+            for request in hit {
+                let others = request.shared().iter().filter(|it| *it != part);
+                for other in others.filter(|it| !record.cleared.contains(*it)) {
+                    accompanied.entry(other).or_default().insert(request);
+                }
+            }
+        }
+        let companions = accompanied.into_iter().filter(|(_, with)| {
+            let without = requests.len() - with.len();
+            without * COMPANION_RATIO <= with.len()
+        });
+        companions.map(|(other, _)| other.clone()).collect()
+    }
+
     /// Goes through the crashes in order of time; the part is to blame from the first one
     /// with which the evidence suffices.
     fn judge(&self, min_requests: usize, confirmation_ms: Millis) -> Option<Blame> {
@@ -144,6 +181,9 @@
         }
         let ((_, first), _) = crashes.first()?;
         let ((_, last), _) = crashes.last()?;
+        let is_trial = |pair: &&[MonoTime]| pair[1].since(pair[0]) >= TRIAL_CRASH_GAP_MS.micros();
+        let crashed_trials = incidents.windows(2).filter(is_trial).count() as u32;
+        let growth = RETRIAL_GROWTH.pow(crashed_trials.min(CRASHED_TRIALS_LIMIT));
         Some(Blame {
             confirmed_at: decided_at? + confirmation_ms,
             first_at: first.at,
@@ -151,6 +191,8 @@
             crashes: crashes.len(),
             incidents: incidents.len(),
             requests: requests.len(),
+            companions: BTreeSet::new(),
+            retrial_at: last.at + Millis::new(RETRIAL_MS.get() * growth),
         })
     }
 }
--- a/crates/decide/src/relay/crash_evidence/mod.rs
+++ b/crates/decide/src/relay/crash_evidence/mod.rs
@@ -9,6 +9,7 @@
 mod blame;
 mod part;
 mod prompt_chain;
+mod quarantine;
 mod record;
 
 use std::{
@@ -28,6 +29,7 @@
 pub use part::PromptPartState;
 pub(crate) use part::verify_chart;
 pub use prompt_chain::PromptChain;
+pub use quarantine::{NodeTurn, PartAdmission, PartTrial, PartTrials, Quarantine};
 pub use record::ReportedCrash;
 
 /// Time after the last crash or refused request after which a crash is forgotten.
@@ -55,8 +57,8 @@
 pub struct PartVerdicts {
     /// Parts on which an answer that gets under way is to be reported.
     pub suspected: BTreeSet<PromptPartId>,
-    /// Parts whose requests are refused.
-    pub quarantined: BTreeSet<PromptPartId>,
+    /// Parts whose requests are refused or are trials.
+    pub quarantined: BTreeMap<PromptPartId, Quarantine>,
 }
 
 /// A decision on a prompt part.
@@ -72,6 +74,8 @@
     pub incidents: usize,
     /// Requests that they hit.
     pub requests: usize,
+    /// Parts that explain the crashes as well.
+    pub companions: Vec<PromptPartId>,
     /// Time since the first of the crashes.
     pub first_crash_age: Micros,
     /// Time since the last of the crashes.
@@ -83,6 +87,8 @@
 pub struct CrashEvidence {
     records: BTreeMap<EndpointKey, CrashRecord>,
     parts: BTreeMap<PromptPartId, SuspectedPart>,
+    /// Quarantines of the blamed parts, of those that are in quarantine the last known ones.
+    quarantines: BTreeMap<PromptPartId, Quarantine>,
     verdicts: Arc<PartVerdicts>,
     reviewed_at: MonoTime,
     /// Whether anything has changed since the last review.
@@ -282,10 +288,11 @@
                 now,
                 is_accused: accused.contains(&id),
                 has_answer: answered.contains(&id),
-                blame: blamed.get(&id).copied(),
+                confirmed_at: blamed.get(&id).map(|it| it.confirmed_at),
             };
-            decisions.extend(self.review_part(&id, facts));
+            decisions.extend(self.review_part(&id, facts, blamed.get(&id)));
         }
+        self.refresh_quarantines(blamed);
         self.refresh_verdicts();
         decisions
     }
@@ -310,7 +317,12 @@
         (accused, answered)
     }
 
-    fn review_part(&mut self, id: &PromptPartId, facts: PartFacts) -> Option<PartDecision> {
+    fn review_part(
+        &mut self,
+        id: &PromptPartId,
+        facts: PartFacts,
+        blame: Option<&Blame>,
+    ) -> Option<PartDecision> {
         let known = self.parts.get(id).copied();
         let mut part = known.unwrap_or_else(|| SuspectedPart::start(facts));
         let earlier = part.state();
@@ -324,24 +336,39 @@
         if earlier == state || !is_notable(earlier) && !is_notable(state) {
             return None;
         }
-        let blame: Option<Blame> = facts.blame;
         Some(PartDecision {
             part: id.clone(),
             state,
             crashes: blame.map_or(0, |it| it.crashes),
             incidents: blame.map_or(0, |it| it.incidents),
             requests: blame.map_or(0, |it| it.requests),
+            companions: blame.map_or_else(Vec::new, |it| it.companions.iter().cloned().collect()),
             first_crash_age: blame.map_or(Micros::ZERO, |it| facts.now.since(it.first_at)),
             last_crash_age: blame.map_or(Micros::ZERO, |it| facts.now.since(it.last_at)),
         })
     }
 
+    fn refresh_quarantines(&mut self, blamed: BTreeMap<PromptPartId, Blame>) {
+        let parts = &self.parts;
+        self.quarantines.retain(|id, _| parts.contains_key(id));
+        let offset = TIME_OFFSET_MS.micros().get();
+        for (id, blame) in blamed {
+            let retrial_at = MonoTime::new(blame.retrial_at.get().saturating_sub(offset));
+            let quarantine = Quarantine {
+                companions: blame.companions,
+                retrial_at,
+            };
+            self.quarantines.insert(id, quarantine);
+        }
+    }
+
     fn refresh_verdicts(&mut self) {
         let mut verdicts = PartVerdicts::default();
         for (id, part) in &self.parts {
-            let is_quarantined = part.state() == PromptPartState::Quarantined;
-            if is_quarantined {
-                verdicts.quarantined.insert(id.clone());
+            if part.state() == PromptPartState::Quarantined {
+                let quarantine = self.quarantines.get(id).cloned();
+                let quarantine = quarantine.unwrap_or_default();
+                verdicts.quarantined.insert(id.clone(), quarantine);
             }
             verdicts.suspected.insert(id.clone());
         }
--- a/crates/decide/src/relay/crash_evidence/part.rs
+++ b/crates/decide/src/relay/crash_evidence/part.rs
@@ -3,7 +3,6 @@
 use parsleylatch_chart::{Bindings, ChartError, Instance, Machine, chart_names};
 use parsleylatch_types::{Millis, MonoTime};
 
-use super::blame::Blame;
 use crate::charts::{self, LazyMachine};
 
 chart_names! {
@@ -40,14 +39,15 @@
     pub(super) is_accused: bool,
     /// Whether a crash was refuted by an answer.
     pub(super) has_answer: bool,
-    pub(super) blame: Option<Blame>,
+    /// When the quarantine takes effect, if the part is blamed.
+    pub(super) confirmed_at: Option<MonoTime>,
 }
 
 static MACHINE: LazyMachine<PromptPartState, PromptPartEvent, PartFacts> = LazyMachine::new(|| {
     let bindings = Bindings::<PartFacts>::new()
         .guard("is_cleared", |facts| !facts.is_accused && facts.has_answer)
         .guard("has_no_crash", |facts| !facts.is_accused)
-        .guard("is_blamed", |facts| facts.blame.is_some())
+        .guard("is_blamed", |facts| facts.confirmed_at.is_some())
         .duration("confirmation_time", PartFacts::confirmation_time);
     charts::compile(charts::PROMPT_PART, &bindings)
 });
@@ -62,7 +62,7 @@
 
 impl PartFacts {
     fn confirmation_time(&self) -> Millis {
-        let confirmed_at = self.blame.map_or(self.now, |it| it.confirmed_at);
+        let confirmed_at = self.confirmed_at.unwrap_or(self.now);
         // Rounded up, so that the time has come at the deadline.
         Millis::new(confirmed_at.since(self.now).get().div_ceil(1_000))
     }
--- a/crates/decide/src/relay/crash_evidence/prompt_chain.rs
+++ b/crates/decide/src/relay/crash_evidence/prompt_chain.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Whether a part is among the parts of the prompt.
+    pub(super) fn contains(&self, part: &PromptPartId) -> bool {
+        self.parts().any(|known| known == part)
+    }
+
     /// All parts.
     pub fn parts(&self) -> impl Iterator<Item = &PromptPartId> {
         self.shared.iter().chain(&self.last)
--- a/crates/decide/src/relay/crash_evidence/record.rs
+++ b/crates/decide/src/relay/crash_evidence/record.rs
@@ -65,7 +65,7 @@
     /// Whether the crash speaks against a part.
     pub(super) fn accuses(&self, part: &PromptPartId) -> bool {
         let mut requests = self.requests.iter();
-        !self.cleared.contains(part) && requests.any(|it| it.parts().any(|known| known == part))
+        !self.cleared.contains(part) && requests.any(|it| it.contains(part))
     }
 
     /// Whether the loss of a request is another one than that on record, as an answer has
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -49,7 +49,8 @@
 };
 pub use copy::{CopySource, MemoryCopy};
 pub use crash_evidence::{
-    CrashEvidence, PartDecision, PartVerdicts, PromptChain, PromptPartState, ReportedCrash,
+    CrashEvidence, NodeTurn, PartAdmission, PartDecision, PartTrial, PartTrials, PartVerdicts,
+    PromptChain, PromptPartState, Quarantine, ReportedCrash,
 };
 pub use endpoint_notice::{EndpointNotices, Notice, NoticeState, return_delay};
 pub use endpoint_table::{EndpointEntry, EndpointKey, EndpointTable, LoadSample, Outcome};
--- a/crates/decide/tests/crash_evidence.rs
+++ b/crates/decide/tests/crash_evidence.rs
@@ -47,7 +47,7 @@
     let verdicts = evidence.verdicts();
     verdicts
         .quarantined
-        .iter()
+        .keys()
         .map(PromptPartId::as_str)
         .collect()
 }
--- a/crates/relay/src/control/crash_evidence.rs
+++ b/crates/relay/src/control/crash_evidence.rs
@@ -151,6 +151,8 @@
 
     fn announce(&self, decisions: &[PartDecision]) {
         for decision in decisions {
+            let companions = decision.companions.iter().map(PromptPartId::as_str);
+            let companions: Vec<&str> = companions.take(LOGGED_PARTS_LIMIT).collect();
             if decision.state == PromptPartState::Quarantined {
                 let metrics = &self.shared.metrics;
                 metrics.increment(RelayCounter::PromptPartsQuarantined);
@@ -161,6 +163,7 @@
                 crashes = decision.crashes,
                 incidents = decision.incidents,
                 requests = decision.requests,
+                companions = companions.join(",").as_str(),
                 first_crash_age_ms = decision.first_crash_age.millis().get(),
                 last_crash_age_ms = decision.last_crash_age.millis().get();
                 "prompt part changed"
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -3,15 +3,15 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use parsleylatch_decide::relay::{
-    CallerActivity, EndpointEntry, MemoryPlan, NodeLocation, PartVerdicts, RelayConfiguration,
-    VersionRule, log_flush_time,
+    CallerActivity, EndpointEntry, MemoryPlan, NodeLocation, PartTrials, PartVerdicts,
+    RelayConfiguration, VersionRule, log_flush_time,
 };
 use parsleylatch_decide::store_eras::{EraFinding, StoreEras};
 use parsleylatch_runtime::Clock;
@@ -84,6 +84,8 @@
     /// Places for callers' connections.
     pub(crate) caller_places: CallerPlaces,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    /// Trials of prompt parts in quarantine.
+    pub(crate) part_trials: Mutex<PartTrials>,
     /// Whether this node reads the store itself.
     pub(crate) reads_store: watch::Sender<bool>,
     /// Newest era of the store that is known.
@@ -136,6 +138,7 @@
             metrics: RelayMetrics::new(),
             caller_places: CallerPlaces::new(),
             control,
+            part_trials: Mutex::default(),
             reads_store: watch::Sender::new(true),
             eras: watch::Sender::default(),
             known_position: ArcSwapOption::empty(),
--- a/crates/relay/src/telemetry/metrics.rs
+++ b/crates/relay/src/telemetry/metrics.rs
@@ -137,6 +137,10 @@
     PromptPartsQuarantined,
     /// Requests refused because of a prompt part in quarantine.
     RequestsQuarantined,
+    /// Attempts that test prompt parts in quarantine.
+    PartTrials,
+    /// Such attempts at which the endpoint crashed.
+    PartTrialsCrashed,
 }
 
 /// Latency histogram of a relay.
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -9,7 +9,7 @@
 mod queueing;
 mod recording;
 
-use std::{collections::VecDeque, pin::pin, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::VecDeque, pin::pin, rc::Rc, sync::Arc};
 
 use http::{Response, StatusCode};
 use parsleylatch_decide::{
@@ -21,6 +21,7 @@
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, StreamEventId, TrialNumber};
+use prompt_parts::PartTrialState;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
@@ -78,6 +79,7 @@
         call_slot: None,
         call_waits_since: None,
         is_stopping: false,
+        part_trial: RefCell::default(),
     };
     driver.run(effects).await;
 }
@@ -179,6 +181,8 @@
     call_waits_since: Option<MonoTime>,
     /// Whether a planned stop of the process has begun.
     is_stopping: bool,
+    /// Trial of quarantined parts of the prompt.
+    part_trial: RefCell<PartTrialState>,
 }
 
 /// Event that wakes the driver.
@@ -209,6 +213,7 @@
             self.apply_effects(effects);
         }
         self.end_attempt(Outcome::Abandoned);
+        self.end_part_trial();
     }
 
     async fn wait(&mut self) -> Wake {
--- a/crates/relay/src/traffic/exchange/placement.rs
+++ b/crates/relay/src/traffic/exchange/placement.rs
@@ -30,6 +30,8 @@
 pub(super) enum PlaceRefusal {
     /// A part of its prompt is in quarantine.
     Quarantined(PromptPartId),
+    /// A trial of a part of its prompt has no outcome yet.
+    TrialPending,
     /// The process stops before the attempt could be completed.
     Stopping,
     /// No endpoint is eligible.
@@ -85,9 +87,7 @@
         excluded: &[EndpointKey],
         copy: Option<&MemoryCopy>,
     ) -> Result<Choice, PlaceRefusal> {
-        if let Some(part) = self.quarantined_part() {
-            return Err(PlaceRefusal::Quarantined(part));
-        }
+        self.admit_prompt()?;
         if self.outlasts_process(copy.is_some()) {
             return Err(PlaceRefusal::Stopping);
         }
@@ -146,6 +146,9 @@
                     .handle(now, ExchangeInput::Placed(Box::new(choice)))
             }
             Err(PlaceRefusal::Quarantined(part)) => self.refuse_quarantined(&part),
+            Err(PlaceRefusal::TrialPending) => {
+                self.exchange.handle(now, ExchangeInput::PlacementFailed)
+            }
             Err(PlaceRefusal::Stopping) => self.refuse_stopping(),
             Err(PlaceRefusal::Hopeless) => self.refuse_hopeless(),
             Err(PlaceRefusal::Full) => self.enter_queue(),
@@ -248,9 +251,7 @@
         if !has_room && choice.copy.is_none() {
             return Err(PlaceRefusal::Full);
         }
-        if let Some(part) = self.quarantined_part() {
-            return Err(PlaceRefusal::Quarantined(part));
-        }
+        self.admit_prompt()?;
         if self.outlasts_process(choice.copy.is_some()) {
             return Err(PlaceRefusal::Stopping);
         }
--- a/crates/relay/src/traffic/exchange/prompt_parts.rs
+++ b/crates/relay/src/traffic/exchange/prompt_parts.rs
@@ -1,9 +1,14 @@
-//! Prompt parts that crash endpoints: what an exchange reports, and its refusal.
+//! Prompt parts that crash endpoints: what an exchange reports, its trial and its refusal.
 
-use parsleylatch_decide::relay::{ExchangeEffect, ExchangeInput, RefusalReason, retry_delay};
+use std::sync::PoisonError;
+
+use parsleylatch_decide::relay::{
+    ExchangeEffect, ExchangeInput, NodeTurn, PartAdmission, PartTrial, PartTrials, PartVerdicts,
+    PromptChain, RefusalReason, retry_delay,
+};
 use parsleylatch_types::{Micros, Millis, MonoTime, PromptPartId};
 
-use super::ExchangeDriver;
+use super::{ExchangeDriver, placement::PlaceRefusal};
 use crate::{input::ControlInput, telemetry::RelayCounter};
 
 /// Time after its first event from which an answer is under way; an endpoint that crashes
@@ -12,26 +17,99 @@
 /// Shortest `Retry-After` of a refused request. A quarantine lasts for minutes.
 const MIN_RETRY_AFTER_MS: Millis = Millis::new(60_000);
 
+/// What an exchange knows of the trials of its prompt's parts.
+#[derive(Default)]
+pub(super) struct PartTrialState {
+    running: Option<PartTrial>,
+    /// Whether an endpoint has crashed at a trial of this exchange.
+    has_crashed: bool,
+}
+
 impl ExchangeDriver {
-    /// Part of the prompt that is in quarantine.
-    pub(super) fn quarantined_part(&self) -> Option<PromptPartId> {
-        let snapshot = self.traffic.shared.snapshot.load();
-        let quarantined = &snapshot.prompt_parts.quarantined;
-        if quarantined.is_empty() {
-            return None;
+    /// Decides whether the parts of the prompt allow an attempt, which may be a trial.
+    pub(super) fn admit_prompt(&self) -> Result<(), PlaceRefusal> {
+        match self.judge_prompt(PartTrials::admit) {
+            PartAdmission::Unrestricted => Ok(()),
+            PartAdmission::Refused(part) => Err(PlaceRefusal::Quarantined(part)),
+            PartAdmission::Pending(_) => Err(PlaceRefusal::TrialPending),
+            PartAdmission::Trial(trial) => {
+                let metrics = &self.traffic.shared.metrics;
+                metrics.increment(RelayCounter::PartTrials);
+                let parts: Vec<&str> = trial.parts.iter().map(PromptPartId::as_str).collect();
+                log::info!(
+                    id:% = self.job.metadata.id,
+                    route:% = self.job.route.name,
+                    parts = parts.join(",").as_str();
+                    "prompt part on trial"
+                );
+                self.part_trial.borrow_mut().running = Some(trial);
+                Ok(())
+            }
         }
-        let mut parts = self.job.metadata.prompt.parts();
-        parts.find(|part| quarantined.contains(*part)).cloned()
     }
 
     /// Returns the quarantined part because of which no further attempt may be made, and
     /// logs it.
     pub(super) fn check_quarantine(&self) -> Option<PromptPartId> {
-        let part = self.quarantined_part()?;
+        let admission = self.judge_prompt(|trials, now, verdicts, prompt, turn| {
+            trials.judge(now, verdicts, prompt, turn)
+        });
+        let PartAdmission::Refused(part) = admission else {
+            return None;
+        };
         self.record_quarantined(&part);
         Some(part)
     }
 
+    /// Decision on the prompt, by `decide` where a part of it is in quarantine.
+    fn judge_prompt<Decide>(&self, decide: Decide) -> PartAdmission
+    where
+        Decide:
+            Fn(&mut PartTrials, MonoTime, &PartVerdicts, &PromptChain, NodeTurn) -> PartAdmission,
+    {
+        let shared = &self.traffic.shared;
+        let snapshot = shared.snapshot.load();
+        let verdicts = &snapshot.prompt_parts;
+        let prompt = &self.job.metadata.prompt;
+        let quarantined = prompt
+            .parts()
+            .find(|it| verdicts.quarantined.contains_key(*it));
+        let Some(part) = quarantined else {
+            return PartAdmission::Unrestricted;
+        };
+        let now = self.traffic.now();
+        let state = self.part_trial.borrow();
+        if state.has_crashed {
+            return PartAdmission::Refused(part.clone());
+        }
+        if state.running.as_ref().is_some_and(|it| now < it.ends_at) {
+            return PartAdmission::Unrestricted;
+        }
+        let turn = NodeTurn::of(&shared.settings.load().node_id, &snapshot.nodes);
+        let mut trials = shared
+            .part_trials
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        decide(&mut trials, now, verdicts, prompt, turn)
+    }
+
+    /// Ends the trial of this exchange, if there is one, without a crash.
+    pub(super) fn end_part_trial(&self) {
+        if let Some(trial) = self.part_trial.borrow_mut().running.take() {
+            let trials = self.traffic.shared.part_trials.lock();
+            trials.unwrap_or_else(PoisonError::into_inner).end(&trial);
+        }
+    }
+
+    fn record_part_trial_crash(&self) {
+        let mut state = self.part_trial.borrow_mut();
+        if state.running.take().is_some() {
+            state.has_crashed = true;
+            let metrics = &self.traffic.shared.metrics;
+            metrics.increment(RelayCounter::PartTrialsCrashed);
+        }
+    }
+
     fn record_quarantined(&self, part: &PromptPartId) {
         let shared = &self.traffic.shared;
         shared.metrics.increment(RelayCounter::RequestsQuarantined);
@@ -70,6 +148,7 @@
         if is_under_way(sent.began_at, self.last_event_at) || prompt.parts().next().is_none() {
             return;
         }
+        self.record_part_trial_crash();
         self.report(ControlInput::EndpointCrashed(
             sent.key.clone(),
             prompt.clone(),
@@ -88,6 +167,7 @@
             return;
         }
         sent.is_under_way = true;
+        self.end_part_trial();
         let suspected = &snapshot.prompt_parts.suspected;
         if suspected.is_empty() {
             return;
--- a/crates/relay/src/traffic/exchange/queueing.rs
+++ b/crates/relay/src/traffic/exchange/queueing.rs
@@ -9,7 +9,7 @@
 };
 use parsleylatch_types::{ByteCount, Millis};
 
-use super::ExchangeDriver;
+use super::{ExchangeDriver, placement::PlaceRefusal};
 use crate::{
     telemetry::{RelayCounter, RelayLatency},
     traffic::placement_queue::{self, QueueSlot},
@@ -114,8 +114,10 @@
             .shared
             .metrics
             .observe(RelayLatency::QueueWait, waited);
-        if let Some(part) = self.quarantined_part() {
-            return self.refuse_quarantined(&part);
+        match self.admit_prompt() {
+            Ok(()) => {}
+            Err(PlaceRefusal::Quarantined(part)) => return self.refuse_quarantined(&part),
+            Err(_) => return self.exchange.handle(now, ExchangeInput::AssignmentFailed),
         }
         let choice = match assignment {
             Assignment::Engine(key) => self.choose_assigned(key),
