Moves: a version on trial gets the share with which it passes in time

Cause: the share of a version that has not passed stayed at 5 in 100 and then about 15, so that half of what the exposure limit allows was not used, while the full test needs 49 attempts. Ruled out: noise (the model has none).

The share is now that with which the missing attempts come within 60% of the time, within 75% of the exposure limit, less the attempts so far.

--- a/crates/decide/src/moves/share.rs
+++ b/crates/decide/src/moves/share.rs
@@ -26,6 +26,12 @@
 /// Percentage of the slack of the exposure limit that is used before
 /// [`EXPOSURE_LIMIT_TIME_PERCENT`] of the time is over.
 const EXPOSURE_SLACK_USE_PERCENT: u64 = 60;
+/// Percentage of the exposure limit that the trials of a version may use that has not passed.
+/// The rest covers requests that are sent before a veto has reached every node.
+const TRIAL_LIMIT_USE_PERCENT: u64 = 75;
+/// Percentage of the time to the deadline in which a version should pass if its traffic is too
+/// small for [`OBSERVING_TIME_PERCENT`]; the rest is left for its share to grow.
+const TRIAL_TIME_PERCENT: u64 = 60;
 /// Maximum share that is given for the slack alone.
 const MAX_SLACK_SHARE: Share = Share::new(600_000);
 /// Percentage of the time to the deadline after which the rate of requests is known.
@@ -66,6 +72,44 @@
     /// Share while the version has not passed: enough to collect the missing trials
     /// in time, within limits.
     pub fn observing_share(&self, test: &SequentialTest) -> Share {
+        let usual = self.usual_observing_share(test);
+        usual.max(self.missing_trials_share(test))
+    }
+
+    /// Share with which a version passes in time, as far as the exposure limit allows.
+    fn missing_trials_share(&self, test: &SequentialTest) -> Share {
+        let window_ms = self.percent_of_deadline(EXPOSURE_LIMIT_TIME_PERCENT);
+        let is_needed = self.elapsed_ms < window_ms && !self.has_wide_slack();
+        let Some(usable) = self.usable_trials().filter(|_| is_needed) else {
+            return Share::ZERO;
+        };
+        let expected = |until_ms: Millis| {
+            let left_ms = until_ms.saturating_sub(self.elapsed_ms);
+            self.expected_requests(left_ms).unwrap_or_default().max(1)
+        };
+        // Trials that have not ended are not counted yet.
+        let running = usable.saturating_mul(self.old_latency_ms().get()) / window_ms.get().max(1);
+        let left = usable.saturating_sub(self.new.trials.get().saturating_add(running));
+        let most = ppm(left, expected(window_ms)).min(MAX_SLACK_SHARE);
+        // A version that keeps failing is not given more trials than a good one needs.
+        let enough = self.pass_trials.saturating_add(TRIALS_PER_DOUBLING);
+        let to_enough = enough.saturating_sub(self.new.trials.get());
+        let missing = test.trials_to_pass(self.new).min(to_enough);
+        let trial_ms = self.percent_of_deadline(TRIAL_TIME_PERCENT);
+        ppm(missing, expected(trial_ms)).min(most)
+    }
+
+    /// Trials that the exposure limit leaves to a version that has not passed; `None` until
+    /// the rate of requests is known.
+    fn usable_trials(&self) -> Option<u64> {
+        let limit = self.exposure_limit?;
+        let total = self.expected_requests(self.deadline_ms)?;
+        let of_total = total.saturating_mul(u64::from(limit.share.get()));
+        let allowed = of_total / u64::from(FULL_SHARE_PPM) + limit.slack.get();
+        Some(allowed.saturating_mul(TRIAL_LIMIT_USE_PERCENT) / 100)
+    }
+
+    fn usual_observing_share(&self, test: &SequentialTest) -> Share {
         let until = self.percent_of_deadline(OBSERVING_TIME_PERCENT);
         let left_ms = until.saturating_sub(self.elapsed_ms).get();
         let least = self.canary_share;
@@ -119,29 +163,40 @@
     /// service with more requests has that time, so its version must pass the full test.
     pub fn has_little_traffic(&self) -> bool {
         let is_late = self.elapsed_ms >= self.percent_of_deadline(OBSERVING_TIME_PERCENT);
-        is_late && self.slack_share() >= MAX_LATE_OBSERVING_SHARE
+        is_late && self.has_wide_slack()
+    }
+
+    /// Whether the slack of the exposure limit alone gives a large share of the requests.
+    fn has_wide_slack(&self) -> bool {
+        self.slack_share() >= MAX_LATE_OBSERVING_SHARE
     }
 
     /// Share that uses the slack of the exposure limit evenly over the time, so that a
     /// service with few requests has enough trials for a decision. It does not depend on
     /// what was exposed so far, which a node only knows of attempts that have ended.
     fn slack_share(&self) -> Share {
-        let latency_ms = self.old.mean_pace_us().unwrap_or_default().millis();
-        let counted_ms = self.elapsed_ms.saturating_sub(latency_ms).get();
-        let requests = self.old.trials.saturating_add(self.new.trials).get();
-        let is_rate_known = counted_ms >= self.percent_of_deadline(RATE_TIME_PERCENT).get();
-        let Some(limit) = self
-            .exposure_limit
-            .filter(|_| is_rate_known && requests > 0)
-        else {
+        let window_ms = self.percent_of_deadline(EXPOSURE_LIMIT_TIME_PERCENT);
+        let expected = self.expected_requests(window_ms);
+        let Some((limit, expected)) = self.exposure_limit.zip(expected) else {
             return Share::ZERO;
         };
-        let window_ms = self.percent_of_deadline(EXPOSURE_LIMIT_TIME_PERCENT).get();
-        let expected = requests.saturating_mul(window_ms) / counted_ms.max(1);
         let slack = limit.slack.get().saturating_mul(EXPOSURE_SLACK_USE_PERCENT) / 100;
         ppm(slack, expected.max(1)).min(MAX_SLACK_SHARE)
     }
 
+    fn old_latency_ms(&self) -> Millis {
+        self.old.mean_pace_us().unwrap_or_default().millis()
+    }
+
+    /// Requests that are expected in a time; `None` until their rate is known.
+    fn expected_requests(&self, time_ms: Millis) -> Option<u64> {
+        let counted_ms = self.elapsed_ms.saturating_sub(self.old_latency_ms());
+        let requests = self.old.trials.saturating_add(self.new.trials).get();
+        let is_rate_known = counted_ms >= self.percent_of_deadline(RATE_TIME_PERCENT);
+        let expected = requests.saturating_mul(time_ms.get()) / counted_ms.get().max(1);
+        (is_rate_known && requests > 0).then_some(expected)
+    }
+
     /// Whether the version has had all traffic for long enough.
     pub fn is_complete(&self) -> bool {
         let is_full = self.growing_share() == FULL_SHARE;
--- a/crates/decide/tests/rollout_sequences.rs
+++ b/crates/decide/tests/rollout_sequences.rs
@@ -468,3 +468,92 @@
         }
     }
 }
+
+/// A good version is done in time after bad ones, as it would be alone.
+#[test_case(&[ended(GOOD)], PLAIN ; "alone")]
+#[test_case(&[ended(failing(80)), ended(GOOD)], PLAIN ; "after a failing version")]
+#[test_case(&[ended(SLOW), ended(GOOD)], PLAIN ; "after a slow version")]
+#[test_case(&[ended(failing(80)), ended(SLOW), ended(GOOD)], PLAIN ; "after two bad versions")]
+#[test_case(&[ended(failing(80)), replacing(2_000, GOOD)], PLAIN ; "after a replaced order")]
+#[test_case(&[ended(failing(80)), ended(GOOD)], Scenario { duration_ms: 30_000, ..PLAIN } ; "within 30 s")]
+#[test_case(&[ended(failing(80)), ended(GOOD)], Scenario { requests_per_s: 60, ..PLAIN } ; "60 requests per second")]
+#[test_case(&[ended(failing(80)), ended(GOOD)], Scenario { requests_per_s: 8, ..PLAIN } ; "8 requests per second")]
+#[test_case(&[ended(failing(80)), ended(GOOD)], Scenario { event: Event::NodeReplaced, ..PLAIN } ; "node replaced")]
+fn good_version_after_bad_one_completed(steps: &[Step], scenario: Scenario) {
+    for seed in 1..=10 {
+        let simulation = Simulation::new(scenario, steps, Seed::new(seed)).run();
+        let last = &simulation.courses[simulation.courses.len() - 1];
+        let limit_ms = last.ordered_ms + scenario.duration_ms - STORE_DELAY_MS;
+        assert!(
+            last.end.is_some_and(|(end_ms, phase)| {
+                phase == RolloutPhase::Done && end_ms <= limit_ms
+            }),
+            "seed {seed}: {last:?}"
+        );
+    }
+}
+
+/// Times of orders, as in the deployments.
+const DURATIONS_MS: [u64; 3] = [16_000, 30_000, 60_000];
+const RATE_SEEDS: u64 = 20;
+
+/// Runs of a single order for a version of a quality.
+fn simulate_alone(
+    requests_per_s: u64,
+    duration_ms: u64,
+    quality: Quality,
+) -> impl Iterator<Item = (u64, Simulation)> {
+    let scenario = Scenario {
+        requests_per_s,
+        duration_ms,
+        ..PLAIN
+    };
+    (1..=RATE_SEEDS).map(move |seed| {
+        let simulation = Simulation::new(scenario, &[ended(quality)], Seed::new(seed));
+        (seed, simulation.run())
+    })
+}
+
+/// A good version of a service with few requests gets enough of them to be done in time.
+#[test_case(4 ; "4 requests per second")]
+#[test_case(8 ; "8 requests per second")]
+#[test_case(12 ; "12 requests per second")]
+#[test_case(16 ; "16 requests per second")]
+#[test_case(24 ; "24 requests per second")]
+#[test_case(40 ; "40 requests per second")]
+#[test_case(60 ; "60 requests per second")]
+fn good_version_completed_at_rate(requests_per_s: u64) {
+    for duration_ms in DURATIONS_MS {
+        for (seed, simulation) in simulate_alone(requests_per_s, duration_ms, GOOD) {
+            let end = simulation.courses[0].end;
+            assert!(
+                end.is_some_and(|(end_ms, phase)| {
+                    phase == RolloutPhase::Done && end_ms + STORE_DELAY_MS <= duration_ms
+                }),
+                "{duration_ms} ms, seed {seed}: {end:?}"
+            );
+        }
+    }
+}
+
+/// A bad version gets no more requests than allowed at any rate, however often it fails.
+#[test_case(4 ; "4 requests per second")]
+#[test_case(8 ; "8 requests per second")]
+#[test_case(12 ; "12 requests per second")]
+#[test_case(16 ; "16 requests per second")]
+#[test_case(24 ; "24 requests per second")]
+#[test_case(40 ; "40 requests per second")]
+#[test_case(60 ; "60 requests per second")]
+fn bad_version_bounded_at_rate(requests_per_s: u64) {
+    for duration_ms in DURATIONS_MS {
+        for quality in [failing(10), failing(20), failing(40), failing(100), SLOW] {
+            for (seed, simulation) in simulate_alone(requests_per_s, duration_ms, quality) {
+                println!(
+                    "{duration_ms} ms, {} in 100, seed {seed}",
+                    quality.failing_percent
+                );
+                simulation.assert_bounded(0);
+            }
+        }
+    }
+}
