--- a/crates/decide/src/moves/mod.rs
+++ b/crates/decide/src/moves/mod.rs
@@ -90,12 +90,6 @@
                 open.map(|open| open.apply_recorded_end(now, end))
                     .unwrap_or_default()
             }
-            MoveInput::Rejected { move_id, versions } => {
-                if let Some(open) = self.moves.get_mut(&move_id) {
-                    open.plan.reject(versions);
-                }
-                Vec::new()
-            }
             MoveInput::Trial(trial) => self.record_trial(now, trial),
             MoveInput::EndpointAnswered(endpoint) => {
                 let failures = self.pending_failures.confirm(&endpoint);
@@ -130,6 +124,13 @@
         open.map(|(id, open)| (id, &open.evidence))
     }
 
+    /// Sets the versions that a move does not replace, where it replaces all others.
+    pub(crate) fn reject(&mut self, move_id: &MoveId, versions: BTreeSet<EndpointVersion>) {
+        if let Some(open) = self.moves.get_mut(move_id) {
+            open.plan.reject(versions);
+        }
+    }
+
     /// Versions that have run attempts beside the new one of a move.
     pub(crate) fn replaced_versions(&self, move_id: &MoveId) -> BTreeSet<EndpointVersion> {
         let open = self.moves.get(move_id);
--- a/crates/decide/src/moves/plan.rs
+++ b/crates/decide/src/moves/plan.rs
@@ -247,13 +247,6 @@
         /// End of the move.
         end: MoveEnd,
     },
-    /// Versions that are not compared with the new one, where a move replaces all others.
-    Rejected {
-        /// Id of the move.
-        move_id: MoveId,
-        /// All such versions.
-        versions: BTreeSet<EndpointVersion>,
-    },
     /// An attempt of this node has ended.
     Trial(Trial),
     /// An endpoint answered, so its pending failures count.
--- a/crates/decide/src/relay/mod.rs
+++ b/crates/decide/src/relay/mod.rs
@@ -34,6 +34,7 @@
 mod source;
 mod stall_detector;
 mod version_history;
+mod version_rule;
 
 use parsleylatch_chart::ChartError;
 
@@ -85,13 +86,13 @@
 pub use restored_documents::{ConfigurationMark, DocumentMark, OrderFinding, judge_order};
 pub use retry_window::{RetryKind, RetryWindow};
 pub use rollout::{
-    RolloutEffect, RolloutOrder, RolloutPhase, RolloutStatus, Rollouts, VersionChoice,
-    VersionLimit, VersionRule, VersionTrial,
+    RolloutEffect, RolloutOrder, RolloutPhase, RolloutStatus, Rollouts, VersionTrial,
 };
 pub use selector::{Choice, SelectionCriteria, Selector};
 pub use source::{SourceFacts, SourceState, StoreSource};
 pub use stall_detector::StallDetector;
 pub use version_history::EndedOrder;
+pub use version_rule::{VersionChoice, VersionLimit, VersionRule};
 
 pub(crate) fn verify_charts() -> Result<(), ChartError> {
     connection_places::verify_chart()?;
--- a/crates/decide/src/relay/rollout.rs
+++ b/crates/decide/src/relay/rollout.rs
@@ -19,6 +19,7 @@
 use super::{
     open_trials::OpenTrials,
     version_history::{EndedOrder, VersionHistory},
+    version_rule::VersionRule,
 };
 use crate::moves::{
     ExposureLimit, FULL_SHARE, MoveEffect, MoveEnd, MoveEvidence, MoveInput, MoveOutcome, MovePlan,
@@ -74,76 +75,6 @@
     pub phase: RolloutPhase,
 }
 
-/// Split of a service's new requests between versions.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VersionRule {
-    /// Target version of the roll-out.
-    pub target: EndpointVersion,
-    /// Share of the requests for the target version.
-    pub share: Share,
-    /// Versions that get no requests.
-    pub rejected: Arc<BTreeSet<EndpointVersion>>,
-}
-
-/// Restricts the versions on which one attempt may run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VersionLimit {
-    /// Versions among those that are not rejected.
-    pub choice: VersionChoice,
-    /// Versions on which no attempt may run.
-    pub rejected: Arc<BTreeSet<EndpointVersion>>,
-}
-
-/// Versions on which one attempt may run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum VersionChoice {
-    /// This version, if one of its endpoints can take the attempt.
-    Preferred(EndpointVersion),
-    /// Any version except this one.
-    Other(EndpointVersion),
-    /// Any version.
-    Any,
-}
-
-impl VersionLimit {
-    /// Whether an attempt may run on a version.
-    pub fn allows(&self, version: &EndpointVersion) -> bool {
-        let is_chosen = match &self.choice {
-            VersionChoice::Preferred(preferred) => preferred == version,
-            VersionChoice::Other(other) => other != version,
-            VersionChoice::Any => true,
-        };
-        is_chosen && !self.rejected.contains(version)
-    }
-
-    /// The limit for an attempt that finds no endpoint of the preferred version; `None` if no
-    /// version is preferred.
-    pub(crate) fn without_preference(&self) -> Option<Self> {
-        let is_preference = matches!(self.choice, VersionChoice::Preferred(_));
-        is_preference.then(|| Self {
-            choice: VersionChoice::Any,
-            rejected: Arc::clone(&self.rejected),
-        })
-    }
-}
-
-impl VersionRule {
-    /// Limit for an attempt; `random` is uniform below the full share. A retry does
-    /// not run on a version on trial.
-    pub fn limit(&self, random: u32, is_retry: bool) -> VersionLimit {
-        let is_full = self.share == FULL_SHARE;
-        let is_in_share = random < self.share.get() && !is_retry;
-        let choice = match is_full || is_in_share {
-            true => VersionChoice::Preferred(self.target.clone()),
-            false => VersionChoice::Other(self.target.clone()),
-        };
-        VersionLimit {
-            choice,
-            rejected: Arc::clone(&self.rejected),
-        }
-    }
-}
-
 /// Result of one attempt on a version on trial, or on one it is compared with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionTrial {
@@ -266,29 +197,23 @@
             plan: Some(plan),
         };
         effects.extend(self.table.handle(now, template));
-        effects.extend(self.apply_history(now, &service));
+        self.apply_history(&service);
         Ok(self.translate(effects))
     }
 
     /// Records what is known of an order that another one has replaced.
     fn record_replaced(&mut self, replaced: &OrderedRollout) {
         let order = &replaced.order;
+        let phase = replaced.phase.unwrap_or(RolloutPhase::Running);
         let history = self.history.entry(order.service.clone()).or_default();
-        let ended = EndedOrder {
-            position: replaced.position,
-            phase: replaced.phase.unwrap_or(RolloutPhase::Running),
-        };
-        history.record(&order.target, ended);
+        history.record(&order.target, EndedOrder::new(replaced.position, phase));
         history.record_served(self.table.replaced_versions(&replaced.move_id));
     }
 
     /// Records an order that another one has replaced before it was applied.
     pub fn record_unapplied(&mut self, position: StorePosition, order: &RolloutOrder) {
         let history = self.history.entry(order.service.clone()).or_default();
-        let ended = EndedOrder {
-            position,
-            phase: RolloutPhase::Running,
-        };
+        let ended = EndedOrder::new(position, RolloutPhase::Running);
         history.record(&order.target, ended);
     }
 
@@ -310,26 +235,23 @@
         }
         self.listed.insert(service.clone(), listed);
         let before = self.rules(now).remove(service);
-        let _ = self.apply_history(now, service);
+        self.apply_history(service);
         before != self.rules(now).remove(service)
     }
 
     /// Applies to the order in force how earlier ones have ended.
-    fn apply_history(&mut self, now: MonoTime, service: &ServiceName) -> Vec<MoveEffect> {
+    fn apply_history(&mut self, service: &ServiceName) {
         let (Some(ordered), Some(history)) =
             (self.ordered.get_mut(service), self.history.get(service))
         else {
-            return Vec::new();
+            return;
         };
         let listed = self.listed.get(service).cloned().unwrap_or_default();
         let target = &ordered.order.target;
         ordered.is_only_choice = history.is_only_choice(target, &listed);
-        ordered.rejected = Arc::new(history.rejected(target, &listed));
-        let rejected = MoveInput::Rejected {
-            move_id: ordered.move_id.clone(),
-            versions: BTreeSet::clone(&ordered.rejected),
-        };
-        self.table.handle(now, rejected)
+        let rejected = history.rejected(target, &listed);
+        self.table.reject(&ordered.move_id, rejected.clone());
+        ordered.rejected = Arc::new(rejected);
     }
 
     /// Ends of earlier orders of a service, for other nodes.
@@ -360,7 +282,7 @@
         let history = self.history.entry(service.clone()).or_default();
         let earlier = ended.iter().filter(|it| it.1.position < order_position);
         earlier.for_each(|(version, order)| history.record(version, *order));
-        let _ = self.apply_history(now, service);
+        self.apply_history(service);
         before != self.rules(now).remove(service)
     }
 
--- a/crates/decide/src/relay/selector.rs
+++ b/crates/decide/src/relay/selector.rs
@@ -22,7 +22,7 @@
         STREAM_COST_US, SUSPENSION_COST_US, call_cost, failure_penalty, failure_rate_cost,
         load_cost, prefill, stream_cost,
     },
-    rollout::VersionLimit,
+    version_rule::VersionLimit,
 };
 
 /// Network round trip within a region.
--- a/crates/decide/src/relay/version_history.rs
+++ b/crates/decide/src/relay/version_history.rs
@@ -97,6 +97,11 @@
 }
 
 impl EndedOrder {
+    /// Creates the record of an order that was last seen in `phase`.
+    pub fn new(position: StorePosition, phase: RolloutPhase) -> Self {
+        Self { position, phase }
+    }
+
     /// Of two records of one order, the one that knows its end counts.
     fn rank(&self) -> (StorePosition, u8) {
         let certainty = match self.phase {
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -480,10 +480,8 @@
 
 /// Order of a message; `None` if it can't be parsed.
 fn read_ended(message: &EndedOrderMessage) -> Option<(EndpointVersion, EndedOrder)> {
-    let order = EndedOrder {
-        position: position(message.order_era, message.order_revision),
-        phase: message.phase.parse().ok()?,
-    };
+    let position = position(message.order_era, message.order_revision);
+    let order = EndedOrder::new(position, message.phase.parse().ok()?);
     Some((message.version.parse().ok()?, order))
 }
 
--- a/crates/relay/src/traffic/exchange/mod.rs
+++ b/crates/relay/src/traffic/exchange/mod.rs
@@ -21,7 +21,6 @@
 };
 use parsleylatch_http::RawEvent;
 use parsleylatch_types::{ByteCount, Micros, Millis, MonoTime, StreamEventId, TrialNumber};
-use prompt_parts::PartTrialState;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
@@ -36,6 +35,7 @@
     state::Traffic,
 };
 use crate::{shared::LifecyclePhase, telemetry::RelayCounter};
+use prompt_parts::PartTrialState;
 
 /// Delay of a timer from which the process is assumed to have been paused.
 const TIMER_PAUSE_THRESHOLD_MS: Millis = Millis::new(100);
--- a/crates/relay/src/traffic/exchange/prompt_parts.rs
+++ b/crates/relay/src/traffic/exchange/prompt_parts.rs
@@ -3,8 +3,7 @@
 use std::sync::PoisonError;
 
 use parsleylatch_decide::relay::{
-    ExchangeEffect, ExchangeInput, NodeTurn, PartAdmission, PartTrial, PartTrials, PartVerdicts,
-    PromptChain, RefusalReason, retry_delay,
+    ExchangeEffect, ExchangeInput, NodeTurn, PartAdmission, PartTrial, RefusalReason, retry_delay,
 };
 use parsleylatch_types::{Micros, Millis, MonoTime, PromptPartId};
 
@@ -28,7 +27,7 @@
 impl ExchangeDriver {
     /// Decides whether the parts of the prompt allow an attempt, which may be a trial.
     pub(super) fn admit_prompt(&self) -> Result<(), PlaceRefusal> {
-        match self.judge_prompt(PartTrials::admit) {
+        match self.judge_prompt(true) {
             PartAdmission::Unrestricted => Ok(()),
             PartAdmission::Refused(part) => Err(PlaceRefusal::Quarantined(part)),
             PartAdmission::Pending(_) => Err(PlaceRefusal::TrialPending),
@@ -51,22 +50,15 @@
     /// Returns the quarantined part because of which no further attempt may be made, and
     /// logs it.
     pub(super) fn check_quarantine(&self) -> Option<PromptPartId> {
-        let admission = self.judge_prompt(|trials, now, verdicts, prompt, turn| {
-            trials.judge(now, verdicts, prompt, turn)
-        });
-        let PartAdmission::Refused(part) = admission else {
+        let PartAdmission::Refused(part) = self.judge_prompt(false) else {
             return None;
         };
         self.record_quarantined(&part);
         Some(part)
     }
 
-    /// Decision on the prompt, by `decide` where a part of it is in quarantine.
-    fn judge_prompt<Decide>(&self, decide: Decide) -> PartAdmission
-    where
-        Decide:
-            Fn(&mut PartTrials, MonoTime, &PartVerdicts, &PromptChain, NodeTurn) -> PartAdmission,
-    {
+    /// Decides on an attempt at the prompt; `starts_trial` tells whether it follows at once.
+    fn judge_prompt(&self, starts_trial: bool) -> PartAdmission {
         let shared = &self.traffic.shared;
         let snapshot = shared.snapshot.load();
         let verdicts = &snapshot.prompt_parts;
@@ -90,7 +82,10 @@
             .part_trials
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        decide(&mut trials, now, verdicts, prompt, turn)
+        match starts_trial {
+            true => trials.admit(now, verdicts, prompt, turn),
+            false => trials.judge(now, verdicts, prompt, turn),
+        }
     }
 
     /// Ends the trial of this exchange, if there is one, without a crash.
