--- a/crates/decide/tests/rollout_sequences.rs
+++ b/crates/decide/tests/rollout_sequences.rs
@@ -458,6 +458,9 @@
         for order in 0..=last {
             simulation.assert_bounded(order);
         }
+        if scenario.event != Event::OldVersionAway {
+            assert_eq!(simulation.refused, 0, "seed {seed}");
+        }
         for order in 0..last {
             // A node that is replaced has to learn from the others.
             let from_ms = simulation.courses[order + 1].ordered_ms + STEP_MS;
@@ -493,7 +496,76 @@
     }
 }
 
-/// Times of orders, as in the deployments.
+/// A node that has taken back `v2`, and then gets an order for `target`.
+fn node_after_bad_version(target: &str, phase: Option<RolloutPhase>) -> Rollouts {
+    let mut node = node(0, 1);
+    for (number, target) in ["v2", target].into_iter().enumerate() {
+        let order = RolloutOrder {
+            service: service(),
+            target: version(target),
+            duration_ms: Millis::new(PLAIN.duration_ms),
+        };
+        let position = position(10 * (number as u64 + 1));
+        node.apply_order(at(0), position, order, EXPOSURE_LIMIT, None)
+            .unwrap();
+        if number > 0 {
+            continue;
+        }
+        let served = VersionTrial {
+            service: service(),
+            version: version("v1"),
+            route: "r-1".parse().unwrap(),
+            endpoint: "i-v1".parse().unwrap(),
+            latency: Some(Micros::new(10_000)),
+        };
+        node.record_trial(at(0), &served);
+        if let Some(phase) = phase {
+            node.apply_phase(at(0), &service(), phase);
+        }
+    }
+    node
+}
+
+fn allowed(node: &Rollouts, random: u32) -> Vec<&'static str> {
+    let rule = node.rules(at(10)).remove(&service()).unwrap();
+    let limit = rule.limit(random, false);
+    let names = ["v1", "v2", "v3"].into_iter();
+    names.filter(|it| limit.allows(&version(it))).collect()
+}
+
+fn observe(node: &mut Rollouts, listed: &[&str]) {
+    let listed = listed.iter().map(|it| version(it)).collect();
+    rollouts_observe(node, 5, listed);
+}
+
+/// All requests go to the old version if the only other one is bad.
+#[test]
+fn order_back_to_old_version_refuses_none() {
+    let mut node = node_after_bad_version("v1", Some(RolloutPhase::TakenBack));
+    observe(&mut node, &["v1", "v2"]);
+    assert_eq!(allowed(&node, 999_999), ["v1"]);
+    // Another old version takes the requests beyond the share.
+    observe(&mut node, &["v1", "v2", "v3"]);
+    assert_eq!(allowed(&node, 999_999), ["v3"]);
+}
+
+/// A version whose order was replaced is used only if no other one is listed; one that was
+/// taken back is not used then either.
+#[test_case(None, &["v2"] ; "replaced")]
+#[test_case(Some(RolloutPhase::TakenBack), &[] ; "taken back")]
+fn earlier_version_used_without_other(phase: Option<RolloutPhase>, alone: &[&str]) {
+    let mut node = node_after_bad_version("v3", phase);
+    observe(&mut node, &["v1", "v2", "v3"]);
+    assert_eq!(allowed(&node, 999_999), ["v1"]);
+    observe(&mut node, &["v2", "v3"]);
+    let used = allowed(&node, 999_999);
+    let listed: Vec<_> = used.into_iter().filter(|it| *it != "v1").collect();
+    assert_eq!(listed, alone);
+    observe(&mut node, &["v1", "v2", "v3"]);
+    assert_eq!(allowed(&node, 999_999), ["v1"]);
+}
+
+/// Times of orders.
 const DURATIONS_MS: [u64; 3] = [16_000, 30_000, 60_000];
 const RATE_SEEDS: u64 = 20;
 
