--- a/review/12/case.py
+++ b/review/12/case.py
@@ -22,9 +22,9 @@
 CALM_S = 4.0
 DURATION_S = 60
 FIFTIETH = 50
-EVENTS = 40
+EVENTS = 16
 FIRST_S = 0.15
-GAP_S = 0.04
+GAP_S = 0.1
 # How much later the first event of the bad version comes, and how much longer its gaps are.
 SLOWNESS = {"1": (1, 8), "first": (8, 8), "0": (1, 1)}
 
