Review: case 11, the bad version fails as the site's own route does

Rule: EXPOSURE, a bad version gets at most expose_share of the requests.

The 404 stays as TROUBLE=4xx, for information.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,12 @@
-"""A bad version answers a part of its requests with a failure of the class 4xx: how many
-requests does it get?  TROUBLE=5xx shows the same with failures of the class 5xx."""
+"""A bad version fails a third of the requests of one route, on which the old version fails one in
+seven, as on the site: how many requests does it get?  TROUBLE=4xx: every second answer on all routes
+is a 404 in place of that; TROUBLE=5xx: it is a 500, and the old version never fails."""
 
 import asyncio
 import os
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -20,27 +22,48 @@
 INTERVAL_S = 0.01
 CALM_S = 4.0
 DURATION_S = 30
-# One in so many answers of the bad version is a failure.
-FAILURE_RATIO = 2
 FIFTIETH = 50
-FAILURES = {"1": 404, "4xx": 404, "5xx": 500, "0": None}
+
+
+@dataclass
+class Trouble:
+    """One in so many requests fails, at the old and at the new version."""
+
+    status: int
+    old_ratio: int
+    bad_ratio: int
+    prefix: str = "/"
+
+
+# `error_share` of the route `status-read` of the site is 0.14.
+TROUBLES = {
+    "1": Trouble(500, 7, 3, "/look/"),
+    "0": Trouble(500, 7, 7, "/look/"),
+    "4xx": Trouble(404, 0, 2),
+    "5xx": Trouble(500, 0, 2),
+}
 
 
 class Answers:
-    """The answers of the workers; those of the bad version fail from time to time."""
+    """The answers of the workers, of which some fail."""
 
-    def __init__(self, failure):
-        self.failure = failure
-        self.count = 0
+    def __init__(self, trouble):
+        self.trouble = trouble
+        self.counts = {"v1": 0, "v2": 0}
+        self.failures = {"v1": 0, "v2": 0}
         self.bad_at = []
 
     async def behave(self, worker, request, writer):
         await asyncio.sleep(0.015)
-        if worker.version == "v2" and self.failure:
-            self.count += 1
-            if self.count % FAILURE_RATIO == 0:
-                worker.send_answer(request, writer, self.failure, b"no such booking")
-                self.bad_at.append(time.monotonic())
+        trouble, version = self.trouble, worker.version
+        ratio = trouble.old_ratio if version == "v1" else trouble.bad_ratio
+        if ratio and request.path.startswith(trouble.prefix):
+            self.counts[version] += 1
+            if self.counts[version] % ratio == 0:
+                self.failures[version] += 1
+                if version == "v2":
+                    self.bad_at.append(time.monotonic())
+                worker.send_answer(request, writer, trouble.status, b"failed")
                 return
         worker.send_answer(request, writer)
 
@@ -70,7 +93,8 @@
 async def main(record):
     store = Store(record)
     await store.start()
-    answers = Answers(FAILURES[os.environ.get("TROUBLE", "1")])
+    trouble = TROUBLES[os.environ.get("TROUBLE", "1")]
+    answers = Answers(trouble)
     workers = {"v1": [], "v2": []}
     for version, started in workers.items():
         for number in range(1, WORKERS + 1):
@@ -119,11 +143,12 @@
         ids = [request.headers["x-request-id"] for _, request in arrivals["v2"]]
         late = [it for it in ids if sent[it] > until]
     record.result(
-        f"{total} requests reached the service in the time of the order, {exposed} of them v2 "
-        f"({len(answers.bad_at)} answered with {answers.failure}); allowed are {limit:.0f}; sent "
-        f"over {fleet.BOUNDS['rollback_ms']} ms after the 50th bad answer: {len(late)}; status {status}"
+        f"{total} requests reached the service in the time of the order, {exposed} of them v2; "
+        f"allowed are {limit:.0f}; answered with {trouble.status}: {answers.failures} of "
+        f"{answers.counts} requests that may fail; sent over {fleet.BOUNDS['rollback_ms']} ms after "
+        f"the 50th bad answer: {len(late)}; status {status}"
     )
-    is_bad = answers.failure is not None
+    is_bad = trouble.bad_ratio != trouble.old_ratio
     return is_bad and (exposed > limit or len(late) > 0)
 
 
